--- /dev/null
+++ b/core/src/main/java/org/almondslip/error/package-info.java
@@ -0,0 +1,2 @@
+/** Error codes, exceptions, and findings with their place. */
+package org.almondslip.error;
--- /dev/null
+++ b/core/src/main/java/org/almondslip/resource/package-info.java
@@ -0,0 +1,2 @@
+/** Ownership and release of resources. */
+package org.almondslip.resource;
--- /dev/null
+++ b/core/src/main/java/org/almondslip/time/package-info.java
@@ -0,0 +1,2 @@
+/** Clock of the decision logic, in milliseconds. */
+package org.almondslip.time;
