--- /dev/null
+++ b/agent/src/main/java/org/almondslip/agent/AgentMain.java
@@ -0,0 +1,17 @@
+package org.almondslip.agent;
+
+/** Entry point of the program. */
+public final class AgentMain {
+
+  /** Not instantiable. */
+  private AgentMain() {}
+
+  /**
+   * Runs the program.
+   *
+   * @param args the command-line arguments
+   */
+  public static void main(String[] args) {
+    System.exit(1);
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/almondslip/quarantine/package-info.java
@@ -0,0 +1,2 @@
+/** Requests that are suspected of crashing targets. */
+package org.almondslip.quarantine;
--- /dev/null
+++ b/core/src/main/java/org/almondslip/scheduling/package-info.java
@@ -0,0 +1,2 @@
+/** Choice of the next request for a free slot. */
+package org.almondslip.scheduling;
--- /dev/null
+++ b/core/src/main/java/org/almondslip/store/package-info.java
@@ -0,0 +1,2 @@
+/** Access to the platform's table service, object store and instance list. */
+package org.almondslip.store;
--- /dev/null
+++ b/runtime/src/main/java/org/almondslip/logging/package-info.java
@@ -0,0 +1,2 @@
+/** Log records as JSON lines. */
+package org.almondslip.logging;
--- /dev/null
+++ b/runtime/src/main/java/org/almondslip/metrics/package-info.java
@@ -0,0 +1,2 @@
+/** Health, readiness and metrics of a process. */
+package org.almondslip.metrics;
--- /dev/null
+++ b/runtime/src/main/java/org/almondslip/process/Launcher.java
@@ -0,0 +1,133 @@
+package org.almondslip.process;
+
+import com.beust.jcommander.JCommander;
+import com.beust.jcommander.ParameterException;
+import com.google.common.flogger.FluentLogger;
+import java.io.IOException;
+import java.io.PrintStream;
+import java.nio.file.Files;
+import java.util.Map;
+import java.util.concurrent.CountDownLatch;
+import org.almondslip.error.Finding;
+import org.almondslip.error.Findings;
+import org.almondslip.logging.JsonLines;
+import org.almondslip.settings.Section;
+
+/** Reads arguments and settings, starts a program and stops it on SIGTERM. */
+public final class Launcher {
+
+  /** Exit status for wrong arguments or settings. */
+  private static final int EXIT_USAGE = 2;
+
+  /** Logger of this class. */
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+
+  /** Not instantiable. */
+  private Launcher() {}
+
+  /**
+   * Runs a program until the process is asked to stop.
+   *
+   * @param program the program
+   * @param args the command-line arguments
+   * @param <S> the type of its settings
+   */
+  public static <S> void run(Program<S> program, String[] args) {
+    int status = launch(program, args, System.out, System.err);
+    if (status != 0) {
+      System.exit(status);
+    }
+  }
+
+  /**
+   * Checks arguments and settings and, unless only a check is wanted, runs the program.
+   *
+   * @param program the program
+   * @param args the command-line arguments
+   * @param out where the result of a check is printed
+   * @param err where findings are printed
+   * @param <S> the type of its settings
+   * @return the exit status
+   */
+  static <S> int launch(Program<S> program, String[] args, PrintStream out, PrintStream err) {
+    Arguments arguments = new Arguments();
+    JCommander commander =
+        JCommander.newBuilder().programName(program.name()).addObject(arguments).build();
+    try {
+      commander.parse(args);
+    } catch (ParameterException e) {
+      err.println(e.getMessage());
+      return EXIT_USAGE;
+    }
+    if (arguments.help()) {
+      commander.usage();
+      return 0;
+    }
+    Findings findings = new Findings();
+    Section section =
+        Section.of(arguments.settings().toString(), read(arguments, findings), findings);
+    S settings = findings.isEmpty() ? program.read(section) : null;
+    section.finish();
+    if (!findings.isEmpty()) {
+      findings.toList().forEach(err::println);
+      return EXIT_USAGE;
+    }
+    if (arguments.check()) {
+      out.println(arguments.settings() + ": no findings");
+      return 0;
+    }
+    runUntilStopped(program, section, settings);
+    return 0;
+  }
+
+  /**
+   * Starts the program and waits for the signal to stop.
+   *
+   * @param program the program
+   * @param section the top level of the settings
+   * @param settings the settings
+   * @param <S> the type of the settings
+   */
+  private static <S> void runUntilStopped(Program<S> program, Section section, S settings) {
+    JsonLines.install(
+        Map.of(
+            "program", program.name(),
+            "instance", section.optionalText("instance").orElse(""),
+            "region", section.optionalText("region").orElse("")),
+        System.out);
+    Program.Running running = program.start(settings);
+    CountDownLatch stopped = new CountDownLatch(1);
+    Runtime.getRuntime()
+        .addShutdownHook(
+            new Thread(
+                () -> {
+                  logger.atInfo().log("planned stop: draining");
+                  running.drain();
+                  logger.atInfo().log("stopped");
+                  stopped.countDown();
+                },
+                "shutdown"));
+    logger.atInfo().log("started");
+    try {
+      stopped.await();
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
+  /**
+   * Reads the settings file.
+   *
+   * @param arguments the command-line arguments
+   * @param findings the receiver of findings
+   * @return the content, an empty mapping when it cannot be read
+   */
+  private static String read(Arguments arguments, Findings findings) {
+    try {
+      return Files.readString(arguments.settings());
+    } catch (IOException e) {
+      findings.add(new Finding(arguments.settings().toString(), 0, "", "cannot be read"));
+      return "{}";
+    }
+  }
+}
--- /dev/null
+++ b/runtime/src/main/java/org/almondslip/process/package-info.java
@@ -0,0 +1,2 @@
+/** Start and planned stop of a process. */
+package org.almondslip.process;
--- /dev/null
+++ b/runtime/src/main/java/org/almondslip/protocol/package-info.java
@@ -0,0 +1,2 @@
+/** Inner protocol between routers and agents: framing, handshake, heartbeats. */
+package org.almondslip.protocol;
--- a/wire/src/main/java/org/almondslip/protocol/wire/AgentStatus.java
+++ b/wire/src/main/java/org/almondslip/protocol/wire/AgentStatus.java
@@ -5,53 +5,58 @@
 
 package org.almondslip.protocol.wire;
 
-/**
- * Protobuf type {@code almondslip.AgentStatus}
- */
+/** Protobuf type {@code almondslip.AgentStatus} */
 @com.google.protobuf.Generated
-public final class AgentStatus extends
-    com.google.protobuf.GeneratedMessage implements
+public final class AgentStatus extends com.google.protobuf.GeneratedMessage
+    implements
     // @@protoc_insertion_point(message_implements:almondslip.AgentStatus)
     AgentStatusOrBuilder {
-private static final long serialVersionUID = 0L;
+  private static final long serialVersionUID = 0L;
+
   static {
     com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
-      com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
-      /* major= */ 4,
-      /* minor= */ 36,
-      /* patch= */ 2,
-      /* suffix= */ "",
-      "AgentStatus");
+        com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+        /* major= */ 4,
+        /* minor= */ 36,
+        /* patch= */ 2,
+        /* suffix= */ "",
+        "AgentStatus");
   }
+
   // Use AgentStatus.newBuilder() to construct.
   private AgentStatus(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
     super(builder);
   }
-  private AgentStatus() {
-  }
 
-  public static final com.google.protobuf.Descriptors.Descriptor
-      getDescriptor() {
-    return org.almondslip.protocol.wire.Almondslip.internal_static_almondslip_AgentStatus_descriptor;
+  private AgentStatus() {}
+
+  public static final com.google.protobuf.Descriptors.Descriptor getDescriptor() {
+    return org.almondslip.protocol.wire.Almondslip
+        .internal_static_almondslip_AgentStatus_descriptor;
   }
 
   @java.lang.Override
   public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
-    return org.almondslip.protocol.wire.Almondslip.internal_static_almondslip_AgentStatus_descriptor;
+    return org.almondslip.protocol.wire.Almondslip
+        .internal_static_almondslip_AgentStatus_descriptor;
   }
 
   @java.lang.Override
   protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internalGetFieldAccessorTable() {
-    return org.almondslip.protocol.wire.Almondslip.internal_static_almondslip_AgentStatus_fieldAccessorTable
+    return org.almondslip.protocol.wire.Almondslip
+        .internal_static_almondslip_AgentStatus_fieldAccessorTable
         .ensureFieldAccessorsInitialized(
-            org.almondslip.protocol.wire.AgentStatus.class, org.almondslip.protocol.wire.AgentStatus.Builder.class);
+            org.almondslip.protocol.wire.AgentStatus.class,
+            org.almondslip.protocol.wire.AgentStatus.Builder.class);
   }
 
   public static final int SLOTS_FIELD_NUMBER = 1;
   private int slots_ = 0;
+
   /**
    * <code>uint32 slots = 1;</code>
+   *
    * @return The slots.
    */
   @java.lang.Override
@@ -61,8 +66,10 @@
 
   public static final int FREE_SLOTS_FIELD_NUMBER = 2;
   private int freeSlots_ = 0;
+
   /**
    * <code>uint32 free_slots = 2;</code>
+   *
    * @return The freeSlots.
    */
   @java.lang.Override
@@ -72,8 +79,10 @@
 
   public static final int STAGED_FIELD_NUMBER = 3;
   private int staged_ = 0;
+
   /**
    * <code>uint32 staged = 3;</code>
+   *
    * @return The staged.
    */
   @java.lang.Override
@@ -83,8 +92,10 @@
 
   public static final int HEALTHY_FIELD_NUMBER = 4;
   private boolean healthy_ = false;
+
   /**
    * <code>bool healthy = 4;</code>
+   *
    * @return The healthy.
    */
   @java.lang.Override
@@ -94,8 +105,10 @@
 
   public static final int DRAINING_FIELD_NUMBER = 5;
   private boolean draining_ = false;
+
   /**
    * <code>bool draining = 5;</code>
+   *
    * @return The draining.
    */
   @java.lang.Override
@@ -105,12 +118,16 @@
 
   public static final int REPORTED_LOAD_FIELD_NUMBER = 6;
   private int reportedLoad_ = 0;
+
   /**
+   *
+   *
    * <pre>
    * Last load reported by the target, in requests running or waiting there.
    * </pre>
    *
    * <code>uint32 reported_load = 6;</code>
+   *
    * @return The reportedLoad.
    */
   @java.lang.Override
@@ -119,6 +136,7 @@
   }
 
   private byte memoizedIsInitialized = -1;
+
   @java.lang.Override
   public final boolean isInitialized() {
     byte isInitialized = memoizedIsInitialized;
@@ -130,8 +148,7 @@
   }
 
   @java.lang.Override
-  public void writeTo(com.google.protobuf.CodedOutputStream output)
-                      throws java.io.IOException {
+  public void writeTo(com.google.protobuf.CodedOutputStream output) throws java.io.IOException {
     if (slots_ != 0) {
       output.writeUInt32(1, slots_);
     }
@@ -152,34 +169,30 @@
     }
     getUnknownFields().writeTo(output);
   }
+
   private int computeSerializedSize_0() {
     int size = 0;
     if (slots_ != 0) {
-      size += com.google.protobuf.CodedOutputStream
-        .computeUInt32Size(1, slots_);
+      size += com.google.protobuf.CodedOutputStream.computeUInt32Size(1, slots_);
     }
     if (freeSlots_ != 0) {
-      size += com.google.protobuf.CodedOutputStream
-        .computeUInt32Size(2, freeSlots_);
+      size += com.google.protobuf.CodedOutputStream.computeUInt32Size(2, freeSlots_);
     }
     if (staged_ != 0) {
-      size += com.google.protobuf.CodedOutputStream
-        .computeUInt32Size(3, staged_);
+      size += com.google.protobuf.CodedOutputStream.computeUInt32Size(3, staged_);
     }
     if (healthy_ != false) {
-      size += com.google.protobuf.CodedOutputStream
-        .computeBoolSize(4, healthy_);
+      size += com.google.protobuf.CodedOutputStream.computeBoolSize(4, healthy_);
     }
     if (draining_ != false) {
-      size += com.google.protobuf.CodedOutputStream
-        .computeBoolSize(5, draining_);
+      size += com.google.protobuf.CodedOutputStream.computeBoolSize(5, draining_);
     }
     if (reportedLoad_ != 0) {
-      size += com.google.protobuf.CodedOutputStream
-        .computeUInt32Size(6, reportedLoad_);
+      size += com.google.protobuf.CodedOutputStream.computeUInt32Size(6, reportedLoad_);
     }
     return size;
   }
+
   @java.lang.Override
   public int getSerializedSize() {
     int size = memoizedSize;
@@ -195,25 +208,19 @@
   @java.lang.Override
   public boolean equals(final java.lang.Object obj) {
     if (obj == this) {
-     return true;
+      return true;
     }
     if (!(obj instanceof org.almondslip.protocol.wire.AgentStatus)) {
       return super.equals(obj);
     }
     org.almondslip.protocol.wire.AgentStatus other = (org.almondslip.protocol.wire.AgentStatus) obj;
 
-    if (getSlots()
-        != other.getSlots()) return false;
-    if (getFreeSlots()
-        != other.getFreeSlots()) return false;
-    if (getStaged()
-        != other.getStaged()) return false;
-    if (getHealthy()
-        != other.getHealthy()) return false;
-    if (getDraining()
-        != other.getDraining()) return false;
-    if (getReportedLoad()
-        != other.getReportedLoad()) return false;
+    if (getSlots() != other.getSlots()) return false;
+    if (getFreeSlots() != other.getFreeSlots()) return false;
+    if (getStaged() != other.getStaged()) return false;
+    if (getHealthy() != other.getHealthy()) return false;
+    if (getDraining() != other.getDraining()) return false;
+    if (getReportedLoad() != other.getReportedLoad()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -232,11 +239,9 @@
     hash = (37 * hash) + STAGED_FIELD_NUMBER;
     hash = (53 * hash) + getStaged();
     hash = (37 * hash) + HEALTHY_FIELD_NUMBER;
-    hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
-        getHealthy());
+    hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(getHealthy());
     hash = (37 * hash) + DRAINING_FIELD_NUMBER;
-    hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
-        getDraining());
+    hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(getDraining());
     hash = (37 * hash) + REPORTED_LOAD_FIELD_NUMBER;
     hash = (53 * hash) + getReportedLoad();
     hash = (29 * hash) + getUnknownFields().hashCode();
@@ -244,128 +249,129 @@
     return hash;
   }
 
-  public static org.almondslip.protocol.wire.AgentStatus parseFrom(
-      java.nio.ByteBuffer data)
+  public static org.almondslip.protocol.wire.AgentStatus parseFrom(java.nio.ByteBuffer data)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data);
   }
+
   public static org.almondslip.protocol.wire.AgentStatus parseFrom(
-      java.nio.ByteBuffer data,
-      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+      java.nio.ByteBuffer data, com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data, extensionRegistry);
   }
+
   public static org.almondslip.protocol.wire.AgentStatus parseFrom(
       com.google.protobuf.ByteString data)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data);
   }
+
   public static org.almondslip.protocol.wire.AgentStatus parseFrom(
       com.google.protobuf.ByteString data,
       com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data, extensionRegistry);
   }
+
   public static org.almondslip.protocol.wire.AgentStatus parseFrom(byte[] data)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data);
   }
+
   public static org.almondslip.protocol.wire.AgentStatus parseFrom(
-      byte[] data,
-      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+      byte[] data, com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data, extensionRegistry);
   }
+
   public static org.almondslip.protocol.wire.AgentStatus parseFrom(java.io.InputStream input)
       throws java.io.IOException {
-    return com.google.protobuf.GeneratedMessage
-        .parseWithIOException(PARSER, input);
+    return com.google.protobuf.GeneratedMessage.parseWithIOException(PARSER, input);
   }
+
   public static org.almondslip.protocol.wire.AgentStatus parseFrom(
-      java.io.InputStream input,
-      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+      java.io.InputStream input, com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws java.io.IOException {
-    return com.google.protobuf.GeneratedMessage
-        .parseWithIOException(PARSER, input, extensionRegistry);
+    return com.google.protobuf.GeneratedMessage.parseWithIOException(
+        PARSER, input, extensionRegistry);
   }
 
-  public static org.almondslip.protocol.wire.AgentStatus parseDelimitedFrom(java.io.InputStream input)
-      throws java.io.IOException {
-    return com.google.protobuf.GeneratedMessage
-        .parseDelimitedWithIOException(PARSER, input);
+  public static org.almondslip.protocol.wire.AgentStatus parseDelimitedFrom(
+      java.io.InputStream input) throws java.io.IOException {
+    return com.google.protobuf.GeneratedMessage.parseDelimitedWithIOException(PARSER, input);
   }
 
   public static org.almondslip.protocol.wire.AgentStatus parseDelimitedFrom(
-      java.io.InputStream input,
-      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+      java.io.InputStream input, com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws java.io.IOException {
-    return com.google.protobuf.GeneratedMessage
-        .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
+    return com.google.protobuf.GeneratedMessage.parseDelimitedWithIOException(
+        PARSER, input, extensionRegistry);
   }
+
   public static org.almondslip.protocol.wire.AgentStatus parseFrom(
-      com.google.protobuf.CodedInputStream input)
-      throws java.io.IOException {
-    return com.google.protobuf.GeneratedMessage
-        .parseWithIOException(PARSER, input);
+      com.google.protobuf.CodedInputStream input) throws java.io.IOException {
+    return com.google.protobuf.GeneratedMessage.parseWithIOException(PARSER, input);
   }
+
   public static org.almondslip.protocol.wire.AgentStatus parseFrom(
       com.google.protobuf.CodedInputStream input,
       com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws java.io.IOException {
-    return com.google.protobuf.GeneratedMessage
-        .parseWithIOException(PARSER, input, extensionRegistry);
+    return com.google.protobuf.GeneratedMessage.parseWithIOException(
+        PARSER, input, extensionRegistry);
   }
 
   @java.lang.Override
-  public Builder newBuilderForType() { return newBuilder(); }
+  public Builder newBuilderForType() {
+    return newBuilder();
+  }
+
   public static Builder newBuilder() {
     return DEFAULT_INSTANCE.toBuilder();
   }
+
   public static Builder newBuilder(org.almondslip.protocol.wire.AgentStatus prototype) {
     return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
   }
+
   @java.lang.Override
   public Builder toBuilder() {
-    return this == DEFAULT_INSTANCE
-        ? new Builder() : new Builder().mergeFrom(this);
+    return this == DEFAULT_INSTANCE ? new Builder() : new Builder().mergeFrom(this);
   }
 
   @java.lang.Override
-  protected Builder newBuilderForType(
-      com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+  protected Builder newBuilderForType(com.google.protobuf.GeneratedMessage.BuilderParent parent) {
     Builder builder = new Builder(parent);
     return builder;
   }
-  /**
-   * Protobuf type {@code almondslip.AgentStatus}
-   */
-  public static final class Builder extends
-      com.google.protobuf.GeneratedMessage.Builder<Builder> implements
+
+  /** Protobuf type {@code almondslip.AgentStatus} */
+  public static final class Builder extends com.google.protobuf.GeneratedMessage.Builder<Builder>
+      implements
       // @@protoc_insertion_point(builder_implements:almondslip.AgentStatus)
       org.almondslip.protocol.wire.AgentStatusOrBuilder {
-    public static final com.google.protobuf.Descriptors.Descriptor
-        getDescriptor() {
-      return org.almondslip.protocol.wire.Almondslip.internal_static_almondslip_AgentStatus_descriptor;
+    public static final com.google.protobuf.Descriptors.Descriptor getDescriptor() {
+      return org.almondslip.protocol.wire.Almondslip
+          .internal_static_almondslip_AgentStatus_descriptor;
     }
 
     @java.lang.Override
     protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
         internalGetFieldAccessorTable() {
-      return org.almondslip.protocol.wire.Almondslip.internal_static_almondslip_AgentStatus_fieldAccessorTable
+      return org.almondslip.protocol.wire.Almondslip
+          .internal_static_almondslip_AgentStatus_fieldAccessorTable
           .ensureFieldAccessorsInitialized(
-              org.almondslip.protocol.wire.AgentStatus.class, org.almondslip.protocol.wire.AgentStatus.Builder.class);
+              org.almondslip.protocol.wire.AgentStatus.class,
+              org.almondslip.protocol.wire.AgentStatus.Builder.class);
     }
 
     // Construct using org.almondslip.protocol.wire.AgentStatus.newBuilder()
-    private Builder() {
+    private Builder() {}
 
-    }
-
-    private Builder(
-        com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+    private Builder(com.google.protobuf.GeneratedMessage.BuilderParent parent) {
       super(parent);
-
     }
+
     @java.lang.Override
     public Builder clear() {
       super.clear();
@@ -380,9 +386,9 @@
     }
 
     @java.lang.Override
-    public com.google.protobuf.Descriptors.Descriptor
-        getDescriptorForType() {
-      return org.almondslip.protocol.wire.Almondslip.internal_static_almondslip_AgentStatus_descriptor;
+    public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
+      return org.almondslip.protocol.wire.Almondslip
+          .internal_static_almondslip_AgentStatus_descriptor;
     }
 
     @java.lang.Override
@@ -401,8 +407,11 @@
 
     @java.lang.Override
     public org.almondslip.protocol.wire.AgentStatus buildPartial() {
-      org.almondslip.protocol.wire.AgentStatus result = new org.almondslip.protocol.wire.AgentStatus(this);
-      if (bitField0_ != 0) { buildPartial0(result); }
+      org.almondslip.protocol.wire.AgentStatus result =
+          new org.almondslip.protocol.wire.AgentStatus(this);
+      if (bitField0_ != 0) {
+        buildPartial0(result);
+      }
       onBuilt();
       return result;
     }
@@ -432,7 +441,7 @@
     @java.lang.Override
     public Builder mergeFrom(com.google.protobuf.Message other) {
       if (other instanceof org.almondslip.protocol.wire.AgentStatus) {
-        return mergeFrom((org.almondslip.protocol.wire.AgentStatus)other);
+        return mergeFrom((org.almondslip.protocol.wire.AgentStatus) other);
       } else {
         super.mergeFrom(other);
         return this;
@@ -483,42 +492,49 @@
             case 0:
               done = true;
               break;
-            case 8: {
-              slots_ = input.readUInt32();
-              bitField0_ |= 0x00000001;
-              break;
-            } // case 8
-            case 16: {
-              freeSlots_ = input.readUInt32();
-              bitField0_ |= 0x00000002;
-              break;
-            } // case 16
-            case 24: {
-              staged_ = input.readUInt32();
-              bitField0_ |= 0x00000004;
-              break;
-            } // case 24
-            case 32: {
-              healthy_ = input.readBool();
-              bitField0_ |= 0x00000008;
-              break;
-            } // case 32
-            case 40: {
-              draining_ = input.readBool();
-              bitField0_ |= 0x00000010;
-              break;
-            } // case 40
-            case 48: {
-              reportedLoad_ = input.readUInt32();
-              bitField0_ |= 0x00000020;
-              break;
-            } // case 48
-            default: {
-              if (!super.parseUnknownField(input, extensionRegistry, tag)) {
-                done = true; // was an endgroup tag
-              }
-              break;
-            } // default:
+            case 8:
+              {
+                slots_ = input.readUInt32();
+                bitField0_ |= 0x00000001;
+                break;
+              } // case 8
+            case 16:
+              {
+                freeSlots_ = input.readUInt32();
+                bitField0_ |= 0x00000002;
+                break;
+              } // case 16
+            case 24:
+              {
+                staged_ = input.readUInt32();
+                bitField0_ |= 0x00000004;
+                break;
+              } // case 24
+            case 32:
+              {
+                healthy_ = input.readBool();
+                bitField0_ |= 0x00000008;
+                break;
+              } // case 32
+            case 40:
+              {
+                draining_ = input.readBool();
+                bitField0_ |= 0x00000010;
+                break;
+              } // case 40
+            case 48:
+              {
+                reportedLoad_ = input.readUInt32();
+                bitField0_ |= 0x00000020;
+                break;
+              } // case 48
+            default:
+              {
+                if (!super.parseUnknownField(input, extensionRegistry, tag)) {
+                  done = true; // was an endgroup tag
+                }
+                break;
+              } // default:
           } // switch (tag)
         } // while (!done)
       } catch (com.google.protobuf.InvalidProtocolBufferException e) {
@@ -528,19 +544,24 @@
       } // finally
       return this;
     }
+
     private int bitField0_;
 
-    private int slots_ ;
+    private int slots_;
+
     /**
      * <code>uint32 slots = 1;</code>
+     *
      * @return The slots.
      */
     @java.lang.Override
     public int getSlots() {
       return slots_;
     }
+
     /**
      * <code>uint32 slots = 1;</code>
+     *
      * @param value The slots to set.
      * @return This builder for chaining.
      */
@@ -551,8 +572,10 @@
       onChanged();
       return this;
     }
+
     /**
      * <code>uint32 slots = 1;</code>
+     *
      * @return This builder for chaining.
      */
     public Builder clearSlots() {
@@ -562,17 +585,21 @@
       return this;
     }
 
-    private int freeSlots_ ;
+    private int freeSlots_;
+
     /**
      * <code>uint32 free_slots = 2;</code>
+     *
      * @return The freeSlots.
      */
     @java.lang.Override
     public int getFreeSlots() {
       return freeSlots_;
     }
+
     /**
      * <code>uint32 free_slots = 2;</code>
+     *
      * @param value The freeSlots to set.
      * @return This builder for chaining.
      */
@@ -583,8 +610,10 @@
       onChanged();
       return this;
     }
+
     /**
      * <code>uint32 free_slots = 2;</code>
+     *
      * @return This builder for chaining.
      */
     public Builder clearFreeSlots() {
@@ -594,17 +623,21 @@
       return this;
     }
 
-    private int staged_ ;
+    private int staged_;
+
     /**
      * <code>uint32 staged = 3;</code>
+     *
      * @return The staged.
      */
     @java.lang.Override
     public int getStaged() {
       return staged_;
     }
+
     /**
      * <code>uint32 staged = 3;</code>
+     *
      * @param value The staged to set.
      * @return This builder for chaining.
      */
@@ -615,8 +648,10 @@
       onChanged();
       return this;
     }
+
     /**
      * <code>uint32 staged = 3;</code>
+     *
      * @return This builder for chaining.
      */
     public Builder clearStaged() {
@@ -626,17 +661,21 @@
       return this;
     }
 
-    private boolean healthy_ ;
+    private boolean healthy_;
+
     /**
      * <code>bool healthy = 4;</code>
+     *
      * @return The healthy.
      */
     @java.lang.Override
     public boolean getHealthy() {
       return healthy_;
     }
+
     /**
      * <code>bool healthy = 4;</code>
+     *
      * @param value The healthy to set.
      * @return This builder for chaining.
      */
@@ -647,8 +686,10 @@
       onChanged();
       return this;
     }
+
     /**
      * <code>bool healthy = 4;</code>
+     *
      * @return This builder for chaining.
      */
     public Builder clearHealthy() {
@@ -658,17 +699,21 @@
       return this;
     }
 
-    private boolean draining_ ;
+    private boolean draining_;
+
     /**
      * <code>bool draining = 5;</code>
+     *
      * @return The draining.
      */
     @java.lang.Override
     public boolean getDraining() {
       return draining_;
     }
+
     /**
      * <code>bool draining = 5;</code>
+     *
      * @param value The draining to set.
      * @return This builder for chaining.
      */
@@ -679,8 +724,10 @@
       onChanged();
       return this;
     }
+
     /**
      * <code>bool draining = 5;</code>
+     *
      * @return This builder for chaining.
      */
     public Builder clearDraining() {
@@ -690,25 +737,33 @@
       return this;
     }
 
-    private int reportedLoad_ ;
+    private int reportedLoad_;
+
     /**
+     *
+     *
      * <pre>
      * Last load reported by the target, in requests running or waiting there.
      * </pre>
      *
      * <code>uint32 reported_load = 6;</code>
+     *
      * @return The reportedLoad.
      */
     @java.lang.Override
     public int getReportedLoad() {
       return reportedLoad_;
     }
+
     /**
+     *
+     *
      * <pre>
      * Last load reported by the target, in requests running or waiting there.
      * </pre>
      *
      * <code>uint32 reported_load = 6;</code>
+     *
      * @param value The reportedLoad to set.
      * @return This builder for chaining.
      */
@@ -719,12 +774,16 @@
       onChanged();
       return this;
     }
+
     /**
+     *
+     *
      * <pre>
      * Last load reported by the target, in requests running or waiting there.
      * </pre>
      *
      * <code>uint32 reported_load = 6;</code>
+     *
      * @return This builder for chaining.
      */
     public Builder clearReportedLoad() {
@@ -739,6 +798,7 @@
 
   // @@protoc_insertion_point(class_scope:almondslip.AgentStatus)
   private static final org.almondslip.protocol.wire.AgentStatus DEFAULT_INSTANCE;
+
   static {
     DEFAULT_INSTANCE = new org.almondslip.protocol.wire.AgentStatus();
   }
@@ -747,27 +807,27 @@
     return DEFAULT_INSTANCE;
   }
 
-  private static final com.google.protobuf.Parser<AgentStatus>
-      PARSER = new com.google.protobuf.AbstractParser<AgentStatus>() {
-    @java.lang.Override
-    public AgentStatus parsePartialFrom(
-        com.google.protobuf.CodedInputStream input,
-        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-        throws com.google.protobuf.InvalidProtocolBufferException {
-      Builder builder = newBuilder();
-      try {
-        builder.mergeFrom(input, extensionRegistry);
-      } catch (com.google.protobuf.InvalidProtocolBufferException e) {
-        throw e.setUnfinishedMessage(builder.buildPartial());
-      } catch (com.google.protobuf.UninitializedMessageException e) {
-        throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
-      } catch (java.io.IOException e) {
-        throw new com.google.protobuf.InvalidProtocolBufferException(e)
-            .setUnfinishedMessage(builder.buildPartial());
-      }
-      return builder.buildPartial();
-    }
-  };
+  private static final com.google.protobuf.Parser<AgentStatus> PARSER =
+      new com.google.protobuf.AbstractParser<AgentStatus>() {
+        @java.lang.Override
+        public AgentStatus parsePartialFrom(
+            com.google.protobuf.CodedInputStream input,
+            com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+            throws com.google.protobuf.InvalidProtocolBufferException {
+          Builder builder = newBuilder();
+          try {
+            builder.mergeFrom(input, extensionRegistry);
+          } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+            throw e.setUnfinishedMessage(builder.buildPartial());
+          } catch (com.google.protobuf.UninitializedMessageException e) {
+            throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
+          } catch (java.io.IOException e) {
+            throw new com.google.protobuf.InvalidProtocolBufferException(e)
+                .setUnfinishedMessage(builder.buildPartial());
+          }
+          return builder.buildPartial();
+        }
+      };
 
   public static com.google.protobuf.Parser<AgentStatus> parser() {
     return PARSER;
@@ -782,6 +842,4 @@
   public org.almondslip.protocol.wire.AgentStatus getDefaultInstanceForType() {
     return DEFAULT_INSTANCE;
   }
-
 }
-
--- a/wire/src/main/java/org/almondslip/protocol/wire/AgentStatusOrBuilder.java
+++ b/wire/src/main/java/org/almondslip/protocol/wire/AgentStatusOrBuilder.java
@@ -6,46 +6,55 @@
 package org.almondslip.protocol.wire;
 
 @com.google.protobuf.Generated
-public interface AgentStatusOrBuilder extends
+public interface AgentStatusOrBuilder
+    extends
     // @@protoc_insertion_point(interface_extends:almondslip.AgentStatus)
     com.google.protobuf.MessageOrBuilder {
 
   /**
    * <code>uint32 slots = 1;</code>
+   *
    * @return The slots.
    */
   int getSlots();
 
   /**
    * <code>uint32 free_slots = 2;</code>
+   *
    * @return The freeSlots.
    */
   int getFreeSlots();
 
   /**
    * <code>uint32 staged = 3;</code>
+   *
    * @return The staged.
    */
   int getStaged();
 
   /**
    * <code>bool healthy = 4;</code>
+   *
    * @return The healthy.
    */
   boolean getHealthy();
 
   /**
    * <code>bool draining = 5;</code>
+   *
    * @return The draining.
    */
   boolean getDraining();
 
   /**
+   *
+   *
    * <pre>
    * Last load reported by the target, in requests running or waiting there.
    * </pre>
    *
    * <code>uint32 reported_load = 6;</code>
+   *
    * @return The reportedLoad.
    */
   int getReportedLoad();
--- a/wire/src/main/java/org/almondslip/protocol/wire/Almondslip.java
+++ b/wire/src/main/java/org/almondslip/protocol/wire/Almondslip.java
@@ -8,455 +8,505 @@
 @com.google.protobuf.Generated
 public final class Almondslip extends com.google.protobuf.GeneratedFile {
   private Almondslip() {}
+
   static {
     com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
-      com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
-      /* major= */ 4,
-      /* minor= */ 36,
-      /* patch= */ 2,
-      /* suffix= */ "",
-      "Almondslip");
-  }
-  public static void registerAllExtensions(
-      com.google.protobuf.ExtensionRegistryLite registry) {
+        com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+        /* major= */ 4,
+        /* minor= */ 36,
+        /* patch= */ 2,
+        /* suffix= */ "",
+        "Almondslip");
   }
 
-  public static void registerAllExtensions(
-      com.google.protobuf.ExtensionRegistry registry) {
-    registerAllExtensions(
-        (com.google.protobuf.ExtensionRegistryLite) registry);
+  public static void registerAllExtensions(com.google.protobuf.ExtensionRegistryLite registry) {}
+
+  public static void registerAllExtensions(com.google.protobuf.ExtensionRegistry registry) {
+    registerAllExtensions((com.google.protobuf.ExtensionRegistryLite) registry);
   }
+
   static final com.google.protobuf.Descriptors.Descriptor
-    internal_static_almondslip_Frame_descriptor;
-  static final 
-    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_almondslip_Frame_descriptor;
+  static final com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_almondslip_Frame_fieldAccessorTable;
   static final com.google.protobuf.Descriptors.Descriptor
-    internal_static_almondslip_Hello_descriptor;
-  static final 
-    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_almondslip_Hello_descriptor;
+  static final com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_almondslip_Hello_fieldAccessorTable;
   static final com.google.protobuf.Descriptors.Descriptor
-    internal_static_almondslip_Proof_descriptor;
-  static final 
-    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_almondslip_Proof_descriptor;
+  static final com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_almondslip_Proof_fieldAccessorTable;
   static final com.google.protobuf.Descriptors.Descriptor
-    internal_static_almondslip_Heartbeat_descriptor;
-  static final 
-    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_almondslip_Heartbeat_descriptor;
+  static final com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_almondslip_Heartbeat_fieldAccessorTable;
   static final com.google.protobuf.Descriptors.Descriptor
-    internal_static_almondslip_AgentStatus_descriptor;
-  static final 
-    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_almondslip_AgentStatus_descriptor;
+  static final com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_almondslip_AgentStatus_fieldAccessorTable;
   static final com.google.protobuf.Descriptors.Descriptor
-    internal_static_almondslip_Announce_descriptor;
-  static final 
-    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_almondslip_Announce_descriptor;
+  static final com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_almondslip_Announce_fieldAccessorTable;
   static final com.google.protobuf.Descriptors.Descriptor
-    internal_static_almondslip_Drain_descriptor;
-  static final 
-    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_almondslip_Drain_descriptor;
+  static final com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_almondslip_Drain_fieldAccessorTable;
   static final com.google.protobuf.Descriptors.Descriptor
-    internal_static_almondslip_FlowOffer_descriptor;
-  static final 
-    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_almondslip_FlowOffer_descriptor;
+  static final com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_almondslip_FlowOffer_fieldAccessorTable;
   static final com.google.protobuf.Descriptors.Descriptor
-    internal_static_almondslip_Offers_descriptor;
-  static final 
-    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_almondslip_Offers_descriptor;
+  static final com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_almondslip_Offers_fieldAccessorTable;
   static final com.google.protobuf.Descriptors.Descriptor
-    internal_static_almondslip_Grant_descriptor;
-  static final 
-    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_almondslip_Grant_descriptor;
+  static final com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_almondslip_Grant_fieldAccessorTable;
   static final com.google.protobuf.Descriptors.Descriptor
-    internal_static_almondslip_Decline_descriptor;
-  static final 
-    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_almondslip_Decline_descriptor;
+  static final com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_almondslip_Decline_fieldAccessorTable;
   static final com.google.protobuf.Descriptors.Descriptor
-    internal_static_almondslip_RequestId_descriptor;
-  static final 
-    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_almondslip_RequestId_descriptor;
+  static final com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_almondslip_RequestId_fieldAccessorTable;
   static final com.google.protobuf.Descriptors.Descriptor
-    internal_static_almondslip_Header_descriptor;
-  static final 
-    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_almondslip_Header_descriptor;
+  static final com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_almondslip_Header_fieldAccessorTable;
   static final com.google.protobuf.Descriptors.Descriptor
-    internal_static_almondslip_Dispatch_descriptor;
-  static final 
-    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_almondslip_Dispatch_descriptor;
+  static final com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_almondslip_Dispatch_fieldAccessorTable;
   static final com.google.protobuf.Descriptors.Descriptor
-    internal_static_almondslip_Cancel_descriptor;
-  static final 
-    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_almondslip_Cancel_descriptor;
+  static final com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_almondslip_Cancel_fieldAccessorTable;
   static final com.google.protobuf.Descriptors.Descriptor
-    internal_static_almondslip_Attach_descriptor;
-  static final 
-    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_almondslip_Attach_descriptor;
+  static final com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_almondslip_Attach_fieldAccessorTable;
   static final com.google.protobuf.Descriptors.Descriptor
-    internal_static_almondslip_AnswerHead_descriptor;
-  static final 
-    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_almondslip_AnswerHead_descriptor;
+  static final com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_almondslip_AnswerHead_fieldAccessorTable;
   static final com.google.protobuf.Descriptors.Descriptor
-    internal_static_almondslip_AnswerEnd_descriptor;
-  static final 
-    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_almondslip_AnswerEnd_descriptor;
+  static final com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_almondslip_AnswerEnd_fieldAccessorTable;
   static final com.google.protobuf.Descriptors.Descriptor
-    internal_static_almondslip_Answer_descriptor;
-  static final 
-    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_almondslip_Answer_descriptor;
+  static final com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_almondslip_Answer_fieldAccessorTable;
   static final com.google.protobuf.Descriptors.Descriptor
-    internal_static_almondslip_AnswerAck_descriptor;
-  static final 
-    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_almondslip_AnswerAck_descriptor;
+  static final com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_almondslip_AnswerAck_fieldAccessorTable;
   static final com.google.protobuf.Descriptors.Descriptor
-    internal_static_almondslip_ServiceReport_descriptor;
-  static final 
-    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_almondslip_ServiceReport_descriptor;
+  static final com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_almondslip_ServiceReport_fieldAccessorTable;
   static final com.google.protobuf.Descriptors.Descriptor
-    internal_static_almondslip_ServiceDigest_descriptor;
-  static final 
-    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_almondslip_ServiceDigest_descriptor;
+  static final com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_almondslip_ServiceDigest_fieldAccessorTable;
   static final com.google.protobuf.Descriptors.Descriptor
-    internal_static_almondslip_RootExchange_descriptor;
-  static final 
-    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_almondslip_RootExchange_descriptor;
+  static final com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_almondslip_RootExchange_fieldAccessorTable;
   static final com.google.protobuf.Descriptors.Descriptor
-    internal_static_almondslip_RootSnapshot_descriptor;
-  static final 
-    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_almondslip_RootSnapshot_descriptor;
+  static final com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_almondslip_RootSnapshot_fieldAccessorTable;
   static final com.google.protobuf.Descriptors.Descriptor
-    internal_static_almondslip_CatalogRevision_descriptor;
-  static final 
-    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_almondslip_CatalogRevision_descriptor;
+  static final com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_almondslip_CatalogRevision_fieldAccessorTable;
   static final com.google.protobuf.Descriptors.Descriptor
-    internal_static_almondslip_CatalogPull_descriptor;
-  static final 
-    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_almondslip_CatalogPull_descriptor;
+  static final com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_almondslip_CatalogPull_fieldAccessorTable;
   static final com.google.protobuf.Descriptors.Descriptor
-    internal_static_almondslip_CatalogChanges_descriptor;
-  static final 
-    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_almondslip_CatalogChanges_descriptor;
+  static final com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_almondslip_CatalogChanges_fieldAccessorTable;
   static final com.google.protobuf.Descriptors.Descriptor
-    internal_static_almondslip_CatalogObject_descriptor;
-  static final 
-    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_almondslip_CatalogObject_descriptor;
+  static final com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_almondslip_CatalogObject_fieldAccessorTable;
   static final com.google.protobuf.Descriptors.Descriptor
-    internal_static_almondslip_SuspectNotice_descriptor;
-  static final 
-    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_almondslip_SuspectNotice_descriptor;
+  static final com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_almondslip_SuspectNotice_fieldAccessorTable;
 
-  public static com.google.protobuf.Descriptors.FileDescriptor
-      getDescriptor() {
+  public static com.google.protobuf.Descriptors.FileDescriptor getDescriptor() {
     return descriptor;
   }
-  private static final com.google.protobuf.Descriptors.FileDescriptor
-      descriptor;
+
+  private static final com.google.protobuf.Descriptors.FileDescriptor descriptor;
+
   static {
     java.lang.String[] descriptorData = {
-      "\n\020almondslip.proto\022\nalmondslip\"\262\007\n\005Frame" +
-      "\022\"\n\005hello\030\001 \001(\0132\021.almondslip.HelloH\000\022\"\n\005" +
-      "proof\030\002 \001(\0132\021.almondslip.ProofH\000\022*\n\thear" +
-      "tbeat\030\003 \001(\0132\025.almondslip.HeartbeatH\000\022(\n\010" +
-      "announce\030\004 \001(\0132\024.almondslip.AnnounceH\000\022\"" +
-      "\n\005drain\030\005 \001(\0132\021.almondslip.DrainH\000\022$\n\006of" +
-      "fers\030\n \001(\0132\022.almondslip.OffersH\000\022\"\n\005gran" +
-      "t\030\013 \001(\0132\021.almondslip.GrantH\000\022&\n\007decline\030" +
-      "\014 \001(\0132\023.almondslip.DeclineH\000\022(\n\010dispatch" +
-      "\030\r \001(\0132\024.almondslip.DispatchH\000\022$\n\006cancel" +
-      "\030\016 \001(\0132\022.almondslip.CancelH\000\022$\n\006attach\030\017" +
-      " \001(\0132\022.almondslip.AttachH\000\022$\n\006answer\030\020 \001" +
-      "(\0132\022.almondslip.AnswerH\000\022+\n\nanswer_ack\030\021" +
-      " \001(\0132\025.almondslip.AnswerAckH\000\0223\n\016service" +
-      "_report\030\024 \001(\0132\031.almondslip.ServiceReport" +
-      "H\000\0223\n\016service_digest\030\025 \001(\0132\031.almondslip." +
-      "ServiceDigestH\000\0221\n\rroot_exchange\030\026 \001(\0132\030" +
-      ".almondslip.RootExchangeH\000\0221\n\rroot_snaps" +
-      "hot\030\027 \001(\0132\030.almondslip.RootSnapshotH\000\0227\n" +
-      "\020catalog_revision\030\036 \001(\0132\033.almondslip.Cat" +
-      "alogRevisionH\000\022/\n\014catalog_pull\030\037 \001(\0132\027.a" +
-      "lmondslip.CatalogPullH\000\0225\n\017catalog_chang" +
-      "es\030  \001(\0132\032.almondslip.CatalogChangesH\000\0223" +
-      "\n\016suspect_notice\030( \001(\0132\031.almondslip.Susp" +
-      "ectNoticeH\000B\006\n\004body\"\306\001\n\005Hello\022\030\n\020protoco" +
-      "l_version\030\001 \001(\r\022\023\n\013instance_id\030\002 \001(\t\022\023\n\013" +
-      "incarnation\030\003 \001(\006\022\036\n\004role\030\004 \001(\0162\020.almond" +
-      "slip.Role\022\016\n\006region\030\005 \001(\t\022\023\n\013data_centre" +
-      "\030\006 \001(\t\022\025\n\rinner_address\030\007 \001(\t\022\r\n\005nonce\030\010" +
-      " \001(\014\022\016\n\006target\030\t \001(\t\"\024\n\005Proof\022\013\n\003mac\030\001 \001" +
-      "(\014\"_\n\tHeartbeat\022\020\n\010sequence\030\001 \001(\004\022\030\n\020cat" +
-      "alog_revision\030\002 \001(\004\022&\n\005agent\030\003 \001(\0132\027.alm" +
-      "ondslip.AgentStatus\"z\n\013AgentStatus\022\r\n\005sl" +
-      "ots\030\001 \001(\r\022\022\n\nfree_slots\030\002 \001(\r\022\016\n\006staged\030" +
-      "\003 \001(\r\022\017\n\007healthy\030\004 \001(\010\022\020\n\010draining\030\005 \001(\010" +
-      "\022\025\n\rreported_load\030\006 \001(\r\"[\n\010Announce\022\023\n\013i" +
-      "nstance_id\030\001 \001(\t\022\023\n\013incarnation\030\002 \001(\006\022\025\n" +
-      "\rinner_address\030\003 \001(\t\022\016\n\006target\030\004 \001(\t\"\027\n\005" +
-      "Drain\022\016\n\006reason\030\001 \001(\t\"y\n\tFlowOffer\022\017\n\007fl" +
-      "ow_id\030\001 \001(\007\022\017\n\007waiting\030\002 \001(\r\022\023\n\013head_age" +
-      "_ms\030\003 \001(\r\022\023\n\013estimate_ms\030\004 \001(\r\022\r\n\005spill\030" +
-      "\005 \001(\010\022\021\n\texclusive\030\006 \001(\010\"/\n\006Offers\022%\n\006of" +
-      "fers\030\001 \003(\0132\025.almondslip.FlowOffer\"=\n\005Gra" +
-      "nt\022\020\n\010grant_id\030\001 \001(\004\022\017\n\007flow_id\030\002 \001(\007\022\021\n" +
-      "\texclusive\030\003 \001(\010\"E\n\007Decline\022\020\n\010grant_id\030" +
-      "\001 \001(\004\022(\n\tremaining\030\002 \001(\0132\025.almondslip.Fl" +
-      "owOffer\"9\n\tRequestId\022\032\n\022router_incarnati" +
-      "on\030\001 \001(\006\022\020\n\010sequence\030\002 \001(\004\"%\n\006Header\022\014\n\004" +
-      "name\030\001 \001(\t\022\r\n\005value\030\002 \001(\t\"\214\003\n\010Dispatch\022\020" +
-      "\n\010grant_id\030\001 \001(\004\022)\n\nrequest_id\030\002 \001(\0132\025.a" +
-      "lmondslip.RequestId\022(\n\tremaining\030\003 \001(\0132\025" +
-      ".almondslip.FlowOffer\022\024\n\014organisation\030\004 " +
-      "\001(\t\022\014\n\004pool\030\005 \001(\t\022\016\n\006method\030\006 \001(\t\022\014\n\004pat" +
-      "h\030\007 \001(\t\022#\n\007headers\030\010 \003(\0132\022.almondslip.He" +
-      "ader\022\014\n\004body\030\t \001(\014\022\023\n\013deadline_ms\030\n \001(\r\022" +
-      "\023\n\013estimate_ms\030\013 \001(\r\022\022\n\nidempotent\030\014 \001(\010" +
-      "\022\027\n\017idempotency_key\030\r \001(\t\022\024\n\014resume_afte" +
-      "r\030\016 \001(\r\022\023\n\013fingerprint\030\017 \001(\006\022\021\n\texclusiv" +
-      "e\030\020 \001(\010\022\017\n\007attempt\030\021 \001(\r\"3\n\006Cancel\022)\n\nre" +
-      "quest_id\030\001 \001(\0132\025.almondslip.RequestId\"J\n" +
-      "\006Attach\022)\n\nrequest_id\030\001 \001(\0132\025.almondslip" +
-      ".RequestId\022\025\n\rnext_sequence\030\002 \001(\004\"A\n\nAns" +
-      "werHead\022\016\n\006status\030\001 \001(\r\022#\n\007headers\030\002 \003(\013" +
-      "2\022.almondslip.Header\"\202\001\n\tAnswerEnd\022\020\n\010co" +
-      "mplete\030\001 \001(\010\022\034\n\003ran\030\002 \001(\0162\017.almondslip.R" +
-      "an\022\014\n\004code\030\003 \001(\t\022\016\n\006detail\030\004 \001(\t\022\026\n\016retr" +
-      "y_after_ms\030\005 \001(\r\022\017\n\007cost_ms\030\006 \001(\r\"\253\001\n\006An" +
-      "swer\022)\n\nrequest_id\030\001 \001(\0132\025.almondslip.Re" +
-      "questId\022\020\n\010sequence\030\002 \001(\004\022&\n\004head\030\003 \001(\0132" +
-      "\026.almondslip.AnswerHeadH\000\022\016\n\004data\030\004 \001(\014H" +
-      "\000\022$\n\003end\030\005 \001(\0132\025.almondslip.AnswerEndH\000B" +
-      "\006\n\004part\"M\n\tAnswerAck\022)\n\nrequest_id\030\001 \001(\013" +
-      "2\025.almondslip.RequestId\022\025\n\rnext_sequence" +
-      "\030\002 \001(\004\"i\n\rServiceReport\022\020\n\010sequence\030\001 \001(" +
-      "\004\022\017\n\007flow_id\030\002 \003(\007\022\021\n\tcharge_us\030\003 \003(\004\022\022\n" +
-      "\nbacklogged\030\004 \003(\010\022\016\n\006agents\030\005 \001(\r\"\216\001\n\rSe" +
-      "rviceDigest\022\r\n\005epoch\030\001 \001(\004\022\024\n\014acknowledg" +
-      "ed\030\002 \001(\004\022\017\n\007base_us\030\003 \001(\004\022\017\n\007flow_id\030\004 \003" +
-      "(\007\022\022\n\naccount_us\030\005 \003(\004\022\022\n\nbacklogged\030\006 \003" +
-      "(\010\022\016\n\006agents\030\007 \001(\r\"\251\001\n\014RootExchange\022\023\n\013d" +
-      "ata_centre\030\001 \001(\t\022\r\n\005epoch\030\002 \001(\004\022\017\n\007flow_" +
-      "id\030\003 \003(\007\022\022\n\ncounter_us\030\004 \003(\004\022\017\n\007lift_us\030" +
-      "\005 \003(\004\022\022\n\nbacklogged\030\006 \003(\010\022\016\n\006agents\030\007 \001(" +
-      "\r\022\033\n\023receiver_counter_us\030\010 \003(\004\"S\n\014RootSn" +
-      "apshot\022\r\n\005epoch\030\001 \001(\004\022\017\n\007flow_id\030\002 \003(\007\022\022" +
-      "\n\ncounter_us\030\003 \003(\004\022\017\n\007lift_us\030\004 \003(\004\"#\n\017C" +
-      "atalogRevision\022\020\n\010revision\030\001 \001(\004\"%\n\013Cata" +
-      "logPull\022\026\n\016after_revision\030\001 \001(\004\"N\n\016Catal" +
-      "ogChanges\022\020\n\010revision\030\001 \001(\004\022*\n\007objects\030\002" +
-      " \003(\0132\031.almondslip.CatalogObject\"[\n\rCatal" +
-      "ogObject\022\014\n\004kind\030\001 \001(\t\022\014\n\004name\030\002 \001(\t\022\016\n\006" +
-      "number\030\003 \001(\004\022\020\n\010revision\030\004 \001(\004\022\014\n\004json\030\005" +
-      " \001(\t\"G\n\rSuspectNotice\022\023\n\013fingerprint\030\001 \001" +
-      "(\006\022\020\n\010crash_id\030\002 \001(\t\022\017\n\007cleared\030\003 \001(\010*3\n" +
-      "\004Role\022\024\n\020ROLE_UNSPECIFIED\020\000\022\n\n\006ROUTER\020\001\022" +
-      "\t\n\005AGENT\020\002*8\n\003Ran\022\023\n\017RAN_UNSPECIFIED\020\000\022\006" +
-      "\n\002NO\020\001\022\013\n\007UNKNOWN\020\002\022\007\n\003YES\020\003B\"\n\034org.almo" +
-      "ndslip.protocol.wireH\003P\001b\006proto3"
+      "\n\020almondslip.proto\022\nalmondslip\"\262\007\n\005Frame"
+          + "\022\"\n\005hello\030\001 \001(\0132\021.almondslip.HelloH\000\022\"\n\005"
+          + "proof\030\002 \001(\0132\021.almondslip.ProofH\000\022*\n\thear"
+          + "tbeat\030\003 \001(\0132\025.almondslip.HeartbeatH\000\022(\n\010"
+          + "announce\030\004 \001(\0132\024.almondslip.AnnounceH\000\022\""
+          + "\n\005drain\030\005 \001(\0132\021.almondslip.DrainH\000\022$\n\006of"
+          + "fers\030\n \001(\0132\022.almondslip.OffersH\000\022\"\n\005gran"
+          + "t\030\013 \001(\0132\021.almondslip.GrantH\000\022&\n\007decline\030"
+          + "\014 \001(\0132\023.almondslip.DeclineH\000\022(\n\010dispatch"
+          + "\030\r \001(\0132\024.almondslip.DispatchH\000\022$\n\006cancel"
+          + "\030\016 \001(\0132\022.almondslip.CancelH\000\022$\n\006attach\030\017"
+          + " \001(\0132\022.almondslip.AttachH\000\022$\n\006answer\030\020 \001"
+          + "(\0132\022.almondslip.AnswerH\000\022+\n\nanswer_ack\030\021"
+          + " \001(\0132\025.almondslip.AnswerAckH\000\0223\n\016service"
+          + "_report\030\024 \001(\0132\031.almondslip.ServiceReport"
+          + "H\000\0223\n\016service_digest\030\025 \001(\0132\031.almondslip."
+          + "ServiceDigestH\000\0221\n\rroot_exchange\030\026 \001(\0132\030"
+          + ".almondslip.RootExchangeH\000\0221\n\rroot_snaps"
+          + "hot\030\027 \001(\0132\030.almondslip.RootSnapshotH\000\0227\n"
+          + "\020catalog_revision\030\036 \001(\0132\033.almondslip.Cat"
+          + "alogRevisionH\000\022/\n\014catalog_pull\030\037 \001(\0132\027.a"
+          + "lmondslip.CatalogPullH\000\0225\n\017catalog_chang"
+          + "es\030  \001(\0132\032.almondslip.CatalogChangesH\000\0223"
+          + "\n\016suspect_notice\030( \001(\0132\031.almondslip.Susp"
+          + "ectNoticeH\000B\006\n\004body\"\306\001\n\005Hello\022\030\n\020protoco"
+          + "l_version\030\001 \001(\r\022\023\n\013instance_id\030\002 \001(\t\022\023\n\013"
+          + "incarnation\030\003 \001(\006\022\036\n\004role\030\004 \001(\0162\020.almond"
+          + "slip.Role\022\016\n\006region\030\005 \001(\t\022\023\n\013data_centre"
+          + "\030\006 \001(\t\022\025\n\rinner_address\030\007 \001(\t\022\r\n\005nonce\030\010"
+          + " \001(\014\022\016\n\006target\030\t \001(\t\"\024\n\005Proof\022\013\n\003mac\030\001 \001"
+          + "(\014\"_\n\tHeartbeat\022\020\n\010sequence\030\001 \001(\004\022\030\n\020cat"
+          + "alog_revision\030\002 \001(\004\022&\n\005agent\030\003 \001(\0132\027.alm"
+          + "ondslip.AgentStatus\"z\n\013AgentStatus\022\r\n\005sl"
+          + "ots\030\001 \001(\r\022\022\n\nfree_slots\030\002 \001(\r\022\016\n\006staged\030"
+          + "\003 \001(\r\022\017\n\007healthy\030\004 \001(\010\022\020\n\010draining\030\005 \001(\010"
+          + "\022\025\n\rreported_load\030\006 \001(\r\"[\n\010Announce\022\023\n\013i"
+          + "nstance_id\030\001 \001(\t\022\023\n\013incarnation\030\002 \001(\006\022\025\n"
+          + "\rinner_address\030\003 \001(\t\022\016\n\006target\030\004 \001(\t\"\027\n\005"
+          + "Drain\022\016\n\006reason\030\001 \001(\t\"y\n\tFlowOffer\022\017\n\007fl"
+          + "ow_id\030\001 \001(\007\022\017\n\007waiting\030\002 \001(\r\022\023\n\013head_age"
+          + "_ms\030\003 \001(\r\022\023\n\013estimate_ms\030\004 \001(\r\022\r\n\005spill\030"
+          + "\005 \001(\010\022\021\n\texclusive\030\006 \001(\010\"/\n\006Offers\022%\n\006of"
+          + "fers\030\001 \003(\0132\025.almondslip.FlowOffer\"=\n\005Gra"
+          + "nt\022\020\n\010grant_id\030\001 \001(\004\022\017\n\007flow_id\030\002 \001(\007\022\021\n"
+          + "\texclusive\030\003 \001(\010\"E\n\007Decline\022\020\n\010grant_id\030"
+          + "\001 \001(\004\022(\n\tremaining\030\002 \001(\0132\025.almondslip.Fl"
+          + "owOffer\"9\n\tRequestId\022\032\n\022router_incarnati"
+          + "on\030\001 \001(\006\022\020\n\010sequence\030\002 \001(\004\"%\n\006Header\022\014\n\004"
+          + "name\030\001 \001(\t\022\r\n\005value\030\002 \001(\t\"\214\003\n\010Dispatch\022\020"
+          + "\n\010grant_id\030\001 \001(\004\022)\n\nrequest_id\030\002 \001(\0132\025.a"
+          + "lmondslip.RequestId\022(\n\tremaining\030\003 \001(\0132\025"
+          + ".almondslip.FlowOffer\022\024\n\014organisation\030\004 "
+          + "\001(\t\022\014\n\004pool\030\005 \001(\t\022\016\n\006method\030\006 \001(\t\022\014\n\004pat"
+          + "h\030\007 \001(\t\022#\n\007headers\030\010 \003(\0132\022.almondslip.He"
+          + "ader\022\014\n\004body\030\t \001(\014\022\023\n\013deadline_ms\030\n \001(\r\022"
+          + "\023\n\013estimate_ms\030\013 \001(\r\022\022\n\nidempotent\030\014 \001(\010"
+          + "\022\027\n\017idempotency_key\030\r \001(\t\022\024\n\014resume_afte"
+          + "r\030\016 \001(\r\022\023\n\013fingerprint\030\017 \001(\006\022\021\n\texclusiv"
+          + "e\030\020 \001(\010\022\017\n\007attempt\030\021 \001(\r\"3\n\006Cancel\022)\n\nre"
+          + "quest_id\030\001 \001(\0132\025.almondslip.RequestId\"J\n"
+          + "\006Attach\022)\n\nrequest_id\030\001 \001(\0132\025.almondslip"
+          + ".RequestId\022\025\n\rnext_sequence\030\002 \001(\004\"A\n\nAns"
+          + "werHead\022\016\n\006status\030\001 \001(\r\022#\n\007headers\030\002 \003(\013"
+          + "2\022.almondslip.Header\"\202\001\n\tAnswerEnd\022\020\n\010co"
+          + "mplete\030\001 \001(\010\022\034\n\003ran\030\002 \001(\0162\017.almondslip.R"
+          + "an\022\014\n\004code\030\003 \001(\t\022\016\n\006detail\030\004 \001(\t\022\026\n\016retr"
+          + "y_after_ms\030\005 \001(\r\022\017\n\007cost_ms\030\006 \001(\r\"\253\001\n\006An"
+          + "swer\022)\n\nrequest_id\030\001 \001(\0132\025.almondslip.Re"
+          + "questId\022\020\n\010sequence\030\002 \001(\004\022&\n\004head\030\003 \001(\0132"
+          + "\026.almondslip.AnswerHeadH\000\022\016\n\004data\030\004 \001(\014H"
+          + "\000\022$\n\003end\030\005 \001(\0132\025.almondslip.AnswerEndH\000B"
+          + "\006\n\004part\"M\n\tAnswerAck\022)\n\nrequest_id\030\001 \001(\013"
+          + "2\025.almondslip.RequestId\022\025\n\rnext_sequence"
+          + "\030\002 \001(\004\"i\n\rServiceReport\022\020\n\010sequence\030\001 \001("
+          + "\004\022\017\n\007flow_id\030\002 \003(\007\022\021\n\tcharge_us\030\003 \003(\004\022\022\n"
+          + "\nbacklogged\030\004 \003(\010\022\016\n\006agents\030\005 \001(\r\"\216\001\n\rSe"
+          + "rviceDigest\022\r\n\005epoch\030\001 \001(\004\022\024\n\014acknowledg"
+          + "ed\030\002 \001(\004\022\017\n\007base_us\030\003 \001(\004\022\017\n\007flow_id\030\004 \003"
+          + "(\007\022\022\n\naccount_us\030\005 \003(\004\022\022\n\nbacklogged\030\006 \003"
+          + "(\010\022\016\n\006agents\030\007 \001(\r\"\251\001\n\014RootExchange\022\023\n\013d"
+          + "ata_centre\030\001 \001(\t\022\r\n\005epoch\030\002 \001(\004\022\017\n\007flow_"
+          + "id\030\003 \003(\007\022\022\n\ncounter_us\030\004 \003(\004\022\017\n\007lift_us\030"
+          + "\005 \003(\004\022\022\n\nbacklogged\030\006 \003(\010\022\016\n\006agents\030\007 \001("
+          + "\r\022\033\n\023receiver_counter_us\030\010 \003(\004\"S\n\014RootSn"
+          + "apshot\022\r\n\005epoch\030\001 \001(\004\022\017\n\007flow_id\030\002 \003(\007\022\022"
+          + "\n\ncounter_us\030\003 \003(\004\022\017\n\007lift_us\030\004 \003(\004\"#\n\017C"
+          + "atalogRevision\022\020\n\010revision\030\001 \001(\004\"%\n\013Cata"
+          + "logPull\022\026\n\016after_revision\030\001 \001(\004\"N\n\016Catal"
+          + "ogChanges\022\020\n\010revision\030\001 \001(\004\022*\n\007objects\030\002"
+          + " \003(\0132\031.almondslip.CatalogObject\"[\n\rCatal"
+          + "ogObject\022\014\n\004kind\030\001 \001(\t\022\014\n\004name\030\002 \001(\t\022\016\n\006"
+          + "number\030\003 \001(\004\022\020\n\010revision\030\004 \001(\004\022\014\n\004json\030\005"
+          + " \001(\t\"G\n\rSuspectNotice\022\023\n\013fingerprint\030\001 \001"
+          + "(\006\022\020\n\010crash_id\030\002 \001(\t\022\017\n\007cleared\030\003 \001(\010*3\n"
+          + "\004Role\022\024\n\020ROLE_UNSPECIFIED\020\000\022\n\n\006ROUTER\020\001\022"
+          + "\t\n\005AGENT\020\002*8\n\003Ran\022\023\n\017RAN_UNSPECIFIED\020\000\022\006"
+          + "\n\002NO\020\001\022\013\n\007UNKNOWN\020\002\022\007\n\003YES\020\003B\"\n\034org.almo"
+          + "ndslip.protocol.wireH\003P\001b\006proto3"
     };
-    descriptor = com.google.protobuf.Descriptors.FileDescriptor
-      .internalBuildGeneratedFileFrom(descriptorData,
-        new com.google.protobuf.Descriptors.FileDescriptor[] {
-        });
-    internal_static_almondslip_Frame_descriptor =
-      getDescriptor().getMessageType(0);
-    internal_static_almondslip_Frame_fieldAccessorTable = new
-      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
-        internal_static_almondslip_Frame_descriptor,
-        new java.lang.String[] { "Hello", "Proof", "Heartbeat", "Announce", "Drain", "Offers", "Grant", "Decline", "Dispatch", "Cancel", "Attach", "Answer", "AnswerAck", "ServiceReport", "ServiceDigest", "RootExchange", "RootSnapshot", "CatalogRevision", "CatalogPull", "CatalogChanges", "SuspectNotice", "Body", });
-    internal_static_almondslip_Hello_descriptor =
-      getDescriptor().getMessageType(1);
-    internal_static_almondslip_Hello_fieldAccessorTable = new
-      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
-        internal_static_almondslip_Hello_descriptor,
-        new java.lang.String[] { "ProtocolVersion", "InstanceId", "Incarnation", "Role", "Region", "DataCentre", "InnerAddress", "Nonce", "Target", });
-    internal_static_almondslip_Proof_descriptor =
-      getDescriptor().getMessageType(2);
-    internal_static_almondslip_Proof_fieldAccessorTable = new
-      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
-        internal_static_almondslip_Proof_descriptor,
-        new java.lang.String[] { "Mac", });
-    internal_static_almondslip_Heartbeat_descriptor =
-      getDescriptor().getMessageType(3);
-    internal_static_almondslip_Heartbeat_fieldAccessorTable = new
-      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
-        internal_static_almondslip_Heartbeat_descriptor,
-        new java.lang.String[] { "Sequence", "CatalogRevision", "Agent", });
-    internal_static_almondslip_AgentStatus_descriptor =
-      getDescriptor().getMessageType(4);
-    internal_static_almondslip_AgentStatus_fieldAccessorTable = new
-      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
-        internal_static_almondslip_AgentStatus_descriptor,
-        new java.lang.String[] { "Slots", "FreeSlots", "Staged", "Healthy", "Draining", "ReportedLoad", });
-    internal_static_almondslip_Announce_descriptor =
-      getDescriptor().getMessageType(5);
-    internal_static_almondslip_Announce_fieldAccessorTable = new
-      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
-        internal_static_almondslip_Announce_descriptor,
-        new java.lang.String[] { "InstanceId", "Incarnation", "InnerAddress", "Target", });
-    internal_static_almondslip_Drain_descriptor =
-      getDescriptor().getMessageType(6);
-    internal_static_almondslip_Drain_fieldAccessorTable = new
-      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
-        internal_static_almondslip_Drain_descriptor,
-        new java.lang.String[] { "Reason", });
-    internal_static_almondslip_FlowOffer_descriptor =
-      getDescriptor().getMessageType(7);
-    internal_static_almondslip_FlowOffer_fieldAccessorTable = new
-      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
-        internal_static_almondslip_FlowOffer_descriptor,
-        new java.lang.String[] { "FlowId", "Waiting", "HeadAgeMs", "EstimateMs", "Spill", "Exclusive", });
-    internal_static_almondslip_Offers_descriptor =
-      getDescriptor().getMessageType(8);
-    internal_static_almondslip_Offers_fieldAccessorTable = new
-      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
-        internal_static_almondslip_Offers_descriptor,
-        new java.lang.String[] { "Offers", });
-    internal_static_almondslip_Grant_descriptor =
-      getDescriptor().getMessageType(9);
-    internal_static_almondslip_Grant_fieldAccessorTable = new
-      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
-        internal_static_almondslip_Grant_descriptor,
-        new java.lang.String[] { "GrantId", "FlowId", "Exclusive", });
-    internal_static_almondslip_Decline_descriptor =
-      getDescriptor().getMessageType(10);
-    internal_static_almondslip_Decline_fieldAccessorTable = new
-      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
-        internal_static_almondslip_Decline_descriptor,
-        new java.lang.String[] { "GrantId", "Remaining", });
-    internal_static_almondslip_RequestId_descriptor =
-      getDescriptor().getMessageType(11);
-    internal_static_almondslip_RequestId_fieldAccessorTable = new
-      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
-        internal_static_almondslip_RequestId_descriptor,
-        new java.lang.String[] { "RouterIncarnation", "Sequence", });
-    internal_static_almondslip_Header_descriptor =
-      getDescriptor().getMessageType(12);
-    internal_static_almondslip_Header_fieldAccessorTable = new
-      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
-        internal_static_almondslip_Header_descriptor,
-        new java.lang.String[] { "Name", "Value", });
-    internal_static_almondslip_Dispatch_descriptor =
-      getDescriptor().getMessageType(13);
-    internal_static_almondslip_Dispatch_fieldAccessorTable = new
-      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
-        internal_static_almondslip_Dispatch_descriptor,
-        new java.lang.String[] { "GrantId", "RequestId", "Remaining", "Organisation", "Pool", "Method", "Path", "Headers", "Body", "DeadlineMs", "EstimateMs", "Idempotent", "IdempotencyKey", "ResumeAfter", "Fingerprint", "Exclusive", "Attempt", });
-    internal_static_almondslip_Cancel_descriptor =
-      getDescriptor().getMessageType(14);
-    internal_static_almondslip_Cancel_fieldAccessorTable = new
-      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
-        internal_static_almondslip_Cancel_descriptor,
-        new java.lang.String[] { "RequestId", });
-    internal_static_almondslip_Attach_descriptor =
-      getDescriptor().getMessageType(15);
-    internal_static_almondslip_Attach_fieldAccessorTable = new
-      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
-        internal_static_almondslip_Attach_descriptor,
-        new java.lang.String[] { "RequestId", "NextSequence", });
-    internal_static_almondslip_AnswerHead_descriptor =
-      getDescriptor().getMessageType(16);
-    internal_static_almondslip_AnswerHead_fieldAccessorTable = new
-      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
-        internal_static_almondslip_AnswerHead_descriptor,
-        new java.lang.String[] { "Status", "Headers", });
-    internal_static_almondslip_AnswerEnd_descriptor =
-      getDescriptor().getMessageType(17);
-    internal_static_almondslip_AnswerEnd_fieldAccessorTable = new
-      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
-        internal_static_almondslip_AnswerEnd_descriptor,
-        new java.lang.String[] { "Complete", "Ran", "Code", "Detail", "RetryAfterMs", "CostMs", });
-    internal_static_almondslip_Answer_descriptor =
-      getDescriptor().getMessageType(18);
-    internal_static_almondslip_Answer_fieldAccessorTable = new
-      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
-        internal_static_almondslip_Answer_descriptor,
-        new java.lang.String[] { "RequestId", "Sequence", "Head", "Data", "End", "Part", });
-    internal_static_almondslip_AnswerAck_descriptor =
-      getDescriptor().getMessageType(19);
-    internal_static_almondslip_AnswerAck_fieldAccessorTable = new
-      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
-        internal_static_almondslip_AnswerAck_descriptor,
-        new java.lang.String[] { "RequestId", "NextSequence", });
-    internal_static_almondslip_ServiceReport_descriptor =
-      getDescriptor().getMessageType(20);
-    internal_static_almondslip_ServiceReport_fieldAccessorTable = new
-      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
-        internal_static_almondslip_ServiceReport_descriptor,
-        new java.lang.String[] { "Sequence", "FlowId", "ChargeUs", "Backlogged", "Agents", });
-    internal_static_almondslip_ServiceDigest_descriptor =
-      getDescriptor().getMessageType(21);
-    internal_static_almondslip_ServiceDigest_fieldAccessorTable = new
-      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
-        internal_static_almondslip_ServiceDigest_descriptor,
-        new java.lang.String[] { "Epoch", "Acknowledged", "BaseUs", "FlowId", "AccountUs", "Backlogged", "Agents", });
-    internal_static_almondslip_RootExchange_descriptor =
-      getDescriptor().getMessageType(22);
-    internal_static_almondslip_RootExchange_fieldAccessorTable = new
-      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
-        internal_static_almondslip_RootExchange_descriptor,
-        new java.lang.String[] { "DataCentre", "Epoch", "FlowId", "CounterUs", "LiftUs", "Backlogged", "Agents", "ReceiverCounterUs", });
-    internal_static_almondslip_RootSnapshot_descriptor =
-      getDescriptor().getMessageType(23);
-    internal_static_almondslip_RootSnapshot_fieldAccessorTable = new
-      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
-        internal_static_almondslip_RootSnapshot_descriptor,
-        new java.lang.String[] { "Epoch", "FlowId", "CounterUs", "LiftUs", });
-    internal_static_almondslip_CatalogRevision_descriptor =
-      getDescriptor().getMessageType(24);
-    internal_static_almondslip_CatalogRevision_fieldAccessorTable = new
-      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
-        internal_static_almondslip_CatalogRevision_descriptor,
-        new java.lang.String[] { "Revision", });
-    internal_static_almondslip_CatalogPull_descriptor =
-      getDescriptor().getMessageType(25);
-    internal_static_almondslip_CatalogPull_fieldAccessorTable = new
-      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
-        internal_static_almondslip_CatalogPull_descriptor,
-        new java.lang.String[] { "AfterRevision", });
-    internal_static_almondslip_CatalogChanges_descriptor =
-      getDescriptor().getMessageType(26);
-    internal_static_almondslip_CatalogChanges_fieldAccessorTable = new
-      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
-        internal_static_almondslip_CatalogChanges_descriptor,
-        new java.lang.String[] { "Revision", "Objects", });
-    internal_static_almondslip_CatalogObject_descriptor =
-      getDescriptor().getMessageType(27);
-    internal_static_almondslip_CatalogObject_fieldAccessorTable = new
-      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
-        internal_static_almondslip_CatalogObject_descriptor,
-        new java.lang.String[] { "Kind", "Name", "Number", "Revision", "Json", });
-    internal_static_almondslip_SuspectNotice_descriptor =
-      getDescriptor().getMessageType(28);
-    internal_static_almondslip_SuspectNotice_fieldAccessorTable = new
-      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
-        internal_static_almondslip_SuspectNotice_descriptor,
-        new java.lang.String[] { "Fingerprint", "CrashId", "Cleared", });
+    descriptor =
+        com.google.protobuf.Descriptors.FileDescriptor.internalBuildGeneratedFileFrom(
+            descriptorData, new com.google.protobuf.Descriptors.FileDescriptor[] {});
+    internal_static_almondslip_Frame_descriptor = getDescriptor().getMessageType(0);
+    internal_static_almondslip_Frame_fieldAccessorTable =
+        new com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+            internal_static_almondslip_Frame_descriptor,
+            new java.lang.String[] {
+              "Hello",
+              "Proof",
+              "Heartbeat",
+              "Announce",
+              "Drain",
+              "Offers",
+              "Grant",
+              "Decline",
+              "Dispatch",
+              "Cancel",
+              "Attach",
+              "Answer",
+              "AnswerAck",
+              "ServiceReport",
+              "ServiceDigest",
+              "RootExchange",
+              "RootSnapshot",
+              "CatalogRevision",
+              "CatalogPull",
+              "CatalogChanges",
+              "SuspectNotice",
+              "Body",
+            });
+    internal_static_almondslip_Hello_descriptor = getDescriptor().getMessageType(1);
+    internal_static_almondslip_Hello_fieldAccessorTable =
+        new com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+            internal_static_almondslip_Hello_descriptor,
+            new java.lang.String[] {
+              "ProtocolVersion",
+              "InstanceId",
+              "Incarnation",
+              "Role",
+              "Region",
+              "DataCentre",
+              "InnerAddress",
+              "Nonce",
+              "Target",
+            });
+    internal_static_almondslip_Proof_descriptor = getDescriptor().getMessageType(2);
+    internal_static_almondslip_Proof_fieldAccessorTable =
+        new com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+            internal_static_almondslip_Proof_descriptor,
+            new java.lang.String[] {
+              "Mac",
+            });
+    internal_static_almondslip_Heartbeat_descriptor = getDescriptor().getMessageType(3);
+    internal_static_almondslip_Heartbeat_fieldAccessorTable =
+        new com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+            internal_static_almondslip_Heartbeat_descriptor,
+            new java.lang.String[] {
+              "Sequence", "CatalogRevision", "Agent",
+            });
+    internal_static_almondslip_AgentStatus_descriptor = getDescriptor().getMessageType(4);
+    internal_static_almondslip_AgentStatus_fieldAccessorTable =
+        new com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+            internal_static_almondslip_AgentStatus_descriptor,
+            new java.lang.String[] {
+              "Slots", "FreeSlots", "Staged", "Healthy", "Draining", "ReportedLoad",
+            });
+    internal_static_almondslip_Announce_descriptor = getDescriptor().getMessageType(5);
+    internal_static_almondslip_Announce_fieldAccessorTable =
+        new com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+            internal_static_almondslip_Announce_descriptor,
+            new java.lang.String[] {
+              "InstanceId", "Incarnation", "InnerAddress", "Target",
+            });
+    internal_static_almondslip_Drain_descriptor = getDescriptor().getMessageType(6);
+    internal_static_almondslip_Drain_fieldAccessorTable =
+        new com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+            internal_static_almondslip_Drain_descriptor,
+            new java.lang.String[] {
+              "Reason",
+            });
+    internal_static_almondslip_FlowOffer_descriptor = getDescriptor().getMessageType(7);
+    internal_static_almondslip_FlowOffer_fieldAccessorTable =
+        new com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+            internal_static_almondslip_FlowOffer_descriptor,
+            new java.lang.String[] {
+              "FlowId", "Waiting", "HeadAgeMs", "EstimateMs", "Spill", "Exclusive",
+            });
+    internal_static_almondslip_Offers_descriptor = getDescriptor().getMessageType(8);
+    internal_static_almondslip_Offers_fieldAccessorTable =
+        new com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+            internal_static_almondslip_Offers_descriptor,
+            new java.lang.String[] {
+              "Offers",
+            });
+    internal_static_almondslip_Grant_descriptor = getDescriptor().getMessageType(9);
+    internal_static_almondslip_Grant_fieldAccessorTable =
+        new com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+            internal_static_almondslip_Grant_descriptor,
+            new java.lang.String[] {
+              "GrantId", "FlowId", "Exclusive",
+            });
+    internal_static_almondslip_Decline_descriptor = getDescriptor().getMessageType(10);
+    internal_static_almondslip_Decline_fieldAccessorTable =
+        new com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+            internal_static_almondslip_Decline_descriptor,
+            new java.lang.String[] {
+              "GrantId", "Remaining",
+            });
+    internal_static_almondslip_RequestId_descriptor = getDescriptor().getMessageType(11);
+    internal_static_almondslip_RequestId_fieldAccessorTable =
+        new com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+            internal_static_almondslip_RequestId_descriptor,
+            new java.lang.String[] {
+              "RouterIncarnation", "Sequence",
+            });
+    internal_static_almondslip_Header_descriptor = getDescriptor().getMessageType(12);
+    internal_static_almondslip_Header_fieldAccessorTable =
+        new com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+            internal_static_almondslip_Header_descriptor,
+            new java.lang.String[] {
+              "Name", "Value",
+            });
+    internal_static_almondslip_Dispatch_descriptor = getDescriptor().getMessageType(13);
+    internal_static_almondslip_Dispatch_fieldAccessorTable =
+        new com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+            internal_static_almondslip_Dispatch_descriptor,
+            new java.lang.String[] {
+              "GrantId",
+              "RequestId",
+              "Remaining",
+              "Organisation",
+              "Pool",
+              "Method",
+              "Path",
+              "Headers",
+              "Body",
+              "DeadlineMs",
+              "EstimateMs",
+              "Idempotent",
+              "IdempotencyKey",
+              "ResumeAfter",
+              "Fingerprint",
+              "Exclusive",
+              "Attempt",
+            });
+    internal_static_almondslip_Cancel_descriptor = getDescriptor().getMessageType(14);
+    internal_static_almondslip_Cancel_fieldAccessorTable =
+        new com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+            internal_static_almondslip_Cancel_descriptor,
+            new java.lang.String[] {
+              "RequestId",
+            });
+    internal_static_almondslip_Attach_descriptor = getDescriptor().getMessageType(15);
+    internal_static_almondslip_Attach_fieldAccessorTable =
+        new com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+            internal_static_almondslip_Attach_descriptor,
+            new java.lang.String[] {
+              "RequestId", "NextSequence",
+            });
+    internal_static_almondslip_AnswerHead_descriptor = getDescriptor().getMessageType(16);
+    internal_static_almondslip_AnswerHead_fieldAccessorTable =
+        new com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+            internal_static_almondslip_AnswerHead_descriptor,
+            new java.lang.String[] {
+              "Status", "Headers",
+            });
+    internal_static_almondslip_AnswerEnd_descriptor = getDescriptor().getMessageType(17);
+    internal_static_almondslip_AnswerEnd_fieldAccessorTable =
+        new com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+            internal_static_almondslip_AnswerEnd_descriptor,
+            new java.lang.String[] {
+              "Complete", "Ran", "Code", "Detail", "RetryAfterMs", "CostMs",
+            });
+    internal_static_almondslip_Answer_descriptor = getDescriptor().getMessageType(18);
+    internal_static_almondslip_Answer_fieldAccessorTable =
+        new com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+            internal_static_almondslip_Answer_descriptor,
+            new java.lang.String[] {
+              "RequestId", "Sequence", "Head", "Data", "End", "Part",
+            });
+    internal_static_almondslip_AnswerAck_descriptor = getDescriptor().getMessageType(19);
+    internal_static_almondslip_AnswerAck_fieldAccessorTable =
+        new com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+            internal_static_almondslip_AnswerAck_descriptor,
+            new java.lang.String[] {
+              "RequestId", "NextSequence",
+            });
+    internal_static_almondslip_ServiceReport_descriptor = getDescriptor().getMessageType(20);
+    internal_static_almondslip_ServiceReport_fieldAccessorTable =
+        new com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+            internal_static_almondslip_ServiceReport_descriptor,
+            new java.lang.String[] {
+              "Sequence", "FlowId", "ChargeUs", "Backlogged", "Agents",
+            });
+    internal_static_almondslip_ServiceDigest_descriptor = getDescriptor().getMessageType(21);
+    internal_static_almondslip_ServiceDigest_fieldAccessorTable =
+        new com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+            internal_static_almondslip_ServiceDigest_descriptor,
+            new java.lang.String[] {
+              "Epoch", "Acknowledged", "BaseUs", "FlowId", "AccountUs", "Backlogged", "Agents",
+            });
+    internal_static_almondslip_RootExchange_descriptor = getDescriptor().getMessageType(22);
+    internal_static_almondslip_RootExchange_fieldAccessorTable =
+        new com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+            internal_static_almondslip_RootExchange_descriptor,
+            new java.lang.String[] {
+              "DataCentre",
+              "Epoch",
+              "FlowId",
+              "CounterUs",
+              "LiftUs",
+              "Backlogged",
+              "Agents",
+              "ReceiverCounterUs",
+            });
+    internal_static_almondslip_RootSnapshot_descriptor = getDescriptor().getMessageType(23);
+    internal_static_almondslip_RootSnapshot_fieldAccessorTable =
+        new com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+            internal_static_almondslip_RootSnapshot_descriptor,
+            new java.lang.String[] {
+              "Epoch", "FlowId", "CounterUs", "LiftUs",
+            });
+    internal_static_almondslip_CatalogRevision_descriptor = getDescriptor().getMessageType(24);
+    internal_static_almondslip_CatalogRevision_fieldAccessorTable =
+        new com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+            internal_static_almondslip_CatalogRevision_descriptor,
+            new java.lang.String[] {
+              "Revision",
+            });
+    internal_static_almondslip_CatalogPull_descriptor = getDescriptor().getMessageType(25);
+    internal_static_almondslip_CatalogPull_fieldAccessorTable =
+        new com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+            internal_static_almondslip_CatalogPull_descriptor,
+            new java.lang.String[] {
+              "AfterRevision",
+            });
+    internal_static_almondslip_CatalogChanges_descriptor = getDescriptor().getMessageType(26);
+    internal_static_almondslip_CatalogChanges_fieldAccessorTable =
+        new com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+            internal_static_almondslip_CatalogChanges_descriptor,
+            new java.lang.String[] {
+              "Revision", "Objects",
+            });
+    internal_static_almondslip_CatalogObject_descriptor = getDescriptor().getMessageType(27);
+    internal_static_almondslip_CatalogObject_fieldAccessorTable =
+        new com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+            internal_static_almondslip_CatalogObject_descriptor,
+            new java.lang.String[] {
+              "Kind", "Name", "Number", "Revision", "Json",
+            });
+    internal_static_almondslip_SuspectNotice_descriptor = getDescriptor().getMessageType(28);
+    internal_static_almondslip_SuspectNotice_fieldAccessorTable =
+        new com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+            internal_static_almondslip_SuspectNotice_descriptor,
+            new java.lang.String[] {
+              "Fingerprint", "CrashId", "Cleared",
+            });
     descriptor.resolveAllFeaturesImmutable();
   }
 
--- a/wire/src/main/java/org/almondslip/protocol/wire/Announce.java
+++ b/wire/src/main/java/org/almondslip/protocol/wire/Announce.java
@@ -6,6 +6,8 @@
 package org.almondslip.protocol.wire;
 
 /**
+ *
+ *
  * <pre>
  * Tells a router that an agent has started. Sent on a connection that is closed afterwards.
  * </pre>
@@ -13,32 +15,34 @@
  * Protobuf type {@code almondslip.Announce}
  */
 @com.google.protobuf.Generated
-public final class Announce extends
-    com.google.protobuf.GeneratedMessage implements
+public final class Announce extends com.google.protobuf.GeneratedMessage
+    implements
     // @@protoc_insertion_point(message_implements:almondslip.Announce)
     AnnounceOrBuilder {
-private static final long serialVersionUID = 0L;
+  private static final long serialVersionUID = 0L;
+
   static {
     com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
-      com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
-      /* major= */ 4,
-      /* minor= */ 36,
-      /* patch= */ 2,
-      /* suffix= */ "",
-      "Announce");
+        com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+        /* major= */ 4,
+        /* minor= */ 36,
+        /* patch= */ 2,
+        /* suffix= */ "",
+        "Announce");
   }
+
   // Use Announce.newBuilder() to construct.
   private Announce(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
     super(builder);
   }
+
   private Announce() {
     instanceId_ = "";
     innerAddress_ = "";
     target_ = "";
   }
 
-  public static final com.google.protobuf.Descriptors.Descriptor
-      getDescriptor() {
+  public static final com.google.protobuf.Descriptors.Descriptor getDescriptor() {
     return org.almondslip.protocol.wire.Almondslip.internal_static_almondslip_Announce_descriptor;
   }
 
@@ -50,16 +54,21 @@
   @java.lang.Override
   protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internalGetFieldAccessorTable() {
-    return org.almondslip.protocol.wire.Almondslip.internal_static_almondslip_Announce_fieldAccessorTable
+    return org.almondslip.protocol.wire.Almondslip
+        .internal_static_almondslip_Announce_fieldAccessorTable
         .ensureFieldAccessorsInitialized(
-            org.almondslip.protocol.wire.Announce.class, org.almondslip.protocol.wire.Announce.Builder.class);
+            org.almondslip.protocol.wire.Announce.class,
+            org.almondslip.protocol.wire.Announce.Builder.class);
   }
 
   public static final int INSTANCE_ID_FIELD_NUMBER = 1;
+
   @SuppressWarnings("serial")
   private volatile java.lang.Object instanceId_ = "";
+
   /**
    * <code>string instance_id = 1;</code>
+   *
    * @return The instanceId.
    */
   @java.lang.Override
@@ -68,25 +77,24 @@
     if (ref instanceof java.lang.String) {
       return (java.lang.String) ref;
     } else {
-      com.google.protobuf.ByteString bs = 
-          (com.google.protobuf.ByteString) ref;
+      com.google.protobuf.ByteString bs = (com.google.protobuf.ByteString) ref;
       java.lang.String s = bs.toStringUtf8();
       instanceId_ = s;
       return s;
     }
   }
+
   /**
    * <code>string instance_id = 1;</code>
+   *
    * @return The bytes for instanceId.
    */
   @java.lang.Override
-  public com.google.protobuf.ByteString
-      getInstanceIdBytes() {
+  public com.google.protobuf.ByteString getInstanceIdBytes() {
     java.lang.Object ref = instanceId_;
     if (ref instanceof java.lang.String) {
-      com.google.protobuf.ByteString b = 
-          com.google.protobuf.ByteString.copyFromUtf8(
-              (java.lang.String) ref);
+      com.google.protobuf.ByteString b =
+          com.google.protobuf.ByteString.copyFromUtf8((java.lang.String) ref);
       instanceId_ = b;
       return b;
     } else {
@@ -96,8 +104,10 @@
 
   public static final int INCARNATION_FIELD_NUMBER = 2;
   private long incarnation_ = 0L;
+
   /**
    * <code>fixed64 incarnation = 2;</code>
+   *
    * @return The incarnation.
    */
   @java.lang.Override
@@ -106,10 +116,13 @@
   }
 
   public static final int INNER_ADDRESS_FIELD_NUMBER = 3;
+
   @SuppressWarnings("serial")
   private volatile java.lang.Object innerAddress_ = "";
+
   /**
    * <code>string inner_address = 3;</code>
+   *
    * @return The innerAddress.
    */
   @java.lang.Override
@@ -118,25 +131,24 @@
     if (ref instanceof java.lang.String) {
       return (java.lang.String) ref;
     } else {
-      com.google.protobuf.ByteString bs = 
-          (com.google.protobuf.ByteString) ref;
+      com.google.protobuf.ByteString bs = (com.google.protobuf.ByteString) ref;
       java.lang.String s = bs.toStringUtf8();
       innerAddress_ = s;
       return s;
     }
   }
+
   /**
    * <code>string inner_address = 3;</code>
+   *
    * @return The bytes for innerAddress.
    */
   @java.lang.Override
-  public com.google.protobuf.ByteString
-      getInnerAddressBytes() {
+  public com.google.protobuf.ByteString getInnerAddressBytes() {
     java.lang.Object ref = innerAddress_;
     if (ref instanceof java.lang.String) {
-      com.google.protobuf.ByteString b = 
-          com.google.protobuf.ByteString.copyFromUtf8(
-              (java.lang.String) ref);
+      com.google.protobuf.ByteString b =
+          com.google.protobuf.ByteString.copyFromUtf8((java.lang.String) ref);
       innerAddress_ = b;
       return b;
     } else {
@@ -145,10 +157,13 @@
   }
 
   public static final int TARGET_FIELD_NUMBER = 4;
+
   @SuppressWarnings("serial")
   private volatile java.lang.Object target_ = "";
+
   /**
    * <code>string target = 4;</code>
+   *
    * @return The target.
    */
   @java.lang.Override
@@ -157,25 +172,24 @@
     if (ref instanceof java.lang.String) {
       return (java.lang.String) ref;
     } else {
-      com.google.protobuf.ByteString bs = 
-          (com.google.protobuf.ByteString) ref;
+      com.google.protobuf.ByteString bs = (com.google.protobuf.ByteString) ref;
       java.lang.String s = bs.toStringUtf8();
       target_ = s;
       return s;
     }
   }
+
   /**
    * <code>string target = 4;</code>
+   *
    * @return The bytes for target.
    */
   @java.lang.Override
-  public com.google.protobuf.ByteString
-      getTargetBytes() {
+  public com.google.protobuf.ByteString getTargetBytes() {
     java.lang.Object ref = target_;
     if (ref instanceof java.lang.String) {
-      com.google.protobuf.ByteString b = 
-          com.google.protobuf.ByteString.copyFromUtf8(
-              (java.lang.String) ref);
+      com.google.protobuf.ByteString b =
+          com.google.protobuf.ByteString.copyFromUtf8((java.lang.String) ref);
       target_ = b;
       return b;
     } else {
@@ -184,6 +198,7 @@
   }
 
   private byte memoizedIsInitialized = -1;
+
   @java.lang.Override
   public final boolean isInitialized() {
     byte isInitialized = memoizedIsInitialized;
@@ -195,8 +210,7 @@
   }
 
   @java.lang.Override
-  public void writeTo(com.google.protobuf.CodedOutputStream output)
-                      throws java.io.IOException {
+  public void writeTo(com.google.protobuf.CodedOutputStream output) throws java.io.IOException {
     if (!com.google.protobuf.GeneratedMessage.isStringEmpty(instanceId_)) {
       com.google.protobuf.GeneratedMessage.writeString(output, 1, instanceId_);
     }
@@ -211,14 +225,14 @@
     }
     getUnknownFields().writeTo(output);
   }
+
   private int computeSerializedSize_0() {
     int size = 0;
     if (!com.google.protobuf.GeneratedMessage.isStringEmpty(instanceId_)) {
       size += com.google.protobuf.GeneratedMessage.computeStringSize(1, instanceId_);
     }
     if (incarnation_ != 0L) {
-      size += com.google.protobuf.CodedOutputStream
-        .computeFixed64Size(2, incarnation_);
+      size += com.google.protobuf.CodedOutputStream.computeFixed64Size(2, incarnation_);
     }
     if (!com.google.protobuf.GeneratedMessage.isStringEmpty(innerAddress_)) {
       size += com.google.protobuf.GeneratedMessage.computeStringSize(3, innerAddress_);
@@ -228,6 +242,7 @@
     }
     return size;
   }
+
   @java.lang.Override
   public int getSerializedSize() {
     int size = memoizedSize;
@@ -243,21 +258,17 @@
   @java.lang.Override
   public boolean equals(final java.lang.Object obj) {
     if (obj == this) {
-     return true;
+      return true;
     }
     if (!(obj instanceof org.almondslip.protocol.wire.Announce)) {
       return super.equals(obj);
     }
     org.almondslip.protocol.wire.Announce other = (org.almondslip.protocol.wire.Announce) obj;
 
-    if (!getInstanceId()
-        .equals(other.getInstanceId())) return false;
-    if (getIncarnation()
-        != other.getIncarnation()) return false;
-    if (!getInnerAddress()
-        .equals(other.getInnerAddress())) return false;
-    if (!getTarget()
-        .equals(other.getTarget())) return false;
+    if (!getInstanceId().equals(other.getInstanceId())) return false;
+    if (getIncarnation() != other.getIncarnation()) return false;
+    if (!getInnerAddress().equals(other.getInnerAddress())) return false;
+    if (!getTarget().equals(other.getTarget())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -272,8 +283,7 @@
     hash = (37 * hash) + INSTANCE_ID_FIELD_NUMBER;
     hash = (53 * hash) + getInstanceId().hashCode();
     hash = (37 * hash) + INCARNATION_FIELD_NUMBER;
-    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
-        getIncarnation());
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(getIncarnation());
     hash = (37 * hash) + INNER_ADDRESS_FIELD_NUMBER;
     hash = (53 * hash) + getInnerAddress().hashCode();
     hash = (37 * hash) + TARGET_FIELD_NUMBER;
@@ -283,132 +293,135 @@
     return hash;
   }
 
-  public static org.almondslip.protocol.wire.Announce parseFrom(
-      java.nio.ByteBuffer data)
+  public static org.almondslip.protocol.wire.Announce parseFrom(java.nio.ByteBuffer data)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data);
   }
+
   public static org.almondslip.protocol.wire.Announce parseFrom(
-      java.nio.ByteBuffer data,
-      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+      java.nio.ByteBuffer data, com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data, extensionRegistry);
   }
-  public static org.almondslip.protocol.wire.Announce parseFrom(
-      com.google.protobuf.ByteString data)
+
+  public static org.almondslip.protocol.wire.Announce parseFrom(com.google.protobuf.ByteString data)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data);
   }
+
   public static org.almondslip.protocol.wire.Announce parseFrom(
       com.google.protobuf.ByteString data,
       com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data, extensionRegistry);
   }
+
   public static org.almondslip.protocol.wire.Announce parseFrom(byte[] data)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data);
   }
+
   public static org.almondslip.protocol.wire.Announce parseFrom(
-      byte[] data,
-      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+      byte[] data, com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data, extensionRegistry);
   }
+
   public static org.almondslip.protocol.wire.Announce parseFrom(java.io.InputStream input)
       throws java.io.IOException {
-    return com.google.protobuf.GeneratedMessage
-        .parseWithIOException(PARSER, input);
+    return com.google.protobuf.GeneratedMessage.parseWithIOException(PARSER, input);
   }
+
   public static org.almondslip.protocol.wire.Announce parseFrom(
-      java.io.InputStream input,
-      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+      java.io.InputStream input, com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws java.io.IOException {
-    return com.google.protobuf.GeneratedMessage
-        .parseWithIOException(PARSER, input, extensionRegistry);
+    return com.google.protobuf.GeneratedMessage.parseWithIOException(
+        PARSER, input, extensionRegistry);
   }
 
   public static org.almondslip.protocol.wire.Announce parseDelimitedFrom(java.io.InputStream input)
       throws java.io.IOException {
-    return com.google.protobuf.GeneratedMessage
-        .parseDelimitedWithIOException(PARSER, input);
+    return com.google.protobuf.GeneratedMessage.parseDelimitedWithIOException(PARSER, input);
   }
 
   public static org.almondslip.protocol.wire.Announce parseDelimitedFrom(
-      java.io.InputStream input,
-      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+      java.io.InputStream input, com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws java.io.IOException {
-    return com.google.protobuf.GeneratedMessage
-        .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
+    return com.google.protobuf.GeneratedMessage.parseDelimitedWithIOException(
+        PARSER, input, extensionRegistry);
   }
+
   public static org.almondslip.protocol.wire.Announce parseFrom(
-      com.google.protobuf.CodedInputStream input)
-      throws java.io.IOException {
-    return com.google.protobuf.GeneratedMessage
-        .parseWithIOException(PARSER, input);
+      com.google.protobuf.CodedInputStream input) throws java.io.IOException {
+    return com.google.protobuf.GeneratedMessage.parseWithIOException(PARSER, input);
   }
+
   public static org.almondslip.protocol.wire.Announce parseFrom(
       com.google.protobuf.CodedInputStream input,
       com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws java.io.IOException {
-    return com.google.protobuf.GeneratedMessage
-        .parseWithIOException(PARSER, input, extensionRegistry);
+    return com.google.protobuf.GeneratedMessage.parseWithIOException(
+        PARSER, input, extensionRegistry);
   }
 
   @java.lang.Override
-  public Builder newBuilderForType() { return newBuilder(); }
+  public Builder newBuilderForType() {
+    return newBuilder();
+  }
+
   public static Builder newBuilder() {
     return DEFAULT_INSTANCE.toBuilder();
   }
+
   public static Builder newBuilder(org.almondslip.protocol.wire.Announce prototype) {
     return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
   }
+
   @java.lang.Override
   public Builder toBuilder() {
-    return this == DEFAULT_INSTANCE
-        ? new Builder() : new Builder().mergeFrom(this);
+    return this == DEFAULT_INSTANCE ? new Builder() : new Builder().mergeFrom(this);
   }
 
   @java.lang.Override
-  protected Builder newBuilderForType(
-      com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+  protected Builder newBuilderForType(com.google.protobuf.GeneratedMessage.BuilderParent parent) {
     Builder builder = new Builder(parent);
     return builder;
   }
+
   /**
+   *
+   *
    * <pre>
    * Tells a router that an agent has started. Sent on a connection that is closed afterwards.
    * </pre>
    *
    * Protobuf type {@code almondslip.Announce}
    */
-  public static final class Builder extends
-      com.google.protobuf.GeneratedMessage.Builder<Builder> implements
+  public static final class Builder extends com.google.protobuf.GeneratedMessage.Builder<Builder>
+      implements
       // @@protoc_insertion_point(builder_implements:almondslip.Announce)
       org.almondslip.protocol.wire.AnnounceOrBuilder {
-    public static final com.google.protobuf.Descriptors.Descriptor
-        getDescriptor() {
+    public static final com.google.protobuf.Descriptors.Descriptor getDescriptor() {
       return org.almondslip.protocol.wire.Almondslip.internal_static_almondslip_Announce_descriptor;
     }
 
     @java.lang.Override
     protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
         internalGetFieldAccessorTable() {
-      return org.almondslip.protocol.wire.Almondslip.internal_static_almondslip_Announce_fieldAccessorTable
+      return org.almondslip.protocol.wire.Almondslip
+          .internal_static_almondslip_Announce_fieldAccessorTable
           .ensureFieldAccessorsInitialized(
-              org.almondslip.protocol.wire.Announce.class, org.almondslip.protocol.wire.Announce.Builder.class);
+              org.almondslip.protocol.wire.Announce.class,
+              org.almondslip.protocol.wire.Announce.Builder.class);
     }
 
     // Construct using org.almondslip.protocol.wire.Announce.newBuilder()
-    private Builder() {
+    private Builder() {}
 
-    }
-
-    private Builder(
-        com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+    private Builder(com.google.protobuf.GeneratedMessage.BuilderParent parent) {
       super(parent);
-
     }
+
     @java.lang.Override
     public Builder clear() {
       super.clear();
@@ -421,8 +434,7 @@
     }
 
     @java.lang.Override
-    public com.google.protobuf.Descriptors.Descriptor
-        getDescriptorForType() {
+    public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
       return org.almondslip.protocol.wire.Almondslip.internal_static_almondslip_Announce_descriptor;
     }
 
@@ -442,8 +454,11 @@
 
     @java.lang.Override
     public org.almondslip.protocol.wire.Announce buildPartial() {
-      org.almondslip.protocol.wire.Announce result = new org.almondslip.protocol.wire.Announce(this);
-      if (bitField0_ != 0) { buildPartial0(result); }
+      org.almondslip.protocol.wire.Announce result =
+          new org.almondslip.protocol.wire.Announce(this);
+      if (bitField0_ != 0) {
+        buildPartial0(result);
+      }
       onBuilt();
       return result;
     }
@@ -467,7 +482,7 @@
     @java.lang.Override
     public Builder mergeFrom(com.google.protobuf.Message other) {
       if (other instanceof org.almondslip.protocol.wire.Announce) {
-        return mergeFrom((org.almondslip.protocol.wire.Announce)other);
+        return mergeFrom((org.almondslip.protocol.wire.Announce) other);
       } else {
         super.mergeFrom(other);
         return this;
@@ -518,32 +533,37 @@
             case 0:
               done = true;
               break;
-            case 10: {
-              instanceId_ = input.readStringRequireUtf8();
-              bitField0_ |= 0x00000001;
-              break;
-            } // case 10
-            case 17: {
-              incarnation_ = input.readFixed64();
-              bitField0_ |= 0x00000002;
-              break;
-            } // case 17
-            case 26: {
-              innerAddress_ = input.readStringRequireUtf8();
-              bitField0_ |= 0x00000004;
-              break;
-            } // case 26
-            case 34: {
-              target_ = input.readStringRequireUtf8();
-              bitField0_ |= 0x00000008;
-              break;
-            } // case 34
-            default: {
-              if (!super.parseUnknownField(input, extensionRegistry, tag)) {
-                done = true; // was an endgroup tag
-              }
-              break;
-            } // default:
+            case 10:
+              {
+                instanceId_ = input.readStringRequireUtf8();
+                bitField0_ |= 0x00000001;
+                break;
+              } // case 10
+            case 17:
+              {
+                incarnation_ = input.readFixed64();
+                bitField0_ |= 0x00000002;
+                break;
+              } // case 17
+            case 26:
+              {
+                innerAddress_ = input.readStringRequireUtf8();
+                bitField0_ |= 0x00000004;
+                break;
+              } // case 26
+            case 34:
+              {
+                target_ = input.readStringRequireUtf8();
+                bitField0_ |= 0x00000008;
+                break;
+              } // case 34
+            default:
+              {
+                if (!super.parseUnknownField(input, extensionRegistry, tag)) {
+                  done = true; // was an endgroup tag
+                }
+                break;
+              } // default:
           } // switch (tag)
         } // while (!done)
       } catch (com.google.protobuf.InvalidProtocolBufferException e) {
@@ -553,18 +573,20 @@
       } // finally
       return this;
     }
+
     private int bitField0_;
 
     private java.lang.Object instanceId_ = "";
+
     /**
      * <code>string instance_id = 1;</code>
+     *
      * @return The instanceId.
      */
     public java.lang.String getInstanceId() {
       java.lang.Object ref = instanceId_;
       if (!(ref instanceof java.lang.String)) {
-        com.google.protobuf.ByteString bs =
-            (com.google.protobuf.ByteString) ref;
+        com.google.protobuf.ByteString bs = (com.google.protobuf.ByteString) ref;
         java.lang.String s = bs.toStringUtf8();
         instanceId_ = s;
         return s;
@@ -572,38 +594,41 @@
         return (java.lang.String) ref;
       }
     }
+
     /**
      * <code>string instance_id = 1;</code>
+     *
      * @return The bytes for instanceId.
      */
-    public com.google.protobuf.ByteString
-        getInstanceIdBytes() {
+    public com.google.protobuf.ByteString getInstanceIdBytes() {
       java.lang.Object ref = instanceId_;
       if (ref instanceof String) {
-        com.google.protobuf.ByteString b = 
-            com.google.protobuf.ByteString.copyFromUtf8(
-                (java.lang.String) ref);
+        com.google.protobuf.ByteString b =
+            com.google.protobuf.ByteString.copyFromUtf8((java.lang.String) ref);
         instanceId_ = b;
         return b;
       } else {
         return (com.google.protobuf.ByteString) ref;
       }
     }
+
     /**
      * <code>string instance_id = 1;</code>
+     *
      * @param value The instanceId to set.
      * @return This builder for chaining.
      */
-    public Builder setInstanceId(
-        java.lang.String value) {
+    public Builder setInstanceId(java.lang.String value) {
       java.util.Objects.requireNonNull(value);
       instanceId_ = value;
       bitField0_ |= 0x00000001;
       onChanged();
       return this;
     }
+
     /**
      * <code>string instance_id = 1;</code>
+     *
      * @return This builder for chaining.
      */
     public Builder clearInstanceId() {
@@ -612,13 +637,14 @@
       onChanged();
       return this;
     }
+
     /**
      * <code>string instance_id = 1;</code>
+     *
      * @param value The bytes for instanceId to set.
      * @return This builder for chaining.
      */
-    public Builder setInstanceIdBytes(
-        com.google.protobuf.ByteString value) {
+    public Builder setInstanceIdBytes(com.google.protobuf.ByteString value) {
       java.util.Objects.requireNonNull(value);
       checkByteStringIsUtf8(value);
       instanceId_ = value;
@@ -627,17 +653,21 @@
       return this;
     }
 
-    private long incarnation_ ;
+    private long incarnation_;
+
     /**
      * <code>fixed64 incarnation = 2;</code>
+     *
      * @return The incarnation.
      */
     @java.lang.Override
     public long getIncarnation() {
       return incarnation_;
     }
+
     /**
      * <code>fixed64 incarnation = 2;</code>
+     *
      * @param value The incarnation to set.
      * @return This builder for chaining.
      */
@@ -648,8 +678,10 @@
       onChanged();
       return this;
     }
+
     /**
      * <code>fixed64 incarnation = 2;</code>
+     *
      * @return This builder for chaining.
      */
     public Builder clearIncarnation() {
@@ -660,15 +692,16 @@
     }
 
     private java.lang.Object innerAddress_ = "";
+
     /**
      * <code>string inner_address = 3;</code>
+     *
      * @return The innerAddress.
      */
     public java.lang.String getInnerAddress() {
       java.lang.Object ref = innerAddress_;
       if (!(ref instanceof java.lang.String)) {
-        com.google.protobuf.ByteString bs =
-            (com.google.protobuf.ByteString) ref;
+        com.google.protobuf.ByteString bs = (com.google.protobuf.ByteString) ref;
         java.lang.String s = bs.toStringUtf8();
         innerAddress_ = s;
         return s;
@@ -676,38 +709,41 @@
         return (java.lang.String) ref;
       }
     }
+
     /**
      * <code>string inner_address = 3;</code>
+     *
      * @return The bytes for innerAddress.
      */
-    public com.google.protobuf.ByteString
-        getInnerAddressBytes() {
+    public com.google.protobuf.ByteString getInnerAddressBytes() {
       java.lang.Object ref = innerAddress_;
       if (ref instanceof String) {
-        com.google.protobuf.ByteString b = 
-            com.google.protobuf.ByteString.copyFromUtf8(
-                (java.lang.String) ref);
+        com.google.protobuf.ByteString b =
+            com.google.protobuf.ByteString.copyFromUtf8((java.lang.String) ref);
         innerAddress_ = b;
         return b;
       } else {
         return (com.google.protobuf.ByteString) ref;
       }
     }
+
     /**
      * <code>string inner_address = 3;</code>
+     *
      * @param value The innerAddress to set.
      * @return This builder for chaining.
      */
-    public Builder setInnerAddress(
-        java.lang.String value) {
+    public Builder setInnerAddress(java.lang.String value) {
       java.util.Objects.requireNonNull(value);
       innerAddress_ = value;
       bitField0_ |= 0x00000004;
       onChanged();
       return this;
     }
+
     /**
      * <code>string inner_address = 3;</code>
+     *
      * @return This builder for chaining.
      */
     public Builder clearInnerAddress() {
@@ -716,13 +752,14 @@
       onChanged();
       return this;
     }
+
     /**
      * <code>string inner_address = 3;</code>
+     *
      * @param value The bytes for innerAddress to set.
      * @return This builder for chaining.
      */
-    public Builder setInnerAddressBytes(
-        com.google.protobuf.ByteString value) {
+    public Builder setInnerAddressBytes(com.google.protobuf.ByteString value) {
       java.util.Objects.requireNonNull(value);
       checkByteStringIsUtf8(value);
       innerAddress_ = value;
@@ -732,15 +769,16 @@
     }
 
     private java.lang.Object target_ = "";
+
     /**
      * <code>string target = 4;</code>
+     *
      * @return The target.
      */
     public java.lang.String getTarget() {
       java.lang.Object ref = target_;
       if (!(ref instanceof java.lang.String)) {
-        com.google.protobuf.ByteString bs =
-            (com.google.protobuf.ByteString) ref;
+        com.google.protobuf.ByteString bs = (com.google.protobuf.ByteString) ref;
         java.lang.String s = bs.toStringUtf8();
         target_ = s;
         return s;
@@ -748,38 +786,41 @@
         return (java.lang.String) ref;
       }
     }
+
     /**
      * <code>string target = 4;</code>
+     *
      * @return The bytes for target.
      */
-    public com.google.protobuf.ByteString
-        getTargetBytes() {
+    public com.google.protobuf.ByteString getTargetBytes() {
       java.lang.Object ref = target_;
       if (ref instanceof String) {
-        com.google.protobuf.ByteString b = 
-            com.google.protobuf.ByteString.copyFromUtf8(
-                (java.lang.String) ref);
+        com.google.protobuf.ByteString b =
+            com.google.protobuf.ByteString.copyFromUtf8((java.lang.String) ref);
         target_ = b;
         return b;
       } else {
         return (com.google.protobuf.ByteString) ref;
       }
     }
+
     /**
      * <code>string target = 4;</code>
+     *
      * @param value The target to set.
      * @return This builder for chaining.
      */
-    public Builder setTarget(
-        java.lang.String value) {
+    public Builder setTarget(java.lang.String value) {
       java.util.Objects.requireNonNull(value);
       target_ = value;
       bitField0_ |= 0x00000008;
       onChanged();
       return this;
     }
+
     /**
      * <code>string target = 4;</code>
+     *
      * @return This builder for chaining.
      */
     public Builder clearTarget() {
@@ -788,13 +829,14 @@
       onChanged();
       return this;
     }
+
     /**
      * <code>string target = 4;</code>
+     *
      * @param value The bytes for target to set.
      * @return This builder for chaining.
      */
-    public Builder setTargetBytes(
-        com.google.protobuf.ByteString value) {
+    public Builder setTargetBytes(com.google.protobuf.ByteString value) {
       java.util.Objects.requireNonNull(value);
       checkByteStringIsUtf8(value);
       target_ = value;
@@ -808,6 +850,7 @@
 
   // @@protoc_insertion_point(class_scope:almondslip.Announce)
   private static final org.almondslip.protocol.wire.Announce DEFAULT_INSTANCE;
+
   static {
     DEFAULT_INSTANCE = new org.almondslip.protocol.wire.Announce();
   }
@@ -816,27 +859,27 @@
     return DEFAULT_INSTANCE;
   }
 
-  private static final com.google.protobuf.Parser<Announce>
-      PARSER = new com.google.protobuf.AbstractParser<Announce>() {
-    @java.lang.Override
-    public Announce parsePartialFrom(
-        com.google.protobuf.CodedInputStream input,
-        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-        throws com.google.protobuf.InvalidProtocolBufferException {
-      Builder builder = newBuilder();
-      try {
-        builder.mergeFrom(input, extensionRegistry);
-      } catch (com.google.protobuf.InvalidProtocolBufferException e) {
-        throw e.setUnfinishedMessage(builder.buildPartial());
-      } catch (com.google.protobuf.UninitializedMessageException e) {
-        throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
-      } catch (java.io.IOException e) {
-        throw new com.google.protobuf.InvalidProtocolBufferException(e)
-            .setUnfinishedMessage(builder.buildPartial());
-      }
-      return builder.buildPartial();
-    }
-  };
+  private static final com.google.protobuf.Parser<Announce> PARSER =
+      new com.google.protobuf.AbstractParser<Announce>() {
+        @java.lang.Override
+        public Announce parsePartialFrom(
+            com.google.protobuf.CodedInputStream input,
+            com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+            throws com.google.protobuf.InvalidProtocolBufferException {
+          Builder builder = newBuilder();
+          try {
+            builder.mergeFrom(input, extensionRegistry);
+          } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+            throw e.setUnfinishedMessage(builder.buildPartial());
+          } catch (com.google.protobuf.UninitializedMessageException e) {
+            throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
+          } catch (java.io.IOException e) {
+            throw new com.google.protobuf.InvalidProtocolBufferException(e)
+                .setUnfinishedMessage(builder.buildPartial());
+          }
+          return builder.buildPartial();
+        }
+      };
 
   public static com.google.protobuf.Parser<Announce> parser() {
     return PARSER;
@@ -851,6 +894,4 @@
   public org.almondslip.protocol.wire.Announce getDefaultInstanceForType() {
     return DEFAULT_INSTANCE;
   }
-
 }
-
--- a/wire/src/main/java/org/almondslip/protocol/wire/AnnounceOrBuilder.java
+++ b/wire/src/main/java/org/almondslip/protocol/wire/AnnounceOrBuilder.java
@@ -6,49 +6,57 @@
 package org.almondslip.protocol.wire;
 
 @com.google.protobuf.Generated
-public interface AnnounceOrBuilder extends
+public interface AnnounceOrBuilder
+    extends
     // @@protoc_insertion_point(interface_extends:almondslip.Announce)
     com.google.protobuf.MessageOrBuilder {
 
   /**
    * <code>string instance_id = 1;</code>
+   *
    * @return The instanceId.
    */
   java.lang.String getInstanceId();
+
   /**
    * <code>string instance_id = 1;</code>
+   *
    * @return The bytes for instanceId.
    */
-  com.google.protobuf.ByteString
-      getInstanceIdBytes();
+  com.google.protobuf.ByteString getInstanceIdBytes();
 
   /**
    * <code>fixed64 incarnation = 2;</code>
+   *
    * @return The incarnation.
    */
   long getIncarnation();
 
   /**
    * <code>string inner_address = 3;</code>
+   *
    * @return The innerAddress.
    */
   java.lang.String getInnerAddress();
+
   /**
    * <code>string inner_address = 3;</code>
+   *
    * @return The bytes for innerAddress.
    */
-  com.google.protobuf.ByteString
-      getInnerAddressBytes();
+  com.google.protobuf.ByteString getInnerAddressBytes();
 
   /**
    * <code>string target = 4;</code>
+   *
    * @return The target.
    */
   java.lang.String getTarget();
+
   /**
    * <code>string target = 4;</code>
+   *
    * @return The bytes for target.
    */
-  com.google.protobuf.ByteString
-      getTargetBytes();
+  com.google.protobuf.ByteString getTargetBytes();
 }
--- a/wire/src/main/java/org/almondslip/protocol/wire/Answer.java
+++ b/wire/src/main/java/org/almondslip/protocol/wire/Answer.java
@@ -6,6 +6,8 @@
 package org.almondslip.protocol.wire;
 
 /**
+ *
+ *
  * <pre>
  * Part of the answer to a request. Head has sequence 0; each part raises it by one.
  * </pre>
@@ -13,29 +15,30 @@
  * Protobuf type {@code almondslip.Answer}
  */
 @com.google.protobuf.Generated
-public final class Answer extends
-    com.google.protobuf.GeneratedMessage implements
+public final class Answer extends com.google.protobuf.GeneratedMessage
+    implements
     // @@protoc_insertion_point(message_implements:almondslip.Answer)
     AnswerOrBuilder {
-private static final long serialVersionUID = 0L;
+  private static final long serialVersionUID = 0L;
+
   static {
     com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
-      com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
-      /* major= */ 4,
-      /* minor= */ 36,
-      /* patch= */ 2,
-      /* suffix= */ "",
-      "Answer");
+        com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+        /* major= */ 4,
+        /* minor= */ 36,
+        /* patch= */ 2,
+        /* suffix= */ "",
+        "Answer");
   }
+
   // Use Answer.newBuilder() to construct.
   private Answer(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
     super(builder);
   }
-  private Answer() {
-  }
 
-  public static final com.google.protobuf.Descriptors.Descriptor
-      getDescriptor() {
+  private Answer() {}
+
+  public static final com.google.protobuf.Descriptors.Descriptor getDescriptor() {
     return org.almondslip.protocol.wire.Almondslip.internal_static_almondslip_Answer_descriptor;
   }
 
@@ -47,26 +50,33 @@
   @java.lang.Override
   protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internalGetFieldAccessorTable() {
-    return org.almondslip.protocol.wire.Almondslip.internal_static_almondslip_Answer_fieldAccessorTable
+    return org.almondslip.protocol.wire.Almondslip
+        .internal_static_almondslip_Answer_fieldAccessorTable
         .ensureFieldAccessorsInitialized(
-            org.almondslip.protocol.wire.Answer.class, org.almondslip.protocol.wire.Answer.Builder.class);
+            org.almondslip.protocol.wire.Answer.class,
+            org.almondslip.protocol.wire.Answer.Builder.class);
   }
 
   private int bitField0_;
   private int partCase_ = 0;
+
   @SuppressWarnings("serial")
   private java.lang.Object part_;
+
   public enum PartCase
-      implements com.google.protobuf.Internal.EnumLite,
+      implements
+          com.google.protobuf.Internal.EnumLite,
           com.google.protobuf.AbstractMessage.InternalOneOfEnum {
     HEAD(3),
     DATA(4),
     END(5),
     PART_NOT_SET(0);
     private final int value;
+
     private PartCase(int value) {
       this.value = value;
     }
+
     /**
      * @param value The number of the enum to look for.
      * @return The enum associated with the given number.
@@ -79,54 +89,67 @@
 
     public static PartCase forNumber(int value) {
       switch (value) {
-        case 3: return HEAD;
-        case 4: return DATA;
-        case 5: return END;
-        case 0: return PART_NOT_SET;
-        default: return null;
+        case 3:
+          return HEAD;
+        case 4:
+          return DATA;
+        case 5:
+          return END;
+        case 0:
+          return PART_NOT_SET;
+        default:
+          return null;
       }
     }
+
     public int getNumber() {
       return this.value;
     }
   };
 
-  public PartCase
-  getPartCase() {
-    return PartCase.forNumber(
-        partCase_);
+  public PartCase getPartCase() {
+    return PartCase.forNumber(partCase_);
   }
 
   public static final int REQUEST_ID_FIELD_NUMBER = 1;
   private org.almondslip.protocol.wire.RequestId requestId_;
+
   /**
    * <code>.almondslip.RequestId request_id = 1;</code>
+   *
    * @return Whether the requestId field is set.
    */
   @java.lang.Override
   public boolean hasRequestId() {
     return ((bitField0_ & 0x00000001) != 0);
   }
+
   /**
    * <code>.almondslip.RequestId request_id = 1;</code>
+   *
    * @return The requestId.
    */
   @java.lang.Override
   public org.almondslip.protocol.wire.RequestId getRequestId() {
-    return requestId_ == null ? org.almondslip.protocol.wire.RequestId.getDefaultInstance() : requestId_;
+    return requestId_ == null
+        ? org.almondslip.protocol.wire.RequestId.getDefaultInstance()
+        : requestId_;
   }
-  /**
-   * <code>.almondslip.RequestId request_id = 1;</code>
-   */
+
+  /** <code>.almondslip.RequestId request_id = 1;</code> */
   @java.lang.Override
   public org.almondslip.protocol.wire.RequestIdOrBuilder getRequestIdOrBuilder() {
-    return requestId_ == null ? org.almondslip.protocol.wire.RequestId.getDefaultInstance() : requestId_;
+    return requestId_ == null
+        ? org.almondslip.protocol.wire.RequestId.getDefaultInstance()
+        : requestId_;
   }
 
   public static final int SEQUENCE_FIELD_NUMBER = 2;
   private long sequence_ = 0L;
+
   /**
    * <code>uint64 sequence = 2;</code>
+   *
    * @return The sequence.
    */
   @java.lang.Override
@@ -135,47 +158,54 @@
   }
 
   public static final int HEAD_FIELD_NUMBER = 3;
+
   /**
    * <code>.almondslip.AnswerHead head = 3;</code>
+   *
    * @return Whether the head field is set.
    */
   @java.lang.Override
   public boolean hasHead() {
     return partCase_ == 3;
   }
+
   /**
    * <code>.almondslip.AnswerHead head = 3;</code>
+   *
    * @return The head.
    */
   @java.lang.Override
   public org.almondslip.protocol.wire.AnswerHead getHead() {
     if (partCase_ == 3) {
-       return (org.almondslip.protocol.wire.AnswerHead) part_;
+      return (org.almondslip.protocol.wire.AnswerHead) part_;
     }
     return org.almondslip.protocol.wire.AnswerHead.getDefaultInstance();
   }
-  /**
-   * <code>.almondslip.AnswerHead head = 3;</code>
-   */
+
+  /** <code>.almondslip.AnswerHead head = 3;</code> */
   @java.lang.Override
   public org.almondslip.protocol.wire.AnswerHeadOrBuilder getHeadOrBuilder() {
     if (partCase_ == 3) {
-       return (org.almondslip.protocol.wire.AnswerHead) part_;
+      return (org.almondslip.protocol.wire.AnswerHead) part_;
     }
     return org.almondslip.protocol.wire.AnswerHead.getDefaultInstance();
   }
 
   public static final int DATA_FIELD_NUMBER = 4;
+
   /**
    * <code>bytes data = 4;</code>
+   *
    * @return Whether the data field is set.
    */
   @java.lang.Override
   public boolean hasData() {
     return partCase_ == 4;
   }
+
   /**
    * <code>bytes data = 4;</code>
+   *
    * @return The data.
    */
   @java.lang.Override
@@ -187,37 +217,41 @@
   }
 
   public static final int END_FIELD_NUMBER = 5;
+
   /**
    * <code>.almondslip.AnswerEnd end = 5;</code>
+   *
    * @return Whether the end field is set.
    */
   @java.lang.Override
   public boolean hasEnd() {
     return partCase_ == 5;
   }
+
   /**
    * <code>.almondslip.AnswerEnd end = 5;</code>
+   *
    * @return The end.
    */
   @java.lang.Override
   public org.almondslip.protocol.wire.AnswerEnd getEnd() {
     if (partCase_ == 5) {
-       return (org.almondslip.protocol.wire.AnswerEnd) part_;
+      return (org.almondslip.protocol.wire.AnswerEnd) part_;
     }
     return org.almondslip.protocol.wire.AnswerEnd.getDefaultInstance();
   }
-  /**
-   * <code>.almondslip.AnswerEnd end = 5;</code>
-   */
+
+  /** <code>.almondslip.AnswerEnd end = 5;</code> */
   @java.lang.Override
   public org.almondslip.protocol.wire.AnswerEndOrBuilder getEndOrBuilder() {
     if (partCase_ == 5) {
-       return (org.almondslip.protocol.wire.AnswerEnd) part_;
+      return (org.almondslip.protocol.wire.AnswerEnd) part_;
     }
     return org.almondslip.protocol.wire.AnswerEnd.getDefaultInstance();
   }
 
   private byte memoizedIsInitialized = -1;
+
   @java.lang.Override
   public final boolean isInitialized() {
     byte isInitialized = memoizedIsInitialized;
@@ -229,8 +263,7 @@
   }
 
   @java.lang.Override
-  public void writeTo(com.google.protobuf.CodedOutputStream output)
-                      throws java.io.IOException {
+  public void writeTo(com.google.protobuf.CodedOutputStream output) throws java.io.IOException {
     if (((bitField0_ & 0x00000001) != 0)) {
       output.writeMessage(1, getRequestId());
     }
@@ -241,39 +274,40 @@
       output.writeMessage(3, (org.almondslip.protocol.wire.AnswerHead) part_);
     }
     if (partCase_ == 4) {
-      output.writeBytes(
-          4, (com.google.protobuf.ByteString) part_);
+      output.writeBytes(4, (com.google.protobuf.ByteString) part_);
     }
     if (partCase_ == 5) {
       output.writeMessage(5, (org.almondslip.protocol.wire.AnswerEnd) part_);
     }
     getUnknownFields().writeTo(output);
   }
+
   private int computeSerializedSize_0() {
     int size = 0;
     if (((bitField0_ & 0x00000001) != 0)) {
-      size += com.google.protobuf.CodedOutputStream
-        .computeMessageSize(1, getRequestId());
+      size += com.google.protobuf.CodedOutputStream.computeMessageSize(1, getRequestId());
     }
     if (sequence_ != 0L) {
-      size += com.google.protobuf.CodedOutputStream
-        .computeUInt64Size(2, sequence_);
+      size += com.google.protobuf.CodedOutputStream.computeUInt64Size(2, sequence_);
     }
     if (partCase_ == 3) {
-      size += com.google.protobuf.CodedOutputStream
-        .computeMessageSize(3, (org.almondslip.protocol.wire.AnswerHead) part_);
+      size +=
+          com.google.protobuf.CodedOutputStream.computeMessageSize(
+              3, (org.almondslip.protocol.wire.AnswerHead) part_);
     }
     if (partCase_ == 4) {
-      size += com.google.protobuf.CodedOutputStream
-        .computeBytesSize(
-            4, (com.google.protobuf.ByteString) part_);
+      size +=
+          com.google.protobuf.CodedOutputStream.computeBytesSize(
+              4, (com.google.protobuf.ByteString) part_);
     }
     if (partCase_ == 5) {
-      size += com.google.protobuf.CodedOutputStream
-        .computeMessageSize(5, (org.almondslip.protocol.wire.AnswerEnd) part_);
+      size +=
+          com.google.protobuf.CodedOutputStream.computeMessageSize(
+              5, (org.almondslip.protocol.wire.AnswerEnd) part_);
     }
     return size;
   }
+
   @java.lang.Override
   public int getSerializedSize() {
     int size = memoizedSize;
@@ -289,7 +323,7 @@
   @java.lang.Override
   public boolean equals(final java.lang.Object obj) {
     if (obj == this) {
-     return true;
+      return true;
     }
     if (!(obj instanceof org.almondslip.protocol.wire.Answer)) {
       return super.equals(obj);
@@ -298,24 +332,19 @@
 
     if (hasRequestId() != other.hasRequestId()) return false;
     if (hasRequestId()) {
-      if (!getRequestId()
-          .equals(other.getRequestId())) return false;
+      if (!getRequestId().equals(other.getRequestId())) return false;
     }
-    if (getSequence()
-        != other.getSequence()) return false;
+    if (getSequence() != other.getSequence()) return false;
     if (!getPartCase().equals(other.getPartCase())) return false;
     switch (partCase_) {
       case 3:
-        if (!getHead()
-            .equals(other.getHead())) return false;
+        if (!getHead().equals(other.getHead())) return false;
         break;
       case 4:
-        if (!getData()
-            .equals(other.getData())) return false;
+        if (!getData().equals(other.getData())) return false;
         break;
       case 5:
-        if (!getEnd()
-            .equals(other.getEnd())) return false;
+        if (!getEnd().equals(other.getEnd())) return false;
         break;
       case 0:
       default:
@@ -336,8 +365,7 @@
       hash = (53 * hash) + getRequestId().hashCode();
     }
     hash = (37 * hash) + SEQUENCE_FIELD_NUMBER;
-    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
-        getSequence());
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(getSequence());
     switch (partCase_) {
       case 3:
         hash = (37 * hash) + HEAD_FIELD_NUMBER;
@@ -359,120 +387,126 @@
     return hash;
   }
 
-  public static org.almondslip.protocol.wire.Answer parseFrom(
-      java.nio.ByteBuffer data)
+  public static org.almondslip.protocol.wire.Answer parseFrom(java.nio.ByteBuffer data)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data);
   }
+
   public static org.almondslip.protocol.wire.Answer parseFrom(
-      java.nio.ByteBuffer data,
-      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+      java.nio.ByteBuffer data, com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data, extensionRegistry);
   }
-  public static org.almondslip.protocol.wire.Answer parseFrom(
-      com.google.protobuf.ByteString data)
+
+  public static org.almondslip.protocol.wire.Answer parseFrom(com.google.protobuf.ByteString data)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data);
   }
+
   public static org.almondslip.protocol.wire.Answer parseFrom(
       com.google.protobuf.ByteString data,
       com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data, extensionRegistry);
   }
+
   public static org.almondslip.protocol.wire.Answer parseFrom(byte[] data)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data);
   }
+
   public static org.almondslip.protocol.wire.Answer parseFrom(
-      byte[] data,
-      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+      byte[] data, com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data, extensionRegistry);
   }
+
   public static org.almondslip.protocol.wire.Answer parseFrom(java.io.InputStream input)
       throws java.io.IOException {
-    return com.google.protobuf.GeneratedMessage
-        .parseWithIOException(PARSER, input);
+    return com.google.protobuf.GeneratedMessage.parseWithIOException(PARSER, input);
   }
+
   public static org.almondslip.protocol.wire.Answer parseFrom(
-      java.io.InputStream input,
-      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+      java.io.InputStream input, com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws java.io.IOException {
-    return com.google.protobuf.GeneratedMessage
-        .parseWithIOException(PARSER, input, extensionRegistry);
+    return com.google.protobuf.GeneratedMessage.parseWithIOException(
+        PARSER, input, extensionRegistry);
   }
 
   public static org.almondslip.protocol.wire.Answer parseDelimitedFrom(java.io.InputStream input)
       throws java.io.IOException {
-    return com.google.protobuf.GeneratedMessage
-        .parseDelimitedWithIOException(PARSER, input);
+    return com.google.protobuf.GeneratedMessage.parseDelimitedWithIOException(PARSER, input);
   }
 
   public static org.almondslip.protocol.wire.Answer parseDelimitedFrom(
-      java.io.InputStream input,
-      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+      java.io.InputStream input, com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws java.io.IOException {
-    return com.google.protobuf.GeneratedMessage
-        .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
+    return com.google.protobuf.GeneratedMessage.parseDelimitedWithIOException(
+        PARSER, input, extensionRegistry);
   }
+
   public static org.almondslip.protocol.wire.Answer parseFrom(
-      com.google.protobuf.CodedInputStream input)
-      throws java.io.IOException {
-    return com.google.protobuf.GeneratedMessage
-        .parseWithIOException(PARSER, input);
+      com.google.protobuf.CodedInputStream input) throws java.io.IOException {
+    return com.google.protobuf.GeneratedMessage.parseWithIOException(PARSER, input);
   }
+
   public static org.almondslip.protocol.wire.Answer parseFrom(
       com.google.protobuf.CodedInputStream input,
       com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws java.io.IOException {
-    return com.google.protobuf.GeneratedMessage
-        .parseWithIOException(PARSER, input, extensionRegistry);
+    return com.google.protobuf.GeneratedMessage.parseWithIOException(
+        PARSER, input, extensionRegistry);
   }
 
   @java.lang.Override
-  public Builder newBuilderForType() { return newBuilder(); }
+  public Builder newBuilderForType() {
+    return newBuilder();
+  }
+
   public static Builder newBuilder() {
     return DEFAULT_INSTANCE.toBuilder();
   }
+
   public static Builder newBuilder(org.almondslip.protocol.wire.Answer prototype) {
     return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
   }
+
   @java.lang.Override
   public Builder toBuilder() {
-    return this == DEFAULT_INSTANCE
-        ? new Builder() : new Builder().mergeFrom(this);
+    return this == DEFAULT_INSTANCE ? new Builder() : new Builder().mergeFrom(this);
   }
 
   @java.lang.Override
-  protected Builder newBuilderForType(
-      com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+  protected Builder newBuilderForType(com.google.protobuf.GeneratedMessage.BuilderParent parent) {
     Builder builder = new Builder(parent);
     return builder;
   }
+
   /**
+   *
+   *
    * <pre>
    * Part of the answer to a request. Head has sequence 0; each part raises it by one.
    * </pre>
    *
    * Protobuf type {@code almondslip.Answer}
    */
-  public static final class Builder extends
-      com.google.protobuf.GeneratedMessage.Builder<Builder> implements
+  public static final class Builder extends com.google.protobuf.GeneratedMessage.Builder<Builder>
+      implements
       // @@protoc_insertion_point(builder_implements:almondslip.Answer)
       org.almondslip.protocol.wire.AnswerOrBuilder {
-    public static final com.google.protobuf.Descriptors.Descriptor
-        getDescriptor() {
+    public static final com.google.protobuf.Descriptors.Descriptor getDescriptor() {
       return org.almondslip.protocol.wire.Almondslip.internal_static_almondslip_Answer_descriptor;
     }
 
     @java.lang.Override
     protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
         internalGetFieldAccessorTable() {
-      return org.almondslip.protocol.wire.Almondslip.internal_static_almondslip_Answer_fieldAccessorTable
+      return org.almondslip.protocol.wire.Almondslip
+          .internal_static_almondslip_Answer_fieldAccessorTable
           .ensureFieldAccessorsInitialized(
-              org.almondslip.protocol.wire.Answer.class, org.almondslip.protocol.wire.Answer.Builder.class);
+              org.almondslip.protocol.wire.Answer.class,
+              org.almondslip.protocol.wire.Answer.Builder.class);
     }
 
     // Construct using org.almondslip.protocol.wire.Answer.newBuilder()
@@ -480,17 +514,17 @@
       maybeForceBuilderInitialization();
     }
 
-    private Builder(
-        com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+    private Builder(com.google.protobuf.GeneratedMessage.BuilderParent parent) {
       super(parent);
       maybeForceBuilderInitialization();
     }
+
     private void maybeForceBuilderInitialization() {
-      if (com.google.protobuf.GeneratedMessage
-              .alwaysUseFieldBuilders) {
+      if (com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders) {
         internalGetRequestIdFieldBuilder();
       }
     }
+
     @java.lang.Override
     public Builder clear() {
       super.clear();
@@ -513,8 +547,7 @@
     }
 
     @java.lang.Override
-    public com.google.protobuf.Descriptors.Descriptor
-        getDescriptorForType() {
+    public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
       return org.almondslip.protocol.wire.Almondslip.internal_static_almondslip_Answer_descriptor;
     }
 
@@ -535,7 +568,9 @@
     @java.lang.Override
     public org.almondslip.protocol.wire.Answer buildPartial() {
       org.almondslip.protocol.wire.Answer result = new org.almondslip.protocol.wire.Answer(this);
-      if (bitField0_ != 0) { buildPartial0(result); }
+      if (bitField0_ != 0) {
+        buildPartial0(result);
+      }
       buildPartialOneofs(result);
       onBuilt();
       return result;
@@ -545,9 +580,7 @@
       int from_bitField0_ = bitField0_;
       int to_bitField0_ = 0;
       if (((from_bitField0_ & 0x00000001) != 0)) {
-        result.requestId_ = requestIdBuilder_ == null
-            ? requestId_
-            : requestIdBuilder_.build();
+        result.requestId_ = requestIdBuilder_ == null ? requestId_ : requestIdBuilder_.build();
         to_bitField0_ |= 0x00000001;
       }
       if (((from_bitField0_ & 0x00000002) != 0)) {
@@ -559,12 +592,10 @@
     private void buildPartialOneofs(org.almondslip.protocol.wire.Answer result) {
       result.partCase_ = partCase_;
       result.part_ = this.part_;
-      if (partCase_ == 3 &&
-          headBuilder_ != null) {
+      if (partCase_ == 3 && headBuilder_ != null) {
         result.part_ = headBuilder_.build();
       }
-      if (partCase_ == 5 &&
-          endBuilder_ != null) {
+      if (partCase_ == 5 && endBuilder_ != null) {
         result.part_ = endBuilder_.build();
       }
     }
@@ -572,7 +603,7 @@
     @java.lang.Override
     public Builder mergeFrom(com.google.protobuf.Message other) {
       if (other instanceof org.almondslip.protocol.wire.Answer) {
-        return mergeFrom((org.almondslip.protocol.wire.Answer)other);
+        return mergeFrom((org.almondslip.protocol.wire.Answer) other);
       } else {
         super.mergeFrom(other);
         return this;
@@ -588,21 +619,25 @@
         setSequence(other.getSequence());
       }
       switch (other.getPartCase()) {
-        case HEAD: {
-          mergeHead(other.getHead());
-          break;
-        }
-        case DATA: {
-          setData(other.getData());
-          break;
-        }
-        case END: {
-          mergeEnd(other.getEnd());
-          break;
-        }
-        case PART_NOT_SET: {
-          break;
-        }
+        case HEAD:
+          {
+            mergeHead(other.getHead());
+            break;
+          }
+        case DATA:
+          {
+            setData(other.getData());
+            break;
+          }
+        case END:
+          {
+            mergeEnd(other.getEnd());
+            break;
+          }
+        case PART_NOT_SET:
+          {
+            break;
+          }
       }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
@@ -628,43 +663,44 @@
             case 0:
               done = true;
               break;
-            case 10: {
-              input.readMessage(
-                  internalGetRequestIdFieldBuilder().getBuilder(),
-                  extensionRegistry);
-              bitField0_ |= 0x00000001;
-              break;
-            } // case 10
-            case 16: {
-              sequence_ = input.readUInt64();
-              bitField0_ |= 0x00000002;
-              break;
-            } // case 16
-            case 26: {
-              input.readMessage(
-                  internalGetHeadFieldBuilder().getBuilder(),
-                  extensionRegistry);
-              partCase_ = 3;
-              break;
-            } // case 26
-            case 34: {
-              part_ = input.readBytes();
-              partCase_ = 4;
-              break;
-            } // case 34
-            case 42: {
-              input.readMessage(
-                  internalGetEndFieldBuilder().getBuilder(),
-                  extensionRegistry);
-              partCase_ = 5;
-              break;
-            } // case 42
-            default: {
-              if (!super.parseUnknownField(input, extensionRegistry, tag)) {
-                done = true; // was an endgroup tag
-              }
-              break;
-            } // default:
+            case 10:
+              {
+                input.readMessage(
+                    internalGetRequestIdFieldBuilder().getBuilder(), extensionRegistry);
+                bitField0_ |= 0x00000001;
+                break;
+              } // case 10
+            case 16:
+              {
+                sequence_ = input.readUInt64();
+                bitField0_ |= 0x00000002;
+                break;
+              } // case 16
+            case 26:
+              {
+                input.readMessage(internalGetHeadFieldBuilder().getBuilder(), extensionRegistry);
+                partCase_ = 3;
+                break;
+              } // case 26
+            case 34:
+              {
+                part_ = input.readBytes();
+                partCase_ = 4;
+                break;
+              } // case 34
+            case 42:
+              {
+                input.readMessage(internalGetEndFieldBuilder().getBuilder(), extensionRegistry);
+                partCase_ = 5;
+                break;
+              } // case 42
+            default:
+              {
+                if (!super.parseUnknownField(input, extensionRegistry, tag)) {
+                  done = true; // was an endgroup tag
+                }
+                break;
+              } // default:
           } // switch (tag)
         } // while (!done)
       } catch (com.google.protobuf.InvalidProtocolBufferException e) {
@@ -674,12 +710,12 @@
       } // finally
       return this;
     }
+
     private int partCase_ = 0;
     private java.lang.Object part_;
-    public PartCase
-        getPartCase() {
-      return PartCase.forNumber(
-          partCase_);
+
+    public PartCase getPartCase() {
+      return PartCase.forNumber(partCase_);
     }
 
     public Builder clearPart() {
@@ -693,28 +729,36 @@
 
     private org.almondslip.protocol.wire.RequestId requestId_;
     private com.google.protobuf.SingleFieldBuilder<
-        org.almondslip.protocol.wire.RequestId, org.almondslip.protocol.wire.RequestId.Builder, org.almondslip.protocol.wire.RequestIdOrBuilder> requestIdBuilder_;
+            org.almondslip.protocol.wire.RequestId,
+            org.almondslip.protocol.wire.RequestId.Builder,
+            org.almondslip.protocol.wire.RequestIdOrBuilder>
+        requestIdBuilder_;
+
     /**
      * <code>.almondslip.RequestId request_id = 1;</code>
+     *
      * @return Whether the requestId field is set.
      */
     public boolean hasRequestId() {
       return ((bitField0_ & 0x00000001) != 0);
     }
+
     /**
      * <code>.almondslip.RequestId request_id = 1;</code>
+     *
      * @return The requestId.
      */
     public org.almondslip.protocol.wire.RequestId getRequestId() {
       if (requestIdBuilder_ == null) {
-        return requestId_ == null ? org.almondslip.protocol.wire.RequestId.getDefaultInstance() : requestId_;
+        return requestId_ == null
+            ? org.almondslip.protocol.wire.RequestId.getDefaultInstance()
+            : requestId_;
       } else {
         return requestIdBuilder_.getMessage();
       }
     }
-    /**
-     * <code>.almondslip.RequestId request_id = 1;</code>
-     */
+
+    /** <code>.almondslip.RequestId request_id = 1;</code> */
     public Builder setRequestId(org.almondslip.protocol.wire.RequestId value) {
       if (requestIdBuilder_ == null) {
         java.util.Objects.requireNonNull(value);
@@ -726,11 +770,9 @@
       onChanged();
       return this;
     }
-    /**
-     * <code>.almondslip.RequestId request_id = 1;</code>
-     */
-    public Builder setRequestId(
-        org.almondslip.protocol.wire.RequestId.Builder builderForValue) {
+
+    /** <code>.almondslip.RequestId request_id = 1;</code> */
+    public Builder setRequestId(org.almondslip.protocol.wire.RequestId.Builder builderForValue) {
       if (requestIdBuilder_ == null) {
         requestId_ = builderForValue.build();
       } else {
@@ -740,14 +782,13 @@
       onChanged();
       return this;
     }
-    /**
-     * <code>.almondslip.RequestId request_id = 1;</code>
-     */
+
+    /** <code>.almondslip.RequestId request_id = 1;</code> */
     public Builder mergeRequestId(org.almondslip.protocol.wire.RequestId value) {
       if (requestIdBuilder_ == null) {
-        if (((bitField0_ & 0x00000001) != 0) &&
-          requestId_ != null &&
-          requestId_ != org.almondslip.protocol.wire.RequestId.getDefaultInstance()) {
+        if (((bitField0_ & 0x00000001) != 0)
+            && requestId_ != null
+            && requestId_ != org.almondslip.protocol.wire.RequestId.getDefaultInstance()) {
           getRequestIdBuilder().mergeFrom(value);
         } else {
           requestId_ = value;
@@ -761,9 +802,8 @@
       }
       return this;
     }
-    /**
-     * <code>.almondslip.RequestId request_id = 1;</code>
-     */
+
+    /** <code>.almondslip.RequestId request_id = 1;</code> */
     public Builder clearRequestId() {
       bitField0_ = (bitField0_ & ~0x00000001);
       requestId_ = null;
@@ -774,53 +814,58 @@
       onChanged();
       return this;
     }
-    /**
-     * <code>.almondslip.RequestId request_id = 1;</code>
-     */
+
+    /** <code>.almondslip.RequestId request_id = 1;</code> */
     public org.almondslip.protocol.wire.RequestId.Builder getRequestIdBuilder() {
       bitField0_ |= 0x00000001;
       onChanged();
       return internalGetRequestIdFieldBuilder().getBuilder();
     }
-    /**
-     * <code>.almondslip.RequestId request_id = 1;</code>
-     */
+
+    /** <code>.almondslip.RequestId request_id = 1;</code> */
     public org.almondslip.protocol.wire.RequestIdOrBuilder getRequestIdOrBuilder() {
       if (requestIdBuilder_ != null) {
         return requestIdBuilder_.getMessageOrBuilder();
       } else {
-        return requestId_ == null ?
-            org.almondslip.protocol.wire.RequestId.getDefaultInstance() : requestId_;
+        return requestId_ == null
+            ? org.almondslip.protocol.wire.RequestId.getDefaultInstance()
+            : requestId_;
       }
     }
-    /**
-     * <code>.almondslip.RequestId request_id = 1;</code>
-     */
+
+    /** <code>.almondslip.RequestId request_id = 1;</code> */
     private com.google.protobuf.SingleFieldBuilder<
-        org.almondslip.protocol.wire.RequestId, org.almondslip.protocol.wire.RequestId.Builder, org.almondslip.protocol.wire.RequestIdOrBuilder> 
+            org.almondslip.protocol.wire.RequestId,
+            org.almondslip.protocol.wire.RequestId.Builder,
+            org.almondslip.protocol.wire.RequestIdOrBuilder>
         internalGetRequestIdFieldBuilder() {
       if (requestIdBuilder_ == null) {
-        requestIdBuilder_ = new com.google.protobuf.SingleFieldBuilder<
-            org.almondslip.protocol.wire.RequestId, org.almondslip.protocol.wire.RequestId.Builder, org.almondslip.protocol.wire.RequestIdOrBuilder>(
-                getRequestId(),
-                getParentForChildren(),
-                isClean());
+        requestIdBuilder_ =
+            new com.google.protobuf.SingleFieldBuilder<
+                org.almondslip.protocol.wire.RequestId,
+                org.almondslip.protocol.wire.RequestId.Builder,
+                org.almondslip.protocol.wire.RequestIdOrBuilder>(
+                getRequestId(), getParentForChildren(), isClean());
         requestId_ = null;
       }
       return requestIdBuilder_;
     }
 
-    private long sequence_ ;
+    private long sequence_;
+
     /**
      * <code>uint64 sequence = 2;</code>
+     *
      * @return The sequence.
      */
     @java.lang.Override
     public long getSequence() {
       return sequence_;
     }
+
     /**
      * <code>uint64 sequence = 2;</code>
+     *
      * @param value The sequence to set.
      * @return This builder for chaining.
      */
@@ -831,8 +876,10 @@
       onChanged();
       return this;
     }
+
     /**
      * <code>uint64 sequence = 2;</code>
+     *
      * @return This builder for chaining.
      */
     public Builder clearSequence() {
@@ -843,17 +890,24 @@
     }
 
     private com.google.protobuf.SingleFieldBuilder<
-        org.almondslip.protocol.wire.AnswerHead, org.almondslip.protocol.wire.AnswerHead.Builder, org.almondslip.protocol.wire.AnswerHeadOrBuilder> headBuilder_;
+            org.almondslip.protocol.wire.AnswerHead,
+            org.almondslip.protocol.wire.AnswerHead.Builder,
+            org.almondslip.protocol.wire.AnswerHeadOrBuilder>
+        headBuilder_;
+
     /**
      * <code>.almondslip.AnswerHead head = 3;</code>
+     *
      * @return Whether the head field is set.
      */
     @java.lang.Override
     public boolean hasHead() {
       return partCase_ == 3;
     }
+
     /**
      * <code>.almondslip.AnswerHead head = 3;</code>
+     *
      * @return The head.
      */
     @java.lang.Override
@@ -870,9 +924,8 @@
         return org.almondslip.protocol.wire.AnswerHead.getDefaultInstance();
       }
     }
-    /**
-     * <code>.almondslip.AnswerHead head = 3;</code>
-     */
+
+    /** <code>.almondslip.AnswerHead head = 3;</code> */
     public Builder setHead(org.almondslip.protocol.wire.AnswerHead value) {
       if (headBuilder_ == null) {
         java.util.Objects.requireNonNull(value);
@@ -884,11 +937,9 @@
       partCase_ = 3;
       return this;
     }
-    /**
-     * <code>.almondslip.AnswerHead head = 3;</code>
-     */
-    public Builder setHead(
-        org.almondslip.protocol.wire.AnswerHead.Builder builderForValue) {
+
+    /** <code>.almondslip.AnswerHead head = 3;</code> */
+    public Builder setHead(org.almondslip.protocol.wire.AnswerHead.Builder builderForValue) {
       if (headBuilder_ == null) {
         part_ = builderForValue.build();
         onChanged();
@@ -898,15 +949,17 @@
       partCase_ = 3;
       return this;
     }
-    /**
-     * <code>.almondslip.AnswerHead head = 3;</code>
-     */
+
+    /** <code>.almondslip.AnswerHead head = 3;</code> */
     public Builder mergeHead(org.almondslip.protocol.wire.AnswerHead value) {
       if (headBuilder_ == null) {
-        if (partCase_ == 3 &&
-            part_ != org.almondslip.protocol.wire.AnswerHead.getDefaultInstance()) {
-          part_ = org.almondslip.protocol.wire.AnswerHead.newBuilder((org.almondslip.protocol.wire.AnswerHead) part_)
-              .mergeFrom(value).buildPartial();
+        if (partCase_ == 3
+            && part_ != org.almondslip.protocol.wire.AnswerHead.getDefaultInstance()) {
+          part_ =
+              org.almondslip.protocol.wire.AnswerHead.newBuilder(
+                      (org.almondslip.protocol.wire.AnswerHead) part_)
+                  .mergeFrom(value)
+                  .buildPartial();
         } else {
           part_ = value;
         }
@@ -921,9 +974,8 @@
       partCase_ = 3;
       return this;
     }
-    /**
-     * <code>.almondslip.AnswerHead head = 3;</code>
-     */
+
+    /** <code>.almondslip.AnswerHead head = 3;</code> */
     public Builder clearHead() {
       if (headBuilder_ == null) {
         if (partCase_ == 3) {
@@ -940,15 +992,13 @@
       }
       return this;
     }
-    /**
-     * <code>.almondslip.AnswerHead head = 3;</code>
-     */
+
+    /** <code>.almondslip.AnswerHead head = 3;</code> */
     public org.almondslip.protocol.wire.AnswerHead.Builder getHeadBuilder() {
       return internalGetHeadFieldBuilder().getBuilder();
     }
-    /**
-     * <code>.almondslip.AnswerHead head = 3;</code>
-     */
+
+    /** <code>.almondslip.AnswerHead head = 3;</code> */
     @java.lang.Override
     public org.almondslip.protocol.wire.AnswerHeadOrBuilder getHeadOrBuilder() {
       if ((partCase_ == 3) && (headBuilder_ != null)) {
@@ -960,21 +1010,23 @@
         return org.almondslip.protocol.wire.AnswerHead.getDefaultInstance();
       }
     }
-    /**
-     * <code>.almondslip.AnswerHead head = 3;</code>
-     */
+
+    /** <code>.almondslip.AnswerHead head = 3;</code> */
     private com.google.protobuf.SingleFieldBuilder<
-        org.almondslip.protocol.wire.AnswerHead, org.almondslip.protocol.wire.AnswerHead.Builder, org.almondslip.protocol.wire.AnswerHeadOrBuilder> 
+            org.almondslip.protocol.wire.AnswerHead,
+            org.almondslip.protocol.wire.AnswerHead.Builder,
+            org.almondslip.protocol.wire.AnswerHeadOrBuilder>
         internalGetHeadFieldBuilder() {
       if (headBuilder_ == null) {
         if (!(partCase_ == 3)) {
           part_ = org.almondslip.protocol.wire.AnswerHead.getDefaultInstance();
         }
-        headBuilder_ = new com.google.protobuf.SingleFieldBuilder<
-            org.almondslip.protocol.wire.AnswerHead, org.almondslip.protocol.wire.AnswerHead.Builder, org.almondslip.protocol.wire.AnswerHeadOrBuilder>(
-                (org.almondslip.protocol.wire.AnswerHead) part_,
-                getParentForChildren(),
-                isClean());
+        headBuilder_ =
+            new com.google.protobuf.SingleFieldBuilder<
+                org.almondslip.protocol.wire.AnswerHead,
+                org.almondslip.protocol.wire.AnswerHead.Builder,
+                org.almondslip.protocol.wire.AnswerHeadOrBuilder>(
+                (org.almondslip.protocol.wire.AnswerHead) part_, getParentForChildren(), isClean());
         part_ = null;
       }
       partCase_ = 3;
@@ -984,13 +1036,16 @@
 
     /**
      * <code>bytes data = 4;</code>
+     *
      * @return Whether the data field is set.
      */
     public boolean hasData() {
       return partCase_ == 4;
     }
+
     /**
      * <code>bytes data = 4;</code>
+     *
      * @return The data.
      */
     public com.google.protobuf.ByteString getData() {
@@ -999,8 +1054,10 @@
       }
       return com.google.protobuf.ByteString.EMPTY;
     }
+
     /**
      * <code>bytes data = 4;</code>
+     *
      * @param value The data to set.
      * @return This builder for chaining.
      */
@@ -1011,8 +1068,10 @@
       onChanged();
       return this;
     }
+
     /**
      * <code>bytes data = 4;</code>
+     *
      * @return This builder for chaining.
      */
     public Builder clearData() {
@@ -1025,17 +1084,24 @@
     }
 
     private com.google.protobuf.SingleFieldBuilder<
-        org.almondslip.protocol.wire.AnswerEnd, org.almondslip.protocol.wire.AnswerEnd.Builder, org.almondslip.protocol.wire.AnswerEndOrBuilder> endBuilder_;
+            org.almondslip.protocol.wire.AnswerEnd,
+            org.almondslip.protocol.wire.AnswerEnd.Builder,
+            org.almondslip.protocol.wire.AnswerEndOrBuilder>
+        endBuilder_;
+
     /**
      * <code>.almondslip.AnswerEnd end = 5;</code>
+     *
      * @return Whether the end field is set.
      */
     @java.lang.Override
     public boolean hasEnd() {
       return partCase_ == 5;
     }
+
     /**
      * <code>.almondslip.AnswerEnd end = 5;</code>
+     *
      * @return The end.
      */
     @java.lang.Override
@@ -1052,9 +1118,8 @@
         return org.almondslip.protocol.wire.AnswerEnd.getDefaultInstance();
       }
     }
-    /**
-     * <code>.almondslip.AnswerEnd end = 5;</code>
-     */
+
+    /** <code>.almondslip.AnswerEnd end = 5;</code> */
     public Builder setEnd(org.almondslip.protocol.wire.AnswerEnd value) {
       if (endBuilder_ == null) {
         java.util.Objects.requireNonNull(value);
@@ -1066,11 +1131,9 @@
       partCase_ = 5;
       return this;
     }
-    /**
-     * <code>.almondslip.AnswerEnd end = 5;</code>
-     */
-    public Builder setEnd(
-        org.almondslip.protocol.wire.AnswerEnd.Builder builderForValue) {
+
+    /** <code>.almondslip.AnswerEnd end = 5;</code> */
+    public Builder setEnd(org.almondslip.protocol.wire.AnswerEnd.Builder builderForValue) {
       if (endBuilder_ == null) {
         part_ = builderForValue.build();
         onChanged();
@@ -1080,15 +1143,17 @@
       partCase_ = 5;
       return this;
     }
-    /**
-     * <code>.almondslip.AnswerEnd end = 5;</code>
-     */
+
+    /** <code>.almondslip.AnswerEnd end = 5;</code> */
     public Builder mergeEnd(org.almondslip.protocol.wire.AnswerEnd value) {
       if (endBuilder_ == null) {
-        if (partCase_ == 5 &&
-            part_ != org.almondslip.protocol.wire.AnswerEnd.getDefaultInstance()) {
-          part_ = org.almondslip.protocol.wire.AnswerEnd.newBuilder((org.almondslip.protocol.wire.AnswerEnd) part_)
-              .mergeFrom(value).buildPartial();
+        if (partCase_ == 5
+            && part_ != org.almondslip.protocol.wire.AnswerEnd.getDefaultInstance()) {
+          part_ =
+              org.almondslip.protocol.wire.AnswerEnd.newBuilder(
+                      (org.almondslip.protocol.wire.AnswerEnd) part_)
+                  .mergeFrom(value)
+                  .buildPartial();
         } else {
           part_ = value;
         }
@@ -1103,9 +1168,8 @@
       partCase_ = 5;
       return this;
     }
-    /**
-     * <code>.almondslip.AnswerEnd end = 5;</code>
-     */
+
+    /** <code>.almondslip.AnswerEnd end = 5;</code> */
     public Builder clearEnd() {
       if (endBuilder_ == null) {
         if (partCase_ == 5) {
@@ -1122,15 +1186,13 @@
       }
       return this;
     }
-    /**
-     * <code>.almondslip.AnswerEnd end = 5;</code>
-     */
+
+    /** <code>.almondslip.AnswerEnd end = 5;</code> */
     public org.almondslip.protocol.wire.AnswerEnd.Builder getEndBuilder() {
       return internalGetEndFieldBuilder().getBuilder();
     }
-    /**
-     * <code>.almondslip.AnswerEnd end = 5;</code>
-     */
+
+    /** <code>.almondslip.AnswerEnd end = 5;</code> */
     @java.lang.Override
     public org.almondslip.protocol.wire.AnswerEndOrBuilder getEndOrBuilder() {
       if ((partCase_ == 5) && (endBuilder_ != null)) {
@@ -1142,21 +1204,23 @@
         return org.almondslip.protocol.wire.AnswerEnd.getDefaultInstance();
       }
     }
-    /**
-     * <code>.almondslip.AnswerEnd end = 5;</code>
-     */
+
+    /** <code>.almondslip.AnswerEnd end = 5;</code> */
     private com.google.protobuf.SingleFieldBuilder<
-        org.almondslip.protocol.wire.AnswerEnd, org.almondslip.protocol.wire.AnswerEnd.Builder, org.almondslip.protocol.wire.AnswerEndOrBuilder> 
+            org.almondslip.protocol.wire.AnswerEnd,
+            org.almondslip.protocol.wire.AnswerEnd.Builder,
+            org.almondslip.protocol.wire.AnswerEndOrBuilder>
         internalGetEndFieldBuilder() {
       if (endBuilder_ == null) {
         if (!(partCase_ == 5)) {
           part_ = org.almondslip.protocol.wire.AnswerEnd.getDefaultInstance();
         }
-        endBuilder_ = new com.google.protobuf.SingleFieldBuilder<
-            org.almondslip.protocol.wire.AnswerEnd, org.almondslip.protocol.wire.AnswerEnd.Builder, org.almondslip.protocol.wire.AnswerEndOrBuilder>(
-                (org.almondslip.protocol.wire.AnswerEnd) part_,
-                getParentForChildren(),
-                isClean());
+        endBuilder_ =
+            new com.google.protobuf.SingleFieldBuilder<
+                org.almondslip.protocol.wire.AnswerEnd,
+                org.almondslip.protocol.wire.AnswerEnd.Builder,
+                org.almondslip.protocol.wire.AnswerEndOrBuilder>(
+                (org.almondslip.protocol.wire.AnswerEnd) part_, getParentForChildren(), isClean());
         part_ = null;
       }
       partCase_ = 5;
@@ -1169,6 +1233,7 @@
 
   // @@protoc_insertion_point(class_scope:almondslip.Answer)
   private static final org.almondslip.protocol.wire.Answer DEFAULT_INSTANCE;
+
   static {
     DEFAULT_INSTANCE = new org.almondslip.protocol.wire.Answer();
   }
@@ -1177,27 +1242,27 @@
     return DEFAULT_INSTANCE;
   }
 
-  private static final com.google.protobuf.Parser<Answer>
-      PARSER = new com.google.protobuf.AbstractParser<Answer>() {
-    @java.lang.Override
-    public Answer parsePartialFrom(
-        com.google.protobuf.CodedInputStream input,
-        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-        throws com.google.protobuf.InvalidProtocolBufferException {
-      Builder builder = newBuilder();
-      try {
-        builder.mergeFrom(input, extensionRegistry);
-      } catch (com.google.protobuf.InvalidProtocolBufferException e) {
-        throw e.setUnfinishedMessage(builder.buildPartial());
-      } catch (com.google.protobuf.UninitializedMessageException e) {
-        throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
-      } catch (java.io.IOException e) {
-        throw new com.google.protobuf.InvalidProtocolBufferException(e)
-            .setUnfinishedMessage(builder.buildPartial());
-      }
-      return builder.buildPartial();
-    }
-  };
+  private static final com.google.protobuf.Parser<Answer> PARSER =
+      new com.google.protobuf.AbstractParser<Answer>() {
+        @java.lang.Override
+        public Answer parsePartialFrom(
+            com.google.protobuf.CodedInputStream input,
+            com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+            throws com.google.protobuf.InvalidProtocolBufferException {
+          Builder builder = newBuilder();
+          try {
+            builder.mergeFrom(input, extensionRegistry);
+          } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+            throw e.setUnfinishedMessage(builder.buildPartial());
+          } catch (com.google.protobuf.UninitializedMessageException e) {
+            throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
+          } catch (java.io.IOException e) {
+            throw new com.google.protobuf.InvalidProtocolBufferException(e)
+                .setUnfinishedMessage(builder.buildPartial());
+          }
+          return builder.buildPartial();
+        }
+      };
 
   public static com.google.protobuf.Parser<Answer> parser() {
     return PARSER;
@@ -1212,6 +1277,4 @@
   public org.almondslip.protocol.wire.Answer getDefaultInstanceForType() {
     return DEFAULT_INSTANCE;
   }
-
 }
-
