--- a/wire/src/main/java/org/almondslip/protocol/wire/AnswerEnd.java
+++ b/wire/src/main/java/org/almondslip/protocol/wire/AnswerEnd.java
@@ -5,36 +5,36 @@
 
 package org.almondslip.protocol.wire;
 
-/**
- * Protobuf type {@code almondslip.AnswerEnd}
- */
+/** Protobuf type {@code almondslip.AnswerEnd} */
 @com.google.protobuf.Generated
-public final class AnswerEnd extends
-    com.google.protobuf.GeneratedMessage implements
+public final class AnswerEnd extends com.google.protobuf.GeneratedMessage
+    implements
     // @@protoc_insertion_point(message_implements:almondslip.AnswerEnd)
     AnswerEndOrBuilder {
-private static final long serialVersionUID = 0L;
+  private static final long serialVersionUID = 0L;
+
   static {
     com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
-      com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
-      /* major= */ 4,
-      /* minor= */ 36,
-      /* patch= */ 2,
-      /* suffix= */ "",
-      "AnswerEnd");
+        com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+        /* major= */ 4,
+        /* minor= */ 36,
+        /* patch= */ 2,
+        /* suffix= */ "",
+        "AnswerEnd");
   }
+
   // Use AnswerEnd.newBuilder() to construct.
   private AnswerEnd(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
     super(builder);
   }
+
   private AnswerEnd() {
     ran_ = 0;
     code_ = "";
     detail_ = "";
   }
 
-  public static final com.google.protobuf.Descriptors.Descriptor
-      getDescriptor() {
+  public static final com.google.protobuf.Descriptors.Descriptor getDescriptor() {
     return org.almondslip.protocol.wire.Almondslip.internal_static_almondslip_AnswerEnd_descriptor;
   }
 
@@ -46,19 +46,25 @@
   @java.lang.Override
   protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internalGetFieldAccessorTable() {
-    return org.almondslip.protocol.wire.Almondslip.internal_static_almondslip_AnswerEnd_fieldAccessorTable
+    return org.almondslip.protocol.wire.Almondslip
+        .internal_static_almondslip_AnswerEnd_fieldAccessorTable
         .ensureFieldAccessorsInitialized(
-            org.almondslip.protocol.wire.AnswerEnd.class, org.almondslip.protocol.wire.AnswerEnd.Builder.class);
+            org.almondslip.protocol.wire.AnswerEnd.class,
+            org.almondslip.protocol.wire.AnswerEnd.Builder.class);
   }
 
   public static final int COMPLETE_FIELD_NUMBER = 1;
   private boolean complete_ = false;
+
   /**
+   *
+   *
    * <pre>
    * True when the whole answer of the target has been sent.
    * </pre>
    *
    * <code>bool complete = 1;</code>
+   *
    * @return The complete.
    */
   @java.lang.Override
@@ -68,31 +74,42 @@
 
   public static final int RAN_FIELD_NUMBER = 2;
   private int ran_ = 0;
+
   /**
    * <code>.almondslip.Ran ran = 2;</code>
+   *
    * @return The enum numeric value on the wire for ran.
    */
-  @java.lang.Override public int getRanValue() {
+  @java.lang.Override
+  public int getRanValue() {
     return ran_;
   }
+
   /**
    * <code>.almondslip.Ran ran = 2;</code>
+   *
    * @return The ran.
    */
-  @java.lang.Override public org.almondslip.protocol.wire.Ran getRan() {
+  @java.lang.Override
+  public org.almondslip.protocol.wire.Ran getRan() {
     org.almondslip.protocol.wire.Ran result = org.almondslip.protocol.wire.Ran.forNumber(ran_);
     return result == null ? org.almondslip.protocol.wire.Ran.UNRECOGNIZED : result;
   }
 
   public static final int CODE_FIELD_NUMBER = 3;
+
   @SuppressWarnings("serial")
   private volatile java.lang.Object code_ = "";
+
   /**
+   *
+   *
    * <pre>
    * Code of the error when the answer is not complete.
    * </pre>
    *
    * <code>string code = 3;</code>
+   *
    * @return The code.
    */
   @java.lang.Override
@@ -101,29 +118,30 @@
     if (ref instanceof java.lang.String) {
       return (java.lang.String) ref;
     } else {
-      com.google.protobuf.ByteString bs = 
-          (com.google.protobuf.ByteString) ref;
+      com.google.protobuf.ByteString bs = (com.google.protobuf.ByteString) ref;
       java.lang.String s = bs.toStringUtf8();
       code_ = s;
       return s;
     }
   }
+
   /**
+   *
+   *
    * <pre>
    * Code of the error when the answer is not complete.
    * </pre>
    *
    * <code>string code = 3;</code>
+   *
    * @return The bytes for code.
    */
   @java.lang.Override
-  public com.google.protobuf.ByteString
-      getCodeBytes() {
+  public com.google.protobuf.ByteString getCodeBytes() {
     java.lang.Object ref = code_;
     if (ref instanceof java.lang.String) {
-      com.google.protobuf.ByteString b = 
-          com.google.protobuf.ByteString.copyFromUtf8(
-              (java.lang.String) ref);
+      com.google.protobuf.ByteString b =
+          com.google.protobuf.ByteString.copyFromUtf8((java.lang.String) ref);
       code_ = b;
       return b;
     } else {
@@ -132,10 +150,13 @@
   }
 
   public static final int DETAIL_FIELD_NUMBER = 4;
+
   @SuppressWarnings("serial")
   private volatile java.lang.Object detail_ = "";
+
   /**
    * <code>string detail = 4;</code>
+   *
    * @return The detail.
    */
   @java.lang.Override
@@ -144,25 +165,24 @@
     if (ref instanceof java.lang.String) {
       return (java.lang.String) ref;
     } else {
-      com.google.protobuf.ByteString bs = 
-          (com.google.protobuf.ByteString) ref;
+      com.google.protobuf.ByteString bs = (com.google.protobuf.ByteString) ref;
       java.lang.String s = bs.toStringUtf8();
       detail_ = s;
       return s;
     }
   }
+
   /**
    * <code>string detail = 4;</code>
+   *
    * @return The bytes for detail.
    */
   @java.lang.Override
-  public com.google.protobuf.ByteString
-      getDetailBytes() {
+  public com.google.protobuf.ByteString getDetailBytes() {
     java.lang.Object ref = detail_;
     if (ref instanceof java.lang.String) {
-      com.google.protobuf.ByteString b = 
-          com.google.protobuf.ByteString.copyFromUtf8(
-              (java.lang.String) ref);
+      com.google.protobuf.ByteString b =
+          com.google.protobuf.ByteString.copyFromUtf8((java.lang.String) ref);
       detail_ = b;
       return b;
     } else {
@@ -172,8 +192,10 @@
 
   public static final int RETRY_AFTER_MS_FIELD_NUMBER = 5;
   private int retryAfterMs_ = 0;
+
   /**
    * <code>uint32 retry_after_ms = 5;</code>
+   *
    * @return The retryAfterMs.
    */
   @java.lang.Override
@@ -183,12 +205,16 @@
 
   public static final int COST_MS_FIELD_NUMBER = 6;
   private int costMs_ = 0;
+
   /**
+   *
+   *
    * <pre>
    * Slot time that was charged, in milliseconds.
    * </pre>
    *
    * <code>uint32 cost_ms = 6;</code>
+   *
    * @return The costMs.
    */
   @java.lang.Override
@@ -197,6 +223,7 @@
   }
 
   private byte memoizedIsInitialized = -1;
+
   @java.lang.Override
   public final boolean isInitialized() {
     byte isInitialized = memoizedIsInitialized;
@@ -208,8 +235,7 @@
   }
 
   @java.lang.Override
-  public void writeTo(com.google.protobuf.CodedOutputStream output)
-                      throws java.io.IOException {
+  public void writeTo(com.google.protobuf.CodedOutputStream output) throws java.io.IOException {
     if (complete_ != false) {
       output.writeBool(1, complete_);
     }
@@ -230,15 +256,14 @@
     }
     getUnknownFields().writeTo(output);
   }
+
   private int computeSerializedSize_0() {
     int size = 0;
     if (complete_ != false) {
-      size += com.google.protobuf.CodedOutputStream
-        .computeBoolSize(1, complete_);
+      size += com.google.protobuf.CodedOutputStream.computeBoolSize(1, complete_);
     }
     if (ran_ != org.almondslip.protocol.wire.Ran.RAN_UNSPECIFIED.getNumber()) {
-      size += com.google.protobuf.CodedOutputStream
-        .computeEnumSize(2, ran_);
+      size += com.google.protobuf.CodedOutputStream.computeEnumSize(2, ran_);
     }
     if (!com.google.protobuf.GeneratedMessage.isStringEmpty(code_)) {
       size += com.google.protobuf.GeneratedMessage.computeStringSize(3, code_);
@@ -247,15 +272,14 @@
       size += com.google.protobuf.GeneratedMessage.computeStringSize(4, detail_);
     }
     if (retryAfterMs_ != 0) {
-      size += com.google.protobuf.CodedOutputStream
-        .computeUInt32Size(5, retryAfterMs_);
+      size += com.google.protobuf.CodedOutputStream.computeUInt32Size(5, retryAfterMs_);
     }
     if (costMs_ != 0) {
-      size += com.google.protobuf.CodedOutputStream
-        .computeUInt32Size(6, costMs_);
+      size += com.google.protobuf.CodedOutputStream.computeUInt32Size(6, costMs_);
     }
     return size;
   }
+
   @java.lang.Override
   public int getSerializedSize() {
     int size = memoizedSize;
@@ -271,24 +295,19 @@
   @java.lang.Override
   public boolean equals(final java.lang.Object obj) {
     if (obj == this) {
-     return true;
+      return true;
     }
     if (!(obj instanceof org.almondslip.protocol.wire.AnswerEnd)) {
       return super.equals(obj);
     }
     org.almondslip.protocol.wire.AnswerEnd other = (org.almondslip.protocol.wire.AnswerEnd) obj;
 
-    if (getComplete()
-        != other.getComplete()) return false;
+    if (getComplete() != other.getComplete()) return false;
     if (ran_ != other.ran_) return false;
-    if (!getCode()
-        .equals(other.getCode())) return false;
-    if (!getDetail()
-        .equals(other.getDetail())) return false;
-    if (getRetryAfterMs()
-        != other.getRetryAfterMs()) return false;
-    if (getCostMs()
-        != other.getCostMs()) return false;
+    if (!getCode().equals(other.getCode())) return false;
+    if (!getDetail().equals(other.getDetail())) return false;
+    if (getRetryAfterMs() != other.getRetryAfterMs()) return false;
+    if (getCostMs() != other.getCostMs()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -301,8 +320,7 @@
     int hash = 41;
     hash = (19 * hash) + getDescriptor().hashCode();
     hash = (37 * hash) + COMPLETE_FIELD_NUMBER;
-    hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
-        getComplete());
+    hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(getComplete());
     hash = (37 * hash) + RAN_FIELD_NUMBER;
     hash = (53 * hash) + ran_;
     hash = (37 * hash) + CODE_FIELD_NUMBER;
@@ -318,128 +336,129 @@
     return hash;
   }
 
-  public static org.almondslip.protocol.wire.AnswerEnd parseFrom(
-      java.nio.ByteBuffer data)
+  public static org.almondslip.protocol.wire.AnswerEnd parseFrom(java.nio.ByteBuffer data)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data);
   }
+
   public static org.almondslip.protocol.wire.AnswerEnd parseFrom(
-      java.nio.ByteBuffer data,
-      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+      java.nio.ByteBuffer data, com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data, extensionRegistry);
   }
+
   public static org.almondslip.protocol.wire.AnswerEnd parseFrom(
       com.google.protobuf.ByteString data)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data);
   }
+
   public static org.almondslip.protocol.wire.AnswerEnd parseFrom(
       com.google.protobuf.ByteString data,
       com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data, extensionRegistry);
   }
+
   public static org.almondslip.protocol.wire.AnswerEnd parseFrom(byte[] data)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data);
   }
+
   public static org.almondslip.protocol.wire.AnswerEnd parseFrom(
-      byte[] data,
-      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+      byte[] data, com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data, extensionRegistry);
   }
+
   public static org.almondslip.protocol.wire.AnswerEnd parseFrom(java.io.InputStream input)
       throws java.io.IOException {
-    return com.google.protobuf.GeneratedMessage
-        .parseWithIOException(PARSER, input);
+    return com.google.protobuf.GeneratedMessage.parseWithIOException(PARSER, input);
   }
+
   public static org.almondslip.protocol.wire.AnswerEnd parseFrom(
-      java.io.InputStream input,
-      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+      java.io.InputStream input, com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws java.io.IOException {
-    return com.google.protobuf.GeneratedMessage
-        .parseWithIOException(PARSER, input, extensionRegistry);
+    return com.google.protobuf.GeneratedMessage.parseWithIOException(
+        PARSER, input, extensionRegistry);
   }
 
   public static org.almondslip.protocol.wire.AnswerEnd parseDelimitedFrom(java.io.InputStream input)
       throws java.io.IOException {
-    return com.google.protobuf.GeneratedMessage
-        .parseDelimitedWithIOException(PARSER, input);
+    return com.google.protobuf.GeneratedMessage.parseDelimitedWithIOException(PARSER, input);
   }
 
   public static org.almondslip.protocol.wire.AnswerEnd parseDelimitedFrom(
-      java.io.InputStream input,
-      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+      java.io.InputStream input, com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws java.io.IOException {
-    return com.google.protobuf.GeneratedMessage
-        .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
+    return com.google.protobuf.GeneratedMessage.parseDelimitedWithIOException(
+        PARSER, input, extensionRegistry);
   }
+
   public static org.almondslip.protocol.wire.AnswerEnd parseFrom(
-      com.google.protobuf.CodedInputStream input)
-      throws java.io.IOException {
-    return com.google.protobuf.GeneratedMessage
-        .parseWithIOException(PARSER, input);
+      com.google.protobuf.CodedInputStream input) throws java.io.IOException {
+    return com.google.protobuf.GeneratedMessage.parseWithIOException(PARSER, input);
   }
+
   public static org.almondslip.protocol.wire.AnswerEnd parseFrom(
       com.google.protobuf.CodedInputStream input,
       com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws java.io.IOException {
-    return com.google.protobuf.GeneratedMessage
-        .parseWithIOException(PARSER, input, extensionRegistry);
+    return com.google.protobuf.GeneratedMessage.parseWithIOException(
+        PARSER, input, extensionRegistry);
   }
 
   @java.lang.Override
-  public Builder newBuilderForType() { return newBuilder(); }
+  public Builder newBuilderForType() {
+    return newBuilder();
+  }
+
   public static Builder newBuilder() {
     return DEFAULT_INSTANCE.toBuilder();
   }
+
   public static Builder newBuilder(org.almondslip.protocol.wire.AnswerEnd prototype) {
     return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
   }
+
   @java.lang.Override
   public Builder toBuilder() {
-    return this == DEFAULT_INSTANCE
-        ? new Builder() : new Builder().mergeFrom(this);
+    return this == DEFAULT_INSTANCE ? new Builder() : new Builder().mergeFrom(this);
   }
 
   @java.lang.Override
-  protected Builder newBuilderForType(
-      com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+  protected Builder newBuilderForType(com.google.protobuf.GeneratedMessage.BuilderParent parent) {
     Builder builder = new Builder(parent);
     return builder;
   }
-  /**
-   * Protobuf type {@code almondslip.AnswerEnd}
-   */
-  public static final class Builder extends
-      com.google.protobuf.GeneratedMessage.Builder<Builder> implements
+
+  /** Protobuf type {@code almondslip.AnswerEnd} */
+  public static final class Builder extends com.google.protobuf.GeneratedMessage.Builder<Builder>
+      implements
       // @@protoc_insertion_point(builder_implements:almondslip.AnswerEnd)
       org.almondslip.protocol.wire.AnswerEndOrBuilder {
-    public static final com.google.protobuf.Descriptors.Descriptor
-        getDescriptor() {
-      return org.almondslip.protocol.wire.Almondslip.internal_static_almondslip_AnswerEnd_descriptor;
+    public static final com.google.protobuf.Descriptors.Descriptor getDescriptor() {
+      return org.almondslip.protocol.wire.Almondslip
+          .internal_static_almondslip_AnswerEnd_descriptor;
     }
 
     @java.lang.Override
     protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
         internalGetFieldAccessorTable() {
-      return org.almondslip.protocol.wire.Almondslip.internal_static_almondslip_AnswerEnd_fieldAccessorTable
+      return org.almondslip.protocol.wire.Almondslip
+          .internal_static_almondslip_AnswerEnd_fieldAccessorTable
           .ensureFieldAccessorsInitialized(
-              org.almondslip.protocol.wire.AnswerEnd.class, org.almondslip.protocol.wire.AnswerEnd.Builder.class);
+              org.almondslip.protocol.wire.AnswerEnd.class,
+              org.almondslip.protocol.wire.AnswerEnd.Builder.class);
     }
 
     // Construct using org.almondslip.protocol.wire.AnswerEnd.newBuilder()
-    private Builder() {
-
-    }
+    private Builder() {}
 
-    private Builder(
-        com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+    private Builder(com.google.protobuf.GeneratedMessage.BuilderParent parent) {
       super(parent);
-
     }
+
     @java.lang.Override
     public Builder clear() {
       super.clear();
@@ -454,9 +473,9 @@
     }
 
     @java.lang.Override
-    public com.google.protobuf.Descriptors.Descriptor
-        getDescriptorForType() {
-      return org.almondslip.protocol.wire.Almondslip.internal_static_almondslip_AnswerEnd_descriptor;
+    public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
+      return org.almondslip.protocol.wire.Almondslip
+          .internal_static_almondslip_AnswerEnd_descriptor;
     }
 
     @java.lang.Override
@@ -475,8 +494,11 @@
 
     @java.lang.Override
     public org.almondslip.protocol.wire.AnswerEnd buildPartial() {
-      org.almondslip.protocol.wire.AnswerEnd result = new org.almondslip.protocol.wire.AnswerEnd(this);
-      if (bitField0_ != 0) { buildPartial0(result); }
+      org.almondslip.protocol.wire.AnswerEnd result =
+          new org.almondslip.protocol.wire.AnswerEnd(this);
+      if (bitField0_ != 0) {
+        buildPartial0(result);
+      }
       onBuilt();
       return result;
     }
@@ -506,7 +528,7 @@
     @java.lang.Override
     public Builder mergeFrom(com.google.protobuf.Message other) {
       if (other instanceof org.almondslip.protocol.wire.AnswerEnd) {
-        return mergeFrom((org.almondslip.protocol.wire.AnswerEnd)other);
+        return mergeFrom((org.almondslip.protocol.wire.AnswerEnd) other);
       } else {
         super.mergeFrom(other);
         return this;
@@ -561,42 +583,49 @@
             case 0:
               done = true;
               break;
-            case 8: {
-              complete_ = input.readBool();
-              bitField0_ |= 0x00000001;
-              break;
-            } // case 8
-            case 16: {
-              ran_ = input.readEnum();
-              bitField0_ |= 0x00000002;
-              break;
-            } // case 16
-            case 26: {
-              code_ = input.readStringRequireUtf8();
-              bitField0_ |= 0x00000004;
-              break;
-            } // case 26
-            case 34: {
-              detail_ = input.readStringRequireUtf8();
-              bitField0_ |= 0x00000008;
-              break;
-            } // case 34
-            case 40: {
-              retryAfterMs_ = input.readUInt32();
-              bitField0_ |= 0x00000010;
-              break;
-            } // case 40
-            case 48: {
-              costMs_ = input.readUInt32();
-              bitField0_ |= 0x00000020;
-              break;
-            } // case 48
-            default: {
-              if (!super.parseUnknownField(input, extensionRegistry, tag)) {
-                done = true; // was an endgroup tag
-              }
-              break;
-            } // default:
+            case 8:
+              {
+                complete_ = input.readBool();
+                bitField0_ |= 0x00000001;
+                break;
+              } // case 8
+            case 16:
+              {
+                ran_ = input.readEnum();
+                bitField0_ |= 0x00000002;
+                break;
+              } // case 16
+            case 26:
+              {
+                code_ = input.readStringRequireUtf8();
+                bitField0_ |= 0x00000004;
+                break;
+              } // case 26
+            case 34:
+              {
+                detail_ = input.readStringRequireUtf8();
+                bitField0_ |= 0x00000008;
+                break;
+              } // case 34
+            case 40:
+              {
+                retryAfterMs_ = input.readUInt32();
+                bitField0_ |= 0x00000010;
+                break;
+              } // case 40
+            case 48:
+              {
+                costMs_ = input.readUInt32();
+                bitField0_ |= 0x00000020;
+                break;
+              } // case 48
+            default:
+              {
+                if (!super.parseUnknownField(input, extensionRegistry, tag)) {
+                  done = true; // was an endgroup tag
+                }
+                break;
+              } // default:
           } // switch (tag)
         } // while (!done)
       } catch (com.google.protobuf.InvalidProtocolBufferException e) {
@@ -606,27 +635,36 @@
       } // finally
       return this;
     }
+
     private int bitField0_;
 
-    private boolean complete_ ;
+    private boolean complete_;
+
     /**
+     *
+     *
      * <pre>
      * True when the whole answer of the target has been sent.
      * </pre>
      *
      * <code>bool complete = 1;</code>
+     *
      * @return The complete.
      */
     @java.lang.Override
     public boolean getComplete() {
       return complete_;
     }
+
     /**
+     *
+     *
      * <pre>
      * True when the whole answer of the target has been sent.
      * </pre>
      *
      * <code>bool complete = 1;</code>
+     *
      * @param value The complete to set.
      * @return This builder for chaining.
      */
@@ -637,12 +675,16 @@
       onChanged();
       return this;
     }
+
     /**
+     *
+     *
      * <pre>
      * True when the whole answer of the target has been sent.
      * </pre>
      *
      * <code>bool complete = 1;</code>
+     *
      * @return This builder for chaining.
      */
     public Builder clearComplete() {
@@ -653,15 +695,20 @@
     }
 
     private int ran_ = 0;
+
     /**
      * <code>.almondslip.Ran ran = 2;</code>
+     *
      * @return The enum numeric value on the wire for ran.
      */
-    @java.lang.Override public int getRanValue() {
+    @java.lang.Override
+    public int getRanValue() {
       return ran_;
     }
+
     /**
      * <code>.almondslip.Ran ran = 2;</code>
+     *
      * @param value The enum numeric value on the wire for ran to set.
      * @return This builder for chaining.
      */
@@ -671,8 +718,10 @@
       onChanged();
       return this;
     }
+
     /**
      * <code>.almondslip.Ran ran = 2;</code>
+     *
      * @return The ran.
      */
     @java.lang.Override
@@ -680,8 +729,10 @@
       org.almondslip.protocol.wire.Ran result = org.almondslip.protocol.wire.Ran.forNumber(ran_);
       return result == null ? org.almondslip.protocol.wire.Ran.UNRECOGNIZED : result;
     }
+
     /**
      * <code>.almondslip.Ran ran = 2;</code>
+     *
      * @param value The ran to set.
      * @throws IllegalArgumentException if UNRECOGNIZED is provided.
      * @return This builder for chaining.
@@ -693,8 +744,10 @@
       onChanged();
       return this;
     }
+
     /**
      * <code>.almondslip.Ran ran = 2;</code>
+     *
      * @return This builder for chaining.
      */
     public Builder clearRan() {
@@ -705,19 +758,22 @@
     }
 
     private java.lang.Object code_ = "";
+
     /**
+     *
+     *
      * <pre>
      * Code of the error when the answer is not complete.
      * </pre>
      *
      * <code>string code = 3;</code>
+     *
      * @return The code.
      */
     public java.lang.String getCode() {
       java.lang.Object ref = code_;
       if (!(ref instanceof java.lang.String)) {
-        com.google.protobuf.ByteString bs =
-            (com.google.protobuf.ByteString) ref;
+        com.google.protobuf.ByteString bs = (com.google.protobuf.ByteString) ref;
         java.lang.String s = bs.toStringUtf8();
         code_ = s;
         return s;
@@ -725,50 +781,59 @@
         return (java.lang.String) ref;
       }
     }
+
     /**
+     *
+     *
      * <pre>
      * Code of the error when the answer is not complete.
      * </pre>
      *
      * <code>string code = 3;</code>
+     *
      * @return The bytes for code.
      */
-    public com.google.protobuf.ByteString
-        getCodeBytes() {
+    public com.google.protobuf.ByteString getCodeBytes() {
       java.lang.Object ref = code_;
       if (ref instanceof String) {
-        com.google.protobuf.ByteString b = 
-            com.google.protobuf.ByteString.copyFromUtf8(
-                (java.lang.String) ref);
+        com.google.protobuf.ByteString b =
+            com.google.protobuf.ByteString.copyFromUtf8((java.lang.String) ref);
         code_ = b;
         return b;
       } else {
         return (com.google.protobuf.ByteString) ref;
       }
     }
+
     /**
+     *
+     *
      * <pre>
      * Code of the error when the answer is not complete.
      * </pre>
      *
      * <code>string code = 3;</code>
+     *
      * @param value The code to set.
      * @return This builder for chaining.
      */
-    public Builder setCode(
-        java.lang.String value) {
+    public Builder setCode(java.lang.String value) {
       java.util.Objects.requireNonNull(value);
       code_ = value;
       bitField0_ |= 0x00000004;
       onChanged();
       return this;
     }
+
     /**
+     *
+     *
      * <pre>
      * Code of the error when the answer is not complete.
      * </pre>
      *
      * <code>string code = 3;</code>
+     *
      * @return This builder for chaining.
      */
     public Builder clearCode() {
@@ -777,17 +842,20 @@
       onChanged();
       return this;
     }
+
     /**
+     *
+     *
      * <pre>
      * Code of the error when the answer is not complete.
      * </pre>
      *
      * <code>string code = 3;</code>
+     *
      * @param value The bytes for code to set.
      * @return This builder for chaining.
      */
-    public Builder setCodeBytes(
-        com.google.protobuf.ByteString value) {
+    public Builder setCodeBytes(com.google.protobuf.ByteString value) {
       java.util.Objects.requireNonNull(value);
       checkByteStringIsUtf8(value);
       code_ = value;
@@ -797,15 +865,16 @@
     }
 
     private java.lang.Object detail_ = "";
+
     /**
      * <code>string detail = 4;</code>
+     *
      * @return The detail.
      */
     public java.lang.String getDetail() {
       java.lang.Object ref = detail_;
       if (!(ref instanceof java.lang.String)) {
-        com.google.protobuf.ByteString bs =
-            (com.google.protobuf.ByteString) ref;
+        com.google.protobuf.ByteString bs = (com.google.protobuf.ByteString) ref;
         java.lang.String s = bs.toStringUtf8();
         detail_ = s;
         return s;
@@ -813,38 +882,41 @@
         return (java.lang.String) ref;
       }
     }
+
     /**
      * <code>string detail = 4;</code>
+     *
      * @return The bytes for detail.
      */
-    public com.google.protobuf.ByteString
-        getDetailBytes() {
+    public com.google.protobuf.ByteString getDetailBytes() {
       java.lang.Object ref = detail_;
       if (ref instanceof String) {
-        com.google.protobuf.ByteString b = 
-            com.google.protobuf.ByteString.copyFromUtf8(
-                (java.lang.String) ref);
+        com.google.protobuf.ByteString b =
+            com.google.protobuf.ByteString.copyFromUtf8((java.lang.String) ref);
         detail_ = b;
         return b;
       } else {
         return (com.google.protobuf.ByteString) ref;
       }
     }
+
     /**
      * <code>string detail = 4;</code>
+     *
      * @param value The detail to set.
      * @return This builder for chaining.
      */
-    public Builder setDetail(
-        java.lang.String value) {
+    public Builder setDetail(java.lang.String value) {
       java.util.Objects.requireNonNull(value);
       detail_ = value;
       bitField0_ |= 0x00000008;
       onChanged();
       return this;
     }
+
     /**
      * <code>string detail = 4;</code>
+     *
      * @return This builder for chaining.
      */
     public Builder clearDetail() {
@@ -853,13 +925,14 @@
       onChanged();
       return this;
     }
+
     /**
      * <code>string detail = 4;</code>
+     *
      * @param value The bytes for detail to set.
      * @return This builder for chaining.
      */
-    public Builder setDetailBytes(
-        com.google.protobuf.ByteString value) {
+    public Builder setDetailBytes(com.google.protobuf.ByteString value) {
       java.util.Objects.requireNonNull(value);
       checkByteStringIsUtf8(value);
       detail_ = value;
@@ -868,17 +941,21 @@
       return this;
     }
 
-    private int retryAfterMs_ ;
+    private int retryAfterMs_;
+
     /**
      * <code>uint32 retry_after_ms = 5;</code>
+     *
      * @return The retryAfterMs.
      */
     @java.lang.Override
     public int getRetryAfterMs() {
       return retryAfterMs_;
     }
+
     /**
      * <code>uint32 retry_after_ms = 5;</code>
+     *
      * @param value The retryAfterMs to set.
      * @return This builder for chaining.
      */
@@ -889,8 +966,10 @@
       onChanged();
       return this;
     }
+
     /**
      * <code>uint32 retry_after_ms = 5;</code>
+     *
      * @return This builder for chaining.
      */
     public Builder clearRetryAfterMs() {
@@ -900,25 +979,33 @@
       return this;
     }
 
-    private int costMs_ ;
+    private int costMs_;
+
     /**
+     *
+     *
      * <pre>
      * Slot time that was charged, in milliseconds.
      * </pre>
      *
      * <code>uint32 cost_ms = 6;</code>
+     *
      * @return The costMs.
      */
     @java.lang.Override
     public int getCostMs() {
       return costMs_;
     }
+
     /**
+     *
+     *
      * <pre>
      * Slot time that was charged, in milliseconds.
      * </pre>
      *
      * <code>uint32 cost_ms = 6;</code>
+     *
      * @param value The costMs to set.
      * @return This builder for chaining.
      */
@@ -929,12 +1016,16 @@
       onChanged();
       return this;
     }
+
     /**
+     *
+     *
      * <pre>
      * Slot time that was charged, in milliseconds.
      * </pre>
      *
      * <code>uint32 cost_ms = 6;</code>
+     *
      * @return This builder for chaining.
      */
     public Builder clearCostMs() {
@@ -949,6 +1040,7 @@
 
   // @@protoc_insertion_point(class_scope:almondslip.AnswerEnd)
   private static final org.almondslip.protocol.wire.AnswerEnd DEFAULT_INSTANCE;
+
   static {
     DEFAULT_INSTANCE = new org.almondslip.protocol.wire.AnswerEnd();
   }
@@ -957,27 +1049,27 @@
     return DEFAULT_INSTANCE;
   }
 
-  private static final com.google.protobuf.Parser<AnswerEnd>
-      PARSER = new com.google.protobuf.AbstractParser<AnswerEnd>() {
-    @java.lang.Override
-    public AnswerEnd parsePartialFrom(
-        com.google.protobuf.CodedInputStream input,
-        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-        throws com.google.protobuf.InvalidProtocolBufferException {
-      Builder builder = newBuilder();
-      try {
-        builder.mergeFrom(input, extensionRegistry);
-      } catch (com.google.protobuf.InvalidProtocolBufferException e) {
-        throw e.setUnfinishedMessage(builder.buildPartial());
-      } catch (com.google.protobuf.UninitializedMessageException e) {
-        throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
-      } catch (java.io.IOException e) {
-        throw new com.google.protobuf.InvalidProtocolBufferException(e)
-            .setUnfinishedMessage(builder.buildPartial());
-      }
-      return builder.buildPartial();
-    }
-  };
+  private static final com.google.protobuf.Parser<AnswerEnd> PARSER =
+      new com.google.protobuf.AbstractParser<AnswerEnd>() {
+        @java.lang.Override
+        public AnswerEnd parsePartialFrom(
+            com.google.protobuf.CodedInputStream input,
+            com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+            throws com.google.protobuf.InvalidProtocolBufferException {
+          Builder builder = newBuilder();
+          try {
+            builder.mergeFrom(input, extensionRegistry);
+          } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+            throw e.setUnfinishedMessage(builder.buildPartial());
+          } catch (com.google.protobuf.UninitializedMessageException e) {
+            throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
+          } catch (java.io.IOException e) {
+            throw new com.google.protobuf.InvalidProtocolBufferException(e)
+                .setUnfinishedMessage(builder.buildPartial());
+          }
+          return builder.buildPartial();
+        }
+      };
 
   public static com.google.protobuf.Parser<AnswerEnd> parser() {
     return PARSER;
@@ -992,6 +1084,4 @@
   public org.almondslip.protocol.wire.AnswerEnd getDefaultInstanceForType() {
     return DEFAULT_INSTANCE;
   }
-
 }
-
--- a/wire/src/main/java/org/almondslip/protocol/wire/AnswerEndOrBuilder.java
+++ b/wire/src/main/java/org/almondslip/protocol/wire/AnswerEndOrBuilder.java
@@ -6,75 +6,94 @@
 package org.almondslip.protocol.wire;
 
 @com.google.protobuf.Generated
-public interface AnswerEndOrBuilder extends
+public interface AnswerEndOrBuilder
+    extends
     // @@protoc_insertion_point(interface_extends:almondslip.AnswerEnd)
     com.google.protobuf.MessageOrBuilder {
 
   /**
+   *
+   *
    * <pre>
    * True when the whole answer of the target has been sent.
    * </pre>
    *
    * <code>bool complete = 1;</code>
+   *
    * @return The complete.
    */
   boolean getComplete();
 
   /**
    * <code>.almondslip.Ran ran = 2;</code>
+   *
    * @return The enum numeric value on the wire for ran.
    */
   int getRanValue();
+
   /**
    * <code>.almondslip.Ran ran = 2;</code>
+   *
    * @return The ran.
    */
   org.almondslip.protocol.wire.Ran getRan();
 
   /**
+   *
+   *
    * <pre>
    * Code of the error when the answer is not complete.
    * </pre>
    *
    * <code>string code = 3;</code>
+   *
    * @return The code.
    */
   java.lang.String getCode();
+
   /**
+   *
+   *
    * <pre>
    * Code of the error when the answer is not complete.
    * </pre>
    *
    * <code>string code = 3;</code>
+   *
    * @return The bytes for code.
    */
-  com.google.protobuf.ByteString
-      getCodeBytes();
+  com.google.protobuf.ByteString getCodeBytes();
 
   /**
    * <code>string detail = 4;</code>
+   *
    * @return The detail.
    */
   java.lang.String getDetail();
+
   /**
    * <code>string detail = 4;</code>
+   *
    * @return The bytes for detail.
    */
-  com.google.protobuf.ByteString
-      getDetailBytes();
+  com.google.protobuf.ByteString getDetailBytes();
 
   /**
    * <code>uint32 retry_after_ms = 5;</code>
+   *
    * @return The retryAfterMs.
    */
   int getRetryAfterMs();
 
   /**
+   *
+   *
    * <pre>
    * Slot time that was charged, in milliseconds.
    * </pre>
    *
    * <code>uint32 cost_ms = 6;</code>
+   *
    * @return The costMs.
    */
   int getCostMs();
--- a/wire/src/main/java/org/almondslip/protocol/wire/AnswerHead.java
+++ b/wire/src/main/java/org/almondslip/protocol/wire/AnswerHead.java
@@ -5,34 +5,34 @@
 
 package org.almondslip.protocol.wire;
 
-/**
- * Protobuf type {@code almondslip.AnswerHead}
- */
+/** Protobuf type {@code almondslip.AnswerHead} */
 @com.google.protobuf.Generated
-public final class AnswerHead extends
-    com.google.protobuf.GeneratedMessage implements
+public final class AnswerHead extends com.google.protobuf.GeneratedMessage
+    implements
     // @@protoc_insertion_point(message_implements:almondslip.AnswerHead)
     AnswerHeadOrBuilder {
-private static final long serialVersionUID = 0L;
+  private static final long serialVersionUID = 0L;
+
   static {
     com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
-      com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
-      /* major= */ 4,
-      /* minor= */ 36,
-      /* patch= */ 2,
-      /* suffix= */ "",
-      "AnswerHead");
+        com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+        /* major= */ 4,
+        /* minor= */ 36,
+        /* patch= */ 2,
+        /* suffix= */ "",
+        "AnswerHead");
   }
+
   // Use AnswerHead.newBuilder() to construct.
   private AnswerHead(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
     super(builder);
   }
+
   private AnswerHead() {
     headers_ = java.util.Collections.emptyList();
   }
 
-  public static final com.google.protobuf.Descriptors.Descriptor
-      getDescriptor() {
+  public static final com.google.protobuf.Descriptors.Descriptor getDescriptor() {
     return org.almondslip.protocol.wire.Almondslip.internal_static_almondslip_AnswerHead_descriptor;
   }
 
@@ -44,15 +44,19 @@
   @java.lang.Override
   protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internalGetFieldAccessorTable() {
-    return org.almondslip.protocol.wire.Almondslip.internal_static_almondslip_AnswerHead_fieldAccessorTable
+    return org.almondslip.protocol.wire.Almondslip
+        .internal_static_almondslip_AnswerHead_fieldAccessorTable
         .ensureFieldAccessorsInitialized(
-            org.almondslip.protocol.wire.AnswerHead.class, org.almondslip.protocol.wire.AnswerHead.Builder.class);
+            org.almondslip.protocol.wire.AnswerHead.class,
+            org.almondslip.protocol.wire.AnswerHead.Builder.class);
   }
 
   public static final int STATUS_FIELD_NUMBER = 1;
   private int status_ = 0;
+
   /**
    * <code>uint32 status = 1;</code>
+   *
    * @return The status.
    */
   @java.lang.Override
@@ -61,47 +65,43 @@
   }
 
   public static final int HEADERS_FIELD_NUMBER = 2;
+
   @SuppressWarnings("serial")
   private java.util.List<org.almondslip.protocol.wire.Header> headers_;
-  /**
-   * <code>repeated .almondslip.Header headers = 2;</code>
-   */
+
+  /** <code>repeated .almondslip.Header headers = 2;</code> */
   @java.lang.Override
   public java.util.List<org.almondslip.protocol.wire.Header> getHeadersList() {
     return headers_;
   }
-  /**
-   * <code>repeated .almondslip.Header headers = 2;</code>
-   */
+
+  /** <code>repeated .almondslip.Header headers = 2;</code> */
   @java.lang.Override
-  public java.util.List<? extends org.almondslip.protocol.wire.HeaderOrBuilder> 
+  public java.util.List<? extends org.almondslip.protocol.wire.HeaderOrBuilder>
       getHeadersOrBuilderList() {
     return headers_;
   }
-  /**
-   * <code>repeated .almondslip.Header headers = 2;</code>
-   */
+
+  /** <code>repeated .almondslip.Header headers = 2;</code> */
   @java.lang.Override
   public int getHeadersCount() {
     return headers_.size();
   }
-  /**
-   * <code>repeated .almondslip.Header headers = 2;</code>
-   */
+
+  /** <code>repeated .almondslip.Header headers = 2;</code> */
   @java.lang.Override
   public org.almondslip.protocol.wire.Header getHeaders(int index) {
     return headers_.get(index);
   }
-  /**
-   * <code>repeated .almondslip.Header headers = 2;</code>
-   */
+
+  /** <code>repeated .almondslip.Header headers = 2;</code> */
   @java.lang.Override
-  public org.almondslip.protocol.wire.HeaderOrBuilder getHeadersOrBuilder(
-      int index) {
+  public org.almondslip.protocol.wire.HeaderOrBuilder getHeadersOrBuilder(int index) {
     return headers_.get(index);
   }
 
   private byte memoizedIsInitialized = -1;
+
   @java.lang.Override
   public final boolean isInitialized() {
     byte isInitialized = memoizedIsInitialized;
@@ -113,8 +113,7 @@
   }
 
   @java.lang.Override
-  public void writeTo(com.google.protobuf.CodedOutputStream output)
-                      throws java.io.IOException {
+  public void writeTo(com.google.protobuf.CodedOutputStream output) throws java.io.IOException {
     if (status_ != 0) {
       output.writeUInt32(1, status_);
     }
@@ -123,23 +122,23 @@
     }
     getUnknownFields().writeTo(output);
   }
+
   private int computeSerializedSize_0() {
     int size = 0;
     if (status_ != 0) {
-      size += com.google.protobuf.CodedOutputStream
-        .computeUInt32Size(1, status_);
+      size += com.google.protobuf.CodedOutputStream.computeUInt32Size(1, status_);
     }
 
-        {
-          final int count = headers_.size();
-          for (int i = 0; i < count; i++) {
-            size += com.google.protobuf.CodedOutputStream
-              .computeMessageSizeNoTag(headers_.get(i));
-          }
-          size += 1 * count;
-        }
+    {
+      final int count = headers_.size();
+      for (int i = 0; i < count; i++) {
+        size += com.google.protobuf.CodedOutputStream.computeMessageSizeNoTag(headers_.get(i));
+      }
+      size += 1 * count;
+    }
     return size;
   }
+
   @java.lang.Override
   public int getSerializedSize() {
     int size = memoizedSize;
@@ -155,17 +154,15 @@
   @java.lang.Override
   public boolean equals(final java.lang.Object obj) {
     if (obj == this) {
-     return true;
+      return true;
     }
     if (!(obj instanceof org.almondslip.protocol.wire.AnswerHead)) {
       return super.equals(obj);
     }
     org.almondslip.protocol.wire.AnswerHead other = (org.almondslip.protocol.wire.AnswerHead) obj;
 
-    if (getStatus()
-        != other.getStatus()) return false;
-    if (!getHeadersList()
-        .equals(other.getHeadersList())) return false;
+    if (getStatus() != other.getStatus()) return false;
+    if (!getHeadersList().equals(other.getHeadersList())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -188,128 +185,129 @@
     return hash;
   }
 
-  public static org.almondslip.protocol.wire.AnswerHead parseFrom(
-      java.nio.ByteBuffer data)
+  public static org.almondslip.protocol.wire.AnswerHead parseFrom(java.nio.ByteBuffer data)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data);
   }
+
   public static org.almondslip.protocol.wire.AnswerHead parseFrom(
-      java.nio.ByteBuffer data,
-      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+      java.nio.ByteBuffer data, com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data, extensionRegistry);
   }
+
   public static org.almondslip.protocol.wire.AnswerHead parseFrom(
       com.google.protobuf.ByteString data)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data);
   }
+
   public static org.almondslip.protocol.wire.AnswerHead parseFrom(
       com.google.protobuf.ByteString data,
       com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data, extensionRegistry);
   }
+
   public static org.almondslip.protocol.wire.AnswerHead parseFrom(byte[] data)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data);
   }
+
   public static org.almondslip.protocol.wire.AnswerHead parseFrom(
-      byte[] data,
-      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+      byte[] data, com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data, extensionRegistry);
   }
+
   public static org.almondslip.protocol.wire.AnswerHead parseFrom(java.io.InputStream input)
       throws java.io.IOException {
-    return com.google.protobuf.GeneratedMessage
-        .parseWithIOException(PARSER, input);
+    return com.google.protobuf.GeneratedMessage.parseWithIOException(PARSER, input);
   }
+
   public static org.almondslip.protocol.wire.AnswerHead parseFrom(
-      java.io.InputStream input,
-      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+      java.io.InputStream input, com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws java.io.IOException {
-    return com.google.protobuf.GeneratedMessage
-        .parseWithIOException(PARSER, input, extensionRegistry);
+    return com.google.protobuf.GeneratedMessage.parseWithIOException(
+        PARSER, input, extensionRegistry);
   }
 
-  public static org.almondslip.protocol.wire.AnswerHead parseDelimitedFrom(java.io.InputStream input)
-      throws java.io.IOException {
-    return com.google.protobuf.GeneratedMessage
-        .parseDelimitedWithIOException(PARSER, input);
+  public static org.almondslip.protocol.wire.AnswerHead parseDelimitedFrom(
+      java.io.InputStream input) throws java.io.IOException {
+    return com.google.protobuf.GeneratedMessage.parseDelimitedWithIOException(PARSER, input);
   }
 
   public static org.almondslip.protocol.wire.AnswerHead parseDelimitedFrom(
-      java.io.InputStream input,
-      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+      java.io.InputStream input, com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws java.io.IOException {
-    return com.google.protobuf.GeneratedMessage
-        .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
+    return com.google.protobuf.GeneratedMessage.parseDelimitedWithIOException(
+        PARSER, input, extensionRegistry);
   }
+
   public static org.almondslip.protocol.wire.AnswerHead parseFrom(
-      com.google.protobuf.CodedInputStream input)
-      throws java.io.IOException {
-    return com.google.protobuf.GeneratedMessage
-        .parseWithIOException(PARSER, input);
+      com.google.protobuf.CodedInputStream input) throws java.io.IOException {
+    return com.google.protobuf.GeneratedMessage.parseWithIOException(PARSER, input);
   }
+
   public static org.almondslip.protocol.wire.AnswerHead parseFrom(
       com.google.protobuf.CodedInputStream input,
       com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws java.io.IOException {
-    return com.google.protobuf.GeneratedMessage
-        .parseWithIOException(PARSER, input, extensionRegistry);
+    return com.google.protobuf.GeneratedMessage.parseWithIOException(
+        PARSER, input, extensionRegistry);
   }
 
   @java.lang.Override
-  public Builder newBuilderForType() { return newBuilder(); }
+  public Builder newBuilderForType() {
+    return newBuilder();
+  }
+
   public static Builder newBuilder() {
     return DEFAULT_INSTANCE.toBuilder();
   }
+
   public static Builder newBuilder(org.almondslip.protocol.wire.AnswerHead prototype) {
     return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
   }
+
   @java.lang.Override
   public Builder toBuilder() {
-    return this == DEFAULT_INSTANCE
-        ? new Builder() : new Builder().mergeFrom(this);
+    return this == DEFAULT_INSTANCE ? new Builder() : new Builder().mergeFrom(this);
   }
 
   @java.lang.Override
-  protected Builder newBuilderForType(
-      com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+  protected Builder newBuilderForType(com.google.protobuf.GeneratedMessage.BuilderParent parent) {
     Builder builder = new Builder(parent);
     return builder;
   }
-  /**
-   * Protobuf type {@code almondslip.AnswerHead}
-   */
-  public static final class Builder extends
-      com.google.protobuf.GeneratedMessage.Builder<Builder> implements
+
+  /** Protobuf type {@code almondslip.AnswerHead} */
+  public static final class Builder extends com.google.protobuf.GeneratedMessage.Builder<Builder>
+      implements
       // @@protoc_insertion_point(builder_implements:almondslip.AnswerHead)
       org.almondslip.protocol.wire.AnswerHeadOrBuilder {
-    public static final com.google.protobuf.Descriptors.Descriptor
-        getDescriptor() {
-      return org.almondslip.protocol.wire.Almondslip.internal_static_almondslip_AnswerHead_descriptor;
+    public static final com.google.protobuf.Descriptors.Descriptor getDescriptor() {
+      return org.almondslip.protocol.wire.Almondslip
+          .internal_static_almondslip_AnswerHead_descriptor;
     }
 
     @java.lang.Override
     protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
         internalGetFieldAccessorTable() {
-      return org.almondslip.protocol.wire.Almondslip.internal_static_almondslip_AnswerHead_fieldAccessorTable
+      return org.almondslip.protocol.wire.Almondslip
+          .internal_static_almondslip_AnswerHead_fieldAccessorTable
           .ensureFieldAccessorsInitialized(
-              org.almondslip.protocol.wire.AnswerHead.class, org.almondslip.protocol.wire.AnswerHead.Builder.class);
+              org.almondslip.protocol.wire.AnswerHead.class,
+              org.almondslip.protocol.wire.AnswerHead.Builder.class);
     }
 
     // Construct using org.almondslip.protocol.wire.AnswerHead.newBuilder()
-    private Builder() {
+    private Builder() {}
 
-    }
-
-    private Builder(
-        com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+    private Builder(com.google.protobuf.GeneratedMessage.BuilderParent parent) {
       super(parent);
-
     }
+
     @java.lang.Override
     public Builder clear() {
       super.clear();
@@ -326,9 +324,9 @@
     }
 
     @java.lang.Override
-    public com.google.protobuf.Descriptors.Descriptor
-        getDescriptorForType() {
-      return org.almondslip.protocol.wire.Almondslip.internal_static_almondslip_AnswerHead_descriptor;
+    public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
+      return org.almondslip.protocol.wire.Almondslip
+          .internal_static_almondslip_AnswerHead_descriptor;
     }
 
     @java.lang.Override
@@ -347,9 +345,12 @@
 
     @java.lang.Override
     public org.almondslip.protocol.wire.AnswerHead buildPartial() {
-      org.almondslip.protocol.wire.AnswerHead result = new org.almondslip.protocol.wire.AnswerHead(this);
+      org.almondslip.protocol.wire.AnswerHead result =
+          new org.almondslip.protocol.wire.AnswerHead(this);
       buildPartialRepeatedFields(result);
-      if (bitField0_ != 0) { buildPartial0(result); }
+      if (bitField0_ != 0) {
+        buildPartial0(result);
+      }
       onBuilt();
       return result;
     }
@@ -376,7 +377,7 @@
     @java.lang.Override
     public Builder mergeFrom(com.google.protobuf.Message other) {
       if (other instanceof org.almondslip.protocol.wire.AnswerHead) {
-        return mergeFrom((org.almondslip.protocol.wire.AnswerHead)other);
+        return mergeFrom((org.almondslip.protocol.wire.AnswerHead) other);
       } else {
         super.mergeFrom(other);
         return this;
@@ -406,9 +407,10 @@
             headersBuilder_ = null;
             headers_ = other.headers_;
             bitField0_ = (bitField0_ & ~0x00000002);
-            headersBuilder_ = 
-              com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
-                 internalGetHeadersFieldBuilder() : null;
+            headersBuilder_ =
+                com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders
+                    ? internalGetHeadersFieldBuilder()
+                    : null;
           } else {
             headersBuilder_.addAllMessages(other.headers_);
           }
@@ -438,30 +440,32 @@
             case 0:
               done = true;
               break;
-            case 8: {
-              status_ = input.readUInt32();
-              bitField0_ |= 0x00000001;
-              break;
-            } // case 8
-            case 18: {
-              org.almondslip.protocol.wire.Header m =
-                  input.readMessage(
-                      org.almondslip.protocol.wire.Header.parser(),
-                      extensionRegistry);
-              if (headersBuilder_ == null) {
-                ensureHeadersIsMutable();
-                headers_.add(m);
-              } else {
-                headersBuilder_.addMessage(m);
-              }
-              break;
-            } // case 18
-            default: {
-              if (!super.parseUnknownField(input, extensionRegistry, tag)) {
-                done = true; // was an endgroup tag
-              }
-              break;
-            } // default:
+            case 8:
+              {
+                status_ = input.readUInt32();
+                bitField0_ |= 0x00000001;
+                break;
+              } // case 8
+            case 18:
+              {
+                org.almondslip.protocol.wire.Header m =
+                    input.readMessage(
+                        org.almondslip.protocol.wire.Header.parser(), extensionRegistry);
+                if (headersBuilder_ == null) {
+                  ensureHeadersIsMutable();
+                  headers_.add(m);
+                } else {
+                  headersBuilder_.addMessage(m);
+                }
+                break;
+              } // case 18
+            default:
+              {
+                if (!super.parseUnknownField(input, extensionRegistry, tag)) {
+                  done = true; // was an endgroup tag
+                }
+                break;
+              } // default:
           } // switch (tag)
         } // while (!done)
       } catch (com.google.protobuf.InvalidProtocolBufferException e) {
@@ -471,19 +475,24 @@
       } // finally
       return this;
     }
+
     private int bitField0_;
 
-    private int status_ ;
+    private int status_;
+
     /**
      * <code>uint32 status = 1;</code>
+     *
      * @return The status.
      */
     @java.lang.Override
     public int getStatus() {
       return status_;
     }
+
     /**
      * <code>uint32 status = 1;</code>
+     *
      * @param value The status to set.
      * @return This builder for chaining.
      */
@@ -494,8 +503,10 @@
       onChanged();
       return this;
     }
+
     /**
      * <code>uint32 status = 1;</code>
+     *
      * @return This builder for chaining.
      */
     public Builder clearStatus() {
@@ -506,20 +517,22 @@
     }
 
     private java.util.List<org.almondslip.protocol.wire.Header> headers_ =
-      java.util.Collections.emptyList();
+        java.util.Collections.emptyList();
+
     private void ensureHeadersIsMutable() {
       if (!((bitField0_ & 0x00000002) != 0)) {
         headers_ = new java.util.ArrayList<org.almondslip.protocol.wire.Header>(headers_);
         bitField0_ |= 0x00000002;
-       }
+      }
     }
 
     private com.google.protobuf.RepeatedFieldBuilder<
-        org.almondslip.protocol.wire.Header, org.almondslip.protocol.wire.Header.Builder, org.almondslip.protocol.wire.HeaderOrBuilder> headersBuilder_;
+            org.almondslip.protocol.wire.Header,
+            org.almondslip.protocol.wire.Header.Builder,
+            org.almondslip.protocol.wire.HeaderOrBuilder>
+        headersBuilder_;
 
-    /**
-     * <code>repeated .almondslip.Header headers = 2;</code>
-     */
+    /** <code>repeated .almondslip.Header headers = 2;</code> */
     public java.util.List<org.almondslip.protocol.wire.Header> getHeadersList() {
       if (headersBuilder_ == null) {
         return java.util.Collections.unmodifiableList(headers_);
@@ -527,9 +540,8 @@
         return headersBuilder_.getMessageList();
       }
     }
-    /**
-     * <code>repeated .almondslip.Header headers = 2;</code>
-     */
+
+    /** <code>repeated .almondslip.Header headers = 2;</code> */
     public int getHeadersCount() {
       if (headersBuilder_ == null) {
         return headers_.size();
@@ -537,9 +549,8 @@
         return headersBuilder_.getCount();
       }
     }
-    /**
-     * <code>repeated .almondslip.Header headers = 2;</code>
-     */
+
+    /** <code>repeated .almondslip.Header headers = 2;</code> */
     public org.almondslip.protocol.wire.Header getHeaders(int index) {
       if (headersBuilder_ == null) {
         return headers_.get(index);
@@ -547,11 +558,9 @@
         return headersBuilder_.getMessage(index);
       }
     }
-    /**
-     * <code>repeated .almondslip.Header headers = 2;</code>
-     */
-    public Builder setHeaders(
-        int index, org.almondslip.protocol.wire.Header value) {
+
+    /** <code>repeated .almondslip.Header headers = 2;</code> */
+    public Builder setHeaders(int index, org.almondslip.protocol.wire.Header value) {
       if (headersBuilder_ == null) {
         java.util.Objects.requireNonNull(value);
         ensureHeadersIsMutable();
@@ -562,9 +571,8 @@
       }
       return this;
     }
-    /**
-     * <code>repeated .almondslip.Header headers = 2;</code>
-     */
+
+    /** <code>repeated .almondslip.Header headers = 2;</code> */
     public Builder setHeaders(
         int index, org.almondslip.protocol.wire.Header.Builder builderForValue) {
       if (headersBuilder_ == null) {
@@ -576,9 +584,8 @@
       }
       return this;
     }
-    /**
-     * <code>repeated .almondslip.Header headers = 2;</code>
-     */
+
+    /** <code>repeated .almondslip.Header headers = 2;</code> */
     public Builder addHeaders(org.almondslip.protocol.wire.Header value) {
       if (headersBuilder_ == null) {
         java.util.Objects.requireNonNull(value);
@@ -590,11 +597,9 @@
       }
       return this;
     }
-    /**
-     * <code>repeated .almondslip.Header headers = 2;</code>
-     */
-    public Builder addHeaders(
-        int index, org.almondslip.protocol.wire.Header value) {
+
+    /** <code>repeated .almondslip.Header headers = 2;</code> */
+    public Builder addHeaders(int index, org.almondslip.protocol.wire.Header value) {
       if (headersBuilder_ == null) {
         java.util.Objects.requireNonNull(value);
         ensureHeadersIsMutable();
@@ -605,11 +610,9 @@
       }
       return this;
     }
-    /**
-     * <code>repeated .almondslip.Header headers = 2;</code>
-     */
-    public Builder addHeaders(
-        org.almondslip.protocol.wire.Header.Builder builderForValue) {
+
+    /** <code>repeated .almondslip.Header headers = 2;</code> */
+    public Builder addHeaders(org.almondslip.protocol.wire.Header.Builder builderForValue) {
       if (headersBuilder_ == null) {
         ensureHeadersIsMutable();
         headers_.add(builderForValue.build());
@@ -619,9 +622,8 @@
       }
       return this;
     }
-    /**
-     * <code>repeated .almondslip.Header headers = 2;</code>
-     */
+
+    /** <code>repeated .almondslip.Header headers = 2;</code> */
     public Builder addHeaders(
         int index, org.almondslip.protocol.wire.Header.Builder builderForValue) {
       if (headersBuilder_ == null) {
@@ -633,24 +635,21 @@
       }
       return this;
     }
-    /**
-     * <code>repeated .almondslip.Header headers = 2;</code>
-     */
+
+    /** <code>repeated .almondslip.Header headers = 2;</code> */
     public Builder addAllHeaders(
         java.lang.Iterable<? extends org.almondslip.protocol.wire.Header> values) {
       if (headersBuilder_ == null) {
         ensureHeadersIsMutable();
-        com.google.protobuf.AbstractMessageLite.Builder.addAll(
-            values, headers_);
+        com.google.protobuf.AbstractMessageLite.Builder.addAll(values, headers_);
         onChanged();
       } else {
         headersBuilder_.addAllMessages(values);
       }
       return this;
     }
-    /**
-     * <code>repeated .almondslip.Header headers = 2;</code>
-     */
+
+    /** <code>repeated .almondslip.Header headers = 2;</code> */
     public Builder clearHeaders() {
       if (headersBuilder_ == null) {
         headers_ = java.util.Collections.emptyList();
@@ -661,9 +660,8 @@
       }
       return this;
     }
-    /**
-     * <code>repeated .almondslip.Header headers = 2;</code>
-     */
+
+    /** <code>repeated .almondslip.Header headers = 2;</code> */
     public Builder removeHeaders(int index) {
       if (headersBuilder_ == null) {
         ensureHeadersIsMutable();
@@ -674,66 +672,60 @@
       }
       return this;
     }
-    /**
-     * <code>repeated .almondslip.Header headers = 2;</code>
-     */
-    public org.almondslip.protocol.wire.Header.Builder getHeadersBuilder(
-        int index) {
+
+    /** <code>repeated .almondslip.Header headers = 2;</code> */
+    public org.almondslip.protocol.wire.Header.Builder getHeadersBuilder(int index) {
       return internalGetHeadersFieldBuilder().getBuilder(index);
     }
-    /**
-     * <code>repeated .almondslip.Header headers = 2;</code>
-     */
-    public org.almondslip.protocol.wire.HeaderOrBuilder getHeadersOrBuilder(
-        int index) {
+
+    /** <code>repeated .almondslip.Header headers = 2;</code> */
+    public org.almondslip.protocol.wire.HeaderOrBuilder getHeadersOrBuilder(int index) {
       if (headersBuilder_ == null) {
-        return headers_.get(index);  } else {
+        return headers_.get(index);
+      } else {
         return headersBuilder_.getMessageOrBuilder(index);
       }
     }
-    /**
-     * <code>repeated .almondslip.Header headers = 2;</code>
-     */
-    public java.util.List<? extends org.almondslip.protocol.wire.HeaderOrBuilder> 
-         getHeadersOrBuilderList() {
+
+    /** <code>repeated .almondslip.Header headers = 2;</code> */
+    public java.util.List<? extends org.almondslip.protocol.wire.HeaderOrBuilder>
+        getHeadersOrBuilderList() {
       if (headersBuilder_ != null) {
         return headersBuilder_.getMessageOrBuilderList();
       } else {
         return java.util.Collections.unmodifiableList(headers_);
       }
     }
-    /**
-     * <code>repeated .almondslip.Header headers = 2;</code>
-     */
+
+    /** <code>repeated .almondslip.Header headers = 2;</code> */
     public org.almondslip.protocol.wire.Header.Builder addHeadersBuilder() {
-      return internalGetHeadersFieldBuilder().addBuilder(
-          org.almondslip.protocol.wire.Header.getDefaultInstance());
+      return internalGetHeadersFieldBuilder()
+          .addBuilder(org.almondslip.protocol.wire.Header.getDefaultInstance());
     }
-    /**
-     * <code>repeated .almondslip.Header headers = 2;</code>
-     */
-    public org.almondslip.protocol.wire.Header.Builder addHeadersBuilder(
-        int index) {
-      return internalGetHeadersFieldBuilder().addBuilder(
-          index, org.almondslip.protocol.wire.Header.getDefaultInstance());
+
+    /** <code>repeated .almondslip.Header headers = 2;</code> */
+    public org.almondslip.protocol.wire.Header.Builder addHeadersBuilder(int index) {
+      return internalGetHeadersFieldBuilder()
+          .addBuilder(index, org.almondslip.protocol.wire.Header.getDefaultInstance());
     }
-    /**
-     * <code>repeated .almondslip.Header headers = 2;</code>
-     */
-    public java.util.List<org.almondslip.protocol.wire.Header.Builder> 
-         getHeadersBuilderList() {
+
+    /** <code>repeated .almondslip.Header headers = 2;</code> */
+    public java.util.List<org.almondslip.protocol.wire.Header.Builder> getHeadersBuilderList() {
       return internalGetHeadersFieldBuilder().getBuilderList();
     }
+
     private com.google.protobuf.RepeatedFieldBuilder<
-        org.almondslip.protocol.wire.Header, org.almondslip.protocol.wire.Header.Builder, org.almondslip.protocol.wire.HeaderOrBuilder> 
+            org.almondslip.protocol.wire.Header,
+            org.almondslip.protocol.wire.Header.Builder,
+            org.almondslip.protocol.wire.HeaderOrBuilder>
         internalGetHeadersFieldBuilder() {
       if (headersBuilder_ == null) {
-        headersBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
-            org.almondslip.protocol.wire.Header, org.almondslip.protocol.wire.Header.Builder, org.almondslip.protocol.wire.HeaderOrBuilder>(
-                headers_,
-                ((bitField0_ & 0x00000002) != 0),
-                getParentForChildren(),
-                isClean());
+        headersBuilder_ =
+            new com.google.protobuf.RepeatedFieldBuilder<
+                org.almondslip.protocol.wire.Header,
+                org.almondslip.protocol.wire.Header.Builder,
+                org.almondslip.protocol.wire.HeaderOrBuilder>(
+                headers_, ((bitField0_ & 0x00000002) != 0), getParentForChildren(), isClean());
         headers_ = null;
       }
       return headersBuilder_;
@@ -744,6 +736,7 @@
 
   // @@protoc_insertion_point(class_scope:almondslip.AnswerHead)
   private static final org.almondslip.protocol.wire.AnswerHead DEFAULT_INSTANCE;
+
   static {
     DEFAULT_INSTANCE = new org.almondslip.protocol.wire.AnswerHead();
   }
@@ -752,27 +745,27 @@
     return DEFAULT_INSTANCE;
   }
 
-  private static final com.google.protobuf.Parser<AnswerHead>
-      PARSER = new com.google.protobuf.AbstractParser<AnswerHead>() {
-    @java.lang.Override
-    public AnswerHead parsePartialFrom(
-        com.google.protobuf.CodedInputStream input,
-        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-        throws com.google.protobuf.InvalidProtocolBufferException {
-      Builder builder = newBuilder();
-      try {
-        builder.mergeFrom(input, extensionRegistry);
-      } catch (com.google.protobuf.InvalidProtocolBufferException e) {
-        throw e.setUnfinishedMessage(builder.buildPartial());
-      } catch (com.google.protobuf.UninitializedMessageException e) {
-        throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
-      } catch (java.io.IOException e) {
-        throw new com.google.protobuf.InvalidProtocolBufferException(e)
-            .setUnfinishedMessage(builder.buildPartial());
-      }
-      return builder.buildPartial();
-    }
-  };
+  private static final com.google.protobuf.Parser<AnswerHead> PARSER =
+      new com.google.protobuf.AbstractParser<AnswerHead>() {
+        @java.lang.Override
+        public AnswerHead parsePartialFrom(
+            com.google.protobuf.CodedInputStream input,
+            com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+            throws com.google.protobuf.InvalidProtocolBufferException {
+          Builder builder = newBuilder();
+          try {
+            builder.mergeFrom(input, extensionRegistry);
+          } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+            throw e.setUnfinishedMessage(builder.buildPartial());
+          } catch (com.google.protobuf.UninitializedMessageException e) {
+            throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
+          } catch (java.io.IOException e) {
+            throw new com.google.protobuf.InvalidProtocolBufferException(e)
+                .setUnfinishedMessage(builder.buildPartial());
+          }
+          return builder.buildPartial();
+        }
+      };
 
   public static com.google.protobuf.Parser<AnswerHead> parser() {
     return PARSER;
@@ -787,6 +780,4 @@
   public org.almondslip.protocol.wire.AnswerHead getDefaultInstanceForType() {
     return DEFAULT_INSTANCE;
   }
-
 }
-
--- a/wire/src/main/java/org/almondslip/protocol/wire/AnswerHeadOrBuilder.java
+++ b/wire/src/main/java/org/almondslip/protocol/wire/AnswerHeadOrBuilder.java
@@ -6,37 +6,30 @@
 package org.almondslip.protocol.wire;
 
 @com.google.protobuf.Generated
-public interface AnswerHeadOrBuilder extends
+public interface AnswerHeadOrBuilder
+    extends
     // @@protoc_insertion_point(interface_extends:almondslip.AnswerHead)
     com.google.protobuf.MessageOrBuilder {
 
   /**
    * <code>uint32 status = 1;</code>
+   *
    * @return The status.
    */
   int getStatus();
 
-  /**
-   * <code>repeated .almondslip.Header headers = 2;</code>
-   */
-  java.util.List<org.almondslip.protocol.wire.Header> 
-      getHeadersList();
-  /**
-   * <code>repeated .almondslip.Header headers = 2;</code>
-   */
+  /** <code>repeated .almondslip.Header headers = 2;</code> */
+  java.util.List<org.almondslip.protocol.wire.Header> getHeadersList();
+
+  /** <code>repeated .almondslip.Header headers = 2;</code> */
   org.almondslip.protocol.wire.Header getHeaders(int index);
-  /**
-   * <code>repeated .almondslip.Header headers = 2;</code>
-   */
+
+  /** <code>repeated .almondslip.Header headers = 2;</code> */
   int getHeadersCount();
-  /**
-   * <code>repeated .almondslip.Header headers = 2;</code>
-   */
-  java.util.List<? extends org.almondslip.protocol.wire.HeaderOrBuilder> 
-      getHeadersOrBuilderList();
-  /**
-   * <code>repeated .almondslip.Header headers = 2;</code>
-   */
-  org.almondslip.protocol.wire.HeaderOrBuilder getHeadersOrBuilder(
-      int index);
+
+  /** <code>repeated .almondslip.Header headers = 2;</code> */
+  java.util.List<? extends org.almondslip.protocol.wire.HeaderOrBuilder> getHeadersOrBuilderList();
+
+  /** <code>repeated .almondslip.Header headers = 2;</code> */
+  org.almondslip.protocol.wire.HeaderOrBuilder getHeadersOrBuilder(int index);
 }
--- a/wire/src/main/java/org/almondslip/protocol/wire/AnswerOrBuilder.java
+++ b/wire/src/main/java/org/almondslip/protocol/wire/AnswerOrBuilder.java
@@ -6,70 +6,81 @@
 package org.almondslip.protocol.wire;
 
 @com.google.protobuf.Generated
-public interface AnswerOrBuilder extends
+public interface AnswerOrBuilder
+    extends
     // @@protoc_insertion_point(interface_extends:almondslip.Answer)
     com.google.protobuf.MessageOrBuilder {
 
   /**
    * <code>.almondslip.RequestId request_id = 1;</code>
+   *
    * @return Whether the requestId field is set.
    */
   boolean hasRequestId();
+
   /**
    * <code>.almondslip.RequestId request_id = 1;</code>
+   *
    * @return The requestId.
    */
   org.almondslip.protocol.wire.RequestId getRequestId();
-  /**
-   * <code>.almondslip.RequestId request_id = 1;</code>
-   */
+
+  /** <code>.almondslip.RequestId request_id = 1;</code> */
   org.almondslip.protocol.wire.RequestIdOrBuilder getRequestIdOrBuilder();
 
   /**
    * <code>uint64 sequence = 2;</code>
+   *
    * @return The sequence.
    */
   long getSequence();
 
   /**
    * <code>.almondslip.AnswerHead head = 3;</code>
+   *
    * @return Whether the head field is set.
    */
   boolean hasHead();
+
   /**
    * <code>.almondslip.AnswerHead head = 3;</code>
+   *
    * @return The head.
    */
   org.almondslip.protocol.wire.AnswerHead getHead();
-  /**
-   * <code>.almondslip.AnswerHead head = 3;</code>
-   */
+
+  /** <code>.almondslip.AnswerHead head = 3;</code> */
   org.almondslip.protocol.wire.AnswerHeadOrBuilder getHeadOrBuilder();
 
   /**
    * <code>bytes data = 4;</code>
+   *
    * @return Whether the data field is set.
    */
   boolean hasData();
+
   /**
    * <code>bytes data = 4;</code>
+   *
    * @return The data.
    */
   com.google.protobuf.ByteString getData();
 
   /**
    * <code>.almondslip.AnswerEnd end = 5;</code>
+   *
    * @return Whether the end field is set.
    */
   boolean hasEnd();
+
   /**
    * <code>.almondslip.AnswerEnd end = 5;</code>
+   *
    * @return The end.
    */
   org.almondslip.protocol.wire.AnswerEnd getEnd();
-  /**
-   * <code>.almondslip.AnswerEnd end = 5;</code>
-   */
+
+  /** <code>.almondslip.AnswerEnd end = 5;</code> */
   org.almondslip.protocol.wire.AnswerEndOrBuilder getEndOrBuilder();
 
   org.almondslip.protocol.wire.Answer.PartCase getPartCase();
--- a/wire/src/main/java/org/almondslip/protocol/wire/Attach.java
+++ b/wire/src/main/java/org/almondslip/protocol/wire/Attach.java
@@ -6,6 +6,8 @@
 package org.almondslip.protocol.wire;
 
 /**
+ *
+ *
  * <pre>
  * Asks an agent to replay the answer of a running request on this connection.
  * </pre>
@@ -13,29 +15,30 @@
  * Protobuf type {@code almondslip.Attach}
  */
 @com.google.protobuf.Generated
-public final class Attach extends
-    com.google.protobuf.GeneratedMessage implements
+public final class Attach extends com.google.protobuf.GeneratedMessage
+    implements
     // @@protoc_insertion_point(message_implements:almondslip.Attach)
     AttachOrBuilder {
-private static final long serialVersionUID = 0L;
+  private static final long serialVersionUID = 0L;
+
   static {
     com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
-      com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
-      /* major= */ 4,
-      /* minor= */ 36,
-      /* patch= */ 2,
-      /* suffix= */ "",
-      "Attach");
+        com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+        /* major= */ 4,
+        /* minor= */ 36,
+        /* patch= */ 2,
+        /* suffix= */ "",
+        "Attach");
   }
+
   // Use Attach.newBuilder() to construct.
   private Attach(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
     super(builder);
   }
-  private Attach() {
-  }
 
-  public static final com.google.protobuf.Descriptors.Descriptor
-      getDescriptor() {
+  private Attach() {}
+
+  public static final com.google.protobuf.Descriptors.Descriptor getDescriptor() {
     return org.almondslip.protocol.wire.Almondslip.internal_static_almondslip_Attach_descriptor;
   }
 
@@ -47,42 +50,53 @@
   @java.lang.Override
   protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internalGetFieldAccessorTable() {
-    return org.almondslip.protocol.wire.Almondslip.internal_static_almondslip_Attach_fieldAccessorTable
+    return org.almondslip.protocol.wire.Almondslip
+        .internal_static_almondslip_Attach_fieldAccessorTable
         .ensureFieldAccessorsInitialized(
-            org.almondslip.protocol.wire.Attach.class, org.almondslip.protocol.wire.Attach.Builder.class);
+            org.almondslip.protocol.wire.Attach.class,
+            org.almondslip.protocol.wire.Attach.Builder.class);
   }
 
   private int bitField0_;
   public static final int REQUEST_ID_FIELD_NUMBER = 1;
   private org.almondslip.protocol.wire.RequestId requestId_;
+
   /**
    * <code>.almondslip.RequestId request_id = 1;</code>
+   *
    * @return Whether the requestId field is set.
    */
   @java.lang.Override
   public boolean hasRequestId() {
     return ((bitField0_ & 0x00000001) != 0);
   }
+
   /**
    * <code>.almondslip.RequestId request_id = 1;</code>
+   *
    * @return The requestId.
    */
   @java.lang.Override
   public org.almondslip.protocol.wire.RequestId getRequestId() {
-    return requestId_ == null ? org.almondslip.protocol.wire.RequestId.getDefaultInstance() : requestId_;
+    return requestId_ == null
+        ? org.almondslip.protocol.wire.RequestId.getDefaultInstance()
+        : requestId_;
   }
-  /**
-   * <code>.almondslip.RequestId request_id = 1;</code>
-   */
+
+  /** <code>.almondslip.RequestId request_id = 1;</code> */
   @java.lang.Override
   public org.almondslip.protocol.wire.RequestIdOrBuilder getRequestIdOrBuilder() {
-    return requestId_ == null ? org.almondslip.protocol.wire.RequestId.getDefaultInstance() : requestId_;
+    return requestId_ == null
+        ? org.almondslip.protocol.wire.RequestId.getDefaultInstance()
+        : requestId_;
   }
 
   public static final int NEXT_SEQUENCE_FIELD_NUMBER = 2;
   private long nextSequence_ = 0L;
+
   /**
    * <code>uint64 next_sequence = 2;</code>
+   *
    * @return The nextSequence.
    */
   @java.lang.Override
@@ -91,6 +105,7 @@
   }
 
   private byte memoizedIsInitialized = -1;
+
   @java.lang.Override
   public final boolean isInitialized() {
     byte isInitialized = memoizedIsInitialized;
@@ -102,8 +117,7 @@
   }
 
   @java.lang.Override
-  public void writeTo(com.google.protobuf.CodedOutputStream output)
-                      throws java.io.IOException {
+  public void writeTo(com.google.protobuf.CodedOutputStream output) throws java.io.IOException {
     if (((bitField0_ & 0x00000001) != 0)) {
       output.writeMessage(1, getRequestId());
     }
@@ -112,18 +126,18 @@
     }
     getUnknownFields().writeTo(output);
   }
+
   private int computeSerializedSize_0() {
     int size = 0;
     if (((bitField0_ & 0x00000001) != 0)) {
-      size += com.google.protobuf.CodedOutputStream
-        .computeMessageSize(1, getRequestId());
+      size += com.google.protobuf.CodedOutputStream.computeMessageSize(1, getRequestId());
     }
     if (nextSequence_ != 0L) {
-      size += com.google.protobuf.CodedOutputStream
-        .computeUInt64Size(2, nextSequence_);
+      size += com.google.protobuf.CodedOutputStream.computeUInt64Size(2, nextSequence_);
     }
     return size;
   }
+
   @java.lang.Override
   public int getSerializedSize() {
     int size = memoizedSize;
@@ -139,7 +153,7 @@
   @java.lang.Override
   public boolean equals(final java.lang.Object obj) {
     if (obj == this) {
-     return true;
+      return true;
     }
     if (!(obj instanceof org.almondslip.protocol.wire.Attach)) {
       return super.equals(obj);
@@ -148,11 +162,9 @@
 
     if (hasRequestId() != other.hasRequestId()) return false;
     if (hasRequestId()) {
-      if (!getRequestId()
-          .equals(other.getRequestId())) return false;
+      if (!getRequestId().equals(other.getRequestId())) return false;
     }
-    if (getNextSequence()
-        != other.getNextSequence()) return false;
+    if (getNextSequence() != other.getNextSequence()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -169,127 +181,132 @@
       hash = (53 * hash) + getRequestId().hashCode();
     }
     hash = (37 * hash) + NEXT_SEQUENCE_FIELD_NUMBER;
-    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
-        getNextSequence());
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(getNextSequence());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
   }
 
-  public static org.almondslip.protocol.wire.Attach parseFrom(
-      java.nio.ByteBuffer data)
+  public static org.almondslip.protocol.wire.Attach parseFrom(java.nio.ByteBuffer data)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data);
   }
+
   public static org.almondslip.protocol.wire.Attach parseFrom(
-      java.nio.ByteBuffer data,
-      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+      java.nio.ByteBuffer data, com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data, extensionRegistry);
   }
-  public static org.almondslip.protocol.wire.Attach parseFrom(
-      com.google.protobuf.ByteString data)
+
+  public static org.almondslip.protocol.wire.Attach parseFrom(com.google.protobuf.ByteString data)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data);
   }
+
   public static org.almondslip.protocol.wire.Attach parseFrom(
       com.google.protobuf.ByteString data,
       com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data, extensionRegistry);
   }
+
   public static org.almondslip.protocol.wire.Attach parseFrom(byte[] data)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data);
   }
+
   public static org.almondslip.protocol.wire.Attach parseFrom(
-      byte[] data,
-      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+      byte[] data, com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data, extensionRegistry);
   }
+
   public static org.almondslip.protocol.wire.Attach parseFrom(java.io.InputStream input)
       throws java.io.IOException {
-    return com.google.protobuf.GeneratedMessage
-        .parseWithIOException(PARSER, input);
+    return com.google.protobuf.GeneratedMessage.parseWithIOException(PARSER, input);
   }
+
   public static org.almondslip.protocol.wire.Attach parseFrom(
-      java.io.InputStream input,
-      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+      java.io.InputStream input, com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws java.io.IOException {
-    return com.google.protobuf.GeneratedMessage
-        .parseWithIOException(PARSER, input, extensionRegistry);
+    return com.google.protobuf.GeneratedMessage.parseWithIOException(
+        PARSER, input, extensionRegistry);
   }
 
   public static org.almondslip.protocol.wire.Attach parseDelimitedFrom(java.io.InputStream input)
       throws java.io.IOException {
-    return com.google.protobuf.GeneratedMessage
-        .parseDelimitedWithIOException(PARSER, input);
+    return com.google.protobuf.GeneratedMessage.parseDelimitedWithIOException(PARSER, input);
   }
 
   public static org.almondslip.protocol.wire.Attach parseDelimitedFrom(
-      java.io.InputStream input,
-      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+      java.io.InputStream input, com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws java.io.IOException {
-    return com.google.protobuf.GeneratedMessage
-        .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
+    return com.google.protobuf.GeneratedMessage.parseDelimitedWithIOException(
+        PARSER, input, extensionRegistry);
   }
+
   public static org.almondslip.protocol.wire.Attach parseFrom(
-      com.google.protobuf.CodedInputStream input)
-      throws java.io.IOException {
-    return com.google.protobuf.GeneratedMessage
-        .parseWithIOException(PARSER, input);
+      com.google.protobuf.CodedInputStream input) throws java.io.IOException {
+    return com.google.protobuf.GeneratedMessage.parseWithIOException(PARSER, input);
   }
+
   public static org.almondslip.protocol.wire.Attach parseFrom(
       com.google.protobuf.CodedInputStream input,
       com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws java.io.IOException {
-    return com.google.protobuf.GeneratedMessage
-        .parseWithIOException(PARSER, input, extensionRegistry);
+    return com.google.protobuf.GeneratedMessage.parseWithIOException(
+        PARSER, input, extensionRegistry);
   }
 
   @java.lang.Override
-  public Builder newBuilderForType() { return newBuilder(); }
+  public Builder newBuilderForType() {
+    return newBuilder();
+  }
+
   public static Builder newBuilder() {
     return DEFAULT_INSTANCE.toBuilder();
   }
+
   public static Builder newBuilder(org.almondslip.protocol.wire.Attach prototype) {
     return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
   }
+
   @java.lang.Override
   public Builder toBuilder() {
-    return this == DEFAULT_INSTANCE
-        ? new Builder() : new Builder().mergeFrom(this);
+    return this == DEFAULT_INSTANCE ? new Builder() : new Builder().mergeFrom(this);
   }
 
   @java.lang.Override
-  protected Builder newBuilderForType(
-      com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+  protected Builder newBuilderForType(com.google.protobuf.GeneratedMessage.BuilderParent parent) {
     Builder builder = new Builder(parent);
     return builder;
   }
+
   /**
+   *
+   *
    * <pre>
    * Asks an agent to replay the answer of a running request on this connection.
    * </pre>
    *
    * Protobuf type {@code almondslip.Attach}
    */
-  public static final class Builder extends
-      com.google.protobuf.GeneratedMessage.Builder<Builder> implements
+  public static final class Builder extends com.google.protobuf.GeneratedMessage.Builder<Builder>
+      implements
       // @@protoc_insertion_point(builder_implements:almondslip.Attach)
       org.almondslip.protocol.wire.AttachOrBuilder {
-    public static final com.google.protobuf.Descriptors.Descriptor
-        getDescriptor() {
+    public static final com.google.protobuf.Descriptors.Descriptor getDescriptor() {
       return org.almondslip.protocol.wire.Almondslip.internal_static_almondslip_Attach_descriptor;
     }
 
     @java.lang.Override
     protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
         internalGetFieldAccessorTable() {
-      return org.almondslip.protocol.wire.Almondslip.internal_static_almondslip_Attach_fieldAccessorTable
+      return org.almondslip.protocol.wire.Almondslip
+          .internal_static_almondslip_Attach_fieldAccessorTable
           .ensureFieldAccessorsInitialized(
-              org.almondslip.protocol.wire.Attach.class, org.almondslip.protocol.wire.Attach.Builder.class);
+              org.almondslip.protocol.wire.Attach.class,
+              org.almondslip.protocol.wire.Attach.Builder.class);
     }
 
     // Construct using org.almondslip.protocol.wire.Attach.newBuilder()
@@ -297,17 +314,17 @@
       maybeForceBuilderInitialization();
     }
 
-    private Builder(
-        com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+    private Builder(com.google.protobuf.GeneratedMessage.BuilderParent parent) {
       super(parent);
       maybeForceBuilderInitialization();
     }
+
     private void maybeForceBuilderInitialization() {
-      if (com.google.protobuf.GeneratedMessage
-              .alwaysUseFieldBuilders) {
+      if (com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders) {
         internalGetRequestIdFieldBuilder();
       }
     }
+
     @java.lang.Override
     public Builder clear() {
       super.clear();
@@ -322,8 +339,7 @@
     }
 
     @java.lang.Override
-    public com.google.protobuf.Descriptors.Descriptor
-        getDescriptorForType() {
+    public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
       return org.almondslip.protocol.wire.Almondslip.internal_static_almondslip_Attach_descriptor;
     }
 
@@ -344,7 +360,9 @@
     @java.lang.Override
     public org.almondslip.protocol.wire.Attach buildPartial() {
       org.almondslip.protocol.wire.Attach result = new org.almondslip.protocol.wire.Attach(this);
-      if (bitField0_ != 0) { buildPartial0(result); }
+      if (bitField0_ != 0) {
+        buildPartial0(result);
+      }
       onBuilt();
       return result;
     }
@@ -353,9 +371,7 @@
       int from_bitField0_ = bitField0_;
       int to_bitField0_ = 0;
       if (((from_bitField0_ & 0x00000001) != 0)) {
-        result.requestId_ = requestIdBuilder_ == null
-            ? requestId_
-            : requestIdBuilder_.build();
+        result.requestId_ = requestIdBuilder_ == null ? requestId_ : requestIdBuilder_.build();
         to_bitField0_ |= 0x00000001;
       }
       if (((from_bitField0_ & 0x00000002) != 0)) {
@@ -367,7 +383,7 @@
     @java.lang.Override
     public Builder mergeFrom(com.google.protobuf.Message other) {
       if (other instanceof org.almondslip.protocol.wire.Attach) {
-        return mergeFrom((org.almondslip.protocol.wire.Attach)other);
+        return mergeFrom((org.almondslip.protocol.wire.Attach) other);
       } else {
         super.mergeFrom(other);
         return this;
@@ -406,24 +422,26 @@
             case 0:
               done = true;
               break;
-            case 10: {
-              input.readMessage(
-                  internalGetRequestIdFieldBuilder().getBuilder(),
-                  extensionRegistry);
-              bitField0_ |= 0x00000001;
-              break;
-            } // case 10
-            case 16: {
-              nextSequence_ = input.readUInt64();
-              bitField0_ |= 0x00000002;
-              break;
-            } // case 16
-            default: {
-              if (!super.parseUnknownField(input, extensionRegistry, tag)) {
-                done = true; // was an endgroup tag
-              }
-              break;
-            } // default:
+            case 10:
+              {
+                input.readMessage(
+                    internalGetRequestIdFieldBuilder().getBuilder(), extensionRegistry);
+                bitField0_ |= 0x00000001;
+                break;
+              } // case 10
+            case 16:
+              {
+                nextSequence_ = input.readUInt64();
+                bitField0_ |= 0x00000002;
+                break;
+              } // case 16
+            default:
+              {
+                if (!super.parseUnknownField(input, extensionRegistry, tag)) {
+                  done = true; // was an endgroup tag
+                }
+                break;
+              } // default:
           } // switch (tag)
         } // while (!done)
       } catch (com.google.protobuf.InvalidProtocolBufferException e) {
@@ -433,32 +451,41 @@
       } // finally
       return this;
     }
+
     private int bitField0_;
 
     private org.almondslip.protocol.wire.RequestId requestId_;
     private com.google.protobuf.SingleFieldBuilder<
-        org.almondslip.protocol.wire.RequestId, org.almondslip.protocol.wire.RequestId.Builder, org.almondslip.protocol.wire.RequestIdOrBuilder> requestIdBuilder_;
+            org.almondslip.protocol.wire.RequestId,
+            org.almondslip.protocol.wire.RequestId.Builder,
+            org.almondslip.protocol.wire.RequestIdOrBuilder>
+        requestIdBuilder_;
+
     /**
      * <code>.almondslip.RequestId request_id = 1;</code>
+     *
      * @return Whether the requestId field is set.
      */
     public boolean hasRequestId() {
       return ((bitField0_ & 0x00000001) != 0);
     }
+
     /**
      * <code>.almondslip.RequestId request_id = 1;</code>
+     *
      * @return The requestId.
      */
     public org.almondslip.protocol.wire.RequestId getRequestId() {
       if (requestIdBuilder_ == null) {
-        return requestId_ == null ? org.almondslip.protocol.wire.RequestId.getDefaultInstance() : requestId_;
+        return requestId_ == null
+            ? org.almondslip.protocol.wire.RequestId.getDefaultInstance()
+            : requestId_;
       } else {
         return requestIdBuilder_.getMessage();
       }
     }
-    /**
-     * <code>.almondslip.RequestId request_id = 1;</code>
-     */
+
+    /** <code>.almondslip.RequestId request_id = 1;</code> */
     public Builder setRequestId(org.almondslip.protocol.wire.RequestId value) {
       if (requestIdBuilder_ == null) {
         java.util.Objects.requireNonNull(value);
@@ -470,11 +497,9 @@
       onChanged();
       return this;
     }
-    /**
-     * <code>.almondslip.RequestId request_id = 1;</code>
-     */
-    public Builder setRequestId(
-        org.almondslip.protocol.wire.RequestId.Builder builderForValue) {
+
+    /** <code>.almondslip.RequestId request_id = 1;</code> */
+    public Builder setRequestId(org.almondslip.protocol.wire.RequestId.Builder builderForValue) {
       if (requestIdBuilder_ == null) {
         requestId_ = builderForValue.build();
       } else {
@@ -484,14 +509,13 @@
       onChanged();
       return this;
     }
-    /**
-     * <code>.almondslip.RequestId request_id = 1;</code>
-     */
+
+    /** <code>.almondslip.RequestId request_id = 1;</code> */
     public Builder mergeRequestId(org.almondslip.protocol.wire.RequestId value) {
       if (requestIdBuilder_ == null) {
-        if (((bitField0_ & 0x00000001) != 0) &&
-          requestId_ != null &&
-          requestId_ != org.almondslip.protocol.wire.RequestId.getDefaultInstance()) {
+        if (((bitField0_ & 0x00000001) != 0)
+            && requestId_ != null
+            && requestId_ != org.almondslip.protocol.wire.RequestId.getDefaultInstance()) {
           getRequestIdBuilder().mergeFrom(value);
         } else {
           requestId_ = value;
@@ -505,9 +529,8 @@
       }
       return this;
     }
-    /**
-     * <code>.almondslip.RequestId request_id = 1;</code>
-     */
+
+    /** <code>.almondslip.RequestId request_id = 1;</code> */
     public Builder clearRequestId() {
       bitField0_ = (bitField0_ & ~0x00000001);
       requestId_ = null;
@@ -518,53 +541,58 @@
       onChanged();
       return this;
     }
-    /**
-     * <code>.almondslip.RequestId request_id = 1;</code>
-     */
+
+    /** <code>.almondslip.RequestId request_id = 1;</code> */
     public org.almondslip.protocol.wire.RequestId.Builder getRequestIdBuilder() {
       bitField0_ |= 0x00000001;
       onChanged();
       return internalGetRequestIdFieldBuilder().getBuilder();
     }
-    /**
-     * <code>.almondslip.RequestId request_id = 1;</code>
-     */
+
+    /** <code>.almondslip.RequestId request_id = 1;</code> */
     public org.almondslip.protocol.wire.RequestIdOrBuilder getRequestIdOrBuilder() {
       if (requestIdBuilder_ != null) {
         return requestIdBuilder_.getMessageOrBuilder();
       } else {
-        return requestId_ == null ?
-            org.almondslip.protocol.wire.RequestId.getDefaultInstance() : requestId_;
+        return requestId_ == null
+            ? org.almondslip.protocol.wire.RequestId.getDefaultInstance()
+            : requestId_;
       }
     }
-    /**
-     * <code>.almondslip.RequestId request_id = 1;</code>
-     */
+
+    /** <code>.almondslip.RequestId request_id = 1;</code> */
     private com.google.protobuf.SingleFieldBuilder<
-        org.almondslip.protocol.wire.RequestId, org.almondslip.protocol.wire.RequestId.Builder, org.almondslip.protocol.wire.RequestIdOrBuilder> 
+            org.almondslip.protocol.wire.RequestId,
+            org.almondslip.protocol.wire.RequestId.Builder,
+            org.almondslip.protocol.wire.RequestIdOrBuilder>
         internalGetRequestIdFieldBuilder() {
       if (requestIdBuilder_ == null) {
-        requestIdBuilder_ = new com.google.protobuf.SingleFieldBuilder<
-            org.almondslip.protocol.wire.RequestId, org.almondslip.protocol.wire.RequestId.Builder, org.almondslip.protocol.wire.RequestIdOrBuilder>(
-                getRequestId(),
-                getParentForChildren(),
-                isClean());
+        requestIdBuilder_ =
+            new com.google.protobuf.SingleFieldBuilder<
+                org.almondslip.protocol.wire.RequestId,
+                org.almondslip.protocol.wire.RequestId.Builder,
+                org.almondslip.protocol.wire.RequestIdOrBuilder>(
+                getRequestId(), getParentForChildren(), isClean());
         requestId_ = null;
       }
       return requestIdBuilder_;
     }
 
-    private long nextSequence_ ;
+    private long nextSequence_;
+
     /**
      * <code>uint64 next_sequence = 2;</code>
+     *
      * @return The nextSequence.
      */
     @java.lang.Override
     public long getNextSequence() {
       return nextSequence_;
     }
+
     /**
      * <code>uint64 next_sequence = 2;</code>
+     *
      * @param value The nextSequence to set.
      * @return This builder for chaining.
      */
@@ -575,8 +603,10 @@
       onChanged();
       return this;
     }
+
     /**
      * <code>uint64 next_sequence = 2;</code>
+     *
      * @return This builder for chaining.
      */
     public Builder clearNextSequence() {
@@ -591,6 +621,7 @@
 
   // @@protoc_insertion_point(class_scope:almondslip.Attach)
   private static final org.almondslip.protocol.wire.Attach DEFAULT_INSTANCE;
+
   static {
     DEFAULT_INSTANCE = new org.almondslip.protocol.wire.Attach();
   }
@@ -599,27 +630,27 @@
     return DEFAULT_INSTANCE;
   }
 
-  private static final com.google.protobuf.Parser<Attach>
-      PARSER = new com.google.protobuf.AbstractParser<Attach>() {
-    @java.lang.Override
-    public Attach parsePartialFrom(
-        com.google.protobuf.CodedInputStream input,
-        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-        throws com.google.protobuf.InvalidProtocolBufferException {
-      Builder builder = newBuilder();
-      try {
-        builder.mergeFrom(input, extensionRegistry);
-      } catch (com.google.protobuf.InvalidProtocolBufferException e) {
-        throw e.setUnfinishedMessage(builder.buildPartial());
-      } catch (com.google.protobuf.UninitializedMessageException e) {
-        throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
-      } catch (java.io.IOException e) {
-        throw new com.google.protobuf.InvalidProtocolBufferException(e)
-            .setUnfinishedMessage(builder.buildPartial());
-      }
-      return builder.buildPartial();
-    }
-  };
+  private static final com.google.protobuf.Parser<Attach> PARSER =
+      new com.google.protobuf.AbstractParser<Attach>() {
+        @java.lang.Override
+        public Attach parsePartialFrom(
+            com.google.protobuf.CodedInputStream input,
+            com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+            throws com.google.protobuf.InvalidProtocolBufferException {
+          Builder builder = newBuilder();
+          try {
+            builder.mergeFrom(input, extensionRegistry);
+          } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+            throw e.setUnfinishedMessage(builder.buildPartial());
+          } catch (com.google.protobuf.UninitializedMessageException e) {
+            throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
+          } catch (java.io.IOException e) {
+            throw new com.google.protobuf.InvalidProtocolBufferException(e)
+                .setUnfinishedMessage(builder.buildPartial());
+          }
+          return builder.buildPartial();
+        }
+      };
 
   public static com.google.protobuf.Parser<Attach> parser() {
     return PARSER;
@@ -634,6 +665,4 @@
   public org.almondslip.protocol.wire.Attach getDefaultInstanceForType() {
     return DEFAULT_INSTANCE;
   }
-
 }
-
--- a/wire/src/main/java/org/almondslip/protocol/wire/AttachOrBuilder.java
+++ b/wire/src/main/java/org/almondslip/protocol/wire/AttachOrBuilder.java
@@ -6,27 +6,31 @@
 package org.almondslip.protocol.wire;
 
 @com.google.protobuf.Generated
-public interface AttachOrBuilder extends
+public interface AttachOrBuilder
+    extends
     // @@protoc_insertion_point(interface_extends:almondslip.Attach)
     com.google.protobuf.MessageOrBuilder {
 
   /**
    * <code>.almondslip.RequestId request_id = 1;</code>
+   *
    * @return Whether the requestId field is set.
    */
   boolean hasRequestId();
+
   /**
    * <code>.almondslip.RequestId request_id = 1;</code>
+   *
    * @return The requestId.
    */
   org.almondslip.protocol.wire.RequestId getRequestId();
-  /**
-   * <code>.almondslip.RequestId request_id = 1;</code>
-   */
+
+  /** <code>.almondslip.RequestId request_id = 1;</code> */
   org.almondslip.protocol.wire.RequestIdOrBuilder getRequestIdOrBuilder();
 
   /**
    * <code>uint64 next_sequence = 2;</code>
+   *
    * @return The nextSequence.
    */
   long getNextSequence();
--- a/wire/src/main/java/org/almondslip/protocol/wire/CancelOrBuilder.java
+++ b/wire/src/main/java/org/almondslip/protocol/wire/CancelOrBuilder.java
@@ -6,22 +6,25 @@
 package org.almondslip.protocol.wire;
 
 @com.google.protobuf.Generated
-public interface CancelOrBuilder extends
+public interface CancelOrBuilder
+    extends
     // @@protoc_insertion_point(interface_extends:almondslip.Cancel)
     com.google.protobuf.MessageOrBuilder {
 
   /**
    * <code>.almondslip.RequestId request_id = 1;</code>
+   *
    * @return Whether the requestId field is set.
    */
   boolean hasRequestId();
+
   /**
    * <code>.almondslip.RequestId request_id = 1;</code>
+   *
    * @return The requestId.
    */
   org.almondslip.protocol.wire.RequestId getRequestId();
-  /**
-   * <code>.almondslip.RequestId request_id = 1;</code>
-   */
+
+  /** <code>.almondslip.RequestId request_id = 1;</code> */
   org.almondslip.protocol.wire.RequestIdOrBuilder getRequestIdOrBuilder();
 }
--- a/wire/src/main/java/org/almondslip/protocol/wire/CatalogChanges.java
+++ b/wire/src/main/java/org/almondslip/protocol/wire/CatalogChanges.java
@@ -5,54 +5,60 @@
 
 package org.almondslip.protocol.wire;
 
-/**
- * Protobuf type {@code almondslip.CatalogChanges}
- */
+/** Protobuf type {@code almondslip.CatalogChanges} */
 @com.google.protobuf.Generated
-public final class CatalogChanges extends
-    com.google.protobuf.GeneratedMessage implements
+public final class CatalogChanges extends com.google.protobuf.GeneratedMessage
+    implements
     // @@protoc_insertion_point(message_implements:almondslip.CatalogChanges)
     CatalogChangesOrBuilder {
-private static final long serialVersionUID = 0L;
+  private static final long serialVersionUID = 0L;
+
   static {
     com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
-      com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
-      /* major= */ 4,
-      /* minor= */ 36,
-      /* patch= */ 2,
-      /* suffix= */ "",
-      "CatalogChanges");
+        com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+        /* major= */ 4,
+        /* minor= */ 36,
+        /* patch= */ 2,
+        /* suffix= */ "",
+        "CatalogChanges");
   }
+
   // Use CatalogChanges.newBuilder() to construct.
   private CatalogChanges(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
     super(builder);
   }
+
   private CatalogChanges() {
     objects_ = java.util.Collections.emptyList();
   }
 
-  public static final com.google.protobuf.Descriptors.Descriptor
-      getDescriptor() {
-    return org.almondslip.protocol.wire.Almondslip.internal_static_almondslip_CatalogChanges_descriptor;
+  public static final com.google.protobuf.Descriptors.Descriptor getDescriptor() {
+    return org.almondslip.protocol.wire.Almondslip
+        .internal_static_almondslip_CatalogChanges_descriptor;
   }
 
   @java.lang.Override
   public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
-    return org.almondslip.protocol.wire.Almondslip.internal_static_almondslip_CatalogChanges_descriptor;
+    return org.almondslip.protocol.wire.Almondslip
+        .internal_static_almondslip_CatalogChanges_descriptor;
   }
 
   @java.lang.Override
   protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internalGetFieldAccessorTable() {
-    return org.almondslip.protocol.wire.Almondslip.internal_static_almondslip_CatalogChanges_fieldAccessorTable
+    return org.almondslip.protocol.wire.Almondslip
+        .internal_static_almondslip_CatalogChanges_fieldAccessorTable
         .ensureFieldAccessorsInitialized(
-            org.almondslip.protocol.wire.CatalogChanges.class, org.almondslip.protocol.wire.CatalogChanges.Builder.class);
+            org.almondslip.protocol.wire.CatalogChanges.class,
+            org.almondslip.protocol.wire.CatalogChanges.Builder.class);
   }
 
   public static final int REVISION_FIELD_NUMBER = 1;
   private long revision_ = 0L;
+
   /**
    * <code>uint64 revision = 1;</code>
+   *
    * @return The revision.
    */
   @java.lang.Override
@@ -61,47 +67,43 @@
   }
 
   public static final int OBJECTS_FIELD_NUMBER = 2;
+
   @SuppressWarnings("serial")
   private java.util.List<org.almondslip.protocol.wire.CatalogObject> objects_;
-  /**
-   * <code>repeated .almondslip.CatalogObject objects = 2;</code>
-   */
+
+  /** <code>repeated .almondslip.CatalogObject objects = 2;</code> */
   @java.lang.Override
   public java.util.List<org.almondslip.protocol.wire.CatalogObject> getObjectsList() {
     return objects_;
   }
-  /**
-   * <code>repeated .almondslip.CatalogObject objects = 2;</code>
-   */
+
+  /** <code>repeated .almondslip.CatalogObject objects = 2;</code> */
   @java.lang.Override
-  public java.util.List<? extends org.almondslip.protocol.wire.CatalogObjectOrBuilder> 
+  public java.util.List<? extends org.almondslip.protocol.wire.CatalogObjectOrBuilder>
       getObjectsOrBuilderList() {
     return objects_;
   }
-  /**
-   * <code>repeated .almondslip.CatalogObject objects = 2;</code>
-   */
+
+  /** <code>repeated .almondslip.CatalogObject objects = 2;</code> */
   @java.lang.Override
   public int getObjectsCount() {
     return objects_.size();
   }
-  /**
-   * <code>repeated .almondslip.CatalogObject objects = 2;</code>
-   */
+
+  /** <code>repeated .almondslip.CatalogObject objects = 2;</code> */
   @java.lang.Override
   public org.almondslip.protocol.wire.CatalogObject getObjects(int index) {
     return objects_.get(index);
   }
-  /**
-   * <code>repeated .almondslip.CatalogObject objects = 2;</code>
-   */
+
+  /** <code>repeated .almondslip.CatalogObject objects = 2;</code> */
   @java.lang.Override
-  public org.almondslip.protocol.wire.CatalogObjectOrBuilder getObjectsOrBuilder(
-      int index) {
+  public org.almondslip.protocol.wire.CatalogObjectOrBuilder getObjectsOrBuilder(int index) {
     return objects_.get(index);
   }
 
   private byte memoizedIsInitialized = -1;
+
   @java.lang.Override
   public final boolean isInitialized() {
     byte isInitialized = memoizedIsInitialized;
@@ -113,8 +115,7 @@
   }
 
   @java.lang.Override
-  public void writeTo(com.google.protobuf.CodedOutputStream output)
-                      throws java.io.IOException {
+  public void writeTo(com.google.protobuf.CodedOutputStream output) throws java.io.IOException {
     if (revision_ != 0L) {
       output.writeUInt64(1, revision_);
     }
@@ -123,23 +124,23 @@
     }
     getUnknownFields().writeTo(output);
   }
+
   private int computeSerializedSize_0() {
     int size = 0;
     if (revision_ != 0L) {
-      size += com.google.protobuf.CodedOutputStream
-        .computeUInt64Size(1, revision_);
+      size += com.google.protobuf.CodedOutputStream.computeUInt64Size(1, revision_);
     }
 
-        {
-          final int count = objects_.size();
-          for (int i = 0; i < count; i++) {
-            size += com.google.protobuf.CodedOutputStream
-              .computeMessageSizeNoTag(objects_.get(i));
-          }
-          size += 1 * count;
-        }
+    {
+      final int count = objects_.size();
+      for (int i = 0; i < count; i++) {
+        size += com.google.protobuf.CodedOutputStream.computeMessageSizeNoTag(objects_.get(i));
+      }
+      size += 1 * count;
+    }
     return size;
   }
+
   @java.lang.Override
   public int getSerializedSize() {
     int size = memoizedSize;
@@ -155,17 +156,16 @@
   @java.lang.Override
   public boolean equals(final java.lang.Object obj) {
     if (obj == this) {
-     return true;
+      return true;
     }
     if (!(obj instanceof org.almondslip.protocol.wire.CatalogChanges)) {
       return super.equals(obj);
     }
-    org.almondslip.protocol.wire.CatalogChanges other = (org.almondslip.protocol.wire.CatalogChanges) obj;
+    org.almondslip.protocol.wire.CatalogChanges other =
+        (org.almondslip.protocol.wire.CatalogChanges) obj;
 
-    if (getRevision()
-        != other.getRevision()) return false;
-    if (!getObjectsList()
-        .equals(other.getObjectsList())) return false;
+    if (getRevision() != other.getRevision()) return false;
+    if (!getObjectsList().equals(other.getObjectsList())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -178,8 +178,7 @@
     int hash = 41;
     hash = (19 * hash) + getDescriptor().hashCode();
     hash = (37 * hash) + REVISION_FIELD_NUMBER;
-    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
-        getRevision());
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(getRevision());
     if (getObjectsCount() > 0) {
       hash = (37 * hash) + OBJECTS_FIELD_NUMBER;
       hash = (53 * hash) + getObjectsList().hashCode();
@@ -189,128 +188,129 @@
     return hash;
   }
 
-  public static org.almondslip.protocol.wire.CatalogChanges parseFrom(
-      java.nio.ByteBuffer data)
+  public static org.almondslip.protocol.wire.CatalogChanges parseFrom(java.nio.ByteBuffer data)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data);
   }
+
   public static org.almondslip.protocol.wire.CatalogChanges parseFrom(
-      java.nio.ByteBuffer data,
-      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+      java.nio.ByteBuffer data, com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data, extensionRegistry);
   }
+
   public static org.almondslip.protocol.wire.CatalogChanges parseFrom(
       com.google.protobuf.ByteString data)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data);
   }
+
   public static org.almondslip.protocol.wire.CatalogChanges parseFrom(
       com.google.protobuf.ByteString data,
       com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data, extensionRegistry);
   }
+
   public static org.almondslip.protocol.wire.CatalogChanges parseFrom(byte[] data)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data);
   }
+
   public static org.almondslip.protocol.wire.CatalogChanges parseFrom(
-      byte[] data,
-      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+      byte[] data, com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data, extensionRegistry);
   }
+
   public static org.almondslip.protocol.wire.CatalogChanges parseFrom(java.io.InputStream input)
       throws java.io.IOException {
-    return com.google.protobuf.GeneratedMessage
-        .parseWithIOException(PARSER, input);
+    return com.google.protobuf.GeneratedMessage.parseWithIOException(PARSER, input);
   }
+
   public static org.almondslip.protocol.wire.CatalogChanges parseFrom(
-      java.io.InputStream input,
-      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+      java.io.InputStream input, com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws java.io.IOException {
-    return com.google.protobuf.GeneratedMessage
-        .parseWithIOException(PARSER, input, extensionRegistry);
+    return com.google.protobuf.GeneratedMessage.parseWithIOException(
+        PARSER, input, extensionRegistry);
   }
 
-  public static org.almondslip.protocol.wire.CatalogChanges parseDelimitedFrom(java.io.InputStream input)
-      throws java.io.IOException {
-    return com.google.protobuf.GeneratedMessage
-        .parseDelimitedWithIOException(PARSER, input);
+  public static org.almondslip.protocol.wire.CatalogChanges parseDelimitedFrom(
+      java.io.InputStream input) throws java.io.IOException {
+    return com.google.protobuf.GeneratedMessage.parseDelimitedWithIOException(PARSER, input);
   }
 
   public static org.almondslip.protocol.wire.CatalogChanges parseDelimitedFrom(
-      java.io.InputStream input,
-      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+      java.io.InputStream input, com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws java.io.IOException {
-    return com.google.protobuf.GeneratedMessage
-        .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
+    return com.google.protobuf.GeneratedMessage.parseDelimitedWithIOException(
+        PARSER, input, extensionRegistry);
   }
+
   public static org.almondslip.protocol.wire.CatalogChanges parseFrom(
-      com.google.protobuf.CodedInputStream input)
-      throws java.io.IOException {
-    return com.google.protobuf.GeneratedMessage
-        .parseWithIOException(PARSER, input);
+      com.google.protobuf.CodedInputStream input) throws java.io.IOException {
+    return com.google.protobuf.GeneratedMessage.parseWithIOException(PARSER, input);
   }
+
   public static org.almondslip.protocol.wire.CatalogChanges parseFrom(
       com.google.protobuf.CodedInputStream input,
       com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws java.io.IOException {
-    return com.google.protobuf.GeneratedMessage
-        .parseWithIOException(PARSER, input, extensionRegistry);
+    return com.google.protobuf.GeneratedMessage.parseWithIOException(
+        PARSER, input, extensionRegistry);
   }
 
   @java.lang.Override
-  public Builder newBuilderForType() { return newBuilder(); }
+  public Builder newBuilderForType() {
+    return newBuilder();
+  }
+
   public static Builder newBuilder() {
     return DEFAULT_INSTANCE.toBuilder();
   }
+
   public static Builder newBuilder(org.almondslip.protocol.wire.CatalogChanges prototype) {
     return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
   }
+
   @java.lang.Override
   public Builder toBuilder() {
-    return this == DEFAULT_INSTANCE
-        ? new Builder() : new Builder().mergeFrom(this);
+    return this == DEFAULT_INSTANCE ? new Builder() : new Builder().mergeFrom(this);
   }
 
   @java.lang.Override
-  protected Builder newBuilderForType(
-      com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+  protected Builder newBuilderForType(com.google.protobuf.GeneratedMessage.BuilderParent parent) {
     Builder builder = new Builder(parent);
     return builder;
   }
-  /**
-   * Protobuf type {@code almondslip.CatalogChanges}
-   */
-  public static final class Builder extends
-      com.google.protobuf.GeneratedMessage.Builder<Builder> implements
+
+  /** Protobuf type {@code almondslip.CatalogChanges} */
+  public static final class Builder extends com.google.protobuf.GeneratedMessage.Builder<Builder>
+      implements
       // @@protoc_insertion_point(builder_implements:almondslip.CatalogChanges)
       org.almondslip.protocol.wire.CatalogChangesOrBuilder {
-    public static final com.google.protobuf.Descriptors.Descriptor
-        getDescriptor() {
-      return org.almondslip.protocol.wire.Almondslip.internal_static_almondslip_CatalogChanges_descriptor;
+    public static final com.google.protobuf.Descriptors.Descriptor getDescriptor() {
+      return org.almondslip.protocol.wire.Almondslip
+          .internal_static_almondslip_CatalogChanges_descriptor;
     }
 
     @java.lang.Override
     protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
         internalGetFieldAccessorTable() {
-      return org.almondslip.protocol.wire.Almondslip.internal_static_almondslip_CatalogChanges_fieldAccessorTable
+      return org.almondslip.protocol.wire.Almondslip
+          .internal_static_almondslip_CatalogChanges_fieldAccessorTable
           .ensureFieldAccessorsInitialized(
-              org.almondslip.protocol.wire.CatalogChanges.class, org.almondslip.protocol.wire.CatalogChanges.Builder.class);
+              org.almondslip.protocol.wire.CatalogChanges.class,
+              org.almondslip.protocol.wire.CatalogChanges.Builder.class);
     }
 
     // Construct using org.almondslip.protocol.wire.CatalogChanges.newBuilder()
-    private Builder() {
+    private Builder() {}
 
-    }
-
-    private Builder(
-        com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+    private Builder(com.google.protobuf.GeneratedMessage.BuilderParent parent) {
       super(parent);
-
     }
+
     @java.lang.Override
     public Builder clear() {
       super.clear();
@@ -327,9 +327,9 @@
     }
 
     @java.lang.Override
-    public com.google.protobuf.Descriptors.Descriptor
-        getDescriptorForType() {
-      return org.almondslip.protocol.wire.Almondslip.internal_static_almondslip_CatalogChanges_descriptor;
+    public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
+      return org.almondslip.protocol.wire.Almondslip
+          .internal_static_almondslip_CatalogChanges_descriptor;
     }
 
     @java.lang.Override
@@ -348,9 +348,12 @@
 
     @java.lang.Override
     public org.almondslip.protocol.wire.CatalogChanges buildPartial() {
-      org.almondslip.protocol.wire.CatalogChanges result = new org.almondslip.protocol.wire.CatalogChanges(this);
+      org.almondslip.protocol.wire.CatalogChanges result =
+          new org.almondslip.protocol.wire.CatalogChanges(this);
       buildPartialRepeatedFields(result);
-      if (bitField0_ != 0) { buildPartial0(result); }
+      if (bitField0_ != 0) {
+        buildPartial0(result);
+      }
       onBuilt();
       return result;
     }
@@ -377,7 +380,7 @@
     @java.lang.Override
     public Builder mergeFrom(com.google.protobuf.Message other) {
       if (other instanceof org.almondslip.protocol.wire.CatalogChanges) {
-        return mergeFrom((org.almondslip.protocol.wire.CatalogChanges)other);
+        return mergeFrom((org.almondslip.protocol.wire.CatalogChanges) other);
       } else {
         super.mergeFrom(other);
         return this;
@@ -407,9 +410,10 @@
             objectsBuilder_ = null;
             objects_ = other.objects_;
             bitField0_ = (bitField0_ & ~0x00000002);
-            objectsBuilder_ = 
-              com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
-                 internalGetObjectsFieldBuilder() : null;
+            objectsBuilder_ =
+                com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders
+                    ? internalGetObjectsFieldBuilder()
+                    : null;
           } else {
             objectsBuilder_.addAllMessages(other.objects_);
           }
@@ -439,30 +443,32 @@
             case 0:
               done = true;
               break;
-            case 8: {
-              revision_ = input.readUInt64();
-              bitField0_ |= 0x00000001;
-              break;
-            } // case 8
-            case 18: {
-              org.almondslip.protocol.wire.CatalogObject m =
-                  input.readMessage(
-                      org.almondslip.protocol.wire.CatalogObject.parser(),
-                      extensionRegistry);
-              if (objectsBuilder_ == null) {
-                ensureObjectsIsMutable();
-                objects_.add(m);
-              } else {
-                objectsBuilder_.addMessage(m);
-              }
-              break;
-            } // case 18
-            default: {
-              if (!super.parseUnknownField(input, extensionRegistry, tag)) {
-                done = true; // was an endgroup tag
-              }
-              break;
-            } // default:
+            case 8:
+              {
+                revision_ = input.readUInt64();
+                bitField0_ |= 0x00000001;
+                break;
+              } // case 8
+            case 18:
+              {
+                org.almondslip.protocol.wire.CatalogObject m =
+                    input.readMessage(
+                        org.almondslip.protocol.wire.CatalogObject.parser(), extensionRegistry);
+                if (objectsBuilder_ == null) {
+                  ensureObjectsIsMutable();
+                  objects_.add(m);
+                } else {
+                  objectsBuilder_.addMessage(m);
+                }
+                break;
+              } // case 18
+            default:
+              {
+                if (!super.parseUnknownField(input, extensionRegistry, tag)) {
+                  done = true; // was an endgroup tag
+                }
+                break;
+              } // default:
           } // switch (tag)
         } // while (!done)
       } catch (com.google.protobuf.InvalidProtocolBufferException e) {
@@ -472,19 +478,24 @@
       } // finally
       return this;
     }
+
     private int bitField0_;
 
-    private long revision_ ;
+    private long revision_;
+
     /**
      * <code>uint64 revision = 1;</code>
+     *
      * @return The revision.
      */
     @java.lang.Override
     public long getRevision() {
       return revision_;
     }
+
     /**
      * <code>uint64 revision = 1;</code>
+     *
      * @param value The revision to set.
      * @return This builder for chaining.
      */
@@ -495,8 +506,10 @@
       onChanged();
       return this;
     }
+
     /**
      * <code>uint64 revision = 1;</code>
+     *
      * @return This builder for chaining.
      */
     public Builder clearRevision() {
@@ -507,20 +520,22 @@
     }
 
     private java.util.List<org.almondslip.protocol.wire.CatalogObject> objects_ =
-      java.util.Collections.emptyList();
+        java.util.Collections.emptyList();
+
     private void ensureObjectsIsMutable() {
       if (!((bitField0_ & 0x00000002) != 0)) {
         objects_ = new java.util.ArrayList<org.almondslip.protocol.wire.CatalogObject>(objects_);
         bitField0_ |= 0x00000002;
-       }
+      }
     }
 
     private com.google.protobuf.RepeatedFieldBuilder<
-        org.almondslip.protocol.wire.CatalogObject, org.almondslip.protocol.wire.CatalogObject.Builder, org.almondslip.protocol.wire.CatalogObjectOrBuilder> objectsBuilder_;
+            org.almondslip.protocol.wire.CatalogObject,
+            org.almondslip.protocol.wire.CatalogObject.Builder,
+            org.almondslip.protocol.wire.CatalogObjectOrBuilder>
+        objectsBuilder_;
 
-    /**
-     * <code>repeated .almondslip.CatalogObject objects = 2;</code>
-     */
+    /** <code>repeated .almondslip.CatalogObject objects = 2;</code> */
     public java.util.List<org.almondslip.protocol.wire.CatalogObject> getObjectsList() {
       if (objectsBuilder_ == null) {
         return java.util.Collections.unmodifiableList(objects_);
@@ -528,9 +543,8 @@
         return objectsBuilder_.getMessageList();
       }
     }
-    /**
-     * <code>repeated .almondslip.CatalogObject objects = 2;</code>
-     */
+
+    /** <code>repeated .almondslip.CatalogObject objects = 2;</code> */
     public int getObjectsCount() {
       if (objectsBuilder_ == null) {
         return objects_.size();
@@ -538,9 +552,8 @@
         return objectsBuilder_.getCount();
       }
     }
-    /**
-     * <code>repeated .almondslip.CatalogObject objects = 2;</code>
-     */
+
+    /** <code>repeated .almondslip.CatalogObject objects = 2;</code> */
     public org.almondslip.protocol.wire.CatalogObject getObjects(int index) {
       if (objectsBuilder_ == null) {
         return objects_.get(index);
@@ -548,11 +561,9 @@
         return objectsBuilder_.getMessage(index);
       }
     }
-    /**
-     * <code>repeated .almondslip.CatalogObject objects = 2;</code>
-     */
-    public Builder setObjects(
-        int index, org.almondslip.protocol.wire.CatalogObject value) {
+
+    /** <code>repeated .almondslip.CatalogObject objects = 2;</code> */
+    public Builder setObjects(int index, org.almondslip.protocol.wire.CatalogObject value) {
       if (objectsBuilder_ == null) {
         java.util.Objects.requireNonNull(value);
         ensureObjectsIsMutable();
@@ -563,9 +574,8 @@
       }
       return this;
     }
-    /**
-     * <code>repeated .almondslip.CatalogObject objects = 2;</code>
-     */
+
+    /** <code>repeated .almondslip.CatalogObject objects = 2;</code> */
     public Builder setObjects(
         int index, org.almondslip.protocol.wire.CatalogObject.Builder builderForValue) {
       if (objectsBuilder_ == null) {
@@ -577,9 +587,8 @@
       }
       return this;
     }
-    /**
-     * <code>repeated .almondslip.CatalogObject objects = 2;</code>
-     */
+
+    /** <code>repeated .almondslip.CatalogObject objects = 2;</code> */
     public Builder addObjects(org.almondslip.protocol.wire.CatalogObject value) {
       if (objectsBuilder_ == null) {
         java.util.Objects.requireNonNull(value);
@@ -591,11 +600,9 @@
       }
       return this;
     }
-    /**
-     * <code>repeated .almondslip.CatalogObject objects = 2;</code>
-     */
-    public Builder addObjects(
-        int index, org.almondslip.protocol.wire.CatalogObject value) {
+
+    /** <code>repeated .almondslip.CatalogObject objects = 2;</code> */
+    public Builder addObjects(int index, org.almondslip.protocol.wire.CatalogObject value) {
       if (objectsBuilder_ == null) {
         java.util.Objects.requireNonNull(value);
         ensureObjectsIsMutable();
@@ -606,11 +613,9 @@
       }
       return this;
     }
-    /**
-     * <code>repeated .almondslip.CatalogObject objects = 2;</code>
-     */
-    public Builder addObjects(
-        org.almondslip.protocol.wire.CatalogObject.Builder builderForValue) {
+
+    /** <code>repeated .almondslip.CatalogObject objects = 2;</code> */
+    public Builder addObjects(org.almondslip.protocol.wire.CatalogObject.Builder builderForValue) {
       if (objectsBuilder_ == null) {
         ensureObjectsIsMutable();
         objects_.add(builderForValue.build());
@@ -620,9 +625,8 @@
       }
       return this;
     }
-    /**
-     * <code>repeated .almondslip.CatalogObject objects = 2;</code>
-     */
+
+    /** <code>repeated .almondslip.CatalogObject objects = 2;</code> */
     public Builder addObjects(
         int index, org.almondslip.protocol.wire.CatalogObject.Builder builderForValue) {
       if (objectsBuilder_ == null) {
@@ -634,24 +638,21 @@
       }
       return this;
     }
-    /**
-     * <code>repeated .almondslip.CatalogObject objects = 2;</code>
-     */
+
+    /** <code>repeated .almondslip.CatalogObject objects = 2;</code> */
     public Builder addAllObjects(
         java.lang.Iterable<? extends org.almondslip.protocol.wire.CatalogObject> values) {
       if (objectsBuilder_ == null) {
         ensureObjectsIsMutable();
-        com.google.protobuf.AbstractMessageLite.Builder.addAll(
-            values, objects_);
+        com.google.protobuf.AbstractMessageLite.Builder.addAll(values, objects_);
         onChanged();
       } else {
         objectsBuilder_.addAllMessages(values);
       }
       return this;
     }
-    /**
-     * <code>repeated .almondslip.CatalogObject objects = 2;</code>
-     */
+
+    /** <code>repeated .almondslip.CatalogObject objects = 2;</code> */
     public Builder clearObjects() {
       if (objectsBuilder_ == null) {
         objects_ = java.util.Collections.emptyList();
@@ -662,9 +663,8 @@
       }
       return this;
     }
-    /**
-     * <code>repeated .almondslip.CatalogObject objects = 2;</code>
-     */
+
+    /** <code>repeated .almondslip.CatalogObject objects = 2;</code> */
     public Builder removeObjects(int index) {
       if (objectsBuilder_ == null) {
         ensureObjectsIsMutable();
@@ -675,66 +675,61 @@
       }
       return this;
     }
-    /**
-     * <code>repeated .almondslip.CatalogObject objects = 2;</code>
-     */
-    public org.almondslip.protocol.wire.CatalogObject.Builder getObjectsBuilder(
-        int index) {
+
+    /** <code>repeated .almondslip.CatalogObject objects = 2;</code> */
+    public org.almondslip.protocol.wire.CatalogObject.Builder getObjectsBuilder(int index) {
       return internalGetObjectsFieldBuilder().getBuilder(index);
     }
-    /**
-     * <code>repeated .almondslip.CatalogObject objects = 2;</code>
-     */
-    public org.almondslip.protocol.wire.CatalogObjectOrBuilder getObjectsOrBuilder(
-        int index) {
+
+    /** <code>repeated .almondslip.CatalogObject objects = 2;</code> */
+    public org.almondslip.protocol.wire.CatalogObjectOrBuilder getObjectsOrBuilder(int index) {
       if (objectsBuilder_ == null) {
-        return objects_.get(index);  } else {
+        return objects_.get(index);
+      } else {
         return objectsBuilder_.getMessageOrBuilder(index);
       }
     }
-    /**
-     * <code>repeated .almondslip.CatalogObject objects = 2;</code>
-     */
-    public java.util.List<? extends org.almondslip.protocol.wire.CatalogObjectOrBuilder> 
-         getObjectsOrBuilderList() {
+
+    /** <code>repeated .almondslip.CatalogObject objects = 2;</code> */
+    public java.util.List<? extends org.almondslip.protocol.wire.CatalogObjectOrBuilder>
+        getObjectsOrBuilderList() {
       if (objectsBuilder_ != null) {
         return objectsBuilder_.getMessageOrBuilderList();
       } else {
         return java.util.Collections.unmodifiableList(objects_);
       }
     }
-    /**
-     * <code>repeated .almondslip.CatalogObject objects = 2;</code>
-     */
+
+    /** <code>repeated .almondslip.CatalogObject objects = 2;</code> */
     public org.almondslip.protocol.wire.CatalogObject.Builder addObjectsBuilder() {
-      return internalGetObjectsFieldBuilder().addBuilder(
-          org.almondslip.protocol.wire.CatalogObject.getDefaultInstance());
+      return internalGetObjectsFieldBuilder()
+          .addBuilder(org.almondslip.protocol.wire.CatalogObject.getDefaultInstance());
     }
-    /**
-     * <code>repeated .almondslip.CatalogObject objects = 2;</code>
-     */
-    public org.almondslip.protocol.wire.CatalogObject.Builder addObjectsBuilder(
-        int index) {
-      return internalGetObjectsFieldBuilder().addBuilder(
-          index, org.almondslip.protocol.wire.CatalogObject.getDefaultInstance());
+
+    /** <code>repeated .almondslip.CatalogObject objects = 2;</code> */
+    public org.almondslip.protocol.wire.CatalogObject.Builder addObjectsBuilder(int index) {
+      return internalGetObjectsFieldBuilder()
+          .addBuilder(index, org.almondslip.protocol.wire.CatalogObject.getDefaultInstance());
     }
-    /**
-     * <code>repeated .almondslip.CatalogObject objects = 2;</code>
-     */
-    public java.util.List<org.almondslip.protocol.wire.CatalogObject.Builder> 
-         getObjectsBuilderList() {
+
+    /** <code>repeated .almondslip.CatalogObject objects = 2;</code> */
+    public java.util.List<org.almondslip.protocol.wire.CatalogObject.Builder>
+        getObjectsBuilderList() {
       return internalGetObjectsFieldBuilder().getBuilderList();
     }
+
     private com.google.protobuf.RepeatedFieldBuilder<
-        org.almondslip.protocol.wire.CatalogObject, org.almondslip.protocol.wire.CatalogObject.Builder, org.almondslip.protocol.wire.CatalogObjectOrBuilder> 
+            org.almondslip.protocol.wire.CatalogObject,
+            org.almondslip.protocol.wire.CatalogObject.Builder,
+            org.almondslip.protocol.wire.CatalogObjectOrBuilder>
         internalGetObjectsFieldBuilder() {
       if (objectsBuilder_ == null) {
-        objectsBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
-            org.almondslip.protocol.wire.CatalogObject, org.almondslip.protocol.wire.CatalogObject.Builder, org.almondslip.protocol.wire.CatalogObjectOrBuilder>(
-                objects_,
-                ((bitField0_ & 0x00000002) != 0),
-                getParentForChildren(),
-                isClean());
+        objectsBuilder_ =
+            new com.google.protobuf.RepeatedFieldBuilder<
+                org.almondslip.protocol.wire.CatalogObject,
+                org.almondslip.protocol.wire.CatalogObject.Builder,
+                org.almondslip.protocol.wire.CatalogObjectOrBuilder>(
+                objects_, ((bitField0_ & 0x00000002) != 0), getParentForChildren(), isClean());
         objects_ = null;
       }
       return objectsBuilder_;
@@ -745,6 +740,7 @@
 
   // @@protoc_insertion_point(class_scope:almondslip.CatalogChanges)
   private static final org.almondslip.protocol.wire.CatalogChanges DEFAULT_INSTANCE;
+
   static {
     DEFAULT_INSTANCE = new org.almondslip.protocol.wire.CatalogChanges();
   }
@@ -753,27 +749,27 @@
     return DEFAULT_INSTANCE;
   }
 
-  private static final com.google.protobuf.Parser<CatalogChanges>
-      PARSER = new com.google.protobuf.AbstractParser<CatalogChanges>() {
-    @java.lang.Override
-    public CatalogChanges parsePartialFrom(
-        com.google.protobuf.CodedInputStream input,
-        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-        throws com.google.protobuf.InvalidProtocolBufferException {
-      Builder builder = newBuilder();
-      try {
-        builder.mergeFrom(input, extensionRegistry);
-      } catch (com.google.protobuf.InvalidProtocolBufferException e) {
-        throw e.setUnfinishedMessage(builder.buildPartial());
-      } catch (com.google.protobuf.UninitializedMessageException e) {
-        throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
-      } catch (java.io.IOException e) {
-        throw new com.google.protobuf.InvalidProtocolBufferException(e)
-            .setUnfinishedMessage(builder.buildPartial());
-      }
-      return builder.buildPartial();
-    }
-  };
+  private static final com.google.protobuf.Parser<CatalogChanges> PARSER =
+      new com.google.protobuf.AbstractParser<CatalogChanges>() {
+        @java.lang.Override
+        public CatalogChanges parsePartialFrom(
+            com.google.protobuf.CodedInputStream input,
+            com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+            throws com.google.protobuf.InvalidProtocolBufferException {
+          Builder builder = newBuilder();
+          try {
+            builder.mergeFrom(input, extensionRegistry);
+          } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+            throw e.setUnfinishedMessage(builder.buildPartial());
+          } catch (com.google.protobuf.UninitializedMessageException e) {
+            throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
+          } catch (java.io.IOException e) {
+            throw new com.google.protobuf.InvalidProtocolBufferException(e)
+                .setUnfinishedMessage(builder.buildPartial());
+          }
+          return builder.buildPartial();
+        }
+      };
 
   public static com.google.protobuf.Parser<CatalogChanges> parser() {
     return PARSER;
@@ -788,6 +784,4 @@
   public org.almondslip.protocol.wire.CatalogChanges getDefaultInstanceForType() {
     return DEFAULT_INSTANCE;
   }
-
 }
-
--- a/wire/src/main/java/org/almondslip/protocol/wire/CatalogChangesOrBuilder.java
+++ b/wire/src/main/java/org/almondslip/protocol/wire/CatalogChangesOrBuilder.java
@@ -6,37 +6,31 @@
 package org.almondslip.protocol.wire;
 
 @com.google.protobuf.Generated
-public interface CatalogChangesOrBuilder extends
+public interface CatalogChangesOrBuilder
+    extends
     // @@protoc_insertion_point(interface_extends:almondslip.CatalogChanges)
     com.google.protobuf.MessageOrBuilder {
 
   /**
    * <code>uint64 revision = 1;</code>
+   *
    * @return The revision.
    */
   long getRevision();
 
-  /**
-   * <code>repeated .almondslip.CatalogObject objects = 2;</code>
-   */
-  java.util.List<org.almondslip.protocol.wire.CatalogObject> 
-      getObjectsList();
-  /**
-   * <code>repeated .almondslip.CatalogObject objects = 2;</code>
-   */
+  /** <code>repeated .almondslip.CatalogObject objects = 2;</code> */
+  java.util.List<org.almondslip.protocol.wire.CatalogObject> getObjectsList();
+
+  /** <code>repeated .almondslip.CatalogObject objects = 2;</code> */
   org.almondslip.protocol.wire.CatalogObject getObjects(int index);
-  /**
-   * <code>repeated .almondslip.CatalogObject objects = 2;</code>
-   */
+
+  /** <code>repeated .almondslip.CatalogObject objects = 2;</code> */
   int getObjectsCount();
-  /**
-   * <code>repeated .almondslip.CatalogObject objects = 2;</code>
-   */
-  java.util.List<? extends org.almondslip.protocol.wire.CatalogObjectOrBuilder> 
+
+  /** <code>repeated .almondslip.CatalogObject objects = 2;</code> */
+  java.util.List<? extends org.almondslip.protocol.wire.CatalogObjectOrBuilder>
       getObjectsOrBuilderList();
-  /**
-   * <code>repeated .almondslip.CatalogObject objects = 2;</code>
-   */
-  org.almondslip.protocol.wire.CatalogObjectOrBuilder getObjectsOrBuilder(
-      int index);
+
+  /** <code>repeated .almondslip.CatalogObject objects = 2;</code> */
+  org.almondslip.protocol.wire.CatalogObjectOrBuilder getObjectsOrBuilder(int index);
 }
--- a/wire/src/main/java/org/almondslip/protocol/wire/CatalogObject.java
+++ b/wire/src/main/java/org/almondslip/protocol/wire/CatalogObject.java
@@ -6,6 +6,8 @@
 package org.almondslip.protocol.wire;
 
 /**
+ *
+ *
  * <pre>
  * One object of the catalog, as JSON text so that the inner protocol and the table service share one format.
  * </pre>
@@ -13,53 +15,62 @@
  * Protobuf type {@code almondslip.CatalogObject}
  */
 @com.google.protobuf.Generated
-public final class CatalogObject extends
-    com.google.protobuf.GeneratedMessage implements
+public final class CatalogObject extends com.google.protobuf.GeneratedMessage
+    implements
     // @@protoc_insertion_point(message_implements:almondslip.CatalogObject)
     CatalogObjectOrBuilder {
-private static final long serialVersionUID = 0L;
+  private static final long serialVersionUID = 0L;
+
   static {
     com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
-      com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
-      /* major= */ 4,
-      /* minor= */ 36,
-      /* patch= */ 2,
-      /* suffix= */ "",
-      "CatalogObject");
+        com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+        /* major= */ 4,
+        /* minor= */ 36,
+        /* patch= */ 2,
+        /* suffix= */ "",
+        "CatalogObject");
   }
+
   // Use CatalogObject.newBuilder() to construct.
   private CatalogObject(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
     super(builder);
   }
+
   private CatalogObject() {
     kind_ = "";
     name_ = "";
     json_ = "";
   }
 
-  public static final com.google.protobuf.Descriptors.Descriptor
-      getDescriptor() {
-    return org.almondslip.protocol.wire.Almondslip.internal_static_almondslip_CatalogObject_descriptor;
+  public static final com.google.protobuf.Descriptors.Descriptor getDescriptor() {
+    return org.almondslip.protocol.wire.Almondslip
+        .internal_static_almondslip_CatalogObject_descriptor;
   }
 
   @java.lang.Override
   public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
-    return org.almondslip.protocol.wire.Almondslip.internal_static_almondslip_CatalogObject_descriptor;
+    return org.almondslip.protocol.wire.Almondslip
+        .internal_static_almondslip_CatalogObject_descriptor;
   }
 
   @java.lang.Override
   protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internalGetFieldAccessorTable() {
-    return org.almondslip.protocol.wire.Almondslip.internal_static_almondslip_CatalogObject_fieldAccessorTable
+    return org.almondslip.protocol.wire.Almondslip
+        .internal_static_almondslip_CatalogObject_fieldAccessorTable
         .ensureFieldAccessorsInitialized(
-            org.almondslip.protocol.wire.CatalogObject.class, org.almondslip.protocol.wire.CatalogObject.Builder.class);
+            org.almondslip.protocol.wire.CatalogObject.class,
+            org.almondslip.protocol.wire.CatalogObject.Builder.class);
   }
 
   public static final int KIND_FIELD_NUMBER = 1;
+
   @SuppressWarnings("serial")
   private volatile java.lang.Object kind_ = "";
+
   /**
    * <code>string kind = 1;</code>
+   *
    * @return The kind.
    */
   @java.lang.Override
@@ -68,25 +79,24 @@
     if (ref instanceof java.lang.String) {
       return (java.lang.String) ref;
     } else {
-      com.google.protobuf.ByteString bs = 
-          (com.google.protobuf.ByteString) ref;
+      com.google.protobuf.ByteString bs = (com.google.protobuf.ByteString) ref;
       java.lang.String s = bs.toStringUtf8();
       kind_ = s;
       return s;
     }
   }
+
   /**
    * <code>string kind = 1;</code>
+   *
    * @return The bytes for kind.
    */
   @java.lang.Override
-  public com.google.protobuf.ByteString
-      getKindBytes() {
+  public com.google.protobuf.ByteString getKindBytes() {
     java.lang.Object ref = kind_;
     if (ref instanceof java.lang.String) {
-      com.google.protobuf.ByteString b = 
-          com.google.protobuf.ByteString.copyFromUtf8(
-              (java.lang.String) ref);
+      com.google.protobuf.ByteString b =
+          com.google.protobuf.ByteString.copyFromUtf8((java.lang.String) ref);
       kind_ = b;
       return b;
     } else {
@@ -95,10 +105,13 @@
   }
 
   public static final int NAME_FIELD_NUMBER = 2;
+
   @SuppressWarnings("serial")
   private volatile java.lang.Object name_ = "";
+
   /**
    * <code>string name = 2;</code>
+   *
    * @return The name.
    */
   @java.lang.Override
@@ -107,25 +120,24 @@
     if (ref instanceof java.lang.String) {
       return (java.lang.String) ref;
     } else {
-      com.google.protobuf.ByteString bs = 
-          (com.google.protobuf.ByteString) ref;
+      com.google.protobuf.ByteString bs = (com.google.protobuf.ByteString) ref;
       java.lang.String s = bs.toStringUtf8();
       name_ = s;
       return s;
     }
   }
+
   /**
    * <code>string name = 2;</code>
+   *
    * @return The bytes for name.
    */
   @java.lang.Override
-  public com.google.protobuf.ByteString
-      getNameBytes() {
+  public com.google.protobuf.ByteString getNameBytes() {
     java.lang.Object ref = name_;
     if (ref instanceof java.lang.String) {
-      com.google.protobuf.ByteString b = 
-          com.google.protobuf.ByteString.copyFromUtf8(
-              (java.lang.String) ref);
+      com.google.protobuf.ByteString b =
+          com.google.protobuf.ByteString.copyFromUtf8((java.lang.String) ref);
       name_ = b;
       return b;
     } else {
@@ -135,12 +147,16 @@
 
   public static final int NUMBER_FIELD_NUMBER = 3;
   private long number_ = 0L;
+
   /**
+   *
+   *
    * <pre>
    * Number of the ticket that wrote this state.
    * </pre>
    *
    * <code>uint64 number = 3;</code>
+   *
    * @return The number.
    */
   @java.lang.Override
@@ -150,8 +166,10 @@
 
   public static final int REVISION_FIELD_NUMBER = 4;
   private long revision_ = 0L;
+
   /**
    * <code>uint64 revision = 4;</code>
+   *
    * @return The revision.
    */
   @java.lang.Override
@@ -160,10 +178,13 @@
   }
 
   public static final int JSON_FIELD_NUMBER = 5;
+
   @SuppressWarnings("serial")
   private volatile java.lang.Object json_ = "";
+
   /**
    * <code>string json = 5;</code>
+   *
    * @return The json.
    */
   @java.lang.Override
@@ -172,25 +193,24 @@
     if (ref instanceof java.lang.String) {
       return (java.lang.String) ref;
     } else {
-      com.google.protobuf.ByteString bs = 
-          (com.google.protobuf.ByteString) ref;
+      com.google.protobuf.ByteString bs = (com.google.protobuf.ByteString) ref;
       java.lang.String s = bs.toStringUtf8();
       json_ = s;
       return s;
     }
   }
+
   /**
    * <code>string json = 5;</code>
+   *
    * @return The bytes for json.
    */
   @java.lang.Override
-  public com.google.protobuf.ByteString
-      getJsonBytes() {
+  public com.google.protobuf.ByteString getJsonBytes() {
     java.lang.Object ref = json_;
     if (ref instanceof java.lang.String) {
-      com.google.protobuf.ByteString b = 
-          com.google.protobuf.ByteString.copyFromUtf8(
-              (java.lang.String) ref);
+      com.google.protobuf.ByteString b =
+          com.google.protobuf.ByteString.copyFromUtf8((java.lang.String) ref);
       json_ = b;
       return b;
     } else {
@@ -199,6 +219,7 @@
   }
 
   private byte memoizedIsInitialized = -1;
+
   @java.lang.Override
   public final boolean isInitialized() {
     byte isInitialized = memoizedIsInitialized;
@@ -210,8 +231,7 @@
   }
 
   @java.lang.Override
-  public void writeTo(com.google.protobuf.CodedOutputStream output)
-                      throws java.io.IOException {
+  public void writeTo(com.google.protobuf.CodedOutputStream output) throws java.io.IOException {
     if (!com.google.protobuf.GeneratedMessage.isStringEmpty(kind_)) {
       com.google.protobuf.GeneratedMessage.writeString(output, 1, kind_);
     }
@@ -229,6 +249,7 @@
     }
     getUnknownFields().writeTo(output);
   }
+
   private int computeSerializedSize_0() {
     int size = 0;
     if (!com.google.protobuf.GeneratedMessage.isStringEmpty(kind_)) {
@@ -238,18 +259,17 @@
       size += com.google.protobuf.GeneratedMessage.computeStringSize(2, name_);
     }
     if (number_ != 0L) {
-      size += com.google.protobuf.CodedOutputStream
-        .computeUInt64Size(3, number_);
+      size += com.google.protobuf.CodedOutputStream.computeUInt64Size(3, number_);
     }
     if (revision_ != 0L) {
-      size += com.google.protobuf.CodedOutputStream
-        .computeUInt64Size(4, revision_);
+      size += com.google.protobuf.CodedOutputStream.computeUInt64Size(4, revision_);
     }
     if (!com.google.protobuf.GeneratedMessage.isStringEmpty(json_)) {
       size += com.google.protobuf.GeneratedMessage.computeStringSize(5, json_);
     }
     return size;
   }
+
   @java.lang.Override
   public int getSerializedSize() {
     int size = memoizedSize;
@@ -265,23 +285,19 @@
   @java.lang.Override
   public boolean equals(final java.lang.Object obj) {
     if (obj == this) {
-     return true;
+      return true;
     }
     if (!(obj instanceof org.almondslip.protocol.wire.CatalogObject)) {
       return super.equals(obj);
     }
-    org.almondslip.protocol.wire.CatalogObject other = (org.almondslip.protocol.wire.CatalogObject) obj;
-
-    if (!getKind()
-        .equals(other.getKind())) return false;
-    if (!getName()
-        .equals(other.getName())) return false;
-    if (getNumber()
-        != other.getNumber()) return false;
-    if (getRevision()
-        != other.getRevision()) return false;
-    if (!getJson()
-        .equals(other.getJson())) return false;
+    org.almondslip.protocol.wire.CatalogObject other =
+        (org.almondslip.protocol.wire.CatalogObject) obj;
+
+    if (!getKind().equals(other.getKind())) return false;
+    if (!getName().equals(other.getName())) return false;
+    if (getNumber() != other.getNumber()) return false;
+    if (getRevision() != other.getRevision()) return false;
+    if (!getJson().equals(other.getJson())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -298,11 +314,9 @@
     hash = (37 * hash) + NAME_FIELD_NUMBER;
     hash = (53 * hash) + getName().hashCode();
     hash = (37 * hash) + NUMBER_FIELD_NUMBER;
-    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
-        getNumber());
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(getNumber());
     hash = (37 * hash) + REVISION_FIELD_NUMBER;
-    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
-        getRevision());
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(getRevision());
     hash = (37 * hash) + JSON_FIELD_NUMBER;
     hash = (53 * hash) + getJson().hashCode();
     hash = (29 * hash) + getUnknownFields().hashCode();
@@ -310,132 +324,137 @@
     return hash;
   }
 
-  public static org.almondslip.protocol.wire.CatalogObject parseFrom(
-      java.nio.ByteBuffer data)
+  public static org.almondslip.protocol.wire.CatalogObject parseFrom(java.nio.ByteBuffer data)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data);
   }
+
   public static org.almondslip.protocol.wire.CatalogObject parseFrom(
-      java.nio.ByteBuffer data,
-      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+      java.nio.ByteBuffer data, com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data, extensionRegistry);
   }
+
   public static org.almondslip.protocol.wire.CatalogObject parseFrom(
       com.google.protobuf.ByteString data)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data);
   }
+
   public static org.almondslip.protocol.wire.CatalogObject parseFrom(
       com.google.protobuf.ByteString data,
       com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data, extensionRegistry);
   }
+
   public static org.almondslip.protocol.wire.CatalogObject parseFrom(byte[] data)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data);
   }
+
   public static org.almondslip.protocol.wire.CatalogObject parseFrom(
-      byte[] data,
-      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+      byte[] data, com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data, extensionRegistry);
   }
+
   public static org.almondslip.protocol.wire.CatalogObject parseFrom(java.io.InputStream input)
       throws java.io.IOException {
-    return com.google.protobuf.GeneratedMessage
-        .parseWithIOException(PARSER, input);
+    return com.google.protobuf.GeneratedMessage.parseWithIOException(PARSER, input);
   }
+
   public static org.almondslip.protocol.wire.CatalogObject parseFrom(
-      java.io.InputStream input,
-      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+      java.io.InputStream input, com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws java.io.IOException {
-    return com.google.protobuf.GeneratedMessage
-        .parseWithIOException(PARSER, input, extensionRegistry);
+    return com.google.protobuf.GeneratedMessage.parseWithIOException(
+        PARSER, input, extensionRegistry);
   }
 
-  public static org.almondslip.protocol.wire.CatalogObject parseDelimitedFrom(java.io.InputStream input)
-      throws java.io.IOException {
-    return com.google.protobuf.GeneratedMessage
-        .parseDelimitedWithIOException(PARSER, input);
+  public static org.almondslip.protocol.wire.CatalogObject parseDelimitedFrom(
+      java.io.InputStream input) throws java.io.IOException {
+    return com.google.protobuf.GeneratedMessage.parseDelimitedWithIOException(PARSER, input);
   }
 
   public static org.almondslip.protocol.wire.CatalogObject parseDelimitedFrom(
-      java.io.InputStream input,
-      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+      java.io.InputStream input, com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws java.io.IOException {
-    return com.google.protobuf.GeneratedMessage
-        .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
+    return com.google.protobuf.GeneratedMessage.parseDelimitedWithIOException(
+        PARSER, input, extensionRegistry);
   }
+
   public static org.almondslip.protocol.wire.CatalogObject parseFrom(
-      com.google.protobuf.CodedInputStream input)
-      throws java.io.IOException {
-    return com.google.protobuf.GeneratedMessage
-        .parseWithIOException(PARSER, input);
+      com.google.protobuf.CodedInputStream input) throws java.io.IOException {
+    return com.google.protobuf.GeneratedMessage.parseWithIOException(PARSER, input);
   }
+
   public static org.almondslip.protocol.wire.CatalogObject parseFrom(
       com.google.protobuf.CodedInputStream input,
       com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws java.io.IOException {
-    return com.google.protobuf.GeneratedMessage
-        .parseWithIOException(PARSER, input, extensionRegistry);
+    return com.google.protobuf.GeneratedMessage.parseWithIOException(
+        PARSER, input, extensionRegistry);
   }
 
   @java.lang.Override
-  public Builder newBuilderForType() { return newBuilder(); }
+  public Builder newBuilderForType() {
+    return newBuilder();
+  }
+
   public static Builder newBuilder() {
     return DEFAULT_INSTANCE.toBuilder();
   }
+
   public static Builder newBuilder(org.almondslip.protocol.wire.CatalogObject prototype) {
     return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
   }
+
   @java.lang.Override
   public Builder toBuilder() {
-    return this == DEFAULT_INSTANCE
-        ? new Builder() : new Builder().mergeFrom(this);
+    return this == DEFAULT_INSTANCE ? new Builder() : new Builder().mergeFrom(this);
   }
 
   @java.lang.Override
-  protected Builder newBuilderForType(
-      com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+  protected Builder newBuilderForType(com.google.protobuf.GeneratedMessage.BuilderParent parent) {
     Builder builder = new Builder(parent);
     return builder;
   }
+
   /**
+   *
+   *
    * <pre>
    * One object of the catalog, as JSON text so that the inner protocol and the table service share one format.
    * </pre>
    *
    * Protobuf type {@code almondslip.CatalogObject}
    */
-  public static final class Builder extends
-      com.google.protobuf.GeneratedMessage.Builder<Builder> implements
+  public static final class Builder extends com.google.protobuf.GeneratedMessage.Builder<Builder>
+      implements
       // @@protoc_insertion_point(builder_implements:almondslip.CatalogObject)
       org.almondslip.protocol.wire.CatalogObjectOrBuilder {
-    public static final com.google.protobuf.Descriptors.Descriptor
-        getDescriptor() {
-      return org.almondslip.protocol.wire.Almondslip.internal_static_almondslip_CatalogObject_descriptor;
+    public static final com.google.protobuf.Descriptors.Descriptor getDescriptor() {
+      return org.almondslip.protocol.wire.Almondslip
+          .internal_static_almondslip_CatalogObject_descriptor;
     }
 
     @java.lang.Override
     protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
         internalGetFieldAccessorTable() {
-      return org.almondslip.protocol.wire.Almondslip.internal_static_almondslip_CatalogObject_fieldAccessorTable
+      return org.almondslip.protocol.wire.Almondslip
+          .internal_static_almondslip_CatalogObject_fieldAccessorTable
           .ensureFieldAccessorsInitialized(
-              org.almondslip.protocol.wire.CatalogObject.class, org.almondslip.protocol.wire.CatalogObject.Builder.class);
+              org.almondslip.protocol.wire.CatalogObject.class,
+              org.almondslip.protocol.wire.CatalogObject.Builder.class);
     }
 
     // Construct using org.almondslip.protocol.wire.CatalogObject.newBuilder()
-    private Builder() {
+    private Builder() {}
 
-    }
-
-    private Builder(
-        com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+    private Builder(com.google.protobuf.GeneratedMessage.BuilderParent parent) {
       super(parent);
-
     }
+
     @java.lang.Override
     public Builder clear() {
       super.clear();
@@ -449,9 +468,9 @@
     }
 
     @java.lang.Override
-    public com.google.protobuf.Descriptors.Descriptor
-        getDescriptorForType() {
-      return org.almondslip.protocol.wire.Almondslip.internal_static_almondslip_CatalogObject_descriptor;
+    public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
+      return org.almondslip.protocol.wire.Almondslip
+          .internal_static_almondslip_CatalogObject_descriptor;
     }
 
     @java.lang.Override
@@ -470,8 +489,11 @@
 
     @java.lang.Override
     public org.almondslip.protocol.wire.CatalogObject buildPartial() {
-      org.almondslip.protocol.wire.CatalogObject result = new org.almondslip.protocol.wire.CatalogObject(this);
-      if (bitField0_ != 0) { buildPartial0(result); }
+      org.almondslip.protocol.wire.CatalogObject result =
+          new org.almondslip.protocol.wire.CatalogObject(this);
+      if (bitField0_ != 0) {
+        buildPartial0(result);
+      }
       onBuilt();
       return result;
     }
@@ -498,7 +520,7 @@
     @java.lang.Override
     public Builder mergeFrom(com.google.protobuf.Message other) {
       if (other instanceof org.almondslip.protocol.wire.CatalogObject) {
-        return mergeFrom((org.almondslip.protocol.wire.CatalogObject)other);
+        return mergeFrom((org.almondslip.protocol.wire.CatalogObject) other);
       } else {
         super.mergeFrom(other);
         return this;
@@ -552,37 +574,43 @@
             case 0:
               done = true;
               break;
-            case 10: {
-              kind_ = input.readStringRequireUtf8();
-              bitField0_ |= 0x00000001;
-              break;
-            } // case 10
-            case 18: {
-              name_ = input.readStringRequireUtf8();
-              bitField0_ |= 0x00000002;
-              break;
-            } // case 18
-            case 24: {
-              number_ = input.readUInt64();
-              bitField0_ |= 0x00000004;
-              break;
-            } // case 24
-            case 32: {
-              revision_ = input.readUInt64();
-              bitField0_ |= 0x00000008;
-              break;
-            } // case 32
-            case 42: {
-              json_ = input.readStringRequireUtf8();
-              bitField0_ |= 0x00000010;
-              break;
-            } // case 42
-            default: {
-              if (!super.parseUnknownField(input, extensionRegistry, tag)) {
-                done = true; // was an endgroup tag
-              }
-              break;
-            } // default:
+            case 10:
+              {
+                kind_ = input.readStringRequireUtf8();
+                bitField0_ |= 0x00000001;
+                break;
+              } // case 10
+            case 18:
+              {
+                name_ = input.readStringRequireUtf8();
+                bitField0_ |= 0x00000002;
+                break;
+              } // case 18
+            case 24:
+              {
+                number_ = input.readUInt64();
+                bitField0_ |= 0x00000004;
+                break;
+              } // case 24
+            case 32:
+              {
+                revision_ = input.readUInt64();
+                bitField0_ |= 0x00000008;
+                break;
+              } // case 32
+            case 42:
+              {
+                json_ = input.readStringRequireUtf8();
+                bitField0_ |= 0x00000010;
+                break;
+              } // case 42
+            default:
+              {
+                if (!super.parseUnknownField(input, extensionRegistry, tag)) {
+                  done = true; // was an endgroup tag
+                }
+                break;
+              } // default:
           } // switch (tag)
         } // while (!done)
       } catch (com.google.protobuf.InvalidProtocolBufferException e) {
@@ -592,18 +620,20 @@
       } // finally
       return this;
     }
+
     private int bitField0_;
 
     private java.lang.Object kind_ = "";
+
     /**
      * <code>string kind = 1;</code>
+     *
      * @return The kind.
      */
     public java.lang.String getKind() {
       java.lang.Object ref = kind_;
       if (!(ref instanceof java.lang.String)) {
-        com.google.protobuf.ByteString bs =
-            (com.google.protobuf.ByteString) ref;
+        com.google.protobuf.ByteString bs = (com.google.protobuf.ByteString) ref;
         java.lang.String s = bs.toStringUtf8();
         kind_ = s;
         return s;
@@ -611,38 +641,41 @@
         return (java.lang.String) ref;
       }
     }
+
     /**
      * <code>string kind = 1;</code>
+     *
      * @return The bytes for kind.
      */
-    public com.google.protobuf.ByteString
-        getKindBytes() {
+    public com.google.protobuf.ByteString getKindBytes() {
       java.lang.Object ref = kind_;
       if (ref instanceof String) {
-        com.google.protobuf.ByteString b = 
-            com.google.protobuf.ByteString.copyFromUtf8(
-                (java.lang.String) ref);
+        com.google.protobuf.ByteString b =
+            com.google.protobuf.ByteString.copyFromUtf8((java.lang.String) ref);
         kind_ = b;
         return b;
       } else {
         return (com.google.protobuf.ByteString) ref;
       }
     }
+
     /**
      * <code>string kind = 1;</code>
+     *
      * @param value The kind to set.
      * @return This builder for chaining.
      */
-    public Builder setKind(
-        java.lang.String value) {
+    public Builder setKind(java.lang.String value) {
       java.util.Objects.requireNonNull(value);
       kind_ = value;
       bitField0_ |= 0x00000001;
       onChanged();
       return this;
     }
+
     /**
      * <code>string kind = 1;</code>
+     *
      * @return This builder for chaining.
      */
     public Builder clearKind() {
@@ -651,13 +684,14 @@
       onChanged();
       return this;
     }
+
     /**
      * <code>string kind = 1;</code>
+     *
      * @param value The bytes for kind to set.
      * @return This builder for chaining.
      */
-    public Builder setKindBytes(
-        com.google.protobuf.ByteString value) {
+    public Builder setKindBytes(com.google.protobuf.ByteString value) {
       java.util.Objects.requireNonNull(value);
       checkByteStringIsUtf8(value);
       kind_ = value;
@@ -667,15 +701,16 @@
     }
 
     private java.lang.Object name_ = "";
+
     /**
      * <code>string name = 2;</code>
+     *
      * @return The name.
      */
     public java.lang.String getName() {
       java.lang.Object ref = name_;
       if (!(ref instanceof java.lang.String)) {
-        com.google.protobuf.ByteString bs =
-            (com.google.protobuf.ByteString) ref;
+        com.google.protobuf.ByteString bs = (com.google.protobuf.ByteString) ref;
         java.lang.String s = bs.toStringUtf8();
         name_ = s;
         return s;
@@ -683,38 +718,41 @@
         return (java.lang.String) ref;
       }
     }
+
     /**
      * <code>string name = 2;</code>
+     *
      * @return The bytes for name.
      */
-    public com.google.protobuf.ByteString
-        getNameBytes() {
+    public com.google.protobuf.ByteString getNameBytes() {
       java.lang.Object ref = name_;
       if (ref instanceof String) {
-        com.google.protobuf.ByteString b = 
-            com.google.protobuf.ByteString.copyFromUtf8(
-                (java.lang.String) ref);
+        com.google.protobuf.ByteString b =
+            com.google.protobuf.ByteString.copyFromUtf8((java.lang.String) ref);
         name_ = b;
         return b;
       } else {
         return (com.google.protobuf.ByteString) ref;
       }
     }
+
     /**
      * <code>string name = 2;</code>
+     *
      * @param value The name to set.
      * @return This builder for chaining.
      */
-    public Builder setName(
-        java.lang.String value) {
+    public Builder setName(java.lang.String value) {
       java.util.Objects.requireNonNull(value);
       name_ = value;
       bitField0_ |= 0x00000002;
       onChanged();
       return this;
     }
+
     /**
      * <code>string name = 2;</code>
+     *
      * @return This builder for chaining.
      */
     public Builder clearName() {
@@ -723,13 +761,14 @@
       onChanged();
       return this;
     }
+
     /**
      * <code>string name = 2;</code>
+     *
      * @param value The bytes for name to set.
      * @return This builder for chaining.
      */
-    public Builder setNameBytes(
-        com.google.protobuf.ByteString value) {
+    public Builder setNameBytes(com.google.protobuf.ByteString value) {
       java.util.Objects.requireNonNull(value);
       checkByteStringIsUtf8(value);
       name_ = value;
@@ -738,25 +777,33 @@
       return this;
     }
 
-    private long number_ ;
+    private long number_;
+
     /**
+     *
+     *
      * <pre>
      * Number of the ticket that wrote this state.
      * </pre>
      *
      * <code>uint64 number = 3;</code>
+     *
      * @return The number.
      */
     @java.lang.Override
     public long getNumber() {
       return number_;
     }
+
     /**
+     *
+     *
      * <pre>
      * Number of the ticket that wrote this state.
      * </pre>
      *
      * <code>uint64 number = 3;</code>
+     *
      * @param value The number to set.
      * @return This builder for chaining.
      */
@@ -767,12 +814,16 @@
       onChanged();
       return this;
     }
+
     /**
+     *
+     *
      * <pre>
      * Number of the ticket that wrote this state.
      * </pre>
      *
      * <code>uint64 number = 3;</code>
+     *
      * @return This builder for chaining.
      */
     public Builder clearNumber() {
@@ -782,17 +833,21 @@
       return this;
     }
 
-    private long revision_ ;
+    private long revision_;
+
     /**
      * <code>uint64 revision = 4;</code>
+     *
      * @return The revision.
      */
     @java.lang.Override
     public long getRevision() {
       return revision_;
     }
+
     /**
      * <code>uint64 revision = 4;</code>
+     *
      * @param value The revision to set.
      * @return This builder for chaining.
      */
@@ -803,8 +858,10 @@
       onChanged();
       return this;
     }
+
     /**
      * <code>uint64 revision = 4;</code>
+     *
      * @return This builder for chaining.
      */
     public Builder clearRevision() {
@@ -815,15 +872,16 @@
     }
 
     private java.lang.Object json_ = "";
+
     /**
      * <code>string json = 5;</code>
+     *
      * @return The json.
      */
     public java.lang.String getJson() {
       java.lang.Object ref = json_;
       if (!(ref instanceof java.lang.String)) {
-        com.google.protobuf.ByteString bs =
-            (com.google.protobuf.ByteString) ref;
+        com.google.protobuf.ByteString bs = (com.google.protobuf.ByteString) ref;
         java.lang.String s = bs.toStringUtf8();
         json_ = s;
         return s;
@@ -831,38 +889,41 @@
         return (java.lang.String) ref;
       }
     }
+
     /**
      * <code>string json = 5;</code>
+     *
      * @return The bytes for json.
      */
-    public com.google.protobuf.ByteString
-        getJsonBytes() {
+    public com.google.protobuf.ByteString getJsonBytes() {
       java.lang.Object ref = json_;
       if (ref instanceof String) {
-        com.google.protobuf.ByteString b = 
-            com.google.protobuf.ByteString.copyFromUtf8(
-                (java.lang.String) ref);
+        com.google.protobuf.ByteString b =
+            com.google.protobuf.ByteString.copyFromUtf8((java.lang.String) ref);
         json_ = b;
         return b;
       } else {
         return (com.google.protobuf.ByteString) ref;
       }
     }
+
     /**
      * <code>string json = 5;</code>
+     *
      * @param value The json to set.
      * @return This builder for chaining.
      */
-    public Builder setJson(
-        java.lang.String value) {
+    public Builder setJson(java.lang.String value) {
       java.util.Objects.requireNonNull(value);
       json_ = value;
       bitField0_ |= 0x00000010;
       onChanged();
       return this;
     }
+
     /**
      * <code>string json = 5;</code>
+     *
      * @return This builder for chaining.
      */
     public Builder clearJson() {
@@ -871,13 +932,14 @@
       onChanged();
       return this;
     }
+
     /**
      * <code>string json = 5;</code>
+     *
      * @param value The bytes for json to set.
      * @return This builder for chaining.
      */
-    public Builder setJsonBytes(
-        com.google.protobuf.ByteString value) {
+    public Builder setJsonBytes(com.google.protobuf.ByteString value) {
       java.util.Objects.requireNonNull(value);
       checkByteStringIsUtf8(value);
       json_ = value;
@@ -891,6 +953,7 @@
 
   // @@protoc_insertion_point(class_scope:almondslip.CatalogObject)
   private static final org.almondslip.protocol.wire.CatalogObject DEFAULT_INSTANCE;
+
   static {
     DEFAULT_INSTANCE = new org.almondslip.protocol.wire.CatalogObject();
   }
@@ -899,27 +962,27 @@
     return DEFAULT_INSTANCE;
   }
 
-  private static final com.google.protobuf.Parser<CatalogObject>
-      PARSER = new com.google.protobuf.AbstractParser<CatalogObject>() {
-    @java.lang.Override
-    public CatalogObject parsePartialFrom(
-        com.google.protobuf.CodedInputStream input,
-        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-        throws com.google.protobuf.InvalidProtocolBufferException {
-      Builder builder = newBuilder();
-      try {
-        builder.mergeFrom(input, extensionRegistry);
-      } catch (com.google.protobuf.InvalidProtocolBufferException e) {
-        throw e.setUnfinishedMessage(builder.buildPartial());
-      } catch (com.google.protobuf.UninitializedMessageException e) {
-        throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
-      } catch (java.io.IOException e) {
-        throw new com.google.protobuf.InvalidProtocolBufferException(e)
-            .setUnfinishedMessage(builder.buildPartial());
-      }
-      return builder.buildPartial();
-    }
-  };
+  private static final com.google.protobuf.Parser<CatalogObject> PARSER =
+      new com.google.protobuf.AbstractParser<CatalogObject>() {
+        @java.lang.Override
+        public CatalogObject parsePartialFrom(
+            com.google.protobuf.CodedInputStream input,
+            com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+            throws com.google.protobuf.InvalidProtocolBufferException {
+          Builder builder = newBuilder();
+          try {
+            builder.mergeFrom(input, extensionRegistry);
+          } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+            throw e.setUnfinishedMessage(builder.buildPartial());
+          } catch (com.google.protobuf.UninitializedMessageException e) {
+            throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
+          } catch (java.io.IOException e) {
+            throw new com.google.protobuf.InvalidProtocolBufferException(e)
+                .setUnfinishedMessage(builder.buildPartial());
+          }
+          return builder.buildPartial();
+        }
+      };
 
   public static com.google.protobuf.Parser<CatalogObject> parser() {
     return PARSER;
@@ -934,6 +997,4 @@
   public org.almondslip.protocol.wire.CatalogObject getDefaultInstanceForType() {
     return DEFAULT_INSTANCE;
   }
-
 }
-
--- a/wire/src/main/java/org/almondslip/protocol/wire/CatalogObjectOrBuilder.java
+++ b/wire/src/main/java/org/almondslip/protocol/wire/CatalogObjectOrBuilder.java
@@ -6,59 +6,70 @@
 package org.almondslip.protocol.wire;
 
 @com.google.protobuf.Generated
-public interface CatalogObjectOrBuilder extends
+public interface CatalogObjectOrBuilder
+    extends
     // @@protoc_insertion_point(interface_extends:almondslip.CatalogObject)
     com.google.protobuf.MessageOrBuilder {
 
   /**
    * <code>string kind = 1;</code>
+   *
    * @return The kind.
    */
   java.lang.String getKind();
+
   /**
    * <code>string kind = 1;</code>
+   *
    * @return The bytes for kind.
    */
-  com.google.protobuf.ByteString
-      getKindBytes();
+  com.google.protobuf.ByteString getKindBytes();
 
   /**
    * <code>string name = 2;</code>
+   *
    * @return The name.
    */
   java.lang.String getName();
+
   /**
    * <code>string name = 2;</code>
+   *
    * @return The bytes for name.
    */
-  com.google.protobuf.ByteString
-      getNameBytes();
+  com.google.protobuf.ByteString getNameBytes();
 
   /**
+   *
+   *
    * <pre>
    * Number of the ticket that wrote this state.
    * </pre>
    *
    * <code>uint64 number = 3;</code>
+   *
    * @return The number.
    */
   long getNumber();
 
   /**
    * <code>uint64 revision = 4;</code>
+   *
    * @return The revision.
    */
   long getRevision();
 
   /**
    * <code>string json = 5;</code>
+   *
    * @return The json.
    */
   java.lang.String getJson();
+
   /**
    * <code>string json = 5;</code>
+   *
    * @return The bytes for json.
    */
-  com.google.protobuf.ByteString
-      getJsonBytes();
+  com.google.protobuf.ByteString getJsonBytes();
 }
--- a/wire/src/main/java/org/almondslip/protocol/wire/CatalogPull.java
+++ b/wire/src/main/java/org/almondslip/protocol/wire/CatalogPull.java
@@ -5,57 +5,64 @@
 
 package org.almondslip.protocol.wire;
 
-/**
- * Protobuf type {@code almondslip.CatalogPull}
- */
+/** Protobuf type {@code almondslip.CatalogPull} */
 @com.google.protobuf.Generated
-public final class CatalogPull extends
-    com.google.protobuf.GeneratedMessage implements
+public final class CatalogPull extends com.google.protobuf.GeneratedMessage
+    implements
     // @@protoc_insertion_point(message_implements:almondslip.CatalogPull)
     CatalogPullOrBuilder {
-private static final long serialVersionUID = 0L;
+  private static final long serialVersionUID = 0L;
+
   static {
     com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
-      com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
-      /* major= */ 4,
-      /* minor= */ 36,
-      /* patch= */ 2,
-      /* suffix= */ "",
-      "CatalogPull");
+        com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+        /* major= */ 4,
+        /* minor= */ 36,
+        /* patch= */ 2,
+        /* suffix= */ "",
+        "CatalogPull");
   }
+
   // Use CatalogPull.newBuilder() to construct.
   private CatalogPull(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
     super(builder);
   }
-  private CatalogPull() {
-  }
 
-  public static final com.google.protobuf.Descriptors.Descriptor
-      getDescriptor() {
-    return org.almondslip.protocol.wire.Almondslip.internal_static_almondslip_CatalogPull_descriptor;
+  private CatalogPull() {}
+
+  public static final com.google.protobuf.Descriptors.Descriptor getDescriptor() {
+    return org.almondslip.protocol.wire.Almondslip
+        .internal_static_almondslip_CatalogPull_descriptor;
   }
 
   @java.lang.Override
   public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
-    return org.almondslip.protocol.wire.Almondslip.internal_static_almondslip_CatalogPull_descriptor;
+    return org.almondslip.protocol.wire.Almondslip
+        .internal_static_almondslip_CatalogPull_descriptor;
   }
 
   @java.lang.Override
   protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internalGetFieldAccessorTable() {
-    return org.almondslip.protocol.wire.Almondslip.internal_static_almondslip_CatalogPull_fieldAccessorTable
+    return org.almondslip.protocol.wire.Almondslip
+        .internal_static_almondslip_CatalogPull_fieldAccessorTable
         .ensureFieldAccessorsInitialized(
-            org.almondslip.protocol.wire.CatalogPull.class, org.almondslip.protocol.wire.CatalogPull.Builder.class);
+            org.almondslip.protocol.wire.CatalogPull.class,
+            org.almondslip.protocol.wire.CatalogPull.Builder.class);
   }
 
   public static final int AFTER_REVISION_FIELD_NUMBER = 1;
   private long afterRevision_ = 0L;
+
   /**
+   *
+   *
    * <pre>
    * Changes with a revision above this one are wanted.
    * </pre>
    *
    * <code>uint64 after_revision = 1;</code>
+   *
    * @return The afterRevision.
    */
   @java.lang.Override
@@ -64,6 +71,7 @@
   }
 
   private byte memoizedIsInitialized = -1;
+
   @java.lang.Override
   public final boolean isInitialized() {
     byte isInitialized = memoizedIsInitialized;
@@ -75,21 +83,21 @@
   }
 
   @java.lang.Override
-  public void writeTo(com.google.protobuf.CodedOutputStream output)
-                      throws java.io.IOException {
+  public void writeTo(com.google.protobuf.CodedOutputStream output) throws java.io.IOException {
     if (afterRevision_ != 0L) {
       output.writeUInt64(1, afterRevision_);
     }
     getUnknownFields().writeTo(output);
   }
+
   private int computeSerializedSize_0() {
     int size = 0;
     if (afterRevision_ != 0L) {
-      size += com.google.protobuf.CodedOutputStream
-        .computeUInt64Size(1, afterRevision_);
+      size += com.google.protobuf.CodedOutputStream.computeUInt64Size(1, afterRevision_);
     }
     return size;
   }
+
   @java.lang.Override
   public int getSerializedSize() {
     int size = memoizedSize;
@@ -105,15 +113,14 @@
   @java.lang.Override
   public boolean equals(final java.lang.Object obj) {
     if (obj == this) {
-     return true;
+      return true;
     }
     if (!(obj instanceof org.almondslip.protocol.wire.CatalogPull)) {
       return super.equals(obj);
     }
     org.almondslip.protocol.wire.CatalogPull other = (org.almondslip.protocol.wire.CatalogPull) obj;
 
-    if (getAfterRevision()
-        != other.getAfterRevision()) return false;
+    if (getAfterRevision() != other.getAfterRevision()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -126,135 +133,135 @@
     int hash = 41;
     hash = (19 * hash) + getDescriptor().hashCode();
     hash = (37 * hash) + AFTER_REVISION_FIELD_NUMBER;
-    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
-        getAfterRevision());
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(getAfterRevision());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
   }
 
-  public static org.almondslip.protocol.wire.CatalogPull parseFrom(
-      java.nio.ByteBuffer data)
+  public static org.almondslip.protocol.wire.CatalogPull parseFrom(java.nio.ByteBuffer data)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data);
   }
+
   public static org.almondslip.protocol.wire.CatalogPull parseFrom(
-      java.nio.ByteBuffer data,
-      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+      java.nio.ByteBuffer data, com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data, extensionRegistry);
   }
+
   public static org.almondslip.protocol.wire.CatalogPull parseFrom(
       com.google.protobuf.ByteString data)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data);
   }
+
   public static org.almondslip.protocol.wire.CatalogPull parseFrom(
       com.google.protobuf.ByteString data,
       com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data, extensionRegistry);
   }
+
   public static org.almondslip.protocol.wire.CatalogPull parseFrom(byte[] data)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data);
   }
+
   public static org.almondslip.protocol.wire.CatalogPull parseFrom(
-      byte[] data,
-      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+      byte[] data, com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data, extensionRegistry);
   }
+
   public static org.almondslip.protocol.wire.CatalogPull parseFrom(java.io.InputStream input)
       throws java.io.IOException {
-    return com.google.protobuf.GeneratedMessage
-        .parseWithIOException(PARSER, input);
+    return com.google.protobuf.GeneratedMessage.parseWithIOException(PARSER, input);
   }
+
   public static org.almondslip.protocol.wire.CatalogPull parseFrom(
-      java.io.InputStream input,
-      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+      java.io.InputStream input, com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws java.io.IOException {
-    return com.google.protobuf.GeneratedMessage
-        .parseWithIOException(PARSER, input, extensionRegistry);
+    return com.google.protobuf.GeneratedMessage.parseWithIOException(
+        PARSER, input, extensionRegistry);
   }
 
-  public static org.almondslip.protocol.wire.CatalogPull parseDelimitedFrom(java.io.InputStream input)
-      throws java.io.IOException {
-    return com.google.protobuf.GeneratedMessage
-        .parseDelimitedWithIOException(PARSER, input);
+  public static org.almondslip.protocol.wire.CatalogPull parseDelimitedFrom(
+      java.io.InputStream input) throws java.io.IOException {
+    return com.google.protobuf.GeneratedMessage.parseDelimitedWithIOException(PARSER, input);
   }
 
   public static org.almondslip.protocol.wire.CatalogPull parseDelimitedFrom(
-      java.io.InputStream input,
-      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+      java.io.InputStream input, com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws java.io.IOException {
-    return com.google.protobuf.GeneratedMessage
-        .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
+    return com.google.protobuf.GeneratedMessage.parseDelimitedWithIOException(
+        PARSER, input, extensionRegistry);
   }
+
   public static org.almondslip.protocol.wire.CatalogPull parseFrom(
-      com.google.protobuf.CodedInputStream input)
-      throws java.io.IOException {
-    return com.google.protobuf.GeneratedMessage
-        .parseWithIOException(PARSER, input);
+      com.google.protobuf.CodedInputStream input) throws java.io.IOException {
+    return com.google.protobuf.GeneratedMessage.parseWithIOException(PARSER, input);
   }
+
   public static org.almondslip.protocol.wire.CatalogPull parseFrom(
       com.google.protobuf.CodedInputStream input,
       com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws java.io.IOException {
-    return com.google.protobuf.GeneratedMessage
-        .parseWithIOException(PARSER, input, extensionRegistry);
+    return com.google.protobuf.GeneratedMessage.parseWithIOException(
+        PARSER, input, extensionRegistry);
   }
 
   @java.lang.Override
-  public Builder newBuilderForType() { return newBuilder(); }
+  public Builder newBuilderForType() {
+    return newBuilder();
+  }
+
   public static Builder newBuilder() {
     return DEFAULT_INSTANCE.toBuilder();
   }
+
   public static Builder newBuilder(org.almondslip.protocol.wire.CatalogPull prototype) {
     return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
   }
+
   @java.lang.Override
   public Builder toBuilder() {
-    return this == DEFAULT_INSTANCE
-        ? new Builder() : new Builder().mergeFrom(this);
+    return this == DEFAULT_INSTANCE ? new Builder() : new Builder().mergeFrom(this);
   }
 
   @java.lang.Override
-  protected Builder newBuilderForType(
-      com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+  protected Builder newBuilderForType(com.google.protobuf.GeneratedMessage.BuilderParent parent) {
     Builder builder = new Builder(parent);
     return builder;
   }
-  /**
-   * Protobuf type {@code almondslip.CatalogPull}
-   */
-  public static final class Builder extends
-      com.google.protobuf.GeneratedMessage.Builder<Builder> implements
+
+  /** Protobuf type {@code almondslip.CatalogPull} */
+  public static final class Builder extends com.google.protobuf.GeneratedMessage.Builder<Builder>
+      implements
       // @@protoc_insertion_point(builder_implements:almondslip.CatalogPull)
       org.almondslip.protocol.wire.CatalogPullOrBuilder {
-    public static final com.google.protobuf.Descriptors.Descriptor
-        getDescriptor() {
-      return org.almondslip.protocol.wire.Almondslip.internal_static_almondslip_CatalogPull_descriptor;
+    public static final com.google.protobuf.Descriptors.Descriptor getDescriptor() {
+      return org.almondslip.protocol.wire.Almondslip
+          .internal_static_almondslip_CatalogPull_descriptor;
     }
 
     @java.lang.Override
     protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
         internalGetFieldAccessorTable() {
-      return org.almondslip.protocol.wire.Almondslip.internal_static_almondslip_CatalogPull_fieldAccessorTable
+      return org.almondslip.protocol.wire.Almondslip
+          .internal_static_almondslip_CatalogPull_fieldAccessorTable
           .ensureFieldAccessorsInitialized(
-              org.almondslip.protocol.wire.CatalogPull.class, org.almondslip.protocol.wire.CatalogPull.Builder.class);
+              org.almondslip.protocol.wire.CatalogPull.class,
+              org.almondslip.protocol.wire.CatalogPull.Builder.class);
     }
 
     // Construct using org.almondslip.protocol.wire.CatalogPull.newBuilder()
-    private Builder() {
-
-    }
+    private Builder() {}
 
-    private Builder(
-        com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+    private Builder(com.google.protobuf.GeneratedMessage.BuilderParent parent) {
       super(parent);
-
     }
+
     @java.lang.Override
     public Builder clear() {
       super.clear();
@@ -264,9 +271,9 @@
     }
 
     @java.lang.Override
-    public com.google.protobuf.Descriptors.Descriptor
-        getDescriptorForType() {
-      return org.almondslip.protocol.wire.Almondslip.internal_static_almondslip_CatalogPull_descriptor;
+    public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
+      return org.almondslip.protocol.wire.Almondslip
+          .internal_static_almondslip_CatalogPull_descriptor;
     }
 
     @java.lang.Override
@@ -285,8 +292,11 @@
 
     @java.lang.Override
     public org.almondslip.protocol.wire.CatalogPull buildPartial() {
-      org.almondslip.protocol.wire.CatalogPull result = new org.almondslip.protocol.wire.CatalogPull(this);
-      if (bitField0_ != 0) { buildPartial0(result); }
+      org.almondslip.protocol.wire.CatalogPull result =
+          new org.almondslip.protocol.wire.CatalogPull(this);
+      if (bitField0_ != 0) {
+        buildPartial0(result);
+      }
       onBuilt();
       return result;
     }
@@ -301,7 +311,7 @@
     @java.lang.Override
     public Builder mergeFrom(com.google.protobuf.Message other) {
       if (other instanceof org.almondslip.protocol.wire.CatalogPull) {
-        return mergeFrom((org.almondslip.protocol.wire.CatalogPull)other);
+        return mergeFrom((org.almondslip.protocol.wire.CatalogPull) other);
       } else {
         super.mergeFrom(other);
         return this;
@@ -337,17 +347,19 @@
             case 0:
               done = true;
               break;
-            case 8: {
-              afterRevision_ = input.readUInt64();
-              bitField0_ |= 0x00000001;
-              break;
-            } // case 8
-            default: {
-              if (!super.parseUnknownField(input, extensionRegistry, tag)) {
-                done = true; // was an endgroup tag
-              }
-              break;
-            } // default:
+            case 8:
+              {
+                afterRevision_ = input.readUInt64();
+                bitField0_ |= 0x00000001;
+                break;
+              } // case 8
+            default:
+              {
+                if (!super.parseUnknownField(input, extensionRegistry, tag)) {
+                  done = true; // was an endgroup tag
+                }
+                break;
+              } // default:
           } // switch (tag)
         } // while (!done)
       } catch (com.google.protobuf.InvalidProtocolBufferException e) {
@@ -357,27 +369,36 @@
       } // finally
       return this;
     }
+
     private int bitField0_;
 
-    private long afterRevision_ ;
+    private long afterRevision_;
+
     /**
+     *
+     *
      * <pre>
      * Changes with a revision above this one are wanted.
      * </pre>
      *
      * <code>uint64 after_revision = 1;</code>
+     *
      * @return The afterRevision.
      */
     @java.lang.Override
     public long getAfterRevision() {
       return afterRevision_;
     }
+
     /**
+     *
+     *
      * <pre>
      * Changes with a revision above this one are wanted.
      * </pre>
      *
      * <code>uint64 after_revision = 1;</code>
+     *
      * @param value The afterRevision to set.
      * @return This builder for chaining.
      */
@@ -388,12 +409,16 @@
       onChanged();
       return this;
     }
+
     /**
+     *
+     *
      * <pre>
      * Changes with a revision above this one are wanted.
      * </pre>
      *
      * <code>uint64 after_revision = 1;</code>
+     *
      * @return This builder for chaining.
      */
     public Builder clearAfterRevision() {
@@ -408,6 +433,7 @@
 
   // @@protoc_insertion_point(class_scope:almondslip.CatalogPull)
   private static final org.almondslip.protocol.wire.CatalogPull DEFAULT_INSTANCE;
+
   static {
     DEFAULT_INSTANCE = new org.almondslip.protocol.wire.CatalogPull();
   }
@@ -416,27 +442,27 @@
     return DEFAULT_INSTANCE;
   }
 
-  private static final com.google.protobuf.Parser<CatalogPull>
-      PARSER = new com.google.protobuf.AbstractParser<CatalogPull>() {
-    @java.lang.Override
-    public CatalogPull parsePartialFrom(
-        com.google.protobuf.CodedInputStream input,
-        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-        throws com.google.protobuf.InvalidProtocolBufferException {
-      Builder builder = newBuilder();
-      try {
-        builder.mergeFrom(input, extensionRegistry);
-      } catch (com.google.protobuf.InvalidProtocolBufferException e) {
-        throw e.setUnfinishedMessage(builder.buildPartial());
-      } catch (com.google.protobuf.UninitializedMessageException e) {
-        throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
-      } catch (java.io.IOException e) {
-        throw new com.google.protobuf.InvalidProtocolBufferException(e)
-            .setUnfinishedMessage(builder.buildPartial());
-      }
-      return builder.buildPartial();
-    }
-  };
+  private static final com.google.protobuf.Parser<CatalogPull> PARSER =
+      new com.google.protobuf.AbstractParser<CatalogPull>() {
+        @java.lang.Override
+        public CatalogPull parsePartialFrom(
+            com.google.protobuf.CodedInputStream input,
+            com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+            throws com.google.protobuf.InvalidProtocolBufferException {
+          Builder builder = newBuilder();
+          try {
+            builder.mergeFrom(input, extensionRegistry);
+          } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+            throw e.setUnfinishedMessage(builder.buildPartial());
+          } catch (com.google.protobuf.UninitializedMessageException e) {
+            throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
+          } catch (java.io.IOException e) {
+            throw new com.google.protobuf.InvalidProtocolBufferException(e)
+                .setUnfinishedMessage(builder.buildPartial());
+          }
+          return builder.buildPartial();
+        }
+      };
 
   public static com.google.protobuf.Parser<CatalogPull> parser() {
     return PARSER;
@@ -451,6 +477,4 @@
   public org.almondslip.protocol.wire.CatalogPull getDefaultInstanceForType() {
     return DEFAULT_INSTANCE;
   }
-
 }
-
--- a/wire/src/main/java/org/almondslip/protocol/wire/CatalogPullOrBuilder.java
+++ b/wire/src/main/java/org/almondslip/protocol/wire/CatalogPullOrBuilder.java
@@ -6,16 +6,20 @@
 package org.almondslip.protocol.wire;
 
 @com.google.protobuf.Generated
-public interface CatalogPullOrBuilder extends
+public interface CatalogPullOrBuilder
+    extends
     // @@protoc_insertion_point(interface_extends:almondslip.CatalogPull)
     com.google.protobuf.MessageOrBuilder {
 
   /**
+   *
+   *
    * <pre>
    * Changes with a revision above this one are wanted.
    * </pre>
    *
    * <code>uint64 after_revision = 1;</code>
+   *
    * @return The afterRevision.
    */
   long getAfterRevision();
