--- a/wire/src/main/java/org/almondslip/protocol/wire/CatalogRevision.java
+++ b/wire/src/main/java/org/almondslip/protocol/wire/CatalogRevision.java
@@ -5,53 +5,58 @@
 
 package org.almondslip.protocol.wire;
 
-/**
- * Protobuf type {@code almondslip.CatalogRevision}
- */
+/** Protobuf type {@code almondslip.CatalogRevision} */
 @com.google.protobuf.Generated
-public final class CatalogRevision extends
-    com.google.protobuf.GeneratedMessage implements
+public final class CatalogRevision extends com.google.protobuf.GeneratedMessage
+    implements
     // @@protoc_insertion_point(message_implements:almondslip.CatalogRevision)
     CatalogRevisionOrBuilder {
-private static final long serialVersionUID = 0L;
+  private static final long serialVersionUID = 0L;
+
   static {
     com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
-      com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
-      /* major= */ 4,
-      /* minor= */ 36,
-      /* patch= */ 2,
-      /* suffix= */ "",
-      "CatalogRevision");
+        com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+        /* major= */ 4,
+        /* minor= */ 36,
+        /* patch= */ 2,
+        /* suffix= */ "",
+        "CatalogRevision");
   }
+
   // Use CatalogRevision.newBuilder() to construct.
   private CatalogRevision(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
     super(builder);
   }
-  private CatalogRevision() {
-  }
 
-  public static final com.google.protobuf.Descriptors.Descriptor
-      getDescriptor() {
-    return org.almondslip.protocol.wire.Almondslip.internal_static_almondslip_CatalogRevision_descriptor;
+  private CatalogRevision() {}
+
+  public static final com.google.protobuf.Descriptors.Descriptor getDescriptor() {
+    return org.almondslip.protocol.wire.Almondslip
+        .internal_static_almondslip_CatalogRevision_descriptor;
   }
 
   @java.lang.Override
   public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
-    return org.almondslip.protocol.wire.Almondslip.internal_static_almondslip_CatalogRevision_descriptor;
+    return org.almondslip.protocol.wire.Almondslip
+        .internal_static_almondslip_CatalogRevision_descriptor;
   }
 
   @java.lang.Override
   protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internalGetFieldAccessorTable() {
-    return org.almondslip.protocol.wire.Almondslip.internal_static_almondslip_CatalogRevision_fieldAccessorTable
+    return org.almondslip.protocol.wire.Almondslip
+        .internal_static_almondslip_CatalogRevision_fieldAccessorTable
         .ensureFieldAccessorsInitialized(
-            org.almondslip.protocol.wire.CatalogRevision.class, org.almondslip.protocol.wire.CatalogRevision.Builder.class);
+            org.almondslip.protocol.wire.CatalogRevision.class,
+            org.almondslip.protocol.wire.CatalogRevision.Builder.class);
   }
 
   public static final int REVISION_FIELD_NUMBER = 1;
   private long revision_ = 0L;
+
   /**
    * <code>uint64 revision = 1;</code>
+   *
    * @return The revision.
    */
   @java.lang.Override
@@ -60,6 +65,7 @@
   }
 
   private byte memoizedIsInitialized = -1;
+
   @java.lang.Override
   public final boolean isInitialized() {
     byte isInitialized = memoizedIsInitialized;
@@ -71,21 +77,21 @@
   }
 
   @java.lang.Override
-  public void writeTo(com.google.protobuf.CodedOutputStream output)
-                      throws java.io.IOException {
+  public void writeTo(com.google.protobuf.CodedOutputStream output) throws java.io.IOException {
     if (revision_ != 0L) {
       output.writeUInt64(1, revision_);
     }
     getUnknownFields().writeTo(output);
   }
+
   private int computeSerializedSize_0() {
     int size = 0;
     if (revision_ != 0L) {
-      size += com.google.protobuf.CodedOutputStream
-        .computeUInt64Size(1, revision_);
+      size += com.google.protobuf.CodedOutputStream.computeUInt64Size(1, revision_);
     }
     return size;
   }
+
   @java.lang.Override
   public int getSerializedSize() {
     int size = memoizedSize;
@@ -101,15 +107,15 @@
   @java.lang.Override
   public boolean equals(final java.lang.Object obj) {
     if (obj == this) {
-     return true;
+      return true;
     }
     if (!(obj instanceof org.almondslip.protocol.wire.CatalogRevision)) {
       return super.equals(obj);
     }
-    org.almondslip.protocol.wire.CatalogRevision other = (org.almondslip.protocol.wire.CatalogRevision) obj;
+    org.almondslip.protocol.wire.CatalogRevision other =
+        (org.almondslip.protocol.wire.CatalogRevision) obj;
 
-    if (getRevision()
-        != other.getRevision()) return false;
+    if (getRevision() != other.getRevision()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -122,135 +128,135 @@
     int hash = 41;
     hash = (19 * hash) + getDescriptor().hashCode();
     hash = (37 * hash) + REVISION_FIELD_NUMBER;
-    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
-        getRevision());
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(getRevision());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
   }
 
-  public static org.almondslip.protocol.wire.CatalogRevision parseFrom(
-      java.nio.ByteBuffer data)
+  public static org.almondslip.protocol.wire.CatalogRevision parseFrom(java.nio.ByteBuffer data)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data);
   }
+
   public static org.almondslip.protocol.wire.CatalogRevision parseFrom(
-      java.nio.ByteBuffer data,
-      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+      java.nio.ByteBuffer data, com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data, extensionRegistry);
   }
+
   public static org.almondslip.protocol.wire.CatalogRevision parseFrom(
       com.google.protobuf.ByteString data)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data);
   }
+
   public static org.almondslip.protocol.wire.CatalogRevision parseFrom(
       com.google.protobuf.ByteString data,
       com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data, extensionRegistry);
   }
+
   public static org.almondslip.protocol.wire.CatalogRevision parseFrom(byte[] data)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data);
   }
+
   public static org.almondslip.protocol.wire.CatalogRevision parseFrom(
-      byte[] data,
-      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+      byte[] data, com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data, extensionRegistry);
   }
+
   public static org.almondslip.protocol.wire.CatalogRevision parseFrom(java.io.InputStream input)
       throws java.io.IOException {
-    return com.google.protobuf.GeneratedMessage
-        .parseWithIOException(PARSER, input);
+    return com.google.protobuf.GeneratedMessage.parseWithIOException(PARSER, input);
   }
+
   public static org.almondslip.protocol.wire.CatalogRevision parseFrom(
-      java.io.InputStream input,
-      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+      java.io.InputStream input, com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws java.io.IOException {
-    return com.google.protobuf.GeneratedMessage
-        .parseWithIOException(PARSER, input, extensionRegistry);
+    return com.google.protobuf.GeneratedMessage.parseWithIOException(
+        PARSER, input, extensionRegistry);
   }
 
-  public static org.almondslip.protocol.wire.CatalogRevision parseDelimitedFrom(java.io.InputStream input)
-      throws java.io.IOException {
-    return com.google.protobuf.GeneratedMessage
-        .parseDelimitedWithIOException(PARSER, input);
+  public static org.almondslip.protocol.wire.CatalogRevision parseDelimitedFrom(
+      java.io.InputStream input) throws java.io.IOException {
+    return com.google.protobuf.GeneratedMessage.parseDelimitedWithIOException(PARSER, input);
   }
 
   public static org.almondslip.protocol.wire.CatalogRevision parseDelimitedFrom(
-      java.io.InputStream input,
-      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+      java.io.InputStream input, com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws java.io.IOException {
-    return com.google.protobuf.GeneratedMessage
-        .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
+    return com.google.protobuf.GeneratedMessage.parseDelimitedWithIOException(
+        PARSER, input, extensionRegistry);
   }
+
   public static org.almondslip.protocol.wire.CatalogRevision parseFrom(
-      com.google.protobuf.CodedInputStream input)
-      throws java.io.IOException {
-    return com.google.protobuf.GeneratedMessage
-        .parseWithIOException(PARSER, input);
+      com.google.protobuf.CodedInputStream input) throws java.io.IOException {
+    return com.google.protobuf.GeneratedMessage.parseWithIOException(PARSER, input);
   }
+
   public static org.almondslip.protocol.wire.CatalogRevision parseFrom(
       com.google.protobuf.CodedInputStream input,
       com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws java.io.IOException {
-    return com.google.protobuf.GeneratedMessage
-        .parseWithIOException(PARSER, input, extensionRegistry);
+    return com.google.protobuf.GeneratedMessage.parseWithIOException(
+        PARSER, input, extensionRegistry);
   }
 
   @java.lang.Override
-  public Builder newBuilderForType() { return newBuilder(); }
+  public Builder newBuilderForType() {
+    return newBuilder();
+  }
+
   public static Builder newBuilder() {
     return DEFAULT_INSTANCE.toBuilder();
   }
+
   public static Builder newBuilder(org.almondslip.protocol.wire.CatalogRevision prototype) {
     return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
   }
+
   @java.lang.Override
   public Builder toBuilder() {
-    return this == DEFAULT_INSTANCE
-        ? new Builder() : new Builder().mergeFrom(this);
+    return this == DEFAULT_INSTANCE ? new Builder() : new Builder().mergeFrom(this);
   }
 
   @java.lang.Override
-  protected Builder newBuilderForType(
-      com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+  protected Builder newBuilderForType(com.google.protobuf.GeneratedMessage.BuilderParent parent) {
     Builder builder = new Builder(parent);
     return builder;
   }
-  /**
-   * Protobuf type {@code almondslip.CatalogRevision}
-   */
-  public static final class Builder extends
-      com.google.protobuf.GeneratedMessage.Builder<Builder> implements
+
+  /** Protobuf type {@code almondslip.CatalogRevision} */
+  public static final class Builder extends com.google.protobuf.GeneratedMessage.Builder<Builder>
+      implements
       // @@protoc_insertion_point(builder_implements:almondslip.CatalogRevision)
       org.almondslip.protocol.wire.CatalogRevisionOrBuilder {
-    public static final com.google.protobuf.Descriptors.Descriptor
-        getDescriptor() {
-      return org.almondslip.protocol.wire.Almondslip.internal_static_almondslip_CatalogRevision_descriptor;
+    public static final com.google.protobuf.Descriptors.Descriptor getDescriptor() {
+      return org.almondslip.protocol.wire.Almondslip
+          .internal_static_almondslip_CatalogRevision_descriptor;
     }
 
     @java.lang.Override
     protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
         internalGetFieldAccessorTable() {
-      return org.almondslip.protocol.wire.Almondslip.internal_static_almondslip_CatalogRevision_fieldAccessorTable
+      return org.almondslip.protocol.wire.Almondslip
+          .internal_static_almondslip_CatalogRevision_fieldAccessorTable
           .ensureFieldAccessorsInitialized(
-              org.almondslip.protocol.wire.CatalogRevision.class, org.almondslip.protocol.wire.CatalogRevision.Builder.class);
+              org.almondslip.protocol.wire.CatalogRevision.class,
+              org.almondslip.protocol.wire.CatalogRevision.Builder.class);
     }
 
     // Construct using org.almondslip.protocol.wire.CatalogRevision.newBuilder()
-    private Builder() {
-
-    }
+    private Builder() {}
 
-    private Builder(
-        com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+    private Builder(com.google.protobuf.GeneratedMessage.BuilderParent parent) {
       super(parent);
-
     }
+
     @java.lang.Override
     public Builder clear() {
       super.clear();
@@ -260,9 +266,9 @@
     }
 
     @java.lang.Override
-    public com.google.protobuf.Descriptors.Descriptor
-        getDescriptorForType() {
-      return org.almondslip.protocol.wire.Almondslip.internal_static_almondslip_CatalogRevision_descriptor;
+    public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
+      return org.almondslip.protocol.wire.Almondslip
+          .internal_static_almondslip_CatalogRevision_descriptor;
     }
 
     @java.lang.Override
@@ -281,8 +287,11 @@
 
     @java.lang.Override
     public org.almondslip.protocol.wire.CatalogRevision buildPartial() {
-      org.almondslip.protocol.wire.CatalogRevision result = new org.almondslip.protocol.wire.CatalogRevision(this);
-      if (bitField0_ != 0) { buildPartial0(result); }
+      org.almondslip.protocol.wire.CatalogRevision result =
+          new org.almondslip.protocol.wire.CatalogRevision(this);
+      if (bitField0_ != 0) {
+        buildPartial0(result);
+      }
       onBuilt();
       return result;
     }
@@ -297,7 +306,7 @@
     @java.lang.Override
     public Builder mergeFrom(com.google.protobuf.Message other) {
       if (other instanceof org.almondslip.protocol.wire.CatalogRevision) {
-        return mergeFrom((org.almondslip.protocol.wire.CatalogRevision)other);
+        return mergeFrom((org.almondslip.protocol.wire.CatalogRevision) other);
       } else {
         super.mergeFrom(other);
         return this;
@@ -333,17 +342,19 @@
             case 0:
               done = true;
               break;
-            case 8: {
-              revision_ = input.readUInt64();
-              bitField0_ |= 0x00000001;
-              break;
-            } // case 8
-            default: {
-              if (!super.parseUnknownField(input, extensionRegistry, tag)) {
-                done = true; // was an endgroup tag
-              }
-              break;
-            } // default:
+            case 8:
+              {
+                revision_ = input.readUInt64();
+                bitField0_ |= 0x00000001;
+                break;
+              } // case 8
+            default:
+              {
+                if (!super.parseUnknownField(input, extensionRegistry, tag)) {
+                  done = true; // was an endgroup tag
+                }
+                break;
+              } // default:
           } // switch (tag)
         } // while (!done)
       } catch (com.google.protobuf.InvalidProtocolBufferException e) {
@@ -353,19 +364,24 @@
       } // finally
       return this;
     }
+
     private int bitField0_;
 
-    private long revision_ ;
+    private long revision_;
+
     /**
      * <code>uint64 revision = 1;</code>
+     *
      * @return The revision.
      */
     @java.lang.Override
     public long getRevision() {
       return revision_;
     }
+
     /**
      * <code>uint64 revision = 1;</code>
+     *
      * @param value The revision to set.
      * @return This builder for chaining.
      */
@@ -376,8 +392,10 @@
       onChanged();
       return this;
     }
+
     /**
      * <code>uint64 revision = 1;</code>
+     *
      * @return This builder for chaining.
      */
     public Builder clearRevision() {
@@ -392,6 +410,7 @@
 
   // @@protoc_insertion_point(class_scope:almondslip.CatalogRevision)
   private static final org.almondslip.protocol.wire.CatalogRevision DEFAULT_INSTANCE;
+
   static {
     DEFAULT_INSTANCE = new org.almondslip.protocol.wire.CatalogRevision();
   }
@@ -400,27 +419,27 @@
     return DEFAULT_INSTANCE;
   }
 
-  private static final com.google.protobuf.Parser<CatalogRevision>
-      PARSER = new com.google.protobuf.AbstractParser<CatalogRevision>() {
-    @java.lang.Override
-    public CatalogRevision parsePartialFrom(
-        com.google.protobuf.CodedInputStream input,
-        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-        throws com.google.protobuf.InvalidProtocolBufferException {
-      Builder builder = newBuilder();
-      try {
-        builder.mergeFrom(input, extensionRegistry);
-      } catch (com.google.protobuf.InvalidProtocolBufferException e) {
-        throw e.setUnfinishedMessage(builder.buildPartial());
-      } catch (com.google.protobuf.UninitializedMessageException e) {
-        throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
-      } catch (java.io.IOException e) {
-        throw new com.google.protobuf.InvalidProtocolBufferException(e)
-            .setUnfinishedMessage(builder.buildPartial());
-      }
-      return builder.buildPartial();
-    }
-  };
+  private static final com.google.protobuf.Parser<CatalogRevision> PARSER =
+      new com.google.protobuf.AbstractParser<CatalogRevision>() {
+        @java.lang.Override
+        public CatalogRevision parsePartialFrom(
+            com.google.protobuf.CodedInputStream input,
+            com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+            throws com.google.protobuf.InvalidProtocolBufferException {
+          Builder builder = newBuilder();
+          try {
+            builder.mergeFrom(input, extensionRegistry);
+          } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+            throw e.setUnfinishedMessage(builder.buildPartial());
+          } catch (com.google.protobuf.UninitializedMessageException e) {
+            throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
+          } catch (java.io.IOException e) {
+            throw new com.google.protobuf.InvalidProtocolBufferException(e)
+                .setUnfinishedMessage(builder.buildPartial());
+          }
+          return builder.buildPartial();
+        }
+      };
 
   public static com.google.protobuf.Parser<CatalogRevision> parser() {
     return PARSER;
@@ -435,6 +454,4 @@
   public org.almondslip.protocol.wire.CatalogRevision getDefaultInstanceForType() {
     return DEFAULT_INSTANCE;
   }
-
 }
-
--- a/wire/src/main/java/org/almondslip/protocol/wire/CatalogRevisionOrBuilder.java
+++ b/wire/src/main/java/org/almondslip/protocol/wire/CatalogRevisionOrBuilder.java
@@ -6,12 +6,14 @@
 package org.almondslip.protocol.wire;
 
 @com.google.protobuf.Generated
-public interface CatalogRevisionOrBuilder extends
+public interface CatalogRevisionOrBuilder
+    extends
     // @@protoc_insertion_point(interface_extends:almondslip.CatalogRevision)
     com.google.protobuf.MessageOrBuilder {
 
   /**
    * <code>uint64 revision = 1;</code>
+   *
    * @return The revision.
    */
   long getRevision();
--- a/wire/src/main/java/org/almondslip/protocol/wire/Decline.java
+++ b/wire/src/main/java/org/almondslip/protocol/wire/Decline.java
@@ -6,6 +6,8 @@
 package org.almondslip.protocol.wire;
 
 /**
+ *
+ *
  * <pre>
  * Answer to a grant for which the router has no request left.
  * </pre>
@@ -13,29 +15,30 @@
  * Protobuf type {@code almondslip.Decline}
  */
 @com.google.protobuf.Generated
-public final class Decline extends
-    com.google.protobuf.GeneratedMessage implements
+public final class Decline extends com.google.protobuf.GeneratedMessage
+    implements
     // @@protoc_insertion_point(message_implements:almondslip.Decline)
     DeclineOrBuilder {
-private static final long serialVersionUID = 0L;
+  private static final long serialVersionUID = 0L;
+
   static {
     com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
-      com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
-      /* major= */ 4,
-      /* minor= */ 36,
-      /* patch= */ 2,
-      /* suffix= */ "",
-      "Decline");
+        com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+        /* major= */ 4,
+        /* minor= */ 36,
+        /* patch= */ 2,
+        /* suffix= */ "",
+        "Decline");
   }
+
   // Use Decline.newBuilder() to construct.
   private Decline(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
     super(builder);
   }
-  private Decline() {
-  }
 
-  public static final com.google.protobuf.Descriptors.Descriptor
-      getDescriptor() {
+  private Decline() {}
+
+  public static final com.google.protobuf.Descriptors.Descriptor getDescriptor() {
     return org.almondslip.protocol.wire.Almondslip.internal_static_almondslip_Decline_descriptor;
   }
 
@@ -47,16 +50,20 @@
   @java.lang.Override
   protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internalGetFieldAccessorTable() {
-    return org.almondslip.protocol.wire.Almondslip.internal_static_almondslip_Decline_fieldAccessorTable
+    return org.almondslip.protocol.wire.Almondslip
+        .internal_static_almondslip_Decline_fieldAccessorTable
         .ensureFieldAccessorsInitialized(
-            org.almondslip.protocol.wire.Decline.class, org.almondslip.protocol.wire.Decline.Builder.class);
+            org.almondslip.protocol.wire.Decline.class,
+            org.almondslip.protocol.wire.Decline.Builder.class);
   }
 
   private int bitField0_;
   public static final int GRANT_ID_FIELD_NUMBER = 1;
   private long grantId_ = 0L;
+
   /**
    * <code>uint64 grant_id = 1;</code>
+   *
    * @return The grantId.
    */
   @java.lang.Override
@@ -66,31 +73,39 @@
 
   public static final int REMAINING_FIELD_NUMBER = 2;
   private org.almondslip.protocol.wire.FlowOffer remaining_;
+
   /**
    * <code>.almondslip.FlowOffer remaining = 2;</code>
+   *
    * @return Whether the remaining field is set.
    */
   @java.lang.Override
   public boolean hasRemaining() {
     return ((bitField0_ & 0x00000001) != 0);
   }
+
   /**
    * <code>.almondslip.FlowOffer remaining = 2;</code>
+   *
    * @return The remaining.
    */
   @java.lang.Override
   public org.almondslip.protocol.wire.FlowOffer getRemaining() {
-    return remaining_ == null ? org.almondslip.protocol.wire.FlowOffer.getDefaultInstance() : remaining_;
+    return remaining_ == null
+        ? org.almondslip.protocol.wire.FlowOffer.getDefaultInstance()
+        : remaining_;
   }
-  /**
-   * <code>.almondslip.FlowOffer remaining = 2;</code>
-   */
+
+  /** <code>.almondslip.FlowOffer remaining = 2;</code> */
   @java.lang.Override
   public org.almondslip.protocol.wire.FlowOfferOrBuilder getRemainingOrBuilder() {
-    return remaining_ == null ? org.almondslip.protocol.wire.FlowOffer.getDefaultInstance() : remaining_;
+    return remaining_ == null
+        ? org.almondslip.protocol.wire.FlowOffer.getDefaultInstance()
+        : remaining_;
   }
 
   private byte memoizedIsInitialized = -1;
+
   @java.lang.Override
   public final boolean isInitialized() {
     byte isInitialized = memoizedIsInitialized;
@@ -102,8 +117,7 @@
   }
 
   @java.lang.Override
-  public void writeTo(com.google.protobuf.CodedOutputStream output)
-                      throws java.io.IOException {
+  public void writeTo(com.google.protobuf.CodedOutputStream output) throws java.io.IOException {
     if (grantId_ != 0L) {
       output.writeUInt64(1, grantId_);
     }
@@ -112,18 +126,18 @@
     }
     getUnknownFields().writeTo(output);
   }
+
   private int computeSerializedSize_0() {
     int size = 0;
     if (grantId_ != 0L) {
-      size += com.google.protobuf.CodedOutputStream
-        .computeUInt64Size(1, grantId_);
+      size += com.google.protobuf.CodedOutputStream.computeUInt64Size(1, grantId_);
     }
     if (((bitField0_ & 0x00000001) != 0)) {
-      size += com.google.protobuf.CodedOutputStream
-        .computeMessageSize(2, getRemaining());
+      size += com.google.protobuf.CodedOutputStream.computeMessageSize(2, getRemaining());
     }
     return size;
   }
+
   @java.lang.Override
   public int getSerializedSize() {
     int size = memoizedSize;
@@ -139,19 +153,17 @@
   @java.lang.Override
   public boolean equals(final java.lang.Object obj) {
     if (obj == this) {
-     return true;
+      return true;
     }
     if (!(obj instanceof org.almondslip.protocol.wire.Decline)) {
       return super.equals(obj);
     }
     org.almondslip.protocol.wire.Decline other = (org.almondslip.protocol.wire.Decline) obj;
 
-    if (getGrantId()
-        != other.getGrantId()) return false;
+    if (getGrantId() != other.getGrantId()) return false;
     if (hasRemaining() != other.hasRemaining()) return false;
     if (hasRemaining()) {
-      if (!getRemaining()
-          .equals(other.getRemaining())) return false;
+      if (!getRemaining().equals(other.getRemaining())) return false;
     }
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
@@ -165,8 +177,7 @@
     int hash = 41;
     hash = (19 * hash) + getDescriptor().hashCode();
     hash = (37 * hash) + GRANT_ID_FIELD_NUMBER;
-    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
-        getGrantId());
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(getGrantId());
     if (hasRemaining()) {
       hash = (37 * hash) + REMAINING_FIELD_NUMBER;
       hash = (53 * hash) + getRemaining().hashCode();
@@ -176,120 +187,126 @@
     return hash;
   }
 
-  public static org.almondslip.protocol.wire.Decline parseFrom(
-      java.nio.ByteBuffer data)
+  public static org.almondslip.protocol.wire.Decline parseFrom(java.nio.ByteBuffer data)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data);
   }
+
   public static org.almondslip.protocol.wire.Decline parseFrom(
-      java.nio.ByteBuffer data,
-      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+      java.nio.ByteBuffer data, com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data, extensionRegistry);
   }
-  public static org.almondslip.protocol.wire.Decline parseFrom(
-      com.google.protobuf.ByteString data)
+
+  public static org.almondslip.protocol.wire.Decline parseFrom(com.google.protobuf.ByteString data)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data);
   }
+
   public static org.almondslip.protocol.wire.Decline parseFrom(
       com.google.protobuf.ByteString data,
       com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data, extensionRegistry);
   }
+
   public static org.almondslip.protocol.wire.Decline parseFrom(byte[] data)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data);
   }
+
   public static org.almondslip.protocol.wire.Decline parseFrom(
-      byte[] data,
-      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+      byte[] data, com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data, extensionRegistry);
   }
+
   public static org.almondslip.protocol.wire.Decline parseFrom(java.io.InputStream input)
       throws java.io.IOException {
-    return com.google.protobuf.GeneratedMessage
-        .parseWithIOException(PARSER, input);
+    return com.google.protobuf.GeneratedMessage.parseWithIOException(PARSER, input);
   }
+
   public static org.almondslip.protocol.wire.Decline parseFrom(
-      java.io.InputStream input,
-      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+      java.io.InputStream input, com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws java.io.IOException {
-    return com.google.protobuf.GeneratedMessage
-        .parseWithIOException(PARSER, input, extensionRegistry);
+    return com.google.protobuf.GeneratedMessage.parseWithIOException(
+        PARSER, input, extensionRegistry);
   }
 
   public static org.almondslip.protocol.wire.Decline parseDelimitedFrom(java.io.InputStream input)
       throws java.io.IOException {
-    return com.google.protobuf.GeneratedMessage
-        .parseDelimitedWithIOException(PARSER, input);
+    return com.google.protobuf.GeneratedMessage.parseDelimitedWithIOException(PARSER, input);
   }
 
   public static org.almondslip.protocol.wire.Decline parseDelimitedFrom(
-      java.io.InputStream input,
-      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+      java.io.InputStream input, com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws java.io.IOException {
-    return com.google.protobuf.GeneratedMessage
-        .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
+    return com.google.protobuf.GeneratedMessage.parseDelimitedWithIOException(
+        PARSER, input, extensionRegistry);
   }
+
   public static org.almondslip.protocol.wire.Decline parseFrom(
-      com.google.protobuf.CodedInputStream input)
-      throws java.io.IOException {
-    return com.google.protobuf.GeneratedMessage
-        .parseWithIOException(PARSER, input);
+      com.google.protobuf.CodedInputStream input) throws java.io.IOException {
+    return com.google.protobuf.GeneratedMessage.parseWithIOException(PARSER, input);
   }
+
   public static org.almondslip.protocol.wire.Decline parseFrom(
       com.google.protobuf.CodedInputStream input,
       com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws java.io.IOException {
-    return com.google.protobuf.GeneratedMessage
-        .parseWithIOException(PARSER, input, extensionRegistry);
+    return com.google.protobuf.GeneratedMessage.parseWithIOException(
+        PARSER, input, extensionRegistry);
   }
 
   @java.lang.Override
-  public Builder newBuilderForType() { return newBuilder(); }
+  public Builder newBuilderForType() {
+    return newBuilder();
+  }
+
   public static Builder newBuilder() {
     return DEFAULT_INSTANCE.toBuilder();
   }
+
   public static Builder newBuilder(org.almondslip.protocol.wire.Decline prototype) {
     return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
   }
+
   @java.lang.Override
   public Builder toBuilder() {
-    return this == DEFAULT_INSTANCE
-        ? new Builder() : new Builder().mergeFrom(this);
+    return this == DEFAULT_INSTANCE ? new Builder() : new Builder().mergeFrom(this);
   }
 
   @java.lang.Override
-  protected Builder newBuilderForType(
-      com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+  protected Builder newBuilderForType(com.google.protobuf.GeneratedMessage.BuilderParent parent) {
     Builder builder = new Builder(parent);
     return builder;
   }
+
   /**
+   *
+   *
    * <pre>
    * Answer to a grant for which the router has no request left.
    * </pre>
    *
    * Protobuf type {@code almondslip.Decline}
    */
-  public static final class Builder extends
-      com.google.protobuf.GeneratedMessage.Builder<Builder> implements
+  public static final class Builder extends com.google.protobuf.GeneratedMessage.Builder<Builder>
+      implements
       // @@protoc_insertion_point(builder_implements:almondslip.Decline)
       org.almondslip.protocol.wire.DeclineOrBuilder {
-    public static final com.google.protobuf.Descriptors.Descriptor
-        getDescriptor() {
+    public static final com.google.protobuf.Descriptors.Descriptor getDescriptor() {
       return org.almondslip.protocol.wire.Almondslip.internal_static_almondslip_Decline_descriptor;
     }
 
     @java.lang.Override
     protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
         internalGetFieldAccessorTable() {
-      return org.almondslip.protocol.wire.Almondslip.internal_static_almondslip_Decline_fieldAccessorTable
+      return org.almondslip.protocol.wire.Almondslip
+          .internal_static_almondslip_Decline_fieldAccessorTable
           .ensureFieldAccessorsInitialized(
-              org.almondslip.protocol.wire.Decline.class, org.almondslip.protocol.wire.Decline.Builder.class);
+              org.almondslip.protocol.wire.Decline.class,
+              org.almondslip.protocol.wire.Decline.Builder.class);
     }
 
     // Construct using org.almondslip.protocol.wire.Decline.newBuilder()
@@ -297,17 +314,17 @@
       maybeForceBuilderInitialization();
     }
 
-    private Builder(
-        com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+    private Builder(com.google.protobuf.GeneratedMessage.BuilderParent parent) {
       super(parent);
       maybeForceBuilderInitialization();
     }
+
     private void maybeForceBuilderInitialization() {
-      if (com.google.protobuf.GeneratedMessage
-              .alwaysUseFieldBuilders) {
+      if (com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders) {
         internalGetRemainingFieldBuilder();
       }
     }
+
     @java.lang.Override
     public Builder clear() {
       super.clear();
@@ -322,8 +339,7 @@
     }
 
     @java.lang.Override
-    public com.google.protobuf.Descriptors.Descriptor
-        getDescriptorForType() {
+    public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
       return org.almondslip.protocol.wire.Almondslip.internal_static_almondslip_Decline_descriptor;
     }
 
@@ -344,7 +360,9 @@
     @java.lang.Override
     public org.almondslip.protocol.wire.Decline buildPartial() {
       org.almondslip.protocol.wire.Decline result = new org.almondslip.protocol.wire.Decline(this);
-      if (bitField0_ != 0) { buildPartial0(result); }
+      if (bitField0_ != 0) {
+        buildPartial0(result);
+      }
       onBuilt();
       return result;
     }
@@ -356,9 +374,7 @@
       }
       int to_bitField0_ = 0;
       if (((from_bitField0_ & 0x00000002) != 0)) {
-        result.remaining_ = remainingBuilder_ == null
-            ? remaining_
-            : remainingBuilder_.build();
+        result.remaining_ = remainingBuilder_ == null ? remaining_ : remainingBuilder_.build();
         to_bitField0_ |= 0x00000001;
       }
       result.bitField0_ |= to_bitField0_;
@@ -367,7 +383,7 @@
     @java.lang.Override
     public Builder mergeFrom(com.google.protobuf.Message other) {
       if (other instanceof org.almondslip.protocol.wire.Decline) {
-        return mergeFrom((org.almondslip.protocol.wire.Decline)other);
+        return mergeFrom((org.almondslip.protocol.wire.Decline) other);
       } else {
         super.mergeFrom(other);
         return this;
@@ -406,24 +422,26 @@
             case 0:
               done = true;
               break;
-            case 8: {
-              grantId_ = input.readUInt64();
-              bitField0_ |= 0x00000001;
-              break;
-            } // case 8
-            case 18: {
-              input.readMessage(
-                  internalGetRemainingFieldBuilder().getBuilder(),
-                  extensionRegistry);
-              bitField0_ |= 0x00000002;
-              break;
-            } // case 18
-            default: {
-              if (!super.parseUnknownField(input, extensionRegistry, tag)) {
-                done = true; // was an endgroup tag
-              }
-              break;
-            } // default:
+            case 8:
+              {
+                grantId_ = input.readUInt64();
+                bitField0_ |= 0x00000001;
+                break;
+              } // case 8
+            case 18:
+              {
+                input.readMessage(
+                    internalGetRemainingFieldBuilder().getBuilder(), extensionRegistry);
+                bitField0_ |= 0x00000002;
+                break;
+              } // case 18
+            default:
+              {
+                if (!super.parseUnknownField(input, extensionRegistry, tag)) {
+                  done = true; // was an endgroup tag
+                }
+                break;
+              } // default:
           } // switch (tag)
         } // while (!done)
       } catch (com.google.protobuf.InvalidProtocolBufferException e) {
@@ -433,19 +451,24 @@
       } // finally
       return this;
     }
+
     private int bitField0_;
 
-    private long grantId_ ;
+    private long grantId_;
+
     /**
      * <code>uint64 grant_id = 1;</code>
+     *
      * @return The grantId.
      */
     @java.lang.Override
     public long getGrantId() {
       return grantId_;
     }
+
     /**
      * <code>uint64 grant_id = 1;</code>
+     *
      * @param value The grantId to set.
      * @return This builder for chaining.
      */
@@ -456,8 +479,10 @@
       onChanged();
       return this;
     }
+
     /**
      * <code>uint64 grant_id = 1;</code>
+     *
      * @return This builder for chaining.
      */
     public Builder clearGrantId() {
@@ -469,28 +494,36 @@
 
     private org.almondslip.protocol.wire.FlowOffer remaining_;
     private com.google.protobuf.SingleFieldBuilder<
-        org.almondslip.protocol.wire.FlowOffer, org.almondslip.protocol.wire.FlowOffer.Builder, org.almondslip.protocol.wire.FlowOfferOrBuilder> remainingBuilder_;
+            org.almondslip.protocol.wire.FlowOffer,
+            org.almondslip.protocol.wire.FlowOffer.Builder,
+            org.almondslip.protocol.wire.FlowOfferOrBuilder>
+        remainingBuilder_;
+
     /**
      * <code>.almondslip.FlowOffer remaining = 2;</code>
+     *
      * @return Whether the remaining field is set.
      */
     public boolean hasRemaining() {
       return ((bitField0_ & 0x00000002) != 0);
     }
+
     /**
      * <code>.almondslip.FlowOffer remaining = 2;</code>
+     *
      * @return The remaining.
      */
     public org.almondslip.protocol.wire.FlowOffer getRemaining() {
       if (remainingBuilder_ == null) {
-        return remaining_ == null ? org.almondslip.protocol.wire.FlowOffer.getDefaultInstance() : remaining_;
+        return remaining_ == null
+            ? org.almondslip.protocol.wire.FlowOffer.getDefaultInstance()
+            : remaining_;
       } else {
         return remainingBuilder_.getMessage();
       }
     }
-    /**
-     * <code>.almondslip.FlowOffer remaining = 2;</code>
-     */
+
+    /** <code>.almondslip.FlowOffer remaining = 2;</code> */
     public Builder setRemaining(org.almondslip.protocol.wire.FlowOffer value) {
       if (remainingBuilder_ == null) {
         java.util.Objects.requireNonNull(value);
@@ -502,11 +535,9 @@
       onChanged();
       return this;
     }
-    /**
-     * <code>.almondslip.FlowOffer remaining = 2;</code>
-     */
-    public Builder setRemaining(
-        org.almondslip.protocol.wire.FlowOffer.Builder builderForValue) {
+
+    /** <code>.almondslip.FlowOffer remaining = 2;</code> */
+    public Builder setRemaining(org.almondslip.protocol.wire.FlowOffer.Builder builderForValue) {
       if (remainingBuilder_ == null) {
         remaining_ = builderForValue.build();
       } else {
@@ -516,14 +547,13 @@
       onChanged();
       return this;
     }
-    /**
-     * <code>.almondslip.FlowOffer remaining = 2;</code>
-     */
+
+    /** <code>.almondslip.FlowOffer remaining = 2;</code> */
     public Builder mergeRemaining(org.almondslip.protocol.wire.FlowOffer value) {
       if (remainingBuilder_ == null) {
-        if (((bitField0_ & 0x00000002) != 0) &&
-          remaining_ != null &&
-          remaining_ != org.almondslip.protocol.wire.FlowOffer.getDefaultInstance()) {
+        if (((bitField0_ & 0x00000002) != 0)
+            && remaining_ != null
+            && remaining_ != org.almondslip.protocol.wire.FlowOffer.getDefaultInstance()) {
           getRemainingBuilder().mergeFrom(value);
         } else {
           remaining_ = value;
@@ -537,9 +567,8 @@
       }
       return this;
     }
-    /**
-     * <code>.almondslip.FlowOffer remaining = 2;</code>
-     */
+
+    /** <code>.almondslip.FlowOffer remaining = 2;</code> */
     public Builder clearRemaining() {
       bitField0_ = (bitField0_ & ~0x00000002);
       remaining_ = null;
@@ -550,37 +579,38 @@
       onChanged();
       return this;
     }
-    /**
-     * <code>.almondslip.FlowOffer remaining = 2;</code>
-     */
+
+    /** <code>.almondslip.FlowOffer remaining = 2;</code> */
     public org.almondslip.protocol.wire.FlowOffer.Builder getRemainingBuilder() {
       bitField0_ |= 0x00000002;
       onChanged();
       return internalGetRemainingFieldBuilder().getBuilder();
     }
-    /**
-     * <code>.almondslip.FlowOffer remaining = 2;</code>
-     */
+
+    /** <code>.almondslip.FlowOffer remaining = 2;</code> */
     public org.almondslip.protocol.wire.FlowOfferOrBuilder getRemainingOrBuilder() {
       if (remainingBuilder_ != null) {
         return remainingBuilder_.getMessageOrBuilder();
       } else {
-        return remaining_ == null ?
-            org.almondslip.protocol.wire.FlowOffer.getDefaultInstance() : remaining_;
+        return remaining_ == null
+            ? org.almondslip.protocol.wire.FlowOffer.getDefaultInstance()
+            : remaining_;
       }
     }
-    /**
-     * <code>.almondslip.FlowOffer remaining = 2;</code>
-     */
+
+    /** <code>.almondslip.FlowOffer remaining = 2;</code> */
     private com.google.protobuf.SingleFieldBuilder<
-        org.almondslip.protocol.wire.FlowOffer, org.almondslip.protocol.wire.FlowOffer.Builder, org.almondslip.protocol.wire.FlowOfferOrBuilder> 
+            org.almondslip.protocol.wire.FlowOffer,
+            org.almondslip.protocol.wire.FlowOffer.Builder,
+            org.almondslip.protocol.wire.FlowOfferOrBuilder>
         internalGetRemainingFieldBuilder() {
       if (remainingBuilder_ == null) {
-        remainingBuilder_ = new com.google.protobuf.SingleFieldBuilder<
-            org.almondslip.protocol.wire.FlowOffer, org.almondslip.protocol.wire.FlowOffer.Builder, org.almondslip.protocol.wire.FlowOfferOrBuilder>(
-                getRemaining(),
-                getParentForChildren(),
-                isClean());
+        remainingBuilder_ =
+            new com.google.protobuf.SingleFieldBuilder<
+                org.almondslip.protocol.wire.FlowOffer,
+                org.almondslip.protocol.wire.FlowOffer.Builder,
+                org.almondslip.protocol.wire.FlowOfferOrBuilder>(
+                getRemaining(), getParentForChildren(), isClean());
         remaining_ = null;
       }
       return remainingBuilder_;
@@ -591,6 +621,7 @@
 
   // @@protoc_insertion_point(class_scope:almondslip.Decline)
   private static final org.almondslip.protocol.wire.Decline DEFAULT_INSTANCE;
+
   static {
     DEFAULT_INSTANCE = new org.almondslip.protocol.wire.Decline();
   }
@@ -599,27 +630,27 @@
     return DEFAULT_INSTANCE;
   }
 
-  private static final com.google.protobuf.Parser<Decline>
-      PARSER = new com.google.protobuf.AbstractParser<Decline>() {
-    @java.lang.Override
-    public Decline parsePartialFrom(
-        com.google.protobuf.CodedInputStream input,
-        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-        throws com.google.protobuf.InvalidProtocolBufferException {
-      Builder builder = newBuilder();
-      try {
-        builder.mergeFrom(input, extensionRegistry);
-      } catch (com.google.protobuf.InvalidProtocolBufferException e) {
-        throw e.setUnfinishedMessage(builder.buildPartial());
-      } catch (com.google.protobuf.UninitializedMessageException e) {
-        throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
-      } catch (java.io.IOException e) {
-        throw new com.google.protobuf.InvalidProtocolBufferException(e)
-            .setUnfinishedMessage(builder.buildPartial());
-      }
-      return builder.buildPartial();
-    }
-  };
+  private static final com.google.protobuf.Parser<Decline> PARSER =
+      new com.google.protobuf.AbstractParser<Decline>() {
+        @java.lang.Override
+        public Decline parsePartialFrom(
+            com.google.protobuf.CodedInputStream input,
+            com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+            throws com.google.protobuf.InvalidProtocolBufferException {
+          Builder builder = newBuilder();
+          try {
+            builder.mergeFrom(input, extensionRegistry);
+          } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+            throw e.setUnfinishedMessage(builder.buildPartial());
+          } catch (com.google.protobuf.UninitializedMessageException e) {
+            throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
+          } catch (java.io.IOException e) {
+            throw new com.google.protobuf.InvalidProtocolBufferException(e)
+                .setUnfinishedMessage(builder.buildPartial());
+          }
+          return builder.buildPartial();
+        }
+      };
 
   public static com.google.protobuf.Parser<Decline> parser() {
     return PARSER;
@@ -634,6 +665,4 @@
   public org.almondslip.protocol.wire.Decline getDefaultInstanceForType() {
     return DEFAULT_INSTANCE;
   }
-
 }
-
--- a/wire/src/main/java/org/almondslip/protocol/wire/DeclineOrBuilder.java
+++ b/wire/src/main/java/org/almondslip/protocol/wire/DeclineOrBuilder.java
@@ -6,28 +6,32 @@
 package org.almondslip.protocol.wire;
 
 @com.google.protobuf.Generated
-public interface DeclineOrBuilder extends
+public interface DeclineOrBuilder
+    extends
     // @@protoc_insertion_point(interface_extends:almondslip.Decline)
     com.google.protobuf.MessageOrBuilder {
 
   /**
    * <code>uint64 grant_id = 1;</code>
+   *
    * @return The grantId.
    */
   long getGrantId();
 
   /**
    * <code>.almondslip.FlowOffer remaining = 2;</code>
+   *
    * @return Whether the remaining field is set.
    */
   boolean hasRemaining();
+
   /**
    * <code>.almondslip.FlowOffer remaining = 2;</code>
+   *
    * @return The remaining.
    */
   org.almondslip.protocol.wire.FlowOffer getRemaining();
-  /**
-   * <code>.almondslip.FlowOffer remaining = 2;</code>
-   */
+
+  /** <code>.almondslip.FlowOffer remaining = 2;</code> */
   org.almondslip.protocol.wire.FlowOfferOrBuilder getRemainingOrBuilder();
 }
--- a/wire/src/main/java/org/almondslip/protocol/wire/Dispatch.java
+++ b/wire/src/main/java/org/almondslip/protocol/wire/Dispatch.java
@@ -6,6 +6,8 @@
 package org.almondslip.protocol.wire;
 
 /**
+ *
+ *
  * <pre>
  * Answer to a grant: the request to run.
  * </pre>
@@ -13,24 +15,27 @@
  * Protobuf type {@code almondslip.Dispatch}
  */
 @com.google.protobuf.Generated
-public final class Dispatch extends
-    com.google.protobuf.GeneratedMessage implements
+public final class Dispatch extends com.google.protobuf.GeneratedMessage
+    implements
     // @@protoc_insertion_point(message_implements:almondslip.Dispatch)
     DispatchOrBuilder {
-private static final long serialVersionUID = 0L;
+  private static final long serialVersionUID = 0L;
+
   static {
     com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
-      com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
-      /* major= */ 4,
-      /* minor= */ 36,
-      /* patch= */ 2,
-      /* suffix= */ "",
-      "Dispatch");
+        com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+        /* major= */ 4,
+        /* minor= */ 36,
+        /* patch= */ 2,
+        /* suffix= */ "",
+        "Dispatch");
   }
+
   // Use Dispatch.newBuilder() to construct.
   private Dispatch(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
     super(builder);
   }
+
   private Dispatch() {
     organisation_ = "";
     pool_ = "";
@@ -41,8 +46,7 @@
     idempotencyKey_ = "";
   }
 
-  public static final com.google.protobuf.Descriptors.Descriptor
-      getDescriptor() {
+  public static final com.google.protobuf.Descriptors.Descriptor getDescriptor() {
     return org.almondslip.protocol.wire.Almondslip.internal_static_almondslip_Dispatch_descriptor;
   }
 
@@ -54,16 +58,20 @@
   @java.lang.Override
   protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internalGetFieldAccessorTable() {
-    return org.almondslip.protocol.wire.Almondslip.internal_static_almondslip_Dispatch_fieldAccessorTable
+    return org.almondslip.protocol.wire.Almondslip
+        .internal_static_almondslip_Dispatch_fieldAccessorTable
         .ensureFieldAccessorsInitialized(
-            org.almondslip.protocol.wire.Dispatch.class, org.almondslip.protocol.wire.Dispatch.Builder.class);
+            org.almondslip.protocol.wire.Dispatch.class,
+            org.almondslip.protocol.wire.Dispatch.Builder.class);
   }
 
   private int bitField0_;
   public static final int GRANT_ID_FIELD_NUMBER = 1;
   private long grantId_ = 0L;
+
   /**
    * <code>uint64 grant_id = 1;</code>
+   *
    * @return The grantId.
    */
   @java.lang.Override
@@ -73,61 +81,78 @@
 
   public static final int REQUEST_ID_FIELD_NUMBER = 2;
   private org.almondslip.protocol.wire.RequestId requestId_;
+
   /**
    * <code>.almondslip.RequestId request_id = 2;</code>
+   *
    * @return Whether the requestId field is set.
    */
   @java.lang.Override
   public boolean hasRequestId() {
     return ((bitField0_ & 0x00000001) != 0);
   }
+
   /**
    * <code>.almondslip.RequestId request_id = 2;</code>
+   *
    * @return The requestId.
    */
   @java.lang.Override
   public org.almondslip.protocol.wire.RequestId getRequestId() {
-    return requestId_ == null ? org.almondslip.protocol.wire.RequestId.getDefaultInstance() : requestId_;
+    return requestId_ == null
+        ? org.almondslip.protocol.wire.RequestId.getDefaultInstance()
+        : requestId_;
   }
-  /**
-   * <code>.almondslip.RequestId request_id = 2;</code>
-   */
+
+  /** <code>.almondslip.RequestId request_id = 2;</code> */
   @java.lang.Override
   public org.almondslip.protocol.wire.RequestIdOrBuilder getRequestIdOrBuilder() {
-    return requestId_ == null ? org.almondslip.protocol.wire.RequestId.getDefaultInstance() : requestId_;
+    return requestId_ == null
+        ? org.almondslip.protocol.wire.RequestId.getDefaultInstance()
+        : requestId_;
   }
 
   public static final int REMAINING_FIELD_NUMBER = 3;
   private org.almondslip.protocol.wire.FlowOffer remaining_;
+
   /**
    * <code>.almondslip.FlowOffer remaining = 3;</code>
+   *
    * @return Whether the remaining field is set.
    */
   @java.lang.Override
   public boolean hasRemaining() {
     return ((bitField0_ & 0x00000002) != 0);
   }
+
   /**
    * <code>.almondslip.FlowOffer remaining = 3;</code>
+   *
    * @return The remaining.
    */
   @java.lang.Override
   public org.almondslip.protocol.wire.FlowOffer getRemaining() {
-    return remaining_ == null ? org.almondslip.protocol.wire.FlowOffer.getDefaultInstance() : remaining_;
+    return remaining_ == null
+        ? org.almondslip.protocol.wire.FlowOffer.getDefaultInstance()
+        : remaining_;
   }
-  /**
-   * <code>.almondslip.FlowOffer remaining = 3;</code>
-   */
+
+  /** <code>.almondslip.FlowOffer remaining = 3;</code> */
   @java.lang.Override
   public org.almondslip.protocol.wire.FlowOfferOrBuilder getRemainingOrBuilder() {
-    return remaining_ == null ? org.almondslip.protocol.wire.FlowOffer.getDefaultInstance() : remaining_;
+    return remaining_ == null
+        ? org.almondslip.protocol.wire.FlowOffer.getDefaultInstance()
+        : remaining_;
   }
 
   public static final int ORGANISATION_FIELD_NUMBER = 4;
+
   @SuppressWarnings("serial")
   private volatile java.lang.Object organisation_ = "";
+
   /**
    * <code>string organisation = 4;</code>
+   *
    * @return The organisation.
    */
   @java.lang.Override
@@ -136,25 +161,24 @@
     if (ref instanceof java.lang.String) {
       return (java.lang.String) ref;
     } else {
-      com.google.protobuf.ByteString bs = 
-          (com.google.protobuf.ByteString) ref;
+      com.google.protobuf.ByteString bs = (com.google.protobuf.ByteString) ref;
       java.lang.String s = bs.toStringUtf8();
       organisation_ = s;
       return s;
     }
   }
+
   /**
    * <code>string organisation = 4;</code>
+   *
    * @return The bytes for organisation.
    */
   @java.lang.Override
-  public com.google.protobuf.ByteString
-      getOrganisationBytes() {
+  public com.google.protobuf.ByteString getOrganisationBytes() {
     java.lang.Object ref = organisation_;
     if (ref instanceof java.lang.String) {
-      com.google.protobuf.ByteString b = 
-          com.google.protobuf.ByteString.copyFromUtf8(
-              (java.lang.String) ref);
+      com.google.protobuf.ByteString b =
+          com.google.protobuf.ByteString.copyFromUtf8((java.lang.String) ref);
       organisation_ = b;
       return b;
     } else {
@@ -163,10 +187,13 @@
   }
 
   public static final int POOL_FIELD_NUMBER = 5;
+
   @SuppressWarnings("serial")
   private volatile java.lang.Object pool_ = "";
+
   /**
    * <code>string pool = 5;</code>
+   *
    * @return The pool.
    */
   @java.lang.Override
@@ -175,25 +202,24 @@
     if (ref instanceof java.lang.String) {
       return (java.lang.String) ref;
     } else {
-      com.google.protobuf.ByteString bs = 
-          (com.google.protobuf.ByteString) ref;
+      com.google.protobuf.ByteString bs = (com.google.protobuf.ByteString) ref;
       java.lang.String s = bs.toStringUtf8();
       pool_ = s;
       return s;
     }
   }
+
   /**
    * <code>string pool = 5;</code>
+   *
    * @return The bytes for pool.
    */
   @java.lang.Override
-  public com.google.protobuf.ByteString
-      getPoolBytes() {
+  public com.google.protobuf.ByteString getPoolBytes() {
     java.lang.Object ref = pool_;
     if (ref instanceof java.lang.String) {
-      com.google.protobuf.ByteString b = 
-          com.google.protobuf.ByteString.copyFromUtf8(
-              (java.lang.String) ref);
+      com.google.protobuf.ByteString b =
+          com.google.protobuf.ByteString.copyFromUtf8((java.lang.String) ref);
       pool_ = b;
       return b;
     } else {
@@ -202,10 +228,13 @@
   }
 
   public static final int METHOD_FIELD_NUMBER = 6;
+
   @SuppressWarnings("serial")
   private volatile java.lang.Object method_ = "";
+
   /**
    * <code>string method = 6;</code>
+   *
    * @return The method.
    */
   @java.lang.Override
@@ -214,25 +243,24 @@
     if (ref instanceof java.lang.String) {
       return (java.lang.String) ref;
     } else {
-      com.google.protobuf.ByteString bs = 
-          (com.google.protobuf.ByteString) ref;
+      com.google.protobuf.ByteString bs = (com.google.protobuf.ByteString) ref;
       java.lang.String s = bs.toStringUtf8();
       method_ = s;
       return s;
     }
   }
+
   /**
    * <code>string method = 6;</code>
+   *
    * @return The bytes for method.
    */
   @java.lang.Override
-  public com.google.protobuf.ByteString
-      getMethodBytes() {
+  public com.google.protobuf.ByteString getMethodBytes() {
     java.lang.Object ref = method_;
     if (ref instanceof java.lang.String) {
-      com.google.protobuf.ByteString b = 
-          com.google.protobuf.ByteString.copyFromUtf8(
-              (java.lang.String) ref);
+      com.google.protobuf.ByteString b =
+          com.google.protobuf.ByteString.copyFromUtf8((java.lang.String) ref);
       method_ = b;
       return b;
     } else {
@@ -241,14 +269,19 @@
   }
 
   public static final int PATH_FIELD_NUMBER = 7;
+
   @SuppressWarnings("serial")
   private volatile java.lang.Object path_ = "";
+
   /**
+   *
+   *
    * <pre>
    * Path and query at the target.
    * </pre>
    *
    * <code>string path = 7;</code>
+   *
    * @return The path.
    */
   @java.lang.Override
@@ -257,29 +290,30 @@
     if (ref instanceof java.lang.String) {
       return (java.lang.String) ref;
     } else {
-      com.google.protobuf.ByteString bs = 
-          (com.google.protobuf.ByteString) ref;
+      com.google.protobuf.ByteString bs = (com.google.protobuf.ByteString) ref;
       java.lang.String s = bs.toStringUtf8();
       path_ = s;
       return s;
     }
   }
+
   /**
+   *
+   *
    * <pre>
    * Path and query at the target.
    * </pre>
    *
    * <code>string path = 7;</code>
+   *
    * @return The bytes for path.
    */
   @java.lang.Override
-  public com.google.protobuf.ByteString
-      getPathBytes() {
+  public com.google.protobuf.ByteString getPathBytes() {
     java.lang.Object ref = path_;
     if (ref instanceof java.lang.String) {
-      com.google.protobuf.ByteString b = 
-          com.google.protobuf.ByteString.copyFromUtf8(
-              (java.lang.String) ref);
+      com.google.protobuf.ByteString b =
+          com.google.protobuf.ByteString.copyFromUtf8((java.lang.String) ref);
       path_ = b;
       return b;
     } else {
@@ -288,50 +322,47 @@
   }
 
   public static final int HEADERS_FIELD_NUMBER = 8;
+
   @SuppressWarnings("serial")
   private java.util.List<org.almondslip.protocol.wire.Header> headers_;
-  /**
-   * <code>repeated .almondslip.Header headers = 8;</code>
-   */
+
+  /** <code>repeated .almondslip.Header headers = 8;</code> */
   @java.lang.Override
   public java.util.List<org.almondslip.protocol.wire.Header> getHeadersList() {
     return headers_;
   }
-  /**
-   * <code>repeated .almondslip.Header headers = 8;</code>
-   */
+
+  /** <code>repeated .almondslip.Header headers = 8;</code> */
   @java.lang.Override
-  public java.util.List<? extends org.almondslip.protocol.wire.HeaderOrBuilder> 
+  public java.util.List<? extends org.almondslip.protocol.wire.HeaderOrBuilder>
       getHeadersOrBuilderList() {
     return headers_;
   }
-  /**
-   * <code>repeated .almondslip.Header headers = 8;</code>
-   */
+
+  /** <code>repeated .almondslip.Header headers = 8;</code> */
   @java.lang.Override
   public int getHeadersCount() {
     return headers_.size();
   }
-  /**
-   * <code>repeated .almondslip.Header headers = 8;</code>
-   */
+
+  /** <code>repeated .almondslip.Header headers = 8;</code> */
   @java.lang.Override
   public org.almondslip.protocol.wire.Header getHeaders(int index) {
     return headers_.get(index);
   }
-  /**
-   * <code>repeated .almondslip.Header headers = 8;</code>
-   */
+
+  /** <code>repeated .almondslip.Header headers = 8;</code> */
   @java.lang.Override
-  public org.almondslip.protocol.wire.HeaderOrBuilder getHeadersOrBuilder(
-      int index) {
+  public org.almondslip.protocol.wire.HeaderOrBuilder getHeadersOrBuilder(int index) {
     return headers_.get(index);
   }
 
   public static final int BODY_FIELD_NUMBER = 9;
   private com.google.protobuf.ByteString body_ = com.google.protobuf.ByteString.EMPTY;
+
   /**
    * <code>bytes body = 9;</code>
+   *
    * @return The body.
    */
   @java.lang.Override
@@ -341,12 +372,16 @@
 
   public static final int DEADLINE_MS_FIELD_NUMBER = 10;
   private int deadlineMs_ = 0;
+
   /**
+   *
+   *
    * <pre>
    * Time left until the deadline when the frame was sent, in milliseconds.
    * </pre>
    *
    * <code>uint32 deadline_ms = 10;</code>
+   *
    * @return The deadlineMs.
    */
   @java.lang.Override
@@ -356,8 +391,10 @@
 
   public static final int ESTIMATE_MS_FIELD_NUMBER = 11;
   private int estimateMs_ = 0;
+
   /**
    * <code>uint32 estimate_ms = 11;</code>
+   *
    * @return The estimateMs.
    */
   @java.lang.Override
@@ -367,8 +404,10 @@
 
   public static final int IDEMPOTENT_FIELD_NUMBER = 12;
   private boolean idempotent_ = false;
+
   /**
    * <code>bool idempotent = 12;</code>
+   *
    * @return The idempotent.
    */
   @java.lang.Override
@@ -377,14 +416,19 @@
   }
 
   public static final int IDEMPOTENCY_KEY_FIELD_NUMBER = 13;
+
   @SuppressWarnings("serial")
   private volatile java.lang.Object idempotencyKey_ = "";
+
   /**
+   *
+   *
    * <pre>
    * Empty when the caller gave none.
    * </pre>
    *
    * <code>string idempotency_key = 13;</code>
+   *
    * @return The idempotencyKey.
    */
   @java.lang.Override
@@ -393,29 +437,30 @@
     if (ref instanceof java.lang.String) {
       return (java.lang.String) ref;
     } else {
-      com.google.protobuf.ByteString bs = 
-          (com.google.protobuf.ByteString) ref;
+      com.google.protobuf.ByteString bs = (com.google.protobuf.ByteString) ref;
       java.lang.String s = bs.toStringUtf8();
       idempotencyKey_ = s;
       return s;
     }
   }
+
   /**
+   *
+   *
    * <pre>
    * Empty when the caller gave none.
    * </pre>
    *
    * <code>string idempotency_key = 13;</code>
+   *
    * @return The bytes for idempotencyKey.
    */
   @java.lang.Override
-  public com.google.protobuf.ByteString
-      getIdempotencyKeyBytes() {
+  public com.google.protobuf.ByteString getIdempotencyKeyBytes() {
     java.lang.Object ref = idempotencyKey_;
     if (ref instanceof java.lang.String) {
-      com.google.protobuf.ByteString b = 
-          com.google.protobuf.ByteString.copyFromUtf8(
-              (java.lang.String) ref);
+      com.google.protobuf.ByteString b =
+          com.google.protobuf.ByteString.copyFromUtf8((java.lang.String) ref);
       idempotencyKey_ = b;
       return b;
     } else {
@@ -425,12 +470,16 @@
 
   public static final int RESUME_AFTER_FIELD_NUMBER = 14;
   private int resumeAfter_ = 0;
+
   /**
+   *
+   *
    * <pre>
    * Number of stream events that the caller has already received; the target resumes after them.
    * </pre>
    *
    * <code>uint32 resume_after = 14;</code>
+   *
    * @return The resumeAfter.
    */
   @java.lang.Override
@@ -440,8 +489,10 @@
 
   public static final int FINGERPRINT_FIELD_NUMBER = 15;
   private long fingerprint_ = 0L;
+
   /**
    * <code>fixed64 fingerprint = 15;</code>
+   *
    * @return The fingerprint.
    */
   @java.lang.Override
@@ -451,8 +502,10 @@
 
   public static final int EXCLUSIVE_FIELD_NUMBER = 16;
   private boolean exclusive_ = false;
+
   /**
    * <code>bool exclusive = 16;</code>
+   *
    * @return The exclusive.
    */
   @java.lang.Override
@@ -462,8 +515,10 @@
 
   public static final int ATTEMPT_FIELD_NUMBER = 17;
   private int attempt_ = 0;
+
   /**
    * <code>uint32 attempt = 17;</code>
+   *
    * @return The attempt.
    */
   @java.lang.Override
@@ -472,6 +527,7 @@
   }
 
   private byte memoizedIsInitialized = -1;
+
   @java.lang.Override
   public final boolean isInitialized() {
     byte isInitialized = memoizedIsInitialized;
@@ -483,8 +539,7 @@
   }
 
   @java.lang.Override
-  public void writeTo(com.google.protobuf.CodedOutputStream output)
-                      throws java.io.IOException {
+  public void writeTo(com.google.protobuf.CodedOutputStream output) throws java.io.IOException {
     if (grantId_ != 0L) {
       output.writeUInt64(1, grantId_);
     }
@@ -538,19 +593,17 @@
     }
     getUnknownFields().writeTo(output);
   }
+
   private int computeSerializedSize_0() {
     int size = 0;
     if (grantId_ != 0L) {
-      size += com.google.protobuf.CodedOutputStream
-        .computeUInt64Size(1, grantId_);
+      size += com.google.protobuf.CodedOutputStream.computeUInt64Size(1, grantId_);
     }
     if (((bitField0_ & 0x00000001) != 0)) {
-      size += com.google.protobuf.CodedOutputStream
-        .computeMessageSize(2, getRequestId());
+      size += com.google.protobuf.CodedOutputStream.computeMessageSize(2, getRequestId());
     }
     if (((bitField0_ & 0x00000002) != 0)) {
-      size += com.google.protobuf.CodedOutputStream
-        .computeMessageSize(3, getRemaining());
+      size += com.google.protobuf.CodedOutputStream.computeMessageSize(3, getRemaining());
     }
     if (!com.google.protobuf.GeneratedMessage.isStringEmpty(organisation_)) {
       size += com.google.protobuf.GeneratedMessage.computeStringSize(4, organisation_);
@@ -565,51 +618,43 @@
       size += com.google.protobuf.GeneratedMessage.computeStringSize(7, path_);
     }
 
-        {
-          final int count = headers_.size();
-          for (int i = 0; i < count; i++) {
-            size += com.google.protobuf.CodedOutputStream
-              .computeMessageSizeNoTag(headers_.get(i));
-          }
-          size += 1 * count;
-        }
+    {
+      final int count = headers_.size();
+      for (int i = 0; i < count; i++) {
+        size += com.google.protobuf.CodedOutputStream.computeMessageSizeNoTag(headers_.get(i));
+      }
+      size += 1 * count;
+    }
     if (!body_.isEmpty()) {
-      size += com.google.protobuf.CodedOutputStream
-        .computeBytesSize(9, body_);
+      size += com.google.protobuf.CodedOutputStream.computeBytesSize(9, body_);
     }
     if (deadlineMs_ != 0) {
-      size += com.google.protobuf.CodedOutputStream
-        .computeUInt32Size(10, deadlineMs_);
+      size += com.google.protobuf.CodedOutputStream.computeUInt32Size(10, deadlineMs_);
     }
     if (estimateMs_ != 0) {
-      size += com.google.protobuf.CodedOutputStream
-        .computeUInt32Size(11, estimateMs_);
+      size += com.google.protobuf.CodedOutputStream.computeUInt32Size(11, estimateMs_);
     }
     if (idempotent_ != false) {
-      size += com.google.protobuf.CodedOutputStream
-        .computeBoolSize(12, idempotent_);
+      size += com.google.protobuf.CodedOutputStream.computeBoolSize(12, idempotent_);
     }
     if (!com.google.protobuf.GeneratedMessage.isStringEmpty(idempotencyKey_)) {
       size += com.google.protobuf.GeneratedMessage.computeStringSize(13, idempotencyKey_);
     }
     if (resumeAfter_ != 0) {
-      size += com.google.protobuf.CodedOutputStream
-        .computeUInt32Size(14, resumeAfter_);
+      size += com.google.protobuf.CodedOutputStream.computeUInt32Size(14, resumeAfter_);
     }
     if (fingerprint_ != 0L) {
-      size += com.google.protobuf.CodedOutputStream
-        .computeFixed64Size(15, fingerprint_);
+      size += com.google.protobuf.CodedOutputStream.computeFixed64Size(15, fingerprint_);
     }
     if (exclusive_ != false) {
-      size += com.google.protobuf.CodedOutputStream
-        .computeBoolSize(16, exclusive_);
+      size += com.google.protobuf.CodedOutputStream.computeBoolSize(16, exclusive_);
     }
     if (attempt_ != 0) {
-      size += com.google.protobuf.CodedOutputStream
-        .computeUInt32Size(17, attempt_);
+      size += com.google.protobuf.CodedOutputStream.computeUInt32Size(17, attempt_);
     }
     return size;
   }
+
   @java.lang.Override
   public int getSerializedSize() {
     int size = memoizedSize;
@@ -625,53 +670,36 @@
   @java.lang.Override
   public boolean equals(final java.lang.Object obj) {
     if (obj == this) {
-     return true;
+      return true;
     }
     if (!(obj instanceof org.almondslip.protocol.wire.Dispatch)) {
       return super.equals(obj);
     }
     org.almondslip.protocol.wire.Dispatch other = (org.almondslip.protocol.wire.Dispatch) obj;
 
-    if (getGrantId()
-        != other.getGrantId()) return false;
+    if (getGrantId() != other.getGrantId()) return false;
     if (hasRequestId() != other.hasRequestId()) return false;
     if (hasRequestId()) {
-      if (!getRequestId()
-          .equals(other.getRequestId())) return false;
+      if (!getRequestId().equals(other.getRequestId())) return false;
     }
     if (hasRemaining() != other.hasRemaining()) return false;
     if (hasRemaining()) {
-      if (!getRemaining()
-          .equals(other.getRemaining())) return false;
-    }
-    if (!getOrganisation()
-        .equals(other.getOrganisation())) return false;
-    if (!getPool()
-        .equals(other.getPool())) return false;
-    if (!getMethod()
-        .equals(other.getMethod())) return false;
-    if (!getPath()
-        .equals(other.getPath())) return false;
-    if (!getHeadersList()
-        .equals(other.getHeadersList())) return false;
-    if (!getBody()
-        .equals(other.getBody())) return false;
-    if (getDeadlineMs()
-        != other.getDeadlineMs()) return false;
-    if (getEstimateMs()
-        != other.getEstimateMs()) return false;
-    if (getIdempotent()
-        != other.getIdempotent()) return false;
-    if (!getIdempotencyKey()
-        .equals(other.getIdempotencyKey())) return false;
-    if (getResumeAfter()
-        != other.getResumeAfter()) return false;
-    if (getFingerprint()
-        != other.getFingerprint()) return false;
-    if (getExclusive()
-        != other.getExclusive()) return false;
-    if (getAttempt()
-        != other.getAttempt()) return false;
+      if (!getRemaining().equals(other.getRemaining())) return false;
+    }
+    if (!getOrganisation().equals(other.getOrganisation())) return false;
+    if (!getPool().equals(other.getPool())) return false;
+    if (!getMethod().equals(other.getMethod())) return false;
+    if (!getPath().equals(other.getPath())) return false;
+    if (!getHeadersList().equals(other.getHeadersList())) return false;
+    if (!getBody().equals(other.getBody())) return false;
+    if (getDeadlineMs() != other.getDeadlineMs()) return false;
+    if (getEstimateMs() != other.getEstimateMs()) return false;
+    if (getIdempotent() != other.getIdempotent()) return false;
+    if (!getIdempotencyKey().equals(other.getIdempotencyKey())) return false;
+    if (getResumeAfter() != other.getResumeAfter()) return false;
+    if (getFingerprint() != other.getFingerprint()) return false;
+    if (getExclusive() != other.getExclusive()) return false;
+    if (getAttempt() != other.getAttempt()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -684,8 +712,7 @@
     int hash = 41;
     hash = (19 * hash) + getDescriptor().hashCode();
     hash = (37 * hash) + GRANT_ID_FIELD_NUMBER;
-    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
-        getGrantId());
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(getGrantId());
     if (hasRequestId()) {
       hash = (37 * hash) + REQUEST_ID_FIELD_NUMBER;
       hash = (53 * hash) + getRequestId().hashCode();
@@ -713,18 +740,15 @@
     hash = (37 * hash) + ESTIMATE_MS_FIELD_NUMBER;
     hash = (53 * hash) + getEstimateMs();
     hash = (37 * hash) + IDEMPOTENT_FIELD_NUMBER;
-    hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
-        getIdempotent());
+    hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(getIdempotent());
     hash = (37 * hash) + IDEMPOTENCY_KEY_FIELD_NUMBER;
     hash = (53 * hash) + getIdempotencyKey().hashCode();
     hash = (37 * hash) + RESUME_AFTER_FIELD_NUMBER;
     hash = (53 * hash) + getResumeAfter();
     hash = (37 * hash) + FINGERPRINT_FIELD_NUMBER;
-    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
-        getFingerprint());
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(getFingerprint());
     hash = (37 * hash) + EXCLUSIVE_FIELD_NUMBER;
-    hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
-        getExclusive());
+    hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(getExclusive());
     hash = (37 * hash) + ATTEMPT_FIELD_NUMBER;
     hash = (53 * hash) + getAttempt();
     hash = (29 * hash) + getUnknownFields().hashCode();
@@ -732,120 +756,126 @@
     return hash;
   }
 
-  public static org.almondslip.protocol.wire.Dispatch parseFrom(
-      java.nio.ByteBuffer data)
+  public static org.almondslip.protocol.wire.Dispatch parseFrom(java.nio.ByteBuffer data)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data);
   }
+
   public static org.almondslip.protocol.wire.Dispatch parseFrom(
-      java.nio.ByteBuffer data,
-      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+      java.nio.ByteBuffer data, com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data, extensionRegistry);
   }
-  public static org.almondslip.protocol.wire.Dispatch parseFrom(
-      com.google.protobuf.ByteString data)
+
+  public static org.almondslip.protocol.wire.Dispatch parseFrom(com.google.protobuf.ByteString data)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data);
   }
+
   public static org.almondslip.protocol.wire.Dispatch parseFrom(
       com.google.protobuf.ByteString data,
       com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data, extensionRegistry);
   }
+
   public static org.almondslip.protocol.wire.Dispatch parseFrom(byte[] data)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data);
   }
+
   public static org.almondslip.protocol.wire.Dispatch parseFrom(
-      byte[] data,
-      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+      byte[] data, com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data, extensionRegistry);
   }
+
   public static org.almondslip.protocol.wire.Dispatch parseFrom(java.io.InputStream input)
       throws java.io.IOException {
-    return com.google.protobuf.GeneratedMessage
-        .parseWithIOException(PARSER, input);
+    return com.google.protobuf.GeneratedMessage.parseWithIOException(PARSER, input);
   }
+
   public static org.almondslip.protocol.wire.Dispatch parseFrom(
-      java.io.InputStream input,
-      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+      java.io.InputStream input, com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws java.io.IOException {
-    return com.google.protobuf.GeneratedMessage
-        .parseWithIOException(PARSER, input, extensionRegistry);
+    return com.google.protobuf.GeneratedMessage.parseWithIOException(
+        PARSER, input, extensionRegistry);
   }
 
   public static org.almondslip.protocol.wire.Dispatch parseDelimitedFrom(java.io.InputStream input)
       throws java.io.IOException {
-    return com.google.protobuf.GeneratedMessage
-        .parseDelimitedWithIOException(PARSER, input);
+    return com.google.protobuf.GeneratedMessage.parseDelimitedWithIOException(PARSER, input);
   }
 
   public static org.almondslip.protocol.wire.Dispatch parseDelimitedFrom(
-      java.io.InputStream input,
-      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+      java.io.InputStream input, com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws java.io.IOException {
-    return com.google.protobuf.GeneratedMessage
-        .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
+    return com.google.protobuf.GeneratedMessage.parseDelimitedWithIOException(
+        PARSER, input, extensionRegistry);
   }
+
   public static org.almondslip.protocol.wire.Dispatch parseFrom(
-      com.google.protobuf.CodedInputStream input)
-      throws java.io.IOException {
-    return com.google.protobuf.GeneratedMessage
-        .parseWithIOException(PARSER, input);
+      com.google.protobuf.CodedInputStream input) throws java.io.IOException {
+    return com.google.protobuf.GeneratedMessage.parseWithIOException(PARSER, input);
   }
+
   public static org.almondslip.protocol.wire.Dispatch parseFrom(
       com.google.protobuf.CodedInputStream input,
       com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws java.io.IOException {
-    return com.google.protobuf.GeneratedMessage
-        .parseWithIOException(PARSER, input, extensionRegistry);
+    return com.google.protobuf.GeneratedMessage.parseWithIOException(
+        PARSER, input, extensionRegistry);
   }
 
   @java.lang.Override
-  public Builder newBuilderForType() { return newBuilder(); }
+  public Builder newBuilderForType() {
+    return newBuilder();
+  }
+
   public static Builder newBuilder() {
     return DEFAULT_INSTANCE.toBuilder();
   }
+
   public static Builder newBuilder(org.almondslip.protocol.wire.Dispatch prototype) {
     return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
   }
+
   @java.lang.Override
   public Builder toBuilder() {
-    return this == DEFAULT_INSTANCE
-        ? new Builder() : new Builder().mergeFrom(this);
+    return this == DEFAULT_INSTANCE ? new Builder() : new Builder().mergeFrom(this);
   }
 
   @java.lang.Override
-  protected Builder newBuilderForType(
-      com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+  protected Builder newBuilderForType(com.google.protobuf.GeneratedMessage.BuilderParent parent) {
     Builder builder = new Builder(parent);
     return builder;
   }
+
   /**
+   *
+   *
    * <pre>
    * Answer to a grant: the request to run.
    * </pre>
    *
    * Protobuf type {@code almondslip.Dispatch}
    */
-  public static final class Builder extends
-      com.google.protobuf.GeneratedMessage.Builder<Builder> implements
+  public static final class Builder extends com.google.protobuf.GeneratedMessage.Builder<Builder>
+      implements
       // @@protoc_insertion_point(builder_implements:almondslip.Dispatch)
       org.almondslip.protocol.wire.DispatchOrBuilder {
-    public static final com.google.protobuf.Descriptors.Descriptor
-        getDescriptor() {
+    public static final com.google.protobuf.Descriptors.Descriptor getDescriptor() {
       return org.almondslip.protocol.wire.Almondslip.internal_static_almondslip_Dispatch_descriptor;
     }
 
     @java.lang.Override
     protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
         internalGetFieldAccessorTable() {
-      return org.almondslip.protocol.wire.Almondslip.internal_static_almondslip_Dispatch_fieldAccessorTable
+      return org.almondslip.protocol.wire.Almondslip
+          .internal_static_almondslip_Dispatch_fieldAccessorTable
           .ensureFieldAccessorsInitialized(
-              org.almondslip.protocol.wire.Dispatch.class, org.almondslip.protocol.wire.Dispatch.Builder.class);
+              org.almondslip.protocol.wire.Dispatch.class,
+              org.almondslip.protocol.wire.Dispatch.Builder.class);
     }
 
     // Construct using org.almondslip.protocol.wire.Dispatch.newBuilder()
@@ -853,19 +883,19 @@
       maybeForceBuilderInitialization();
     }
 
-    private Builder(
-        com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+    private Builder(com.google.protobuf.GeneratedMessage.BuilderParent parent) {
       super(parent);
       maybeForceBuilderInitialization();
     }
+
     private void maybeForceBuilderInitialization() {
-      if (com.google.protobuf.GeneratedMessage
-              .alwaysUseFieldBuilders) {
+      if (com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders) {
         internalGetRequestIdFieldBuilder();
         internalGetRemainingFieldBuilder();
         internalGetHeadersFieldBuilder();
       }
     }
+
     @java.lang.Override
     public Builder clear() {
       super.clear();
@@ -905,8 +935,7 @@
     }
 
     @java.lang.Override
-    public com.google.protobuf.Descriptors.Descriptor
-        getDescriptorForType() {
+    public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
       return org.almondslip.protocol.wire.Almondslip.internal_static_almondslip_Dispatch_descriptor;
     }
 
@@ -926,9 +955,12 @@
 
     @java.lang.Override
     public org.almondslip.protocol.wire.Dispatch buildPartial() {
-      org.almondslip.protocol.wire.Dispatch result = new org.almondslip.protocol.wire.Dispatch(this);
+      org.almondslip.protocol.wire.Dispatch result =
+          new org.almondslip.protocol.wire.Dispatch(this);
       buildPartialRepeatedFields(result);
-      if (bitField0_ != 0) { buildPartial0(result); }
+      if (bitField0_ != 0) {
+        buildPartial0(result);
+      }
       onBuilt();
       return result;
     }
@@ -952,15 +984,11 @@
       }
       int to_bitField0_ = 0;
       if (((from_bitField0_ & 0x00000002) != 0)) {
-        result.requestId_ = requestIdBuilder_ == null
-            ? requestId_
-            : requestIdBuilder_.build();
+        result.requestId_ = requestIdBuilder_ == null ? requestId_ : requestIdBuilder_.build();
         to_bitField0_ |= 0x00000001;
       }
       if (((from_bitField0_ & 0x00000004) != 0)) {
-        result.remaining_ = remainingBuilder_ == null
-            ? remaining_
-            : remainingBuilder_.build();
+        result.remaining_ = remainingBuilder_ == null ? remaining_ : remainingBuilder_.build();
         to_bitField0_ |= 0x00000002;
       }
       if (((from_bitField0_ & 0x00000008) != 0)) {
@@ -1008,7 +1036,7 @@
     @java.lang.Override
     public Builder mergeFrom(com.google.protobuf.Message other) {
       if (other instanceof org.almondslip.protocol.wire.Dispatch) {
-        return mergeFrom((org.almondslip.protocol.wire.Dispatch)other);
+        return mergeFrom((org.almondslip.protocol.wire.Dispatch) other);
       } else {
         super.mergeFrom(other);
         return this;
@@ -1064,9 +1092,10 @@
             headersBuilder_ = null;
             headers_ = other.headers_;
             bitField0_ = (bitField0_ & ~0x00000080);
-            headersBuilder_ = 
-              com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
-                 internalGetHeadersFieldBuilder() : null;
+            headersBuilder_ =
+                com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders
+                    ? internalGetHeadersFieldBuilder()
+                    : null;
           } else {
             headersBuilder_.addAllMessages(other.headers_);
           }
@@ -1125,109 +1154,124 @@
             case 0:
               done = true;
               break;
-            case 8: {
-              grantId_ = input.readUInt64();
-              bitField0_ |= 0x00000001;
-              break;
-            } // case 8
-            case 18: {
-              input.readMessage(
-                  internalGetRequestIdFieldBuilder().getBuilder(),
-                  extensionRegistry);
-              bitField0_ |= 0x00000002;
-              break;
-            } // case 18
-            case 26: {
-              input.readMessage(
-                  internalGetRemainingFieldBuilder().getBuilder(),
-                  extensionRegistry);
-              bitField0_ |= 0x00000004;
-              break;
-            } // case 26
-            case 34: {
-              organisation_ = input.readStringRequireUtf8();
-              bitField0_ |= 0x00000008;
-              break;
-            } // case 34
-            case 42: {
-              pool_ = input.readStringRequireUtf8();
-              bitField0_ |= 0x00000010;
-              break;
-            } // case 42
-            case 50: {
-              method_ = input.readStringRequireUtf8();
-              bitField0_ |= 0x00000020;
-              break;
-            } // case 50
-            case 58: {
-              path_ = input.readStringRequireUtf8();
-              bitField0_ |= 0x00000040;
-              break;
-            } // case 58
-            case 66: {
-              org.almondslip.protocol.wire.Header m =
-                  input.readMessage(
-                      org.almondslip.protocol.wire.Header.parser(),
-                      extensionRegistry);
-              if (headersBuilder_ == null) {
-                ensureHeadersIsMutable();
-                headers_.add(m);
-              } else {
-                headersBuilder_.addMessage(m);
-              }
-              break;
-            } // case 66
-            case 74: {
-              body_ = input.readBytes();
-              bitField0_ |= 0x00000100;
-              break;
-            } // case 74
-            case 80: {
-              deadlineMs_ = input.readUInt32();
-              bitField0_ |= 0x00000200;
-              break;
-            } // case 80
-            case 88: {
-              estimateMs_ = input.readUInt32();
-              bitField0_ |= 0x00000400;
-              break;
-            } // case 88
-            case 96: {
-              idempotent_ = input.readBool();
-              bitField0_ |= 0x00000800;
-              break;
-            } // case 96
-            case 106: {
-              idempotencyKey_ = input.readStringRequireUtf8();
-              bitField0_ |= 0x00001000;
-              break;
-            } // case 106
-            case 112: {
-              resumeAfter_ = input.readUInt32();
-              bitField0_ |= 0x00002000;
-              break;
-            } // case 112
-            case 121: {
-              fingerprint_ = input.readFixed64();
-              bitField0_ |= 0x00004000;
-              break;
-            } // case 121
-            case 128: {
-              exclusive_ = input.readBool();
-              bitField0_ |= 0x00008000;
-              break;
-            } // case 128
-            case 136: {
-              attempt_ = input.readUInt32();
-              bitField0_ |= 0x00010000;
-              break;
-            } // case 136
-            default: {
-              if (!super.parseUnknownField(input, extensionRegistry, tag)) {
-                done = true; // was an endgroup tag
-              }
-              break;
-            } // default:
+            case 8:
+              {
+                grantId_ = input.readUInt64();
+                bitField0_ |= 0x00000001;
+                break;
+              } // case 8
+            case 18:
+              {
+                input.readMessage(
+                    internalGetRequestIdFieldBuilder().getBuilder(), extensionRegistry);
+                bitField0_ |= 0x00000002;
+                break;
+              } // case 18
+            case 26:
+              {
+                input.readMessage(
+                    internalGetRemainingFieldBuilder().getBuilder(), extensionRegistry);
+                bitField0_ |= 0x00000004;
+                break;
+              } // case 26
+            case 34:
+              {
+                organisation_ = input.readStringRequireUtf8();
+                bitField0_ |= 0x00000008;
+                break;
+              } // case 34
+            case 42:
+              {
+                pool_ = input.readStringRequireUtf8();
+                bitField0_ |= 0x00000010;
+                break;
+              } // case 42
+            case 50:
+              {
+                method_ = input.readStringRequireUtf8();
+                bitField0_ |= 0x00000020;
+                break;
+              } // case 50
+            case 58:
+              {
+                path_ = input.readStringRequireUtf8();
+                bitField0_ |= 0x00000040;
+                break;
+              } // case 58
+            case 66:
+              {
+                org.almondslip.protocol.wire.Header m =
+                    input.readMessage(
+                        org.almondslip.protocol.wire.Header.parser(), extensionRegistry);
+                if (headersBuilder_ == null) {
+                  ensureHeadersIsMutable();
+                  headers_.add(m);
+                } else {
+                  headersBuilder_.addMessage(m);
+                }
+                break;
+              } // case 66
+            case 74:
+              {
+                body_ = input.readBytes();
+                bitField0_ |= 0x00000100;
+                break;
+              } // case 74
+            case 80:
+              {
+                deadlineMs_ = input.readUInt32();
+                bitField0_ |= 0x00000200;
+                break;
+              } // case 80
+            case 88:
+              {
+                estimateMs_ = input.readUInt32();
+                bitField0_ |= 0x00000400;
+                break;
+              } // case 88
+            case 96:
+              {
+                idempotent_ = input.readBool();
+                bitField0_ |= 0x00000800;
+                break;
+              } // case 96
+            case 106:
+              {
+                idempotencyKey_ = input.readStringRequireUtf8();
+                bitField0_ |= 0x00001000;
+                break;
+              } // case 106
+            case 112:
+              {
+                resumeAfter_ = input.readUInt32();
+                bitField0_ |= 0x00002000;
+                break;
+              } // case 112
+            case 121:
+              {
+                fingerprint_ = input.readFixed64();
+                bitField0_ |= 0x00004000;
+                break;
+              } // case 121
+            case 128:
+              {
+                exclusive_ = input.readBool();
+                bitField0_ |= 0x00008000;
+                break;
+              } // case 128
+            case 136:
+              {
+                attempt_ = input.readUInt32();
+                bitField0_ |= 0x00010000;
+                break;
+              } // case 136
+            default:
+              {
+                if (!super.parseUnknownField(input, extensionRegistry, tag)) {
+                  done = true; // was an endgroup tag
+                }
+                break;
+              } // default:
           } // switch (tag)
         } // while (!done)
       } catch (com.google.protobuf.InvalidProtocolBufferException e) {
@@ -1237,19 +1281,24 @@
       } // finally
       return this;
     }
+
     private int bitField0_;
 
-    private long grantId_ ;
+    private long grantId_;
+
     /**
      * <code>uint64 grant_id = 1;</code>
+     *
      * @return The grantId.
      */
     @java.lang.Override
     public long getGrantId() {
       return grantId_;
     }
+
     /**
      * <code>uint64 grant_id = 1;</code>
+     *
      * @param value The grantId to set.
      * @return This builder for chaining.
      */
@@ -1260,8 +1309,10 @@
       onChanged();
       return this;
     }
+
     /**
      * <code>uint64 grant_id = 1;</code>
+     *
      * @return This builder for chaining.
      */
     public Builder clearGrantId() {
@@ -1273,28 +1324,36 @@
 
     private org.almondslip.protocol.wire.RequestId requestId_;
     private com.google.protobuf.SingleFieldBuilder<
-        org.almondslip.protocol.wire.RequestId, org.almondslip.protocol.wire.RequestId.Builder, org.almondslip.protocol.wire.RequestIdOrBuilder> requestIdBuilder_;
+            org.almondslip.protocol.wire.RequestId,
+            org.almondslip.protocol.wire.RequestId.Builder,
+            org.almondslip.protocol.wire.RequestIdOrBuilder>
+        requestIdBuilder_;
+
     /**
      * <code>.almondslip.RequestId request_id = 2;</code>
+     *
      * @return Whether the requestId field is set.
      */
     public boolean hasRequestId() {
       return ((bitField0_ & 0x00000002) != 0);
     }
+
     /**
      * <code>.almondslip.RequestId request_id = 2;</code>
+     *
      * @return The requestId.
      */
     public org.almondslip.protocol.wire.RequestId getRequestId() {
       if (requestIdBuilder_ == null) {
-        return requestId_ == null ? org.almondslip.protocol.wire.RequestId.getDefaultInstance() : requestId_;
+        return requestId_ == null
+            ? org.almondslip.protocol.wire.RequestId.getDefaultInstance()
+            : requestId_;
       } else {
         return requestIdBuilder_.getMessage();
       }
     }
-    /**
-     * <code>.almondslip.RequestId request_id = 2;</code>
-     */
+
+    /** <code>.almondslip.RequestId request_id = 2;</code> */
     public Builder setRequestId(org.almondslip.protocol.wire.RequestId value) {
       if (requestIdBuilder_ == null) {
         java.util.Objects.requireNonNull(value);
@@ -1306,11 +1365,9 @@
       onChanged();
       return this;
     }
-    /**
-     * <code>.almondslip.RequestId request_id = 2;</code>
-     */
-    public Builder setRequestId(
-        org.almondslip.protocol.wire.RequestId.Builder builderForValue) {
+
+    /** <code>.almondslip.RequestId request_id = 2;</code> */
+    public Builder setRequestId(org.almondslip.protocol.wire.RequestId.Builder builderForValue) {
       if (requestIdBuilder_ == null) {
         requestId_ = builderForValue.build();
       } else {
@@ -1320,14 +1377,13 @@
       onChanged();
       return this;
     }
-    /**
-     * <code>.almondslip.RequestId request_id = 2;</code>
-     */
+
+    /** <code>.almondslip.RequestId request_id = 2;</code> */
     public Builder mergeRequestId(org.almondslip.protocol.wire.RequestId value) {
       if (requestIdBuilder_ == null) {
-        if (((bitField0_ & 0x00000002) != 0) &&
-          requestId_ != null &&
-          requestId_ != org.almondslip.protocol.wire.RequestId.getDefaultInstance()) {
+        if (((bitField0_ & 0x00000002) != 0)
+            && requestId_ != null
+            && requestId_ != org.almondslip.protocol.wire.RequestId.getDefaultInstance()) {
           getRequestIdBuilder().mergeFrom(value);
         } else {
           requestId_ = value;
@@ -1341,9 +1397,8 @@
       }
       return this;
     }
-    /**
-     * <code>.almondslip.RequestId request_id = 2;</code>
-     */
+
+    /** <code>.almondslip.RequestId request_id = 2;</code> */
     public Builder clearRequestId() {
       bitField0_ = (bitField0_ & ~0x00000002);
       requestId_ = null;
@@ -1354,37 +1409,38 @@
       onChanged();
       return this;
     }
-    /**
-     * <code>.almondslip.RequestId request_id = 2;</code>
-     */
+
+    /** <code>.almondslip.RequestId request_id = 2;</code> */
     public org.almondslip.protocol.wire.RequestId.Builder getRequestIdBuilder() {
       bitField0_ |= 0x00000002;
       onChanged();
       return internalGetRequestIdFieldBuilder().getBuilder();
     }
-    /**
-     * <code>.almondslip.RequestId request_id = 2;</code>
-     */
+
+    /** <code>.almondslip.RequestId request_id = 2;</code> */
     public org.almondslip.protocol.wire.RequestIdOrBuilder getRequestIdOrBuilder() {
       if (requestIdBuilder_ != null) {
         return requestIdBuilder_.getMessageOrBuilder();
       } else {
-        return requestId_ == null ?
-            org.almondslip.protocol.wire.RequestId.getDefaultInstance() : requestId_;
+        return requestId_ == null
+            ? org.almondslip.protocol.wire.RequestId.getDefaultInstance()
+            : requestId_;
       }
     }
-    /**
-     * <code>.almondslip.RequestId request_id = 2;</code>
-     */
+
+    /** <code>.almondslip.RequestId request_id = 2;</code> */
     private com.google.protobuf.SingleFieldBuilder<
-        org.almondslip.protocol.wire.RequestId, org.almondslip.protocol.wire.RequestId.Builder, org.almondslip.protocol.wire.RequestIdOrBuilder> 
+            org.almondslip.protocol.wire.RequestId,
+            org.almondslip.protocol.wire.RequestId.Builder,
+            org.almondslip.protocol.wire.RequestIdOrBuilder>
         internalGetRequestIdFieldBuilder() {
       if (requestIdBuilder_ == null) {
-        requestIdBuilder_ = new com.google.protobuf.SingleFieldBuilder<
-            org.almondslip.protocol.wire.RequestId, org.almondslip.protocol.wire.RequestId.Builder, org.almondslip.protocol.wire.RequestIdOrBuilder>(
-                getRequestId(),
-                getParentForChildren(),
-                isClean());
+        requestIdBuilder_ =
+            new com.google.protobuf.SingleFieldBuilder<
+                org.almondslip.protocol.wire.RequestId,
+                org.almondslip.protocol.wire.RequestId.Builder,
+                org.almondslip.protocol.wire.RequestIdOrBuilder>(
+                getRequestId(), getParentForChildren(), isClean());
         requestId_ = null;
       }
       return requestIdBuilder_;
@@ -1392,28 +1448,36 @@
 
     private org.almondslip.protocol.wire.FlowOffer remaining_;
     private com.google.protobuf.SingleFieldBuilder<
-        org.almondslip.protocol.wire.FlowOffer, org.almondslip.protocol.wire.FlowOffer.Builder, org.almondslip.protocol.wire.FlowOfferOrBuilder> remainingBuilder_;
+            org.almondslip.protocol.wire.FlowOffer,
+            org.almondslip.protocol.wire.FlowOffer.Builder,
+            org.almondslip.protocol.wire.FlowOfferOrBuilder>
+        remainingBuilder_;
+
     /**
      * <code>.almondslip.FlowOffer remaining = 3;</code>
+     *
      * @return Whether the remaining field is set.
      */
     public boolean hasRemaining() {
       return ((bitField0_ & 0x00000004) != 0);
     }
+
     /**
      * <code>.almondslip.FlowOffer remaining = 3;</code>
+     *
      * @return The remaining.
      */
     public org.almondslip.protocol.wire.FlowOffer getRemaining() {
       if (remainingBuilder_ == null) {
-        return remaining_ == null ? org.almondslip.protocol.wire.FlowOffer.getDefaultInstance() : remaining_;
+        return remaining_ == null
+            ? org.almondslip.protocol.wire.FlowOffer.getDefaultInstance()
+            : remaining_;
       } else {
         return remainingBuilder_.getMessage();
       }
     }
-    /**
-     * <code>.almondslip.FlowOffer remaining = 3;</code>
-     */
+
+    /** <code>.almondslip.FlowOffer remaining = 3;</code> */
     public Builder setRemaining(org.almondslip.protocol.wire.FlowOffer value) {
       if (remainingBuilder_ == null) {
         java.util.Objects.requireNonNull(value);
@@ -1425,11 +1489,9 @@
       onChanged();
       return this;
     }
-    /**
-     * <code>.almondslip.FlowOffer remaining = 3;</code>
-     */
-    public Builder setRemaining(
-        org.almondslip.protocol.wire.FlowOffer.Builder builderForValue) {
+
+    /** <code>.almondslip.FlowOffer remaining = 3;</code> */
+    public Builder setRemaining(org.almondslip.protocol.wire.FlowOffer.Builder builderForValue) {
       if (remainingBuilder_ == null) {
         remaining_ = builderForValue.build();
       } else {
@@ -1439,14 +1501,13 @@
       onChanged();
       return this;
     }
-    /**
-     * <code>.almondslip.FlowOffer remaining = 3;</code>
-     */
+
+    /** <code>.almondslip.FlowOffer remaining = 3;</code> */
     public Builder mergeRemaining(org.almondslip.protocol.wire.FlowOffer value) {
       if (remainingBuilder_ == null) {
-        if (((bitField0_ & 0x00000004) != 0) &&
-          remaining_ != null &&
-          remaining_ != org.almondslip.protocol.wire.FlowOffer.getDefaultInstance()) {
+        if (((bitField0_ & 0x00000004) != 0)
+            && remaining_ != null
+            && remaining_ != org.almondslip.protocol.wire.FlowOffer.getDefaultInstance()) {
           getRemainingBuilder().mergeFrom(value);
         } else {
           remaining_ = value;
@@ -1460,9 +1521,8 @@
       }
       return this;
     }
-    /**
-     * <code>.almondslip.FlowOffer remaining = 3;</code>
-     */
+
+    /** <code>.almondslip.FlowOffer remaining = 3;</code> */
     public Builder clearRemaining() {
       bitField0_ = (bitField0_ & ~0x00000004);
       remaining_ = null;
@@ -1473,52 +1533,54 @@
       onChanged();
       return this;
     }
-    /**
-     * <code>.almondslip.FlowOffer remaining = 3;</code>
-     */
+
+    /** <code>.almondslip.FlowOffer remaining = 3;</code> */
     public org.almondslip.protocol.wire.FlowOffer.Builder getRemainingBuilder() {
       bitField0_ |= 0x00000004;
       onChanged();
       return internalGetRemainingFieldBuilder().getBuilder();
     }
-    /**
-     * <code>.almondslip.FlowOffer remaining = 3;</code>
-     */
+
+    /** <code>.almondslip.FlowOffer remaining = 3;</code> */
     public org.almondslip.protocol.wire.FlowOfferOrBuilder getRemainingOrBuilder() {
       if (remainingBuilder_ != null) {
         return remainingBuilder_.getMessageOrBuilder();
       } else {
-        return remaining_ == null ?
-            org.almondslip.protocol.wire.FlowOffer.getDefaultInstance() : remaining_;
+        return remaining_ == null
+            ? org.almondslip.protocol.wire.FlowOffer.getDefaultInstance()
+            : remaining_;
       }
     }
-    /**
-     * <code>.almondslip.FlowOffer remaining = 3;</code>
-     */
+
+    /** <code>.almondslip.FlowOffer remaining = 3;</code> */
     private com.google.protobuf.SingleFieldBuilder<
-        org.almondslip.protocol.wire.FlowOffer, org.almondslip.protocol.wire.FlowOffer.Builder, org.almondslip.protocol.wire.FlowOfferOrBuilder> 
+            org.almondslip.protocol.wire.FlowOffer,
+            org.almondslip.protocol.wire.FlowOffer.Builder,
+            org.almondslip.protocol.wire.FlowOfferOrBuilder>
         internalGetRemainingFieldBuilder() {
       if (remainingBuilder_ == null) {
-        remainingBuilder_ = new com.google.protobuf.SingleFieldBuilder<
-            org.almondslip.protocol.wire.FlowOffer, org.almondslip.protocol.wire.FlowOffer.Builder, org.almondslip.protocol.wire.FlowOfferOrBuilder>(
-                getRemaining(),
-                getParentForChildren(),
-                isClean());
+        remainingBuilder_ =
+            new com.google.protobuf.SingleFieldBuilder<
+                org.almondslip.protocol.wire.FlowOffer,
+                org.almondslip.protocol.wire.FlowOffer.Builder,
+                org.almondslip.protocol.wire.FlowOfferOrBuilder>(
+                getRemaining(), getParentForChildren(), isClean());
         remaining_ = null;
       }
       return remainingBuilder_;
     }
 
     private java.lang.Object organisation_ = "";
+
     /**
      * <code>string organisation = 4;</code>
+     *
      * @return The organisation.
      */
     public java.lang.String getOrganisation() {
       java.lang.Object ref = organisation_;
       if (!(ref instanceof java.lang.String)) {
-        com.google.protobuf.ByteString bs =
-            (com.google.protobuf.ByteString) ref;
+        com.google.protobuf.ByteString bs = (com.google.protobuf.ByteString) ref;
         java.lang.String s = bs.toStringUtf8();
         organisation_ = s;
         return s;
@@ -1526,38 +1588,41 @@
         return (java.lang.String) ref;
       }
     }
+
     /**
      * <code>string organisation = 4;</code>
+     *
      * @return The bytes for organisation.
      */
-    public com.google.protobuf.ByteString
-        getOrganisationBytes() {
+    public com.google.protobuf.ByteString getOrganisationBytes() {
       java.lang.Object ref = organisation_;
       if (ref instanceof String) {
-        com.google.protobuf.ByteString b = 
-            com.google.protobuf.ByteString.copyFromUtf8(
-                (java.lang.String) ref);
+        com.google.protobuf.ByteString b =
+            com.google.protobuf.ByteString.copyFromUtf8((java.lang.String) ref);
         organisation_ = b;
         return b;
       } else {
         return (com.google.protobuf.ByteString) ref;
       }
     }
+
     /**
      * <code>string organisation = 4;</code>
+     *
      * @param value The organisation to set.
      * @return This builder for chaining.
      */
-    public Builder setOrganisation(
-        java.lang.String value) {
+    public Builder setOrganisation(java.lang.String value) {
       java.util.Objects.requireNonNull(value);
       organisation_ = value;
       bitField0_ |= 0x00000008;
       onChanged();
       return this;
     }
+
     /**
      * <code>string organisation = 4;</code>
+     *
      * @return This builder for chaining.
      */
     public Builder clearOrganisation() {
@@ -1566,13 +1631,14 @@
       onChanged();
       return this;
     }
+
     /**
      * <code>string organisation = 4;</code>
+     *
      * @param value The bytes for organisation to set.
      * @return This builder for chaining.
      */
-    public Builder setOrganisationBytes(
-        com.google.protobuf.ByteString value) {
+    public Builder setOrganisationBytes(com.google.protobuf.ByteString value) {
       java.util.Objects.requireNonNull(value);
       checkByteStringIsUtf8(value);
       organisation_ = value;
@@ -1582,15 +1648,16 @@
     }
 
     private java.lang.Object pool_ = "";
+
     /**
      * <code>string pool = 5;</code>
+     *
      * @return The pool.
      */
     public java.lang.String getPool() {
       java.lang.Object ref = pool_;
       if (!(ref instanceof java.lang.String)) {
-        com.google.protobuf.ByteString bs =
-            (com.google.protobuf.ByteString) ref;
+        com.google.protobuf.ByteString bs = (com.google.protobuf.ByteString) ref;
         java.lang.String s = bs.toStringUtf8();
         pool_ = s;
         return s;
@@ -1598,38 +1665,41 @@
         return (java.lang.String) ref;
       }
     }
+
     /**
      * <code>string pool = 5;</code>
+     *
      * @return The bytes for pool.
      */
-    public com.google.protobuf.ByteString
-        getPoolBytes() {
+    public com.google.protobuf.ByteString getPoolBytes() {
       java.lang.Object ref = pool_;
       if (ref instanceof String) {
-        com.google.protobuf.ByteString b = 
-            com.google.protobuf.ByteString.copyFromUtf8(
-                (java.lang.String) ref);
+        com.google.protobuf.ByteString b =
+            com.google.protobuf.ByteString.copyFromUtf8((java.lang.String) ref);
         pool_ = b;
         return b;
       } else {
         return (com.google.protobuf.ByteString) ref;
       }
     }
+
     /**
      * <code>string pool = 5;</code>
+     *
      * @param value The pool to set.
      * @return This builder for chaining.
      */
-    public Builder setPool(
-        java.lang.String value) {
+    public Builder setPool(java.lang.String value) {
       java.util.Objects.requireNonNull(value);
       pool_ = value;
       bitField0_ |= 0x00000010;
       onChanged();
       return this;
     }
+
     /**
      * <code>string pool = 5;</code>
+     *
      * @return This builder for chaining.
      */
     public Builder clearPool() {
@@ -1638,13 +1708,14 @@
       onChanged();
       return this;
     }
+
     /**
      * <code>string pool = 5;</code>
+     *
      * @param value The bytes for pool to set.
      * @return This builder for chaining.
      */
-    public Builder setPoolBytes(
-        com.google.protobuf.ByteString value) {
+    public Builder setPoolBytes(com.google.protobuf.ByteString value) {
       java.util.Objects.requireNonNull(value);
       checkByteStringIsUtf8(value);
       pool_ = value;
@@ -1654,15 +1725,16 @@
     }
 
     private java.lang.Object method_ = "";
+
     /**
      * <code>string method = 6;</code>
+     *
      * @return The method.
      */
     public java.lang.String getMethod() {
       java.lang.Object ref = method_;
       if (!(ref instanceof java.lang.String)) {
-        com.google.protobuf.ByteString bs =
-            (com.google.protobuf.ByteString) ref;
+        com.google.protobuf.ByteString bs = (com.google.protobuf.ByteString) ref;
         java.lang.String s = bs.toStringUtf8();
         method_ = s;
         return s;
@@ -1670,38 +1742,41 @@
         return (java.lang.String) ref;
       }
     }
+
     /**
      * <code>string method = 6;</code>
+     *
      * @return The bytes for method.
      */
-    public com.google.protobuf.ByteString
-        getMethodBytes() {
+    public com.google.protobuf.ByteString getMethodBytes() {
       java.lang.Object ref = method_;
       if (ref instanceof String) {
-        com.google.protobuf.ByteString b = 
-            com.google.protobuf.ByteString.copyFromUtf8(
-                (java.lang.String) ref);
+        com.google.protobuf.ByteString b =
+            com.google.protobuf.ByteString.copyFromUtf8((java.lang.String) ref);
         method_ = b;
         return b;
       } else {
         return (com.google.protobuf.ByteString) ref;
       }
     }
+
     /**
      * <code>string method = 6;</code>
+     *
      * @param value The method to set.
      * @return This builder for chaining.
      */
-    public Builder setMethod(
-        java.lang.String value) {
+    public Builder setMethod(java.lang.String value) {
       java.util.Objects.requireNonNull(value);
       method_ = value;
       bitField0_ |= 0x00000020;
       onChanged();
       return this;
     }
+
     /**
      * <code>string method = 6;</code>
+     *
      * @return This builder for chaining.
      */
     public Builder clearMethod() {
@@ -1710,13 +1785,14 @@
       onChanged();
       return this;
     }
+
     /**
      * <code>string method = 6;</code>
+     *
      * @param value The bytes for method to set.
      * @return This builder for chaining.
      */
-    public Builder setMethodBytes(
-        com.google.protobuf.ByteString value) {
+    public Builder setMethodBytes(com.google.protobuf.ByteString value) {
       java.util.Objects.requireNonNull(value);
       checkByteStringIsUtf8(value);
       method_ = value;
@@ -1726,19 +1802,22 @@
     }
 
     private java.lang.Object path_ = "";
+
     /**
+     *
+     *
      * <pre>
      * Path and query at the target.
      * </pre>
      *
      * <code>string path = 7;</code>
+     *
      * @return The path.
      */
     public java.lang.String getPath() {
       java.lang.Object ref = path_;
       if (!(ref instanceof java.lang.String)) {
-        com.google.protobuf.ByteString bs =
-            (com.google.protobuf.ByteString) ref;
+        com.google.protobuf.ByteString bs = (com.google.protobuf.ByteString) ref;
         java.lang.String s = bs.toStringUtf8();
         path_ = s;
         return s;
@@ -1746,50 +1825,59 @@
         return (java.lang.String) ref;
       }
     }
+
     /**
+     *
+     *
      * <pre>
      * Path and query at the target.
      * </pre>
      *
      * <code>string path = 7;</code>
+     *
      * @return The bytes for path.
      */
-    public com.google.protobuf.ByteString
-        getPathBytes() {
+    public com.google.protobuf.ByteString getPathBytes() {
       java.lang.Object ref = path_;
       if (ref instanceof String) {
-        com.google.protobuf.ByteString b = 
-            com.google.protobuf.ByteString.copyFromUtf8(
-                (java.lang.String) ref);
+        com.google.protobuf.ByteString b =
+            com.google.protobuf.ByteString.copyFromUtf8((java.lang.String) ref);
         path_ = b;
         return b;
       } else {
         return (com.google.protobuf.ByteString) ref;
       }
     }
+
     /**
+     *
+     *
      * <pre>
      * Path and query at the target.
      * </pre>
      *
      * <code>string path = 7;</code>
+     *
      * @param value The path to set.
      * @return This builder for chaining.
      */
-    public Builder setPath(
-        java.lang.String value) {
+    public Builder setPath(java.lang.String value) {
       java.util.Objects.requireNonNull(value);
       path_ = value;
       bitField0_ |= 0x00000040;
       onChanged();
       return this;
     }
+
     /**
+     *
+     *
      * <pre>
      * Path and query at the target.
      * </pre>
      *
      * <code>string path = 7;</code>
+     *
      * @return This builder for chaining.
      */
     public Builder clearPath() {
@@ -1798,17 +1886,20 @@
       onChanged();
       return this;
     }
+
     /**
+     *
+     *
      * <pre>
      * Path and query at the target.
      * </pre>
      *
      * <code>string path = 7;</code>
+     *
      * @param value The bytes for path to set.
      * @return This builder for chaining.
      */
-    public Builder setPathBytes(
-        com.google.protobuf.ByteString value) {
+    public Builder setPathBytes(com.google.protobuf.ByteString value) {
       java.util.Objects.requireNonNull(value);
       checkByteStringIsUtf8(value);
       path_ = value;
@@ -1818,20 +1909,22 @@
     }
 
     private java.util.List<org.almondslip.protocol.wire.Header> headers_ =
-      java.util.Collections.emptyList();
+        java.util.Collections.emptyList();
+
     private void ensureHeadersIsMutable() {
       if (!((bitField0_ & 0x00000080) != 0)) {
         headers_ = new java.util.ArrayList<org.almondslip.protocol.wire.Header>(headers_);
         bitField0_ |= 0x00000080;
-       }
+      }
     }
 
     private com.google.protobuf.RepeatedFieldBuilder<
-        org.almondslip.protocol.wire.Header, org.almondslip.protocol.wire.Header.Builder, org.almondslip.protocol.wire.HeaderOrBuilder> headersBuilder_;
+            org.almondslip.protocol.wire.Header,
+            org.almondslip.protocol.wire.Header.Builder,
+            org.almondslip.protocol.wire.HeaderOrBuilder>
+        headersBuilder_;
 
-    /**
-     * <code>repeated .almondslip.Header headers = 8;</code>
-     */
+    /** <code>repeated .almondslip.Header headers = 8;</code> */
     public java.util.List<org.almondslip.protocol.wire.Header> getHeadersList() {
       if (headersBuilder_ == null) {
         return java.util.Collections.unmodifiableList(headers_);
@@ -1839,9 +1932,8 @@
         return headersBuilder_.getMessageList();
       }
     }
-    /**
-     * <code>repeated .almondslip.Header headers = 8;</code>
-     */
+
+    /** <code>repeated .almondslip.Header headers = 8;</code> */
     public int getHeadersCount() {
       if (headersBuilder_ == null) {
         return headers_.size();
@@ -1849,9 +1941,8 @@
         return headersBuilder_.getCount();
       }
     }
-    /**
-     * <code>repeated .almondslip.Header headers = 8;</code>
-     */
+
+    /** <code>repeated .almondslip.Header headers = 8;</code> */
     public org.almondslip.protocol.wire.Header getHeaders(int index) {
       if (headersBuilder_ == null) {
         return headers_.get(index);
@@ -1859,11 +1950,9 @@
         return headersBuilder_.getMessage(index);
       }
     }
-    /**
-     * <code>repeated .almondslip.Header headers = 8;</code>
-     */
-    public Builder setHeaders(
-        int index, org.almondslip.protocol.wire.Header value) {
+
+    /** <code>repeated .almondslip.Header headers = 8;</code> */
+    public Builder setHeaders(int index, org.almondslip.protocol.wire.Header value) {
       if (headersBuilder_ == null) {
         java.util.Objects.requireNonNull(value);
         ensureHeadersIsMutable();
@@ -1874,9 +1963,8 @@
       }
       return this;
     }
-    /**
-     * <code>repeated .almondslip.Header headers = 8;</code>
-     */
+
+    /** <code>repeated .almondslip.Header headers = 8;</code> */
     public Builder setHeaders(
         int index, org.almondslip.protocol.wire.Header.Builder builderForValue) {
       if (headersBuilder_ == null) {
@@ -1888,9 +1976,8 @@
       }
       return this;
     }
-    /**
-     * <code>repeated .almondslip.Header headers = 8;</code>
-     */
+
+    /** <code>repeated .almondslip.Header headers = 8;</code> */
     public Builder addHeaders(org.almondslip.protocol.wire.Header value) {
       if (headersBuilder_ == null) {
         java.util.Objects.requireNonNull(value);
@@ -1902,11 +1989,9 @@
       }
       return this;
     }
-    /**
-     * <code>repeated .almondslip.Header headers = 8;</code>
-     */
-    public Builder addHeaders(
-        int index, org.almondslip.protocol.wire.Header value) {
+
+    /** <code>repeated .almondslip.Header headers = 8;</code> */
+    public Builder addHeaders(int index, org.almondslip.protocol.wire.Header value) {
       if (headersBuilder_ == null) {
         java.util.Objects.requireNonNull(value);
         ensureHeadersIsMutable();
@@ -1917,11 +2002,9 @@
       }
       return this;
     }
-    /**
-     * <code>repeated .almondslip.Header headers = 8;</code>
-     */
-    public Builder addHeaders(
-        org.almondslip.protocol.wire.Header.Builder builderForValue) {
+
+    /** <code>repeated .almondslip.Header headers = 8;</code> */
+    public Builder addHeaders(org.almondslip.protocol.wire.Header.Builder builderForValue) {
       if (headersBuilder_ == null) {
         ensureHeadersIsMutable();
         headers_.add(builderForValue.build());
@@ -1931,9 +2014,8 @@
       }
       return this;
     }
-    /**
-     * <code>repeated .almondslip.Header headers = 8;</code>
-     */
+
+    /** <code>repeated .almondslip.Header headers = 8;</code> */
     public Builder addHeaders(
         int index, org.almondslip.protocol.wire.Header.Builder builderForValue) {
       if (headersBuilder_ == null) {
@@ -1945,24 +2027,21 @@
       }
       return this;
     }
-    /**
-     * <code>repeated .almondslip.Header headers = 8;</code>
-     */
+
+    /** <code>repeated .almondslip.Header headers = 8;</code> */
     public Builder addAllHeaders(
         java.lang.Iterable<? extends org.almondslip.protocol.wire.Header> values) {
       if (headersBuilder_ == null) {
         ensureHeadersIsMutable();
-        com.google.protobuf.AbstractMessageLite.Builder.addAll(
-            values, headers_);
+        com.google.protobuf.AbstractMessageLite.Builder.addAll(values, headers_);
         onChanged();
       } else {
         headersBuilder_.addAllMessages(values);
       }
       return this;
     }
-    /**
-     * <code>repeated .almondslip.Header headers = 8;</code>
-     */
+
+    /** <code>repeated .almondslip.Header headers = 8;</code> */
     public Builder clearHeaders() {
       if (headersBuilder_ == null) {
         headers_ = java.util.Collections.emptyList();
@@ -1973,9 +2052,8 @@
       }
       return this;
     }
-    /**
-     * <code>repeated .almondslip.Header headers = 8;</code>
-     */
+
+    /** <code>repeated .almondslip.Header headers = 8;</code> */
     public Builder removeHeaders(int index) {
       if (headersBuilder_ == null) {
         ensureHeadersIsMutable();
@@ -1986,82 +2064,80 @@
       }
       return this;
     }
-    /**
-     * <code>repeated .almondslip.Header headers = 8;</code>
-     */
-    public org.almondslip.protocol.wire.Header.Builder getHeadersBuilder(
-        int index) {
+
+    /** <code>repeated .almondslip.Header headers = 8;</code> */
+    public org.almondslip.protocol.wire.Header.Builder getHeadersBuilder(int index) {
       return internalGetHeadersFieldBuilder().getBuilder(index);
     }
-    /**
-     * <code>repeated .almondslip.Header headers = 8;</code>
-     */
-    public org.almondslip.protocol.wire.HeaderOrBuilder getHeadersOrBuilder(
-        int index) {
+
+    /** <code>repeated .almondslip.Header headers = 8;</code> */
+    public org.almondslip.protocol.wire.HeaderOrBuilder getHeadersOrBuilder(int index) {
       if (headersBuilder_ == null) {
-        return headers_.get(index);  } else {
+        return headers_.get(index);
+      } else {
         return headersBuilder_.getMessageOrBuilder(index);
       }
     }
-    /**
-     * <code>repeated .almondslip.Header headers = 8;</code>
-     */
-    public java.util.List<? extends org.almondslip.protocol.wire.HeaderOrBuilder> 
-         getHeadersOrBuilderList() {
+
+    /** <code>repeated .almondslip.Header headers = 8;</code> */
+    public java.util.List<? extends org.almondslip.protocol.wire.HeaderOrBuilder>
+        getHeadersOrBuilderList() {
       if (headersBuilder_ != null) {
         return headersBuilder_.getMessageOrBuilderList();
       } else {
         return java.util.Collections.unmodifiableList(headers_);
       }
     }
-    /**
-     * <code>repeated .almondslip.Header headers = 8;</code>
-     */
+
+    /** <code>repeated .almondslip.Header headers = 8;</code> */
     public org.almondslip.protocol.wire.Header.Builder addHeadersBuilder() {
-      return internalGetHeadersFieldBuilder().addBuilder(
-          org.almondslip.protocol.wire.Header.getDefaultInstance());
+      return internalGetHeadersFieldBuilder()
+          .addBuilder(org.almondslip.protocol.wire.Header.getDefaultInstance());
     }
-    /**
-     * <code>repeated .almondslip.Header headers = 8;</code>
-     */
-    public org.almondslip.protocol.wire.Header.Builder addHeadersBuilder(
-        int index) {
-      return internalGetHeadersFieldBuilder().addBuilder(
-          index, org.almondslip.protocol.wire.Header.getDefaultInstance());
+
+    /** <code>repeated .almondslip.Header headers = 8;</code> */
+    public org.almondslip.protocol.wire.Header.Builder addHeadersBuilder(int index) {
+      return internalGetHeadersFieldBuilder()
+          .addBuilder(index, org.almondslip.protocol.wire.Header.getDefaultInstance());
     }
-    /**
-     * <code>repeated .almondslip.Header headers = 8;</code>
-     */
-    public java.util.List<org.almondslip.protocol.wire.Header.Builder> 
-         getHeadersBuilderList() {
+
+    /** <code>repeated .almondslip.Header headers = 8;</code> */
+    public java.util.List<org.almondslip.protocol.wire.Header.Builder> getHeadersBuilderList() {
       return internalGetHeadersFieldBuilder().getBuilderList();
     }
+
     private com.google.protobuf.RepeatedFieldBuilder<
-        org.almondslip.protocol.wire.Header, org.almondslip.protocol.wire.Header.Builder, org.almondslip.protocol.wire.HeaderOrBuilder> 
+            org.almondslip.protocol.wire.Header,
+            org.almondslip.protocol.wire.Header.Builder,
+            org.almondslip.protocol.wire.HeaderOrBuilder>
         internalGetHeadersFieldBuilder() {
       if (headersBuilder_ == null) {
-        headersBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
-            org.almondslip.protocol.wire.Header, org.almondslip.protocol.wire.Header.Builder, org.almondslip.protocol.wire.HeaderOrBuilder>(
-                headers_,
-                ((bitField0_ & 0x00000080) != 0),
-                getParentForChildren(),
-                isClean());
+        headersBuilder_ =
+            new com.google.protobuf.RepeatedFieldBuilder<
+                org.almondslip.protocol.wire.Header,
+                org.almondslip.protocol.wire.Header.Builder,
+                org.almondslip.protocol.wire.HeaderOrBuilder>(
+                headers_, ((bitField0_ & 0x00000080) != 0), getParentForChildren(), isClean());
         headers_ = null;
       }
       return headersBuilder_;
     }
 
     private com.google.protobuf.ByteString body_ = com.google.protobuf.ByteString.EMPTY;
+
     /**
      * <code>bytes body = 9;</code>
+     *
      * @return The body.
      */
     @java.lang.Override
     public com.google.protobuf.ByteString getBody() {
       return body_;
     }
+
     /**
      * <code>bytes body = 9;</code>
+     *
      * @param value The body to set.
      * @return This builder for chaining.
      */
@@ -2072,8 +2148,10 @@
       onChanged();
       return this;
     }
+
     /**
      * <code>bytes body = 9;</code>
+     *
      * @return This builder for chaining.
      */
     public Builder clearBody() {
@@ -2083,25 +2161,33 @@
       return this;
     }
 
-    private int deadlineMs_ ;
+    private int deadlineMs_;
+
     /**
+     *
+     *
      * <pre>
      * Time left until the deadline when the frame was sent, in milliseconds.
      * </pre>
      *
      * <code>uint32 deadline_ms = 10;</code>
+     *
      * @return The deadlineMs.
      */
     @java.lang.Override
     public int getDeadlineMs() {
       return deadlineMs_;
     }
+
     /**
+     *
+     *
      * <pre>
      * Time left until the deadline when the frame was sent, in milliseconds.
      * </pre>
      *
      * <code>uint32 deadline_ms = 10;</code>
+     *
      * @param value The deadlineMs to set.
      * @return This builder for chaining.
      */
@@ -2112,12 +2198,16 @@
       onChanged();
       return this;
     }
+
     /**
+     *
+     *
      * <pre>
      * Time left until the deadline when the frame was sent, in milliseconds.
      * </pre>
      *
      * <code>uint32 deadline_ms = 10;</code>
+     *
      * @return This builder for chaining.
      */
     public Builder clearDeadlineMs() {
@@ -2127,17 +2217,21 @@
       return this;
     }
 
-    private int estimateMs_ ;
+    private int estimateMs_;
+
     /**
      * <code>uint32 estimate_ms = 11;</code>
+     *
      * @return The estimateMs.
      */
     @java.lang.Override
     public int getEstimateMs() {
       return estimateMs_;
     }
+
     /**
      * <code>uint32 estimate_ms = 11;</code>
+     *
      * @param value The estimateMs to set.
      * @return This builder for chaining.
      */
@@ -2148,8 +2242,10 @@
       onChanged();
       return this;
     }
+
     /**
      * <code>uint32 estimate_ms = 11;</code>
+     *
      * @return This builder for chaining.
      */
     public Builder clearEstimateMs() {
@@ -2159,17 +2255,21 @@
       return this;
     }
 
-    private boolean idempotent_ ;
+    private boolean idempotent_;
+
     /**
      * <code>bool idempotent = 12;</code>
+     *
      * @return The idempotent.
      */
     @java.lang.Override
     public boolean getIdempotent() {
       return idempotent_;
     }
+
     /**
      * <code>bool idempotent = 12;</code>
+     *
      * @param value The idempotent to set.
      * @return This builder for chaining.
      */
@@ -2180,8 +2280,10 @@
       onChanged();
       return this;
     }
+
     /**
      * <code>bool idempotent = 12;</code>
+     *
      * @return This builder for chaining.
      */
     public Builder clearIdempotent() {
@@ -2192,19 +2294,22 @@
     }
 
     private java.lang.Object idempotencyKey_ = "";
+
     /**
+     *
+     *
      * <pre>
      * Empty when the caller gave none.
      * </pre>
      *
      * <code>string idempotency_key = 13;</code>
+     *
      * @return The idempotencyKey.
      */
     public java.lang.String getIdempotencyKey() {
       java.lang.Object ref = idempotencyKey_;
       if (!(ref instanceof java.lang.String)) {
-        com.google.protobuf.ByteString bs =
-            (com.google.protobuf.ByteString) ref;
+        com.google.protobuf.ByteString bs = (com.google.protobuf.ByteString) ref;
         java.lang.String s = bs.toStringUtf8();
         idempotencyKey_ = s;
         return s;
@@ -2212,50 +2317,59 @@
         return (java.lang.String) ref;
       }
     }
+
     /**
+     *
+     *
      * <pre>
      * Empty when the caller gave none.
      * </pre>
      *
      * <code>string idempotency_key = 13;</code>
+     *
      * @return The bytes for idempotencyKey.
      */
-    public com.google.protobuf.ByteString
-        getIdempotencyKeyBytes() {
+    public com.google.protobuf.ByteString getIdempotencyKeyBytes() {
       java.lang.Object ref = idempotencyKey_;
       if (ref instanceof String) {
-        com.google.protobuf.ByteString b = 
-            com.google.protobuf.ByteString.copyFromUtf8(
-                (java.lang.String) ref);
+        com.google.protobuf.ByteString b =
+            com.google.protobuf.ByteString.copyFromUtf8((java.lang.String) ref);
         idempotencyKey_ = b;
         return b;
       } else {
         return (com.google.protobuf.ByteString) ref;
       }
     }
+
     /**
+     *
+     *
      * <pre>
      * Empty when the caller gave none.
      * </pre>
      *
      * <code>string idempotency_key = 13;</code>
+     *
      * @param value The idempotencyKey to set.
      * @return This builder for chaining.
      */
-    public Builder setIdempotencyKey(
-        java.lang.String value) {
+    public Builder setIdempotencyKey(java.lang.String value) {
       java.util.Objects.requireNonNull(value);
       idempotencyKey_ = value;
       bitField0_ |= 0x00001000;
       onChanged();
       return this;
     }
+
     /**
+     *
+     *
      * <pre>
      * Empty when the caller gave none.
      * </pre>
      *
      * <code>string idempotency_key = 13;</code>
+     *
      * @return This builder for chaining.
      */
     public Builder clearIdempotencyKey() {
@@ -2264,17 +2378,20 @@
       onChanged();
       return this;
     }
+
     /**
+     *
+     *
      * <pre>
      * Empty when the caller gave none.
      * </pre>
      *
      * <code>string idempotency_key = 13;</code>
+     *
      * @param value The bytes for idempotencyKey to set.
      * @return This builder for chaining.
      */
-    public Builder setIdempotencyKeyBytes(
-        com.google.protobuf.ByteString value) {
+    public Builder setIdempotencyKeyBytes(com.google.protobuf.ByteString value) {
       java.util.Objects.requireNonNull(value);
       checkByteStringIsUtf8(value);
       idempotencyKey_ = value;
@@ -2283,25 +2400,33 @@
       return this;
     }
 
-    private int resumeAfter_ ;
+    private int resumeAfter_;
+
     /**
+     *
+     *
      * <pre>
      * Number of stream events that the caller has already received; the target resumes after them.
      * </pre>
      *
      * <code>uint32 resume_after = 14;</code>
+     *
      * @return The resumeAfter.
      */
     @java.lang.Override
     public int getResumeAfter() {
       return resumeAfter_;
     }
+
     /**
+     *
+     *
      * <pre>
      * Number of stream events that the caller has already received; the target resumes after them.
      * </pre>
      *
      * <code>uint32 resume_after = 14;</code>
+     *
      * @param value The resumeAfter to set.
      * @return This builder for chaining.
      */
@@ -2312,12 +2437,16 @@
       onChanged();
       return this;
     }
+
     /**
+     *
+     *
      * <pre>
      * Number of stream events that the caller has already received; the target resumes after them.
      * </pre>
      *
      * <code>uint32 resume_after = 14;</code>
+     *
      * @return This builder for chaining.
      */
     public Builder clearResumeAfter() {
@@ -2327,17 +2456,21 @@
       return this;
     }
 
-    private long fingerprint_ ;
+    private long fingerprint_;
+
     /**
      * <code>fixed64 fingerprint = 15;</code>
+     *
      * @return The fingerprint.
      */
     @java.lang.Override
     public long getFingerprint() {
       return fingerprint_;
     }
+
     /**
      * <code>fixed64 fingerprint = 15;</code>
+     *
      * @param value The fingerprint to set.
      * @return This builder for chaining.
      */
@@ -2348,8 +2481,10 @@
       onChanged();
       return this;
     }
+
     /**
      * <code>fixed64 fingerprint = 15;</code>
+     *
      * @return This builder for chaining.
      */
     public Builder clearFingerprint() {
@@ -2359,17 +2494,21 @@
       return this;
     }
 
-    private boolean exclusive_ ;
+    private boolean exclusive_;
+
     /**
      * <code>bool exclusive = 16;</code>
+     *
      * @return The exclusive.
      */
     @java.lang.Override
     public boolean getExclusive() {
       return exclusive_;
     }
+
     /**
      * <code>bool exclusive = 16;</code>
+     *
      * @param value The exclusive to set.
      * @return This builder for chaining.
      */
@@ -2380,8 +2519,10 @@
       onChanged();
       return this;
     }
+
     /**
      * <code>bool exclusive = 16;</code>
+     *
      * @return This builder for chaining.
      */
     public Builder clearExclusive() {
@@ -2391,17 +2532,21 @@
       return this;
     }
 
-    private int attempt_ ;
+    private int attempt_;
+
     /**
      * <code>uint32 attempt = 17;</code>
+     *
      * @return The attempt.
      */
     @java.lang.Override
     public int getAttempt() {
       return attempt_;
     }
+
     /**
      * <code>uint32 attempt = 17;</code>
+     *
      * @param value The attempt to set.
      * @return This builder for chaining.
      */
@@ -2412,8 +2557,10 @@
       onChanged();
       return this;
     }
+
     /**
      * <code>uint32 attempt = 17;</code>
+     *
      * @return This builder for chaining.
      */
     public Builder clearAttempt() {
@@ -2428,6 +2575,7 @@
 
   // @@protoc_insertion_point(class_scope:almondslip.Dispatch)
   private static final org.almondslip.protocol.wire.Dispatch DEFAULT_INSTANCE;
+
   static {
     DEFAULT_INSTANCE = new org.almondslip.protocol.wire.Dispatch();
   }
@@ -2436,27 +2584,27 @@
     return DEFAULT_INSTANCE;
   }
 
-  private static final com.google.protobuf.Parser<Dispatch>
-      PARSER = new com.google.protobuf.AbstractParser<Dispatch>() {
-    @java.lang.Override
-    public Dispatch parsePartialFrom(
-        com.google.protobuf.CodedInputStream input,
-        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-        throws com.google.protobuf.InvalidProtocolBufferException {
-      Builder builder = newBuilder();
-      try {
-        builder.mergeFrom(input, extensionRegistry);
-      } catch (com.google.protobuf.InvalidProtocolBufferException e) {
-        throw e.setUnfinishedMessage(builder.buildPartial());
-      } catch (com.google.protobuf.UninitializedMessageException e) {
-        throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
-      } catch (java.io.IOException e) {
-        throw new com.google.protobuf.InvalidProtocolBufferException(e)
-            .setUnfinishedMessage(builder.buildPartial());
-      }
-      return builder.buildPartial();
-    }
-  };
+  private static final com.google.protobuf.Parser<Dispatch> PARSER =
+      new com.google.protobuf.AbstractParser<Dispatch>() {
+        @java.lang.Override
+        public Dispatch parsePartialFrom(
+            com.google.protobuf.CodedInputStream input,
+            com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+            throws com.google.protobuf.InvalidProtocolBufferException {
+          Builder builder = newBuilder();
+          try {
+            builder.mergeFrom(input, extensionRegistry);
+          } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+            throw e.setUnfinishedMessage(builder.buildPartial());
+          } catch (com.google.protobuf.UninitializedMessageException e) {
+            throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
+          } catch (java.io.IOException e) {
+            throw new com.google.protobuf.InvalidProtocolBufferException(e)
+                .setUnfinishedMessage(builder.buildPartial());
+          }
+          return builder.buildPartial();
+        }
+      };
 
   public static com.google.protobuf.Parser<Dispatch> parser() {
     return PARSER;
@@ -2471,6 +2619,4 @@
   public org.almondslip.protocol.wire.Dispatch getDefaultInstanceForType() {
     return DEFAULT_INSTANCE;
   }
-
 }
-
--- a/wire/src/main/java/org/almondslip/protocol/wire/DispatchOrBuilder.java
+++ b/wire/src/main/java/org/almondslip/protocol/wire/DispatchOrBuilder.java
@@ -6,198 +6,225 @@
 package org.almondslip.protocol.wire;
 
 @com.google.protobuf.Generated
-public interface DispatchOrBuilder extends
+public interface DispatchOrBuilder
+    extends
     // @@protoc_insertion_point(interface_extends:almondslip.Dispatch)
     com.google.protobuf.MessageOrBuilder {
 
   /**
    * <code>uint64 grant_id = 1;</code>
+   *
    * @return The grantId.
    */
   long getGrantId();
 
   /**
    * <code>.almondslip.RequestId request_id = 2;</code>
+   *
    * @return Whether the requestId field is set.
    */
   boolean hasRequestId();
+
   /**
    * <code>.almondslip.RequestId request_id = 2;</code>
+   *
    * @return The requestId.
    */
   org.almondslip.protocol.wire.RequestId getRequestId();
-  /**
-   * <code>.almondslip.RequestId request_id = 2;</code>
-   */
+
+  /** <code>.almondslip.RequestId request_id = 2;</code> */
   org.almondslip.protocol.wire.RequestIdOrBuilder getRequestIdOrBuilder();
 
   /**
    * <code>.almondslip.FlowOffer remaining = 3;</code>
+   *
    * @return Whether the remaining field is set.
    */
   boolean hasRemaining();
+
   /**
    * <code>.almondslip.FlowOffer remaining = 3;</code>
+   *
    * @return The remaining.
    */
   org.almondslip.protocol.wire.FlowOffer getRemaining();
-  /**
-   * <code>.almondslip.FlowOffer remaining = 3;</code>
-   */
+
+  /** <code>.almondslip.FlowOffer remaining = 3;</code> */
   org.almondslip.protocol.wire.FlowOfferOrBuilder getRemainingOrBuilder();
 
   /**
    * <code>string organisation = 4;</code>
+   *
    * @return The organisation.
    */
   java.lang.String getOrganisation();
+
   /**
    * <code>string organisation = 4;</code>
+   *
    * @return The bytes for organisation.
    */
-  com.google.protobuf.ByteString
-      getOrganisationBytes();
+  com.google.protobuf.ByteString getOrganisationBytes();
 
   /**
    * <code>string pool = 5;</code>
+   *
    * @return The pool.
    */
   java.lang.String getPool();
+
   /**
    * <code>string pool = 5;</code>
+   *
    * @return The bytes for pool.
    */
-  com.google.protobuf.ByteString
-      getPoolBytes();
+  com.google.protobuf.ByteString getPoolBytes();
 
   /**
    * <code>string method = 6;</code>
+   *
    * @return The method.
    */
   java.lang.String getMethod();
+
   /**
    * <code>string method = 6;</code>
+   *
    * @return The bytes for method.
    */
-  com.google.protobuf.ByteString
-      getMethodBytes();
+  com.google.protobuf.ByteString getMethodBytes();
 
   /**
+   *
+   *
    * <pre>
    * Path and query at the target.
    * </pre>
    *
    * <code>string path = 7;</code>
+   *
    * @return The path.
    */
   java.lang.String getPath();
+
   /**
+   *
+   *
    * <pre>
    * Path and query at the target.
    * </pre>
    *
    * <code>string path = 7;</code>
+   *
    * @return The bytes for path.
    */
-  com.google.protobuf.ByteString
-      getPathBytes();
+  com.google.protobuf.ByteString getPathBytes();
 
-  /**
-   * <code>repeated .almondslip.Header headers = 8;</code>
-   */
-  java.util.List<org.almondslip.protocol.wire.Header> 
-      getHeadersList();
-  /**
-   * <code>repeated .almondslip.Header headers = 8;</code>
-   */
+  /** <code>repeated .almondslip.Header headers = 8;</code> */
+  java.util.List<org.almondslip.protocol.wire.Header> getHeadersList();
+
+  /** <code>repeated .almondslip.Header headers = 8;</code> */
   org.almondslip.protocol.wire.Header getHeaders(int index);
-  /**
-   * <code>repeated .almondslip.Header headers = 8;</code>
-   */
+
+  /** <code>repeated .almondslip.Header headers = 8;</code> */
   int getHeadersCount();
-  /**
-   * <code>repeated .almondslip.Header headers = 8;</code>
-   */
-  java.util.List<? extends org.almondslip.protocol.wire.HeaderOrBuilder> 
-      getHeadersOrBuilderList();
-  /**
-   * <code>repeated .almondslip.Header headers = 8;</code>
-   */
-  org.almondslip.protocol.wire.HeaderOrBuilder getHeadersOrBuilder(
-      int index);
+
+  /** <code>repeated .almondslip.Header headers = 8;</code> */
+  java.util.List<? extends org.almondslip.protocol.wire.HeaderOrBuilder> getHeadersOrBuilderList();
+
+  /** <code>repeated .almondslip.Header headers = 8;</code> */
+  org.almondslip.protocol.wire.HeaderOrBuilder getHeadersOrBuilder(int index);
 
   /**
    * <code>bytes body = 9;</code>
+   *
    * @return The body.
    */
   com.google.protobuf.ByteString getBody();
 
   /**
+   *
+   *
    * <pre>
    * Time left until the deadline when the frame was sent, in milliseconds.
    * </pre>
    *
    * <code>uint32 deadline_ms = 10;</code>
+   *
    * @return The deadlineMs.
    */
   int getDeadlineMs();
 
   /**
    * <code>uint32 estimate_ms = 11;</code>
+   *
    * @return The estimateMs.
    */
   int getEstimateMs();
 
   /**
    * <code>bool idempotent = 12;</code>
+   *
    * @return The idempotent.
    */
   boolean getIdempotent();
 
   /**
+   *
+   *
    * <pre>
    * Empty when the caller gave none.
    * </pre>
    *
    * <code>string idempotency_key = 13;</code>
+   *
    * @return The idempotencyKey.
    */
   java.lang.String getIdempotencyKey();
+
   /**
+   *
+   *
    * <pre>
    * Empty when the caller gave none.
    * </pre>
    *
    * <code>string idempotency_key = 13;</code>
+   *
    * @return The bytes for idempotencyKey.
    */
-  com.google.protobuf.ByteString
-      getIdempotencyKeyBytes();
+  com.google.protobuf.ByteString getIdempotencyKeyBytes();
 
   /**
+   *
+   *
    * <pre>
    * Number of stream events that the caller has already received; the target resumes after them.
    * </pre>
    *
    * <code>uint32 resume_after = 14;</code>
+   *
    * @return The resumeAfter.
    */
   int getResumeAfter();
 
   /**
    * <code>fixed64 fingerprint = 15;</code>
+   *
    * @return The fingerprint.
    */
   long getFingerprint();
 
   /**
    * <code>bool exclusive = 16;</code>
+   *
    * @return The exclusive.
    */
   boolean getExclusive();
 
   /**
    * <code>uint32 attempt = 17;</code>
+   *
    * @return The attempt.
    */
   int getAttempt();
--- a/wire/src/main/java/org/almondslip/protocol/wire/Drain.java
+++ b/wire/src/main/java/org/almondslip/protocol/wire/Drain.java
@@ -6,6 +6,8 @@
 package org.almondslip.protocol.wire;
 
 /**
+ *
+ *
  * <pre>
  * The sender takes no new work and finishes what it has.
  * </pre>
@@ -13,30 +15,32 @@
  * Protobuf type {@code almondslip.Drain}
  */
 @com.google.protobuf.Generated
-public final class Drain extends
-    com.google.protobuf.GeneratedMessage implements
+public final class Drain extends com.google.protobuf.GeneratedMessage
+    implements
     // @@protoc_insertion_point(message_implements:almondslip.Drain)
     DrainOrBuilder {
-private static final long serialVersionUID = 0L;
+  private static final long serialVersionUID = 0L;
+
   static {
     com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
-      com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
-      /* major= */ 4,
-      /* minor= */ 36,
-      /* patch= */ 2,
-      /* suffix= */ "",
-      "Drain");
+        com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+        /* major= */ 4,
+        /* minor= */ 36,
+        /* patch= */ 2,
+        /* suffix= */ "",
+        "Drain");
   }
+
   // Use Drain.newBuilder() to construct.
   private Drain(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
     super(builder);
   }
+
   private Drain() {
     reason_ = "";
   }
 
-  public static final com.google.protobuf.Descriptors.Descriptor
-      getDescriptor() {
+  public static final com.google.protobuf.Descriptors.Descriptor getDescriptor() {
     return org.almondslip.protocol.wire.Almondslip.internal_static_almondslip_Drain_descriptor;
   }
 
@@ -48,16 +52,21 @@
   @java.lang.Override
   protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internalGetFieldAccessorTable() {
-    return org.almondslip.protocol.wire.Almondslip.internal_static_almondslip_Drain_fieldAccessorTable
+    return org.almondslip.protocol.wire.Almondslip
+        .internal_static_almondslip_Drain_fieldAccessorTable
         .ensureFieldAccessorsInitialized(
-            org.almondslip.protocol.wire.Drain.class, org.almondslip.protocol.wire.Drain.Builder.class);
+            org.almondslip.protocol.wire.Drain.class,
+            org.almondslip.protocol.wire.Drain.Builder.class);
   }
 
   public static final int REASON_FIELD_NUMBER = 1;
+
   @SuppressWarnings("serial")
   private volatile java.lang.Object reason_ = "";
+
   /**
    * <code>string reason = 1;</code>
+   *
    * @return The reason.
    */
   @java.lang.Override
@@ -66,25 +75,24 @@
     if (ref instanceof java.lang.String) {
       return (java.lang.String) ref;
     } else {
-      com.google.protobuf.ByteString bs = 
-          (com.google.protobuf.ByteString) ref;
+      com.google.protobuf.ByteString bs = (com.google.protobuf.ByteString) ref;
       java.lang.String s = bs.toStringUtf8();
       reason_ = s;
       return s;
     }
   }
+
   /**
    * <code>string reason = 1;</code>
+   *
    * @return The bytes for reason.
    */
   @java.lang.Override
-  public com.google.protobuf.ByteString
-      getReasonBytes() {
+  public com.google.protobuf.ByteString getReasonBytes() {
     java.lang.Object ref = reason_;
     if (ref instanceof java.lang.String) {
-      com.google.protobuf.ByteString b = 
-          com.google.protobuf.ByteString.copyFromUtf8(
-              (java.lang.String) ref);
+      com.google.protobuf.ByteString b =
+          com.google.protobuf.ByteString.copyFromUtf8((java.lang.String) ref);
       reason_ = b;
       return b;
     } else {
@@ -93,6 +101,7 @@
   }
 
   private byte memoizedIsInitialized = -1;
+
   @java.lang.Override
   public final boolean isInitialized() {
     byte isInitialized = memoizedIsInitialized;
@@ -104,13 +113,13 @@
   }
 
   @java.lang.Override
-  public void writeTo(com.google.protobuf.CodedOutputStream output)
-                      throws java.io.IOException {
+  public void writeTo(com.google.protobuf.CodedOutputStream output) throws java.io.IOException {
     if (!com.google.protobuf.GeneratedMessage.isStringEmpty(reason_)) {
       com.google.protobuf.GeneratedMessage.writeString(output, 1, reason_);
     }
     getUnknownFields().writeTo(output);
   }
+
   private int computeSerializedSize_0() {
     int size = 0;
     if (!com.google.protobuf.GeneratedMessage.isStringEmpty(reason_)) {
@@ -118,6 +127,7 @@
     }
     return size;
   }
+
   @java.lang.Override
   public int getSerializedSize() {
     int size = memoizedSize;
@@ -133,15 +143,14 @@
   @java.lang.Override
   public boolean equals(final java.lang.Object obj) {
     if (obj == this) {
-     return true;
+      return true;
     }
     if (!(obj instanceof org.almondslip.protocol.wire.Drain)) {
       return super.equals(obj);
     }
     org.almondslip.protocol.wire.Drain other = (org.almondslip.protocol.wire.Drain) obj;
 
-    if (!getReason()
-        .equals(other.getReason())) return false;
+    if (!getReason().equals(other.getReason())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -160,132 +169,135 @@
     return hash;
   }
 
-  public static org.almondslip.protocol.wire.Drain parseFrom(
-      java.nio.ByteBuffer data)
+  public static org.almondslip.protocol.wire.Drain parseFrom(java.nio.ByteBuffer data)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data);
   }
+
   public static org.almondslip.protocol.wire.Drain parseFrom(
-      java.nio.ByteBuffer data,
-      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+      java.nio.ByteBuffer data, com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data, extensionRegistry);
   }
-  public static org.almondslip.protocol.wire.Drain parseFrom(
-      com.google.protobuf.ByteString data)
+
+  public static org.almondslip.protocol.wire.Drain parseFrom(com.google.protobuf.ByteString data)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data);
   }
+
   public static org.almondslip.protocol.wire.Drain parseFrom(
       com.google.protobuf.ByteString data,
       com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data, extensionRegistry);
   }
+
   public static org.almondslip.protocol.wire.Drain parseFrom(byte[] data)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data);
   }
+
   public static org.almondslip.protocol.wire.Drain parseFrom(
-      byte[] data,
-      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+      byte[] data, com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data, extensionRegistry);
   }
+
   public static org.almondslip.protocol.wire.Drain parseFrom(java.io.InputStream input)
       throws java.io.IOException {
-    return com.google.protobuf.GeneratedMessage
-        .parseWithIOException(PARSER, input);
+    return com.google.protobuf.GeneratedMessage.parseWithIOException(PARSER, input);
   }
+
   public static org.almondslip.protocol.wire.Drain parseFrom(
-      java.io.InputStream input,
-      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+      java.io.InputStream input, com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws java.io.IOException {
-    return com.google.protobuf.GeneratedMessage
-        .parseWithIOException(PARSER, input, extensionRegistry);
+    return com.google.protobuf.GeneratedMessage.parseWithIOException(
+        PARSER, input, extensionRegistry);
   }
 
   public static org.almondslip.protocol.wire.Drain parseDelimitedFrom(java.io.InputStream input)
       throws java.io.IOException {
-    return com.google.protobuf.GeneratedMessage
-        .parseDelimitedWithIOException(PARSER, input);
+    return com.google.protobuf.GeneratedMessage.parseDelimitedWithIOException(PARSER, input);
   }
 
   public static org.almondslip.protocol.wire.Drain parseDelimitedFrom(
-      java.io.InputStream input,
-      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+      java.io.InputStream input, com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws java.io.IOException {
-    return com.google.protobuf.GeneratedMessage
-        .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
+    return com.google.protobuf.GeneratedMessage.parseDelimitedWithIOException(
+        PARSER, input, extensionRegistry);
   }
+
   public static org.almondslip.protocol.wire.Drain parseFrom(
-      com.google.protobuf.CodedInputStream input)
-      throws java.io.IOException {
-    return com.google.protobuf.GeneratedMessage
-        .parseWithIOException(PARSER, input);
+      com.google.protobuf.CodedInputStream input) throws java.io.IOException {
+    return com.google.protobuf.GeneratedMessage.parseWithIOException(PARSER, input);
   }
+
   public static org.almondslip.protocol.wire.Drain parseFrom(
       com.google.protobuf.CodedInputStream input,
       com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws java.io.IOException {
-    return com.google.protobuf.GeneratedMessage
-        .parseWithIOException(PARSER, input, extensionRegistry);
+    return com.google.protobuf.GeneratedMessage.parseWithIOException(
+        PARSER, input, extensionRegistry);
   }
 
   @java.lang.Override
-  public Builder newBuilderForType() { return newBuilder(); }
+  public Builder newBuilderForType() {
+    return newBuilder();
+  }
+
   public static Builder newBuilder() {
     return DEFAULT_INSTANCE.toBuilder();
   }
+
   public static Builder newBuilder(org.almondslip.protocol.wire.Drain prototype) {
     return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
   }
+
   @java.lang.Override
   public Builder toBuilder() {
-    return this == DEFAULT_INSTANCE
-        ? new Builder() : new Builder().mergeFrom(this);
+    return this == DEFAULT_INSTANCE ? new Builder() : new Builder().mergeFrom(this);
   }
 
   @java.lang.Override
-  protected Builder newBuilderForType(
-      com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+  protected Builder newBuilderForType(com.google.protobuf.GeneratedMessage.BuilderParent parent) {
     Builder builder = new Builder(parent);
     return builder;
   }
+
   /**
+   *
+   *
    * <pre>
    * The sender takes no new work and finishes what it has.
    * </pre>
    *
    * Protobuf type {@code almondslip.Drain}
    */
-  public static final class Builder extends
-      com.google.protobuf.GeneratedMessage.Builder<Builder> implements
+  public static final class Builder extends com.google.protobuf.GeneratedMessage.Builder<Builder>
+      implements
       // @@protoc_insertion_point(builder_implements:almondslip.Drain)
       org.almondslip.protocol.wire.DrainOrBuilder {
-    public static final com.google.protobuf.Descriptors.Descriptor
-        getDescriptor() {
+    public static final com.google.protobuf.Descriptors.Descriptor getDescriptor() {
       return org.almondslip.protocol.wire.Almondslip.internal_static_almondslip_Drain_descriptor;
     }
 
     @java.lang.Override
     protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
         internalGetFieldAccessorTable() {
-      return org.almondslip.protocol.wire.Almondslip.internal_static_almondslip_Drain_fieldAccessorTable
+      return org.almondslip.protocol.wire.Almondslip
+          .internal_static_almondslip_Drain_fieldAccessorTable
           .ensureFieldAccessorsInitialized(
-              org.almondslip.protocol.wire.Drain.class, org.almondslip.protocol.wire.Drain.Builder.class);
+              org.almondslip.protocol.wire.Drain.class,
+              org.almondslip.protocol.wire.Drain.Builder.class);
     }
 
     // Construct using org.almondslip.protocol.wire.Drain.newBuilder()
-    private Builder() {
+    private Builder() {}
 
-    }
-
-    private Builder(
-        com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+    private Builder(com.google.protobuf.GeneratedMessage.BuilderParent parent) {
       super(parent);
-
     }
+
     @java.lang.Override
     public Builder clear() {
       super.clear();
@@ -295,8 +307,7 @@
     }
 
     @java.lang.Override
-    public com.google.protobuf.Descriptors.Descriptor
-        getDescriptorForType() {
+    public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
       return org.almondslip.protocol.wire.Almondslip.internal_static_almondslip_Drain_descriptor;
     }
 
@@ -317,7 +328,9 @@
     @java.lang.Override
     public org.almondslip.protocol.wire.Drain buildPartial() {
       org.almondslip.protocol.wire.Drain result = new org.almondslip.protocol.wire.Drain(this);
-      if (bitField0_ != 0) { buildPartial0(result); }
+      if (bitField0_ != 0) {
+        buildPartial0(result);
+      }
       onBuilt();
       return result;
     }
@@ -332,7 +345,7 @@
     @java.lang.Override
     public Builder mergeFrom(com.google.protobuf.Message other) {
       if (other instanceof org.almondslip.protocol.wire.Drain) {
-        return mergeFrom((org.almondslip.protocol.wire.Drain)other);
+        return mergeFrom((org.almondslip.protocol.wire.Drain) other);
       } else {
         super.mergeFrom(other);
         return this;
@@ -370,17 +383,19 @@
             case 0:
               done = true;
               break;
-            case 10: {
-              reason_ = input.readStringRequireUtf8();
-              bitField0_ |= 0x00000001;
-              break;
-            } // case 10
-            default: {
-              if (!super.parseUnknownField(input, extensionRegistry, tag)) {
-                done = true; // was an endgroup tag
-              }
-              break;
-            } // default:
+            case 10:
+              {
+                reason_ = input.readStringRequireUtf8();
+                bitField0_ |= 0x00000001;
+                break;
+              } // case 10
+            default:
+              {
+                if (!super.parseUnknownField(input, extensionRegistry, tag)) {
+                  done = true; // was an endgroup tag
+                }
+                break;
+              } // default:
           } // switch (tag)
         } // while (!done)
       } catch (com.google.protobuf.InvalidProtocolBufferException e) {
@@ -390,18 +405,20 @@
       } // finally
       return this;
     }
+
     private int bitField0_;
 
     private java.lang.Object reason_ = "";
+
     /**
      * <code>string reason = 1;</code>
+     *
      * @return The reason.
      */
     public java.lang.String getReason() {
       java.lang.Object ref = reason_;
       if (!(ref instanceof java.lang.String)) {
-        com.google.protobuf.ByteString bs =
-            (com.google.protobuf.ByteString) ref;
+        com.google.protobuf.ByteString bs = (com.google.protobuf.ByteString) ref;
         java.lang.String s = bs.toStringUtf8();
         reason_ = s;
         return s;
@@ -409,38 +426,41 @@
         return (java.lang.String) ref;
       }
     }
+
     /**
      * <code>string reason = 1;</code>
+     *
      * @return The bytes for reason.
      */
-    public com.google.protobuf.ByteString
-        getReasonBytes() {
+    public com.google.protobuf.ByteString getReasonBytes() {
       java.lang.Object ref = reason_;
       if (ref instanceof String) {
-        com.google.protobuf.ByteString b = 
-            com.google.protobuf.ByteString.copyFromUtf8(
-                (java.lang.String) ref);
+        com.google.protobuf.ByteString b =
+            com.google.protobuf.ByteString.copyFromUtf8((java.lang.String) ref);
         reason_ = b;
         return b;
       } else {
         return (com.google.protobuf.ByteString) ref;
       }
     }
+
     /**
      * <code>string reason = 1;</code>
+     *
      * @param value The reason to set.
      * @return This builder for chaining.
      */
-    public Builder setReason(
-        java.lang.String value) {
+    public Builder setReason(java.lang.String value) {
       java.util.Objects.requireNonNull(value);
       reason_ = value;
       bitField0_ |= 0x00000001;
       onChanged();
       return this;
     }
+
     /**
      * <code>string reason = 1;</code>
+     *
      * @return This builder for chaining.
      */
     public Builder clearReason() {
@@ -449,13 +469,14 @@
       onChanged();
       return this;
     }
+
     /**
      * <code>string reason = 1;</code>
+     *
      * @param value The bytes for reason to set.
      * @return This builder for chaining.
      */
-    public Builder setReasonBytes(
-        com.google.protobuf.ByteString value) {
+    public Builder setReasonBytes(com.google.protobuf.ByteString value) {
       java.util.Objects.requireNonNull(value);
       checkByteStringIsUtf8(value);
       reason_ = value;
@@ -469,6 +490,7 @@
 
   // @@protoc_insertion_point(class_scope:almondslip.Drain)
   private static final org.almondslip.protocol.wire.Drain DEFAULT_INSTANCE;
+
   static {
     DEFAULT_INSTANCE = new org.almondslip.protocol.wire.Drain();
   }
@@ -477,27 +499,27 @@
     return DEFAULT_INSTANCE;
   }
 
-  private static final com.google.protobuf.Parser<Drain>
-      PARSER = new com.google.protobuf.AbstractParser<Drain>() {
-    @java.lang.Override
-    public Drain parsePartialFrom(
-        com.google.protobuf.CodedInputStream input,
-        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-        throws com.google.protobuf.InvalidProtocolBufferException {
-      Builder builder = newBuilder();
-      try {
-        builder.mergeFrom(input, extensionRegistry);
-      } catch (com.google.protobuf.InvalidProtocolBufferException e) {
-        throw e.setUnfinishedMessage(builder.buildPartial());
-      } catch (com.google.protobuf.UninitializedMessageException e) {
-        throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
-      } catch (java.io.IOException e) {
-        throw new com.google.protobuf.InvalidProtocolBufferException(e)
-            .setUnfinishedMessage(builder.buildPartial());
-      }
-      return builder.buildPartial();
-    }
-  };
+  private static final com.google.protobuf.Parser<Drain> PARSER =
+      new com.google.protobuf.AbstractParser<Drain>() {
+        @java.lang.Override
+        public Drain parsePartialFrom(
+            com.google.protobuf.CodedInputStream input,
+            com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+            throws com.google.protobuf.InvalidProtocolBufferException {
+          Builder builder = newBuilder();
+          try {
+            builder.mergeFrom(input, extensionRegistry);
+          } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+            throw e.setUnfinishedMessage(builder.buildPartial());
+          } catch (com.google.protobuf.UninitializedMessageException e) {
+            throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
+          } catch (java.io.IOException e) {
+            throw new com.google.protobuf.InvalidProtocolBufferException(e)
+                .setUnfinishedMessage(builder.buildPartial());
+          }
+          return builder.buildPartial();
+        }
+      };
 
   public static com.google.protobuf.Parser<Drain> parser() {
     return PARSER;
@@ -512,6 +534,4 @@
   public org.almondslip.protocol.wire.Drain getDefaultInstanceForType() {
     return DEFAULT_INSTANCE;
   }
-
 }
-
--- a/wire/src/main/java/org/almondslip/protocol/wire/DrainOrBuilder.java
+++ b/wire/src/main/java/org/almondslip/protocol/wire/DrainOrBuilder.java
@@ -6,19 +6,22 @@
 package org.almondslip.protocol.wire;
 
 @com.google.protobuf.Generated
-public interface DrainOrBuilder extends
+public interface DrainOrBuilder
+    extends
     // @@protoc_insertion_point(interface_extends:almondslip.Drain)
     com.google.protobuf.MessageOrBuilder {
 
   /**
    * <code>string reason = 1;</code>
+   *
    * @return The reason.
    */
   java.lang.String getReason();
+
   /**
    * <code>string reason = 1;</code>
+   *
    * @return The bytes for reason.
    */
-  com.google.protobuf.ByteString
-      getReasonBytes();
+  com.google.protobuf.ByteString getReasonBytes();
 }
--- a/wire/src/main/java/org/almondslip/protocol/wire/FlowOffer.java
+++ b/wire/src/main/java/org/almondslip/protocol/wire/FlowOffer.java
@@ -6,6 +6,8 @@
 package org.almondslip.protocol.wire;
 
 /**
+ *
+ *
  * <pre>
  * State of one flow's queue at a router. Replaces the earlier offer of the same flow and router.
  * </pre>
@@ -13,29 +15,30 @@
  * Protobuf type {@code almondslip.FlowOffer}
  */
 @com.google.protobuf.Generated
-public final class FlowOffer extends
-    com.google.protobuf.GeneratedMessage implements
+public final class FlowOffer extends com.google.protobuf.GeneratedMessage
+    implements
     // @@protoc_insertion_point(message_implements:almondslip.FlowOffer)
     FlowOfferOrBuilder {
-private static final long serialVersionUID = 0L;
+  private static final long serialVersionUID = 0L;
+
   static {
     com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
-      com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
-      /* major= */ 4,
-      /* minor= */ 36,
-      /* patch= */ 2,
-      /* suffix= */ "",
-      "FlowOffer");
+        com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+        /* major= */ 4,
+        /* minor= */ 36,
+        /* patch= */ 2,
+        /* suffix= */ "",
+        "FlowOffer");
   }
+
   // Use FlowOffer.newBuilder() to construct.
   private FlowOffer(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
     super(builder);
   }
-  private FlowOffer() {
-  }
 
-  public static final com.google.protobuf.Descriptors.Descriptor
-      getDescriptor() {
+  private FlowOffer() {}
+
+  public static final com.google.protobuf.Descriptors.Descriptor getDescriptor() {
     return org.almondslip.protocol.wire.Almondslip.internal_static_almondslip_FlowOffer_descriptor;
   }
 
@@ -47,15 +50,19 @@
   @java.lang.Override
   protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internalGetFieldAccessorTable() {
-    return org.almondslip.protocol.wire.Almondslip.internal_static_almondslip_FlowOffer_fieldAccessorTable
+    return org.almondslip.protocol.wire.Almondslip
+        .internal_static_almondslip_FlowOffer_fieldAccessorTable
         .ensureFieldAccessorsInitialized(
-            org.almondslip.protocol.wire.FlowOffer.class, org.almondslip.protocol.wire.FlowOffer.Builder.class);
+            org.almondslip.protocol.wire.FlowOffer.class,
+            org.almondslip.protocol.wire.FlowOffer.Builder.class);
   }
 
   public static final int FLOW_ID_FIELD_NUMBER = 1;
   private int flowId_ = 0;
+
   /**
    * <code>fixed32 flow_id = 1;</code>
+   *
    * @return The flowId.
    */
   @java.lang.Override
@@ -65,12 +72,16 @@
 
   public static final int WAITING_FIELD_NUMBER = 2;
   private int waiting_ = 0;
+
   /**
+   *
+   *
    * <pre>
    * Requests waiting; 0 withdraws the offer.
    * </pre>
    *
    * <code>uint32 waiting = 2;</code>
+   *
    * @return The waiting.
    */
   @java.lang.Override
@@ -80,12 +91,16 @@
 
   public static final int HEAD_AGE_MS_FIELD_NUMBER = 3;
   private int headAgeMs_ = 0;
+
   /**
+   *
+   *
    * <pre>
    * Time that the head of the queue has waited, in milliseconds.
    * </pre>
    *
    * <code>uint32 head_age_ms = 3;</code>
+   *
    * @return The headAgeMs.
    */
   @java.lang.Override
@@ -95,12 +110,16 @@
 
   public static final int ESTIMATE_MS_FIELD_NUMBER = 4;
   private int estimateMs_ = 0;
+
   /**
+   *
+   *
    * <pre>
    * Expected slot time of the head, in milliseconds.
    * </pre>
    *
    * <code>uint32 estimate_ms = 4;</code>
+   *
    * @return The estimateMs.
    */
   @java.lang.Override
@@ -110,12 +129,16 @@
 
   public static final int SPILL_FIELD_NUMBER = 5;
   private boolean spill_ = false;
+
   /**
+   *
+   *
    * <pre>
    * The router is in another region and has targets of the pool in its own.
    * </pre>
    *
    * <code>bool spill = 5;</code>
+   *
    * @return The spill.
    */
   @java.lang.Override
@@ -125,12 +148,16 @@
 
   public static final int EXCLUSIVE_FIELD_NUMBER = 6;
   private boolean exclusive_ = false;
+
   /**
+   *
+   *
    * <pre>
    * The head is suspected of crashing targets and must run alone.
    * </pre>
    *
    * <code>bool exclusive = 6;</code>
+   *
    * @return The exclusive.
    */
   @java.lang.Override
@@ -139,6 +166,7 @@
   }
 
   private byte memoizedIsInitialized = -1;
+
   @java.lang.Override
   public final boolean isInitialized() {
     byte isInitialized = memoizedIsInitialized;
@@ -150,8 +178,7 @@
   }
 
   @java.lang.Override
-  public void writeTo(com.google.protobuf.CodedOutputStream output)
-                      throws java.io.IOException {
+  public void writeTo(com.google.protobuf.CodedOutputStream output) throws java.io.IOException {
     if (flowId_ != 0) {
       output.writeFixed32(1, flowId_);
     }
@@ -172,34 +199,30 @@
     }
     getUnknownFields().writeTo(output);
   }
+
   private int computeSerializedSize_0() {
     int size = 0;
     if (flowId_ != 0) {
-      size += com.google.protobuf.CodedOutputStream
-        .computeFixed32Size(1, flowId_);
+      size += com.google.protobuf.CodedOutputStream.computeFixed32Size(1, flowId_);
     }
     if (waiting_ != 0) {
-      size += com.google.protobuf.CodedOutputStream
-        .computeUInt32Size(2, waiting_);
+      size += com.google.protobuf.CodedOutputStream.computeUInt32Size(2, waiting_);
     }
     if (headAgeMs_ != 0) {
-      size += com.google.protobuf.CodedOutputStream
-        .computeUInt32Size(3, headAgeMs_);
+      size += com.google.protobuf.CodedOutputStream.computeUInt32Size(3, headAgeMs_);
     }
     if (estimateMs_ != 0) {
-      size += com.google.protobuf.CodedOutputStream
-        .computeUInt32Size(4, estimateMs_);
+      size += com.google.protobuf.CodedOutputStream.computeUInt32Size(4, estimateMs_);
     }
     if (spill_ != false) {
-      size += com.google.protobuf.CodedOutputStream
-        .computeBoolSize(5, spill_);
+      size += com.google.protobuf.CodedOutputStream.computeBoolSize(5, spill_);
     }
     if (exclusive_ != false) {
-      size += com.google.protobuf.CodedOutputStream
-        .computeBoolSize(6, exclusive_);
+      size += com.google.protobuf.CodedOutputStream.computeBoolSize(6, exclusive_);
     }
     return size;
   }
+
   @java.lang.Override
   public int getSerializedSize() {
     int size = memoizedSize;
@@ -215,25 +238,19 @@
   @java.lang.Override
   public boolean equals(final java.lang.Object obj) {
     if (obj == this) {
-     return true;
+      return true;
     }
     if (!(obj instanceof org.almondslip.protocol.wire.FlowOffer)) {
       return super.equals(obj);
     }
     org.almondslip.protocol.wire.FlowOffer other = (org.almondslip.protocol.wire.FlowOffer) obj;
 
-    if (getFlowId()
-        != other.getFlowId()) return false;
-    if (getWaiting()
-        != other.getWaiting()) return false;
-    if (getHeadAgeMs()
-        != other.getHeadAgeMs()) return false;
-    if (getEstimateMs()
-        != other.getEstimateMs()) return false;
-    if (getSpill()
-        != other.getSpill()) return false;
-    if (getExclusive()
-        != other.getExclusive()) return false;
+    if (getFlowId() != other.getFlowId()) return false;
+    if (getWaiting() != other.getWaiting()) return false;
+    if (getHeadAgeMs() != other.getHeadAgeMs()) return false;
+    if (getEstimateMs() != other.getEstimateMs()) return false;
+    if (getSpill() != other.getSpill()) return false;
+    if (getExclusive() != other.getExclusive()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -254,142 +271,145 @@
     hash = (37 * hash) + ESTIMATE_MS_FIELD_NUMBER;
     hash = (53 * hash) + getEstimateMs();
     hash = (37 * hash) + SPILL_FIELD_NUMBER;
-    hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
-        getSpill());
+    hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(getSpill());
     hash = (37 * hash) + EXCLUSIVE_FIELD_NUMBER;
-    hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
-        getExclusive());
+    hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(getExclusive());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
   }
 
-  public static org.almondslip.protocol.wire.FlowOffer parseFrom(
-      java.nio.ByteBuffer data)
+  public static org.almondslip.protocol.wire.FlowOffer parseFrom(java.nio.ByteBuffer data)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data);
   }
+
   public static org.almondslip.protocol.wire.FlowOffer parseFrom(
-      java.nio.ByteBuffer data,
-      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+      java.nio.ByteBuffer data, com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data, extensionRegistry);
   }
+
   public static org.almondslip.protocol.wire.FlowOffer parseFrom(
       com.google.protobuf.ByteString data)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data);
   }
+
   public static org.almondslip.protocol.wire.FlowOffer parseFrom(
       com.google.protobuf.ByteString data,
       com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data, extensionRegistry);
   }
+
   public static org.almondslip.protocol.wire.FlowOffer parseFrom(byte[] data)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data);
   }
+
   public static org.almondslip.protocol.wire.FlowOffer parseFrom(
-      byte[] data,
-      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+      byte[] data, com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data, extensionRegistry);
   }
+
   public static org.almondslip.protocol.wire.FlowOffer parseFrom(java.io.InputStream input)
       throws java.io.IOException {
-    return com.google.protobuf.GeneratedMessage
-        .parseWithIOException(PARSER, input);
+    return com.google.protobuf.GeneratedMessage.parseWithIOException(PARSER, input);
   }
+
   public static org.almondslip.protocol.wire.FlowOffer parseFrom(
-      java.io.InputStream input,
-      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+      java.io.InputStream input, com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws java.io.IOException {
-    return com.google.protobuf.GeneratedMessage
-        .parseWithIOException(PARSER, input, extensionRegistry);
+    return com.google.protobuf.GeneratedMessage.parseWithIOException(
+        PARSER, input, extensionRegistry);
   }
 
   public static org.almondslip.protocol.wire.FlowOffer parseDelimitedFrom(java.io.InputStream input)
       throws java.io.IOException {
-    return com.google.protobuf.GeneratedMessage
-        .parseDelimitedWithIOException(PARSER, input);
+    return com.google.protobuf.GeneratedMessage.parseDelimitedWithIOException(PARSER, input);
   }
 
   public static org.almondslip.protocol.wire.FlowOffer parseDelimitedFrom(
-      java.io.InputStream input,
-      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+      java.io.InputStream input, com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws java.io.IOException {
-    return com.google.protobuf.GeneratedMessage
-        .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
+    return com.google.protobuf.GeneratedMessage.parseDelimitedWithIOException(
+        PARSER, input, extensionRegistry);
   }
+
   public static org.almondslip.protocol.wire.FlowOffer parseFrom(
-      com.google.protobuf.CodedInputStream input)
-      throws java.io.IOException {
-    return com.google.protobuf.GeneratedMessage
-        .parseWithIOException(PARSER, input);
+      com.google.protobuf.CodedInputStream input) throws java.io.IOException {
+    return com.google.protobuf.GeneratedMessage.parseWithIOException(PARSER, input);
   }
+
   public static org.almondslip.protocol.wire.FlowOffer parseFrom(
       com.google.protobuf.CodedInputStream input,
       com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws java.io.IOException {
-    return com.google.protobuf.GeneratedMessage
-        .parseWithIOException(PARSER, input, extensionRegistry);
+    return com.google.protobuf.GeneratedMessage.parseWithIOException(
+        PARSER, input, extensionRegistry);
   }
 
   @java.lang.Override
-  public Builder newBuilderForType() { return newBuilder(); }
+  public Builder newBuilderForType() {
+    return newBuilder();
+  }
+
   public static Builder newBuilder() {
     return DEFAULT_INSTANCE.toBuilder();
   }
+
   public static Builder newBuilder(org.almondslip.protocol.wire.FlowOffer prototype) {
     return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
   }
+
   @java.lang.Override
   public Builder toBuilder() {
-    return this == DEFAULT_INSTANCE
-        ? new Builder() : new Builder().mergeFrom(this);
+    return this == DEFAULT_INSTANCE ? new Builder() : new Builder().mergeFrom(this);
   }
 
   @java.lang.Override
-  protected Builder newBuilderForType(
-      com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+  protected Builder newBuilderForType(com.google.protobuf.GeneratedMessage.BuilderParent parent) {
     Builder builder = new Builder(parent);
     return builder;
   }
+
   /**
+   *
+   *
    * <pre>
    * State of one flow's queue at a router. Replaces the earlier offer of the same flow and router.
    * </pre>
    *
    * Protobuf type {@code almondslip.FlowOffer}
    */
-  public static final class Builder extends
-      com.google.protobuf.GeneratedMessage.Builder<Builder> implements
+  public static final class Builder extends com.google.protobuf.GeneratedMessage.Builder<Builder>
+      implements
       // @@protoc_insertion_point(builder_implements:almondslip.FlowOffer)
       org.almondslip.protocol.wire.FlowOfferOrBuilder {
-    public static final com.google.protobuf.Descriptors.Descriptor
-        getDescriptor() {
-      return org.almondslip.protocol.wire.Almondslip.internal_static_almondslip_FlowOffer_descriptor;
+    public static final com.google.protobuf.Descriptors.Descriptor getDescriptor() {
+      return org.almondslip.protocol.wire.Almondslip
+          .internal_static_almondslip_FlowOffer_descriptor;
     }
 
     @java.lang.Override
     protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
         internalGetFieldAccessorTable() {
-      return org.almondslip.protocol.wire.Almondslip.internal_static_almondslip_FlowOffer_fieldAccessorTable
+      return org.almondslip.protocol.wire.Almondslip
+          .internal_static_almondslip_FlowOffer_fieldAccessorTable
           .ensureFieldAccessorsInitialized(
-              org.almondslip.protocol.wire.FlowOffer.class, org.almondslip.protocol.wire.FlowOffer.Builder.class);
+              org.almondslip.protocol.wire.FlowOffer.class,
+              org.almondslip.protocol.wire.FlowOffer.Builder.class);
     }
 
     // Construct using org.almondslip.protocol.wire.FlowOffer.newBuilder()
-    private Builder() {
+    private Builder() {}
 
-    }
-
-    private Builder(
-        com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+    private Builder(com.google.protobuf.GeneratedMessage.BuilderParent parent) {
       super(parent);
-
     }
+
     @java.lang.Override
     public Builder clear() {
       super.clear();
@@ -404,9 +424,9 @@
     }
 
     @java.lang.Override
-    public com.google.protobuf.Descriptors.Descriptor
-        getDescriptorForType() {
-      return org.almondslip.protocol.wire.Almondslip.internal_static_almondslip_FlowOffer_descriptor;
+    public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
+      return org.almondslip.protocol.wire.Almondslip
+          .internal_static_almondslip_FlowOffer_descriptor;
     }
 
     @java.lang.Override
@@ -425,8 +445,11 @@
 
     @java.lang.Override
     public org.almondslip.protocol.wire.FlowOffer buildPartial() {
-      org.almondslip.protocol.wire.FlowOffer result = new org.almondslip.protocol.wire.FlowOffer(this);
-      if (bitField0_ != 0) { buildPartial0(result); }
+      org.almondslip.protocol.wire.FlowOffer result =
+          new org.almondslip.protocol.wire.FlowOffer(this);
+      if (bitField0_ != 0) {
+        buildPartial0(result);
+      }
       onBuilt();
       return result;
     }
@@ -456,7 +479,7 @@
     @java.lang.Override
     public Builder mergeFrom(com.google.protobuf.Message other) {
       if (other instanceof org.almondslip.protocol.wire.FlowOffer) {
-        return mergeFrom((org.almondslip.protocol.wire.FlowOffer)other);
+        return mergeFrom((org.almondslip.protocol.wire.FlowOffer) other);
       } else {
         super.mergeFrom(other);
         return this;
@@ -507,42 +530,49 @@
             case 0:
               done = true;
               break;
-            case 13: {
-              flowId_ = input.readFixed32();
-              bitField0_ |= 0x00000001;
-              break;
-            } // case 13
-            case 16: {
-              waiting_ = input.readUInt32();
-              bitField0_ |= 0x00000002;
-              break;
-            } // case 16
-            case 24: {
-              headAgeMs_ = input.readUInt32();
-              bitField0_ |= 0x00000004;
-              break;
-            } // case 24
-            case 32: {
-              estimateMs_ = input.readUInt32();
-              bitField0_ |= 0x00000008;
-              break;
-            } // case 32
-            case 40: {
-              spill_ = input.readBool();
-              bitField0_ |= 0x00000010;
-              break;
-            } // case 40
-            case 48: {
-              exclusive_ = input.readBool();
-              bitField0_ |= 0x00000020;
-              break;
-            } // case 48
-            default: {
-              if (!super.parseUnknownField(input, extensionRegistry, tag)) {
-                done = true; // was an endgroup tag
-              }
-              break;
-            } // default:
+            case 13:
+              {
+                flowId_ = input.readFixed32();
+                bitField0_ |= 0x00000001;
+                break;
+              } // case 13
+            case 16:
+              {
+                waiting_ = input.readUInt32();
+                bitField0_ |= 0x00000002;
+                break;
+              } // case 16
+            case 24:
+              {
+                headAgeMs_ = input.readUInt32();
+                bitField0_ |= 0x00000004;
+                break;
+              } // case 24
+            case 32:
+              {
+                estimateMs_ = input.readUInt32();
+                bitField0_ |= 0x00000008;
+                break;
+              } // case 32
+            case 40:
+              {
+                spill_ = input.readBool();
+                bitField0_ |= 0x00000010;
+                break;
+              } // case 40
+            case 48:
+              {
+                exclusive_ = input.readBool();
+                bitField0_ |= 0x00000020;
+                break;
+              } // case 48
+            default:
+              {
+                if (!super.parseUnknownField(input, extensionRegistry, tag)) {
+                  done = true; // was an endgroup tag
+                }
+                break;
+              } // default:
           } // switch (tag)
         } // while (!done)
       } catch (com.google.protobuf.InvalidProtocolBufferException e) {
@@ -552,19 +582,24 @@
       } // finally
       return this;
     }
+
     private int bitField0_;
 
-    private int flowId_ ;
+    private int flowId_;
+
     /**
      * <code>fixed32 flow_id = 1;</code>
+     *
      * @return The flowId.
      */
     @java.lang.Override
     public int getFlowId() {
       return flowId_;
     }
+
     /**
      * <code>fixed32 flow_id = 1;</code>
+     *
      * @param value The flowId to set.
      * @return This builder for chaining.
      */
@@ -575,8 +610,10 @@
       onChanged();
       return this;
     }
+
     /**
      * <code>fixed32 flow_id = 1;</code>
+     *
      * @return This builder for chaining.
      */
     public Builder clearFlowId() {
@@ -586,25 +623,33 @@
       return this;
     }
 
-    private int waiting_ ;
+    private int waiting_;
+
     /**
+     *
+     *
      * <pre>
      * Requests waiting; 0 withdraws the offer.
      * </pre>
      *
      * <code>uint32 waiting = 2;</code>
+     *
      * @return The waiting.
      */
     @java.lang.Override
     public int getWaiting() {
       return waiting_;
     }
+
     /**
+     *
+     *
      * <pre>
      * Requests waiting; 0 withdraws the offer.
      * </pre>
      *
      * <code>uint32 waiting = 2;</code>
+     *
      * @param value The waiting to set.
      * @return This builder for chaining.
      */
@@ -615,12 +660,16 @@
       onChanged();
       return this;
     }
+
     /**
+     *
+     *
      * <pre>
      * Requests waiting; 0 withdraws the offer.
      * </pre>
      *
      * <code>uint32 waiting = 2;</code>
+     *
      * @return This builder for chaining.
      */
     public Builder clearWaiting() {
@@ -630,25 +679,33 @@
       return this;
     }
 
-    private int headAgeMs_ ;
+    private int headAgeMs_;
+
     /**
+     *
+     *
      * <pre>
      * Time that the head of the queue has waited, in milliseconds.
      * </pre>
      *
      * <code>uint32 head_age_ms = 3;</code>
+     *
      * @return The headAgeMs.
      */
     @java.lang.Override
     public int getHeadAgeMs() {
       return headAgeMs_;
     }
+
     /**
+     *
+     *
      * <pre>
      * Time that the head of the queue has waited, in milliseconds.
      * </pre>
      *
      * <code>uint32 head_age_ms = 3;</code>
+     *
      * @param value The headAgeMs to set.
      * @return This builder for chaining.
      */
@@ -659,12 +716,16 @@
       onChanged();
       return this;
     }
+
     /**
+     *
+     *
      * <pre>
      * Time that the head of the queue has waited, in milliseconds.
      * </pre>
      *
      * <code>uint32 head_age_ms = 3;</code>
+     *
      * @return This builder for chaining.
      */
     public Builder clearHeadAgeMs() {
@@ -674,25 +735,33 @@
       return this;
     }
 
-    private int estimateMs_ ;
+    private int estimateMs_;
+
     /**
+     *
+     *
      * <pre>
      * Expected slot time of the head, in milliseconds.
      * </pre>
      *
      * <code>uint32 estimate_ms = 4;</code>
+     *
      * @return The estimateMs.
      */
     @java.lang.Override
     public int getEstimateMs() {
       return estimateMs_;
     }
+
     /**
+     *
+     *
      * <pre>
      * Expected slot time of the head, in milliseconds.
      * </pre>
      *
      * <code>uint32 estimate_ms = 4;</code>
+     *
      * @param value The estimateMs to set.
      * @return This builder for chaining.
      */
@@ -703,12 +772,16 @@
       onChanged();
       return this;
     }
+
     /**
+     *
+     *
      * <pre>
      * Expected slot time of the head, in milliseconds.
      * </pre>
      *
      * <code>uint32 estimate_ms = 4;</code>
+     *
      * @return This builder for chaining.
      */
     public Builder clearEstimateMs() {
@@ -718,25 +791,33 @@
       return this;
     }
 
-    private boolean spill_ ;
+    private boolean spill_;
+
     /**
+     *
+     *
      * <pre>
      * The router is in another region and has targets of the pool in its own.
      * </pre>
      *
      * <code>bool spill = 5;</code>
+     *
      * @return The spill.
      */
     @java.lang.Override
     public boolean getSpill() {
       return spill_;
     }
+
     /**
+     *
+     *
      * <pre>
      * The router is in another region and has targets of the pool in its own.
      * </pre>
      *
      * <code>bool spill = 5;</code>
+     *
      * @param value The spill to set.
      * @return This builder for chaining.
      */
@@ -747,12 +828,16 @@
       onChanged();
       return this;
     }
+
     /**
+     *
+     *
      * <pre>
      * The router is in another region and has targets of the pool in its own.
      * </pre>
      *
      * <code>bool spill = 5;</code>
+     *
      * @return This builder for chaining.
      */
     public Builder clearSpill() {
@@ -762,25 +847,33 @@
       return this;
     }
 
-    private boolean exclusive_ ;
+    private boolean exclusive_;
+
     /**
+     *
+     *
      * <pre>
      * The head is suspected of crashing targets and must run alone.
      * </pre>
      *
      * <code>bool exclusive = 6;</code>
+     *
      * @return The exclusive.
      */
     @java.lang.Override
     public boolean getExclusive() {
       return exclusive_;
     }
+
     /**
+     *
+     *
      * <pre>
      * The head is suspected of crashing targets and must run alone.
      * </pre>
      *
      * <code>bool exclusive = 6;</code>
+     *
      * @param value The exclusive to set.
      * @return This builder for chaining.
      */
@@ -791,12 +884,16 @@
       onChanged();
       return this;
     }
+
     /**
+     *
+     *
      * <pre>
      * The head is suspected of crashing targets and must run alone.
      * </pre>
      *
      * <code>bool exclusive = 6;</code>
+     *
      * @return This builder for chaining.
      */
     public Builder clearExclusive() {
@@ -811,6 +908,7 @@
 
   // @@protoc_insertion_point(class_scope:almondslip.FlowOffer)
   private static final org.almondslip.protocol.wire.FlowOffer DEFAULT_INSTANCE;
+
   static {
     DEFAULT_INSTANCE = new org.almondslip.protocol.wire.FlowOffer();
   }
@@ -819,27 +917,27 @@
     return DEFAULT_INSTANCE;
   }
 
-  private static final com.google.protobuf.Parser<FlowOffer>
-      PARSER = new com.google.protobuf.AbstractParser<FlowOffer>() {
-    @java.lang.Override
-    public FlowOffer parsePartialFrom(
-        com.google.protobuf.CodedInputStream input,
-        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-        throws com.google.protobuf.InvalidProtocolBufferException {
-      Builder builder = newBuilder();
-      try {
-        builder.mergeFrom(input, extensionRegistry);
-      } catch (com.google.protobuf.InvalidProtocolBufferException e) {
-        throw e.setUnfinishedMessage(builder.buildPartial());
-      } catch (com.google.protobuf.UninitializedMessageException e) {
-        throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
-      } catch (java.io.IOException e) {
-        throw new com.google.protobuf.InvalidProtocolBufferException(e)
-            .setUnfinishedMessage(builder.buildPartial());
-      }
-      return builder.buildPartial();
-    }
-  };
+  private static final com.google.protobuf.Parser<FlowOffer> PARSER =
+      new com.google.protobuf.AbstractParser<FlowOffer>() {
+        @java.lang.Override
+        public FlowOffer parsePartialFrom(
+            com.google.protobuf.CodedInputStream input,
+            com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+            throws com.google.protobuf.InvalidProtocolBufferException {
+          Builder builder = newBuilder();
+          try {
+            builder.mergeFrom(input, extensionRegistry);
+          } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+            throw e.setUnfinishedMessage(builder.buildPartial());
+          } catch (com.google.protobuf.UninitializedMessageException e) {
+            throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
+          } catch (java.io.IOException e) {
+            throw new com.google.protobuf.InvalidProtocolBufferException(e)
+                .setUnfinishedMessage(builder.buildPartial());
+          }
+          return builder.buildPartial();
+        }
+      };
 
   public static com.google.protobuf.Parser<FlowOffer> parser() {
     return PARSER;
@@ -854,6 +952,4 @@
   public org.almondslip.protocol.wire.FlowOffer getDefaultInstanceForType() {
     return DEFAULT_INSTANCE;
   }
-
 }
-
--- a/wire/src/main/java/org/almondslip/protocol/wire/FlowOfferOrBuilder.java
+++ b/wire/src/main/java/org/almondslip/protocol/wire/FlowOfferOrBuilder.java
@@ -6,62 +6,79 @@
 package org.almondslip.protocol.wire;
 
 @com.google.protobuf.Generated
-public interface FlowOfferOrBuilder extends
+public interface FlowOfferOrBuilder
+    extends
     // @@protoc_insertion_point(interface_extends:almondslip.FlowOffer)
     com.google.protobuf.MessageOrBuilder {
 
   /**
    * <code>fixed32 flow_id = 1;</code>
+   *
    * @return The flowId.
    */
   int getFlowId();
 
   /**
+   *
+   *
    * <pre>
    * Requests waiting; 0 withdraws the offer.
    * </pre>
    *
    * <code>uint32 waiting = 2;</code>
+   *
    * @return The waiting.
    */
   int getWaiting();
 
   /**
+   *
+   *
    * <pre>
    * Time that the head of the queue has waited, in milliseconds.
    * </pre>
    *
    * <code>uint32 head_age_ms = 3;</code>
+   *
    * @return The headAgeMs.
    */
   int getHeadAgeMs();
 
   /**
+   *
+   *
    * <pre>
    * Expected slot time of the head, in milliseconds.
    * </pre>
    *
    * <code>uint32 estimate_ms = 4;</code>
+   *
    * @return The estimateMs.
    */
   int getEstimateMs();
 
   /**
+   *
+   *
    * <pre>
    * The router is in another region and has targets of the pool in its own.
    * </pre>
    *
    * <code>bool spill = 5;</code>
+   *
    * @return The spill.
    */
   boolean getSpill();
 
   /**
+   *
+   *
    * <pre>
    * The head is suspected of crashing targets and must run alone.
    * </pre>
    *
    * <code>bool exclusive = 6;</code>
+   *
    * @return The exclusive.
    */
   boolean getExclusive();
