--- a/wire/src/main/java/org/almondslip/protocol/wire/Frame.java
+++ b/wire/src/main/java/org/almondslip/protocol/wire/Frame.java
@@ -6,6 +6,8 @@
 package org.almondslip.protocol.wire;
 
 /**
+ *
+ *
  * <pre>
  * One message between two processes of the fleet. Each frame carries exactly one body.
  * </pre>
@@ -13,29 +15,30 @@
  * Protobuf type {@code almondslip.Frame}
  */
 @com.google.protobuf.Generated
-public final class Frame extends
-    com.google.protobuf.GeneratedMessage implements
+public final class Frame extends com.google.protobuf.GeneratedMessage
+    implements
     // @@protoc_insertion_point(message_implements:almondslip.Frame)
     FrameOrBuilder {
-private static final long serialVersionUID = 0L;
+  private static final long serialVersionUID = 0L;
+
   static {
     com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
-      com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
-      /* major= */ 4,
-      /* minor= */ 36,
-      /* patch= */ 2,
-      /* suffix= */ "",
-      "Frame");
+        com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+        /* major= */ 4,
+        /* minor= */ 36,
+        /* patch= */ 2,
+        /* suffix= */ "",
+        "Frame");
   }
+
   // Use Frame.newBuilder() to construct.
   private Frame(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
     super(builder);
   }
-  private Frame() {
-  }
 
-  public static final com.google.protobuf.Descriptors.Descriptor
-      getDescriptor() {
+  private Frame() {}
+
+  public static final com.google.protobuf.Descriptors.Descriptor getDescriptor() {
     return org.almondslip.protocol.wire.Almondslip.internal_static_almondslip_Frame_descriptor;
   }
 
@@ -47,16 +50,21 @@
   @java.lang.Override
   protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internalGetFieldAccessorTable() {
-    return org.almondslip.protocol.wire.Almondslip.internal_static_almondslip_Frame_fieldAccessorTable
+    return org.almondslip.protocol.wire.Almondslip
+        .internal_static_almondslip_Frame_fieldAccessorTable
         .ensureFieldAccessorsInitialized(
-            org.almondslip.protocol.wire.Frame.class, org.almondslip.protocol.wire.Frame.Builder.class);
+            org.almondslip.protocol.wire.Frame.class,
+            org.almondslip.protocol.wire.Frame.Builder.class);
   }
 
   private int bodyCase_ = 0;
+
   @SuppressWarnings("serial")
   private java.lang.Object body_;
+
   public enum BodyCase
-      implements com.google.protobuf.Internal.EnumLite,
+      implements
+          com.google.protobuf.Internal.EnumLite,
           com.google.protobuf.AbstractMessage.InternalOneOfEnum {
     HELLO(1),
     PROOF(2),
@@ -81,9 +89,11 @@
     SUSPECT_NOTICE(40),
     BODY_NOT_SET(0);
     private final int value;
+
     private BodyCase(int value) {
       this.value = value;
     }
+
     /**
      * @param value The number of the enum to look for.
      * @return The enum associated with the given number.
@@ -96,694 +106,780 @@
 
     public static BodyCase forNumber(int value) {
       switch (value) {
-        case 1: return HELLO;
-        case 2: return PROOF;
-        case 3: return HEARTBEAT;
-        case 4: return ANNOUNCE;
-        case 5: return DRAIN;
-        case 10: return OFFERS;
-        case 11: return GRANT;
-        case 12: return DECLINE;
-        case 13: return DISPATCH;
-        case 14: return CANCEL;
-        case 15: return ATTACH;
-        case 16: return ANSWER;
-        case 17: return ANSWER_ACK;
-        case 20: return SERVICE_REPORT;
-        case 21: return SERVICE_DIGEST;
-        case 22: return ROOT_EXCHANGE;
-        case 23: return ROOT_SNAPSHOT;
-        case 30: return CATALOG_REVISION;
-        case 31: return CATALOG_PULL;
-        case 32: return CATALOG_CHANGES;
-        case 40: return SUSPECT_NOTICE;
-        case 0: return BODY_NOT_SET;
-        default: return null;
+        case 1:
+          return HELLO;
+        case 2:
+          return PROOF;
+        case 3:
+          return HEARTBEAT;
+        case 4:
+          return ANNOUNCE;
+        case 5:
+          return DRAIN;
+        case 10:
+          return OFFERS;
+        case 11:
+          return GRANT;
+        case 12:
+          return DECLINE;
+        case 13:
+          return DISPATCH;
+        case 14:
+          return CANCEL;
+        case 15:
+          return ATTACH;
+        case 16:
+          return ANSWER;
+        case 17:
+          return ANSWER_ACK;
+        case 20:
+          return SERVICE_REPORT;
+        case 21:
+          return SERVICE_DIGEST;
+        case 22:
+          return ROOT_EXCHANGE;
+        case 23:
+          return ROOT_SNAPSHOT;
+        case 30:
+          return CATALOG_REVISION;
+        case 31:
+          return CATALOG_PULL;
+        case 32:
+          return CATALOG_CHANGES;
+        case 40:
+          return SUSPECT_NOTICE;
+        case 0:
+          return BODY_NOT_SET;
+        default:
+          return null;
       }
     }
+
     public int getNumber() {
       return this.value;
     }
   };
 
-  public BodyCase
-  getBodyCase() {
-    return BodyCase.forNumber(
-        bodyCase_);
+  public BodyCase getBodyCase() {
+    return BodyCase.forNumber(bodyCase_);
   }
 
   public static final int HELLO_FIELD_NUMBER = 1;
+
   /**
    * <code>.almondslip.Hello hello = 1;</code>
+   *
    * @return Whether the hello field is set.
    */
   @java.lang.Override
   public boolean hasHello() {
     return bodyCase_ == 1;
   }
+
   /**
    * <code>.almondslip.Hello hello = 1;</code>
+   *
    * @return The hello.
    */
   @java.lang.Override
   public org.almondslip.protocol.wire.Hello getHello() {
     if (bodyCase_ == 1) {
-       return (org.almondslip.protocol.wire.Hello) body_;
+      return (org.almondslip.protocol.wire.Hello) body_;
     }
     return org.almondslip.protocol.wire.Hello.getDefaultInstance();
   }
-  /**
-   * <code>.almondslip.Hello hello = 1;</code>
-   */
+
+  /** <code>.almondslip.Hello hello = 1;</code> */
   @java.lang.Override
   public org.almondslip.protocol.wire.HelloOrBuilder getHelloOrBuilder() {
     if (bodyCase_ == 1) {
-       return (org.almondslip.protocol.wire.Hello) body_;
+      return (org.almondslip.protocol.wire.Hello) body_;
     }
     return org.almondslip.protocol.wire.Hello.getDefaultInstance();
   }
 
   public static final int PROOF_FIELD_NUMBER = 2;
+
   /**
    * <code>.almondslip.Proof proof = 2;</code>
+   *
    * @return Whether the proof field is set.
    */
   @java.lang.Override
   public boolean hasProof() {
     return bodyCase_ == 2;
   }
+
   /**
    * <code>.almondslip.Proof proof = 2;</code>
+   *
    * @return The proof.
    */
   @java.lang.Override
   public org.almondslip.protocol.wire.Proof getProof() {
     if (bodyCase_ == 2) {
-       return (org.almondslip.protocol.wire.Proof) body_;
+      return (org.almondslip.protocol.wire.Proof) body_;
     }
     return org.almondslip.protocol.wire.Proof.getDefaultInstance();
   }
-  /**
-   * <code>.almondslip.Proof proof = 2;</code>
-   */
+
+  /** <code>.almondslip.Proof proof = 2;</code> */
   @java.lang.Override
   public org.almondslip.protocol.wire.ProofOrBuilder getProofOrBuilder() {
     if (bodyCase_ == 2) {
-       return (org.almondslip.protocol.wire.Proof) body_;
+      return (org.almondslip.protocol.wire.Proof) body_;
     }
     return org.almondslip.protocol.wire.Proof.getDefaultInstance();
   }
 
   public static final int HEARTBEAT_FIELD_NUMBER = 3;
+
   /**
    * <code>.almondslip.Heartbeat heartbeat = 3;</code>
+   *
    * @return Whether the heartbeat field is set.
    */
   @java.lang.Override
   public boolean hasHeartbeat() {
     return bodyCase_ == 3;
   }
+
   /**
    * <code>.almondslip.Heartbeat heartbeat = 3;</code>
+   *
    * @return The heartbeat.
    */
   @java.lang.Override
   public org.almondslip.protocol.wire.Heartbeat getHeartbeat() {
     if (bodyCase_ == 3) {
-       return (org.almondslip.protocol.wire.Heartbeat) body_;
+      return (org.almondslip.protocol.wire.Heartbeat) body_;
     }
     return org.almondslip.protocol.wire.Heartbeat.getDefaultInstance();
   }
-  /**
-   * <code>.almondslip.Heartbeat heartbeat = 3;</code>
-   */
+
+  /** <code>.almondslip.Heartbeat heartbeat = 3;</code> */
   @java.lang.Override
   public org.almondslip.protocol.wire.HeartbeatOrBuilder getHeartbeatOrBuilder() {
     if (bodyCase_ == 3) {
-       return (org.almondslip.protocol.wire.Heartbeat) body_;
+      return (org.almondslip.protocol.wire.Heartbeat) body_;
     }
     return org.almondslip.protocol.wire.Heartbeat.getDefaultInstance();
   }
 
   public static final int ANNOUNCE_FIELD_NUMBER = 4;
+
   /**
    * <code>.almondslip.Announce announce = 4;</code>
+   *
    * @return Whether the announce field is set.
    */
   @java.lang.Override
   public boolean hasAnnounce() {
     return bodyCase_ == 4;
   }
+
   /**
    * <code>.almondslip.Announce announce = 4;</code>
+   *
    * @return The announce.
    */
   @java.lang.Override
   public org.almondslip.protocol.wire.Announce getAnnounce() {
     if (bodyCase_ == 4) {
-       return (org.almondslip.protocol.wire.Announce) body_;
+      return (org.almondslip.protocol.wire.Announce) body_;
     }
     return org.almondslip.protocol.wire.Announce.getDefaultInstance();
   }
-  /**
-   * <code>.almondslip.Announce announce = 4;</code>
-   */
+
+  /** <code>.almondslip.Announce announce = 4;</code> */
   @java.lang.Override
   public org.almondslip.protocol.wire.AnnounceOrBuilder getAnnounceOrBuilder() {
     if (bodyCase_ == 4) {
-       return (org.almondslip.protocol.wire.Announce) body_;
+      return (org.almondslip.protocol.wire.Announce) body_;
     }
     return org.almondslip.protocol.wire.Announce.getDefaultInstance();
   }
 
   public static final int DRAIN_FIELD_NUMBER = 5;
+
   /**
    * <code>.almondslip.Drain drain = 5;</code>
+   *
    * @return Whether the drain field is set.
    */
   @java.lang.Override
   public boolean hasDrain() {
     return bodyCase_ == 5;
   }
+
   /**
    * <code>.almondslip.Drain drain = 5;</code>
+   *
    * @return The drain.
    */
   @java.lang.Override
   public org.almondslip.protocol.wire.Drain getDrain() {
     if (bodyCase_ == 5) {
-       return (org.almondslip.protocol.wire.Drain) body_;
+      return (org.almondslip.protocol.wire.Drain) body_;
     }
     return org.almondslip.protocol.wire.Drain.getDefaultInstance();
   }
-  /**
-   * <code>.almondslip.Drain drain = 5;</code>
-   */
+
+  /** <code>.almondslip.Drain drain = 5;</code> */
   @java.lang.Override
   public org.almondslip.protocol.wire.DrainOrBuilder getDrainOrBuilder() {
     if (bodyCase_ == 5) {
-       return (org.almondslip.protocol.wire.Drain) body_;
+      return (org.almondslip.protocol.wire.Drain) body_;
     }
     return org.almondslip.protocol.wire.Drain.getDefaultInstance();
   }
 
   public static final int OFFERS_FIELD_NUMBER = 10;
+
   /**
    * <code>.almondslip.Offers offers = 10;</code>
+   *
    * @return Whether the offers field is set.
    */
   @java.lang.Override
   public boolean hasOffers() {
     return bodyCase_ == 10;
   }
+
   /**
    * <code>.almondslip.Offers offers = 10;</code>
+   *
    * @return The offers.
    */
   @java.lang.Override
   public org.almondslip.protocol.wire.Offers getOffers() {
     if (bodyCase_ == 10) {
-       return (org.almondslip.protocol.wire.Offers) body_;
+      return (org.almondslip.protocol.wire.Offers) body_;
     }
     return org.almondslip.protocol.wire.Offers.getDefaultInstance();
   }
-  /**
-   * <code>.almondslip.Offers offers = 10;</code>
-   */
+
+  /** <code>.almondslip.Offers offers = 10;</code> */
   @java.lang.Override
   public org.almondslip.protocol.wire.OffersOrBuilder getOffersOrBuilder() {
     if (bodyCase_ == 10) {
-       return (org.almondslip.protocol.wire.Offers) body_;
+      return (org.almondslip.protocol.wire.Offers) body_;
     }
     return org.almondslip.protocol.wire.Offers.getDefaultInstance();
   }
 
   public static final int GRANT_FIELD_NUMBER = 11;
+
   /**
    * <code>.almondslip.Grant grant = 11;</code>
+   *
    * @return Whether the grant field is set.
    */
   @java.lang.Override
   public boolean hasGrant() {
     return bodyCase_ == 11;
   }
+
   /**
    * <code>.almondslip.Grant grant = 11;</code>
+   *
    * @return The grant.
    */
   @java.lang.Override
   public org.almondslip.protocol.wire.Grant getGrant() {
     if (bodyCase_ == 11) {
-       return (org.almondslip.protocol.wire.Grant) body_;
+      return (org.almondslip.protocol.wire.Grant) body_;
     }
     return org.almondslip.protocol.wire.Grant.getDefaultInstance();
   }
-  /**
-   * <code>.almondslip.Grant grant = 11;</code>
-   */
+
+  /** <code>.almondslip.Grant grant = 11;</code> */
   @java.lang.Override
   public org.almondslip.protocol.wire.GrantOrBuilder getGrantOrBuilder() {
     if (bodyCase_ == 11) {
-       return (org.almondslip.protocol.wire.Grant) body_;
+      return (org.almondslip.protocol.wire.Grant) body_;
     }
     return org.almondslip.protocol.wire.Grant.getDefaultInstance();
   }
 
   public static final int DECLINE_FIELD_NUMBER = 12;
+
   /**
    * <code>.almondslip.Decline decline = 12;</code>
+   *
    * @return Whether the decline field is set.
    */
   @java.lang.Override
   public boolean hasDecline() {
     return bodyCase_ == 12;
   }
+
   /**
    * <code>.almondslip.Decline decline = 12;</code>
+   *
    * @return The decline.
    */
   @java.lang.Override
   public org.almondslip.protocol.wire.Decline getDecline() {
     if (bodyCase_ == 12) {
-       return (org.almondslip.protocol.wire.Decline) body_;
+      return (org.almondslip.protocol.wire.Decline) body_;
     }
     return org.almondslip.protocol.wire.Decline.getDefaultInstance();
   }
-  /**
-   * <code>.almondslip.Decline decline = 12;</code>
-   */
+
+  /** <code>.almondslip.Decline decline = 12;</code> */
   @java.lang.Override
   public org.almondslip.protocol.wire.DeclineOrBuilder getDeclineOrBuilder() {
     if (bodyCase_ == 12) {
-       return (org.almondslip.protocol.wire.Decline) body_;
+      return (org.almondslip.protocol.wire.Decline) body_;
     }
     return org.almondslip.protocol.wire.Decline.getDefaultInstance();
   }
 
   public static final int DISPATCH_FIELD_NUMBER = 13;
+
   /**
    * <code>.almondslip.Dispatch dispatch = 13;</code>
+   *
    * @return Whether the dispatch field is set.
    */
   @java.lang.Override
   public boolean hasDispatch() {
     return bodyCase_ == 13;
   }
+
   /**
    * <code>.almondslip.Dispatch dispatch = 13;</code>
+   *
    * @return The dispatch.
    */
   @java.lang.Override
   public org.almondslip.protocol.wire.Dispatch getDispatch() {
     if (bodyCase_ == 13) {
-       return (org.almondslip.protocol.wire.Dispatch) body_;
+      return (org.almondslip.protocol.wire.Dispatch) body_;
     }
     return org.almondslip.protocol.wire.Dispatch.getDefaultInstance();
   }
-  /**
-   * <code>.almondslip.Dispatch dispatch = 13;</code>
-   */
+
+  /** <code>.almondslip.Dispatch dispatch = 13;</code> */
   @java.lang.Override
   public org.almondslip.protocol.wire.DispatchOrBuilder getDispatchOrBuilder() {
     if (bodyCase_ == 13) {
-       return (org.almondslip.protocol.wire.Dispatch) body_;
+      return (org.almondslip.protocol.wire.Dispatch) body_;
     }
     return org.almondslip.protocol.wire.Dispatch.getDefaultInstance();
   }
 
   public static final int CANCEL_FIELD_NUMBER = 14;
+
   /**
    * <code>.almondslip.Cancel cancel = 14;</code>
+   *
    * @return Whether the cancel field is set.
    */
   @java.lang.Override
   public boolean hasCancel() {
     return bodyCase_ == 14;
   }
+
   /**
    * <code>.almondslip.Cancel cancel = 14;</code>
+   *
    * @return The cancel.
    */
   @java.lang.Override
   public org.almondslip.protocol.wire.Cancel getCancel() {
     if (bodyCase_ == 14) {
-       return (org.almondslip.protocol.wire.Cancel) body_;
+      return (org.almondslip.protocol.wire.Cancel) body_;
     }
     return org.almondslip.protocol.wire.Cancel.getDefaultInstance();
   }
-  /**
-   * <code>.almondslip.Cancel cancel = 14;</code>
-   */
+
+  /** <code>.almondslip.Cancel cancel = 14;</code> */
   @java.lang.Override
   public org.almondslip.protocol.wire.CancelOrBuilder getCancelOrBuilder() {
     if (bodyCase_ == 14) {
-       return (org.almondslip.protocol.wire.Cancel) body_;
+      return (org.almondslip.protocol.wire.Cancel) body_;
     }
     return org.almondslip.protocol.wire.Cancel.getDefaultInstance();
   }
 
   public static final int ATTACH_FIELD_NUMBER = 15;
+
   /**
    * <code>.almondslip.Attach attach = 15;</code>
+   *
    * @return Whether the attach field is set.
    */
   @java.lang.Override
   public boolean hasAttach() {
     return bodyCase_ == 15;
   }
+
   /**
    * <code>.almondslip.Attach attach = 15;</code>
+   *
    * @return The attach.
    */
   @java.lang.Override
   public org.almondslip.protocol.wire.Attach getAttach() {
     if (bodyCase_ == 15) {
-       return (org.almondslip.protocol.wire.Attach) body_;
+      return (org.almondslip.protocol.wire.Attach) body_;
     }
     return org.almondslip.protocol.wire.Attach.getDefaultInstance();
   }
-  /**
-   * <code>.almondslip.Attach attach = 15;</code>
-   */
+
+  /** <code>.almondslip.Attach attach = 15;</code> */
   @java.lang.Override
   public org.almondslip.protocol.wire.AttachOrBuilder getAttachOrBuilder() {
     if (bodyCase_ == 15) {
-       return (org.almondslip.protocol.wire.Attach) body_;
+      return (org.almondslip.protocol.wire.Attach) body_;
     }
     return org.almondslip.protocol.wire.Attach.getDefaultInstance();
   }
 
   public static final int ANSWER_FIELD_NUMBER = 16;
+
   /**
    * <code>.almondslip.Answer answer = 16;</code>
+   *
    * @return Whether the answer field is set.
    */
   @java.lang.Override
   public boolean hasAnswer() {
     return bodyCase_ == 16;
   }
+
   /**
    * <code>.almondslip.Answer answer = 16;</code>
+   *
    * @return The answer.
    */
   @java.lang.Override
   public org.almondslip.protocol.wire.Answer getAnswer() {
     if (bodyCase_ == 16) {
-       return (org.almondslip.protocol.wire.Answer) body_;
+      return (org.almondslip.protocol.wire.Answer) body_;
     }
     return org.almondslip.protocol.wire.Answer.getDefaultInstance();
   }
-  /**
-   * <code>.almondslip.Answer answer = 16;</code>
-   */
+
+  /** <code>.almondslip.Answer answer = 16;</code> */
   @java.lang.Override
   public org.almondslip.protocol.wire.AnswerOrBuilder getAnswerOrBuilder() {
     if (bodyCase_ == 16) {
-       return (org.almondslip.protocol.wire.Answer) body_;
+      return (org.almondslip.protocol.wire.Answer) body_;
     }
     return org.almondslip.protocol.wire.Answer.getDefaultInstance();
   }
 
   public static final int ANSWER_ACK_FIELD_NUMBER = 17;
+
   /**
    * <code>.almondslip.AnswerAck answer_ack = 17;</code>
+   *
    * @return Whether the answerAck field is set.
    */
   @java.lang.Override
   public boolean hasAnswerAck() {
     return bodyCase_ == 17;
   }
+
   /**
    * <code>.almondslip.AnswerAck answer_ack = 17;</code>
+   *
    * @return The answerAck.
    */
   @java.lang.Override
   public org.almondslip.protocol.wire.AnswerAck getAnswerAck() {
     if (bodyCase_ == 17) {
-       return (org.almondslip.protocol.wire.AnswerAck) body_;
+      return (org.almondslip.protocol.wire.AnswerAck) body_;
     }
     return org.almondslip.protocol.wire.AnswerAck.getDefaultInstance();
   }
-  /**
-   * <code>.almondslip.AnswerAck answer_ack = 17;</code>
-   */
+
+  /** <code>.almondslip.AnswerAck answer_ack = 17;</code> */
   @java.lang.Override
   public org.almondslip.protocol.wire.AnswerAckOrBuilder getAnswerAckOrBuilder() {
     if (bodyCase_ == 17) {
-       return (org.almondslip.protocol.wire.AnswerAck) body_;
+      return (org.almondslip.protocol.wire.AnswerAck) body_;
     }
     return org.almondslip.protocol.wire.AnswerAck.getDefaultInstance();
   }
 
   public static final int SERVICE_REPORT_FIELD_NUMBER = 20;
+
   /**
    * <code>.almondslip.ServiceReport service_report = 20;</code>
+   *
    * @return Whether the serviceReport field is set.
    */
   @java.lang.Override
   public boolean hasServiceReport() {
     return bodyCase_ == 20;
   }
+
   /**
    * <code>.almondslip.ServiceReport service_report = 20;</code>
+   *
    * @return The serviceReport.
    */
   @java.lang.Override
   public org.almondslip.protocol.wire.ServiceReport getServiceReport() {
     if (bodyCase_ == 20) {
-       return (org.almondslip.protocol.wire.ServiceReport) body_;
+      return (org.almondslip.protocol.wire.ServiceReport) body_;
     }
     return org.almondslip.protocol.wire.ServiceReport.getDefaultInstance();
   }
-  /**
-   * <code>.almondslip.ServiceReport service_report = 20;</code>
-   */
+
+  /** <code>.almondslip.ServiceReport service_report = 20;</code> */
   @java.lang.Override
   public org.almondslip.protocol.wire.ServiceReportOrBuilder getServiceReportOrBuilder() {
     if (bodyCase_ == 20) {
-       return (org.almondslip.protocol.wire.ServiceReport) body_;
+      return (org.almondslip.protocol.wire.ServiceReport) body_;
     }
     return org.almondslip.protocol.wire.ServiceReport.getDefaultInstance();
   }
 
   public static final int SERVICE_DIGEST_FIELD_NUMBER = 21;
+
   /**
    * <code>.almondslip.ServiceDigest service_digest = 21;</code>
+   *
    * @return Whether the serviceDigest field is set.
    */
   @java.lang.Override
   public boolean hasServiceDigest() {
     return bodyCase_ == 21;
   }
+
   /**
    * <code>.almondslip.ServiceDigest service_digest = 21;</code>
+   *
    * @return The serviceDigest.
    */
   @java.lang.Override
   public org.almondslip.protocol.wire.ServiceDigest getServiceDigest() {
     if (bodyCase_ == 21) {
-       return (org.almondslip.protocol.wire.ServiceDigest) body_;
+      return (org.almondslip.protocol.wire.ServiceDigest) body_;
     }
     return org.almondslip.protocol.wire.ServiceDigest.getDefaultInstance();
   }
-  /**
-   * <code>.almondslip.ServiceDigest service_digest = 21;</code>
-   */
+
+  /** <code>.almondslip.ServiceDigest service_digest = 21;</code> */
   @java.lang.Override
   public org.almondslip.protocol.wire.ServiceDigestOrBuilder getServiceDigestOrBuilder() {
     if (bodyCase_ == 21) {
-       return (org.almondslip.protocol.wire.ServiceDigest) body_;
+      return (org.almondslip.protocol.wire.ServiceDigest) body_;
     }
     return org.almondslip.protocol.wire.ServiceDigest.getDefaultInstance();
   }
 
   public static final int ROOT_EXCHANGE_FIELD_NUMBER = 22;
+
   /**
    * <code>.almondslip.RootExchange root_exchange = 22;</code>
+   *
    * @return Whether the rootExchange field is set.
    */
   @java.lang.Override
   public boolean hasRootExchange() {
     return bodyCase_ == 22;
   }
+
   /**
    * <code>.almondslip.RootExchange root_exchange = 22;</code>
+   *
    * @return The rootExchange.
    */
   @java.lang.Override
   public org.almondslip.protocol.wire.RootExchange getRootExchange() {
     if (bodyCase_ == 22) {
-       return (org.almondslip.protocol.wire.RootExchange) body_;
+      return (org.almondslip.protocol.wire.RootExchange) body_;
     }
     return org.almondslip.protocol.wire.RootExchange.getDefaultInstance();
   }
-  /**
-   * <code>.almondslip.RootExchange root_exchange = 22;</code>
-   */
+
+  /** <code>.almondslip.RootExchange root_exchange = 22;</code> */
   @java.lang.Override
   public org.almondslip.protocol.wire.RootExchangeOrBuilder getRootExchangeOrBuilder() {
     if (bodyCase_ == 22) {
-       return (org.almondslip.protocol.wire.RootExchange) body_;
+      return (org.almondslip.protocol.wire.RootExchange) body_;
     }
     return org.almondslip.protocol.wire.RootExchange.getDefaultInstance();
   }
 
   public static final int ROOT_SNAPSHOT_FIELD_NUMBER = 23;
+
   /**
    * <code>.almondslip.RootSnapshot root_snapshot = 23;</code>
+   *
    * @return Whether the rootSnapshot field is set.
    */
   @java.lang.Override
   public boolean hasRootSnapshot() {
     return bodyCase_ == 23;
   }
+
   /**
    * <code>.almondslip.RootSnapshot root_snapshot = 23;</code>
+   *
    * @return The rootSnapshot.
    */
   @java.lang.Override
   public org.almondslip.protocol.wire.RootSnapshot getRootSnapshot() {
     if (bodyCase_ == 23) {
-       return (org.almondslip.protocol.wire.RootSnapshot) body_;
+      return (org.almondslip.protocol.wire.RootSnapshot) body_;
     }
     return org.almondslip.protocol.wire.RootSnapshot.getDefaultInstance();
   }
-  /**
-   * <code>.almondslip.RootSnapshot root_snapshot = 23;</code>
-   */
+
+  /** <code>.almondslip.RootSnapshot root_snapshot = 23;</code> */
   @java.lang.Override
   public org.almondslip.protocol.wire.RootSnapshotOrBuilder getRootSnapshotOrBuilder() {
     if (bodyCase_ == 23) {
-       return (org.almondslip.protocol.wire.RootSnapshot) body_;
+      return (org.almondslip.protocol.wire.RootSnapshot) body_;
     }
     return org.almondslip.protocol.wire.RootSnapshot.getDefaultInstance();
   }
 
   public static final int CATALOG_REVISION_FIELD_NUMBER = 30;
+
   /**
    * <code>.almondslip.CatalogRevision catalog_revision = 30;</code>
+   *
    * @return Whether the catalogRevision field is set.
    */
   @java.lang.Override
   public boolean hasCatalogRevision() {
     return bodyCase_ == 30;
   }
+
   /**
    * <code>.almondslip.CatalogRevision catalog_revision = 30;</code>
+   *
    * @return The catalogRevision.
    */
   @java.lang.Override
   public org.almondslip.protocol.wire.CatalogRevision getCatalogRevision() {
     if (bodyCase_ == 30) {
-       return (org.almondslip.protocol.wire.CatalogRevision) body_;
+      return (org.almondslip.protocol.wire.CatalogRevision) body_;
     }
     return org.almondslip.protocol.wire.CatalogRevision.getDefaultInstance();
   }
-  /**
-   * <code>.almondslip.CatalogRevision catalog_revision = 30;</code>
-   */
+
+  /** <code>.almondslip.CatalogRevision catalog_revision = 30;</code> */
   @java.lang.Override
   public org.almondslip.protocol.wire.CatalogRevisionOrBuilder getCatalogRevisionOrBuilder() {
     if (bodyCase_ == 30) {
-       return (org.almondslip.protocol.wire.CatalogRevision) body_;
+      return (org.almondslip.protocol.wire.CatalogRevision) body_;
     }
     return org.almondslip.protocol.wire.CatalogRevision.getDefaultInstance();
   }
 
   public static final int CATALOG_PULL_FIELD_NUMBER = 31;
+
   /**
    * <code>.almondslip.CatalogPull catalog_pull = 31;</code>
+   *
    * @return Whether the catalogPull field is set.
    */
   @java.lang.Override
   public boolean hasCatalogPull() {
     return bodyCase_ == 31;
   }
+
   /**
    * <code>.almondslip.CatalogPull catalog_pull = 31;</code>
+   *
    * @return The catalogPull.
    */
   @java.lang.Override
   public org.almondslip.protocol.wire.CatalogPull getCatalogPull() {
     if (bodyCase_ == 31) {
-       return (org.almondslip.protocol.wire.CatalogPull) body_;
+      return (org.almondslip.protocol.wire.CatalogPull) body_;
     }
     return org.almondslip.protocol.wire.CatalogPull.getDefaultInstance();
   }
-  /**
-   * <code>.almondslip.CatalogPull catalog_pull = 31;</code>
-   */
+
+  /** <code>.almondslip.CatalogPull catalog_pull = 31;</code> */
   @java.lang.Override
   public org.almondslip.protocol.wire.CatalogPullOrBuilder getCatalogPullOrBuilder() {
     if (bodyCase_ == 31) {
-       return (org.almondslip.protocol.wire.CatalogPull) body_;
+      return (org.almondslip.protocol.wire.CatalogPull) body_;
     }
     return org.almondslip.protocol.wire.CatalogPull.getDefaultInstance();
   }
 
   public static final int CATALOG_CHANGES_FIELD_NUMBER = 32;
+
   /**
    * <code>.almondslip.CatalogChanges catalog_changes = 32;</code>
+   *
    * @return Whether the catalogChanges field is set.
    */
   @java.lang.Override
   public boolean hasCatalogChanges() {
     return bodyCase_ == 32;
   }
+
   /**
    * <code>.almondslip.CatalogChanges catalog_changes = 32;</code>
+   *
    * @return The catalogChanges.
    */
   @java.lang.Override
   public org.almondslip.protocol.wire.CatalogChanges getCatalogChanges() {
     if (bodyCase_ == 32) {
-       return (org.almondslip.protocol.wire.CatalogChanges) body_;
+      return (org.almondslip.protocol.wire.CatalogChanges) body_;
     }
     return org.almondslip.protocol.wire.CatalogChanges.getDefaultInstance();
   }
-  /**
-   * <code>.almondslip.CatalogChanges catalog_changes = 32;</code>
-   */
+
+  /** <code>.almondslip.CatalogChanges catalog_changes = 32;</code> */
   @java.lang.Override
   public org.almondslip.protocol.wire.CatalogChangesOrBuilder getCatalogChangesOrBuilder() {
     if (bodyCase_ == 32) {
-       return (org.almondslip.protocol.wire.CatalogChanges) body_;
+      return (org.almondslip.protocol.wire.CatalogChanges) body_;
     }
     return org.almondslip.protocol.wire.CatalogChanges.getDefaultInstance();
   }
 
   public static final int SUSPECT_NOTICE_FIELD_NUMBER = 40;
+
   /**
    * <code>.almondslip.SuspectNotice suspect_notice = 40;</code>
+   *
    * @return Whether the suspectNotice field is set.
    */
   @java.lang.Override
   public boolean hasSuspectNotice() {
     return bodyCase_ == 40;
   }
+
   /**
    * <code>.almondslip.SuspectNotice suspect_notice = 40;</code>
+   *
    * @return The suspectNotice.
    */
   @java.lang.Override
   public org.almondslip.protocol.wire.SuspectNotice getSuspectNotice() {
     if (bodyCase_ == 40) {
-       return (org.almondslip.protocol.wire.SuspectNotice) body_;
+      return (org.almondslip.protocol.wire.SuspectNotice) body_;
     }
     return org.almondslip.protocol.wire.SuspectNotice.getDefaultInstance();
   }
-  /**
-   * <code>.almondslip.SuspectNotice suspect_notice = 40;</code>
-   */
+
+  /** <code>.almondslip.SuspectNotice suspect_notice = 40;</code> */
   @java.lang.Override
   public org.almondslip.protocol.wire.SuspectNoticeOrBuilder getSuspectNoticeOrBuilder() {
     if (bodyCase_ == 40) {
-       return (org.almondslip.protocol.wire.SuspectNotice) body_;
+      return (org.almondslip.protocol.wire.SuspectNotice) body_;
     }
     return org.almondslip.protocol.wire.SuspectNotice.getDefaultInstance();
   }
 
   private byte memoizedIsInitialized = -1;
+
   @java.lang.Override
   public final boolean isInitialized() {
     byte isInitialized = memoizedIsInitialized;
@@ -795,8 +891,7 @@
   }
 
   @java.lang.Override
-  public void writeTo(com.google.protobuf.CodedOutputStream output)
-                      throws java.io.IOException {
+  public void writeTo(com.google.protobuf.CodedOutputStream output) throws java.io.IOException {
     if (bodyCase_ == 1) {
       output.writeMessage(1, (org.almondslip.protocol.wire.Hello) body_);
     }
@@ -862,94 +957,117 @@
     }
     getUnknownFields().writeTo(output);
   }
+
   private int computeSerializedSize_0() {
     int size = 0;
     if (bodyCase_ == 1) {
-      size += com.google.protobuf.CodedOutputStream
-        .computeMessageSize(1, (org.almondslip.protocol.wire.Hello) body_);
+      size +=
+          com.google.protobuf.CodedOutputStream.computeMessageSize(
+              1, (org.almondslip.protocol.wire.Hello) body_);
     }
     if (bodyCase_ == 2) {
-      size += com.google.protobuf.CodedOutputStream
-        .computeMessageSize(2, (org.almondslip.protocol.wire.Proof) body_);
+      size +=
+          com.google.protobuf.CodedOutputStream.computeMessageSize(
+              2, (org.almondslip.protocol.wire.Proof) body_);
     }
     if (bodyCase_ == 3) {
-      size += com.google.protobuf.CodedOutputStream
-        .computeMessageSize(3, (org.almondslip.protocol.wire.Heartbeat) body_);
+      size +=
+          com.google.protobuf.CodedOutputStream.computeMessageSize(
+              3, (org.almondslip.protocol.wire.Heartbeat) body_);
     }
     if (bodyCase_ == 4) {
-      size += com.google.protobuf.CodedOutputStream
-        .computeMessageSize(4, (org.almondslip.protocol.wire.Announce) body_);
+      size +=
+          com.google.protobuf.CodedOutputStream.computeMessageSize(
+              4, (org.almondslip.protocol.wire.Announce) body_);
     }
     if (bodyCase_ == 5) {
-      size += com.google.protobuf.CodedOutputStream
-        .computeMessageSize(5, (org.almondslip.protocol.wire.Drain) body_);
+      size +=
+          com.google.protobuf.CodedOutputStream.computeMessageSize(
+              5, (org.almondslip.protocol.wire.Drain) body_);
     }
     if (bodyCase_ == 10) {
-      size += com.google.protobuf.CodedOutputStream
-        .computeMessageSize(10, (org.almondslip.protocol.wire.Offers) body_);
+      size +=
+          com.google.protobuf.CodedOutputStream.computeMessageSize(
+              10, (org.almondslip.protocol.wire.Offers) body_);
     }
     if (bodyCase_ == 11) {
-      size += com.google.protobuf.CodedOutputStream
-        .computeMessageSize(11, (org.almondslip.protocol.wire.Grant) body_);
+      size +=
+          com.google.protobuf.CodedOutputStream.computeMessageSize(
+              11, (org.almondslip.protocol.wire.Grant) body_);
     }
     if (bodyCase_ == 12) {
-      size += com.google.protobuf.CodedOutputStream
-        .computeMessageSize(12, (org.almondslip.protocol.wire.Decline) body_);
+      size +=
+          com.google.protobuf.CodedOutputStream.computeMessageSize(
+              12, (org.almondslip.protocol.wire.Decline) body_);
     }
     if (bodyCase_ == 13) {
-      size += com.google.protobuf.CodedOutputStream
-        .computeMessageSize(13, (org.almondslip.protocol.wire.Dispatch) body_);
+      size +=
+          com.google.protobuf.CodedOutputStream.computeMessageSize(
+              13, (org.almondslip.protocol.wire.Dispatch) body_);
     }
     if (bodyCase_ == 14) {
-      size += com.google.protobuf.CodedOutputStream
-        .computeMessageSize(14, (org.almondslip.protocol.wire.Cancel) body_);
+      size +=
+          com.google.protobuf.CodedOutputStream.computeMessageSize(
+              14, (org.almondslip.protocol.wire.Cancel) body_);
     }
     if (bodyCase_ == 15) {
-      size += com.google.protobuf.CodedOutputStream
-        .computeMessageSize(15, (org.almondslip.protocol.wire.Attach) body_);
+      size +=
+          com.google.protobuf.CodedOutputStream.computeMessageSize(
+              15, (org.almondslip.protocol.wire.Attach) body_);
     }
     if (bodyCase_ == 16) {
-      size += com.google.protobuf.CodedOutputStream
-        .computeMessageSize(16, (org.almondslip.protocol.wire.Answer) body_);
+      size +=
+          com.google.protobuf.CodedOutputStream.computeMessageSize(
+              16, (org.almondslip.protocol.wire.Answer) body_);
     }
     if (bodyCase_ == 17) {
-      size += com.google.protobuf.CodedOutputStream
-        .computeMessageSize(17, (org.almondslip.protocol.wire.AnswerAck) body_);
+      size +=
+          com.google.protobuf.CodedOutputStream.computeMessageSize(
+              17, (org.almondslip.protocol.wire.AnswerAck) body_);
     }
     if (bodyCase_ == 20) {
-      size += com.google.protobuf.CodedOutputStream
-        .computeMessageSize(20, (org.almondslip.protocol.wire.ServiceReport) body_);
+      size +=
+          com.google.protobuf.CodedOutputStream.computeMessageSize(
+              20, (org.almondslip.protocol.wire.ServiceReport) body_);
     }
     if (bodyCase_ == 21) {
-      size += com.google.protobuf.CodedOutputStream
-        .computeMessageSize(21, (org.almondslip.protocol.wire.ServiceDigest) body_);
+      size +=
+          com.google.protobuf.CodedOutputStream.computeMessageSize(
+              21, (org.almondslip.protocol.wire.ServiceDigest) body_);
     }
     if (bodyCase_ == 22) {
-      size += com.google.protobuf.CodedOutputStream
-        .computeMessageSize(22, (org.almondslip.protocol.wire.RootExchange) body_);
+      size +=
+          com.google.protobuf.CodedOutputStream.computeMessageSize(
+              22, (org.almondslip.protocol.wire.RootExchange) body_);
     }
     if (bodyCase_ == 23) {
-      size += com.google.protobuf.CodedOutputStream
-        .computeMessageSize(23, (org.almondslip.protocol.wire.RootSnapshot) body_);
+      size +=
+          com.google.protobuf.CodedOutputStream.computeMessageSize(
+              23, (org.almondslip.protocol.wire.RootSnapshot) body_);
     }
     if (bodyCase_ == 30) {
-      size += com.google.protobuf.CodedOutputStream
-        .computeMessageSize(30, (org.almondslip.protocol.wire.CatalogRevision) body_);
+      size +=
+          com.google.protobuf.CodedOutputStream.computeMessageSize(
+              30, (org.almondslip.protocol.wire.CatalogRevision) body_);
     }
     if (bodyCase_ == 31) {
-      size += com.google.protobuf.CodedOutputStream
-        .computeMessageSize(31, (org.almondslip.protocol.wire.CatalogPull) body_);
+      size +=
+          com.google.protobuf.CodedOutputStream.computeMessageSize(
+              31, (org.almondslip.protocol.wire.CatalogPull) body_);
     }
     if (bodyCase_ == 32) {
-      size += com.google.protobuf.CodedOutputStream
-        .computeMessageSize(32, (org.almondslip.protocol.wire.CatalogChanges) body_);
+      size +=
+          com.google.protobuf.CodedOutputStream.computeMessageSize(
+              32, (org.almondslip.protocol.wire.CatalogChanges) body_);
     }
     if (bodyCase_ == 40) {
-      size += com.google.protobuf.CodedOutputStream
-        .computeMessageSize(40, (org.almondslip.protocol.wire.SuspectNotice) body_);
+      size +=
+          com.google.protobuf.CodedOutputStream.computeMessageSize(
+              40, (org.almondslip.protocol.wire.SuspectNotice) body_);
     }
     return size;
   }
+
   @java.lang.Override
   public int getSerializedSize() {
     int size = memoizedSize;
@@ -965,7 +1083,7 @@
   @java.lang.Override
   public boolean equals(final java.lang.Object obj) {
     if (obj == this) {
-     return true;
+      return true;
     }
     if (!(obj instanceof org.almondslip.protocol.wire.Frame)) {
       return super.equals(obj);
@@ -975,88 +1093,67 @@
     if (!getBodyCase().equals(other.getBodyCase())) return false;
     switch (bodyCase_) {
       case 1:
-        if (!getHello()
-            .equals(other.getHello())) return false;
+        if (!getHello().equals(other.getHello())) return false;
         break;
       case 2:
-        if (!getProof()
-            .equals(other.getProof())) return false;
+        if (!getProof().equals(other.getProof())) return false;
         break;
       case 3:
-        if (!getHeartbeat()
-            .equals(other.getHeartbeat())) return false;
+        if (!getHeartbeat().equals(other.getHeartbeat())) return false;
         break;
       case 4:
-        if (!getAnnounce()
-            .equals(other.getAnnounce())) return false;
+        if (!getAnnounce().equals(other.getAnnounce())) return false;
         break;
       case 5:
-        if (!getDrain()
-            .equals(other.getDrain())) return false;
+        if (!getDrain().equals(other.getDrain())) return false;
         break;
       case 10:
-        if (!getOffers()
-            .equals(other.getOffers())) return false;
+        if (!getOffers().equals(other.getOffers())) return false;
         break;
       case 11:
-        if (!getGrant()
-            .equals(other.getGrant())) return false;
+        if (!getGrant().equals(other.getGrant())) return false;
         break;
       case 12:
-        if (!getDecline()
-            .equals(other.getDecline())) return false;
+        if (!getDecline().equals(other.getDecline())) return false;
         break;
       case 13:
-        if (!getDispatch()
-            .equals(other.getDispatch())) return false;
+        if (!getDispatch().equals(other.getDispatch())) return false;
         break;
       case 14:
-        if (!getCancel()
-            .equals(other.getCancel())) return false;
+        if (!getCancel().equals(other.getCancel())) return false;
         break;
       case 15:
-        if (!getAttach()
-            .equals(other.getAttach())) return false;
+        if (!getAttach().equals(other.getAttach())) return false;
         break;
       case 16:
-        if (!getAnswer()
-            .equals(other.getAnswer())) return false;
+        if (!getAnswer().equals(other.getAnswer())) return false;
         break;
       case 17:
-        if (!getAnswerAck()
-            .equals(other.getAnswerAck())) return false;
+        if (!getAnswerAck().equals(other.getAnswerAck())) return false;
         break;
       case 20:
-        if (!getServiceReport()
-            .equals(other.getServiceReport())) return false;
+        if (!getServiceReport().equals(other.getServiceReport())) return false;
         break;
       case 21:
-        if (!getServiceDigest()
-            .equals(other.getServiceDigest())) return false;
+        if (!getServiceDigest().equals(other.getServiceDigest())) return false;
         break;
       case 22:
-        if (!getRootExchange()
-            .equals(other.getRootExchange())) return false;
+        if (!getRootExchange().equals(other.getRootExchange())) return false;
         break;
       case 23:
-        if (!getRootSnapshot()
-            .equals(other.getRootSnapshot())) return false;
+        if (!getRootSnapshot().equals(other.getRootSnapshot())) return false;
         break;
       case 30:
-        if (!getCatalogRevision()
-            .equals(other.getCatalogRevision())) return false;
+        if (!getCatalogRevision().equals(other.getCatalogRevision())) return false;
         break;
       case 31:
-        if (!getCatalogPull()
-            .equals(other.getCatalogPull())) return false;
+        if (!getCatalogPull().equals(other.getCatalogPull())) return false;
         break;
       case 32:
-        if (!getCatalogChanges()
-            .equals(other.getCatalogChanges())) return false;
+        if (!getCatalogChanges().equals(other.getCatalogChanges())) return false;
         break;
       case 40:
-        if (!getSuspectNotice()
-            .equals(other.getSuspectNotice())) return false;
+        if (!getSuspectNotice().equals(other.getSuspectNotice())) return false;
         break;
       case 0:
       default:
@@ -1165,132 +1262,135 @@
     return hash;
   }
 
-  public static org.almondslip.protocol.wire.Frame parseFrom(
-      java.nio.ByteBuffer data)
+  public static org.almondslip.protocol.wire.Frame parseFrom(java.nio.ByteBuffer data)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data);
   }
+
   public static org.almondslip.protocol.wire.Frame parseFrom(
-      java.nio.ByteBuffer data,
-      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+      java.nio.ByteBuffer data, com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data, extensionRegistry);
   }
-  public static org.almondslip.protocol.wire.Frame parseFrom(
-      com.google.protobuf.ByteString data)
+
+  public static org.almondslip.protocol.wire.Frame parseFrom(com.google.protobuf.ByteString data)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data);
   }
+
   public static org.almondslip.protocol.wire.Frame parseFrom(
       com.google.protobuf.ByteString data,
       com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data, extensionRegistry);
   }
+
   public static org.almondslip.protocol.wire.Frame parseFrom(byte[] data)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data);
   }
+
   public static org.almondslip.protocol.wire.Frame parseFrom(
-      byte[] data,
-      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+      byte[] data, com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data, extensionRegistry);
   }
+
   public static org.almondslip.protocol.wire.Frame parseFrom(java.io.InputStream input)
       throws java.io.IOException {
-    return com.google.protobuf.GeneratedMessage
-        .parseWithIOException(PARSER, input);
+    return com.google.protobuf.GeneratedMessage.parseWithIOException(PARSER, input);
   }
+
   public static org.almondslip.protocol.wire.Frame parseFrom(
-      java.io.InputStream input,
-      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+      java.io.InputStream input, com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws java.io.IOException {
-    return com.google.protobuf.GeneratedMessage
-        .parseWithIOException(PARSER, input, extensionRegistry);
+    return com.google.protobuf.GeneratedMessage.parseWithIOException(
+        PARSER, input, extensionRegistry);
   }
 
   public static org.almondslip.protocol.wire.Frame parseDelimitedFrom(java.io.InputStream input)
       throws java.io.IOException {
-    return com.google.protobuf.GeneratedMessage
-        .parseDelimitedWithIOException(PARSER, input);
+    return com.google.protobuf.GeneratedMessage.parseDelimitedWithIOException(PARSER, input);
   }
 
   public static org.almondslip.protocol.wire.Frame parseDelimitedFrom(
-      java.io.InputStream input,
-      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+      java.io.InputStream input, com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws java.io.IOException {
-    return com.google.protobuf.GeneratedMessage
-        .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
+    return com.google.protobuf.GeneratedMessage.parseDelimitedWithIOException(
+        PARSER, input, extensionRegistry);
   }
+
   public static org.almondslip.protocol.wire.Frame parseFrom(
-      com.google.protobuf.CodedInputStream input)
-      throws java.io.IOException {
-    return com.google.protobuf.GeneratedMessage
-        .parseWithIOException(PARSER, input);
+      com.google.protobuf.CodedInputStream input) throws java.io.IOException {
+    return com.google.protobuf.GeneratedMessage.parseWithIOException(PARSER, input);
   }
+
   public static org.almondslip.protocol.wire.Frame parseFrom(
       com.google.protobuf.CodedInputStream input,
       com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws java.io.IOException {
-    return com.google.protobuf.GeneratedMessage
-        .parseWithIOException(PARSER, input, extensionRegistry);
+    return com.google.protobuf.GeneratedMessage.parseWithIOException(
+        PARSER, input, extensionRegistry);
   }
 
   @java.lang.Override
-  public Builder newBuilderForType() { return newBuilder(); }
+  public Builder newBuilderForType() {
+    return newBuilder();
+  }
+
   public static Builder newBuilder() {
     return DEFAULT_INSTANCE.toBuilder();
   }
+
   public static Builder newBuilder(org.almondslip.protocol.wire.Frame prototype) {
     return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
   }
+
   @java.lang.Override
   public Builder toBuilder() {
-    return this == DEFAULT_INSTANCE
-        ? new Builder() : new Builder().mergeFrom(this);
+    return this == DEFAULT_INSTANCE ? new Builder() : new Builder().mergeFrom(this);
   }
 
   @java.lang.Override
-  protected Builder newBuilderForType(
-      com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+  protected Builder newBuilderForType(com.google.protobuf.GeneratedMessage.BuilderParent parent) {
     Builder builder = new Builder(parent);
     return builder;
   }
+
   /**
+   *
+   *
    * <pre>
    * One message between two processes of the fleet. Each frame carries exactly one body.
    * </pre>
    *
    * Protobuf type {@code almondslip.Frame}
    */
-  public static final class Builder extends
-      com.google.protobuf.GeneratedMessage.Builder<Builder> implements
+  public static final class Builder extends com.google.protobuf.GeneratedMessage.Builder<Builder>
+      implements
       // @@protoc_insertion_point(builder_implements:almondslip.Frame)
       org.almondslip.protocol.wire.FrameOrBuilder {
-    public static final com.google.protobuf.Descriptors.Descriptor
-        getDescriptor() {
+    public static final com.google.protobuf.Descriptors.Descriptor getDescriptor() {
       return org.almondslip.protocol.wire.Almondslip.internal_static_almondslip_Frame_descriptor;
     }
 
     @java.lang.Override
     protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
         internalGetFieldAccessorTable() {
-      return org.almondslip.protocol.wire.Almondslip.internal_static_almondslip_Frame_fieldAccessorTable
+      return org.almondslip.protocol.wire.Almondslip
+          .internal_static_almondslip_Frame_fieldAccessorTable
           .ensureFieldAccessorsInitialized(
-              org.almondslip.protocol.wire.Frame.class, org.almondslip.protocol.wire.Frame.Builder.class);
+              org.almondslip.protocol.wire.Frame.class,
+              org.almondslip.protocol.wire.Frame.Builder.class);
     }
 
     // Construct using org.almondslip.protocol.wire.Frame.newBuilder()
-    private Builder() {
-
-    }
+    private Builder() {}
 
-    private Builder(
-        com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+    private Builder(com.google.protobuf.GeneratedMessage.BuilderParent parent) {
       super(parent);
-
     }
+
     @java.lang.Override
     public Builder clear() {
       super.clear();
@@ -1364,8 +1464,7 @@
     }
 
     @java.lang.Override
-    public com.google.protobuf.Descriptors.Descriptor
-        getDescriptorForType() {
+    public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
       return org.almondslip.protocol.wire.Almondslip.internal_static_almondslip_Frame_descriptor;
     }
 
@@ -1386,7 +1485,9 @@
     @java.lang.Override
     public org.almondslip.protocol.wire.Frame buildPartial() {
       org.almondslip.protocol.wire.Frame result = new org.almondslip.protocol.wire.Frame(this);
-      if (bitField0_ != 0) { buildPartial0(result); }
+      if (bitField0_ != 0) {
+        buildPartial0(result);
+      }
       buildPartialOneofs(result);
       onBuilt();
       return result;
@@ -1399,88 +1500,67 @@
     private void buildPartialOneofs(org.almondslip.protocol.wire.Frame result) {
       result.bodyCase_ = bodyCase_;
       result.body_ = this.body_;
-      if (bodyCase_ == 1 &&
-          helloBuilder_ != null) {
+      if (bodyCase_ == 1 && helloBuilder_ != null) {
         result.body_ = helloBuilder_.build();
       }
-      if (bodyCase_ == 2 &&
-          proofBuilder_ != null) {
+      if (bodyCase_ == 2 && proofBuilder_ != null) {
         result.body_ = proofBuilder_.build();
       }
-      if (bodyCase_ == 3 &&
-          heartbeatBuilder_ != null) {
+      if (bodyCase_ == 3 && heartbeatBuilder_ != null) {
         result.body_ = heartbeatBuilder_.build();
       }
-      if (bodyCase_ == 4 &&
-          announceBuilder_ != null) {
+      if (bodyCase_ == 4 && announceBuilder_ != null) {
         result.body_ = announceBuilder_.build();
       }
-      if (bodyCase_ == 5 &&
-          drainBuilder_ != null) {
+      if (bodyCase_ == 5 && drainBuilder_ != null) {
         result.body_ = drainBuilder_.build();
       }
-      if (bodyCase_ == 10 &&
-          offersBuilder_ != null) {
+      if (bodyCase_ == 10 && offersBuilder_ != null) {
         result.body_ = offersBuilder_.build();
       }
-      if (bodyCase_ == 11 &&
-          grantBuilder_ != null) {
+      if (bodyCase_ == 11 && grantBuilder_ != null) {
         result.body_ = grantBuilder_.build();
       }
-      if (bodyCase_ == 12 &&
-          declineBuilder_ != null) {
+      if (bodyCase_ == 12 && declineBuilder_ != null) {
         result.body_ = declineBuilder_.build();
       }
-      if (bodyCase_ == 13 &&
-          dispatchBuilder_ != null) {
+      if (bodyCase_ == 13 && dispatchBuilder_ != null) {
         result.body_ = dispatchBuilder_.build();
       }
-      if (bodyCase_ == 14 &&
-          cancelBuilder_ != null) {
+      if (bodyCase_ == 14 && cancelBuilder_ != null) {
         result.body_ = cancelBuilder_.build();
       }
-      if (bodyCase_ == 15 &&
-          attachBuilder_ != null) {
+      if (bodyCase_ == 15 && attachBuilder_ != null) {
         result.body_ = attachBuilder_.build();
       }
-      if (bodyCase_ == 16 &&
-          answerBuilder_ != null) {
+      if (bodyCase_ == 16 && answerBuilder_ != null) {
         result.body_ = answerBuilder_.build();
       }
-      if (bodyCase_ == 17 &&
-          answerAckBuilder_ != null) {
+      if (bodyCase_ == 17 && answerAckBuilder_ != null) {
         result.body_ = answerAckBuilder_.build();
       }
-      if (bodyCase_ == 20 &&
-          serviceReportBuilder_ != null) {
+      if (bodyCase_ == 20 && serviceReportBuilder_ != null) {
         result.body_ = serviceReportBuilder_.build();
       }
-      if (bodyCase_ == 21 &&
-          serviceDigestBuilder_ != null) {
+      if (bodyCase_ == 21 && serviceDigestBuilder_ != null) {
         result.body_ = serviceDigestBuilder_.build();
       }
-      if (bodyCase_ == 22 &&
-          rootExchangeBuilder_ != null) {
+      if (bodyCase_ == 22 && rootExchangeBuilder_ != null) {
         result.body_ = rootExchangeBuilder_.build();
       }
-      if (bodyCase_ == 23 &&
-          rootSnapshotBuilder_ != null) {
+      if (bodyCase_ == 23 && rootSnapshotBuilder_ != null) {
         result.body_ = rootSnapshotBuilder_.build();
       }
-      if (bodyCase_ == 30 &&
-          catalogRevisionBuilder_ != null) {
+      if (bodyCase_ == 30 && catalogRevisionBuilder_ != null) {
         result.body_ = catalogRevisionBuilder_.build();
       }
-      if (bodyCase_ == 31 &&
-          catalogPullBuilder_ != null) {
+      if (bodyCase_ == 31 && catalogPullBuilder_ != null) {
         result.body_ = catalogPullBuilder_.build();
       }
-      if (bodyCase_ == 32 &&
-          catalogChangesBuilder_ != null) {
+      if (bodyCase_ == 32 && catalogChangesBuilder_ != null) {
         result.body_ = catalogChangesBuilder_.build();
       }
-      if (bodyCase_ == 40 &&
-          suspectNoticeBuilder_ != null) {
+      if (bodyCase_ == 40 && suspectNoticeBuilder_ != null) {
         result.body_ = suspectNoticeBuilder_.build();
       }
     }
@@ -1488,7 +1568,7 @@
     @java.lang.Override
     public Builder mergeFrom(com.google.protobuf.Message other) {
       if (other instanceof org.almondslip.protocol.wire.Frame) {
-        return mergeFrom((org.almondslip.protocol.wire.Frame)other);
+        return mergeFrom((org.almondslip.protocol.wire.Frame) other);
       } else {
         super.mergeFrom(other);
         return this;
@@ -1498,93 +1578,115 @@
     public Builder mergeFrom(org.almondslip.protocol.wire.Frame other) {
       if (other == org.almondslip.protocol.wire.Frame.getDefaultInstance()) return this;
       switch (other.getBodyCase()) {
-        case HELLO: {
-          mergeHello(other.getHello());
-          break;
-        }
-        case PROOF: {
-          mergeProof(other.getProof());
-          break;
-        }
-        case HEARTBEAT: {
-          mergeHeartbeat(other.getHeartbeat());
-          break;
-        }
-        case ANNOUNCE: {
-          mergeAnnounce(other.getAnnounce());
-          break;
-        }
-        case DRAIN: {
-          mergeDrain(other.getDrain());
-          break;
-        }
-        case OFFERS: {
-          mergeOffers(other.getOffers());
-          break;
-        }
-        case GRANT: {
-          mergeGrant(other.getGrant());
-          break;
-        }
-        case DECLINE: {
-          mergeDecline(other.getDecline());
-          break;
-        }
-        case DISPATCH: {
-          mergeDispatch(other.getDispatch());
-          break;
-        }
-        case CANCEL: {
-          mergeCancel(other.getCancel());
-          break;
-        }
-        case ATTACH: {
-          mergeAttach(other.getAttach());
-          break;
-        }
-        case ANSWER: {
-          mergeAnswer(other.getAnswer());
-          break;
-        }
-        case ANSWER_ACK: {
-          mergeAnswerAck(other.getAnswerAck());
-          break;
-        }
-        case SERVICE_REPORT: {
-          mergeServiceReport(other.getServiceReport());
-          break;
-        }
-        case SERVICE_DIGEST: {
-          mergeServiceDigest(other.getServiceDigest());
-          break;
-        }
-        case ROOT_EXCHANGE: {
-          mergeRootExchange(other.getRootExchange());
-          break;
-        }
-        case ROOT_SNAPSHOT: {
-          mergeRootSnapshot(other.getRootSnapshot());
-          break;
-        }
-        case CATALOG_REVISION: {
-          mergeCatalogRevision(other.getCatalogRevision());
-          break;
-        }
-        case CATALOG_PULL: {
-          mergeCatalogPull(other.getCatalogPull());
-          break;
-        }
-        case CATALOG_CHANGES: {
-          mergeCatalogChanges(other.getCatalogChanges());
-          break;
-        }
-        case SUSPECT_NOTICE: {
-          mergeSuspectNotice(other.getSuspectNotice());
-          break;
-        }
-        case BODY_NOT_SET: {
-          break;
-        }
+        case HELLO:
+          {
+            mergeHello(other.getHello());
+            break;
+          }
+        case PROOF:
+          {
+            mergeProof(other.getProof());
+            break;
+          }
+        case HEARTBEAT:
+          {
+            mergeHeartbeat(other.getHeartbeat());
+            break;
+          }
+        case ANNOUNCE:
+          {
+            mergeAnnounce(other.getAnnounce());
+            break;
+          }
+        case DRAIN:
+          {
+            mergeDrain(other.getDrain());
+            break;
+          }
+        case OFFERS:
+          {
+            mergeOffers(other.getOffers());
+            break;
+          }
+        case GRANT:
+          {
+            mergeGrant(other.getGrant());
+            break;
+          }
+        case DECLINE:
+          {
+            mergeDecline(other.getDecline());
+            break;
+          }
+        case DISPATCH:
+          {
+            mergeDispatch(other.getDispatch());
+            break;
+          }
+        case CANCEL:
+          {
+            mergeCancel(other.getCancel());
+            break;
+          }
+        case ATTACH:
+          {
+            mergeAttach(other.getAttach());
+            break;
+          }
+        case ANSWER:
+          {
+            mergeAnswer(other.getAnswer());
+            break;
+          }
+        case ANSWER_ACK:
+          {
+            mergeAnswerAck(other.getAnswerAck());
+            break;
+          }
+        case SERVICE_REPORT:
+          {
+            mergeServiceReport(other.getServiceReport());
+            break;
+          }
+        case SERVICE_DIGEST:
+          {
+            mergeServiceDigest(other.getServiceDigest());
+            break;
+          }
+        case ROOT_EXCHANGE:
+          {
+            mergeRootExchange(other.getRootExchange());
+            break;
+          }
+        case ROOT_SNAPSHOT:
+          {
+            mergeRootSnapshot(other.getRootSnapshot());
+            break;
+          }
+        case CATALOG_REVISION:
+          {
+            mergeCatalogRevision(other.getCatalogRevision());
+            break;
+          }
+        case CATALOG_PULL:
+          {
+            mergeCatalogPull(other.getCatalogPull());
+            break;
+          }
+        case CATALOG_CHANGES:
+          {
+            mergeCatalogChanges(other.getCatalogChanges());
+            break;
+          }
+        case SUSPECT_NOTICE:
+          {
+            mergeSuspectNotice(other.getSuspectNotice());
+            break;
+          }
+        case BODY_NOT_SET:
+          {
+            break;
+          }
       }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
@@ -1610,159 +1712,151 @@
             case 0:
               done = true;
               break;
-            case 10: {
-              input.readMessage(
-                  internalGetHelloFieldBuilder().getBuilder(),
-                  extensionRegistry);
-              bodyCase_ = 1;
-              break;
-            } // case 10
-            case 18: {
-              input.readMessage(
-                  internalGetProofFieldBuilder().getBuilder(),
-                  extensionRegistry);
-              bodyCase_ = 2;
-              break;
-            } // case 18
-            case 26: {
-              input.readMessage(
-                  internalGetHeartbeatFieldBuilder().getBuilder(),
-                  extensionRegistry);
-              bodyCase_ = 3;
-              break;
-            } // case 26
-            case 34: {
-              input.readMessage(
-                  internalGetAnnounceFieldBuilder().getBuilder(),
-                  extensionRegistry);
-              bodyCase_ = 4;
-              break;
-            } // case 34
-            case 42: {
-              input.readMessage(
-                  internalGetDrainFieldBuilder().getBuilder(),
-                  extensionRegistry);
-              bodyCase_ = 5;
-              break;
-            } // case 42
-            case 82: {
-              input.readMessage(
-                  internalGetOffersFieldBuilder().getBuilder(),
-                  extensionRegistry);
-              bodyCase_ = 10;
-              break;
-            } // case 82
-            case 90: {
-              input.readMessage(
-                  internalGetGrantFieldBuilder().getBuilder(),
-                  extensionRegistry);
-              bodyCase_ = 11;
-              break;
-            } // case 90
-            case 98: {
-              input.readMessage(
-                  internalGetDeclineFieldBuilder().getBuilder(),
-                  extensionRegistry);
-              bodyCase_ = 12;
-              break;
-            } // case 98
-            case 106: {
-              input.readMessage(
-                  internalGetDispatchFieldBuilder().getBuilder(),
-                  extensionRegistry);
-              bodyCase_ = 13;
-              break;
-            } // case 106
-            case 114: {
-              input.readMessage(
-                  internalGetCancelFieldBuilder().getBuilder(),
-                  extensionRegistry);
-              bodyCase_ = 14;
-              break;
-            } // case 114
-            case 122: {
-              input.readMessage(
-                  internalGetAttachFieldBuilder().getBuilder(),
-                  extensionRegistry);
-              bodyCase_ = 15;
-              break;
-            } // case 122
-            case 130: {
-              input.readMessage(
-                  internalGetAnswerFieldBuilder().getBuilder(),
-                  extensionRegistry);
-              bodyCase_ = 16;
-              break;
-            } // case 130
-            case 138: {
-              input.readMessage(
-                  internalGetAnswerAckFieldBuilder().getBuilder(),
-                  extensionRegistry);
-              bodyCase_ = 17;
-              break;
-            } // case 138
-            case 162: {
-              input.readMessage(
-                  internalGetServiceReportFieldBuilder().getBuilder(),
-                  extensionRegistry);
-              bodyCase_ = 20;
-              break;
-            } // case 162
-            case 170: {
-              input.readMessage(
-                  internalGetServiceDigestFieldBuilder().getBuilder(),
-                  extensionRegistry);
-              bodyCase_ = 21;
-              break;
-            } // case 170
-            case 178: {
-              input.readMessage(
-                  internalGetRootExchangeFieldBuilder().getBuilder(),
-                  extensionRegistry);
-              bodyCase_ = 22;
-              break;
-            } // case 178
-            case 186: {
-              input.readMessage(
-                  internalGetRootSnapshotFieldBuilder().getBuilder(),
-                  extensionRegistry);
-              bodyCase_ = 23;
-              break;
-            } // case 186
-            case 242: {
-              input.readMessage(
-                  internalGetCatalogRevisionFieldBuilder().getBuilder(),
-                  extensionRegistry);
-              bodyCase_ = 30;
-              break;
-            } // case 242
-            case 250: {
-              input.readMessage(
-                  internalGetCatalogPullFieldBuilder().getBuilder(),
-                  extensionRegistry);
-              bodyCase_ = 31;
-              break;
-            } // case 250
-            case 258: {
-              input.readMessage(
-                  internalGetCatalogChangesFieldBuilder().getBuilder(),
-                  extensionRegistry);
-              bodyCase_ = 32;
-              break;
-            } // case 258
-            case 322: {
-              input.readMessage(
-                  internalGetSuspectNoticeFieldBuilder().getBuilder(),
-                  extensionRegistry);
-              bodyCase_ = 40;
-              break;
-            } // case 322
-            default: {
-              if (!super.parseUnknownField(input, extensionRegistry, tag)) {
-                done = true; // was an endgroup tag
-              }
-              break;
-            } // default:
+            case 10:
+              {
+                input.readMessage(internalGetHelloFieldBuilder().getBuilder(), extensionRegistry);
+                bodyCase_ = 1;
+                break;
+              } // case 10
+            case 18:
+              {
+                input.readMessage(internalGetProofFieldBuilder().getBuilder(), extensionRegistry);
+                bodyCase_ = 2;
+                break;
+              } // case 18
+            case 26:
+              {
+                input.readMessage(
+                    internalGetHeartbeatFieldBuilder().getBuilder(), extensionRegistry);
+                bodyCase_ = 3;
+                break;
+              } // case 26
+            case 34:
+              {
+                input.readMessage(
+                    internalGetAnnounceFieldBuilder().getBuilder(), extensionRegistry);
+                bodyCase_ = 4;
+                break;
+              } // case 34
+            case 42:
+              {
+                input.readMessage(internalGetDrainFieldBuilder().getBuilder(), extensionRegistry);
+                bodyCase_ = 5;
+                break;
+              } // case 42
+            case 82:
+              {
+                input.readMessage(internalGetOffersFieldBuilder().getBuilder(), extensionRegistry);
+                bodyCase_ = 10;
+                break;
+              } // case 82
+            case 90:
+              {
+                input.readMessage(internalGetGrantFieldBuilder().getBuilder(), extensionRegistry);
+                bodyCase_ = 11;
+                break;
+              } // case 90
+            case 98:
+              {
+                input.readMessage(internalGetDeclineFieldBuilder().getBuilder(), extensionRegistry);
+                bodyCase_ = 12;
+                break;
+              } // case 98
+            case 106:
+              {
+                input.readMessage(
+                    internalGetDispatchFieldBuilder().getBuilder(), extensionRegistry);
+                bodyCase_ = 13;
+                break;
+              } // case 106
+            case 114:
+              {
+                input.readMessage(internalGetCancelFieldBuilder().getBuilder(), extensionRegistry);
+                bodyCase_ = 14;
+                break;
+              } // case 114
+            case 122:
+              {
+                input.readMessage(internalGetAttachFieldBuilder().getBuilder(), extensionRegistry);
+                bodyCase_ = 15;
+                break;
+              } // case 122
+            case 130:
+              {
+                input.readMessage(internalGetAnswerFieldBuilder().getBuilder(), extensionRegistry);
+                bodyCase_ = 16;
+                break;
+              } // case 130
+            case 138:
+              {
+                input.readMessage(
+                    internalGetAnswerAckFieldBuilder().getBuilder(), extensionRegistry);
+                bodyCase_ = 17;
+                break;
+              } // case 138
+            case 162:
+              {
+                input.readMessage(
+                    internalGetServiceReportFieldBuilder().getBuilder(), extensionRegistry);
+                bodyCase_ = 20;
+                break;
+              } // case 162
+            case 170:
+              {
+                input.readMessage(
+                    internalGetServiceDigestFieldBuilder().getBuilder(), extensionRegistry);
+                bodyCase_ = 21;
+                break;
+              } // case 170
+            case 178:
+              {
+                input.readMessage(
+                    internalGetRootExchangeFieldBuilder().getBuilder(), extensionRegistry);
+                bodyCase_ = 22;
+                break;
+              } // case 178
+            case 186:
+              {
+                input.readMessage(
+                    internalGetRootSnapshotFieldBuilder().getBuilder(), extensionRegistry);
+                bodyCase_ = 23;
+                break;
+              } // case 186
+            case 242:
+              {
+                input.readMessage(
+                    internalGetCatalogRevisionFieldBuilder().getBuilder(), extensionRegistry);
+                bodyCase_ = 30;
+                break;
+              } // case 242
+            case 250:
+              {
+                input.readMessage(
+                    internalGetCatalogPullFieldBuilder().getBuilder(), extensionRegistry);
+                bodyCase_ = 31;
+                break;
+              } // case 250
+            case 258:
+              {
+                input.readMessage(
+                    internalGetCatalogChangesFieldBuilder().getBuilder(), extensionRegistry);
+                bodyCase_ = 32;
+                break;
+              } // case 258
+            case 322:
+              {
+                input.readMessage(
+                    internalGetSuspectNoticeFieldBuilder().getBuilder(), extensionRegistry);
+                bodyCase_ = 40;
+                break;
+              } // case 322
+            default:
+              {
+                if (!super.parseUnknownField(input, extensionRegistry, tag)) {
+                  done = true; // was an endgroup tag
+                }
+                break;
+              } // default:
           } // switch (tag)
         } // while (!done)
       } catch (com.google.protobuf.InvalidProtocolBufferException e) {
@@ -1772,12 +1866,12 @@
       } // finally
       return this;
     }
+
     private int bodyCase_ = 0;
     private java.lang.Object body_;
-    public BodyCase
-        getBodyCase() {
-      return BodyCase.forNumber(
-          bodyCase_);
+
+    public BodyCase getBodyCase() {
+      return BodyCase.forNumber(bodyCase_);
     }
 
     public Builder clearBody() {
@@ -1790,17 +1884,24 @@
     private int bitField0_;
 
     private com.google.protobuf.SingleFieldBuilder<
-        org.almondslip.protocol.wire.Hello, org.almondslip.protocol.wire.Hello.Builder, org.almondslip.protocol.wire.HelloOrBuilder> helloBuilder_;
+            org.almondslip.protocol.wire.Hello,
+            org.almondslip.protocol.wire.Hello.Builder,
+            org.almondslip.protocol.wire.HelloOrBuilder>
+        helloBuilder_;
+
     /**
      * <code>.almondslip.Hello hello = 1;</code>
+     *
      * @return Whether the hello field is set.
      */
     @java.lang.Override
     public boolean hasHello() {
       return bodyCase_ == 1;
     }
+
     /**
      * <code>.almondslip.Hello hello = 1;</code>
+     *
      * @return The hello.
      */
     @java.lang.Override
@@ -1817,9 +1918,8 @@
         return org.almondslip.protocol.wire.Hello.getDefaultInstance();
       }
     }
-    /**
-     * <code>.almondslip.Hello hello = 1;</code>
-     */
+
+    /** <code>.almondslip.Hello hello = 1;</code> */
     public Builder setHello(org.almondslip.protocol.wire.Hello value) {
       if (helloBuilder_ == null) {
         java.util.Objects.requireNonNull(value);
@@ -1831,11 +1931,9 @@
       bodyCase_ = 1;
       return this;
     }
-    /**
-     * <code>.almondslip.Hello hello = 1;</code>
-     */
-    public Builder setHello(
-        org.almondslip.protocol.wire.Hello.Builder builderForValue) {
+
+    /** <code>.almondslip.Hello hello = 1;</code> */
+    public Builder setHello(org.almondslip.protocol.wire.Hello.Builder builderForValue) {
       if (helloBuilder_ == null) {
         body_ = builderForValue.build();
         onChanged();
@@ -1845,15 +1943,16 @@
       bodyCase_ = 1;
       return this;
     }
-    /**
-     * <code>.almondslip.Hello hello = 1;</code>
-     */
+
+    /** <code>.almondslip.Hello hello = 1;</code> */
     public Builder mergeHello(org.almondslip.protocol.wire.Hello value) {
       if (helloBuilder_ == null) {
-        if (bodyCase_ == 1 &&
-            body_ != org.almondslip.protocol.wire.Hello.getDefaultInstance()) {
-          body_ = org.almondslip.protocol.wire.Hello.newBuilder((org.almondslip.protocol.wire.Hello) body_)
-              .mergeFrom(value).buildPartial();
+        if (bodyCase_ == 1 && body_ != org.almondslip.protocol.wire.Hello.getDefaultInstance()) {
+          body_ =
+              org.almondslip.protocol.wire.Hello.newBuilder(
+                      (org.almondslip.protocol.wire.Hello) body_)
+                  .mergeFrom(value)
+                  .buildPartial();
         } else {
           body_ = value;
         }
@@ -1868,9 +1967,8 @@
       bodyCase_ = 1;
       return this;
     }
-    /**
-     * <code>.almondslip.Hello hello = 1;</code>
-     */
+
+    /** <code>.almondslip.Hello hello = 1;</code> */
     public Builder clearHello() {
       if (helloBuilder_ == null) {
         if (bodyCase_ == 1) {
@@ -1887,15 +1985,13 @@
       }
       return this;
     }
-    /**
-     * <code>.almondslip.Hello hello = 1;</code>
-     */
+
+    /** <code>.almondslip.Hello hello = 1;</code> */
     public org.almondslip.protocol.wire.Hello.Builder getHelloBuilder() {
       return internalGetHelloFieldBuilder().getBuilder();
     }
-    /**
-     * <code>.almondslip.Hello hello = 1;</code>
-     */
+
+    /** <code>.almondslip.Hello hello = 1;</code> */
     @java.lang.Override
     public org.almondslip.protocol.wire.HelloOrBuilder getHelloOrBuilder() {
       if ((bodyCase_ == 1) && (helloBuilder_ != null)) {
@@ -1907,21 +2003,23 @@
         return org.almondslip.protocol.wire.Hello.getDefaultInstance();
       }
     }
-    /**
-     * <code>.almondslip.Hello hello = 1;</code>
-     */
+
+    /** <code>.almondslip.Hello hello = 1;</code> */
     private com.google.protobuf.SingleFieldBuilder<
-        org.almondslip.protocol.wire.Hello, org.almondslip.protocol.wire.Hello.Builder, org.almondslip.protocol.wire.HelloOrBuilder> 
+            org.almondslip.protocol.wire.Hello,
+            org.almondslip.protocol.wire.Hello.Builder,
+            org.almondslip.protocol.wire.HelloOrBuilder>
         internalGetHelloFieldBuilder() {
       if (helloBuilder_ == null) {
         if (!(bodyCase_ == 1)) {
           body_ = org.almondslip.protocol.wire.Hello.getDefaultInstance();
         }
-        helloBuilder_ = new com.google.protobuf.SingleFieldBuilder<
-            org.almondslip.protocol.wire.Hello, org.almondslip.protocol.wire.Hello.Builder, org.almondslip.protocol.wire.HelloOrBuilder>(
-                (org.almondslip.protocol.wire.Hello) body_,
-                getParentForChildren(),
-                isClean());
+        helloBuilder_ =
+            new com.google.protobuf.SingleFieldBuilder<
+                org.almondslip.protocol.wire.Hello,
+                org.almondslip.protocol.wire.Hello.Builder,
+                org.almondslip.protocol.wire.HelloOrBuilder>(
+                (org.almondslip.protocol.wire.Hello) body_, getParentForChildren(), isClean());
         body_ = null;
       }
       bodyCase_ = 1;
@@ -1930,17 +2028,24 @@
     }
 
     private com.google.protobuf.SingleFieldBuilder<
-        org.almondslip.protocol.wire.Proof, org.almondslip.protocol.wire.Proof.Builder, org.almondslip.protocol.wire.ProofOrBuilder> proofBuilder_;
+            org.almondslip.protocol.wire.Proof,
+            org.almondslip.protocol.wire.Proof.Builder,
+            org.almondslip.protocol.wire.ProofOrBuilder>
+        proofBuilder_;
+
     /**
      * <code>.almondslip.Proof proof = 2;</code>
+     *
      * @return Whether the proof field is set.
      */
     @java.lang.Override
     public boolean hasProof() {
       return bodyCase_ == 2;
     }
+
     /**
      * <code>.almondslip.Proof proof = 2;</code>
+     *
      * @return The proof.
      */
     @java.lang.Override
@@ -1957,9 +2062,8 @@
         return org.almondslip.protocol.wire.Proof.getDefaultInstance();
       }
     }
-    /**
-     * <code>.almondslip.Proof proof = 2;</code>
-     */
+
+    /** <code>.almondslip.Proof proof = 2;</code> */
     public Builder setProof(org.almondslip.protocol.wire.Proof value) {
       if (proofBuilder_ == null) {
         java.util.Objects.requireNonNull(value);
@@ -1971,11 +2075,9 @@
       bodyCase_ = 2;
       return this;
     }
-    /**
-     * <code>.almondslip.Proof proof = 2;</code>
-     */
-    public Builder setProof(
-        org.almondslip.protocol.wire.Proof.Builder builderForValue) {
+
+    /** <code>.almondslip.Proof proof = 2;</code> */
+    public Builder setProof(org.almondslip.protocol.wire.Proof.Builder builderForValue) {
       if (proofBuilder_ == null) {
         body_ = builderForValue.build();
         onChanged();
@@ -1985,15 +2087,16 @@
       bodyCase_ = 2;
       return this;
     }
-    /**
-     * <code>.almondslip.Proof proof = 2;</code>
-     */
+
+    /** <code>.almondslip.Proof proof = 2;</code> */
     public Builder mergeProof(org.almondslip.protocol.wire.Proof value) {
       if (proofBuilder_ == null) {
-        if (bodyCase_ == 2 &&
-            body_ != org.almondslip.protocol.wire.Proof.getDefaultInstance()) {
-          body_ = org.almondslip.protocol.wire.Proof.newBuilder((org.almondslip.protocol.wire.Proof) body_)
-              .mergeFrom(value).buildPartial();
+        if (bodyCase_ == 2 && body_ != org.almondslip.protocol.wire.Proof.getDefaultInstance()) {
+          body_ =
+              org.almondslip.protocol.wire.Proof.newBuilder(
+                      (org.almondslip.protocol.wire.Proof) body_)
+                  .mergeFrom(value)
+                  .buildPartial();
         } else {
           body_ = value;
         }
@@ -2008,9 +2111,8 @@
       bodyCase_ = 2;
       return this;
     }
-    /**
-     * <code>.almondslip.Proof proof = 2;</code>
-     */
+
+    /** <code>.almondslip.Proof proof = 2;</code> */
     public Builder clearProof() {
       if (proofBuilder_ == null) {
         if (bodyCase_ == 2) {
@@ -2027,15 +2129,13 @@
       }
       return this;
     }
-    /**
-     * <code>.almondslip.Proof proof = 2;</code>
-     */
+
+    /** <code>.almondslip.Proof proof = 2;</code> */
     public org.almondslip.protocol.wire.Proof.Builder getProofBuilder() {
       return internalGetProofFieldBuilder().getBuilder();
     }
-    /**
-     * <code>.almondslip.Proof proof = 2;</code>
-     */
+
+    /** <code>.almondslip.Proof proof = 2;</code> */
     @java.lang.Override
     public org.almondslip.protocol.wire.ProofOrBuilder getProofOrBuilder() {
       if ((bodyCase_ == 2) && (proofBuilder_ != null)) {
@@ -2047,21 +2147,23 @@
         return org.almondslip.protocol.wire.Proof.getDefaultInstance();
       }
     }
-    /**
-     * <code>.almondslip.Proof proof = 2;</code>
-     */
+
+    /** <code>.almondslip.Proof proof = 2;</code> */
     private com.google.protobuf.SingleFieldBuilder<
-        org.almondslip.protocol.wire.Proof, org.almondslip.protocol.wire.Proof.Builder, org.almondslip.protocol.wire.ProofOrBuilder> 
+            org.almondslip.protocol.wire.Proof,
+            org.almondslip.protocol.wire.Proof.Builder,
+            org.almondslip.protocol.wire.ProofOrBuilder>
         internalGetProofFieldBuilder() {
       if (proofBuilder_ == null) {
         if (!(bodyCase_ == 2)) {
           body_ = org.almondslip.protocol.wire.Proof.getDefaultInstance();
         }
-        proofBuilder_ = new com.google.protobuf.SingleFieldBuilder<
-            org.almondslip.protocol.wire.Proof, org.almondslip.protocol.wire.Proof.Builder, org.almondslip.protocol.wire.ProofOrBuilder>(
-                (org.almondslip.protocol.wire.Proof) body_,
-                getParentForChildren(),
-                isClean());
+        proofBuilder_ =
+            new com.google.protobuf.SingleFieldBuilder<
+                org.almondslip.protocol.wire.Proof,
+                org.almondslip.protocol.wire.Proof.Builder,
+                org.almondslip.protocol.wire.ProofOrBuilder>(
+                (org.almondslip.protocol.wire.Proof) body_, getParentForChildren(), isClean());
         body_ = null;
       }
       bodyCase_ = 2;
@@ -2070,17 +2172,24 @@
     }
 
     private com.google.protobuf.SingleFieldBuilder<
-        org.almondslip.protocol.wire.Heartbeat, org.almondslip.protocol.wire.Heartbeat.Builder, org.almondslip.protocol.wire.HeartbeatOrBuilder> heartbeatBuilder_;
+            org.almondslip.protocol.wire.Heartbeat,
+            org.almondslip.protocol.wire.Heartbeat.Builder,
+            org.almondslip.protocol.wire.HeartbeatOrBuilder>
+        heartbeatBuilder_;
+
     /**
      * <code>.almondslip.Heartbeat heartbeat = 3;</code>
+     *
      * @return Whether the heartbeat field is set.
      */
     @java.lang.Override
     public boolean hasHeartbeat() {
       return bodyCase_ == 3;
     }
+
     /**
      * <code>.almondslip.Heartbeat heartbeat = 3;</code>
+     *
      * @return The heartbeat.
      */
     @java.lang.Override
@@ -2097,9 +2206,8 @@
         return org.almondslip.protocol.wire.Heartbeat.getDefaultInstance();
       }
     }
-    /**
-     * <code>.almondslip.Heartbeat heartbeat = 3;</code>
-     */
+
+    /** <code>.almondslip.Heartbeat heartbeat = 3;</code> */
     public Builder setHeartbeat(org.almondslip.protocol.wire.Heartbeat value) {
       if (heartbeatBuilder_ == null) {
         java.util.Objects.requireNonNull(value);
@@ -2111,11 +2219,9 @@
       bodyCase_ = 3;
       return this;
     }
-    /**
-     * <code>.almondslip.Heartbeat heartbeat = 3;</code>
-     */
-    public Builder setHeartbeat(
-        org.almondslip.protocol.wire.Heartbeat.Builder builderForValue) {
+
+    /** <code>.almondslip.Heartbeat heartbeat = 3;</code> */
+    public Builder setHeartbeat(org.almondslip.protocol.wire.Heartbeat.Builder builderForValue) {
       if (heartbeatBuilder_ == null) {
         body_ = builderForValue.build();
         onChanged();
@@ -2125,15 +2231,17 @@
       bodyCase_ = 3;
       return this;
     }
-    /**
-     * <code>.almondslip.Heartbeat heartbeat = 3;</code>
-     */
+
+    /** <code>.almondslip.Heartbeat heartbeat = 3;</code> */
     public Builder mergeHeartbeat(org.almondslip.protocol.wire.Heartbeat value) {
       if (heartbeatBuilder_ == null) {
-        if (bodyCase_ == 3 &&
-            body_ != org.almondslip.protocol.wire.Heartbeat.getDefaultInstance()) {
-          body_ = org.almondslip.protocol.wire.Heartbeat.newBuilder((org.almondslip.protocol.wire.Heartbeat) body_)
-              .mergeFrom(value).buildPartial();
+        if (bodyCase_ == 3
+            && body_ != org.almondslip.protocol.wire.Heartbeat.getDefaultInstance()) {
+          body_ =
+              org.almondslip.protocol.wire.Heartbeat.newBuilder(
+                      (org.almondslip.protocol.wire.Heartbeat) body_)
+                  .mergeFrom(value)
+                  .buildPartial();
         } else {
           body_ = value;
         }
@@ -2148,9 +2256,8 @@
       bodyCase_ = 3;
       return this;
     }
-    /**
-     * <code>.almondslip.Heartbeat heartbeat = 3;</code>
-     */
+
+    /** <code>.almondslip.Heartbeat heartbeat = 3;</code> */
     public Builder clearHeartbeat() {
       if (heartbeatBuilder_ == null) {
         if (bodyCase_ == 3) {
@@ -2167,15 +2274,13 @@
       }
       return this;
     }
-    /**
-     * <code>.almondslip.Heartbeat heartbeat = 3;</code>
-     */
+
+    /** <code>.almondslip.Heartbeat heartbeat = 3;</code> */
     public org.almondslip.protocol.wire.Heartbeat.Builder getHeartbeatBuilder() {
       return internalGetHeartbeatFieldBuilder().getBuilder();
     }
-    /**
-     * <code>.almondslip.Heartbeat heartbeat = 3;</code>
-     */
+
+    /** <code>.almondslip.Heartbeat heartbeat = 3;</code> */
     @java.lang.Override
     public org.almondslip.protocol.wire.HeartbeatOrBuilder getHeartbeatOrBuilder() {
       if ((bodyCase_ == 3) && (heartbeatBuilder_ != null)) {
@@ -2187,21 +2292,23 @@
         return org.almondslip.protocol.wire.Heartbeat.getDefaultInstance();
       }
     }
-    /**
-     * <code>.almondslip.Heartbeat heartbeat = 3;</code>
-     */
+
+    /** <code>.almondslip.Heartbeat heartbeat = 3;</code> */
     private com.google.protobuf.SingleFieldBuilder<
-        org.almondslip.protocol.wire.Heartbeat, org.almondslip.protocol.wire.Heartbeat.Builder, org.almondslip.protocol.wire.HeartbeatOrBuilder> 
+            org.almondslip.protocol.wire.Heartbeat,
+            org.almondslip.protocol.wire.Heartbeat.Builder,
+            org.almondslip.protocol.wire.HeartbeatOrBuilder>
         internalGetHeartbeatFieldBuilder() {
       if (heartbeatBuilder_ == null) {
         if (!(bodyCase_ == 3)) {
           body_ = org.almondslip.protocol.wire.Heartbeat.getDefaultInstance();
         }
-        heartbeatBuilder_ = new com.google.protobuf.SingleFieldBuilder<
-            org.almondslip.protocol.wire.Heartbeat, org.almondslip.protocol.wire.Heartbeat.Builder, org.almondslip.protocol.wire.HeartbeatOrBuilder>(
-                (org.almondslip.protocol.wire.Heartbeat) body_,
-                getParentForChildren(),
-                isClean());
+        heartbeatBuilder_ =
+            new com.google.protobuf.SingleFieldBuilder<
+                org.almondslip.protocol.wire.Heartbeat,
+                org.almondslip.protocol.wire.Heartbeat.Builder,
+                org.almondslip.protocol.wire.HeartbeatOrBuilder>(
+                (org.almondslip.protocol.wire.Heartbeat) body_, getParentForChildren(), isClean());
         body_ = null;
       }
       bodyCase_ = 3;
@@ -2210,17 +2317,24 @@
     }
 
     private com.google.protobuf.SingleFieldBuilder<
-        org.almondslip.protocol.wire.Announce, org.almondslip.protocol.wire.Announce.Builder, org.almondslip.protocol.wire.AnnounceOrBuilder> announceBuilder_;
+            org.almondslip.protocol.wire.Announce,
+            org.almondslip.protocol.wire.Announce.Builder,
+            org.almondslip.protocol.wire.AnnounceOrBuilder>
+        announceBuilder_;
+
     /**
      * <code>.almondslip.Announce announce = 4;</code>
+     *
      * @return Whether the announce field is set.
      */
     @java.lang.Override
     public boolean hasAnnounce() {
       return bodyCase_ == 4;
     }
+
     /**
      * <code>.almondslip.Announce announce = 4;</code>
+     *
      * @return The announce.
      */
     @java.lang.Override
@@ -2237,9 +2351,8 @@
         return org.almondslip.protocol.wire.Announce.getDefaultInstance();
       }
     }
-    /**
-     * <code>.almondslip.Announce announce = 4;</code>
-     */
+
+    /** <code>.almondslip.Announce announce = 4;</code> */
     public Builder setAnnounce(org.almondslip.protocol.wire.Announce value) {
       if (announceBuilder_ == null) {
         java.util.Objects.requireNonNull(value);
@@ -2251,11 +2364,9 @@
       bodyCase_ = 4;
       return this;
     }
-    /**
-     * <code>.almondslip.Announce announce = 4;</code>
-     */
-    public Builder setAnnounce(
-        org.almondslip.protocol.wire.Announce.Builder builderForValue) {
+
+    /** <code>.almondslip.Announce announce = 4;</code> */
+    public Builder setAnnounce(org.almondslip.protocol.wire.Announce.Builder builderForValue) {
       if (announceBuilder_ == null) {
         body_ = builderForValue.build();
         onChanged();
@@ -2265,15 +2376,16 @@
       bodyCase_ = 4;
       return this;
     }
-    /**
-     * <code>.almondslip.Announce announce = 4;</code>
-     */
+
+    /** <code>.almondslip.Announce announce = 4;</code> */
     public Builder mergeAnnounce(org.almondslip.protocol.wire.Announce value) {
       if (announceBuilder_ == null) {
-        if (bodyCase_ == 4 &&
-            body_ != org.almondslip.protocol.wire.Announce.getDefaultInstance()) {
-          body_ = org.almondslip.protocol.wire.Announce.newBuilder((org.almondslip.protocol.wire.Announce) body_)
-              .mergeFrom(value).buildPartial();
+        if (bodyCase_ == 4 && body_ != org.almondslip.protocol.wire.Announce.getDefaultInstance()) {
+          body_ =
+              org.almondslip.protocol.wire.Announce.newBuilder(
+                      (org.almondslip.protocol.wire.Announce) body_)
+                  .mergeFrom(value)
+                  .buildPartial();
         } else {
           body_ = value;
         }
@@ -2288,9 +2400,8 @@
       bodyCase_ = 4;
       return this;
     }
-    /**
-     * <code>.almondslip.Announce announce = 4;</code>
-     */
+
+    /** <code>.almondslip.Announce announce = 4;</code> */
     public Builder clearAnnounce() {
       if (announceBuilder_ == null) {
         if (bodyCase_ == 4) {
@@ -2307,15 +2418,13 @@
       }
       return this;
     }
-    /**
-     * <code>.almondslip.Announce announce = 4;</code>
-     */
+
+    /** <code>.almondslip.Announce announce = 4;</code> */
     public org.almondslip.protocol.wire.Announce.Builder getAnnounceBuilder() {
       return internalGetAnnounceFieldBuilder().getBuilder();
     }
-    /**
-     * <code>.almondslip.Announce announce = 4;</code>
-     */
+
+    /** <code>.almondslip.Announce announce = 4;</code> */
     @java.lang.Override
     public org.almondslip.protocol.wire.AnnounceOrBuilder getAnnounceOrBuilder() {
       if ((bodyCase_ == 4) && (announceBuilder_ != null)) {
@@ -2327,21 +2436,23 @@
         return org.almondslip.protocol.wire.Announce.getDefaultInstance();
       }
     }
-    /**
-     * <code>.almondslip.Announce announce = 4;</code>
-     */
+
+    /** <code>.almondslip.Announce announce = 4;</code> */
     private com.google.protobuf.SingleFieldBuilder<
-        org.almondslip.protocol.wire.Announce, org.almondslip.protocol.wire.Announce.Builder, org.almondslip.protocol.wire.AnnounceOrBuilder> 
+            org.almondslip.protocol.wire.Announce,
+            org.almondslip.protocol.wire.Announce.Builder,
+            org.almondslip.protocol.wire.AnnounceOrBuilder>
         internalGetAnnounceFieldBuilder() {
       if (announceBuilder_ == null) {
         if (!(bodyCase_ == 4)) {
           body_ = org.almondslip.protocol.wire.Announce.getDefaultInstance();
         }
-        announceBuilder_ = new com.google.protobuf.SingleFieldBuilder<
-            org.almondslip.protocol.wire.Announce, org.almondslip.protocol.wire.Announce.Builder, org.almondslip.protocol.wire.AnnounceOrBuilder>(
-                (org.almondslip.protocol.wire.Announce) body_,
-                getParentForChildren(),
-                isClean());
+        announceBuilder_ =
+            new com.google.protobuf.SingleFieldBuilder<
+                org.almondslip.protocol.wire.Announce,
+                org.almondslip.protocol.wire.Announce.Builder,
+                org.almondslip.protocol.wire.AnnounceOrBuilder>(
+                (org.almondslip.protocol.wire.Announce) body_, getParentForChildren(), isClean());
         body_ = null;
       }
       bodyCase_ = 4;
@@ -2350,17 +2461,24 @@
     }
 
     private com.google.protobuf.SingleFieldBuilder<
-        org.almondslip.protocol.wire.Drain, org.almondslip.protocol.wire.Drain.Builder, org.almondslip.protocol.wire.DrainOrBuilder> drainBuilder_;
+            org.almondslip.protocol.wire.Drain,
+            org.almondslip.protocol.wire.Drain.Builder,
+            org.almondslip.protocol.wire.DrainOrBuilder>
+        drainBuilder_;
+
     /**
      * <code>.almondslip.Drain drain = 5;</code>
+     *
      * @return Whether the drain field is set.
      */
     @java.lang.Override
     public boolean hasDrain() {
       return bodyCase_ == 5;
     }
+
     /**
      * <code>.almondslip.Drain drain = 5;</code>
+     *
      * @return The drain.
      */
     @java.lang.Override
@@ -2377,9 +2495,8 @@
         return org.almondslip.protocol.wire.Drain.getDefaultInstance();
       }
     }
-    /**
-     * <code>.almondslip.Drain drain = 5;</code>
-     */
+
+    /** <code>.almondslip.Drain drain = 5;</code> */
     public Builder setDrain(org.almondslip.protocol.wire.Drain value) {
       if (drainBuilder_ == null) {
         java.util.Objects.requireNonNull(value);
@@ -2391,11 +2508,9 @@
       bodyCase_ = 5;
       return this;
     }
-    /**
-     * <code>.almondslip.Drain drain = 5;</code>
-     */
-    public Builder setDrain(
-        org.almondslip.protocol.wire.Drain.Builder builderForValue) {
+
+    /** <code>.almondslip.Drain drain = 5;</code> */
+    public Builder setDrain(org.almondslip.protocol.wire.Drain.Builder builderForValue) {
       if (drainBuilder_ == null) {
         body_ = builderForValue.build();
         onChanged();
@@ -2405,15 +2520,16 @@
       bodyCase_ = 5;
       return this;
     }
-    /**
-     * <code>.almondslip.Drain drain = 5;</code>
-     */
+
+    /** <code>.almondslip.Drain drain = 5;</code> */
     public Builder mergeDrain(org.almondslip.protocol.wire.Drain value) {
       if (drainBuilder_ == null) {
-        if (bodyCase_ == 5 &&
-            body_ != org.almondslip.protocol.wire.Drain.getDefaultInstance()) {
-          body_ = org.almondslip.protocol.wire.Drain.newBuilder((org.almondslip.protocol.wire.Drain) body_)
-              .mergeFrom(value).buildPartial();
+        if (bodyCase_ == 5 && body_ != org.almondslip.protocol.wire.Drain.getDefaultInstance()) {
+          body_ =
+              org.almondslip.protocol.wire.Drain.newBuilder(
+                      (org.almondslip.protocol.wire.Drain) body_)
+                  .mergeFrom(value)
+                  .buildPartial();
         } else {
           body_ = value;
         }
@@ -2428,9 +2544,8 @@
       bodyCase_ = 5;
       return this;
     }
-    /**
-     * <code>.almondslip.Drain drain = 5;</code>
-     */
+
+    /** <code>.almondslip.Drain drain = 5;</code> */
     public Builder clearDrain() {
       if (drainBuilder_ == null) {
         if (bodyCase_ == 5) {
@@ -2447,15 +2562,13 @@
       }
       return this;
     }
-    /**
-     * <code>.almondslip.Drain drain = 5;</code>
-     */
+
+    /** <code>.almondslip.Drain drain = 5;</code> */
     public org.almondslip.protocol.wire.Drain.Builder getDrainBuilder() {
       return internalGetDrainFieldBuilder().getBuilder();
     }
-    /**
-     * <code>.almondslip.Drain drain = 5;</code>
-     */
+
+    /** <code>.almondslip.Drain drain = 5;</code> */
     @java.lang.Override
     public org.almondslip.protocol.wire.DrainOrBuilder getDrainOrBuilder() {
       if ((bodyCase_ == 5) && (drainBuilder_ != null)) {
@@ -2467,21 +2580,23 @@
         return org.almondslip.protocol.wire.Drain.getDefaultInstance();
       }
     }
-    /**
-     * <code>.almondslip.Drain drain = 5;</code>
-     */
+
+    /** <code>.almondslip.Drain drain = 5;</code> */
     private com.google.protobuf.SingleFieldBuilder<
-        org.almondslip.protocol.wire.Drain, org.almondslip.protocol.wire.Drain.Builder, org.almondslip.protocol.wire.DrainOrBuilder> 
+            org.almondslip.protocol.wire.Drain,
+            org.almondslip.protocol.wire.Drain.Builder,
+            org.almondslip.protocol.wire.DrainOrBuilder>
         internalGetDrainFieldBuilder() {
       if (drainBuilder_ == null) {
         if (!(bodyCase_ == 5)) {
           body_ = org.almondslip.protocol.wire.Drain.getDefaultInstance();
         }
-        drainBuilder_ = new com.google.protobuf.SingleFieldBuilder<
-            org.almondslip.protocol.wire.Drain, org.almondslip.protocol.wire.Drain.Builder, org.almondslip.protocol.wire.DrainOrBuilder>(
-                (org.almondslip.protocol.wire.Drain) body_,
-                getParentForChildren(),
-                isClean());
+        drainBuilder_ =
+            new com.google.protobuf.SingleFieldBuilder<
+                org.almondslip.protocol.wire.Drain,
+                org.almondslip.protocol.wire.Drain.Builder,
+                org.almondslip.protocol.wire.DrainOrBuilder>(
+                (org.almondslip.protocol.wire.Drain) body_, getParentForChildren(), isClean());
         body_ = null;
       }
       bodyCase_ = 5;
@@ -2490,17 +2605,24 @@
     }
 
     private com.google.protobuf.SingleFieldBuilder<
-        org.almondslip.protocol.wire.Offers, org.almondslip.protocol.wire.Offers.Builder, org.almondslip.protocol.wire.OffersOrBuilder> offersBuilder_;
+            org.almondslip.protocol.wire.Offers,
+            org.almondslip.protocol.wire.Offers.Builder,
+            org.almondslip.protocol.wire.OffersOrBuilder>
+        offersBuilder_;
+
     /**
      * <code>.almondslip.Offers offers = 10;</code>
+     *
      * @return Whether the offers field is set.
      */
     @java.lang.Override
     public boolean hasOffers() {
       return bodyCase_ == 10;
     }
+
     /**
      * <code>.almondslip.Offers offers = 10;</code>
+     *
      * @return The offers.
      */
     @java.lang.Override
@@ -2517,9 +2639,8 @@
         return org.almondslip.protocol.wire.Offers.getDefaultInstance();
       }
     }
-    /**
-     * <code>.almondslip.Offers offers = 10;</code>
-     */
+
+    /** <code>.almondslip.Offers offers = 10;</code> */
     public Builder setOffers(org.almondslip.protocol.wire.Offers value) {
       if (offersBuilder_ == null) {
         java.util.Objects.requireNonNull(value);
@@ -2531,11 +2652,9 @@
       bodyCase_ = 10;
       return this;
     }
-    /**
-     * <code>.almondslip.Offers offers = 10;</code>
-     */
-    public Builder setOffers(
-        org.almondslip.protocol.wire.Offers.Builder builderForValue) {
+
+    /** <code>.almondslip.Offers offers = 10;</code> */
+    public Builder setOffers(org.almondslip.protocol.wire.Offers.Builder builderForValue) {
       if (offersBuilder_ == null) {
         body_ = builderForValue.build();
         onChanged();
@@ -2545,15 +2664,16 @@
       bodyCase_ = 10;
       return this;
     }
-    /**
-     * <code>.almondslip.Offers offers = 10;</code>
-     */
+
+    /** <code>.almondslip.Offers offers = 10;</code> */
     public Builder mergeOffers(org.almondslip.protocol.wire.Offers value) {
       if (offersBuilder_ == null) {
-        if (bodyCase_ == 10 &&
-            body_ != org.almondslip.protocol.wire.Offers.getDefaultInstance()) {
-          body_ = org.almondslip.protocol.wire.Offers.newBuilder((org.almondslip.protocol.wire.Offers) body_)
-              .mergeFrom(value).buildPartial();
+        if (bodyCase_ == 10 && body_ != org.almondslip.protocol.wire.Offers.getDefaultInstance()) {
+          body_ =
+              org.almondslip.protocol.wire.Offers.newBuilder(
+                      (org.almondslip.protocol.wire.Offers) body_)
+                  .mergeFrom(value)
+                  .buildPartial();
         } else {
           body_ = value;
         }
@@ -2568,9 +2688,8 @@
       bodyCase_ = 10;
       return this;
     }
-    /**
-     * <code>.almondslip.Offers offers = 10;</code>
-     */
+
+    /** <code>.almondslip.Offers offers = 10;</code> */
     public Builder clearOffers() {
       if (offersBuilder_ == null) {
         if (bodyCase_ == 10) {
@@ -2587,15 +2706,13 @@
       }
       return this;
     }
-    /**
-     * <code>.almondslip.Offers offers = 10;</code>
-     */
+
+    /** <code>.almondslip.Offers offers = 10;</code> */
     public org.almondslip.protocol.wire.Offers.Builder getOffersBuilder() {
       return internalGetOffersFieldBuilder().getBuilder();
     }
-    /**
-     * <code>.almondslip.Offers offers = 10;</code>
-     */
+
+    /** <code>.almondslip.Offers offers = 10;</code> */
     @java.lang.Override
     public org.almondslip.protocol.wire.OffersOrBuilder getOffersOrBuilder() {
       if ((bodyCase_ == 10) && (offersBuilder_ != null)) {
@@ -2607,21 +2724,23 @@
         return org.almondslip.protocol.wire.Offers.getDefaultInstance();
       }
     }
-    /**
-     * <code>.almondslip.Offers offers = 10;</code>
-     */
+
+    /** <code>.almondslip.Offers offers = 10;</code> */
     private com.google.protobuf.SingleFieldBuilder<
-        org.almondslip.protocol.wire.Offers, org.almondslip.protocol.wire.Offers.Builder, org.almondslip.protocol.wire.OffersOrBuilder> 
+            org.almondslip.protocol.wire.Offers,
+            org.almondslip.protocol.wire.Offers.Builder,
+            org.almondslip.protocol.wire.OffersOrBuilder>
         internalGetOffersFieldBuilder() {
       if (offersBuilder_ == null) {
         if (!(bodyCase_ == 10)) {
           body_ = org.almondslip.protocol.wire.Offers.getDefaultInstance();
         }
-        offersBuilder_ = new com.google.protobuf.SingleFieldBuilder<
-            org.almondslip.protocol.wire.Offers, org.almondslip.protocol.wire.Offers.Builder, org.almondslip.protocol.wire.OffersOrBuilder>(
-                (org.almondslip.protocol.wire.Offers) body_,
-                getParentForChildren(),
-                isClean());
+        offersBuilder_ =
+            new com.google.protobuf.SingleFieldBuilder<
+                org.almondslip.protocol.wire.Offers,
+                org.almondslip.protocol.wire.Offers.Builder,
+                org.almondslip.protocol.wire.OffersOrBuilder>(
+                (org.almondslip.protocol.wire.Offers) body_, getParentForChildren(), isClean());
         body_ = null;
       }
       bodyCase_ = 10;
@@ -2630,17 +2749,24 @@
     }
 
     private com.google.protobuf.SingleFieldBuilder<
-        org.almondslip.protocol.wire.Grant, org.almondslip.protocol.wire.Grant.Builder, org.almondslip.protocol.wire.GrantOrBuilder> grantBuilder_;
+            org.almondslip.protocol.wire.Grant,
+            org.almondslip.protocol.wire.Grant.Builder,
+            org.almondslip.protocol.wire.GrantOrBuilder>
+        grantBuilder_;
+
     /**
      * <code>.almondslip.Grant grant = 11;</code>
+     *
      * @return Whether the grant field is set.
      */
     @java.lang.Override
     public boolean hasGrant() {
       return bodyCase_ == 11;
     }
+
     /**
      * <code>.almondslip.Grant grant = 11;</code>
+     *
      * @return The grant.
      */
     @java.lang.Override
@@ -2657,9 +2783,8 @@
         return org.almondslip.protocol.wire.Grant.getDefaultInstance();
       }
     }
-    /**
-     * <code>.almondslip.Grant grant = 11;</code>
-     */
+
+    /** <code>.almondslip.Grant grant = 11;</code> */
     public Builder setGrant(org.almondslip.protocol.wire.Grant value) {
       if (grantBuilder_ == null) {
         java.util.Objects.requireNonNull(value);
@@ -2671,11 +2796,9 @@
       bodyCase_ = 11;
       return this;
     }
-    /**
-     * <code>.almondslip.Grant grant = 11;</code>
-     */
-    public Builder setGrant(
-        org.almondslip.protocol.wire.Grant.Builder builderForValue) {
+
+    /** <code>.almondslip.Grant grant = 11;</code> */
+    public Builder setGrant(org.almondslip.protocol.wire.Grant.Builder builderForValue) {
       if (grantBuilder_ == null) {
         body_ = builderForValue.build();
         onChanged();
@@ -2685,15 +2808,16 @@
       bodyCase_ = 11;
       return this;
     }
-    /**
-     * <code>.almondslip.Grant grant = 11;</code>
-     */
+
+    /** <code>.almondslip.Grant grant = 11;</code> */
     public Builder mergeGrant(org.almondslip.protocol.wire.Grant value) {
       if (grantBuilder_ == null) {
-        if (bodyCase_ == 11 &&
-            body_ != org.almondslip.protocol.wire.Grant.getDefaultInstance()) {
-          body_ = org.almondslip.protocol.wire.Grant.newBuilder((org.almondslip.protocol.wire.Grant) body_)
-              .mergeFrom(value).buildPartial();
+        if (bodyCase_ == 11 && body_ != org.almondslip.protocol.wire.Grant.getDefaultInstance()) {
+          body_ =
+              org.almondslip.protocol.wire.Grant.newBuilder(
+                      (org.almondslip.protocol.wire.Grant) body_)
+                  .mergeFrom(value)
+                  .buildPartial();
         } else {
           body_ = value;
         }
@@ -2708,9 +2832,8 @@
       bodyCase_ = 11;
       return this;
     }
-    /**
-     * <code>.almondslip.Grant grant = 11;</code>
-     */
+
+    /** <code>.almondslip.Grant grant = 11;</code> */
     public Builder clearGrant() {
       if (grantBuilder_ == null) {
         if (bodyCase_ == 11) {
@@ -2727,15 +2850,13 @@
       }
       return this;
     }
-    /**
-     * <code>.almondslip.Grant grant = 11;</code>
-     */
+
+    /** <code>.almondslip.Grant grant = 11;</code> */
     public org.almondslip.protocol.wire.Grant.Builder getGrantBuilder() {
       return internalGetGrantFieldBuilder().getBuilder();
     }
-    /**
-     * <code>.almondslip.Grant grant = 11;</code>
-     */
+
+    /** <code>.almondslip.Grant grant = 11;</code> */
     @java.lang.Override
     public org.almondslip.protocol.wire.GrantOrBuilder getGrantOrBuilder() {
       if ((bodyCase_ == 11) && (grantBuilder_ != null)) {
@@ -2747,21 +2868,23 @@
         return org.almondslip.protocol.wire.Grant.getDefaultInstance();
       }
     }
-    /**
-     * <code>.almondslip.Grant grant = 11;</code>
-     */
+
+    /** <code>.almondslip.Grant grant = 11;</code> */
     private com.google.protobuf.SingleFieldBuilder<
-        org.almondslip.protocol.wire.Grant, org.almondslip.protocol.wire.Grant.Builder, org.almondslip.protocol.wire.GrantOrBuilder> 
+            org.almondslip.protocol.wire.Grant,
+            org.almondslip.protocol.wire.Grant.Builder,
+            org.almondslip.protocol.wire.GrantOrBuilder>
         internalGetGrantFieldBuilder() {
       if (grantBuilder_ == null) {
         if (!(bodyCase_ == 11)) {
           body_ = org.almondslip.protocol.wire.Grant.getDefaultInstance();
         }
-        grantBuilder_ = new com.google.protobuf.SingleFieldBuilder<
-            org.almondslip.protocol.wire.Grant, org.almondslip.protocol.wire.Grant.Builder, org.almondslip.protocol.wire.GrantOrBuilder>(
-                (org.almondslip.protocol.wire.Grant) body_,
-                getParentForChildren(),
-                isClean());
+        grantBuilder_ =
+            new com.google.protobuf.SingleFieldBuilder<
+                org.almondslip.protocol.wire.Grant,
+                org.almondslip.protocol.wire.Grant.Builder,
+                org.almondslip.protocol.wire.GrantOrBuilder>(
+                (org.almondslip.protocol.wire.Grant) body_, getParentForChildren(), isClean());
         body_ = null;
       }
       bodyCase_ = 11;
@@ -2770,17 +2893,24 @@
     }
 
     private com.google.protobuf.SingleFieldBuilder<
-        org.almondslip.protocol.wire.Decline, org.almondslip.protocol.wire.Decline.Builder, org.almondslip.protocol.wire.DeclineOrBuilder> declineBuilder_;
+            org.almondslip.protocol.wire.Decline,
+            org.almondslip.protocol.wire.Decline.Builder,
+            org.almondslip.protocol.wire.DeclineOrBuilder>
+        declineBuilder_;
+
     /**
      * <code>.almondslip.Decline decline = 12;</code>
+     *
      * @return Whether the decline field is set.
      */
     @java.lang.Override
     public boolean hasDecline() {
       return bodyCase_ == 12;
     }
+
     /**
      * <code>.almondslip.Decline decline = 12;</code>
+     *
      * @return The decline.
      */
     @java.lang.Override
@@ -2797,9 +2927,8 @@
         return org.almondslip.protocol.wire.Decline.getDefaultInstance();
       }
     }
-    /**
-     * <code>.almondslip.Decline decline = 12;</code>
-     */
+
+    /** <code>.almondslip.Decline decline = 12;</code> */
     public Builder setDecline(org.almondslip.protocol.wire.Decline value) {
       if (declineBuilder_ == null) {
         java.util.Objects.requireNonNull(value);
@@ -2811,11 +2940,9 @@
       bodyCase_ = 12;
       return this;
     }
-    /**
-     * <code>.almondslip.Decline decline = 12;</code>
-     */
-    public Builder setDecline(
-        org.almondslip.protocol.wire.Decline.Builder builderForValue) {
+
+    /** <code>.almondslip.Decline decline = 12;</code> */
+    public Builder setDecline(org.almondslip.protocol.wire.Decline.Builder builderForValue) {
       if (declineBuilder_ == null) {
         body_ = builderForValue.build();
         onChanged();
@@ -2825,15 +2952,16 @@
       bodyCase_ = 12;
       return this;
     }
-    /**
-     * <code>.almondslip.Decline decline = 12;</code>
-     */
+
+    /** <code>.almondslip.Decline decline = 12;</code> */
     public Builder mergeDecline(org.almondslip.protocol.wire.Decline value) {
       if (declineBuilder_ == null) {
-        if (bodyCase_ == 12 &&
-            body_ != org.almondslip.protocol.wire.Decline.getDefaultInstance()) {
-          body_ = org.almondslip.protocol.wire.Decline.newBuilder((org.almondslip.protocol.wire.Decline) body_)
-              .mergeFrom(value).buildPartial();
+        if (bodyCase_ == 12 && body_ != org.almondslip.protocol.wire.Decline.getDefaultInstance()) {
+          body_ =
+              org.almondslip.protocol.wire.Decline.newBuilder(
+                      (org.almondslip.protocol.wire.Decline) body_)
+                  .mergeFrom(value)
+                  .buildPartial();
         } else {
           body_ = value;
         }
@@ -2848,9 +2976,8 @@
       bodyCase_ = 12;
       return this;
     }
-    /**
-     * <code>.almondslip.Decline decline = 12;</code>
-     */
+
+    /** <code>.almondslip.Decline decline = 12;</code> */
     public Builder clearDecline() {
       if (declineBuilder_ == null) {
         if (bodyCase_ == 12) {
@@ -2867,15 +2994,13 @@
       }
       return this;
     }
-    /**
-     * <code>.almondslip.Decline decline = 12;</code>
-     */
+
+    /** <code>.almondslip.Decline decline = 12;</code> */
     public org.almondslip.protocol.wire.Decline.Builder getDeclineBuilder() {
       return internalGetDeclineFieldBuilder().getBuilder();
     }
-    /**
-     * <code>.almondslip.Decline decline = 12;</code>
-     */
+
+    /** <code>.almondslip.Decline decline = 12;</code> */
     @java.lang.Override
     public org.almondslip.protocol.wire.DeclineOrBuilder getDeclineOrBuilder() {
       if ((bodyCase_ == 12) && (declineBuilder_ != null)) {
@@ -2887,21 +3012,23 @@
         return org.almondslip.protocol.wire.Decline.getDefaultInstance();
       }
     }
-    /**
-     * <code>.almondslip.Decline decline = 12;</code>
-     */
+
+    /** <code>.almondslip.Decline decline = 12;</code> */
     private com.google.protobuf.SingleFieldBuilder<
-        org.almondslip.protocol.wire.Decline, org.almondslip.protocol.wire.Decline.Builder, org.almondslip.protocol.wire.DeclineOrBuilder> 
+            org.almondslip.protocol.wire.Decline,
+            org.almondslip.protocol.wire.Decline.Builder,
+            org.almondslip.protocol.wire.DeclineOrBuilder>
         internalGetDeclineFieldBuilder() {
       if (declineBuilder_ == null) {
         if (!(bodyCase_ == 12)) {
           body_ = org.almondslip.protocol.wire.Decline.getDefaultInstance();
         }
-        declineBuilder_ = new com.google.protobuf.SingleFieldBuilder<
-            org.almondslip.protocol.wire.Decline, org.almondslip.protocol.wire.Decline.Builder, org.almondslip.protocol.wire.DeclineOrBuilder>(
-                (org.almondslip.protocol.wire.Decline) body_,
-                getParentForChildren(),
-                isClean());
+        declineBuilder_ =
+            new com.google.protobuf.SingleFieldBuilder<
+                org.almondslip.protocol.wire.Decline,
+                org.almondslip.protocol.wire.Decline.Builder,
+                org.almondslip.protocol.wire.DeclineOrBuilder>(
+                (org.almondslip.protocol.wire.Decline) body_, getParentForChildren(), isClean());
         body_ = null;
       }
       bodyCase_ = 12;
@@ -2910,17 +3037,24 @@
     }
 
     private com.google.protobuf.SingleFieldBuilder<
-        org.almondslip.protocol.wire.Dispatch, org.almondslip.protocol.wire.Dispatch.Builder, org.almondslip.protocol.wire.DispatchOrBuilder> dispatchBuilder_;
+            org.almondslip.protocol.wire.Dispatch,
+            org.almondslip.protocol.wire.Dispatch.Builder,
+            org.almondslip.protocol.wire.DispatchOrBuilder>
+        dispatchBuilder_;
+
     /**
      * <code>.almondslip.Dispatch dispatch = 13;</code>
+     *
      * @return Whether the dispatch field is set.
      */
     @java.lang.Override
     public boolean hasDispatch() {
       return bodyCase_ == 13;
     }
+
     /**
      * <code>.almondslip.Dispatch dispatch = 13;</code>
+     *
      * @return The dispatch.
      */
     @java.lang.Override
@@ -2937,9 +3071,8 @@
         return org.almondslip.protocol.wire.Dispatch.getDefaultInstance();
       }
     }
-    /**
-     * <code>.almondslip.Dispatch dispatch = 13;</code>
-     */
+
+    /** <code>.almondslip.Dispatch dispatch = 13;</code> */
     public Builder setDispatch(org.almondslip.protocol.wire.Dispatch value) {
       if (dispatchBuilder_ == null) {
         java.util.Objects.requireNonNull(value);
@@ -2951,11 +3084,9 @@
       bodyCase_ = 13;
       return this;
     }
-    /**
-     * <code>.almondslip.Dispatch dispatch = 13;</code>
-     */
-    public Builder setDispatch(
-        org.almondslip.protocol.wire.Dispatch.Builder builderForValue) {
+
+    /** <code>.almondslip.Dispatch dispatch = 13;</code> */
+    public Builder setDispatch(org.almondslip.protocol.wire.Dispatch.Builder builderForValue) {
       if (dispatchBuilder_ == null) {
         body_ = builderForValue.build();
         onChanged();
@@ -2965,15 +3096,17 @@
       bodyCase_ = 13;
       return this;
     }
-    /**
-     * <code>.almondslip.Dispatch dispatch = 13;</code>
-     */
+
+    /** <code>.almondslip.Dispatch dispatch = 13;</code> */
     public Builder mergeDispatch(org.almondslip.protocol.wire.Dispatch value) {
       if (dispatchBuilder_ == null) {
-        if (bodyCase_ == 13 &&
-            body_ != org.almondslip.protocol.wire.Dispatch.getDefaultInstance()) {
-          body_ = org.almondslip.protocol.wire.Dispatch.newBuilder((org.almondslip.protocol.wire.Dispatch) body_)
-              .mergeFrom(value).buildPartial();
+        if (bodyCase_ == 13
+            && body_ != org.almondslip.protocol.wire.Dispatch.getDefaultInstance()) {
+          body_ =
+              org.almondslip.protocol.wire.Dispatch.newBuilder(
+                      (org.almondslip.protocol.wire.Dispatch) body_)
+                  .mergeFrom(value)
+                  .buildPartial();
         } else {
           body_ = value;
         }
@@ -2988,9 +3121,8 @@
       bodyCase_ = 13;
       return this;
     }
-    /**
-     * <code>.almondslip.Dispatch dispatch = 13;</code>
-     */
+
+    /** <code>.almondslip.Dispatch dispatch = 13;</code> */
     public Builder clearDispatch() {
       if (dispatchBuilder_ == null) {
         if (bodyCase_ == 13) {
@@ -3007,15 +3139,13 @@
       }
       return this;
     }
-    /**
-     * <code>.almondslip.Dispatch dispatch = 13;</code>
-     */
+
+    /** <code>.almondslip.Dispatch dispatch = 13;</code> */
     public org.almondslip.protocol.wire.Dispatch.Builder getDispatchBuilder() {
       return internalGetDispatchFieldBuilder().getBuilder();
     }
-    /**
-     * <code>.almondslip.Dispatch dispatch = 13;</code>
-     */
+
+    /** <code>.almondslip.Dispatch dispatch = 13;</code> */
     @java.lang.Override
     public org.almondslip.protocol.wire.DispatchOrBuilder getDispatchOrBuilder() {
       if ((bodyCase_ == 13) && (dispatchBuilder_ != null)) {
@@ -3027,21 +3157,23 @@
         return org.almondslip.protocol.wire.Dispatch.getDefaultInstance();
       }
     }
-    /**
-     * <code>.almondslip.Dispatch dispatch = 13;</code>
-     */
+
+    /** <code>.almondslip.Dispatch dispatch = 13;</code> */
     private com.google.protobuf.SingleFieldBuilder<
-        org.almondslip.protocol.wire.Dispatch, org.almondslip.protocol.wire.Dispatch.Builder, org.almondslip.protocol.wire.DispatchOrBuilder> 
+            org.almondslip.protocol.wire.Dispatch,
+            org.almondslip.protocol.wire.Dispatch.Builder,
+            org.almondslip.protocol.wire.DispatchOrBuilder>
         internalGetDispatchFieldBuilder() {
       if (dispatchBuilder_ == null) {
         if (!(bodyCase_ == 13)) {
           body_ = org.almondslip.protocol.wire.Dispatch.getDefaultInstance();
         }
-        dispatchBuilder_ = new com.google.protobuf.SingleFieldBuilder<
-            org.almondslip.protocol.wire.Dispatch, org.almondslip.protocol.wire.Dispatch.Builder, org.almondslip.protocol.wire.DispatchOrBuilder>(
-                (org.almondslip.protocol.wire.Dispatch) body_,
-                getParentForChildren(),
-                isClean());
+        dispatchBuilder_ =
+            new com.google.protobuf.SingleFieldBuilder<
+                org.almondslip.protocol.wire.Dispatch,
+                org.almondslip.protocol.wire.Dispatch.Builder,
+                org.almondslip.protocol.wire.DispatchOrBuilder>(
+                (org.almondslip.protocol.wire.Dispatch) body_, getParentForChildren(), isClean());
         body_ = null;
       }
       bodyCase_ = 13;
@@ -3050,17 +3182,24 @@
     }
 
     private com.google.protobuf.SingleFieldBuilder<
-        org.almondslip.protocol.wire.Cancel, org.almondslip.protocol.wire.Cancel.Builder, org.almondslip.protocol.wire.CancelOrBuilder> cancelBuilder_;
+            org.almondslip.protocol.wire.Cancel,
+            org.almondslip.protocol.wire.Cancel.Builder,
+            org.almondslip.protocol.wire.CancelOrBuilder>
+        cancelBuilder_;
+
     /**
      * <code>.almondslip.Cancel cancel = 14;</code>
+     *
      * @return Whether the cancel field is set.
      */
     @java.lang.Override
     public boolean hasCancel() {
       return bodyCase_ == 14;
     }
+
     /**
      * <code>.almondslip.Cancel cancel = 14;</code>
+     *
      * @return The cancel.
      */
     @java.lang.Override
@@ -3077,9 +3216,8 @@
         return org.almondslip.protocol.wire.Cancel.getDefaultInstance();
       }
     }
-    /**
-     * <code>.almondslip.Cancel cancel = 14;</code>
-     */
+
+    /** <code>.almondslip.Cancel cancel = 14;</code> */
     public Builder setCancel(org.almondslip.protocol.wire.Cancel value) {
       if (cancelBuilder_ == null) {
         java.util.Objects.requireNonNull(value);
@@ -3091,11 +3229,9 @@
       bodyCase_ = 14;
       return this;
     }
-    /**
-     * <code>.almondslip.Cancel cancel = 14;</code>
-     */
-    public Builder setCancel(
-        org.almondslip.protocol.wire.Cancel.Builder builderForValue) {
+
+    /** <code>.almondslip.Cancel cancel = 14;</code> */
+    public Builder setCancel(org.almondslip.protocol.wire.Cancel.Builder builderForValue) {
       if (cancelBuilder_ == null) {
         body_ = builderForValue.build();
         onChanged();
@@ -3105,15 +3241,16 @@
       bodyCase_ = 14;
       return this;
     }
-    /**
-     * <code>.almondslip.Cancel cancel = 14;</code>
-     */
+
+    /** <code>.almondslip.Cancel cancel = 14;</code> */
     public Builder mergeCancel(org.almondslip.protocol.wire.Cancel value) {
       if (cancelBuilder_ == null) {
-        if (bodyCase_ == 14 &&
-            body_ != org.almondslip.protocol.wire.Cancel.getDefaultInstance()) {
-          body_ = org.almondslip.protocol.wire.Cancel.newBuilder((org.almondslip.protocol.wire.Cancel) body_)
-              .mergeFrom(value).buildPartial();
+        if (bodyCase_ == 14 && body_ != org.almondslip.protocol.wire.Cancel.getDefaultInstance()) {
+          body_ =
+              org.almondslip.protocol.wire.Cancel.newBuilder(
+                      (org.almondslip.protocol.wire.Cancel) body_)
+                  .mergeFrom(value)
+                  .buildPartial();
         } else {
           body_ = value;
         }
@@ -3128,9 +3265,8 @@
       bodyCase_ = 14;
       return this;
     }
-    /**
-     * <code>.almondslip.Cancel cancel = 14;</code>
-     */
+
+    /** <code>.almondslip.Cancel cancel = 14;</code> */
     public Builder clearCancel() {
       if (cancelBuilder_ == null) {
         if (bodyCase_ == 14) {
@@ -3147,15 +3283,13 @@
       }
       return this;
     }
-    /**
-     * <code>.almondslip.Cancel cancel = 14;</code>
-     */
+
+    /** <code>.almondslip.Cancel cancel = 14;</code> */
     public org.almondslip.protocol.wire.Cancel.Builder getCancelBuilder() {
       return internalGetCancelFieldBuilder().getBuilder();
     }
-    /**
-     * <code>.almondslip.Cancel cancel = 14;</code>
-     */
+
+    /** <code>.almondslip.Cancel cancel = 14;</code> */
     @java.lang.Override
     public org.almondslip.protocol.wire.CancelOrBuilder getCancelOrBuilder() {
       if ((bodyCase_ == 14) && (cancelBuilder_ != null)) {
@@ -3167,21 +3301,23 @@
         return org.almondslip.protocol.wire.Cancel.getDefaultInstance();
       }
     }
-    /**
-     * <code>.almondslip.Cancel cancel = 14;</code>
-     */
+
+    /** <code>.almondslip.Cancel cancel = 14;</code> */
     private com.google.protobuf.SingleFieldBuilder<
-        org.almondslip.protocol.wire.Cancel, org.almondslip.protocol.wire.Cancel.Builder, org.almondslip.protocol.wire.CancelOrBuilder> 
+            org.almondslip.protocol.wire.Cancel,
+            org.almondslip.protocol.wire.Cancel.Builder,
+            org.almondslip.protocol.wire.CancelOrBuilder>
         internalGetCancelFieldBuilder() {
       if (cancelBuilder_ == null) {
         if (!(bodyCase_ == 14)) {
           body_ = org.almondslip.protocol.wire.Cancel.getDefaultInstance();
         }
-        cancelBuilder_ = new com.google.protobuf.SingleFieldBuilder<
-            org.almondslip.protocol.wire.Cancel, org.almondslip.protocol.wire.Cancel.Builder, org.almondslip.protocol.wire.CancelOrBuilder>(
-                (org.almondslip.protocol.wire.Cancel) body_,
-                getParentForChildren(),
-                isClean());
+        cancelBuilder_ =
+            new com.google.protobuf.SingleFieldBuilder<
+                org.almondslip.protocol.wire.Cancel,
+                org.almondslip.protocol.wire.Cancel.Builder,
+                org.almondslip.protocol.wire.CancelOrBuilder>(
+                (org.almondslip.protocol.wire.Cancel) body_, getParentForChildren(), isClean());
         body_ = null;
       }
       bodyCase_ = 14;
@@ -3190,17 +3326,24 @@
     }
 
     private com.google.protobuf.SingleFieldBuilder<
-        org.almondslip.protocol.wire.Attach, org.almondslip.protocol.wire.Attach.Builder, org.almondslip.protocol.wire.AttachOrBuilder> attachBuilder_;
+            org.almondslip.protocol.wire.Attach,
+            org.almondslip.protocol.wire.Attach.Builder,
+            org.almondslip.protocol.wire.AttachOrBuilder>
+        attachBuilder_;
+
     /**
      * <code>.almondslip.Attach attach = 15;</code>
+     *
      * @return Whether the attach field is set.
      */
     @java.lang.Override
     public boolean hasAttach() {
       return bodyCase_ == 15;
     }
+
     /**
      * <code>.almondslip.Attach attach = 15;</code>
+     *
      * @return The attach.
      */
     @java.lang.Override
@@ -3217,9 +3360,8 @@
         return org.almondslip.protocol.wire.Attach.getDefaultInstance();
       }
     }
-    /**
-     * <code>.almondslip.Attach attach = 15;</code>
-     */
+
+    /** <code>.almondslip.Attach attach = 15;</code> */
     public Builder setAttach(org.almondslip.protocol.wire.Attach value) {
       if (attachBuilder_ == null) {
         java.util.Objects.requireNonNull(value);
@@ -3231,11 +3373,9 @@
       bodyCase_ = 15;
       return this;
     }
-    /**
-     * <code>.almondslip.Attach attach = 15;</code>
-     */
-    public Builder setAttach(
-        org.almondslip.protocol.wire.Attach.Builder builderForValue) {
+
+    /** <code>.almondslip.Attach attach = 15;</code> */
+    public Builder setAttach(org.almondslip.protocol.wire.Attach.Builder builderForValue) {
       if (attachBuilder_ == null) {
         body_ = builderForValue.build();
         onChanged();
@@ -3245,15 +3385,16 @@
       bodyCase_ = 15;
       return this;
     }
-    /**
-     * <code>.almondslip.Attach attach = 15;</code>
-     */
+
+    /** <code>.almondslip.Attach attach = 15;</code> */
     public Builder mergeAttach(org.almondslip.protocol.wire.Attach value) {
       if (attachBuilder_ == null) {
-        if (bodyCase_ == 15 &&
-            body_ != org.almondslip.protocol.wire.Attach.getDefaultInstance()) {
-          body_ = org.almondslip.protocol.wire.Attach.newBuilder((org.almondslip.protocol.wire.Attach) body_)
-              .mergeFrom(value).buildPartial();
+        if (bodyCase_ == 15 && body_ != org.almondslip.protocol.wire.Attach.getDefaultInstance()) {
+          body_ =
+              org.almondslip.protocol.wire.Attach.newBuilder(
+                      (org.almondslip.protocol.wire.Attach) body_)
+                  .mergeFrom(value)
+                  .buildPartial();
         } else {
           body_ = value;
         }
@@ -3268,9 +3409,8 @@
       bodyCase_ = 15;
       return this;
     }
-    /**
-     * <code>.almondslip.Attach attach = 15;</code>
-     */
+
+    /** <code>.almondslip.Attach attach = 15;</code> */
     public Builder clearAttach() {
       if (attachBuilder_ == null) {
         if (bodyCase_ == 15) {
@@ -3287,15 +3427,13 @@
       }
       return this;
     }
-    /**
-     * <code>.almondslip.Attach attach = 15;</code>
-     */
+
+    /** <code>.almondslip.Attach attach = 15;</code> */
     public org.almondslip.protocol.wire.Attach.Builder getAttachBuilder() {
       return internalGetAttachFieldBuilder().getBuilder();
     }
-    /**
-     * <code>.almondslip.Attach attach = 15;</code>
-     */
+
+    /** <code>.almondslip.Attach attach = 15;</code> */
     @java.lang.Override
     public org.almondslip.protocol.wire.AttachOrBuilder getAttachOrBuilder() {
       if ((bodyCase_ == 15) && (attachBuilder_ != null)) {
@@ -3307,21 +3445,23 @@
         return org.almondslip.protocol.wire.Attach.getDefaultInstance();
       }
     }
-    /**
-     * <code>.almondslip.Attach attach = 15;</code>
-     */
+
+    /** <code>.almondslip.Attach attach = 15;</code> */
     private com.google.protobuf.SingleFieldBuilder<
-        org.almondslip.protocol.wire.Attach, org.almondslip.protocol.wire.Attach.Builder, org.almondslip.protocol.wire.AttachOrBuilder> 
+            org.almondslip.protocol.wire.Attach,
+            org.almondslip.protocol.wire.Attach.Builder,
+            org.almondslip.protocol.wire.AttachOrBuilder>
         internalGetAttachFieldBuilder() {
       if (attachBuilder_ == null) {
         if (!(bodyCase_ == 15)) {
           body_ = org.almondslip.protocol.wire.Attach.getDefaultInstance();
         }
-        attachBuilder_ = new com.google.protobuf.SingleFieldBuilder<
-            org.almondslip.protocol.wire.Attach, org.almondslip.protocol.wire.Attach.Builder, org.almondslip.protocol.wire.AttachOrBuilder>(
-                (org.almondslip.protocol.wire.Attach) body_,
-                getParentForChildren(),
-                isClean());
+        attachBuilder_ =
+            new com.google.protobuf.SingleFieldBuilder<
+                org.almondslip.protocol.wire.Attach,
+                org.almondslip.protocol.wire.Attach.Builder,
+                org.almondslip.protocol.wire.AttachOrBuilder>(
+                (org.almondslip.protocol.wire.Attach) body_, getParentForChildren(), isClean());
         body_ = null;
       }
       bodyCase_ = 15;
@@ -3330,17 +3470,24 @@
     }
 
     private com.google.protobuf.SingleFieldBuilder<
-        org.almondslip.protocol.wire.Answer, org.almondslip.protocol.wire.Answer.Builder, org.almondslip.protocol.wire.AnswerOrBuilder> answerBuilder_;
+            org.almondslip.protocol.wire.Answer,
+            org.almondslip.protocol.wire.Answer.Builder,
+            org.almondslip.protocol.wire.AnswerOrBuilder>
+        answerBuilder_;
+
     /**
      * <code>.almondslip.Answer answer = 16;</code>
+     *
      * @return Whether the answer field is set.
      */
     @java.lang.Override
     public boolean hasAnswer() {
       return bodyCase_ == 16;
     }
+
     /**
      * <code>.almondslip.Answer answer = 16;</code>
+     *
      * @return The answer.
      */
     @java.lang.Override
@@ -3357,9 +3504,8 @@
         return org.almondslip.protocol.wire.Answer.getDefaultInstance();
       }
     }
-    /**
-     * <code>.almondslip.Answer answer = 16;</code>
-     */
+
+    /** <code>.almondslip.Answer answer = 16;</code> */
     public Builder setAnswer(org.almondslip.protocol.wire.Answer value) {
       if (answerBuilder_ == null) {
         java.util.Objects.requireNonNull(value);
@@ -3371,11 +3517,9 @@
       bodyCase_ = 16;
       return this;
     }
-    /**
-     * <code>.almondslip.Answer answer = 16;</code>
-     */
-    public Builder setAnswer(
-        org.almondslip.protocol.wire.Answer.Builder builderForValue) {
+
+    /** <code>.almondslip.Answer answer = 16;</code> */
+    public Builder setAnswer(org.almondslip.protocol.wire.Answer.Builder builderForValue) {
       if (answerBuilder_ == null) {
         body_ = builderForValue.build();
         onChanged();
@@ -3385,15 +3529,16 @@
       bodyCase_ = 16;
       return this;
     }
-    /**
-     * <code>.almondslip.Answer answer = 16;</code>
-     */
+
+    /** <code>.almondslip.Answer answer = 16;</code> */
     public Builder mergeAnswer(org.almondslip.protocol.wire.Answer value) {
       if (answerBuilder_ == null) {
-        if (bodyCase_ == 16 &&
-            body_ != org.almondslip.protocol.wire.Answer.getDefaultInstance()) {
-          body_ = org.almondslip.protocol.wire.Answer.newBuilder((org.almondslip.protocol.wire.Answer) body_)
-              .mergeFrom(value).buildPartial();
+        if (bodyCase_ == 16 && body_ != org.almondslip.protocol.wire.Answer.getDefaultInstance()) {
+          body_ =
+              org.almondslip.protocol.wire.Answer.newBuilder(
+                      (org.almondslip.protocol.wire.Answer) body_)
+                  .mergeFrom(value)
+                  .buildPartial();
         } else {
           body_ = value;
         }
@@ -3408,9 +3553,8 @@
       bodyCase_ = 16;
       return this;
     }
-    /**
-     * <code>.almondslip.Answer answer = 16;</code>
-     */
+
+    /** <code>.almondslip.Answer answer = 16;</code> */
     public Builder clearAnswer() {
       if (answerBuilder_ == null) {
         if (bodyCase_ == 16) {
@@ -3427,15 +3571,13 @@
       }
       return this;
     }
-    /**
-     * <code>.almondslip.Answer answer = 16;</code>
-     */
+
+    /** <code>.almondslip.Answer answer = 16;</code> */
     public org.almondslip.protocol.wire.Answer.Builder getAnswerBuilder() {
       return internalGetAnswerFieldBuilder().getBuilder();
     }
-    /**
-     * <code>.almondslip.Answer answer = 16;</code>
-     */
+
+    /** <code>.almondslip.Answer answer = 16;</code> */
     @java.lang.Override
     public org.almondslip.protocol.wire.AnswerOrBuilder getAnswerOrBuilder() {
       if ((bodyCase_ == 16) && (answerBuilder_ != null)) {
@@ -3447,21 +3589,23 @@
         return org.almondslip.protocol.wire.Answer.getDefaultInstance();
       }
     }
-    /**
-     * <code>.almondslip.Answer answer = 16;</code>
-     */
+
+    /** <code>.almondslip.Answer answer = 16;</code> */
     private com.google.protobuf.SingleFieldBuilder<
-        org.almondslip.protocol.wire.Answer, org.almondslip.protocol.wire.Answer.Builder, org.almondslip.protocol.wire.AnswerOrBuilder> 
+            org.almondslip.protocol.wire.Answer,
+            org.almondslip.protocol.wire.Answer.Builder,
+            org.almondslip.protocol.wire.AnswerOrBuilder>
         internalGetAnswerFieldBuilder() {
       if (answerBuilder_ == null) {
         if (!(bodyCase_ == 16)) {
           body_ = org.almondslip.protocol.wire.Answer.getDefaultInstance();
         }
-        answerBuilder_ = new com.google.protobuf.SingleFieldBuilder<
-            org.almondslip.protocol.wire.Answer, org.almondslip.protocol.wire.Answer.Builder, org.almondslip.protocol.wire.AnswerOrBuilder>(
-                (org.almondslip.protocol.wire.Answer) body_,
-                getParentForChildren(),
-                isClean());
+        answerBuilder_ =
+            new com.google.protobuf.SingleFieldBuilder<
+                org.almondslip.protocol.wire.Answer,
+                org.almondslip.protocol.wire.Answer.Builder,
+                org.almondslip.protocol.wire.AnswerOrBuilder>(
+                (org.almondslip.protocol.wire.Answer) body_, getParentForChildren(), isClean());
         body_ = null;
       }
       bodyCase_ = 16;
@@ -3470,17 +3614,24 @@
     }
 
     private com.google.protobuf.SingleFieldBuilder<
-        org.almondslip.protocol.wire.AnswerAck, org.almondslip.protocol.wire.AnswerAck.Builder, org.almondslip.protocol.wire.AnswerAckOrBuilder> answerAckBuilder_;
+            org.almondslip.protocol.wire.AnswerAck,
+            org.almondslip.protocol.wire.AnswerAck.Builder,
+            org.almondslip.protocol.wire.AnswerAckOrBuilder>
+        answerAckBuilder_;
+
     /**
      * <code>.almondslip.AnswerAck answer_ack = 17;</code>
+     *
      * @return Whether the answerAck field is set.
      */
     @java.lang.Override
     public boolean hasAnswerAck() {
       return bodyCase_ == 17;
     }
+
     /**
      * <code>.almondslip.AnswerAck answer_ack = 17;</code>
+     *
      * @return The answerAck.
      */
     @java.lang.Override
@@ -3497,9 +3648,8 @@
         return org.almondslip.protocol.wire.AnswerAck.getDefaultInstance();
       }
     }
-    /**
-     * <code>.almondslip.AnswerAck answer_ack = 17;</code>
-     */
+
+    /** <code>.almondslip.AnswerAck answer_ack = 17;</code> */
     public Builder setAnswerAck(org.almondslip.protocol.wire.AnswerAck value) {
       if (answerAckBuilder_ == null) {
         java.util.Objects.requireNonNull(value);
@@ -3511,11 +3661,9 @@
       bodyCase_ = 17;
       return this;
     }
-    /**
-     * <code>.almondslip.AnswerAck answer_ack = 17;</code>
-     */
-    public Builder setAnswerAck(
-        org.almondslip.protocol.wire.AnswerAck.Builder builderForValue) {
+
+    /** <code>.almondslip.AnswerAck answer_ack = 17;</code> */
+    public Builder setAnswerAck(org.almondslip.protocol.wire.AnswerAck.Builder builderForValue) {
       if (answerAckBuilder_ == null) {
         body_ = builderForValue.build();
         onChanged();
@@ -3525,15 +3673,17 @@
       bodyCase_ = 17;
       return this;
     }
-    /**
-     * <code>.almondslip.AnswerAck answer_ack = 17;</code>
-     */
+
+    /** <code>.almondslip.AnswerAck answer_ack = 17;</code> */
     public Builder mergeAnswerAck(org.almondslip.protocol.wire.AnswerAck value) {
       if (answerAckBuilder_ == null) {
-        if (bodyCase_ == 17 &&
-            body_ != org.almondslip.protocol.wire.AnswerAck.getDefaultInstance()) {
-          body_ = org.almondslip.protocol.wire.AnswerAck.newBuilder((org.almondslip.protocol.wire.AnswerAck) body_)
-              .mergeFrom(value).buildPartial();
+        if (bodyCase_ == 17
+            && body_ != org.almondslip.protocol.wire.AnswerAck.getDefaultInstance()) {
+          body_ =
+              org.almondslip.protocol.wire.AnswerAck.newBuilder(
+                      (org.almondslip.protocol.wire.AnswerAck) body_)
+                  .mergeFrom(value)
+                  .buildPartial();
         } else {
           body_ = value;
         }
@@ -3548,9 +3698,8 @@
       bodyCase_ = 17;
       return this;
     }
-    /**
-     * <code>.almondslip.AnswerAck answer_ack = 17;</code>
-     */
+
+    /** <code>.almondslip.AnswerAck answer_ack = 17;</code> */
     public Builder clearAnswerAck() {
       if (answerAckBuilder_ == null) {
         if (bodyCase_ == 17) {
@@ -3567,15 +3716,13 @@
       }
       return this;
     }
-    /**
-     * <code>.almondslip.AnswerAck answer_ack = 17;</code>
-     */
+
+    /** <code>.almondslip.AnswerAck answer_ack = 17;</code> */
     public org.almondslip.protocol.wire.AnswerAck.Builder getAnswerAckBuilder() {
       return internalGetAnswerAckFieldBuilder().getBuilder();
     }
-    /**
-     * <code>.almondslip.AnswerAck answer_ack = 17;</code>
-     */
+
+    /** <code>.almondslip.AnswerAck answer_ack = 17;</code> */
     @java.lang.Override
     public org.almondslip.protocol.wire.AnswerAckOrBuilder getAnswerAckOrBuilder() {
       if ((bodyCase_ == 17) && (answerAckBuilder_ != null)) {
@@ -3585,23 +3732,25 @@
           return (org.almondslip.protocol.wire.AnswerAck) body_;
         }
         return org.almondslip.protocol.wire.AnswerAck.getDefaultInstance();
-      }
-    }
-    /**
-     * <code>.almondslip.AnswerAck answer_ack = 17;</code>
-     */
+      }
+    }
+
+    /** <code>.almondslip.AnswerAck answer_ack = 17;</code> */
     private com.google.protobuf.SingleFieldBuilder<
-        org.almondslip.protocol.wire.AnswerAck, org.almondslip.protocol.wire.AnswerAck.Builder, org.almondslip.protocol.wire.AnswerAckOrBuilder> 
+            org.almondslip.protocol.wire.AnswerAck,
+            org.almondslip.protocol.wire.AnswerAck.Builder,
+            org.almondslip.protocol.wire.AnswerAckOrBuilder>
         internalGetAnswerAckFieldBuilder() {
       if (answerAckBuilder_ == null) {
         if (!(bodyCase_ == 17)) {
           body_ = org.almondslip.protocol.wire.AnswerAck.getDefaultInstance();
         }
-        answerAckBuilder_ = new com.google.protobuf.SingleFieldBuilder<
-            org.almondslip.protocol.wire.AnswerAck, org.almondslip.protocol.wire.AnswerAck.Builder, org.almondslip.protocol.wire.AnswerAckOrBuilder>(
-                (org.almondslip.protocol.wire.AnswerAck) body_,
-                getParentForChildren(),
-                isClean());
+        answerAckBuilder_ =
+            new com.google.protobuf.SingleFieldBuilder<
+                org.almondslip.protocol.wire.AnswerAck,
+                org.almondslip.protocol.wire.AnswerAck.Builder,
+                org.almondslip.protocol.wire.AnswerAckOrBuilder>(
+                (org.almondslip.protocol.wire.AnswerAck) body_, getParentForChildren(), isClean());
         body_ = null;
       }
       bodyCase_ = 17;
@@ -3610,17 +3759,24 @@
     }
 
     private com.google.protobuf.SingleFieldBuilder<
-        org.almondslip.protocol.wire.ServiceReport, org.almondslip.protocol.wire.ServiceReport.Builder, org.almondslip.protocol.wire.ServiceReportOrBuilder> serviceReportBuilder_;
+            org.almondslip.protocol.wire.ServiceReport,
+            org.almondslip.protocol.wire.ServiceReport.Builder,
+            org.almondslip.protocol.wire.ServiceReportOrBuilder>
+        serviceReportBuilder_;
+
     /**
      * <code>.almondslip.ServiceReport service_report = 20;</code>
+     *
      * @return Whether the serviceReport field is set.
      */
     @java.lang.Override
     public boolean hasServiceReport() {
       return bodyCase_ == 20;
     }
+
     /**
      * <code>.almondslip.ServiceReport service_report = 20;</code>
+     *
      * @return The serviceReport.
      */
     @java.lang.Override
@@ -3637,9 +3793,8 @@
         return org.almondslip.protocol.wire.ServiceReport.getDefaultInstance();
       }
     }
-    /**
-     * <code>.almondslip.ServiceReport service_report = 20;</code>
-     */
+
+    /** <code>.almondslip.ServiceReport service_report = 20;</code> */
     public Builder setServiceReport(org.almondslip.protocol.wire.ServiceReport value) {
       if (serviceReportBuilder_ == null) {
         java.util.Objects.requireNonNull(value);
@@ -3651,9 +3806,8 @@
       bodyCase_ = 20;
       return this;
     }
-    /**
-     * <code>.almondslip.ServiceReport service_report = 20;</code>
-     */
+
+    /** <code>.almondslip.ServiceReport service_report = 20;</code> */
     public Builder setServiceReport(
         org.almondslip.protocol.wire.ServiceReport.Builder builderForValue) {
       if (serviceReportBuilder_ == null) {
@@ -3665,15 +3819,17 @@
       bodyCase_ = 20;
       return this;
     }
-    /**
-     * <code>.almondslip.ServiceReport service_report = 20;</code>
-     */
+
+    /** <code>.almondslip.ServiceReport service_report = 20;</code> */
     public Builder mergeServiceReport(org.almondslip.protocol.wire.ServiceReport value) {
       if (serviceReportBuilder_ == null) {
-        if (bodyCase_ == 20 &&
-            body_ != org.almondslip.protocol.wire.ServiceReport.getDefaultInstance()) {
-          body_ = org.almondslip.protocol.wire.ServiceReport.newBuilder((org.almondslip.protocol.wire.ServiceReport) body_)
-              .mergeFrom(value).buildPartial();
+        if (bodyCase_ == 20
+            && body_ != org.almondslip.protocol.wire.ServiceReport.getDefaultInstance()) {
+          body_ =
+              org.almondslip.protocol.wire.ServiceReport.newBuilder(
+                      (org.almondslip.protocol.wire.ServiceReport) body_)
+                  .mergeFrom(value)
+                  .buildPartial();
         } else {
           body_ = value;
         }
@@ -3688,9 +3844,8 @@
       bodyCase_ = 20;
       return this;
     }
-    /**
-     * <code>.almondslip.ServiceReport service_report = 20;</code>
-     */
+
+    /** <code>.almondslip.ServiceReport service_report = 20;</code> */
     public Builder clearServiceReport() {
       if (serviceReportBuilder_ == null) {
         if (bodyCase_ == 20) {
@@ -3707,15 +3862,13 @@
       }
       return this;
     }
-    /**
-     * <code>.almondslip.ServiceReport service_report = 20;</code>
-     */
+
+    /** <code>.almondslip.ServiceReport service_report = 20;</code> */
     public org.almondslip.protocol.wire.ServiceReport.Builder getServiceReportBuilder() {
       return internalGetServiceReportFieldBuilder().getBuilder();
     }
-    /**
-     * <code>.almondslip.ServiceReport service_report = 20;</code>
-     */
+
+    /** <code>.almondslip.ServiceReport service_report = 20;</code> */
     @java.lang.Override
     public org.almondslip.protocol.wire.ServiceReportOrBuilder getServiceReportOrBuilder() {
       if ((bodyCase_ == 20) && (serviceReportBuilder_ != null)) {
@@ -3727,18 +3880,22 @@
         return org.almondslip.protocol.wire.ServiceReport.getDefaultInstance();
       }
     }
-    /**
-     * <code>.almondslip.ServiceReport service_report = 20;</code>
-     */
+
+    /** <code>.almondslip.ServiceReport service_report = 20;</code> */
     private com.google.protobuf.SingleFieldBuilder<
-        org.almondslip.protocol.wire.ServiceReport, org.almondslip.protocol.wire.ServiceReport.Builder, org.almondslip.protocol.wire.ServiceReportOrBuilder> 
+            org.almondslip.protocol.wire.ServiceReport,
+            org.almondslip.protocol.wire.ServiceReport.Builder,
+            org.almondslip.protocol.wire.ServiceReportOrBuilder>
         internalGetServiceReportFieldBuilder() {
       if (serviceReportBuilder_ == null) {
         if (!(bodyCase_ == 20)) {
           body_ = org.almondslip.protocol.wire.ServiceReport.getDefaultInstance();
         }
-        serviceReportBuilder_ = new com.google.protobuf.SingleFieldBuilder<
-            org.almondslip.protocol.wire.ServiceReport, org.almondslip.protocol.wire.ServiceReport.Builder, org.almondslip.protocol.wire.ServiceReportOrBuilder>(
+        serviceReportBuilder_ =
+            new com.google.protobuf.SingleFieldBuilder<
+                org.almondslip.protocol.wire.ServiceReport,
+                org.almondslip.protocol.wire.ServiceReport.Builder,
+                org.almondslip.protocol.wire.ServiceReportOrBuilder>(
                 (org.almondslip.protocol.wire.ServiceReport) body_,
                 getParentForChildren(),
                 isClean());
@@ -3750,17 +3907,24 @@
     }
 
     private com.google.protobuf.SingleFieldBuilder<
-        org.almondslip.protocol.wire.ServiceDigest, org.almondslip.protocol.wire.ServiceDigest.Builder, org.almondslip.protocol.wire.ServiceDigestOrBuilder> serviceDigestBuilder_;
+            org.almondslip.protocol.wire.ServiceDigest,
+            org.almondslip.protocol.wire.ServiceDigest.Builder,
+            org.almondslip.protocol.wire.ServiceDigestOrBuilder>
+        serviceDigestBuilder_;
+
     /**
      * <code>.almondslip.ServiceDigest service_digest = 21;</code>
+     *
      * @return Whether the serviceDigest field is set.
      */
     @java.lang.Override
     public boolean hasServiceDigest() {
       return bodyCase_ == 21;
     }
+
     /**
      * <code>.almondslip.ServiceDigest service_digest = 21;</code>
+     *
      * @return The serviceDigest.
      */
     @java.lang.Override
@@ -3777,9 +3941,8 @@
         return org.almondslip.protocol.wire.ServiceDigest.getDefaultInstance();
       }
     }
-    /**
-     * <code>.almondslip.ServiceDigest service_digest = 21;</code>
-     */
+
+    /** <code>.almondslip.ServiceDigest service_digest = 21;</code> */
     public Builder setServiceDigest(org.almondslip.protocol.wire.ServiceDigest value) {
       if (serviceDigestBuilder_ == null) {
         java.util.Objects.requireNonNull(value);
@@ -3791,9 +3954,8 @@
       bodyCase_ = 21;
       return this;
     }
-    /**
-     * <code>.almondslip.ServiceDigest service_digest = 21;</code>
-     */
+
+    /** <code>.almondslip.ServiceDigest service_digest = 21;</code> */
     public Builder setServiceDigest(
         org.almondslip.protocol.wire.ServiceDigest.Builder builderForValue) {
       if (serviceDigestBuilder_ == null) {
@@ -3805,15 +3967,17 @@
       bodyCase_ = 21;
       return this;
     }
-    /**
-     * <code>.almondslip.ServiceDigest service_digest = 21;</code>
-     */
+
+    /** <code>.almondslip.ServiceDigest service_digest = 21;</code> */
     public Builder mergeServiceDigest(org.almondslip.protocol.wire.ServiceDigest value) {
       if (serviceDigestBuilder_ == null) {
-        if (bodyCase_ == 21 &&
-            body_ != org.almondslip.protocol.wire.ServiceDigest.getDefaultInstance()) {
-          body_ = org.almondslip.protocol.wire.ServiceDigest.newBuilder((org.almondslip.protocol.wire.ServiceDigest) body_)
-              .mergeFrom(value).buildPartial();
+        if (bodyCase_ == 21
+            && body_ != org.almondslip.protocol.wire.ServiceDigest.getDefaultInstance()) {
+          body_ =
+              org.almondslip.protocol.wire.ServiceDigest.newBuilder(
+                      (org.almondslip.protocol.wire.ServiceDigest) body_)
+                  .mergeFrom(value)
+                  .buildPartial();
         } else {
           body_ = value;
         }
@@ -3828,9 +3992,8 @@
       bodyCase_ = 21;
       return this;
     }
-    /**
-     * <code>.almondslip.ServiceDigest service_digest = 21;</code>
-     */
+
+    /** <code>.almondslip.ServiceDigest service_digest = 21;</code> */
     public Builder clearServiceDigest() {
       if (serviceDigestBuilder_ == null) {
         if (bodyCase_ == 21) {
@@ -3847,15 +4010,13 @@
       }
       return this;
     }
-    /**
-     * <code>.almondslip.ServiceDigest service_digest = 21;</code>
-     */
+
+    /** <code>.almondslip.ServiceDigest service_digest = 21;</code> */
     public org.almondslip.protocol.wire.ServiceDigest.Builder getServiceDigestBuilder() {
       return internalGetServiceDigestFieldBuilder().getBuilder();
     }
-    /**
-     * <code>.almondslip.ServiceDigest service_digest = 21;</code>
-     */
+
+    /** <code>.almondslip.ServiceDigest service_digest = 21;</code> */
     @java.lang.Override
     public org.almondslip.protocol.wire.ServiceDigestOrBuilder getServiceDigestOrBuilder() {
       if ((bodyCase_ == 21) && (serviceDigestBuilder_ != null)) {
@@ -3867,18 +4028,22 @@
         return org.almondslip.protocol.wire.ServiceDigest.getDefaultInstance();
       }
     }
-    /**
-     * <code>.almondslip.ServiceDigest service_digest = 21;</code>
-     */
+
+    /** <code>.almondslip.ServiceDigest service_digest = 21;</code> */
     private com.google.protobuf.SingleFieldBuilder<
-        org.almondslip.protocol.wire.ServiceDigest, org.almondslip.protocol.wire.ServiceDigest.Builder, org.almondslip.protocol.wire.ServiceDigestOrBuilder> 
+            org.almondslip.protocol.wire.ServiceDigest,
+            org.almondslip.protocol.wire.ServiceDigest.Builder,
+            org.almondslip.protocol.wire.ServiceDigestOrBuilder>
         internalGetServiceDigestFieldBuilder() {
       if (serviceDigestBuilder_ == null) {
         if (!(bodyCase_ == 21)) {
           body_ = org.almondslip.protocol.wire.ServiceDigest.getDefaultInstance();
         }
-        serviceDigestBuilder_ = new com.google.protobuf.SingleFieldBuilder<
-            org.almondslip.protocol.wire.ServiceDigest, org.almondslip.protocol.wire.ServiceDigest.Builder, org.almondslip.protocol.wire.ServiceDigestOrBuilder>(
+        serviceDigestBuilder_ =
+            new com.google.protobuf.SingleFieldBuilder<
+                org.almondslip.protocol.wire.ServiceDigest,
+                org.almondslip.protocol.wire.ServiceDigest.Builder,
+                org.almondslip.protocol.wire.ServiceDigestOrBuilder>(
                 (org.almondslip.protocol.wire.ServiceDigest) body_,
                 getParentForChildren(),
                 isClean());
@@ -3890,17 +4055,24 @@
     }
 
     private com.google.protobuf.SingleFieldBuilder<
-        org.almondslip.protocol.wire.RootExchange, org.almondslip.protocol.wire.RootExchange.Builder, org.almondslip.protocol.wire.RootExchangeOrBuilder> rootExchangeBuilder_;
+            org.almondslip.protocol.wire.RootExchange,
+            org.almondslip.protocol.wire.RootExchange.Builder,
+            org.almondslip.protocol.wire.RootExchangeOrBuilder>
+        rootExchangeBuilder_;
+
     /**
      * <code>.almondslip.RootExchange root_exchange = 22;</code>
+     *
      * @return Whether the rootExchange field is set.
      */
     @java.lang.Override
     public boolean hasRootExchange() {
       return bodyCase_ == 22;
     }
+
     /**
      * <code>.almondslip.RootExchange root_exchange = 22;</code>
+     *
      * @return The rootExchange.
      */
     @java.lang.Override
@@ -3917,9 +4089,8 @@
         return org.almondslip.protocol.wire.RootExchange.getDefaultInstance();
       }
     }
-    /**
-     * <code>.almondslip.RootExchange root_exchange = 22;</code>
-     */
+
+    /** <code>.almondslip.RootExchange root_exchange = 22;</code> */
     public Builder setRootExchange(org.almondslip.protocol.wire.RootExchange value) {
       if (rootExchangeBuilder_ == null) {
         java.util.Objects.requireNonNull(value);
@@ -3931,9 +4102,8 @@
       bodyCase_ = 22;
       return this;
     }
-    /**
-     * <code>.almondslip.RootExchange root_exchange = 22;</code>
-     */
+
+    /** <code>.almondslip.RootExchange root_exchange = 22;</code> */
     public Builder setRootExchange(
         org.almondslip.protocol.wire.RootExchange.Builder builderForValue) {
       if (rootExchangeBuilder_ == null) {
@@ -3945,15 +4115,17 @@
       bodyCase_ = 22;
       return this;
     }
-    /**
-     * <code>.almondslip.RootExchange root_exchange = 22;</code>
-     */
+
+    /** <code>.almondslip.RootExchange root_exchange = 22;</code> */
     public Builder mergeRootExchange(org.almondslip.protocol.wire.RootExchange value) {
       if (rootExchangeBuilder_ == null) {
-        if (bodyCase_ == 22 &&
-            body_ != org.almondslip.protocol.wire.RootExchange.getDefaultInstance()) {
-          body_ = org.almondslip.protocol.wire.RootExchange.newBuilder((org.almondslip.protocol.wire.RootExchange) body_)
-              .mergeFrom(value).buildPartial();
+        if (bodyCase_ == 22
+            && body_ != org.almondslip.protocol.wire.RootExchange.getDefaultInstance()) {
+          body_ =
+              org.almondslip.protocol.wire.RootExchange.newBuilder(
+                      (org.almondslip.protocol.wire.RootExchange) body_)
+                  .mergeFrom(value)
+                  .buildPartial();
         } else {
           body_ = value;
         }
@@ -3968,9 +4140,8 @@
       bodyCase_ = 22;
       return this;
     }
-    /**
-     * <code>.almondslip.RootExchange root_exchange = 22;</code>
-     */
+
+    /** <code>.almondslip.RootExchange root_exchange = 22;</code> */
     public Builder clearRootExchange() {
       if (rootExchangeBuilder_ == null) {
         if (bodyCase_ == 22) {
@@ -3987,15 +4158,13 @@
       }
       return this;
     }
-    /**
-     * <code>.almondslip.RootExchange root_exchange = 22;</code>
-     */
+
+    /** <code>.almondslip.RootExchange root_exchange = 22;</code> */
     public org.almondslip.protocol.wire.RootExchange.Builder getRootExchangeBuilder() {
       return internalGetRootExchangeFieldBuilder().getBuilder();
     }
-    /**
-     * <code>.almondslip.RootExchange root_exchange = 22;</code>
-     */
+
+    /** <code>.almondslip.RootExchange root_exchange = 22;</code> */
     @java.lang.Override
     public org.almondslip.protocol.wire.RootExchangeOrBuilder getRootExchangeOrBuilder() {
       if ((bodyCase_ == 22) && (rootExchangeBuilder_ != null)) {
@@ -4007,18 +4176,22 @@
         return org.almondslip.protocol.wire.RootExchange.getDefaultInstance();
       }
     }
-    /**
-     * <code>.almondslip.RootExchange root_exchange = 22;</code>
-     */
+
+    /** <code>.almondslip.RootExchange root_exchange = 22;</code> */
     private com.google.protobuf.SingleFieldBuilder<
-        org.almondslip.protocol.wire.RootExchange, org.almondslip.protocol.wire.RootExchange.Builder, org.almondslip.protocol.wire.RootExchangeOrBuilder> 
+            org.almondslip.protocol.wire.RootExchange,
+            org.almondslip.protocol.wire.RootExchange.Builder,
+            org.almondslip.protocol.wire.RootExchangeOrBuilder>
         internalGetRootExchangeFieldBuilder() {
       if (rootExchangeBuilder_ == null) {
         if (!(bodyCase_ == 22)) {
           body_ = org.almondslip.protocol.wire.RootExchange.getDefaultInstance();
         }
-        rootExchangeBuilder_ = new com.google.protobuf.SingleFieldBuilder<
-            org.almondslip.protocol.wire.RootExchange, org.almondslip.protocol.wire.RootExchange.Builder, org.almondslip.protocol.wire.RootExchangeOrBuilder>(
+        rootExchangeBuilder_ =
+            new com.google.protobuf.SingleFieldBuilder<
+                org.almondslip.protocol.wire.RootExchange,
+                org.almondslip.protocol.wire.RootExchange.Builder,
+                org.almondslip.protocol.wire.RootExchangeOrBuilder>(
                 (org.almondslip.protocol.wire.RootExchange) body_,
                 getParentForChildren(),
                 isClean());
@@ -4030,17 +4203,24 @@
     }
 
     private com.google.protobuf.SingleFieldBuilder<
-        org.almondslip.protocol.wire.RootSnapshot, org.almondslip.protocol.wire.RootSnapshot.Builder, org.almondslip.protocol.wire.RootSnapshotOrBuilder> rootSnapshotBuilder_;
+            org.almondslip.protocol.wire.RootSnapshot,
+            org.almondslip.protocol.wire.RootSnapshot.Builder,
+            org.almondslip.protocol.wire.RootSnapshotOrBuilder>
+        rootSnapshotBuilder_;
+
     /**
      * <code>.almondslip.RootSnapshot root_snapshot = 23;</code>
+     *
      * @return Whether the rootSnapshot field is set.
      */
     @java.lang.Override
     public boolean hasRootSnapshot() {
       return bodyCase_ == 23;
     }
+
     /**
      * <code>.almondslip.RootSnapshot root_snapshot = 23;</code>
+     *
      * @return The rootSnapshot.
      */
     @java.lang.Override
@@ -4057,9 +4237,8 @@
         return org.almondslip.protocol.wire.RootSnapshot.getDefaultInstance();
       }
     }
-    /**
-     * <code>.almondslip.RootSnapshot root_snapshot = 23;</code>
-     */
+
+    /** <code>.almondslip.RootSnapshot root_snapshot = 23;</code> */
     public Builder setRootSnapshot(org.almondslip.protocol.wire.RootSnapshot value) {
       if (rootSnapshotBuilder_ == null) {
         java.util.Objects.requireNonNull(value);
@@ -4071,9 +4250,8 @@
       bodyCase_ = 23;
       return this;
     }
-    /**
-     * <code>.almondslip.RootSnapshot root_snapshot = 23;</code>
-     */
+
+    /** <code>.almondslip.RootSnapshot root_snapshot = 23;</code> */
     public Builder setRootSnapshot(
         org.almondslip.protocol.wire.RootSnapshot.Builder builderForValue) {
       if (rootSnapshotBuilder_ == null) {
@@ -4085,15 +4263,17 @@
       bodyCase_ = 23;
       return this;
     }
-    /**
-     * <code>.almondslip.RootSnapshot root_snapshot = 23;</code>
-     */
+
+    /** <code>.almondslip.RootSnapshot root_snapshot = 23;</code> */
     public Builder mergeRootSnapshot(org.almondslip.protocol.wire.RootSnapshot value) {
       if (rootSnapshotBuilder_ == null) {
-        if (bodyCase_ == 23 &&
-            body_ != org.almondslip.protocol.wire.RootSnapshot.getDefaultInstance()) {
-          body_ = org.almondslip.protocol.wire.RootSnapshot.newBuilder((org.almondslip.protocol.wire.RootSnapshot) body_)
-              .mergeFrom(value).buildPartial();
+        if (bodyCase_ == 23
+            && body_ != org.almondslip.protocol.wire.RootSnapshot.getDefaultInstance()) {
+          body_ =
+              org.almondslip.protocol.wire.RootSnapshot.newBuilder(
+                      (org.almondslip.protocol.wire.RootSnapshot) body_)
+                  .mergeFrom(value)
+                  .buildPartial();
         } else {
           body_ = value;
         }
@@ -4108,9 +4288,8 @@
       bodyCase_ = 23;
       return this;
     }
-    /**
-     * <code>.almondslip.RootSnapshot root_snapshot = 23;</code>
-     */
+
+    /** <code>.almondslip.RootSnapshot root_snapshot = 23;</code> */
     public Builder clearRootSnapshot() {
       if (rootSnapshotBuilder_ == null) {
         if (bodyCase_ == 23) {
@@ -4127,15 +4306,13 @@
       }
       return this;
     }
-    /**
-     * <code>.almondslip.RootSnapshot root_snapshot = 23;</code>
-     */
+
+    /** <code>.almondslip.RootSnapshot root_snapshot = 23;</code> */
     public org.almondslip.protocol.wire.RootSnapshot.Builder getRootSnapshotBuilder() {
       return internalGetRootSnapshotFieldBuilder().getBuilder();
     }
-    /**
-     * <code>.almondslip.RootSnapshot root_snapshot = 23;</code>
-     */
+
+    /** <code>.almondslip.RootSnapshot root_snapshot = 23;</code> */
     @java.lang.Override
     public org.almondslip.protocol.wire.RootSnapshotOrBuilder getRootSnapshotOrBuilder() {
       if ((bodyCase_ == 23) && (rootSnapshotBuilder_ != null)) {
@@ -4147,18 +4324,22 @@
         return org.almondslip.protocol.wire.RootSnapshot.getDefaultInstance();
       }
     }
-    /**
-     * <code>.almondslip.RootSnapshot root_snapshot = 23;</code>
-     */
+
+    /** <code>.almondslip.RootSnapshot root_snapshot = 23;</code> */
     private com.google.protobuf.SingleFieldBuilder<
-        org.almondslip.protocol.wire.RootSnapshot, org.almondslip.protocol.wire.RootSnapshot.Builder, org.almondslip.protocol.wire.RootSnapshotOrBuilder> 
+            org.almondslip.protocol.wire.RootSnapshot,
+            org.almondslip.protocol.wire.RootSnapshot.Builder,
+            org.almondslip.protocol.wire.RootSnapshotOrBuilder>
         internalGetRootSnapshotFieldBuilder() {
       if (rootSnapshotBuilder_ == null) {
         if (!(bodyCase_ == 23)) {
           body_ = org.almondslip.protocol.wire.RootSnapshot.getDefaultInstance();
         }
-        rootSnapshotBuilder_ = new com.google.protobuf.SingleFieldBuilder<
-            org.almondslip.protocol.wire.RootSnapshot, org.almondslip.protocol.wire.RootSnapshot.Builder, org.almondslip.protocol.wire.RootSnapshotOrBuilder>(
+        rootSnapshotBuilder_ =
+            new com.google.protobuf.SingleFieldBuilder<
+                org.almondslip.protocol.wire.RootSnapshot,
+                org.almondslip.protocol.wire.RootSnapshot.Builder,
+                org.almondslip.protocol.wire.RootSnapshotOrBuilder>(
                 (org.almondslip.protocol.wire.RootSnapshot) body_,
                 getParentForChildren(),
                 isClean());
@@ -4170,17 +4351,24 @@
     }
 
     private com.google.protobuf.SingleFieldBuilder<
-        org.almondslip.protocol.wire.CatalogRevision, org.almondslip.protocol.wire.CatalogRevision.Builder, org.almondslip.protocol.wire.CatalogRevisionOrBuilder> catalogRevisionBuilder_;
+            org.almondslip.protocol.wire.CatalogRevision,
+            org.almondslip.protocol.wire.CatalogRevision.Builder,
+            org.almondslip.protocol.wire.CatalogRevisionOrBuilder>
+        catalogRevisionBuilder_;
+
     /**
      * <code>.almondslip.CatalogRevision catalog_revision = 30;</code>
+     *
      * @return Whether the catalogRevision field is set.
      */
     @java.lang.Override
     public boolean hasCatalogRevision() {
       return bodyCase_ == 30;
     }
+
     /**
      * <code>.almondslip.CatalogRevision catalog_revision = 30;</code>
+     *
      * @return The catalogRevision.
      */
     @java.lang.Override
@@ -4197,9 +4385,8 @@
         return org.almondslip.protocol.wire.CatalogRevision.getDefaultInstance();
       }
     }
-    /**
-     * <code>.almondslip.CatalogRevision catalog_revision = 30;</code>
-     */
+
+    /** <code>.almondslip.CatalogRevision catalog_revision = 30;</code> */
     public Builder setCatalogRevision(org.almondslip.protocol.wire.CatalogRevision value) {
       if (catalogRevisionBuilder_ == null) {
         java.util.Objects.requireNonNull(value);
@@ -4211,9 +4398,8 @@
       bodyCase_ = 30;
       return this;
     }
-    /**
-     * <code>.almondslip.CatalogRevision catalog_revision = 30;</code>
-     */
+
+    /** <code>.almondslip.CatalogRevision catalog_revision = 30;</code> */
     public Builder setCatalogRevision(
         org.almondslip.protocol.wire.CatalogRevision.Builder builderForValue) {
       if (catalogRevisionBuilder_ == null) {
@@ -4225,15 +4411,17 @@
       bodyCase_ = 30;
       return this;
     }
-    /**
-     * <code>.almondslip.CatalogRevision catalog_revision = 30;</code>
-     */
+
+    /** <code>.almondslip.CatalogRevision catalog_revision = 30;</code> */
     public Builder mergeCatalogRevision(org.almondslip.protocol.wire.CatalogRevision value) {
       if (catalogRevisionBuilder_ == null) {
-        if (bodyCase_ == 30 &&
-            body_ != org.almondslip.protocol.wire.CatalogRevision.getDefaultInstance()) {
-          body_ = org.almondslip.protocol.wire.CatalogRevision.newBuilder((org.almondslip.protocol.wire.CatalogRevision) body_)
-              .mergeFrom(value).buildPartial();
+        if (bodyCase_ == 30
+            && body_ != org.almondslip.protocol.wire.CatalogRevision.getDefaultInstance()) {
+          body_ =
+              org.almondslip.protocol.wire.CatalogRevision.newBuilder(
+                      (org.almondslip.protocol.wire.CatalogRevision) body_)
+                  .mergeFrom(value)
+                  .buildPartial();
         } else {
           body_ = value;
         }
@@ -4248,9 +4436,8 @@
       bodyCase_ = 30;
       return this;
     }
-    /**
-     * <code>.almondslip.CatalogRevision catalog_revision = 30;</code>
-     */
+
+    /** <code>.almondslip.CatalogRevision catalog_revision = 30;</code> */
     public Builder clearCatalogRevision() {
       if (catalogRevisionBuilder_ == null) {
         if (bodyCase_ == 30) {
@@ -4267,15 +4454,13 @@
       }
       return this;
     }
-    /**
-     * <code>.almondslip.CatalogRevision catalog_revision = 30;</code>
-     */
+
+    /** <code>.almondslip.CatalogRevision catalog_revision = 30;</code> */
     public org.almondslip.protocol.wire.CatalogRevision.Builder getCatalogRevisionBuilder() {
       return internalGetCatalogRevisionFieldBuilder().getBuilder();
     }
-    /**
-     * <code>.almondslip.CatalogRevision catalog_revision = 30;</code>
-     */
+
+    /** <code>.almondslip.CatalogRevision catalog_revision = 30;</code> */
     @java.lang.Override
     public org.almondslip.protocol.wire.CatalogRevisionOrBuilder getCatalogRevisionOrBuilder() {
       if ((bodyCase_ == 30) && (catalogRevisionBuilder_ != null)) {
@@ -4287,18 +4472,22 @@
         return org.almondslip.protocol.wire.CatalogRevision.getDefaultInstance();
       }
     }
-    /**
-     * <code>.almondslip.CatalogRevision catalog_revision = 30;</code>
-     */
+
+    /** <code>.almondslip.CatalogRevision catalog_revision = 30;</code> */
     private com.google.protobuf.SingleFieldBuilder<
-        org.almondslip.protocol.wire.CatalogRevision, org.almondslip.protocol.wire.CatalogRevision.Builder, org.almondslip.protocol.wire.CatalogRevisionOrBuilder> 
+            org.almondslip.protocol.wire.CatalogRevision,
+            org.almondslip.protocol.wire.CatalogRevision.Builder,
+            org.almondslip.protocol.wire.CatalogRevisionOrBuilder>
         internalGetCatalogRevisionFieldBuilder() {
       if (catalogRevisionBuilder_ == null) {
         if (!(bodyCase_ == 30)) {
           body_ = org.almondslip.protocol.wire.CatalogRevision.getDefaultInstance();
         }
-        catalogRevisionBuilder_ = new com.google.protobuf.SingleFieldBuilder<
-            org.almondslip.protocol.wire.CatalogRevision, org.almondslip.protocol.wire.CatalogRevision.Builder, org.almondslip.protocol.wire.CatalogRevisionOrBuilder>(
+        catalogRevisionBuilder_ =
+            new com.google.protobuf.SingleFieldBuilder<
+                org.almondslip.protocol.wire.CatalogRevision,
+                org.almondslip.protocol.wire.CatalogRevision.Builder,
+                org.almondslip.protocol.wire.CatalogRevisionOrBuilder>(
                 (org.almondslip.protocol.wire.CatalogRevision) body_,
                 getParentForChildren(),
                 isClean());
@@ -4310,17 +4499,24 @@
     }
 
     private com.google.protobuf.SingleFieldBuilder<
-        org.almondslip.protocol.wire.CatalogPull, org.almondslip.protocol.wire.CatalogPull.Builder, org.almondslip.protocol.wire.CatalogPullOrBuilder> catalogPullBuilder_;
+            org.almondslip.protocol.wire.CatalogPull,
+            org.almondslip.protocol.wire.CatalogPull.Builder,
+            org.almondslip.protocol.wire.CatalogPullOrBuilder>
+        catalogPullBuilder_;
+
     /**
      * <code>.almondslip.CatalogPull catalog_pull = 31;</code>
+     *
      * @return Whether the catalogPull field is set.
      */
     @java.lang.Override
     public boolean hasCatalogPull() {
       return bodyCase_ == 31;
     }
+
     /**
      * <code>.almondslip.CatalogPull catalog_pull = 31;</code>
+     *
      * @return The catalogPull.
      */
     @java.lang.Override
@@ -4337,9 +4533,8 @@
         return org.almondslip.protocol.wire.CatalogPull.getDefaultInstance();
       }
     }
-    /**
-     * <code>.almondslip.CatalogPull catalog_pull = 31;</code>
-     */
+
+    /** <code>.almondslip.CatalogPull catalog_pull = 31;</code> */
     public Builder setCatalogPull(org.almondslip.protocol.wire.CatalogPull value) {
       if (catalogPullBuilder_ == null) {
         java.util.Objects.requireNonNull(value);
@@ -4351,9 +4546,8 @@
       bodyCase_ = 31;
       return this;
     }
-    /**
-     * <code>.almondslip.CatalogPull catalog_pull = 31;</code>
-     */
+
+    /** <code>.almondslip.CatalogPull catalog_pull = 31;</code> */
     public Builder setCatalogPull(
         org.almondslip.protocol.wire.CatalogPull.Builder builderForValue) {
       if (catalogPullBuilder_ == null) {
@@ -4365,15 +4559,17 @@
       bodyCase_ = 31;
       return this;
     }
-    /**
-     * <code>.almondslip.CatalogPull catalog_pull = 31;</code>
-     */
+
+    /** <code>.almondslip.CatalogPull catalog_pull = 31;</code> */
     public Builder mergeCatalogPull(org.almondslip.protocol.wire.CatalogPull value) {
       if (catalogPullBuilder_ == null) {
-        if (bodyCase_ == 31 &&
-            body_ != org.almondslip.protocol.wire.CatalogPull.getDefaultInstance()) {
-          body_ = org.almondslip.protocol.wire.CatalogPull.newBuilder((org.almondslip.protocol.wire.CatalogPull) body_)
-              .mergeFrom(value).buildPartial();
+        if (bodyCase_ == 31
+            && body_ != org.almondslip.protocol.wire.CatalogPull.getDefaultInstance()) {
+          body_ =
+              org.almondslip.protocol.wire.CatalogPull.newBuilder(
+                      (org.almondslip.protocol.wire.CatalogPull) body_)
+                  .mergeFrom(value)
+                  .buildPartial();
         } else {
           body_ = value;
         }
@@ -4388,9 +4584,8 @@
       bodyCase_ = 31;
       return this;
     }
-    /**
-     * <code>.almondslip.CatalogPull catalog_pull = 31;</code>
-     */
+
+    /** <code>.almondslip.CatalogPull catalog_pull = 31;</code> */
     public Builder clearCatalogPull() {
       if (catalogPullBuilder_ == null) {
         if (bodyCase_ == 31) {
@@ -4407,15 +4602,13 @@
       }
       return this;
     }
-    /**
-     * <code>.almondslip.CatalogPull catalog_pull = 31;</code>
-     */
+
+    /** <code>.almondslip.CatalogPull catalog_pull = 31;</code> */
     public org.almondslip.protocol.wire.CatalogPull.Builder getCatalogPullBuilder() {
       return internalGetCatalogPullFieldBuilder().getBuilder();
     }
-    /**
-     * <code>.almondslip.CatalogPull catalog_pull = 31;</code>
-     */
+
+    /** <code>.almondslip.CatalogPull catalog_pull = 31;</code> */
     @java.lang.Override
     public org.almondslip.protocol.wire.CatalogPullOrBuilder getCatalogPullOrBuilder() {
       if ((bodyCase_ == 31) && (catalogPullBuilder_ != null)) {
@@ -4427,18 +4620,22 @@
         return org.almondslip.protocol.wire.CatalogPull.getDefaultInstance();
       }
     }
-    /**
-     * <code>.almondslip.CatalogPull catalog_pull = 31;</code>
-     */
+
+    /** <code>.almondslip.CatalogPull catalog_pull = 31;</code> */
     private com.google.protobuf.SingleFieldBuilder<
-        org.almondslip.protocol.wire.CatalogPull, org.almondslip.protocol.wire.CatalogPull.Builder, org.almondslip.protocol.wire.CatalogPullOrBuilder> 
+            org.almondslip.protocol.wire.CatalogPull,
+            org.almondslip.protocol.wire.CatalogPull.Builder,
+            org.almondslip.protocol.wire.CatalogPullOrBuilder>
         internalGetCatalogPullFieldBuilder() {
       if (catalogPullBuilder_ == null) {
         if (!(bodyCase_ == 31)) {
           body_ = org.almondslip.protocol.wire.CatalogPull.getDefaultInstance();
         }
-        catalogPullBuilder_ = new com.google.protobuf.SingleFieldBuilder<
-            org.almondslip.protocol.wire.CatalogPull, org.almondslip.protocol.wire.CatalogPull.Builder, org.almondslip.protocol.wire.CatalogPullOrBuilder>(
+        catalogPullBuilder_ =
+            new com.google.protobuf.SingleFieldBuilder<
+                org.almondslip.protocol.wire.CatalogPull,
+                org.almondslip.protocol.wire.CatalogPull.Builder,
+                org.almondslip.protocol.wire.CatalogPullOrBuilder>(
                 (org.almondslip.protocol.wire.CatalogPull) body_,
                 getParentForChildren(),
                 isClean());
@@ -4450,17 +4647,24 @@
     }
 
     private com.google.protobuf.SingleFieldBuilder<
-        org.almondslip.protocol.wire.CatalogChanges, org.almondslip.protocol.wire.CatalogChanges.Builder, org.almondslip.protocol.wire.CatalogChangesOrBuilder> catalogChangesBuilder_;
+            org.almondslip.protocol.wire.CatalogChanges,
+            org.almondslip.protocol.wire.CatalogChanges.Builder,
+            org.almondslip.protocol.wire.CatalogChangesOrBuilder>
+        catalogChangesBuilder_;
+
     /**
      * <code>.almondslip.CatalogChanges catalog_changes = 32;</code>
+     *
      * @return Whether the catalogChanges field is set.
      */
     @java.lang.Override
     public boolean hasCatalogChanges() {
       return bodyCase_ == 32;
     }
+
     /**
      * <code>.almondslip.CatalogChanges catalog_changes = 32;</code>
+     *
      * @return The catalogChanges.
      */
     @java.lang.Override
@@ -4477,9 +4681,8 @@
         return org.almondslip.protocol.wire.CatalogChanges.getDefaultInstance();
       }
     }
-    /**
-     * <code>.almondslip.CatalogChanges catalog_changes = 32;</code>
-     */
+
+    /** <code>.almondslip.CatalogChanges catalog_changes = 32;</code> */
     public Builder setCatalogChanges(org.almondslip.protocol.wire.CatalogChanges value) {
       if (catalogChangesBuilder_ == null) {
         java.util.Objects.requireNonNull(value);
@@ -4491,9 +4694,8 @@
       bodyCase_ = 32;
       return this;
     }
-    /**
-     * <code>.almondslip.CatalogChanges catalog_changes = 32;</code>
-     */
+
+    /** <code>.almondslip.CatalogChanges catalog_changes = 32;</code> */
     public Builder setCatalogChanges(
         org.almondslip.protocol.wire.CatalogChanges.Builder builderForValue) {
       if (catalogChangesBuilder_ == null) {
@@ -4505,15 +4707,17 @@
       bodyCase_ = 32;
       return this;
     }
-    /**
-     * <code>.almondslip.CatalogChanges catalog_changes = 32;</code>
-     */
+
+    /** <code>.almondslip.CatalogChanges catalog_changes = 32;</code> */
     public Builder mergeCatalogChanges(org.almondslip.protocol.wire.CatalogChanges value) {
       if (catalogChangesBuilder_ == null) {
-        if (bodyCase_ == 32 &&
-            body_ != org.almondslip.protocol.wire.CatalogChanges.getDefaultInstance()) {
-          body_ = org.almondslip.protocol.wire.CatalogChanges.newBuilder((org.almondslip.protocol.wire.CatalogChanges) body_)
-              .mergeFrom(value).buildPartial();
+        if (bodyCase_ == 32
+            && body_ != org.almondslip.protocol.wire.CatalogChanges.getDefaultInstance()) {
+          body_ =
+              org.almondslip.protocol.wire.CatalogChanges.newBuilder(
+                      (org.almondslip.protocol.wire.CatalogChanges) body_)
+                  .mergeFrom(value)
+                  .buildPartial();
         } else {
           body_ = value;
         }
@@ -4528,9 +4732,8 @@
       bodyCase_ = 32;
       return this;
     }
-    /**
-     * <code>.almondslip.CatalogChanges catalog_changes = 32;</code>
-     */
+
+    /** <code>.almondslip.CatalogChanges catalog_changes = 32;</code> */
     public Builder clearCatalogChanges() {
       if (catalogChangesBuilder_ == null) {
         if (bodyCase_ == 32) {
@@ -4547,15 +4750,13 @@
       }
       return this;
     }
-    /**
-     * <code>.almondslip.CatalogChanges catalog_changes = 32;</code>
-     */
+
+    /** <code>.almondslip.CatalogChanges catalog_changes = 32;</code> */
     public org.almondslip.protocol.wire.CatalogChanges.Builder getCatalogChangesBuilder() {
       return internalGetCatalogChangesFieldBuilder().getBuilder();
     }
-    /**
-     * <code>.almondslip.CatalogChanges catalog_changes = 32;</code>
-     */
+
+    /** <code>.almondslip.CatalogChanges catalog_changes = 32;</code> */
     @java.lang.Override
     public org.almondslip.protocol.wire.CatalogChangesOrBuilder getCatalogChangesOrBuilder() {
       if ((bodyCase_ == 32) && (catalogChangesBuilder_ != null)) {
@@ -4567,18 +4768,22 @@
         return org.almondslip.protocol.wire.CatalogChanges.getDefaultInstance();
       }
     }
-    /**
-     * <code>.almondslip.CatalogChanges catalog_changes = 32;</code>
-     */
+
+    /** <code>.almondslip.CatalogChanges catalog_changes = 32;</code> */
     private com.google.protobuf.SingleFieldBuilder<
-        org.almondslip.protocol.wire.CatalogChanges, org.almondslip.protocol.wire.CatalogChanges.Builder, org.almondslip.protocol.wire.CatalogChangesOrBuilder> 
+            org.almondslip.protocol.wire.CatalogChanges,
+            org.almondslip.protocol.wire.CatalogChanges.Builder,
+            org.almondslip.protocol.wire.CatalogChangesOrBuilder>
         internalGetCatalogChangesFieldBuilder() {
       if (catalogChangesBuilder_ == null) {
         if (!(bodyCase_ == 32)) {
           body_ = org.almondslip.protocol.wire.CatalogChanges.getDefaultInstance();
         }
-        catalogChangesBuilder_ = new com.google.protobuf.SingleFieldBuilder<
-            org.almondslip.protocol.wire.CatalogChanges, org.almondslip.protocol.wire.CatalogChanges.Builder, org.almondslip.protocol.wire.CatalogChangesOrBuilder>(
+        catalogChangesBuilder_ =
+            new com.google.protobuf.SingleFieldBuilder<
+                org.almondslip.protocol.wire.CatalogChanges,
+                org.almondslip.protocol.wire.CatalogChanges.Builder,
+                org.almondslip.protocol.wire.CatalogChangesOrBuilder>(
                 (org.almondslip.protocol.wire.CatalogChanges) body_,
                 getParentForChildren(),
                 isClean());
@@ -4590,17 +4795,24 @@
     }
 
     private com.google.protobuf.SingleFieldBuilder<
-        org.almondslip.protocol.wire.SuspectNotice, org.almondslip.protocol.wire.SuspectNotice.Builder, org.almondslip.protocol.wire.SuspectNoticeOrBuilder> suspectNoticeBuilder_;
+            org.almondslip.protocol.wire.SuspectNotice,
+            org.almondslip.protocol.wire.SuspectNotice.Builder,
+            org.almondslip.protocol.wire.SuspectNoticeOrBuilder>
+        suspectNoticeBuilder_;
+
     /**
      * <code>.almondslip.SuspectNotice suspect_notice = 40;</code>
+     *
      * @return Whether the suspectNotice field is set.
      */
     @java.lang.Override
     public boolean hasSuspectNotice() {
       return bodyCase_ == 40;
     }
+
     /**
      * <code>.almondslip.SuspectNotice suspect_notice = 40;</code>
+     *
      * @return The suspectNotice.
      */
     @java.lang.Override
@@ -4617,9 +4829,8 @@
         return org.almondslip.protocol.wire.SuspectNotice.getDefaultInstance();
       }
     }
-    /**
-     * <code>.almondslip.SuspectNotice suspect_notice = 40;</code>
-     */
+
+    /** <code>.almondslip.SuspectNotice suspect_notice = 40;</code> */
     public Builder setSuspectNotice(org.almondslip.protocol.wire.SuspectNotice value) {
       if (suspectNoticeBuilder_ == null) {
         java.util.Objects.requireNonNull(value);
@@ -4631,9 +4842,8 @@
       bodyCase_ = 40;
       return this;
     }
-    /**
-     * <code>.almondslip.SuspectNotice suspect_notice = 40;</code>
-     */
+
+    /** <code>.almondslip.SuspectNotice suspect_notice = 40;</code> */
     public Builder setSuspectNotice(
         org.almondslip.protocol.wire.SuspectNotice.Builder builderForValue) {
       if (suspectNoticeBuilder_ == null) {
@@ -4645,15 +4855,17 @@
       bodyCase_ = 40;
       return this;
     }
-    /**
-     * <code>.almondslip.SuspectNotice suspect_notice = 40;</code>
-     */
+
+    /** <code>.almondslip.SuspectNotice suspect_notice = 40;</code> */
     public Builder mergeSuspectNotice(org.almondslip.protocol.wire.SuspectNotice value) {
       if (suspectNoticeBuilder_ == null) {
-        if (bodyCase_ == 40 &&
-            body_ != org.almondslip.protocol.wire.SuspectNotice.getDefaultInstance()) {
-          body_ = org.almondslip.protocol.wire.SuspectNotice.newBuilder((org.almondslip.protocol.wire.SuspectNotice) body_)
-              .mergeFrom(value).buildPartial();
+        if (bodyCase_ == 40
+            && body_ != org.almondslip.protocol.wire.SuspectNotice.getDefaultInstance()) {
+          body_ =
+              org.almondslip.protocol.wire.SuspectNotice.newBuilder(
+                      (org.almondslip.protocol.wire.SuspectNotice) body_)
+                  .mergeFrom(value)
+                  .buildPartial();
         } else {
           body_ = value;
         }
@@ -4668,9 +4880,8 @@
       bodyCase_ = 40;
       return this;
     }
-    /**
-     * <code>.almondslip.SuspectNotice suspect_notice = 40;</code>
-     */
+
+    /** <code>.almondslip.SuspectNotice suspect_notice = 40;</code> */
     public Builder clearSuspectNotice() {
       if (suspectNoticeBuilder_ == null) {
         if (bodyCase_ == 40) {
@@ -4687,15 +4898,13 @@
       }
       return this;
     }
-    /**
-     * <code>.almondslip.SuspectNotice suspect_notice = 40;</code>
-     */
+
+    /** <code>.almondslip.SuspectNotice suspect_notice = 40;</code> */
     public org.almondslip.protocol.wire.SuspectNotice.Builder getSuspectNoticeBuilder() {
       return internalGetSuspectNoticeFieldBuilder().getBuilder();
     }
-    /**
-     * <code>.almondslip.SuspectNotice suspect_notice = 40;</code>
-     */
+
+    /** <code>.almondslip.SuspectNotice suspect_notice = 40;</code> */
     @java.lang.Override
     public org.almondslip.protocol.wire.SuspectNoticeOrBuilder getSuspectNoticeOrBuilder() {
       if ((bodyCase_ == 40) && (suspectNoticeBuilder_ != null)) {
@@ -4707,18 +4916,22 @@
         return org.almondslip.protocol.wire.SuspectNotice.getDefaultInstance();
       }
     }
-    /**
-     * <code>.almondslip.SuspectNotice suspect_notice = 40;</code>
-     */
+
+    /** <code>.almondslip.SuspectNotice suspect_notice = 40;</code> */
     private com.google.protobuf.SingleFieldBuilder<
-        org.almondslip.protocol.wire.SuspectNotice, org.almondslip.protocol.wire.SuspectNotice.Builder, org.almondslip.protocol.wire.SuspectNoticeOrBuilder> 
+            org.almondslip.protocol.wire.SuspectNotice,
+            org.almondslip.protocol.wire.SuspectNotice.Builder,
+            org.almondslip.protocol.wire.SuspectNoticeOrBuilder>
         internalGetSuspectNoticeFieldBuilder() {
       if (suspectNoticeBuilder_ == null) {
         if (!(bodyCase_ == 40)) {
           body_ = org.almondslip.protocol.wire.SuspectNotice.getDefaultInstance();
         }
-        suspectNoticeBuilder_ = new com.google.protobuf.SingleFieldBuilder<
-            org.almondslip.protocol.wire.SuspectNotice, org.almondslip.protocol.wire.SuspectNotice.Builder, org.almondslip.protocol.wire.SuspectNoticeOrBuilder>(
+        suspectNoticeBuilder_ =
+            new com.google.protobuf.SingleFieldBuilder<
+                org.almondslip.protocol.wire.SuspectNotice,
+                org.almondslip.protocol.wire.SuspectNotice.Builder,
+                org.almondslip.protocol.wire.SuspectNoticeOrBuilder>(
                 (org.almondslip.protocol.wire.SuspectNotice) body_,
                 getParentForChildren(),
                 isClean());
@@ -4734,6 +4947,7 @@
 
   // @@protoc_insertion_point(class_scope:almondslip.Frame)
   private static final org.almondslip.protocol.wire.Frame DEFAULT_INSTANCE;
+
   static {
     DEFAULT_INSTANCE = new org.almondslip.protocol.wire.Frame();
   }
@@ -4742,27 +4956,27 @@
     return DEFAULT_INSTANCE;
   }
 
-  private static final com.google.protobuf.Parser<Frame>
-      PARSER = new com.google.protobuf.AbstractParser<Frame>() {
-    @java.lang.Override
-    public Frame parsePartialFrom(
-        com.google.protobuf.CodedInputStream input,
-        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-        throws com.google.protobuf.InvalidProtocolBufferException {
-      Builder builder = newBuilder();
-      try {
-        builder.mergeFrom(input, extensionRegistry);
-      } catch (com.google.protobuf.InvalidProtocolBufferException e) {
-        throw e.setUnfinishedMessage(builder.buildPartial());
-      } catch (com.google.protobuf.UninitializedMessageException e) {
-        throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
-      } catch (java.io.IOException e) {
-        throw new com.google.protobuf.InvalidProtocolBufferException(e)
-            .setUnfinishedMessage(builder.buildPartial());
-      }
-      return builder.buildPartial();
-    }
-  };
+  private static final com.google.protobuf.Parser<Frame> PARSER =
+      new com.google.protobuf.AbstractParser<Frame>() {
+        @java.lang.Override
+        public Frame parsePartialFrom(
+            com.google.protobuf.CodedInputStream input,
+            com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+            throws com.google.protobuf.InvalidProtocolBufferException {
+          Builder builder = newBuilder();
+          try {
+            builder.mergeFrom(input, extensionRegistry);
+          } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+            throw e.setUnfinishedMessage(builder.buildPartial());
+          } catch (com.google.protobuf.UninitializedMessageException e) {
+            throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
+          } catch (java.io.IOException e) {
+            throw new com.google.protobuf.InvalidProtocolBufferException(e)
+                .setUnfinishedMessage(builder.buildPartial());
+          }
+          return builder.buildPartial();
+        }
+      };
 
   public static com.google.protobuf.Parser<Frame> parser() {
     return PARSER;
@@ -4777,6 +4991,4 @@
   public org.almondslip.protocol.wire.Frame getDefaultInstanceForType() {
     return DEFAULT_INSTANCE;
   }
-
 }
-
--- a/wire/src/main/java/org/almondslip/protocol/wire/FrameOrBuilder.java
+++ b/wire/src/main/java/org/almondslip/protocol/wire/FrameOrBuilder.java
@@ -6,323 +6,366 @@
 package org.almondslip.protocol.wire;
 
 @com.google.protobuf.Generated
-public interface FrameOrBuilder extends
+public interface FrameOrBuilder
+    extends
     // @@protoc_insertion_point(interface_extends:almondslip.Frame)
     com.google.protobuf.MessageOrBuilder {
 
   /**
    * <code>.almondslip.Hello hello = 1;</code>
+   *
    * @return Whether the hello field is set.
    */
   boolean hasHello();
+
   /**
    * <code>.almondslip.Hello hello = 1;</code>
+   *
    * @return The hello.
    */
   org.almondslip.protocol.wire.Hello getHello();
-  /**
-   * <code>.almondslip.Hello hello = 1;</code>
-   */
+
+  /** <code>.almondslip.Hello hello = 1;</code> */
   org.almondslip.protocol.wire.HelloOrBuilder getHelloOrBuilder();
 
   /**
    * <code>.almondslip.Proof proof = 2;</code>
+   *
    * @return Whether the proof field is set.
    */
   boolean hasProof();
+
   /**
    * <code>.almondslip.Proof proof = 2;</code>
+   *
    * @return The proof.
    */
   org.almondslip.protocol.wire.Proof getProof();
-  /**
-   * <code>.almondslip.Proof proof = 2;</code>
-   */
+
+  /** <code>.almondslip.Proof proof = 2;</code> */
   org.almondslip.protocol.wire.ProofOrBuilder getProofOrBuilder();
 
   /**
    * <code>.almondslip.Heartbeat heartbeat = 3;</code>
+   *
    * @return Whether the heartbeat field is set.
    */
   boolean hasHeartbeat();
+
   /**
    * <code>.almondslip.Heartbeat heartbeat = 3;</code>
+   *
    * @return The heartbeat.
    */
   org.almondslip.protocol.wire.Heartbeat getHeartbeat();
-  /**
-   * <code>.almondslip.Heartbeat heartbeat = 3;</code>
-   */
+
+  /** <code>.almondslip.Heartbeat heartbeat = 3;</code> */
   org.almondslip.protocol.wire.HeartbeatOrBuilder getHeartbeatOrBuilder();
 
   /**
    * <code>.almondslip.Announce announce = 4;</code>
+   *
    * @return Whether the announce field is set.
    */
   boolean hasAnnounce();
+
   /**
    * <code>.almondslip.Announce announce = 4;</code>
+   *
    * @return The announce.
    */
   org.almondslip.protocol.wire.Announce getAnnounce();
-  /**
-   * <code>.almondslip.Announce announce = 4;</code>
-   */
+
+  /** <code>.almondslip.Announce announce = 4;</code> */
   org.almondslip.protocol.wire.AnnounceOrBuilder getAnnounceOrBuilder();
 
   /**
    * <code>.almondslip.Drain drain = 5;</code>
+   *
    * @return Whether the drain field is set.
    */
   boolean hasDrain();
+
   /**
    * <code>.almondslip.Drain drain = 5;</code>
+   *
    * @return The drain.
    */
   org.almondslip.protocol.wire.Drain getDrain();
-  /**
-   * <code>.almondslip.Drain drain = 5;</code>
-   */
+
+  /** <code>.almondslip.Drain drain = 5;</code> */
   org.almondslip.protocol.wire.DrainOrBuilder getDrainOrBuilder();
 
   /**
    * <code>.almondslip.Offers offers = 10;</code>
+   *
    * @return Whether the offers field is set.
    */
   boolean hasOffers();
+
   /**
    * <code>.almondslip.Offers offers = 10;</code>
+   *
    * @return The offers.
    */
   org.almondslip.protocol.wire.Offers getOffers();
-  /**
-   * <code>.almondslip.Offers offers = 10;</code>
-   */
+
+  /** <code>.almondslip.Offers offers = 10;</code> */
   org.almondslip.protocol.wire.OffersOrBuilder getOffersOrBuilder();
 
   /**
    * <code>.almondslip.Grant grant = 11;</code>
+   *
    * @return Whether the grant field is set.
    */
   boolean hasGrant();
+
   /**
    * <code>.almondslip.Grant grant = 11;</code>
+   *
    * @return The grant.
    */
   org.almondslip.protocol.wire.Grant getGrant();
-  /**
-   * <code>.almondslip.Grant grant = 11;</code>
-   */
+
+  /** <code>.almondslip.Grant grant = 11;</code> */
   org.almondslip.protocol.wire.GrantOrBuilder getGrantOrBuilder();
 
   /**
    * <code>.almondslip.Decline decline = 12;</code>
+   *
    * @return Whether the decline field is set.
    */
   boolean hasDecline();
+
   /**
    * <code>.almondslip.Decline decline = 12;</code>
+   *
    * @return The decline.
    */
   org.almondslip.protocol.wire.Decline getDecline();
-  /**
-   * <code>.almondslip.Decline decline = 12;</code>
-   */
+
+  /** <code>.almondslip.Decline decline = 12;</code> */
   org.almondslip.protocol.wire.DeclineOrBuilder getDeclineOrBuilder();
 
   /**
    * <code>.almondslip.Dispatch dispatch = 13;</code>
+   *
    * @return Whether the dispatch field is set.
    */
   boolean hasDispatch();
+
   /**
    * <code>.almondslip.Dispatch dispatch = 13;</code>
+   *
    * @return The dispatch.
    */
   org.almondslip.protocol.wire.Dispatch getDispatch();
-  /**
-   * <code>.almondslip.Dispatch dispatch = 13;</code>
-   */
+
+  /** <code>.almondslip.Dispatch dispatch = 13;</code> */
   org.almondslip.protocol.wire.DispatchOrBuilder getDispatchOrBuilder();
 
   /**
    * <code>.almondslip.Cancel cancel = 14;</code>
+   *
    * @return Whether the cancel field is set.
    */
   boolean hasCancel();
+
   /**
    * <code>.almondslip.Cancel cancel = 14;</code>
+   *
    * @return The cancel.
    */
   org.almondslip.protocol.wire.Cancel getCancel();
-  /**
-   * <code>.almondslip.Cancel cancel = 14;</code>
-   */
+
+  /** <code>.almondslip.Cancel cancel = 14;</code> */
   org.almondslip.protocol.wire.CancelOrBuilder getCancelOrBuilder();
 
   /**
    * <code>.almondslip.Attach attach = 15;</code>
+   *
    * @return Whether the attach field is set.
    */
   boolean hasAttach();
+
   /**
    * <code>.almondslip.Attach attach = 15;</code>
+   *
    * @return The attach.
    */
   org.almondslip.protocol.wire.Attach getAttach();
-  /**
-   * <code>.almondslip.Attach attach = 15;</code>
-   */
+
+  /** <code>.almondslip.Attach attach = 15;</code> */
   org.almondslip.protocol.wire.AttachOrBuilder getAttachOrBuilder();
 
   /**
    * <code>.almondslip.Answer answer = 16;</code>
+   *
    * @return Whether the answer field is set.
    */
   boolean hasAnswer();
+
   /**
    * <code>.almondslip.Answer answer = 16;</code>
+   *
    * @return The answer.
    */
   org.almondslip.protocol.wire.Answer getAnswer();
-  /**
-   * <code>.almondslip.Answer answer = 16;</code>
-   */
+
+  /** <code>.almondslip.Answer answer = 16;</code> */
   org.almondslip.protocol.wire.AnswerOrBuilder getAnswerOrBuilder();
 
   /**
    * <code>.almondslip.AnswerAck answer_ack = 17;</code>
+   *
    * @return Whether the answerAck field is set.
    */
   boolean hasAnswerAck();
+
   /**
    * <code>.almondslip.AnswerAck answer_ack = 17;</code>
+   *
    * @return The answerAck.
    */
   org.almondslip.protocol.wire.AnswerAck getAnswerAck();
-  /**
-   * <code>.almondslip.AnswerAck answer_ack = 17;</code>
-   */
+
+  /** <code>.almondslip.AnswerAck answer_ack = 17;</code> */
   org.almondslip.protocol.wire.AnswerAckOrBuilder getAnswerAckOrBuilder();
 
   /**
    * <code>.almondslip.ServiceReport service_report = 20;</code>
+   *
    * @return Whether the serviceReport field is set.
    */
   boolean hasServiceReport();
+
   /**
    * <code>.almondslip.ServiceReport service_report = 20;</code>
+   *
    * @return The serviceReport.
    */
   org.almondslip.protocol.wire.ServiceReport getServiceReport();
-  /**
-   * <code>.almondslip.ServiceReport service_report = 20;</code>
-   */
+
+  /** <code>.almondslip.ServiceReport service_report = 20;</code> */
   org.almondslip.protocol.wire.ServiceReportOrBuilder getServiceReportOrBuilder();
 
   /**
    * <code>.almondslip.ServiceDigest service_digest = 21;</code>
+   *
    * @return Whether the serviceDigest field is set.
    */
   boolean hasServiceDigest();
+
   /**
    * <code>.almondslip.ServiceDigest service_digest = 21;</code>
+   *
    * @return The serviceDigest.
    */
   org.almondslip.protocol.wire.ServiceDigest getServiceDigest();
-  /**
-   * <code>.almondslip.ServiceDigest service_digest = 21;</code>
-   */
+
+  /** <code>.almondslip.ServiceDigest service_digest = 21;</code> */
   org.almondslip.protocol.wire.ServiceDigestOrBuilder getServiceDigestOrBuilder();
 
   /**
    * <code>.almondslip.RootExchange root_exchange = 22;</code>
+   *
    * @return Whether the rootExchange field is set.
    */
   boolean hasRootExchange();
+
   /**
    * <code>.almondslip.RootExchange root_exchange = 22;</code>
+   *
    * @return The rootExchange.
    */
   org.almondslip.protocol.wire.RootExchange getRootExchange();
-  /**
-   * <code>.almondslip.RootExchange root_exchange = 22;</code>
-   */
+
+  /** <code>.almondslip.RootExchange root_exchange = 22;</code> */
   org.almondslip.protocol.wire.RootExchangeOrBuilder getRootExchangeOrBuilder();
 
   /**
    * <code>.almondslip.RootSnapshot root_snapshot = 23;</code>
+   *
    * @return Whether the rootSnapshot field is set.
    */
   boolean hasRootSnapshot();
+
   /**
    * <code>.almondslip.RootSnapshot root_snapshot = 23;</code>
+   *
    * @return The rootSnapshot.
    */
   org.almondslip.protocol.wire.RootSnapshot getRootSnapshot();
-  /**
-   * <code>.almondslip.RootSnapshot root_snapshot = 23;</code>
-   */
+
+  /** <code>.almondslip.RootSnapshot root_snapshot = 23;</code> */
   org.almondslip.protocol.wire.RootSnapshotOrBuilder getRootSnapshotOrBuilder();
 
   /**
    * <code>.almondslip.CatalogRevision catalog_revision = 30;</code>
+   *
    * @return Whether the catalogRevision field is set.
    */
   boolean hasCatalogRevision();
+
   /**
    * <code>.almondslip.CatalogRevision catalog_revision = 30;</code>
+   *
    * @return The catalogRevision.
    */
   org.almondslip.protocol.wire.CatalogRevision getCatalogRevision();
-  /**
-   * <code>.almondslip.CatalogRevision catalog_revision = 30;</code>
-   */
+
+  /** <code>.almondslip.CatalogRevision catalog_revision = 30;</code> */
   org.almondslip.protocol.wire.CatalogRevisionOrBuilder getCatalogRevisionOrBuilder();
 
   /**
    * <code>.almondslip.CatalogPull catalog_pull = 31;</code>
+   *
    * @return Whether the catalogPull field is set.
    */
   boolean hasCatalogPull();
+
   /**
    * <code>.almondslip.CatalogPull catalog_pull = 31;</code>
+   *
    * @return The catalogPull.
    */
   org.almondslip.protocol.wire.CatalogPull getCatalogPull();
-  /**
-   * <code>.almondslip.CatalogPull catalog_pull = 31;</code>
-   */
+
+  /** <code>.almondslip.CatalogPull catalog_pull = 31;</code> */
   org.almondslip.protocol.wire.CatalogPullOrBuilder getCatalogPullOrBuilder();
 
   /**
    * <code>.almondslip.CatalogChanges catalog_changes = 32;</code>
+   *
    * @return Whether the catalogChanges field is set.
    */
   boolean hasCatalogChanges();
+
   /**
    * <code>.almondslip.CatalogChanges catalog_changes = 32;</code>
+   *
    * @return The catalogChanges.
    */
   org.almondslip.protocol.wire.CatalogChanges getCatalogChanges();
-  /**
-   * <code>.almondslip.CatalogChanges catalog_changes = 32;</code>
-   */
+
+  /** <code>.almondslip.CatalogChanges catalog_changes = 32;</code> */
   org.almondslip.protocol.wire.CatalogChangesOrBuilder getCatalogChangesOrBuilder();
 
   /**
    * <code>.almondslip.SuspectNotice suspect_notice = 40;</code>
+   *
    * @return Whether the suspectNotice field is set.
    */
   boolean hasSuspectNotice();
+
   /**
    * <code>.almondslip.SuspectNotice suspect_notice = 40;</code>
+   *
    * @return The suspectNotice.
    */
   org.almondslip.protocol.wire.SuspectNotice getSuspectNotice();
-  /**
-   * <code>.almondslip.SuspectNotice suspect_notice = 40;</code>
-   */
+
+  /** <code>.almondslip.SuspectNotice suspect_notice = 40;</code> */
   org.almondslip.protocol.wire.SuspectNoticeOrBuilder getSuspectNoticeOrBuilder();
 
   org.almondslip.protocol.wire.Frame.BodyCase getBodyCase();
