--- a/wire/src/main/java/org/almondslip/protocol/wire/Grant.java
+++ b/wire/src/main/java/org/almondslip/protocol/wire/Grant.java
@@ -6,6 +6,8 @@
 package org.almondslip.protocol.wire;
 
 /**
+ *
+ *
  * <pre>
  * Reserves a slot of the agent for the head of a flow's queue.
  * </pre>
@@ -13,29 +15,30 @@
  * Protobuf type {@code almondslip.Grant}
  */
 @com.google.protobuf.Generated
-public final class Grant extends
-    com.google.protobuf.GeneratedMessage implements
+public final class Grant extends com.google.protobuf.GeneratedMessage
+    implements
     // @@protoc_insertion_point(message_implements:almondslip.Grant)
     GrantOrBuilder {
-private static final long serialVersionUID = 0L;
+  private static final long serialVersionUID = 0L;
+
   static {
     com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
-      com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
-      /* major= */ 4,
-      /* minor= */ 36,
-      /* patch= */ 2,
-      /* suffix= */ "",
-      "Grant");
+        com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+        /* major= */ 4,
+        /* minor= */ 36,
+        /* patch= */ 2,
+        /* suffix= */ "",
+        "Grant");
   }
+
   // Use Grant.newBuilder() to construct.
   private Grant(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
     super(builder);
   }
-  private Grant() {
-  }
 
-  public static final com.google.protobuf.Descriptors.Descriptor
-      getDescriptor() {
+  private Grant() {}
+
+  public static final com.google.protobuf.Descriptors.Descriptor getDescriptor() {
     return org.almondslip.protocol.wire.Almondslip.internal_static_almondslip_Grant_descriptor;
   }
 
@@ -47,15 +50,19 @@
   @java.lang.Override
   protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internalGetFieldAccessorTable() {
-    return org.almondslip.protocol.wire.Almondslip.internal_static_almondslip_Grant_fieldAccessorTable
+    return org.almondslip.protocol.wire.Almondslip
+        .internal_static_almondslip_Grant_fieldAccessorTable
         .ensureFieldAccessorsInitialized(
-            org.almondslip.protocol.wire.Grant.class, org.almondslip.protocol.wire.Grant.Builder.class);
+            org.almondslip.protocol.wire.Grant.class,
+            org.almondslip.protocol.wire.Grant.Builder.class);
   }
 
   public static final int GRANT_ID_FIELD_NUMBER = 1;
   private long grantId_ = 0L;
+
   /**
    * <code>uint64 grant_id = 1;</code>
+   *
    * @return The grantId.
    */
   @java.lang.Override
@@ -65,8 +72,10 @@
 
   public static final int FLOW_ID_FIELD_NUMBER = 2;
   private int flowId_ = 0;
+
   /**
    * <code>fixed32 flow_id = 2;</code>
+   *
    * @return The flowId.
    */
   @java.lang.Override
@@ -76,8 +85,10 @@
 
   public static final int EXCLUSIVE_FIELD_NUMBER = 3;
   private boolean exclusive_ = false;
+
   /**
    * <code>bool exclusive = 3;</code>
+   *
    * @return The exclusive.
    */
   @java.lang.Override
@@ -86,6 +97,7 @@
   }
 
   private byte memoizedIsInitialized = -1;
+
   @java.lang.Override
   public final boolean isInitialized() {
     byte isInitialized = memoizedIsInitialized;
@@ -97,8 +109,7 @@
   }
 
   @java.lang.Override
-  public void writeTo(com.google.protobuf.CodedOutputStream output)
-                      throws java.io.IOException {
+  public void writeTo(com.google.protobuf.CodedOutputStream output) throws java.io.IOException {
     if (grantId_ != 0L) {
       output.writeUInt64(1, grantId_);
     }
@@ -110,22 +121,21 @@
     }
     getUnknownFields().writeTo(output);
   }
+
   private int computeSerializedSize_0() {
     int size = 0;
     if (grantId_ != 0L) {
-      size += com.google.protobuf.CodedOutputStream
-        .computeUInt64Size(1, grantId_);
+      size += com.google.protobuf.CodedOutputStream.computeUInt64Size(1, grantId_);
     }
     if (flowId_ != 0) {
-      size += com.google.protobuf.CodedOutputStream
-        .computeFixed32Size(2, flowId_);
+      size += com.google.protobuf.CodedOutputStream.computeFixed32Size(2, flowId_);
     }
     if (exclusive_ != false) {
-      size += com.google.protobuf.CodedOutputStream
-        .computeBoolSize(3, exclusive_);
+      size += com.google.protobuf.CodedOutputStream.computeBoolSize(3, exclusive_);
     }
     return size;
   }
+
   @java.lang.Override
   public int getSerializedSize() {
     int size = memoizedSize;
@@ -141,19 +151,16 @@
   @java.lang.Override
   public boolean equals(final java.lang.Object obj) {
     if (obj == this) {
-     return true;
+      return true;
     }
     if (!(obj instanceof org.almondslip.protocol.wire.Grant)) {
       return super.equals(obj);
     }
     org.almondslip.protocol.wire.Grant other = (org.almondslip.protocol.wire.Grant) obj;
 
-    if (getGrantId()
-        != other.getGrantId()) return false;
-    if (getFlowId()
-        != other.getFlowId()) return false;
-    if (getExclusive()
-        != other.getExclusive()) return false;
+    if (getGrantId() != other.getGrantId()) return false;
+    if (getFlowId() != other.getFlowId()) return false;
+    if (getExclusive() != other.getExclusive()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -166,144 +173,145 @@
     int hash = 41;
     hash = (19 * hash) + getDescriptor().hashCode();
     hash = (37 * hash) + GRANT_ID_FIELD_NUMBER;
-    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
-        getGrantId());
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(getGrantId());
     hash = (37 * hash) + FLOW_ID_FIELD_NUMBER;
     hash = (53 * hash) + getFlowId();
     hash = (37 * hash) + EXCLUSIVE_FIELD_NUMBER;
-    hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
-        getExclusive());
+    hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(getExclusive());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
   }
 
-  public static org.almondslip.protocol.wire.Grant parseFrom(
-      java.nio.ByteBuffer data)
+  public static org.almondslip.protocol.wire.Grant parseFrom(java.nio.ByteBuffer data)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data);
   }
+
   public static org.almondslip.protocol.wire.Grant parseFrom(
-      java.nio.ByteBuffer data,
-      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+      java.nio.ByteBuffer data, com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data, extensionRegistry);
   }
-  public static org.almondslip.protocol.wire.Grant parseFrom(
-      com.google.protobuf.ByteString data)
+
+  public static org.almondslip.protocol.wire.Grant parseFrom(com.google.protobuf.ByteString data)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data);
   }
+
   public static org.almondslip.protocol.wire.Grant parseFrom(
       com.google.protobuf.ByteString data,
       com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data, extensionRegistry);
   }
+
   public static org.almondslip.protocol.wire.Grant parseFrom(byte[] data)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data);
   }
+
   public static org.almondslip.protocol.wire.Grant parseFrom(
-      byte[] data,
-      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+      byte[] data, com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data, extensionRegistry);
   }
+
   public static org.almondslip.protocol.wire.Grant parseFrom(java.io.InputStream input)
       throws java.io.IOException {
-    return com.google.protobuf.GeneratedMessage
-        .parseWithIOException(PARSER, input);
+    return com.google.protobuf.GeneratedMessage.parseWithIOException(PARSER, input);
   }
+
   public static org.almondslip.protocol.wire.Grant parseFrom(
-      java.io.InputStream input,
-      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+      java.io.InputStream input, com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws java.io.IOException {
-    return com.google.protobuf.GeneratedMessage
-        .parseWithIOException(PARSER, input, extensionRegistry);
+    return com.google.protobuf.GeneratedMessage.parseWithIOException(
+        PARSER, input, extensionRegistry);
   }
 
   public static org.almondslip.protocol.wire.Grant parseDelimitedFrom(java.io.InputStream input)
       throws java.io.IOException {
-    return com.google.protobuf.GeneratedMessage
-        .parseDelimitedWithIOException(PARSER, input);
+    return com.google.protobuf.GeneratedMessage.parseDelimitedWithIOException(PARSER, input);
   }
 
   public static org.almondslip.protocol.wire.Grant parseDelimitedFrom(
-      java.io.InputStream input,
-      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+      java.io.InputStream input, com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws java.io.IOException {
-    return com.google.protobuf.GeneratedMessage
-        .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
+    return com.google.protobuf.GeneratedMessage.parseDelimitedWithIOException(
+        PARSER, input, extensionRegistry);
   }
+
   public static org.almondslip.protocol.wire.Grant parseFrom(
-      com.google.protobuf.CodedInputStream input)
-      throws java.io.IOException {
-    return com.google.protobuf.GeneratedMessage
-        .parseWithIOException(PARSER, input);
+      com.google.protobuf.CodedInputStream input) throws java.io.IOException {
+    return com.google.protobuf.GeneratedMessage.parseWithIOException(PARSER, input);
   }
+
   public static org.almondslip.protocol.wire.Grant parseFrom(
       com.google.protobuf.CodedInputStream input,
       com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws java.io.IOException {
-    return com.google.protobuf.GeneratedMessage
-        .parseWithIOException(PARSER, input, extensionRegistry);
+    return com.google.protobuf.GeneratedMessage.parseWithIOException(
+        PARSER, input, extensionRegistry);
   }
 
   @java.lang.Override
-  public Builder newBuilderForType() { return newBuilder(); }
+  public Builder newBuilderForType() {
+    return newBuilder();
+  }
+
   public static Builder newBuilder() {
     return DEFAULT_INSTANCE.toBuilder();
   }
+
   public static Builder newBuilder(org.almondslip.protocol.wire.Grant prototype) {
     return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
   }
+
   @java.lang.Override
   public Builder toBuilder() {
-    return this == DEFAULT_INSTANCE
-        ? new Builder() : new Builder().mergeFrom(this);
+    return this == DEFAULT_INSTANCE ? new Builder() : new Builder().mergeFrom(this);
   }
 
   @java.lang.Override
-  protected Builder newBuilderForType(
-      com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+  protected Builder newBuilderForType(com.google.protobuf.GeneratedMessage.BuilderParent parent) {
     Builder builder = new Builder(parent);
     return builder;
   }
+
   /**
+   *
+   *
    * <pre>
    * Reserves a slot of the agent for the head of a flow's queue.
    * </pre>
    *
    * Protobuf type {@code almondslip.Grant}
    */
-  public static final class Builder extends
-      com.google.protobuf.GeneratedMessage.Builder<Builder> implements
+  public static final class Builder extends com.google.protobuf.GeneratedMessage.Builder<Builder>
+      implements
       // @@protoc_insertion_point(builder_implements:almondslip.Grant)
       org.almondslip.protocol.wire.GrantOrBuilder {
-    public static final com.google.protobuf.Descriptors.Descriptor
-        getDescriptor() {
+    public static final com.google.protobuf.Descriptors.Descriptor getDescriptor() {
       return org.almondslip.protocol.wire.Almondslip.internal_static_almondslip_Grant_descriptor;
     }
 
     @java.lang.Override
     protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
         internalGetFieldAccessorTable() {
-      return org.almondslip.protocol.wire.Almondslip.internal_static_almondslip_Grant_fieldAccessorTable
+      return org.almondslip.protocol.wire.Almondslip
+          .internal_static_almondslip_Grant_fieldAccessorTable
           .ensureFieldAccessorsInitialized(
-              org.almondslip.protocol.wire.Grant.class, org.almondslip.protocol.wire.Grant.Builder.class);
+              org.almondslip.protocol.wire.Grant.class,
+              org.almondslip.protocol.wire.Grant.Builder.class);
     }
 
     // Construct using org.almondslip.protocol.wire.Grant.newBuilder()
-    private Builder() {
+    private Builder() {}
 
-    }
-
-    private Builder(
-        com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+    private Builder(com.google.protobuf.GeneratedMessage.BuilderParent parent) {
       super(parent);
-
     }
+
     @java.lang.Override
     public Builder clear() {
       super.clear();
@@ -315,8 +323,7 @@
     }
 
     @java.lang.Override
-    public com.google.protobuf.Descriptors.Descriptor
-        getDescriptorForType() {
+    public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
       return org.almondslip.protocol.wire.Almondslip.internal_static_almondslip_Grant_descriptor;
     }
 
@@ -337,7 +344,9 @@
     @java.lang.Override
     public org.almondslip.protocol.wire.Grant buildPartial() {
       org.almondslip.protocol.wire.Grant result = new org.almondslip.protocol.wire.Grant(this);
-      if (bitField0_ != 0) { buildPartial0(result); }
+      if (bitField0_ != 0) {
+        buildPartial0(result);
+      }
       onBuilt();
       return result;
     }
@@ -358,7 +367,7 @@
     @java.lang.Override
     public Builder mergeFrom(com.google.protobuf.Message other) {
       if (other instanceof org.almondslip.protocol.wire.Grant) {
-        return mergeFrom((org.almondslip.protocol.wire.Grant)other);
+        return mergeFrom((org.almondslip.protocol.wire.Grant) other);
       } else {
         super.mergeFrom(other);
         return this;
@@ -400,27 +409,31 @@
             case 0:
               done = true;
               break;
-            case 8: {
-              grantId_ = input.readUInt64();
-              bitField0_ |= 0x00000001;
-              break;
-            } // case 8
-            case 21: {
-              flowId_ = input.readFixed32();
-              bitField0_ |= 0x00000002;
-              break;
-            } // case 21
-            case 24: {
-              exclusive_ = input.readBool();
-              bitField0_ |= 0x00000004;
-              break;
-            } // case 24
-            default: {
-              if (!super.parseUnknownField(input, extensionRegistry, tag)) {
-                done = true; // was an endgroup tag
-              }
-              break;
-            } // default:
+            case 8:
+              {
+                grantId_ = input.readUInt64();
+                bitField0_ |= 0x00000001;
+                break;
+              } // case 8
+            case 21:
+              {
+                flowId_ = input.readFixed32();
+                bitField0_ |= 0x00000002;
+                break;
+              } // case 21
+            case 24:
+              {
+                exclusive_ = input.readBool();
+                bitField0_ |= 0x00000004;
+                break;
+              } // case 24
+            default:
+              {
+                if (!super.parseUnknownField(input, extensionRegistry, tag)) {
+                  done = true; // was an endgroup tag
+                }
+                break;
+              } // default:
           } // switch (tag)
         } // while (!done)
       } catch (com.google.protobuf.InvalidProtocolBufferException e) {
@@ -430,19 +443,24 @@
       } // finally
       return this;
     }
+
     private int bitField0_;
 
-    private long grantId_ ;
+    private long grantId_;
+
     /**
      * <code>uint64 grant_id = 1;</code>
+     *
      * @return The grantId.
      */
     @java.lang.Override
     public long getGrantId() {
       return grantId_;
     }
+
     /**
      * <code>uint64 grant_id = 1;</code>
+     *
      * @param value The grantId to set.
      * @return This builder for chaining.
      */
@@ -453,8 +471,10 @@
       onChanged();
       return this;
     }
+
     /**
      * <code>uint64 grant_id = 1;</code>
+     *
      * @return This builder for chaining.
      */
     public Builder clearGrantId() {
@@ -464,17 +484,21 @@
       return this;
     }
 
-    private int flowId_ ;
+    private int flowId_;
+
     /**
      * <code>fixed32 flow_id = 2;</code>
+     *
      * @return The flowId.
      */
     @java.lang.Override
     public int getFlowId() {
       return flowId_;
     }
+
     /**
      * <code>fixed32 flow_id = 2;</code>
+     *
      * @param value The flowId to set.
      * @return This builder for chaining.
      */
@@ -485,8 +509,10 @@
       onChanged();
       return this;
     }
+
     /**
      * <code>fixed32 flow_id = 2;</code>
+     *
      * @return This builder for chaining.
      */
     public Builder clearFlowId() {
@@ -496,17 +522,21 @@
       return this;
     }
 
-    private boolean exclusive_ ;
+    private boolean exclusive_;
+
     /**
      * <code>bool exclusive = 3;</code>
+     *
      * @return The exclusive.
      */
     @java.lang.Override
     public boolean getExclusive() {
       return exclusive_;
     }
+
     /**
      * <code>bool exclusive = 3;</code>
+     *
      * @param value The exclusive to set.
      * @return This builder for chaining.
      */
@@ -517,8 +547,10 @@
       onChanged();
       return this;
     }
+
     /**
      * <code>bool exclusive = 3;</code>
+     *
      * @return This builder for chaining.
      */
     public Builder clearExclusive() {
@@ -533,6 +565,7 @@
 
   // @@protoc_insertion_point(class_scope:almondslip.Grant)
   private static final org.almondslip.protocol.wire.Grant DEFAULT_INSTANCE;
+
   static {
     DEFAULT_INSTANCE = new org.almondslip.protocol.wire.Grant();
   }
@@ -541,27 +574,27 @@
     return DEFAULT_INSTANCE;
   }
 
-  private static final com.google.protobuf.Parser<Grant>
-      PARSER = new com.google.protobuf.AbstractParser<Grant>() {
-    @java.lang.Override
-    public Grant parsePartialFrom(
-        com.google.protobuf.CodedInputStream input,
-        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-        throws com.google.protobuf.InvalidProtocolBufferException {
-      Builder builder = newBuilder();
-      try {
-        builder.mergeFrom(input, extensionRegistry);
-      } catch (com.google.protobuf.InvalidProtocolBufferException e) {
-        throw e.setUnfinishedMessage(builder.buildPartial());
-      } catch (com.google.protobuf.UninitializedMessageException e) {
-        throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
-      } catch (java.io.IOException e) {
-        throw new com.google.protobuf.InvalidProtocolBufferException(e)
-            .setUnfinishedMessage(builder.buildPartial());
-      }
-      return builder.buildPartial();
-    }
-  };
+  private static final com.google.protobuf.Parser<Grant> PARSER =
+      new com.google.protobuf.AbstractParser<Grant>() {
+        @java.lang.Override
+        public Grant parsePartialFrom(
+            com.google.protobuf.CodedInputStream input,
+            com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+            throws com.google.protobuf.InvalidProtocolBufferException {
+          Builder builder = newBuilder();
+          try {
+            builder.mergeFrom(input, extensionRegistry);
+          } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+            throw e.setUnfinishedMessage(builder.buildPartial());
+          } catch (com.google.protobuf.UninitializedMessageException e) {
+            throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
+          } catch (java.io.IOException e) {
+            throw new com.google.protobuf.InvalidProtocolBufferException(e)
+                .setUnfinishedMessage(builder.buildPartial());
+          }
+          return builder.buildPartial();
+        }
+      };
 
   public static com.google.protobuf.Parser<Grant> parser() {
     return PARSER;
@@ -576,6 +609,4 @@
   public org.almondslip.protocol.wire.Grant getDefaultInstanceForType() {
     return DEFAULT_INSTANCE;
   }
-
 }
-
--- a/wire/src/main/java/org/almondslip/protocol/wire/GrantOrBuilder.java
+++ b/wire/src/main/java/org/almondslip/protocol/wire/GrantOrBuilder.java
@@ -6,24 +6,28 @@
 package org.almondslip.protocol.wire;
 
 @com.google.protobuf.Generated
-public interface GrantOrBuilder extends
+public interface GrantOrBuilder
+    extends
     // @@protoc_insertion_point(interface_extends:almondslip.Grant)
     com.google.protobuf.MessageOrBuilder {
 
   /**
    * <code>uint64 grant_id = 1;</code>
+   *
    * @return The grantId.
    */
   long getGrantId();
 
   /**
    * <code>fixed32 flow_id = 2;</code>
+   *
    * @return The flowId.
    */
   int getFlowId();
 
   /**
    * <code>bool exclusive = 3;</code>
+   *
    * @return The exclusive.
    */
   boolean getExclusive();
--- a/wire/src/main/java/org/almondslip/protocol/wire/Header.java
+++ b/wire/src/main/java/org/almondslip/protocol/wire/Header.java
@@ -5,35 +5,35 @@
 
 package org.almondslip.protocol.wire;
 
-/**
- * Protobuf type {@code almondslip.Header}
- */
+/** Protobuf type {@code almondslip.Header} */
 @com.google.protobuf.Generated
-public final class Header extends
-    com.google.protobuf.GeneratedMessage implements
+public final class Header extends com.google.protobuf.GeneratedMessage
+    implements
     // @@protoc_insertion_point(message_implements:almondslip.Header)
     HeaderOrBuilder {
-private static final long serialVersionUID = 0L;
+  private static final long serialVersionUID = 0L;
+
   static {
     com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
-      com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
-      /* major= */ 4,
-      /* minor= */ 36,
-      /* patch= */ 2,
-      /* suffix= */ "",
-      "Header");
+        com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+        /* major= */ 4,
+        /* minor= */ 36,
+        /* patch= */ 2,
+        /* suffix= */ "",
+        "Header");
   }
+
   // Use Header.newBuilder() to construct.
   private Header(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
     super(builder);
   }
+
   private Header() {
     name_ = "";
     value_ = "";
   }
 
-  public static final com.google.protobuf.Descriptors.Descriptor
-      getDescriptor() {
+  public static final com.google.protobuf.Descriptors.Descriptor getDescriptor() {
     return org.almondslip.protocol.wire.Almondslip.internal_static_almondslip_Header_descriptor;
   }
 
@@ -45,16 +45,21 @@
   @java.lang.Override
   protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internalGetFieldAccessorTable() {
-    return org.almondslip.protocol.wire.Almondslip.internal_static_almondslip_Header_fieldAccessorTable
+    return org.almondslip.protocol.wire.Almondslip
+        .internal_static_almondslip_Header_fieldAccessorTable
         .ensureFieldAccessorsInitialized(
-            org.almondslip.protocol.wire.Header.class, org.almondslip.protocol.wire.Header.Builder.class);
+            org.almondslip.protocol.wire.Header.class,
+            org.almondslip.protocol.wire.Header.Builder.class);
   }
 
   public static final int NAME_FIELD_NUMBER = 1;
+
   @SuppressWarnings("serial")
   private volatile java.lang.Object name_ = "";
+
   /**
    * <code>string name = 1;</code>
+   *
    * @return The name.
    */
   @java.lang.Override
@@ -63,25 +68,24 @@
     if (ref instanceof java.lang.String) {
       return (java.lang.String) ref;
     } else {
-      com.google.protobuf.ByteString bs = 
-          (com.google.protobuf.ByteString) ref;
+      com.google.protobuf.ByteString bs = (com.google.protobuf.ByteString) ref;
       java.lang.String s = bs.toStringUtf8();
       name_ = s;
       return s;
     }
   }
+
   /**
    * <code>string name = 1;</code>
+   *
    * @return The bytes for name.
    */
   @java.lang.Override
-  public com.google.protobuf.ByteString
-      getNameBytes() {
+  public com.google.protobuf.ByteString getNameBytes() {
     java.lang.Object ref = name_;
     if (ref instanceof java.lang.String) {
-      com.google.protobuf.ByteString b = 
-          com.google.protobuf.ByteString.copyFromUtf8(
-              (java.lang.String) ref);
+      com.google.protobuf.ByteString b =
+          com.google.protobuf.ByteString.copyFromUtf8((java.lang.String) ref);
       name_ = b;
       return b;
     } else {
@@ -90,10 +94,13 @@
   }
 
   public static final int VALUE_FIELD_NUMBER = 2;
+
   @SuppressWarnings("serial")
   private volatile java.lang.Object value_ = "";
+
   /**
    * <code>string value = 2;</code>
+   *
    * @return The value.
    */
   @java.lang.Override
@@ -102,25 +109,24 @@
     if (ref instanceof java.lang.String) {
       return (java.lang.String) ref;
     } else {
-      com.google.protobuf.ByteString bs = 
-          (com.google.protobuf.ByteString) ref;
+      com.google.protobuf.ByteString bs = (com.google.protobuf.ByteString) ref;
       java.lang.String s = bs.toStringUtf8();
       value_ = s;
       return s;
     }
   }
+
   /**
    * <code>string value = 2;</code>
+   *
    * @return The bytes for value.
    */
   @java.lang.Override
-  public com.google.protobuf.ByteString
-      getValueBytes() {
+  public com.google.protobuf.ByteString getValueBytes() {
     java.lang.Object ref = value_;
     if (ref instanceof java.lang.String) {
-      com.google.protobuf.ByteString b = 
-          com.google.protobuf.ByteString.copyFromUtf8(
-              (java.lang.String) ref);
+      com.google.protobuf.ByteString b =
+          com.google.protobuf.ByteString.copyFromUtf8((java.lang.String) ref);
       value_ = b;
       return b;
     } else {
@@ -129,6 +135,7 @@
   }
 
   private byte memoizedIsInitialized = -1;
+
   @java.lang.Override
   public final boolean isInitialized() {
     byte isInitialized = memoizedIsInitialized;
@@ -140,8 +147,7 @@
   }
 
   @java.lang.Override
-  public void writeTo(com.google.protobuf.CodedOutputStream output)
-                      throws java.io.IOException {
+  public void writeTo(com.google.protobuf.CodedOutputStream output) throws java.io.IOException {
     if (!com.google.protobuf.GeneratedMessage.isStringEmpty(name_)) {
       com.google.protobuf.GeneratedMessage.writeString(output, 1, name_);
     }
@@ -150,6 +156,7 @@
     }
     getUnknownFields().writeTo(output);
   }
+
   private int computeSerializedSize_0() {
     int size = 0;
     if (!com.google.protobuf.GeneratedMessage.isStringEmpty(name_)) {
@@ -160,6 +167,7 @@
     }
     return size;
   }
+
   @java.lang.Override
   public int getSerializedSize() {
     int size = memoizedSize;
@@ -175,17 +183,15 @@
   @java.lang.Override
   public boolean equals(final java.lang.Object obj) {
     if (obj == this) {
-     return true;
+      return true;
     }
     if (!(obj instanceof org.almondslip.protocol.wire.Header)) {
       return super.equals(obj);
     }
     org.almondslip.protocol.wire.Header other = (org.almondslip.protocol.wire.Header) obj;
 
-    if (!getName()
-        .equals(other.getName())) return false;
-    if (!getValue()
-        .equals(other.getValue())) return false;
+    if (!getName().equals(other.getName())) return false;
+    if (!getValue().equals(other.getValue())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -206,128 +212,127 @@
     return hash;
   }
 
-  public static org.almondslip.protocol.wire.Header parseFrom(
-      java.nio.ByteBuffer data)
+  public static org.almondslip.protocol.wire.Header parseFrom(java.nio.ByteBuffer data)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data);
   }
+
   public static org.almondslip.protocol.wire.Header parseFrom(
-      java.nio.ByteBuffer data,
-      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+      java.nio.ByteBuffer data, com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data, extensionRegistry);
   }
-  public static org.almondslip.protocol.wire.Header parseFrom(
-      com.google.protobuf.ByteString data)
+
+  public static org.almondslip.protocol.wire.Header parseFrom(com.google.protobuf.ByteString data)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data);
   }
+
   public static org.almondslip.protocol.wire.Header parseFrom(
       com.google.protobuf.ByteString data,
       com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data, extensionRegistry);
   }
+
   public static org.almondslip.protocol.wire.Header parseFrom(byte[] data)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data);
   }
+
   public static org.almondslip.protocol.wire.Header parseFrom(
-      byte[] data,
-      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+      byte[] data, com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data, extensionRegistry);
   }
+
   public static org.almondslip.protocol.wire.Header parseFrom(java.io.InputStream input)
       throws java.io.IOException {
-    return com.google.protobuf.GeneratedMessage
-        .parseWithIOException(PARSER, input);
+    return com.google.protobuf.GeneratedMessage.parseWithIOException(PARSER, input);
   }
+
   public static org.almondslip.protocol.wire.Header parseFrom(
-      java.io.InputStream input,
-      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+      java.io.InputStream input, com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws java.io.IOException {
-    return com.google.protobuf.GeneratedMessage
-        .parseWithIOException(PARSER, input, extensionRegistry);
+    return com.google.protobuf.GeneratedMessage.parseWithIOException(
+        PARSER, input, extensionRegistry);
   }
 
   public static org.almondslip.protocol.wire.Header parseDelimitedFrom(java.io.InputStream input)
       throws java.io.IOException {
-    return com.google.protobuf.GeneratedMessage
-        .parseDelimitedWithIOException(PARSER, input);
+    return com.google.protobuf.GeneratedMessage.parseDelimitedWithIOException(PARSER, input);
   }
 
   public static org.almondslip.protocol.wire.Header parseDelimitedFrom(
-      java.io.InputStream input,
-      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+      java.io.InputStream input, com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws java.io.IOException {
-    return com.google.protobuf.GeneratedMessage
-        .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
+    return com.google.protobuf.GeneratedMessage.parseDelimitedWithIOException(
+        PARSER, input, extensionRegistry);
   }
+
   public static org.almondslip.protocol.wire.Header parseFrom(
-      com.google.protobuf.CodedInputStream input)
-      throws java.io.IOException {
-    return com.google.protobuf.GeneratedMessage
-        .parseWithIOException(PARSER, input);
+      com.google.protobuf.CodedInputStream input) throws java.io.IOException {
+    return com.google.protobuf.GeneratedMessage.parseWithIOException(PARSER, input);
   }
+
   public static org.almondslip.protocol.wire.Header parseFrom(
       com.google.protobuf.CodedInputStream input,
       com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws java.io.IOException {
-    return com.google.protobuf.GeneratedMessage
-        .parseWithIOException(PARSER, input, extensionRegistry);
+    return com.google.protobuf.GeneratedMessage.parseWithIOException(
+        PARSER, input, extensionRegistry);
   }
 
   @java.lang.Override
-  public Builder newBuilderForType() { return newBuilder(); }
+  public Builder newBuilderForType() {
+    return newBuilder();
+  }
+
   public static Builder newBuilder() {
     return DEFAULT_INSTANCE.toBuilder();
   }
+
   public static Builder newBuilder(org.almondslip.protocol.wire.Header prototype) {
     return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
   }
+
   @java.lang.Override
   public Builder toBuilder() {
-    return this == DEFAULT_INSTANCE
-        ? new Builder() : new Builder().mergeFrom(this);
+    return this == DEFAULT_INSTANCE ? new Builder() : new Builder().mergeFrom(this);
   }
 
   @java.lang.Override
-  protected Builder newBuilderForType(
-      com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+  protected Builder newBuilderForType(com.google.protobuf.GeneratedMessage.BuilderParent parent) {
     Builder builder = new Builder(parent);
     return builder;
   }
-  /**
-   * Protobuf type {@code almondslip.Header}
-   */
-  public static final class Builder extends
-      com.google.protobuf.GeneratedMessage.Builder<Builder> implements
+
+  /** Protobuf type {@code almondslip.Header} */
+  public static final class Builder extends com.google.protobuf.GeneratedMessage.Builder<Builder>
+      implements
       // @@protoc_insertion_point(builder_implements:almondslip.Header)
       org.almondslip.protocol.wire.HeaderOrBuilder {
-    public static final com.google.protobuf.Descriptors.Descriptor
-        getDescriptor() {
+    public static final com.google.protobuf.Descriptors.Descriptor getDescriptor() {
       return org.almondslip.protocol.wire.Almondslip.internal_static_almondslip_Header_descriptor;
     }
 
     @java.lang.Override
     protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
         internalGetFieldAccessorTable() {
-      return org.almondslip.protocol.wire.Almondslip.internal_static_almondslip_Header_fieldAccessorTable
+      return org.almondslip.protocol.wire.Almondslip
+          .internal_static_almondslip_Header_fieldAccessorTable
           .ensureFieldAccessorsInitialized(
-              org.almondslip.protocol.wire.Header.class, org.almondslip.protocol.wire.Header.Builder.class);
+              org.almondslip.protocol.wire.Header.class,
+              org.almondslip.protocol.wire.Header.Builder.class);
     }
 
     // Construct using org.almondslip.protocol.wire.Header.newBuilder()
-    private Builder() {
-
-    }
+    private Builder() {}
 
-    private Builder(
-        com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+    private Builder(com.google.protobuf.GeneratedMessage.BuilderParent parent) {
       super(parent);
-
     }
+
     @java.lang.Override
     public Builder clear() {
       super.clear();
@@ -338,8 +343,7 @@
     }
 
     @java.lang.Override
-    public com.google.protobuf.Descriptors.Descriptor
-        getDescriptorForType() {
+    public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
       return org.almondslip.protocol.wire.Almondslip.internal_static_almondslip_Header_descriptor;
     }
 
@@ -360,7 +364,9 @@
     @java.lang.Override
     public org.almondslip.protocol.wire.Header buildPartial() {
       org.almondslip.protocol.wire.Header result = new org.almondslip.protocol.wire.Header(this);
-      if (bitField0_ != 0) { buildPartial0(result); }
+      if (bitField0_ != 0) {
+        buildPartial0(result);
+      }
       onBuilt();
       return result;
     }
@@ -378,7 +384,7 @@
     @java.lang.Override
     public Builder mergeFrom(com.google.protobuf.Message other) {
       if (other instanceof org.almondslip.protocol.wire.Header) {
-        return mergeFrom((org.almondslip.protocol.wire.Header)other);
+        return mergeFrom((org.almondslip.protocol.wire.Header) other);
       } else {
         super.mergeFrom(other);
         return this;
@@ -421,22 +427,25 @@
             case 0:
               done = true;
               break;
-            case 10: {
-              name_ = input.readStringRequireUtf8();
-              bitField0_ |= 0x00000001;
-              break;
-            } // case 10
-            case 18: {
-              value_ = input.readStringRequireUtf8();
-              bitField0_ |= 0x00000002;
-              break;
-            } // case 18
-            default: {
-              if (!super.parseUnknownField(input, extensionRegistry, tag)) {
-                done = true; // was an endgroup tag
-              }
-              break;
-            } // default:
+            case 10:
+              {
+                name_ = input.readStringRequireUtf8();
+                bitField0_ |= 0x00000001;
+                break;
+              } // case 10
+            case 18:
+              {
+                value_ = input.readStringRequireUtf8();
+                bitField0_ |= 0x00000002;
+                break;
+              } // case 18
+            default:
+              {
+                if (!super.parseUnknownField(input, extensionRegistry, tag)) {
+                  done = true; // was an endgroup tag
+                }
+                break;
+              } // default:
           } // switch (tag)
         } // while (!done)
       } catch (com.google.protobuf.InvalidProtocolBufferException e) {
@@ -446,18 +455,20 @@
       } // finally
       return this;
     }
+
     private int bitField0_;
 
     private java.lang.Object name_ = "";
+
     /**
      * <code>string name = 1;</code>
+     *
      * @return The name.
      */
     public java.lang.String getName() {
       java.lang.Object ref = name_;
       if (!(ref instanceof java.lang.String)) {
-        com.google.protobuf.ByteString bs =
-            (com.google.protobuf.ByteString) ref;
+        com.google.protobuf.ByteString bs = (com.google.protobuf.ByteString) ref;
         java.lang.String s = bs.toStringUtf8();
         name_ = s;
         return s;
@@ -465,38 +476,41 @@
         return (java.lang.String) ref;
       }
     }
+
     /**
      * <code>string name = 1;</code>
+     *
      * @return The bytes for name.
      */
-    public com.google.protobuf.ByteString
-        getNameBytes() {
+    public com.google.protobuf.ByteString getNameBytes() {
       java.lang.Object ref = name_;
       if (ref instanceof String) {
-        com.google.protobuf.ByteString b = 
-            com.google.protobuf.ByteString.copyFromUtf8(
-                (java.lang.String) ref);
+        com.google.protobuf.ByteString b =
+            com.google.protobuf.ByteString.copyFromUtf8((java.lang.String) ref);
         name_ = b;
         return b;
       } else {
         return (com.google.protobuf.ByteString) ref;
       }
     }
+
     /**
      * <code>string name = 1;</code>
+     *
      * @param value The name to set.
      * @return This builder for chaining.
      */
-    public Builder setName(
-        java.lang.String value) {
+    public Builder setName(java.lang.String value) {
       java.util.Objects.requireNonNull(value);
       name_ = value;
       bitField0_ |= 0x00000001;
       onChanged();
       return this;
     }
+
     /**
      * <code>string name = 1;</code>
+     *
      * @return This builder for chaining.
      */
     public Builder clearName() {
@@ -505,13 +519,14 @@
       onChanged();
       return this;
     }
+
     /**
      * <code>string name = 1;</code>
+     *
      * @param value The bytes for name to set.
      * @return This builder for chaining.
      */
-    public Builder setNameBytes(
-        com.google.protobuf.ByteString value) {
+    public Builder setNameBytes(com.google.protobuf.ByteString value) {
       java.util.Objects.requireNonNull(value);
       checkByteStringIsUtf8(value);
       name_ = value;
@@ -521,15 +536,16 @@
     }
 
     private java.lang.Object value_ = "";
+
     /**
      * <code>string value = 2;</code>
+     *
      * @return The value.
      */
     public java.lang.String getValue() {
       java.lang.Object ref = value_;
       if (!(ref instanceof java.lang.String)) {
-        com.google.protobuf.ByteString bs =
-            (com.google.protobuf.ByteString) ref;
+        com.google.protobuf.ByteString bs = (com.google.protobuf.ByteString) ref;
         java.lang.String s = bs.toStringUtf8();
         value_ = s;
         return s;
@@ -537,38 +553,41 @@
         return (java.lang.String) ref;
       }
     }
+
     /**
      * <code>string value = 2;</code>
+     *
      * @return The bytes for value.
      */
-    public com.google.protobuf.ByteString
-        getValueBytes() {
+    public com.google.protobuf.ByteString getValueBytes() {
       java.lang.Object ref = value_;
       if (ref instanceof String) {
-        com.google.protobuf.ByteString b = 
-            com.google.protobuf.ByteString.copyFromUtf8(
-                (java.lang.String) ref);
+        com.google.protobuf.ByteString b =
+            com.google.protobuf.ByteString.copyFromUtf8((java.lang.String) ref);
         value_ = b;
         return b;
       } else {
         return (com.google.protobuf.ByteString) ref;
       }
     }
+
     /**
      * <code>string value = 2;</code>
+     *
      * @param value The value to set.
      * @return This builder for chaining.
      */
-    public Builder setValue(
-        java.lang.String value) {
+    public Builder setValue(java.lang.String value) {
       java.util.Objects.requireNonNull(value);
       value_ = value;
       bitField0_ |= 0x00000002;
       onChanged();
       return this;
     }
+
     /**
      * <code>string value = 2;</code>
+     *
      * @return This builder for chaining.
      */
     public Builder clearValue() {
@@ -577,13 +596,14 @@
       onChanged();
       return this;
     }
+
     /**
      * <code>string value = 2;</code>
+     *
      * @param value The bytes for value to set.
      * @return This builder for chaining.
      */
-    public Builder setValueBytes(
-        com.google.protobuf.ByteString value) {
+    public Builder setValueBytes(com.google.protobuf.ByteString value) {
       java.util.Objects.requireNonNull(value);
       checkByteStringIsUtf8(value);
       value_ = value;
@@ -597,6 +617,7 @@
 
   // @@protoc_insertion_point(class_scope:almondslip.Header)
   private static final org.almondslip.protocol.wire.Header DEFAULT_INSTANCE;
+
   static {
     DEFAULT_INSTANCE = new org.almondslip.protocol.wire.Header();
   }
@@ -605,27 +626,27 @@
     return DEFAULT_INSTANCE;
   }
 
-  private static final com.google.protobuf.Parser<Header>
-      PARSER = new com.google.protobuf.AbstractParser<Header>() {
-    @java.lang.Override
-    public Header parsePartialFrom(
-        com.google.protobuf.CodedInputStream input,
-        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-        throws com.google.protobuf.InvalidProtocolBufferException {
-      Builder builder = newBuilder();
-      try {
-        builder.mergeFrom(input, extensionRegistry);
-      } catch (com.google.protobuf.InvalidProtocolBufferException e) {
-        throw e.setUnfinishedMessage(builder.buildPartial());
-      } catch (com.google.protobuf.UninitializedMessageException e) {
-        throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
-      } catch (java.io.IOException e) {
-        throw new com.google.protobuf.InvalidProtocolBufferException(e)
-            .setUnfinishedMessage(builder.buildPartial());
-      }
-      return builder.buildPartial();
-    }
-  };
+  private static final com.google.protobuf.Parser<Header> PARSER =
+      new com.google.protobuf.AbstractParser<Header>() {
+        @java.lang.Override
+        public Header parsePartialFrom(
+            com.google.protobuf.CodedInputStream input,
+            com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+            throws com.google.protobuf.InvalidProtocolBufferException {
+          Builder builder = newBuilder();
+          try {
+            builder.mergeFrom(input, extensionRegistry);
+          } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+            throw e.setUnfinishedMessage(builder.buildPartial());
+          } catch (com.google.protobuf.UninitializedMessageException e) {
+            throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
+          } catch (java.io.IOException e) {
+            throw new com.google.protobuf.InvalidProtocolBufferException(e)
+                .setUnfinishedMessage(builder.buildPartial());
+          }
+          return builder.buildPartial();
+        }
+      };
 
   public static com.google.protobuf.Parser<Header> parser() {
     return PARSER;
@@ -640,6 +661,4 @@
   public org.almondslip.protocol.wire.Header getDefaultInstanceForType() {
     return DEFAULT_INSTANCE;
   }
-
 }
-
--- a/wire/src/main/java/org/almondslip/protocol/wire/HeaderOrBuilder.java
+++ b/wire/src/main/java/org/almondslip/protocol/wire/HeaderOrBuilder.java
@@ -6,31 +6,36 @@
 package org.almondslip.protocol.wire;
 
 @com.google.protobuf.Generated
-public interface HeaderOrBuilder extends
+public interface HeaderOrBuilder
+    extends
     // @@protoc_insertion_point(interface_extends:almondslip.Header)
     com.google.protobuf.MessageOrBuilder {
 
   /**
    * <code>string name = 1;</code>
+   *
    * @return The name.
    */
   java.lang.String getName();
+
   /**
    * <code>string name = 1;</code>
+   *
    * @return The bytes for name.
    */
-  com.google.protobuf.ByteString
-      getNameBytes();
+  com.google.protobuf.ByteString getNameBytes();
 
   /**
    * <code>string value = 2;</code>
+   *
    * @return The value.
    */
   java.lang.String getValue();
+
   /**
    * <code>string value = 2;</code>
+   *
    * @return The bytes for value.
    */
-  com.google.protobuf.ByteString
-      getValueBytes();
+  com.google.protobuf.ByteString getValueBytes();
 }
--- a/wire/src/main/java/org/almondslip/protocol/wire/Heartbeat.java
+++ b/wire/src/main/java/org/almondslip/protocol/wire/Heartbeat.java
@@ -6,6 +6,8 @@
 package org.almondslip.protocol.wire;
 
 /**
+ *
+ *
  * <pre>
  * Sent every second in both directions of an established connection.
  * </pre>
@@ -13,29 +15,30 @@
  * Protobuf type {@code almondslip.Heartbeat}
  */
 @com.google.protobuf.Generated
-public final class Heartbeat extends
-    com.google.protobuf.GeneratedMessage implements
+public final class Heartbeat extends com.google.protobuf.GeneratedMessage
+    implements
     // @@protoc_insertion_point(message_implements:almondslip.Heartbeat)
     HeartbeatOrBuilder {
-private static final long serialVersionUID = 0L;
+  private static final long serialVersionUID = 0L;
+
   static {
     com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
-      com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
-      /* major= */ 4,
-      /* minor= */ 36,
-      /* patch= */ 2,
-      /* suffix= */ "",
-      "Heartbeat");
+        com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+        /* major= */ 4,
+        /* minor= */ 36,
+        /* patch= */ 2,
+        /* suffix= */ "",
+        "Heartbeat");
   }
+
   // Use Heartbeat.newBuilder() to construct.
   private Heartbeat(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
     super(builder);
   }
-  private Heartbeat() {
-  }
 
-  public static final com.google.protobuf.Descriptors.Descriptor
-      getDescriptor() {
+  private Heartbeat() {}
+
+  public static final com.google.protobuf.Descriptors.Descriptor getDescriptor() {
     return org.almondslip.protocol.wire.Almondslip.internal_static_almondslip_Heartbeat_descriptor;
   }
 
@@ -47,16 +50,20 @@
   @java.lang.Override
   protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internalGetFieldAccessorTable() {
-    return org.almondslip.protocol.wire.Almondslip.internal_static_almondslip_Heartbeat_fieldAccessorTable
+    return org.almondslip.protocol.wire.Almondslip
+        .internal_static_almondslip_Heartbeat_fieldAccessorTable
         .ensureFieldAccessorsInitialized(
-            org.almondslip.protocol.wire.Heartbeat.class, org.almondslip.protocol.wire.Heartbeat.Builder.class);
+            org.almondslip.protocol.wire.Heartbeat.class,
+            org.almondslip.protocol.wire.Heartbeat.Builder.class);
   }
 
   private int bitField0_;
   public static final int SEQUENCE_FIELD_NUMBER = 1;
   private long sequence_ = 0L;
+
   /**
    * <code>uint64 sequence = 1;</code>
+   *
    * @return The sequence.
    */
   @java.lang.Override
@@ -66,8 +73,10 @@
 
   public static final int CATALOG_REVISION_FIELD_NUMBER = 2;
   private long catalogRevision_ = 0L;
+
   /**
    * <code>uint64 catalog_revision = 2;</code>
+   *
    * @return The catalogRevision.
    */
   @java.lang.Override
@@ -77,31 +86,42 @@
 
   public static final int AGENT_FIELD_NUMBER = 3;
   private org.almondslip.protocol.wire.AgentStatus agent_;
+
   /**
+   *
+   *
    * <pre>
    * The remaining fields describe an agent; a router leaves them unset.
    * </pre>
    *
    * <code>.almondslip.AgentStatus agent = 3;</code>
+   *
    * @return Whether the agent field is set.
    */
   @java.lang.Override
   public boolean hasAgent() {
     return ((bitField0_ & 0x00000001) != 0);
   }
+
   /**
+   *
+   *
    * <pre>
    * The remaining fields describe an agent; a router leaves them unset.
    * </pre>
    *
    * <code>.almondslip.AgentStatus agent = 3;</code>
+   *
    * @return The agent.
    */
   @java.lang.Override
   public org.almondslip.protocol.wire.AgentStatus getAgent() {
     return agent_ == null ? org.almondslip.protocol.wire.AgentStatus.getDefaultInstance() : agent_;
   }
+
   /**
+   *
+   *
    * <pre>
    * The remaining fields describe an agent; a router leaves them unset.
    * </pre>
@@ -114,6 +134,7 @@
   }
 
   private byte memoizedIsInitialized = -1;
+
   @java.lang.Override
   public final boolean isInitialized() {
     byte isInitialized = memoizedIsInitialized;
@@ -125,8 +146,7 @@
   }
 
   @java.lang.Override
-  public void writeTo(com.google.protobuf.CodedOutputStream output)
-                      throws java.io.IOException {
+  public void writeTo(com.google.protobuf.CodedOutputStream output) throws java.io.IOException {
     if (sequence_ != 0L) {
       output.writeUInt64(1, sequence_);
     }
@@ -138,22 +158,21 @@
     }
     getUnknownFields().writeTo(output);
   }
+
   private int computeSerializedSize_0() {
     int size = 0;
     if (sequence_ != 0L) {
-      size += com.google.protobuf.CodedOutputStream
-        .computeUInt64Size(1, sequence_);
+      size += com.google.protobuf.CodedOutputStream.computeUInt64Size(1, sequence_);
     }
     if (catalogRevision_ != 0L) {
-      size += com.google.protobuf.CodedOutputStream
-        .computeUInt64Size(2, catalogRevision_);
+      size += com.google.protobuf.CodedOutputStream.computeUInt64Size(2, catalogRevision_);
     }
     if (((bitField0_ & 0x00000001) != 0)) {
-      size += com.google.protobuf.CodedOutputStream
-        .computeMessageSize(3, getAgent());
+      size += com.google.protobuf.CodedOutputStream.computeMessageSize(3, getAgent());
     }
     return size;
   }
+
   @java.lang.Override
   public int getSerializedSize() {
     int size = memoizedSize;
@@ -169,21 +188,18 @@
   @java.lang.Override
   public boolean equals(final java.lang.Object obj) {
     if (obj == this) {
-     return true;
+      return true;
     }
     if (!(obj instanceof org.almondslip.protocol.wire.Heartbeat)) {
       return super.equals(obj);
     }
     org.almondslip.protocol.wire.Heartbeat other = (org.almondslip.protocol.wire.Heartbeat) obj;
 
-    if (getSequence()
-        != other.getSequence()) return false;
-    if (getCatalogRevision()
-        != other.getCatalogRevision()) return false;
+    if (getSequence() != other.getSequence()) return false;
+    if (getCatalogRevision() != other.getCatalogRevision()) return false;
     if (hasAgent() != other.hasAgent()) return false;
     if (hasAgent()) {
-      if (!getAgent()
-          .equals(other.getAgent())) return false;
+      if (!getAgent().equals(other.getAgent())) return false;
     }
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
@@ -197,11 +213,9 @@
     int hash = 41;
     hash = (19 * hash) + getDescriptor().hashCode();
     hash = (37 * hash) + SEQUENCE_FIELD_NUMBER;
-    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
-        getSequence());
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(getSequence());
     hash = (37 * hash) + CATALOG_REVISION_FIELD_NUMBER;
-    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
-        getCatalogRevision());
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(getCatalogRevision());
     if (hasAgent()) {
       hash = (37 * hash) + AGENT_FIELD_NUMBER;
       hash = (53 * hash) + getAgent().hashCode();
@@ -211,120 +225,128 @@
     return hash;
   }
 
-  public static org.almondslip.protocol.wire.Heartbeat parseFrom(
-      java.nio.ByteBuffer data)
+  public static org.almondslip.protocol.wire.Heartbeat parseFrom(java.nio.ByteBuffer data)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data);
   }
+
   public static org.almondslip.protocol.wire.Heartbeat parseFrom(
-      java.nio.ByteBuffer data,
-      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+      java.nio.ByteBuffer data, com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data, extensionRegistry);
   }
+
   public static org.almondslip.protocol.wire.Heartbeat parseFrom(
       com.google.protobuf.ByteString data)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data);
   }
+
   public static org.almondslip.protocol.wire.Heartbeat parseFrom(
       com.google.protobuf.ByteString data,
       com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data, extensionRegistry);
   }
+
   public static org.almondslip.protocol.wire.Heartbeat parseFrom(byte[] data)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data);
   }
+
   public static org.almondslip.protocol.wire.Heartbeat parseFrom(
-      byte[] data,
-      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+      byte[] data, com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data, extensionRegistry);
   }
+
   public static org.almondslip.protocol.wire.Heartbeat parseFrom(java.io.InputStream input)
       throws java.io.IOException {
-    return com.google.protobuf.GeneratedMessage
-        .parseWithIOException(PARSER, input);
+    return com.google.protobuf.GeneratedMessage.parseWithIOException(PARSER, input);
   }
+
   public static org.almondslip.protocol.wire.Heartbeat parseFrom(
-      java.io.InputStream input,
-      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+      java.io.InputStream input, com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws java.io.IOException {
-    return com.google.protobuf.GeneratedMessage
-        .parseWithIOException(PARSER, input, extensionRegistry);
+    return com.google.protobuf.GeneratedMessage.parseWithIOException(
+        PARSER, input, extensionRegistry);
   }
 
   public static org.almondslip.protocol.wire.Heartbeat parseDelimitedFrom(java.io.InputStream input)
       throws java.io.IOException {
-    return com.google.protobuf.GeneratedMessage
-        .parseDelimitedWithIOException(PARSER, input);
+    return com.google.protobuf.GeneratedMessage.parseDelimitedWithIOException(PARSER, input);
   }
 
   public static org.almondslip.protocol.wire.Heartbeat parseDelimitedFrom(
-      java.io.InputStream input,
-      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+      java.io.InputStream input, com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws java.io.IOException {
-    return com.google.protobuf.GeneratedMessage
-        .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
+    return com.google.protobuf.GeneratedMessage.parseDelimitedWithIOException(
+        PARSER, input, extensionRegistry);
   }
+
   public static org.almondslip.protocol.wire.Heartbeat parseFrom(
-      com.google.protobuf.CodedInputStream input)
-      throws java.io.IOException {
-    return com.google.protobuf.GeneratedMessage
-        .parseWithIOException(PARSER, input);
+      com.google.protobuf.CodedInputStream input) throws java.io.IOException {
+    return com.google.protobuf.GeneratedMessage.parseWithIOException(PARSER, input);
   }
+
   public static org.almondslip.protocol.wire.Heartbeat parseFrom(
       com.google.protobuf.CodedInputStream input,
       com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws java.io.IOException {
-    return com.google.protobuf.GeneratedMessage
-        .parseWithIOException(PARSER, input, extensionRegistry);
+    return com.google.protobuf.GeneratedMessage.parseWithIOException(
+        PARSER, input, extensionRegistry);
   }
 
   @java.lang.Override
-  public Builder newBuilderForType() { return newBuilder(); }
+  public Builder newBuilderForType() {
+    return newBuilder();
+  }
+
   public static Builder newBuilder() {
     return DEFAULT_INSTANCE.toBuilder();
   }
+
   public static Builder newBuilder(org.almondslip.protocol.wire.Heartbeat prototype) {
     return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
   }
+
   @java.lang.Override
   public Builder toBuilder() {
-    return this == DEFAULT_INSTANCE
-        ? new Builder() : new Builder().mergeFrom(this);
+    return this == DEFAULT_INSTANCE ? new Builder() : new Builder().mergeFrom(this);
   }
 
   @java.lang.Override
-  protected Builder newBuilderForType(
-      com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+  protected Builder newBuilderForType(com.google.protobuf.GeneratedMessage.BuilderParent parent) {
     Builder builder = new Builder(parent);
     return builder;
   }
+
   /**
+   *
+   *
    * <pre>
    * Sent every second in both directions of an established connection.
    * </pre>
    *
    * Protobuf type {@code almondslip.Heartbeat}
    */
-  public static final class Builder extends
-      com.google.protobuf.GeneratedMessage.Builder<Builder> implements
+  public static final class Builder extends com.google.protobuf.GeneratedMessage.Builder<Builder>
+      implements
       // @@protoc_insertion_point(builder_implements:almondslip.Heartbeat)
       org.almondslip.protocol.wire.HeartbeatOrBuilder {
-    public static final com.google.protobuf.Descriptors.Descriptor
-        getDescriptor() {
-      return org.almondslip.protocol.wire.Almondslip.internal_static_almondslip_Heartbeat_descriptor;
+    public static final com.google.protobuf.Descriptors.Descriptor getDescriptor() {
+      return org.almondslip.protocol.wire.Almondslip
+          .internal_static_almondslip_Heartbeat_descriptor;
     }
 
     @java.lang.Override
     protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
         internalGetFieldAccessorTable() {
-      return org.almondslip.protocol.wire.Almondslip.internal_static_almondslip_Heartbeat_fieldAccessorTable
+      return org.almondslip.protocol.wire.Almondslip
+          .internal_static_almondslip_Heartbeat_fieldAccessorTable
           .ensureFieldAccessorsInitialized(
-              org.almondslip.protocol.wire.Heartbeat.class, org.almondslip.protocol.wire.Heartbeat.Builder.class);
+              org.almondslip.protocol.wire.Heartbeat.class,
+              org.almondslip.protocol.wire.Heartbeat.Builder.class);
     }
 
     // Construct using org.almondslip.protocol.wire.Heartbeat.newBuilder()
@@ -332,17 +354,17 @@
       maybeForceBuilderInitialization();
     }
 
-    private Builder(
-        com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+    private Builder(com.google.protobuf.GeneratedMessage.BuilderParent parent) {
       super(parent);
       maybeForceBuilderInitialization();
     }
+
     private void maybeForceBuilderInitialization() {
-      if (com.google.protobuf.GeneratedMessage
-              .alwaysUseFieldBuilders) {
+      if (com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders) {
         internalGetAgentFieldBuilder();
       }
     }
+
     @java.lang.Override
     public Builder clear() {
       super.clear();
@@ -358,9 +380,9 @@
     }
 
     @java.lang.Override
-    public com.google.protobuf.Descriptors.Descriptor
-        getDescriptorForType() {
-      return org.almondslip.protocol.wire.Almondslip.internal_static_almondslip_Heartbeat_descriptor;
+    public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
+      return org.almondslip.protocol.wire.Almondslip
+          .internal_static_almondslip_Heartbeat_descriptor;
     }
 
     @java.lang.Override
@@ -379,8 +401,11 @@
 
     @java.lang.Override
     public org.almondslip.protocol.wire.Heartbeat buildPartial() {
-      org.almondslip.protocol.wire.Heartbeat result = new org.almondslip.protocol.wire.Heartbeat(this);
-      if (bitField0_ != 0) { buildPartial0(result); }
+      org.almondslip.protocol.wire.Heartbeat result =
+          new org.almondslip.protocol.wire.Heartbeat(this);
+      if (bitField0_ != 0) {
+        buildPartial0(result);
+      }
       onBuilt();
       return result;
     }
@@ -395,9 +420,7 @@
       }
       int to_bitField0_ = 0;
       if (((from_bitField0_ & 0x00000004) != 0)) {
-        result.agent_ = agentBuilder_ == null
-            ? agent_
-            : agentBuilder_.build();
+        result.agent_ = agentBuilder_ == null ? agent_ : agentBuilder_.build();
         to_bitField0_ |= 0x00000001;
       }
       result.bitField0_ |= to_bitField0_;
@@ -406,7 +429,7 @@
     @java.lang.Override
     public Builder mergeFrom(com.google.protobuf.Message other) {
       if (other instanceof org.almondslip.protocol.wire.Heartbeat) {
-        return mergeFrom((org.almondslip.protocol.wire.Heartbeat)other);
+        return mergeFrom((org.almondslip.protocol.wire.Heartbeat) other);
       } else {
         super.mergeFrom(other);
         return this;
@@ -448,29 +471,31 @@
             case 0:
               done = true;
               break;
-            case 8: {
-              sequence_ = input.readUInt64();
-              bitField0_ |= 0x00000001;
-              break;
-            } // case 8
-            case 16: {
-              catalogRevision_ = input.readUInt64();
-              bitField0_ |= 0x00000002;
-              break;
-            } // case 16
-            case 26: {
-              input.readMessage(
-                  internalGetAgentFieldBuilder().getBuilder(),
-                  extensionRegistry);
-              bitField0_ |= 0x00000004;
-              break;
-            } // case 26
-            default: {
-              if (!super.parseUnknownField(input, extensionRegistry, tag)) {
-                done = true; // was an endgroup tag
-              }
-              break;
-            } // default:
+            case 8:
+              {
+                sequence_ = input.readUInt64();
+                bitField0_ |= 0x00000001;
+                break;
+              } // case 8
+            case 16:
+              {
+                catalogRevision_ = input.readUInt64();
+                bitField0_ |= 0x00000002;
+                break;
+              } // case 16
+            case 26:
+              {
+                input.readMessage(internalGetAgentFieldBuilder().getBuilder(), extensionRegistry);
+                bitField0_ |= 0x00000004;
+                break;
+              } // case 26
+            default:
+              {
+                if (!super.parseUnknownField(input, extensionRegistry, tag)) {
+                  done = true; // was an endgroup tag
+                }
+                break;
+              } // default:
           } // switch (tag)
         } // while (!done)
       } catch (com.google.protobuf.InvalidProtocolBufferException e) {
@@ -480,19 +505,24 @@
       } // finally
       return this;
     }
+
     private int bitField0_;
 
-    private long sequence_ ;
+    private long sequence_;
+
     /**
      * <code>uint64 sequence = 1;</code>
+     *
      * @return The sequence.
      */
     @java.lang.Override
     public long getSequence() {
       return sequence_;
     }
+
     /**
      * <code>uint64 sequence = 1;</code>
+     *
      * @param value The sequence to set.
      * @return This builder for chaining.
      */
@@ -503,8 +533,10 @@
       onChanged();
       return this;
     }
+
     /**
      * <code>uint64 sequence = 1;</code>
+     *
      * @return This builder for chaining.
      */
     public Builder clearSequence() {
@@ -514,17 +546,21 @@
       return this;
     }
 
-    private long catalogRevision_ ;
+    private long catalogRevision_;
+
     /**
      * <code>uint64 catalog_revision = 2;</code>
+     *
      * @return The catalogRevision.
      */
     @java.lang.Override
     public long getCatalogRevision() {
       return catalogRevision_;
     }
+
     /**
      * <code>uint64 catalog_revision = 2;</code>
+     *
      * @param value The catalogRevision to set.
      * @return This builder for chaining.
      */
@@ -535,8 +571,10 @@
       onChanged();
       return this;
     }
+
     /**
      * <code>uint64 catalog_revision = 2;</code>
+     *
      * @return This builder for chaining.
      */
     public Builder clearCatalogRevision() {
@@ -548,34 +586,50 @@
 
     private org.almondslip.protocol.wire.AgentStatus agent_;
     private com.google.protobuf.SingleFieldBuilder<
-        org.almondslip.protocol.wire.AgentStatus, org.almondslip.protocol.wire.AgentStatus.Builder, org.almondslip.protocol.wire.AgentStatusOrBuilder> agentBuilder_;
+            org.almondslip.protocol.wire.AgentStatus,
+            org.almondslip.protocol.wire.AgentStatus.Builder,
+            org.almondslip.protocol.wire.AgentStatusOrBuilder>
+        agentBuilder_;
+
     /**
+     *
+     *
      * <pre>
      * The remaining fields describe an agent; a router leaves them unset.
      * </pre>
      *
      * <code>.almondslip.AgentStatus agent = 3;</code>
+     *
      * @return Whether the agent field is set.
      */
     public boolean hasAgent() {
       return ((bitField0_ & 0x00000004) != 0);
     }
+
     /**
+     *
+     *
      * <pre>
      * The remaining fields describe an agent; a router leaves them unset.
      * </pre>
      *
      * <code>.almondslip.AgentStatus agent = 3;</code>
+     *
      * @return The agent.
      */
     public org.almondslip.protocol.wire.AgentStatus getAgent() {
       if (agentBuilder_ == null) {
-        return agent_ == null ? org.almondslip.protocol.wire.AgentStatus.getDefaultInstance() : agent_;
+        return agent_ == null
+            ? org.almondslip.protocol.wire.AgentStatus.getDefaultInstance()
+            : agent_;
       } else {
         return agentBuilder_.getMessage();
       }
     }
+
     /**
+     *
+     *
      * <pre>
      * The remaining fields describe an agent; a router leaves them unset.
      * </pre>
@@ -593,15 +647,17 @@
       onChanged();
       return this;
     }
+
     /**
+     *
+     *
      * <pre>
      * The remaining fields describe an agent; a router leaves them unset.
      * </pre>
      *
      * <code>.almondslip.AgentStatus agent = 3;</code>
      */
-    public Builder setAgent(
-        org.almondslip.protocol.wire.AgentStatus.Builder builderForValue) {
+    public Builder setAgent(org.almondslip.protocol.wire.AgentStatus.Builder builderForValue) {
       if (agentBuilder_ == null) {
         agent_ = builderForValue.build();
       } else {
@@ -611,7 +667,10 @@
       onChanged();
       return this;
     }
+
     /**
+     *
+     *
      * <pre>
      * The remaining fields describe an agent; a router leaves them unset.
      * </pre>
@@ -620,9 +679,9 @@
      */
     public Builder mergeAgent(org.almondslip.protocol.wire.AgentStatus value) {
       if (agentBuilder_ == null) {
-        if (((bitField0_ & 0x00000004) != 0) &&
-          agent_ != null &&
-          agent_ != org.almondslip.protocol.wire.AgentStatus.getDefaultInstance()) {
+        if (((bitField0_ & 0x00000004) != 0)
+            && agent_ != null
+            && agent_ != org.almondslip.protocol.wire.AgentStatus.getDefaultInstance()) {
           getAgentBuilder().mergeFrom(value);
         } else {
           agent_ = value;
@@ -636,7 +695,10 @@
       }
       return this;
     }
+
     /**
+     *
+     *
      * <pre>
      * The remaining fields describe an agent; a router leaves them unset.
      * </pre>
@@ -653,7 +715,10 @@
       onChanged();
       return this;
     }
+
     /**
+     *
+     *
      * <pre>
      * The remaining fields describe an agent; a router leaves them unset.
      * </pre>
@@ -665,7 +730,10 @@
       onChanged();
       return internalGetAgentFieldBuilder().getBuilder();
     }
+
     /**
+     *
+     *
      * <pre>
      * The remaining fields describe an agent; a router leaves them unset.
      * </pre>
@@ -676,11 +744,15 @@
       if (agentBuilder_ != null) {
         return agentBuilder_.getMessageOrBuilder();
       } else {
-        return agent_ == null ?
-            org.almondslip.protocol.wire.AgentStatus.getDefaultInstance() : agent_;
+        return agent_ == null
+            ? org.almondslip.protocol.wire.AgentStatus.getDefaultInstance()
+            : agent_;
       }
     }
+
     /**
+     *
+     *
      * <pre>
      * The remaining fields describe an agent; a router leaves them unset.
      * </pre>
@@ -688,14 +760,17 @@
      * <code>.almondslip.AgentStatus agent = 3;</code>
      */
     private com.google.protobuf.SingleFieldBuilder<
-        org.almondslip.protocol.wire.AgentStatus, org.almondslip.protocol.wire.AgentStatus.Builder, org.almondslip.protocol.wire.AgentStatusOrBuilder> 
+            org.almondslip.protocol.wire.AgentStatus,
+            org.almondslip.protocol.wire.AgentStatus.Builder,
+            org.almondslip.protocol.wire.AgentStatusOrBuilder>
         internalGetAgentFieldBuilder() {
       if (agentBuilder_ == null) {
-        agentBuilder_ = new com.google.protobuf.SingleFieldBuilder<
-            org.almondslip.protocol.wire.AgentStatus, org.almondslip.protocol.wire.AgentStatus.Builder, org.almondslip.protocol.wire.AgentStatusOrBuilder>(
-                getAgent(),
-                getParentForChildren(),
-                isClean());
+        agentBuilder_ =
+            new com.google.protobuf.SingleFieldBuilder<
+                org.almondslip.protocol.wire.AgentStatus,
+                org.almondslip.protocol.wire.AgentStatus.Builder,
+                org.almondslip.protocol.wire.AgentStatusOrBuilder>(
+                getAgent(), getParentForChildren(), isClean());
         agent_ = null;
       }
       return agentBuilder_;
@@ -706,6 +781,7 @@
 
   // @@protoc_insertion_point(class_scope:almondslip.Heartbeat)
   private static final org.almondslip.protocol.wire.Heartbeat DEFAULT_INSTANCE;
+
   static {
     DEFAULT_INSTANCE = new org.almondslip.protocol.wire.Heartbeat();
   }
@@ -714,27 +790,27 @@
     return DEFAULT_INSTANCE;
   }
 
-  private static final com.google.protobuf.Parser<Heartbeat>
-      PARSER = new com.google.protobuf.AbstractParser<Heartbeat>() {
-    @java.lang.Override
-    public Heartbeat parsePartialFrom(
-        com.google.protobuf.CodedInputStream input,
-        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-        throws com.google.protobuf.InvalidProtocolBufferException {
-      Builder builder = newBuilder();
-      try {
-        builder.mergeFrom(input, extensionRegistry);
-      } catch (com.google.protobuf.InvalidProtocolBufferException e) {
-        throw e.setUnfinishedMessage(builder.buildPartial());
-      } catch (com.google.protobuf.UninitializedMessageException e) {
-        throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
-      } catch (java.io.IOException e) {
-        throw new com.google.protobuf.InvalidProtocolBufferException(e)
-            .setUnfinishedMessage(builder.buildPartial());
-      }
-      return builder.buildPartial();
-    }
-  };
+  private static final com.google.protobuf.Parser<Heartbeat> PARSER =
+      new com.google.protobuf.AbstractParser<Heartbeat>() {
+        @java.lang.Override
+        public Heartbeat parsePartialFrom(
+            com.google.protobuf.CodedInputStream input,
+            com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+            throws com.google.protobuf.InvalidProtocolBufferException {
+          Builder builder = newBuilder();
+          try {
+            builder.mergeFrom(input, extensionRegistry);
+          } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+            throw e.setUnfinishedMessage(builder.buildPartial());
+          } catch (com.google.protobuf.UninitializedMessageException e) {
+            throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
+          } catch (java.io.IOException e) {
+            throw new com.google.protobuf.InvalidProtocolBufferException(e)
+                .setUnfinishedMessage(builder.buildPartial());
+          }
+          return builder.buildPartial();
+        }
+      };
 
   public static com.google.protobuf.Parser<Heartbeat> parser() {
     return PARSER;
@@ -749,6 +825,4 @@
   public org.almondslip.protocol.wire.Heartbeat getDefaultInstanceForType() {
     return DEFAULT_INSTANCE;
   }
-
 }
-
--- a/wire/src/main/java/org/almondslip/protocol/wire/HeartbeatOrBuilder.java
+++ b/wire/src/main/java/org/almondslip/protocol/wire/HeartbeatOrBuilder.java
@@ -6,41 +6,54 @@
 package org.almondslip.protocol.wire;
 
 @com.google.protobuf.Generated
-public interface HeartbeatOrBuilder extends
+public interface HeartbeatOrBuilder
+    extends
     // @@protoc_insertion_point(interface_extends:almondslip.Heartbeat)
     com.google.protobuf.MessageOrBuilder {
 
   /**
    * <code>uint64 sequence = 1;</code>
+   *
    * @return The sequence.
    */
   long getSequence();
 
   /**
    * <code>uint64 catalog_revision = 2;</code>
+   *
    * @return The catalogRevision.
    */
   long getCatalogRevision();
 
   /**
+   *
+   *
    * <pre>
    * The remaining fields describe an agent; a router leaves them unset.
    * </pre>
    *
    * <code>.almondslip.AgentStatus agent = 3;</code>
+   *
    * @return Whether the agent field is set.
    */
   boolean hasAgent();
+
   /**
+   *
+   *
    * <pre>
    * The remaining fields describe an agent; a router leaves them unset.
    * </pre>
    *
    * <code>.almondslip.AgentStatus agent = 3;</code>
+   *
    * @return The agent.
    */
   org.almondslip.protocol.wire.AgentStatus getAgent();
+
   /**
+   *
+   *
    * <pre>
    * The remaining fields describe an agent; a router leaves them unset.
    * </pre>
--- a/wire/src/main/java/org/almondslip/protocol/wire/Hello.java
+++ b/wire/src/main/java/org/almondslip/protocol/wire/Hello.java
@@ -6,6 +6,8 @@
 package org.almondslip.protocol.wire;
 
 /**
+ *
+ *
  * <pre>
  * First frame in each direction of a connection.
  * </pre>
@@ -13,24 +15,27 @@
  * Protobuf type {@code almondslip.Hello}
  */
 @com.google.protobuf.Generated
-public final class Hello extends
-    com.google.protobuf.GeneratedMessage implements
+public final class Hello extends com.google.protobuf.GeneratedMessage
+    implements
     // @@protoc_insertion_point(message_implements:almondslip.Hello)
     HelloOrBuilder {
-private static final long serialVersionUID = 0L;
+  private static final long serialVersionUID = 0L;
+
   static {
     com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
-      com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
-      /* major= */ 4,
-      /* minor= */ 36,
-      /* patch= */ 2,
-      /* suffix= */ "",
-      "Hello");
+        com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+        /* major= */ 4,
+        /* minor= */ 36,
+        /* patch= */ 2,
+        /* suffix= */ "",
+        "Hello");
   }
+
   // Use Hello.newBuilder() to construct.
   private Hello(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
     super(builder);
   }
+
   private Hello() {
     instanceId_ = "";
     role_ = 0;
@@ -41,8 +46,7 @@
     target_ = "";
   }
 
-  public static final com.google.protobuf.Descriptors.Descriptor
-      getDescriptor() {
+  public static final com.google.protobuf.Descriptors.Descriptor getDescriptor() {
     return org.almondslip.protocol.wire.Almondslip.internal_static_almondslip_Hello_descriptor;
   }
 
@@ -54,15 +58,19 @@
   @java.lang.Override
   protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internalGetFieldAccessorTable() {
-    return org.almondslip.protocol.wire.Almondslip.internal_static_almondslip_Hello_fieldAccessorTable
+    return org.almondslip.protocol.wire.Almondslip
+        .internal_static_almondslip_Hello_fieldAccessorTable
         .ensureFieldAccessorsInitialized(
-            org.almondslip.protocol.wire.Hello.class, org.almondslip.protocol.wire.Hello.Builder.class);
+            org.almondslip.protocol.wire.Hello.class,
+            org.almondslip.protocol.wire.Hello.Builder.class);
   }
 
   public static final int PROTOCOL_VERSION_FIELD_NUMBER = 1;
   private int protocolVersion_ = 0;
+
   /**
    * <code>uint32 protocol_version = 1;</code>
+   *
    * @return The protocolVersion.
    */
   @java.lang.Override
@@ -71,10 +79,13 @@
   }
 
   public static final int INSTANCE_ID_FIELD_NUMBER = 2;
+
   @SuppressWarnings("serial")
   private volatile java.lang.Object instanceId_ = "";
+
   /**
    * <code>string instance_id = 2;</code>
+   *
    * @return The instanceId.
    */
   @java.lang.Override
@@ -83,25 +94,24 @@
     if (ref instanceof java.lang.String) {
       return (java.lang.String) ref;
     } else {
-      com.google.protobuf.ByteString bs = 
-          (com.google.protobuf.ByteString) ref;
+      com.google.protobuf.ByteString bs = (com.google.protobuf.ByteString) ref;
       java.lang.String s = bs.toStringUtf8();
       instanceId_ = s;
       return s;
     }
   }
+
   /**
    * <code>string instance_id = 2;</code>
+   *
    * @return The bytes for instanceId.
    */
   @java.lang.Override
-  public com.google.protobuf.ByteString
-      getInstanceIdBytes() {
+  public com.google.protobuf.ByteString getInstanceIdBytes() {
     java.lang.Object ref = instanceId_;
     if (ref instanceof java.lang.String) {
-      com.google.protobuf.ByteString b = 
-          com.google.protobuf.ByteString.copyFromUtf8(
-              (java.lang.String) ref);
+      com.google.protobuf.ByteString b =
+          com.google.protobuf.ByteString.copyFromUtf8((java.lang.String) ref);
       instanceId_ = b;
       return b;
     } else {
@@ -111,12 +121,16 @@
 
   public static final int INCARNATION_FIELD_NUMBER = 3;
   private long incarnation_ = 0L;
+
   /**
+   *
+   *
    * <pre>
    * Differs for every start of a process; grows with its start time.
    * </pre>
    *
    * <code>fixed64 incarnation = 3;</code>
+   *
    * @return The incarnation.
    */
   @java.lang.Override
@@ -126,27 +140,36 @@
 
   public static final int ROLE_FIELD_NUMBER = 4;
   private int role_ = 0;
+
   /**
    * <code>.almondslip.Role role = 4;</code>
+   *
    * @return The enum numeric value on the wire for role.
    */
-  @java.lang.Override public int getRoleValue() {
+  @java.lang.Override
+  public int getRoleValue() {
     return role_;
   }
+
   /**
    * <code>.almondslip.Role role = 4;</code>
+   *
    * @return The role.
    */
-  @java.lang.Override public org.almondslip.protocol.wire.Role getRole() {
+  @java.lang.Override
+  public org.almondslip.protocol.wire.Role getRole() {
     org.almondslip.protocol.wire.Role result = org.almondslip.protocol.wire.Role.forNumber(role_);
     return result == null ? org.almondslip.protocol.wire.Role.UNRECOGNIZED : result;
   }
 
   public static final int REGION_FIELD_NUMBER = 5;
+
   @SuppressWarnings("serial")
   private volatile java.lang.Object region_ = "";
+
   /**
    * <code>string region = 5;</code>
+   *
    * @return The region.
    */
   @java.lang.Override
@@ -155,25 +178,24 @@
     if (ref instanceof java.lang.String) {
       return (java.lang.String) ref;
     } else {
-      com.google.protobuf.ByteString bs = 
-          (com.google.protobuf.ByteString) ref;
+      com.google.protobuf.ByteString bs = (com.google.protobuf.ByteString) ref;
       java.lang.String s = bs.toStringUtf8();
       region_ = s;
       return s;
     }
   }
+
   /**
    * <code>string region = 5;</code>
+   *
    * @return The bytes for region.
    */
   @java.lang.Override
-  public com.google.protobuf.ByteString
-      getRegionBytes() {
+  public com.google.protobuf.ByteString getRegionBytes() {
     java.lang.Object ref = region_;
     if (ref instanceof java.lang.String) {
-      com.google.protobuf.ByteString b = 
-          com.google.protobuf.ByteString.copyFromUtf8(
-              (java.lang.String) ref);
+      com.google.protobuf.ByteString b =
+          com.google.protobuf.ByteString.copyFromUtf8((java.lang.String) ref);
       region_ = b;
       return b;
     } else {
@@ -182,10 +204,13 @@
   }
 
   public static final int DATA_CENTRE_FIELD_NUMBER = 6;
+
   @SuppressWarnings("serial")
   private volatile java.lang.Object dataCentre_ = "";
+
   /**
    * <code>string data_centre = 6;</code>
+   *
    * @return The dataCentre.
    */
   @java.lang.Override
@@ -194,25 +219,24 @@
     if (ref instanceof java.lang.String) {
       return (java.lang.String) ref;
     } else {
-      com.google.protobuf.ByteString bs = 
-          (com.google.protobuf.ByteString) ref;
+      com.google.protobuf.ByteString bs = (com.google.protobuf.ByteString) ref;
       java.lang.String s = bs.toStringUtf8();
       dataCentre_ = s;
       return s;
     }
   }
+
   /**
    * <code>string data_centre = 6;</code>
+   *
    * @return The bytes for dataCentre.
    */
   @java.lang.Override
-  public com.google.protobuf.ByteString
-      getDataCentreBytes() {
+  public com.google.protobuf.ByteString getDataCentreBytes() {
     java.lang.Object ref = dataCentre_;
     if (ref instanceof java.lang.String) {
-      com.google.protobuf.ByteString b = 
-          com.google.protobuf.ByteString.copyFromUtf8(
-              (java.lang.String) ref);
+      com.google.protobuf.ByteString b =
+          com.google.protobuf.ByteString.copyFromUtf8((java.lang.String) ref);
       dataCentre_ = b;
       return b;
     } else {
@@ -221,14 +245,19 @@
   }
 
   public static final int INNER_ADDRESS_FIELD_NUMBER = 7;
+
   @SuppressWarnings("serial")
   private volatile java.lang.Object innerAddress_ = "";
+
   /**
+   *
+   *
    * <pre>
    * IP address and port on which the process accepts inner connections.
    * </pre>
    *
    * <code>string inner_address = 7;</code>
+   *
    * @return The innerAddress.
    */
   @java.lang.Override
@@ -237,29 +266,30 @@
     if (ref instanceof java.lang.String) {
       return (java.lang.String) ref;
     } else {
-      com.google.protobuf.ByteString bs = 
-          (com.google.protobuf.ByteString) ref;
+      com.google.protobuf.ByteString bs = (com.google.protobuf.ByteString) ref;
       java.lang.String s = bs.toStringUtf8();
       innerAddress_ = s;
       return s;
     }
   }
+
   /**
+   *
+   *
    * <pre>
    * IP address and port on which the process accepts inner connections.
    * </pre>
    *
    * <code>string inner_address = 7;</code>
+   *
    * @return The bytes for innerAddress.
    */
   @java.lang.Override
-  public com.google.protobuf.ByteString
-      getInnerAddressBytes() {
+  public com.google.protobuf.ByteString getInnerAddressBytes() {
     java.lang.Object ref = innerAddress_;
     if (ref instanceof java.lang.String) {
-      com.google.protobuf.ByteString b = 
-          com.google.protobuf.ByteString.copyFromUtf8(
-              (java.lang.String) ref);
+      com.google.protobuf.ByteString b =
+          com.google.protobuf.ByteString.copyFromUtf8((java.lang.String) ref);
       innerAddress_ = b;
       return b;
     } else {
@@ -269,12 +299,16 @@
 
   public static final int NONCE_FIELD_NUMBER = 8;
   private com.google.protobuf.ByteString nonce_ = com.google.protobuf.ByteString.EMPTY;
+
   /**
+   *
+   *
    * <pre>
    * Random bytes that the peer must sign with the shared secret.
    * </pre>
    *
    * <code>bytes nonce = 8;</code>
+   *
    * @return The nonce.
    */
   @java.lang.Override
@@ -283,14 +317,19 @@
   }
 
   public static final int TARGET_FIELD_NUMBER = 9;
+
   @SuppressWarnings("serial")
   private volatile java.lang.Object target_ = "";
+
   /**
+   *
+   *
    * <pre>
    * Name of the target beside an agent; empty for a router.
    * </pre>
    *
    * <code>string target = 9;</code>
+   *
    * @return The target.
    */
   @java.lang.Override
@@ -299,29 +338,30 @@
     if (ref instanceof java.lang.String) {
       return (java.lang.String) ref;
     } else {
-      com.google.protobuf.ByteString bs = 
-          (com.google.protobuf.ByteString) ref;
+      com.google.protobuf.ByteString bs = (com.google.protobuf.ByteString) ref;
       java.lang.String s = bs.toStringUtf8();
       target_ = s;
       return s;
     }
   }
+
   /**
+   *
+   *
    * <pre>
    * Name of the target beside an agent; empty for a router.
    * </pre>
    *
    * <code>string target = 9;</code>
+   *
    * @return The bytes for target.
    */
   @java.lang.Override
-  public com.google.protobuf.ByteString
-      getTargetBytes() {
+  public com.google.protobuf.ByteString getTargetBytes() {
     java.lang.Object ref = target_;
     if (ref instanceof java.lang.String) {
-      com.google.protobuf.ByteString b = 
-          com.google.protobuf.ByteString.copyFromUtf8(
-              (java.lang.String) ref);
+      com.google.protobuf.ByteString b =
+          com.google.protobuf.ByteString.copyFromUtf8((java.lang.String) ref);
       target_ = b;
       return b;
     } else {
@@ -330,6 +370,7 @@
   }
 
   private byte memoizedIsInitialized = -1;
+
   @java.lang.Override
   public final boolean isInitialized() {
     byte isInitialized = memoizedIsInitialized;
@@ -341,8 +382,7 @@
   }
 
   @java.lang.Override
-  public void writeTo(com.google.protobuf.CodedOutputStream output)
-                      throws java.io.IOException {
+  public void writeTo(com.google.protobuf.CodedOutputStream output) throws java.io.IOException {
     if (protocolVersion_ != 0) {
       output.writeUInt32(1, protocolVersion_);
     }
@@ -372,22 +412,20 @@
     }
     getUnknownFields().writeTo(output);
   }
+
   private int computeSerializedSize_0() {
     int size = 0;
     if (protocolVersion_ != 0) {
-      size += com.google.protobuf.CodedOutputStream
-        .computeUInt32Size(1, protocolVersion_);
+      size += com.google.protobuf.CodedOutputStream.computeUInt32Size(1, protocolVersion_);
     }
     if (!com.google.protobuf.GeneratedMessage.isStringEmpty(instanceId_)) {
       size += com.google.protobuf.GeneratedMessage.computeStringSize(2, instanceId_);
     }
     if (incarnation_ != 0L) {
-      size += com.google.protobuf.CodedOutputStream
-        .computeFixed64Size(3, incarnation_);
+      size += com.google.protobuf.CodedOutputStream.computeFixed64Size(3, incarnation_);
     }
     if (role_ != org.almondslip.protocol.wire.Role.ROLE_UNSPECIFIED.getNumber()) {
-      size += com.google.protobuf.CodedOutputStream
-        .computeEnumSize(4, role_);
+      size += com.google.protobuf.CodedOutputStream.computeEnumSize(4, role_);
     }
     if (!com.google.protobuf.GeneratedMessage.isStringEmpty(region_)) {
       size += com.google.protobuf.GeneratedMessage.computeStringSize(5, region_);
@@ -399,14 +437,14 @@
       size += com.google.protobuf.GeneratedMessage.computeStringSize(7, innerAddress_);
     }
     if (!nonce_.isEmpty()) {
-      size += com.google.protobuf.CodedOutputStream
-        .computeBytesSize(8, nonce_);
+      size += com.google.protobuf.CodedOutputStream.computeBytesSize(8, nonce_);
     }
     if (!com.google.protobuf.GeneratedMessage.isStringEmpty(target_)) {
       size += com.google.protobuf.GeneratedMessage.computeStringSize(9, target_);
     }
     return size;
   }
+
   @java.lang.Override
   public int getSerializedSize() {
     int size = memoizedSize;
@@ -422,30 +460,22 @@
   @java.lang.Override
   public boolean equals(final java.lang.Object obj) {
     if (obj == this) {
-     return true;
+      return true;
     }
     if (!(obj instanceof org.almondslip.protocol.wire.Hello)) {
       return super.equals(obj);
     }
     org.almondslip.protocol.wire.Hello other = (org.almondslip.protocol.wire.Hello) obj;
 
-    if (getProtocolVersion()
-        != other.getProtocolVersion()) return false;
-    if (!getInstanceId()
-        .equals(other.getInstanceId())) return false;
-    if (getIncarnation()
-        != other.getIncarnation()) return false;
+    if (getProtocolVersion() != other.getProtocolVersion()) return false;
+    if (!getInstanceId().equals(other.getInstanceId())) return false;
+    if (getIncarnation() != other.getIncarnation()) return false;
     if (role_ != other.role_) return false;
-    if (!getRegion()
-        .equals(other.getRegion())) return false;
-    if (!getDataCentre()
-        .equals(other.getDataCentre())) return false;
-    if (!getInnerAddress()
-        .equals(other.getInnerAddress())) return false;
-    if (!getNonce()
-        .equals(other.getNonce())) return false;
-    if (!getTarget()
-        .equals(other.getTarget())) return false;
+    if (!getRegion().equals(other.getRegion())) return false;
+    if (!getDataCentre().equals(other.getDataCentre())) return false;
+    if (!getInnerAddress().equals(other.getInnerAddress())) return false;
+    if (!getNonce().equals(other.getNonce())) return false;
+    if (!getTarget().equals(other.getTarget())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -462,8 +492,7 @@
     hash = (37 * hash) + INSTANCE_ID_FIELD_NUMBER;
     hash = (53 * hash) + getInstanceId().hashCode();
     hash = (37 * hash) + INCARNATION_FIELD_NUMBER;
-    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
-        getIncarnation());
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(getIncarnation());
     hash = (37 * hash) + ROLE_FIELD_NUMBER;
     hash = (53 * hash) + role_;
     hash = (37 * hash) + REGION_FIELD_NUMBER;
@@ -481,132 +510,135 @@
     return hash;
   }
 
-  public static org.almondslip.protocol.wire.Hello parseFrom(
-      java.nio.ByteBuffer data)
+  public static org.almondslip.protocol.wire.Hello parseFrom(java.nio.ByteBuffer data)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data);
   }
+
   public static org.almondslip.protocol.wire.Hello parseFrom(
-      java.nio.ByteBuffer data,
-      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+      java.nio.ByteBuffer data, com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data, extensionRegistry);
   }
-  public static org.almondslip.protocol.wire.Hello parseFrom(
-      com.google.protobuf.ByteString data)
+
+  public static org.almondslip.protocol.wire.Hello parseFrom(com.google.protobuf.ByteString data)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data);
   }
+
   public static org.almondslip.protocol.wire.Hello parseFrom(
       com.google.protobuf.ByteString data,
       com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data, extensionRegistry);
   }
+
   public static org.almondslip.protocol.wire.Hello parseFrom(byte[] data)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data);
   }
+
   public static org.almondslip.protocol.wire.Hello parseFrom(
-      byte[] data,
-      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+      byte[] data, com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data, extensionRegistry);
   }
+
   public static org.almondslip.protocol.wire.Hello parseFrom(java.io.InputStream input)
       throws java.io.IOException {
-    return com.google.protobuf.GeneratedMessage
-        .parseWithIOException(PARSER, input);
+    return com.google.protobuf.GeneratedMessage.parseWithIOException(PARSER, input);
   }
+
   public static org.almondslip.protocol.wire.Hello parseFrom(
-      java.io.InputStream input,
-      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+      java.io.InputStream input, com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws java.io.IOException {
-    return com.google.protobuf.GeneratedMessage
-        .parseWithIOException(PARSER, input, extensionRegistry);
+    return com.google.protobuf.GeneratedMessage.parseWithIOException(
+        PARSER, input, extensionRegistry);
   }
 
   public static org.almondslip.protocol.wire.Hello parseDelimitedFrom(java.io.InputStream input)
       throws java.io.IOException {
-    return com.google.protobuf.GeneratedMessage
-        .parseDelimitedWithIOException(PARSER, input);
+    return com.google.protobuf.GeneratedMessage.parseDelimitedWithIOException(PARSER, input);
   }
 
   public static org.almondslip.protocol.wire.Hello parseDelimitedFrom(
-      java.io.InputStream input,
-      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+      java.io.InputStream input, com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws java.io.IOException {
-    return com.google.protobuf.GeneratedMessage
-        .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
+    return com.google.protobuf.GeneratedMessage.parseDelimitedWithIOException(
+        PARSER, input, extensionRegistry);
   }
+
   public static org.almondslip.protocol.wire.Hello parseFrom(
-      com.google.protobuf.CodedInputStream input)
-      throws java.io.IOException {
-    return com.google.protobuf.GeneratedMessage
-        .parseWithIOException(PARSER, input);
+      com.google.protobuf.CodedInputStream input) throws java.io.IOException {
+    return com.google.protobuf.GeneratedMessage.parseWithIOException(PARSER, input);
   }
+
   public static org.almondslip.protocol.wire.Hello parseFrom(
       com.google.protobuf.CodedInputStream input,
       com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws java.io.IOException {
-    return com.google.protobuf.GeneratedMessage
-        .parseWithIOException(PARSER, input, extensionRegistry);
+    return com.google.protobuf.GeneratedMessage.parseWithIOException(
+        PARSER, input, extensionRegistry);
   }
 
   @java.lang.Override
-  public Builder newBuilderForType() { return newBuilder(); }
+  public Builder newBuilderForType() {
+    return newBuilder();
+  }
+
   public static Builder newBuilder() {
     return DEFAULT_INSTANCE.toBuilder();
   }
+
   public static Builder newBuilder(org.almondslip.protocol.wire.Hello prototype) {
     return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
   }
+
   @java.lang.Override
   public Builder toBuilder() {
-    return this == DEFAULT_INSTANCE
-        ? new Builder() : new Builder().mergeFrom(this);
+    return this == DEFAULT_INSTANCE ? new Builder() : new Builder().mergeFrom(this);
   }
 
   @java.lang.Override
-  protected Builder newBuilderForType(
-      com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+  protected Builder newBuilderForType(com.google.protobuf.GeneratedMessage.BuilderParent parent) {
     Builder builder = new Builder(parent);
     return builder;
   }
+
   /**
+   *
+   *
    * <pre>
    * First frame in each direction of a connection.
    * </pre>
    *
    * Protobuf type {@code almondslip.Hello}
    */
-  public static final class Builder extends
-      com.google.protobuf.GeneratedMessage.Builder<Builder> implements
+  public static final class Builder extends com.google.protobuf.GeneratedMessage.Builder<Builder>
+      implements
       // @@protoc_insertion_point(builder_implements:almondslip.Hello)
       org.almondslip.protocol.wire.HelloOrBuilder {
-    public static final com.google.protobuf.Descriptors.Descriptor
-        getDescriptor() {
+    public static final com.google.protobuf.Descriptors.Descriptor getDescriptor() {
       return org.almondslip.protocol.wire.Almondslip.internal_static_almondslip_Hello_descriptor;
     }
 
     @java.lang.Override
     protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
         internalGetFieldAccessorTable() {
-      return org.almondslip.protocol.wire.Almondslip.internal_static_almondslip_Hello_fieldAccessorTable
+      return org.almondslip.protocol.wire.Almondslip
+          .internal_static_almondslip_Hello_fieldAccessorTable
           .ensureFieldAccessorsInitialized(
-              org.almondslip.protocol.wire.Hello.class, org.almondslip.protocol.wire.Hello.Builder.class);
+              org.almondslip.protocol.wire.Hello.class,
+              org.almondslip.protocol.wire.Hello.Builder.class);
     }
 
     // Construct using org.almondslip.protocol.wire.Hello.newBuilder()
-    private Builder() {
-
-    }
+    private Builder() {}
 
-    private Builder(
-        com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+    private Builder(com.google.protobuf.GeneratedMessage.BuilderParent parent) {
       super(parent);
-
     }
+
     @java.lang.Override
     public Builder clear() {
       super.clear();
@@ -624,8 +656,7 @@
     }
 
     @java.lang.Override
-    public com.google.protobuf.Descriptors.Descriptor
-        getDescriptorForType() {
+    public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
       return org.almondslip.protocol.wire.Almondslip.internal_static_almondslip_Hello_descriptor;
     }
 
@@ -646,7 +677,9 @@
     @java.lang.Override
     public org.almondslip.protocol.wire.Hello buildPartial() {
       org.almondslip.protocol.wire.Hello result = new org.almondslip.protocol.wire.Hello(this);
-      if (bitField0_ != 0) { buildPartial0(result); }
+      if (bitField0_ != 0) {
+        buildPartial0(result);
+      }
       onBuilt();
       return result;
     }
@@ -685,7 +718,7 @@
     @java.lang.Override
     public Builder mergeFrom(com.google.protobuf.Message other) {
       if (other instanceof org.almondslip.protocol.wire.Hello) {
-        return mergeFrom((org.almondslip.protocol.wire.Hello)other);
+        return mergeFrom((org.almondslip.protocol.wire.Hello) other);
       } else {
         super.mergeFrom(other);
         return this;
@@ -755,57 +788,67 @@
             case 0:
               done = true;
               break;
-            case 8: {
-              protocolVersion_ = input.readUInt32();
-              bitField0_ |= 0x00000001;
-              break;
-            } // case 8
-            case 18: {
-              instanceId_ = input.readStringRequireUtf8();
-              bitField0_ |= 0x00000002;
-              break;
-            } // case 18
-            case 25: {
-              incarnation_ = input.readFixed64();
-              bitField0_ |= 0x00000004;
-              break;
-            } // case 25
-            case 32: {
-              role_ = input.readEnum();
-              bitField0_ |= 0x00000008;
-              break;
-            } // case 32
-            case 42: {
-              region_ = input.readStringRequireUtf8();
-              bitField0_ |= 0x00000010;
-              break;
-            } // case 42
-            case 50: {
-              dataCentre_ = input.readStringRequireUtf8();
-              bitField0_ |= 0x00000020;
-              break;
-            } // case 50
-            case 58: {
-              innerAddress_ = input.readStringRequireUtf8();
-              bitField0_ |= 0x00000040;
-              break;
-            } // case 58
-            case 66: {
-              nonce_ = input.readBytes();
-              bitField0_ |= 0x00000080;
-              break;
-            } // case 66
-            case 74: {
-              target_ = input.readStringRequireUtf8();
-              bitField0_ |= 0x00000100;
-              break;
-            } // case 74
-            default: {
-              if (!super.parseUnknownField(input, extensionRegistry, tag)) {
-                done = true; // was an endgroup tag
-              }
-              break;
-            } // default:
+            case 8:
+              {
+                protocolVersion_ = input.readUInt32();
+                bitField0_ |= 0x00000001;
+                break;
+              } // case 8
+            case 18:
+              {
+                instanceId_ = input.readStringRequireUtf8();
+                bitField0_ |= 0x00000002;
+                break;
+              } // case 18
+            case 25:
+              {
+                incarnation_ = input.readFixed64();
+                bitField0_ |= 0x00000004;
+                break;
+              } // case 25
+            case 32:
+              {
+                role_ = input.readEnum();
+                bitField0_ |= 0x00000008;
+                break;
+              } // case 32
+            case 42:
+              {
+                region_ = input.readStringRequireUtf8();
+                bitField0_ |= 0x00000010;
+                break;
+              } // case 42
+            case 50:
+              {
+                dataCentre_ = input.readStringRequireUtf8();
+                bitField0_ |= 0x00000020;
+                break;
+              } // case 50
+            case 58:
+              {
+                innerAddress_ = input.readStringRequireUtf8();
+                bitField0_ |= 0x00000040;
+                break;
+              } // case 58
+            case 66:
+              {
+                nonce_ = input.readBytes();
+                bitField0_ |= 0x00000080;
+                break;
+              } // case 66
+            case 74:
+              {
+                target_ = input.readStringRequireUtf8();
+                bitField0_ |= 0x00000100;
+                break;
+              } // case 74
+            default:
+              {
+                if (!super.parseUnknownField(input, extensionRegistry, tag)) {
+                  done = true; // was an endgroup tag
+                }
+                break;
+              } // default:
           } // switch (tag)
         } // while (!done)
       } catch (com.google.protobuf.InvalidProtocolBufferException e) {
@@ -815,19 +858,24 @@
       } // finally
       return this;
     }
+
     private int bitField0_;
 
-    private int protocolVersion_ ;
+    private int protocolVersion_;
+
     /**
      * <code>uint32 protocol_version = 1;</code>
+     *
      * @return The protocolVersion.
      */
     @java.lang.Override
     public int getProtocolVersion() {
       return protocolVersion_;
     }
+
     /**
      * <code>uint32 protocol_version = 1;</code>
+     *
      * @param value The protocolVersion to set.
      * @return This builder for chaining.
      */
@@ -838,8 +886,10 @@
       onChanged();
       return this;
     }
+
     /**
      * <code>uint32 protocol_version = 1;</code>
+     *
      * @return This builder for chaining.
      */
     public Builder clearProtocolVersion() {
@@ -850,15 +900,16 @@
     }
 
     private java.lang.Object instanceId_ = "";
+
     /**
      * <code>string instance_id = 2;</code>
+     *
      * @return The instanceId.
      */
     public java.lang.String getInstanceId() {
       java.lang.Object ref = instanceId_;
       if (!(ref instanceof java.lang.String)) {
-        com.google.protobuf.ByteString bs =
-            (com.google.protobuf.ByteString) ref;
+        com.google.protobuf.ByteString bs = (com.google.protobuf.ByteString) ref;
         java.lang.String s = bs.toStringUtf8();
         instanceId_ = s;
         return s;
@@ -866,38 +917,41 @@
         return (java.lang.String) ref;
       }
     }
+
     /**
      * <code>string instance_id = 2;</code>
+     *
      * @return The bytes for instanceId.
      */
-    public com.google.protobuf.ByteString
-        getInstanceIdBytes() {
+    public com.google.protobuf.ByteString getInstanceIdBytes() {
       java.lang.Object ref = instanceId_;
       if (ref instanceof String) {
-        com.google.protobuf.ByteString b = 
-            com.google.protobuf.ByteString.copyFromUtf8(
-                (java.lang.String) ref);
+        com.google.protobuf.ByteString b =
+            com.google.protobuf.ByteString.copyFromUtf8((java.lang.String) ref);
         instanceId_ = b;
         return b;
       } else {
         return (com.google.protobuf.ByteString) ref;
       }
     }
+
     /**
      * <code>string instance_id = 2;</code>
+     *
      * @param value The instanceId to set.
      * @return This builder for chaining.
      */
-    public Builder setInstanceId(
-        java.lang.String value) {
+    public Builder setInstanceId(java.lang.String value) {
       java.util.Objects.requireNonNull(value);
       instanceId_ = value;
       bitField0_ |= 0x00000002;
       onChanged();
       return this;
     }
+
     /**
      * <code>string instance_id = 2;</code>
+     *
      * @return This builder for chaining.
      */
     public Builder clearInstanceId() {
@@ -906,13 +960,14 @@
       onChanged();
       return this;
     }
+
     /**
      * <code>string instance_id = 2;</code>
+     *
      * @param value The bytes for instanceId to set.
      * @return This builder for chaining.
      */
-    public Builder setInstanceIdBytes(
-        com.google.protobuf.ByteString value) {
+    public Builder setInstanceIdBytes(com.google.protobuf.ByteString value) {
       java.util.Objects.requireNonNull(value);
       checkByteStringIsUtf8(value);
       instanceId_ = value;
@@ -921,25 +976,33 @@
       return this;
     }
 
-    private long incarnation_ ;
+    private long incarnation_;
+
     /**
+     *
+     *
      * <pre>
      * Differs for every start of a process; grows with its start time.
      * </pre>
      *
      * <code>fixed64 incarnation = 3;</code>
+     *
      * @return The incarnation.
      */
     @java.lang.Override
     public long getIncarnation() {
       return incarnation_;
     }
+
     /**
+     *
+     *
      * <pre>
      * Differs for every start of a process; grows with its start time.
      * </pre>
      *
      * <code>fixed64 incarnation = 3;</code>
+     *
      * @param value The incarnation to set.
      * @return This builder for chaining.
      */
@@ -950,12 +1013,16 @@
       onChanged();
       return this;
     }
+
     /**
+     *
+     *
      * <pre>
      * Differs for every start of a process; grows with its start time.
      * </pre>
      *
      * <code>fixed64 incarnation = 3;</code>
+     *
      * @return This builder for chaining.
      */
     public Builder clearIncarnation() {
@@ -966,15 +1033,20 @@
     }
 
     private int role_ = 0;
+
     /**
      * <code>.almondslip.Role role = 4;</code>
+     *
      * @return The enum numeric value on the wire for role.
      */
-    @java.lang.Override public int getRoleValue() {
+    @java.lang.Override
+    public int getRoleValue() {
       return role_;
     }
+
     /**
      * <code>.almondslip.Role role = 4;</code>
+     *
      * @param value The enum numeric value on the wire for role to set.
      * @return This builder for chaining.
      */
@@ -984,8 +1056,10 @@
       onChanged();
       return this;
     }
+
     /**
      * <code>.almondslip.Role role = 4;</code>
+     *
      * @return The role.
      */
     @java.lang.Override
@@ -993,8 +1067,10 @@
       org.almondslip.protocol.wire.Role result = org.almondslip.protocol.wire.Role.forNumber(role_);
       return result == null ? org.almondslip.protocol.wire.Role.UNRECOGNIZED : result;
     }
+
     /**
      * <code>.almondslip.Role role = 4;</code>
+     *
      * @param value The role to set.
      * @throws IllegalArgumentException if UNRECOGNIZED is provided.
      * @return This builder for chaining.
@@ -1006,8 +1082,10 @@
       onChanged();
       return this;
     }
+
     /**
      * <code>.almondslip.Role role = 4;</code>
+     *
      * @return This builder for chaining.
      */
     public Builder clearRole() {
@@ -1018,15 +1096,16 @@
     }
 
     private java.lang.Object region_ = "";
+
     /**
      * <code>string region = 5;</code>
+     *
      * @return The region.
      */
     public java.lang.String getRegion() {
       java.lang.Object ref = region_;
       if (!(ref instanceof java.lang.String)) {
-        com.google.protobuf.ByteString bs =
-            (com.google.protobuf.ByteString) ref;
+        com.google.protobuf.ByteString bs = (com.google.protobuf.ByteString) ref;
         java.lang.String s = bs.toStringUtf8();
         region_ = s;
         return s;
@@ -1034,38 +1113,41 @@
         return (java.lang.String) ref;
       }
     }
+
     /**
      * <code>string region = 5;</code>
+     *
      * @return The bytes for region.
      */
-    public com.google.protobuf.ByteString
-        getRegionBytes() {
+    public com.google.protobuf.ByteString getRegionBytes() {
       java.lang.Object ref = region_;
       if (ref instanceof String) {
-        com.google.protobuf.ByteString b = 
-            com.google.protobuf.ByteString.copyFromUtf8(
-                (java.lang.String) ref);
+        com.google.protobuf.ByteString b =
+            com.google.protobuf.ByteString.copyFromUtf8((java.lang.String) ref);
         region_ = b;
         return b;
       } else {
         return (com.google.protobuf.ByteString) ref;
       }
     }
+
     /**
      * <code>string region = 5;</code>
+     *
      * @param value The region to set.
      * @return This builder for chaining.
      */
-    public Builder setRegion(
-        java.lang.String value) {
+    public Builder setRegion(java.lang.String value) {
       java.util.Objects.requireNonNull(value);
       region_ = value;
       bitField0_ |= 0x00000010;
       onChanged();
       return this;
     }
+
     /**
      * <code>string region = 5;</code>
+     *
      * @return This builder for chaining.
      */
     public Builder clearRegion() {
@@ -1074,13 +1156,14 @@
       onChanged();
       return this;
     }
+
     /**
      * <code>string region = 5;</code>
+     *
      * @param value The bytes for region to set.
      * @return This builder for chaining.
      */
-    public Builder setRegionBytes(
-        com.google.protobuf.ByteString value) {
+    public Builder setRegionBytes(com.google.protobuf.ByteString value) {
       java.util.Objects.requireNonNull(value);
       checkByteStringIsUtf8(value);
       region_ = value;
@@ -1090,15 +1173,16 @@
     }
 
     private java.lang.Object dataCentre_ = "";
+
     /**
      * <code>string data_centre = 6;</code>
+     *
      * @return The dataCentre.
      */
     public java.lang.String getDataCentre() {
       java.lang.Object ref = dataCentre_;
       if (!(ref instanceof java.lang.String)) {
-        com.google.protobuf.ByteString bs =
-            (com.google.protobuf.ByteString) ref;
+        com.google.protobuf.ByteString bs = (com.google.protobuf.ByteString) ref;
         java.lang.String s = bs.toStringUtf8();
         dataCentre_ = s;
         return s;
@@ -1106,38 +1190,41 @@
         return (java.lang.String) ref;
       }
     }
+
     /**
      * <code>string data_centre = 6;</code>
+     *
      * @return The bytes for dataCentre.
      */
-    public com.google.protobuf.ByteString
-        getDataCentreBytes() {
+    public com.google.protobuf.ByteString getDataCentreBytes() {
       java.lang.Object ref = dataCentre_;
       if (ref instanceof String) {
-        com.google.protobuf.ByteString b = 
-            com.google.protobuf.ByteString.copyFromUtf8(
-                (java.lang.String) ref);
+        com.google.protobuf.ByteString b =
+            com.google.protobuf.ByteString.copyFromUtf8((java.lang.String) ref);
         dataCentre_ = b;
         return b;
       } else {
         return (com.google.protobuf.ByteString) ref;
       }
     }
+
     /**
      * <code>string data_centre = 6;</code>
+     *
      * @param value The dataCentre to set.
      * @return This builder for chaining.
      */
-    public Builder setDataCentre(
-        java.lang.String value) {
+    public Builder setDataCentre(java.lang.String value) {
       java.util.Objects.requireNonNull(value);
       dataCentre_ = value;
       bitField0_ |= 0x00000020;
       onChanged();
       return this;
     }
+
     /**
      * <code>string data_centre = 6;</code>
+     *
      * @return This builder for chaining.
      */
     public Builder clearDataCentre() {
@@ -1146,13 +1233,14 @@
       onChanged();
       return this;
     }
+
     /**
      * <code>string data_centre = 6;</code>
+     *
      * @param value The bytes for dataCentre to set.
      * @return This builder for chaining.
      */
-    public Builder setDataCentreBytes(
-        com.google.protobuf.ByteString value) {
+    public Builder setDataCentreBytes(com.google.protobuf.ByteString value) {
       java.util.Objects.requireNonNull(value);
       checkByteStringIsUtf8(value);
       dataCentre_ = value;
@@ -1162,19 +1250,22 @@
     }
 
     private java.lang.Object innerAddress_ = "";
+
     /**
+     *
+     *
      * <pre>
      * IP address and port on which the process accepts inner connections.
      * </pre>
      *
      * <code>string inner_address = 7;</code>
+     *
      * @return The innerAddress.
      */
     public java.lang.String getInnerAddress() {
       java.lang.Object ref = innerAddress_;
       if (!(ref instanceof java.lang.String)) {
-        com.google.protobuf.ByteString bs =
-            (com.google.protobuf.ByteString) ref;
+        com.google.protobuf.ByteString bs = (com.google.protobuf.ByteString) ref;
         java.lang.String s = bs.toStringUtf8();
         innerAddress_ = s;
         return s;
@@ -1182,50 +1273,59 @@
         return (java.lang.String) ref;
       }
     }
+
     /**
+     *
+     *
      * <pre>
      * IP address and port on which the process accepts inner connections.
      * </pre>
      *
      * <code>string inner_address = 7;</code>
+     *
      * @return The bytes for innerAddress.
      */
-    public com.google.protobuf.ByteString
-        getInnerAddressBytes() {
+    public com.google.protobuf.ByteString getInnerAddressBytes() {
       java.lang.Object ref = innerAddress_;
       if (ref instanceof String) {
-        com.google.protobuf.ByteString b = 
-            com.google.protobuf.ByteString.copyFromUtf8(
-                (java.lang.String) ref);
+        com.google.protobuf.ByteString b =
+            com.google.protobuf.ByteString.copyFromUtf8((java.lang.String) ref);
         innerAddress_ = b;
         return b;
       } else {
         return (com.google.protobuf.ByteString) ref;
       }
     }
+
     /**
+     *
+     *
      * <pre>
      * IP address and port on which the process accepts inner connections.
      * </pre>
      *
      * <code>string inner_address = 7;</code>
+     *
      * @param value The innerAddress to set.
      * @return This builder for chaining.
      */
-    public Builder setInnerAddress(
-        java.lang.String value) {
+    public Builder setInnerAddress(java.lang.String value) {
       java.util.Objects.requireNonNull(value);
       innerAddress_ = value;
       bitField0_ |= 0x00000040;
       onChanged();
       return this;
     }
+
     /**
+     *
+     *
      * <pre>
      * IP address and port on which the process accepts inner connections.
      * </pre>
      *
      * <code>string inner_address = 7;</code>
+     *
      * @return This builder for chaining.
      */
     public Builder clearInnerAddress() {
@@ -1234,17 +1334,20 @@
       onChanged();
       return this;
     }
+
     /**
+     *
+     *
      * <pre>
      * IP address and port on which the process accepts inner connections.
      * </pre>
      *
      * <code>string inner_address = 7;</code>
+     *
      * @param value The bytes for innerAddress to set.
      * @return This builder for chaining.
      */
-    public Builder setInnerAddressBytes(
-        com.google.protobuf.ByteString value) {
+    public Builder setInnerAddressBytes(com.google.protobuf.ByteString value) {
       java.util.Objects.requireNonNull(value);
       checkByteStringIsUtf8(value);
       innerAddress_ = value;
@@ -1254,24 +1357,32 @@
     }
 
     private com.google.protobuf.ByteString nonce_ = com.google.protobuf.ByteString.EMPTY;
+
     /**
+     *
+     *
      * <pre>
      * Random bytes that the peer must sign with the shared secret.
      * </pre>
      *
      * <code>bytes nonce = 8;</code>
+     *
      * @return The nonce.
      */
     @java.lang.Override
     public com.google.protobuf.ByteString getNonce() {
       return nonce_;
     }
+
     /**
+     *
+     *
      * <pre>
      * Random bytes that the peer must sign with the shared secret.
      * </pre>
      *
      * <code>bytes nonce = 8;</code>
+     *
      * @param value The nonce to set.
      * @return This builder for chaining.
      */
@@ -1282,12 +1393,16 @@
       onChanged();
       return this;
     }
+
     /**
+     *
+     *
      * <pre>
      * Random bytes that the peer must sign with the shared secret.
      * </pre>
      *
      * <code>bytes nonce = 8;</code>
+     *
      * @return This builder for chaining.
      */
     public Builder clearNonce() {
@@ -1298,19 +1413,22 @@
     }
 
     private java.lang.Object target_ = "";
+
     /**
+     *
+     *
      * <pre>
      * Name of the target beside an agent; empty for a router.
      * </pre>
      *
      * <code>string target = 9;</code>
+     *
      * @return The target.
      */
     public java.lang.String getTarget() {
       java.lang.Object ref = target_;
       if (!(ref instanceof java.lang.String)) {
-        com.google.protobuf.ByteString bs =
-            (com.google.protobuf.ByteString) ref;
+        com.google.protobuf.ByteString bs = (com.google.protobuf.ByteString) ref;
         java.lang.String s = bs.toStringUtf8();
         target_ = s;
         return s;
@@ -1318,50 +1436,59 @@
         return (java.lang.String) ref;
       }
     }
+
     /**
+     *
+     *
      * <pre>
      * Name of the target beside an agent; empty for a router.
      * </pre>
      *
      * <code>string target = 9;</code>
+     *
      * @return The bytes for target.
      */
-    public com.google.protobuf.ByteString
-        getTargetBytes() {
+    public com.google.protobuf.ByteString getTargetBytes() {
       java.lang.Object ref = target_;
       if (ref instanceof String) {
-        com.google.protobuf.ByteString b = 
-            com.google.protobuf.ByteString.copyFromUtf8(
-                (java.lang.String) ref);
+        com.google.protobuf.ByteString b =
+            com.google.protobuf.ByteString.copyFromUtf8((java.lang.String) ref);
         target_ = b;
         return b;
       } else {
         return (com.google.protobuf.ByteString) ref;
       }
     }
+
     /**
+     *
+     *
      * <pre>
      * Name of the target beside an agent; empty for a router.
      * </pre>
      *
      * <code>string target = 9;</code>
+     *
      * @param value The target to set.
      * @return This builder for chaining.
      */
-    public Builder setTarget(
-        java.lang.String value) {
+    public Builder setTarget(java.lang.String value) {
       java.util.Objects.requireNonNull(value);
       target_ = value;
       bitField0_ |= 0x00000100;
       onChanged();
       return this;
     }
+
     /**
+     *
+     *
      * <pre>
      * Name of the target beside an agent; empty for a router.
      * </pre>
      *
      * <code>string target = 9;</code>
+     *
      * @return This builder for chaining.
      */
     public Builder clearTarget() {
@@ -1370,17 +1497,20 @@
       onChanged();
       return this;
     }
+
     /**
+     *
+     *
      * <pre>
      * Name of the target beside an agent; empty for a router.
      * </pre>
      *
      * <code>string target = 9;</code>
+     *
      * @param value The bytes for target to set.
      * @return This builder for chaining.
      */
-    public Builder setTargetBytes(
-        com.google.protobuf.ByteString value) {
+    public Builder setTargetBytes(com.google.protobuf.ByteString value) {
       java.util.Objects.requireNonNull(value);
       checkByteStringIsUtf8(value);
       target_ = value;
@@ -1394,6 +1524,7 @@
 
   // @@protoc_insertion_point(class_scope:almondslip.Hello)
   private static final org.almondslip.protocol.wire.Hello DEFAULT_INSTANCE;
+
   static {
     DEFAULT_INSTANCE = new org.almondslip.protocol.wire.Hello();
   }
@@ -1402,27 +1533,27 @@
     return DEFAULT_INSTANCE;
   }
 
-  private static final com.google.protobuf.Parser<Hello>
-      PARSER = new com.google.protobuf.AbstractParser<Hello>() {
-    @java.lang.Override
-    public Hello parsePartialFrom(
-        com.google.protobuf.CodedInputStream input,
-        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-        throws com.google.protobuf.InvalidProtocolBufferException {
-      Builder builder = newBuilder();
-      try {
-        builder.mergeFrom(input, extensionRegistry);
-      } catch (com.google.protobuf.InvalidProtocolBufferException e) {
-        throw e.setUnfinishedMessage(builder.buildPartial());
-      } catch (com.google.protobuf.UninitializedMessageException e) {
-        throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
-      } catch (java.io.IOException e) {
-        throw new com.google.protobuf.InvalidProtocolBufferException(e)
-            .setUnfinishedMessage(builder.buildPartial());
-      }
-      return builder.buildPartial();
-    }
-  };
+  private static final com.google.protobuf.Parser<Hello> PARSER =
+      new com.google.protobuf.AbstractParser<Hello>() {
+        @java.lang.Override
+        public Hello parsePartialFrom(
+            com.google.protobuf.CodedInputStream input,
+            com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+            throws com.google.protobuf.InvalidProtocolBufferException {
+          Builder builder = newBuilder();
+          try {
+            builder.mergeFrom(input, extensionRegistry);
+          } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+            throw e.setUnfinishedMessage(builder.buildPartial());
+          } catch (com.google.protobuf.UninitializedMessageException e) {
+            throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
+          } catch (java.io.IOException e) {
+            throw new com.google.protobuf.InvalidProtocolBufferException(e)
+                .setUnfinishedMessage(builder.buildPartial());
+          }
+          return builder.buildPartial();
+        }
+      };
 
   public static com.google.protobuf.Parser<Hello> parser() {
     return PARSER;
@@ -1437,6 +1568,4 @@
   public org.almondslip.protocol.wire.Hello getDefaultInstanceForType() {
     return DEFAULT_INSTANCE;
   }
-
 }
-
--- a/wire/src/main/java/org/almondslip/protocol/wire/HelloOrBuilder.java
+++ b/wire/src/main/java/org/almondslip/protocol/wire/HelloOrBuilder.java
@@ -6,120 +6,149 @@
 package org.almondslip.protocol.wire;
 
 @com.google.protobuf.Generated
-public interface HelloOrBuilder extends
+public interface HelloOrBuilder
+    extends
     // @@protoc_insertion_point(interface_extends:almondslip.Hello)
     com.google.protobuf.MessageOrBuilder {
 
   /**
    * <code>uint32 protocol_version = 1;</code>
+   *
    * @return The protocolVersion.
    */
   int getProtocolVersion();
 
   /**
    * <code>string instance_id = 2;</code>
+   *
    * @return The instanceId.
    */
   java.lang.String getInstanceId();
+
   /**
    * <code>string instance_id = 2;</code>
+   *
    * @return The bytes for instanceId.
    */
-  com.google.protobuf.ByteString
-      getInstanceIdBytes();
+  com.google.protobuf.ByteString getInstanceIdBytes();
 
   /**
+   *
+   *
    * <pre>
    * Differs for every start of a process; grows with its start time.
    * </pre>
    *
    * <code>fixed64 incarnation = 3;</code>
+   *
    * @return The incarnation.
    */
   long getIncarnation();
 
   /**
    * <code>.almondslip.Role role = 4;</code>
+   *
    * @return The enum numeric value on the wire for role.
    */
   int getRoleValue();
+
   /**
    * <code>.almondslip.Role role = 4;</code>
+   *
    * @return The role.
    */
   org.almondslip.protocol.wire.Role getRole();
 
   /**
    * <code>string region = 5;</code>
+   *
    * @return The region.
    */
   java.lang.String getRegion();
+
   /**
    * <code>string region = 5;</code>
+   *
    * @return The bytes for region.
    */
-  com.google.protobuf.ByteString
-      getRegionBytes();
+  com.google.protobuf.ByteString getRegionBytes();
 
   /**
    * <code>string data_centre = 6;</code>
+   *
    * @return The dataCentre.
    */
   java.lang.String getDataCentre();
+
   /**
    * <code>string data_centre = 6;</code>
+   *
    * @return The bytes for dataCentre.
    */
-  com.google.protobuf.ByteString
-      getDataCentreBytes();
+  com.google.protobuf.ByteString getDataCentreBytes();
 
   /**
+   *
+   *
    * <pre>
    * IP address and port on which the process accepts inner connections.
    * </pre>
    *
    * <code>string inner_address = 7;</code>
+   *
    * @return The innerAddress.
    */
   java.lang.String getInnerAddress();
+
   /**
+   *
+   *
    * <pre>
    * IP address and port on which the process accepts inner connections.
    * </pre>
    *
    * <code>string inner_address = 7;</code>
+   *
    * @return The bytes for innerAddress.
    */
-  com.google.protobuf.ByteString
-      getInnerAddressBytes();
+  com.google.protobuf.ByteString getInnerAddressBytes();
 
   /**
+   *
+   *
    * <pre>
    * Random bytes that the peer must sign with the shared secret.
    * </pre>
    *
    * <code>bytes nonce = 8;</code>
+   *
    * @return The nonce.
    */
   com.google.protobuf.ByteString getNonce();
 
   /**
+   *
+   *
    * <pre>
    * Name of the target beside an agent; empty for a router.
    * </pre>
    *
    * <code>string target = 9;</code>
+   *
    * @return The target.
    */
   java.lang.String getTarget();
+
   /**
+   *
+   *
    * <pre>
    * Name of the target beside an agent; empty for a router.
    * </pre>
    *
    * <code>string target = 9;</code>
+   *
    * @return The bytes for target.
    */
-  com.google.protobuf.ByteString
-      getTargetBytes();
+  com.google.protobuf.ByteString getTargetBytes();
 }
--- a/wire/src/main/java/org/almondslip/protocol/wire/Offers.java
+++ b/wire/src/main/java/org/almondslip/protocol/wire/Offers.java
@@ -5,34 +5,34 @@
 
 package org.almondslip.protocol.wire;
 
-/**
- * Protobuf type {@code almondslip.Offers}
- */
+/** Protobuf type {@code almondslip.Offers} */
 @com.google.protobuf.Generated
-public final class Offers extends
-    com.google.protobuf.GeneratedMessage implements
+public final class Offers extends com.google.protobuf.GeneratedMessage
+    implements
     // @@protoc_insertion_point(message_implements:almondslip.Offers)
     OffersOrBuilder {
-private static final long serialVersionUID = 0L;
+  private static final long serialVersionUID = 0L;
+
   static {
     com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
-      com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
-      /* major= */ 4,
-      /* minor= */ 36,
-      /* patch= */ 2,
-      /* suffix= */ "",
-      "Offers");
+        com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+        /* major= */ 4,
+        /* minor= */ 36,
+        /* patch= */ 2,
+        /* suffix= */ "",
+        "Offers");
   }
+
   // Use Offers.newBuilder() to construct.
   private Offers(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
     super(builder);
   }
+
   private Offers() {
     offers_ = java.util.Collections.emptyList();
   }
 
-  public static final com.google.protobuf.Descriptors.Descriptor
-      getDescriptor() {
+  public static final com.google.protobuf.Descriptors.Descriptor getDescriptor() {
     return org.almondslip.protocol.wire.Almondslip.internal_static_almondslip_Offers_descriptor;
   }
 
@@ -44,53 +44,51 @@
   @java.lang.Override
   protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internalGetFieldAccessorTable() {
-    return org.almondslip.protocol.wire.Almondslip.internal_static_almondslip_Offers_fieldAccessorTable
+    return org.almondslip.protocol.wire.Almondslip
+        .internal_static_almondslip_Offers_fieldAccessorTable
         .ensureFieldAccessorsInitialized(
-            org.almondslip.protocol.wire.Offers.class, org.almondslip.protocol.wire.Offers.Builder.class);
+            org.almondslip.protocol.wire.Offers.class,
+            org.almondslip.protocol.wire.Offers.Builder.class);
   }
 
   public static final int OFFERS_FIELD_NUMBER = 1;
+
   @SuppressWarnings("serial")
   private java.util.List<org.almondslip.protocol.wire.FlowOffer> offers_;
-  /**
-   * <code>repeated .almondslip.FlowOffer offers = 1;</code>
-   */
+
+  /** <code>repeated .almondslip.FlowOffer offers = 1;</code> */
   @java.lang.Override
   public java.util.List<org.almondslip.protocol.wire.FlowOffer> getOffersList() {
     return offers_;
   }
-  /**
-   * <code>repeated .almondslip.FlowOffer offers = 1;</code>
-   */
+
+  /** <code>repeated .almondslip.FlowOffer offers = 1;</code> */
   @java.lang.Override
-  public java.util.List<? extends org.almondslip.protocol.wire.FlowOfferOrBuilder> 
+  public java.util.List<? extends org.almondslip.protocol.wire.FlowOfferOrBuilder>
       getOffersOrBuilderList() {
     return offers_;
   }
-  /**
-   * <code>repeated .almondslip.FlowOffer offers = 1;</code>
-   */
+
+  /** <code>repeated .almondslip.FlowOffer offers = 1;</code> */
   @java.lang.Override
   public int getOffersCount() {
     return offers_.size();
   }
-  /**
-   * <code>repeated .almondslip.FlowOffer offers = 1;</code>
-   */
+
+  /** <code>repeated .almondslip.FlowOffer offers = 1;</code> */
   @java.lang.Override
   public org.almondslip.protocol.wire.FlowOffer getOffers(int index) {
     return offers_.get(index);
   }
-  /**
-   * <code>repeated .almondslip.FlowOffer offers = 1;</code>
-   */
+
+  /** <code>repeated .almondslip.FlowOffer offers = 1;</code> */
   @java.lang.Override
-  public org.almondslip.protocol.wire.FlowOfferOrBuilder getOffersOrBuilder(
-      int index) {
+  public org.almondslip.protocol.wire.FlowOfferOrBuilder getOffersOrBuilder(int index) {
     return offers_.get(index);
   }
 
   private byte memoizedIsInitialized = -1;
+
   @java.lang.Override
   public final boolean isInitialized() {
     byte isInitialized = memoizedIsInitialized;
@@ -102,26 +100,26 @@
   }
 
   @java.lang.Override
-  public void writeTo(com.google.protobuf.CodedOutputStream output)
-                      throws java.io.IOException {
+  public void writeTo(com.google.protobuf.CodedOutputStream output) throws java.io.IOException {
     for (int i = 0; i < offers_.size(); i++) {
       output.writeMessage(1, offers_.get(i));
     }
     getUnknownFields().writeTo(output);
   }
+
   private int computeSerializedSize_0() {
     int size = 0;
 
-        {
-          final int count = offers_.size();
-          for (int i = 0; i < count; i++) {
-            size += com.google.protobuf.CodedOutputStream
-              .computeMessageSizeNoTag(offers_.get(i));
-          }
-          size += 1 * count;
-        }
+    {
+      final int count = offers_.size();
+      for (int i = 0; i < count; i++) {
+        size += com.google.protobuf.CodedOutputStream.computeMessageSizeNoTag(offers_.get(i));
+      }
+      size += 1 * count;
+    }
     return size;
   }
+
   @java.lang.Override
   public int getSerializedSize() {
     int size = memoizedSize;
@@ -137,15 +135,14 @@
   @java.lang.Override
   public boolean equals(final java.lang.Object obj) {
     if (obj == this) {
-     return true;
+      return true;
     }
     if (!(obj instanceof org.almondslip.protocol.wire.Offers)) {
       return super.equals(obj);
     }
     org.almondslip.protocol.wire.Offers other = (org.almondslip.protocol.wire.Offers) obj;
 
-    if (!getOffersList()
-        .equals(other.getOffersList())) return false;
+    if (!getOffersList().equals(other.getOffersList())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -166,128 +163,127 @@
     return hash;
   }
 
-  public static org.almondslip.protocol.wire.Offers parseFrom(
-      java.nio.ByteBuffer data)
+  public static org.almondslip.protocol.wire.Offers parseFrom(java.nio.ByteBuffer data)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data);
   }
+
   public static org.almondslip.protocol.wire.Offers parseFrom(
-      java.nio.ByteBuffer data,
-      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+      java.nio.ByteBuffer data, com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data, extensionRegistry);
   }
-  public static org.almondslip.protocol.wire.Offers parseFrom(
-      com.google.protobuf.ByteString data)
+
+  public static org.almondslip.protocol.wire.Offers parseFrom(com.google.protobuf.ByteString data)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data);
   }
+
   public static org.almondslip.protocol.wire.Offers parseFrom(
       com.google.protobuf.ByteString data,
       com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data, extensionRegistry);
   }
+
   public static org.almondslip.protocol.wire.Offers parseFrom(byte[] data)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data);
   }
+
   public static org.almondslip.protocol.wire.Offers parseFrom(
-      byte[] data,
-      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+      byte[] data, com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data, extensionRegistry);
   }
+
   public static org.almondslip.protocol.wire.Offers parseFrom(java.io.InputStream input)
       throws java.io.IOException {
-    return com.google.protobuf.GeneratedMessage
-        .parseWithIOException(PARSER, input);
+    return com.google.protobuf.GeneratedMessage.parseWithIOException(PARSER, input);
   }
+
   public static org.almondslip.protocol.wire.Offers parseFrom(
-      java.io.InputStream input,
-      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+      java.io.InputStream input, com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws java.io.IOException {
-    return com.google.protobuf.GeneratedMessage
-        .parseWithIOException(PARSER, input, extensionRegistry);
+    return com.google.protobuf.GeneratedMessage.parseWithIOException(
+        PARSER, input, extensionRegistry);
   }
 
   public static org.almondslip.protocol.wire.Offers parseDelimitedFrom(java.io.InputStream input)
       throws java.io.IOException {
-    return com.google.protobuf.GeneratedMessage
-        .parseDelimitedWithIOException(PARSER, input);
+    return com.google.protobuf.GeneratedMessage.parseDelimitedWithIOException(PARSER, input);
   }
 
   public static org.almondslip.protocol.wire.Offers parseDelimitedFrom(
-      java.io.InputStream input,
-      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+      java.io.InputStream input, com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws java.io.IOException {
-    return com.google.protobuf.GeneratedMessage
-        .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
+    return com.google.protobuf.GeneratedMessage.parseDelimitedWithIOException(
+        PARSER, input, extensionRegistry);
   }
+
   public static org.almondslip.protocol.wire.Offers parseFrom(
-      com.google.protobuf.CodedInputStream input)
-      throws java.io.IOException {
-    return com.google.protobuf.GeneratedMessage
-        .parseWithIOException(PARSER, input);
+      com.google.protobuf.CodedInputStream input) throws java.io.IOException {
+    return com.google.protobuf.GeneratedMessage.parseWithIOException(PARSER, input);
   }
+
   public static org.almondslip.protocol.wire.Offers parseFrom(
       com.google.protobuf.CodedInputStream input,
       com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws java.io.IOException {
-    return com.google.protobuf.GeneratedMessage
-        .parseWithIOException(PARSER, input, extensionRegistry);
+    return com.google.protobuf.GeneratedMessage.parseWithIOException(
+        PARSER, input, extensionRegistry);
   }
 
   @java.lang.Override
-  public Builder newBuilderForType() { return newBuilder(); }
+  public Builder newBuilderForType() {
+    return newBuilder();
+  }
+
   public static Builder newBuilder() {
     return DEFAULT_INSTANCE.toBuilder();
   }
+
   public static Builder newBuilder(org.almondslip.protocol.wire.Offers prototype) {
     return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
   }
+
   @java.lang.Override
   public Builder toBuilder() {
-    return this == DEFAULT_INSTANCE
-        ? new Builder() : new Builder().mergeFrom(this);
+    return this == DEFAULT_INSTANCE ? new Builder() : new Builder().mergeFrom(this);
   }
 
   @java.lang.Override
-  protected Builder newBuilderForType(
-      com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+  protected Builder newBuilderForType(com.google.protobuf.GeneratedMessage.BuilderParent parent) {
     Builder builder = new Builder(parent);
     return builder;
   }
-  /**
-   * Protobuf type {@code almondslip.Offers}
-   */
-  public static final class Builder extends
-      com.google.protobuf.GeneratedMessage.Builder<Builder> implements
+
+  /** Protobuf type {@code almondslip.Offers} */
+  public static final class Builder extends com.google.protobuf.GeneratedMessage.Builder<Builder>
+      implements
       // @@protoc_insertion_point(builder_implements:almondslip.Offers)
       org.almondslip.protocol.wire.OffersOrBuilder {
-    public static final com.google.protobuf.Descriptors.Descriptor
-        getDescriptor() {
+    public static final com.google.protobuf.Descriptors.Descriptor getDescriptor() {
       return org.almondslip.protocol.wire.Almondslip.internal_static_almondslip_Offers_descriptor;
     }
 
     @java.lang.Override
     protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
         internalGetFieldAccessorTable() {
-      return org.almondslip.protocol.wire.Almondslip.internal_static_almondslip_Offers_fieldAccessorTable
+      return org.almondslip.protocol.wire.Almondslip
+          .internal_static_almondslip_Offers_fieldAccessorTable
           .ensureFieldAccessorsInitialized(
-              org.almondslip.protocol.wire.Offers.class, org.almondslip.protocol.wire.Offers.Builder.class);
+              org.almondslip.protocol.wire.Offers.class,
+              org.almondslip.protocol.wire.Offers.Builder.class);
     }
 
     // Construct using org.almondslip.protocol.wire.Offers.newBuilder()
-    private Builder() {
+    private Builder() {}
 
-    }
-
-    private Builder(
-        com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+    private Builder(com.google.protobuf.GeneratedMessage.BuilderParent parent) {
       super(parent);
-
     }
+
     @java.lang.Override
     public Builder clear() {
       super.clear();
@@ -303,8 +299,7 @@
     }
 
     @java.lang.Override
-    public com.google.protobuf.Descriptors.Descriptor
-        getDescriptorForType() {
+    public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
       return org.almondslip.protocol.wire.Almondslip.internal_static_almondslip_Offers_descriptor;
     }
 
@@ -326,7 +321,9 @@
     public org.almondslip.protocol.wire.Offers buildPartial() {
       org.almondslip.protocol.wire.Offers result = new org.almondslip.protocol.wire.Offers(this);
       buildPartialRepeatedFields(result);
-      if (bitField0_ != 0) { buildPartial0(result); }
+      if (bitField0_ != 0) {
+        buildPartial0(result);
+      }
       onBuilt();
       return result;
     }
@@ -350,7 +347,7 @@
     @java.lang.Override
     public Builder mergeFrom(com.google.protobuf.Message other) {
       if (other instanceof org.almondslip.protocol.wire.Offers) {
-        return mergeFrom((org.almondslip.protocol.wire.Offers)other);
+        return mergeFrom((org.almondslip.protocol.wire.Offers) other);
       } else {
         super.mergeFrom(other);
         return this;
@@ -377,9 +374,10 @@
             offersBuilder_ = null;
             offers_ = other.offers_;
             bitField0_ = (bitField0_ & ~0x00000001);
-            offersBuilder_ = 
-              com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
-                 internalGetOffersFieldBuilder() : null;
+            offersBuilder_ =
+                com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders
+                    ? internalGetOffersFieldBuilder()
+                    : null;
           } else {
             offersBuilder_.addAllMessages(other.offers_);
           }
@@ -409,25 +407,26 @@
             case 0:
               done = true;
               break;
-            case 10: {
-              org.almondslip.protocol.wire.FlowOffer m =
-                  input.readMessage(
-                      org.almondslip.protocol.wire.FlowOffer.parser(),
-                      extensionRegistry);
-              if (offersBuilder_ == null) {
-                ensureOffersIsMutable();
-                offers_.add(m);
-              } else {
-                offersBuilder_.addMessage(m);
-              }
-              break;
-            } // case 10
-            default: {
-              if (!super.parseUnknownField(input, extensionRegistry, tag)) {
-                done = true; // was an endgroup tag
-              }
-              break;
-            } // default:
+            case 10:
+              {
+                org.almondslip.protocol.wire.FlowOffer m =
+                    input.readMessage(
+                        org.almondslip.protocol.wire.FlowOffer.parser(), extensionRegistry);
+                if (offersBuilder_ == null) {
+                  ensureOffersIsMutable();
+                  offers_.add(m);
+                } else {
+                  offersBuilder_.addMessage(m);
+                }
+                break;
+              } // case 10
+            default:
+              {
+                if (!super.parseUnknownField(input, extensionRegistry, tag)) {
+                  done = true; // was an endgroup tag
+                }
+                break;
+              } // default:
           } // switch (tag)
         } // while (!done)
       } catch (com.google.protobuf.InvalidProtocolBufferException e) {
@@ -437,23 +436,26 @@
       } // finally
       return this;
     }
+
     private int bitField0_;
 
     private java.util.List<org.almondslip.protocol.wire.FlowOffer> offers_ =
-      java.util.Collections.emptyList();
+        java.util.Collections.emptyList();
+
     private void ensureOffersIsMutable() {
       if (!((bitField0_ & 0x00000001) != 0)) {
         offers_ = new java.util.ArrayList<org.almondslip.protocol.wire.FlowOffer>(offers_);
         bitField0_ |= 0x00000001;
-       }
+      }
     }
 
     private com.google.protobuf.RepeatedFieldBuilder<
-        org.almondslip.protocol.wire.FlowOffer, org.almondslip.protocol.wire.FlowOffer.Builder, org.almondslip.protocol.wire.FlowOfferOrBuilder> offersBuilder_;
+            org.almondslip.protocol.wire.FlowOffer,
+            org.almondslip.protocol.wire.FlowOffer.Builder,
+            org.almondslip.protocol.wire.FlowOfferOrBuilder>
+        offersBuilder_;
 
-    /**
-     * <code>repeated .almondslip.FlowOffer offers = 1;</code>
-     */
+    /** <code>repeated .almondslip.FlowOffer offers = 1;</code> */
     public java.util.List<org.almondslip.protocol.wire.FlowOffer> getOffersList() {
       if (offersBuilder_ == null) {
         return java.util.Collections.unmodifiableList(offers_);
@@ -461,9 +463,8 @@
         return offersBuilder_.getMessageList();
       }
     }
-    /**
-     * <code>repeated .almondslip.FlowOffer offers = 1;</code>
-     */
+
+    /** <code>repeated .almondslip.FlowOffer offers = 1;</code> */
     public int getOffersCount() {
       if (offersBuilder_ == null) {
         return offers_.size();
@@ -471,9 +472,8 @@
         return offersBuilder_.getCount();
       }
     }
-    /**
-     * <code>repeated .almondslip.FlowOffer offers = 1;</code>
-     */
+
+    /** <code>repeated .almondslip.FlowOffer offers = 1;</code> */
     public org.almondslip.protocol.wire.FlowOffer getOffers(int index) {
       if (offersBuilder_ == null) {
         return offers_.get(index);
@@ -481,11 +481,9 @@
         return offersBuilder_.getMessage(index);
       }
     }
-    /**
-     * <code>repeated .almondslip.FlowOffer offers = 1;</code>
-     */
-    public Builder setOffers(
-        int index, org.almondslip.protocol.wire.FlowOffer value) {
+
+    /** <code>repeated .almondslip.FlowOffer offers = 1;</code> */
+    public Builder setOffers(int index, org.almondslip.protocol.wire.FlowOffer value) {
       if (offersBuilder_ == null) {
         java.util.Objects.requireNonNull(value);
         ensureOffersIsMutable();
@@ -496,9 +494,8 @@
       }
       return this;
     }
-    /**
-     * <code>repeated .almondslip.FlowOffer offers = 1;</code>
-     */
+
+    /** <code>repeated .almondslip.FlowOffer offers = 1;</code> */
     public Builder setOffers(
         int index, org.almondslip.protocol.wire.FlowOffer.Builder builderForValue) {
       if (offersBuilder_ == null) {
@@ -510,9 +507,8 @@
       }
       return this;
     }
-    /**
-     * <code>repeated .almondslip.FlowOffer offers = 1;</code>
-     */
+
+    /** <code>repeated .almondslip.FlowOffer offers = 1;</code> */
     public Builder addOffers(org.almondslip.protocol.wire.FlowOffer value) {
       if (offersBuilder_ == null) {
         java.util.Objects.requireNonNull(value);
@@ -524,11 +520,9 @@
       }
       return this;
     }
-    /**
-     * <code>repeated .almondslip.FlowOffer offers = 1;</code>
-     */
-    public Builder addOffers(
-        int index, org.almondslip.protocol.wire.FlowOffer value) {
+
+    /** <code>repeated .almondslip.FlowOffer offers = 1;</code> */
+    public Builder addOffers(int index, org.almondslip.protocol.wire.FlowOffer value) {
       if (offersBuilder_ == null) {
         java.util.Objects.requireNonNull(value);
         ensureOffersIsMutable();
@@ -539,11 +533,9 @@
       }
       return this;
     }
-    /**
-     * <code>repeated .almondslip.FlowOffer offers = 1;</code>
-     */
-    public Builder addOffers(
-        org.almondslip.protocol.wire.FlowOffer.Builder builderForValue) {
+
+    /** <code>repeated .almondslip.FlowOffer offers = 1;</code> */
+    public Builder addOffers(org.almondslip.protocol.wire.FlowOffer.Builder builderForValue) {
       if (offersBuilder_ == null) {
         ensureOffersIsMutable();
         offers_.add(builderForValue.build());
@@ -553,9 +545,8 @@
       }
       return this;
     }
-    /**
-     * <code>repeated .almondslip.FlowOffer offers = 1;</code>
-     */
+
+    /** <code>repeated .almondslip.FlowOffer offers = 1;</code> */
     public Builder addOffers(
         int index, org.almondslip.protocol.wire.FlowOffer.Builder builderForValue) {
       if (offersBuilder_ == null) {
@@ -567,24 +558,21 @@
       }
       return this;
     }
-    /**
-     * <code>repeated .almondslip.FlowOffer offers = 1;</code>
-     */
+
+    /** <code>repeated .almondslip.FlowOffer offers = 1;</code> */
     public Builder addAllOffers(
         java.lang.Iterable<? extends org.almondslip.protocol.wire.FlowOffer> values) {
       if (offersBuilder_ == null) {
         ensureOffersIsMutable();
-        com.google.protobuf.AbstractMessageLite.Builder.addAll(
-            values, offers_);
+        com.google.protobuf.AbstractMessageLite.Builder.addAll(values, offers_);
         onChanged();
       } else {
         offersBuilder_.addAllMessages(values);
       }
       return this;
     }
-    /**
-     * <code>repeated .almondslip.FlowOffer offers = 1;</code>
-     */
+
+    /** <code>repeated .almondslip.FlowOffer offers = 1;</code> */
     public Builder clearOffers() {
       if (offersBuilder_ == null) {
         offers_ = java.util.Collections.emptyList();
@@ -595,9 +583,8 @@
       }
       return this;
     }
-    /**
-     * <code>repeated .almondslip.FlowOffer offers = 1;</code>
-     */
+
+    /** <code>repeated .almondslip.FlowOffer offers = 1;</code> */
     public Builder removeOffers(int index) {
       if (offersBuilder_ == null) {
         ensureOffersIsMutable();
@@ -608,66 +595,60 @@
       }
       return this;
     }
-    /**
-     * <code>repeated .almondslip.FlowOffer offers = 1;</code>
-     */
-    public org.almondslip.protocol.wire.FlowOffer.Builder getOffersBuilder(
-        int index) {
+
+    /** <code>repeated .almondslip.FlowOffer offers = 1;</code> */
+    public org.almondslip.protocol.wire.FlowOffer.Builder getOffersBuilder(int index) {
       return internalGetOffersFieldBuilder().getBuilder(index);
     }
-    /**
-     * <code>repeated .almondslip.FlowOffer offers = 1;</code>
-     */
-    public org.almondslip.protocol.wire.FlowOfferOrBuilder getOffersOrBuilder(
-        int index) {
+
+    /** <code>repeated .almondslip.FlowOffer offers = 1;</code> */
+    public org.almondslip.protocol.wire.FlowOfferOrBuilder getOffersOrBuilder(int index) {
       if (offersBuilder_ == null) {
-        return offers_.get(index);  } else {
+        return offers_.get(index);
+      } else {
         return offersBuilder_.getMessageOrBuilder(index);
       }
     }
-    /**
-     * <code>repeated .almondslip.FlowOffer offers = 1;</code>
-     */
-    public java.util.List<? extends org.almondslip.protocol.wire.FlowOfferOrBuilder> 
-         getOffersOrBuilderList() {
+
+    /** <code>repeated .almondslip.FlowOffer offers = 1;</code> */
+    public java.util.List<? extends org.almondslip.protocol.wire.FlowOfferOrBuilder>
+        getOffersOrBuilderList() {
       if (offersBuilder_ != null) {
         return offersBuilder_.getMessageOrBuilderList();
       } else {
         return java.util.Collections.unmodifiableList(offers_);
       }
     }
-    /**
-     * <code>repeated .almondslip.FlowOffer offers = 1;</code>
-     */
+
+    /** <code>repeated .almondslip.FlowOffer offers = 1;</code> */
     public org.almondslip.protocol.wire.FlowOffer.Builder addOffersBuilder() {
-      return internalGetOffersFieldBuilder().addBuilder(
-          org.almondslip.protocol.wire.FlowOffer.getDefaultInstance());
-    }
-    /**
-     * <code>repeated .almondslip.FlowOffer offers = 1;</code>
-     */
-    public org.almondslip.protocol.wire.FlowOffer.Builder addOffersBuilder(
-        int index) {
-      return internalGetOffersFieldBuilder().addBuilder(
-          index, org.almondslip.protocol.wire.FlowOffer.getDefaultInstance());
-    }
-    /**
-     * <code>repeated .almondslip.FlowOffer offers = 1;</code>
-     */
-    public java.util.List<org.almondslip.protocol.wire.FlowOffer.Builder> 
-         getOffersBuilderList() {
+      return internalGetOffersFieldBuilder()
+          .addBuilder(org.almondslip.protocol.wire.FlowOffer.getDefaultInstance());
+    }
+
+    /** <code>repeated .almondslip.FlowOffer offers = 1;</code> */
+    public org.almondslip.protocol.wire.FlowOffer.Builder addOffersBuilder(int index) {
+      return internalGetOffersFieldBuilder()
+          .addBuilder(index, org.almondslip.protocol.wire.FlowOffer.getDefaultInstance());
+    }
+
+    /** <code>repeated .almondslip.FlowOffer offers = 1;</code> */
+    public java.util.List<org.almondslip.protocol.wire.FlowOffer.Builder> getOffersBuilderList() {
       return internalGetOffersFieldBuilder().getBuilderList();
     }
+
     private com.google.protobuf.RepeatedFieldBuilder<
-        org.almondslip.protocol.wire.FlowOffer, org.almondslip.protocol.wire.FlowOffer.Builder, org.almondslip.protocol.wire.FlowOfferOrBuilder> 
+            org.almondslip.protocol.wire.FlowOffer,
+            org.almondslip.protocol.wire.FlowOffer.Builder,
+            org.almondslip.protocol.wire.FlowOfferOrBuilder>
         internalGetOffersFieldBuilder() {
       if (offersBuilder_ == null) {
-        offersBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
-            org.almondslip.protocol.wire.FlowOffer, org.almondslip.protocol.wire.FlowOffer.Builder, org.almondslip.protocol.wire.FlowOfferOrBuilder>(
-                offers_,
-                ((bitField0_ & 0x00000001) != 0),
-                getParentForChildren(),
-                isClean());
+        offersBuilder_ =
+            new com.google.protobuf.RepeatedFieldBuilder<
+                org.almondslip.protocol.wire.FlowOffer,
+                org.almondslip.protocol.wire.FlowOffer.Builder,
+                org.almondslip.protocol.wire.FlowOfferOrBuilder>(
+                offers_, ((bitField0_ & 0x00000001) != 0), getParentForChildren(), isClean());
         offers_ = null;
       }
       return offersBuilder_;
@@ -678,6 +659,7 @@
 
   // @@protoc_insertion_point(class_scope:almondslip.Offers)
   private static final org.almondslip.protocol.wire.Offers DEFAULT_INSTANCE;
+
   static {
     DEFAULT_INSTANCE = new org.almondslip.protocol.wire.Offers();
   }
@@ -686,27 +668,27 @@
     return DEFAULT_INSTANCE;
   }
 
-  private static final com.google.protobuf.Parser<Offers>
-      PARSER = new com.google.protobuf.AbstractParser<Offers>() {
-    @java.lang.Override
-    public Offers parsePartialFrom(
-        com.google.protobuf.CodedInputStream input,
-        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-        throws com.google.protobuf.InvalidProtocolBufferException {
-      Builder builder = newBuilder();
-      try {
-        builder.mergeFrom(input, extensionRegistry);
-      } catch (com.google.protobuf.InvalidProtocolBufferException e) {
-        throw e.setUnfinishedMessage(builder.buildPartial());
-      } catch (com.google.protobuf.UninitializedMessageException e) {
-        throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
-      } catch (java.io.IOException e) {
-        throw new com.google.protobuf.InvalidProtocolBufferException(e)
-            .setUnfinishedMessage(builder.buildPartial());
-      }
-      return builder.buildPartial();
-    }
-  };
+  private static final com.google.protobuf.Parser<Offers> PARSER =
+      new com.google.protobuf.AbstractParser<Offers>() {
+        @java.lang.Override
+        public Offers parsePartialFrom(
+            com.google.protobuf.CodedInputStream input,
+            com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+            throws com.google.protobuf.InvalidProtocolBufferException {
+          Builder builder = newBuilder();
+          try {
+            builder.mergeFrom(input, extensionRegistry);
+          } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+            throw e.setUnfinishedMessage(builder.buildPartial());
+          } catch (com.google.protobuf.UninitializedMessageException e) {
+            throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
+          } catch (java.io.IOException e) {
+            throw new com.google.protobuf.InvalidProtocolBufferException(e)
+                .setUnfinishedMessage(builder.buildPartial());
+          }
+          return builder.buildPartial();
+        }
+      };
 
   public static com.google.protobuf.Parser<Offers> parser() {
     return PARSER;
@@ -721,6 +703,4 @@
   public org.almondslip.protocol.wire.Offers getDefaultInstanceForType() {
     return DEFAULT_INSTANCE;
   }
-
 }
-
--- a/wire/src/main/java/org/almondslip/protocol/wire/OffersOrBuilder.java
+++ b/wire/src/main/java/org/almondslip/protocol/wire/OffersOrBuilder.java
@@ -6,31 +6,24 @@
 package org.almondslip.protocol.wire;
 
 @com.google.protobuf.Generated
-public interface OffersOrBuilder extends
+public interface OffersOrBuilder
+    extends
     // @@protoc_insertion_point(interface_extends:almondslip.Offers)
     com.google.protobuf.MessageOrBuilder {
 
-  /**
-   * <code>repeated .almondslip.FlowOffer offers = 1;</code>
-   */
-  java.util.List<org.almondslip.protocol.wire.FlowOffer> 
-      getOffersList();
-  /**
-   * <code>repeated .almondslip.FlowOffer offers = 1;</code>
-   */
+  /** <code>repeated .almondslip.FlowOffer offers = 1;</code> */
+  java.util.List<org.almondslip.protocol.wire.FlowOffer> getOffersList();
+
+  /** <code>repeated .almondslip.FlowOffer offers = 1;</code> */
   org.almondslip.protocol.wire.FlowOffer getOffers(int index);
-  /**
-   * <code>repeated .almondslip.FlowOffer offers = 1;</code>
-   */
+
+  /** <code>repeated .almondslip.FlowOffer offers = 1;</code> */
   int getOffersCount();
-  /**
-   * <code>repeated .almondslip.FlowOffer offers = 1;</code>
-   */
-  java.util.List<? extends org.almondslip.protocol.wire.FlowOfferOrBuilder> 
+
+  /** <code>repeated .almondslip.FlowOffer offers = 1;</code> */
+  java.util.List<? extends org.almondslip.protocol.wire.FlowOfferOrBuilder>
       getOffersOrBuilderList();
-  /**
-   * <code>repeated .almondslip.FlowOffer offers = 1;</code>
-   */
-  org.almondslip.protocol.wire.FlowOfferOrBuilder getOffersOrBuilder(
-      int index);
+
+  /** <code>repeated .almondslip.FlowOffer offers = 1;</code> */
+  org.almondslip.protocol.wire.FlowOfferOrBuilder getOffersOrBuilder(int index);
 }
--- a/wire/src/main/java/org/almondslip/protocol/wire/Proof.java
+++ b/wire/src/main/java/org/almondslip/protocol/wire/Proof.java
@@ -6,6 +6,8 @@
 package org.almondslip.protocol.wire;
 
 /**
+ *
+ *
  * <pre>
  * HMAC-SHA256 with the shared secret over the peer's nonce, the own nonce and the own role.
  * </pre>
@@ -13,30 +15,32 @@
  * Protobuf type {@code almondslip.Proof}
  */
 @com.google.protobuf.Generated
-public final class Proof extends
-    com.google.protobuf.GeneratedMessage implements
+public final class Proof extends com.google.protobuf.GeneratedMessage
+    implements
     // @@protoc_insertion_point(message_implements:almondslip.Proof)
     ProofOrBuilder {
-private static final long serialVersionUID = 0L;
+  private static final long serialVersionUID = 0L;
+
   static {
     com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
-      com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
-      /* major= */ 4,
-      /* minor= */ 36,
-      /* patch= */ 2,
-      /* suffix= */ "",
-      "Proof");
+        com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+        /* major= */ 4,
+        /* minor= */ 36,
+        /* patch= */ 2,
+        /* suffix= */ "",
+        "Proof");
   }
+
   // Use Proof.newBuilder() to construct.
   private Proof(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
     super(builder);
   }
+
   private Proof() {
     mac_ = com.google.protobuf.ByteString.EMPTY;
   }
 
-  public static final com.google.protobuf.Descriptors.Descriptor
-      getDescriptor() {
+  public static final com.google.protobuf.Descriptors.Descriptor getDescriptor() {
     return org.almondslip.protocol.wire.Almondslip.internal_static_almondslip_Proof_descriptor;
   }
 
@@ -48,15 +52,19 @@
   @java.lang.Override
   protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internalGetFieldAccessorTable() {
-    return org.almondslip.protocol.wire.Almondslip.internal_static_almondslip_Proof_fieldAccessorTable
+    return org.almondslip.protocol.wire.Almondslip
+        .internal_static_almondslip_Proof_fieldAccessorTable
         .ensureFieldAccessorsInitialized(
-            org.almondslip.protocol.wire.Proof.class, org.almondslip.protocol.wire.Proof.Builder.class);
+            org.almondslip.protocol.wire.Proof.class,
+            org.almondslip.protocol.wire.Proof.Builder.class);
   }
 
   public static final int MAC_FIELD_NUMBER = 1;
   private com.google.protobuf.ByteString mac_ = com.google.protobuf.ByteString.EMPTY;
+
   /**
    * <code>bytes mac = 1;</code>
+   *
    * @return The mac.
    */
   @java.lang.Override
@@ -65,6 +73,7 @@
   }
 
   private byte memoizedIsInitialized = -1;
+
   @java.lang.Override
   public final boolean isInitialized() {
     byte isInitialized = memoizedIsInitialized;
@@ -76,21 +85,21 @@
   }
 
   @java.lang.Override
-  public void writeTo(com.google.protobuf.CodedOutputStream output)
-                      throws java.io.IOException {
+  public void writeTo(com.google.protobuf.CodedOutputStream output) throws java.io.IOException {
     if (!mac_.isEmpty()) {
       output.writeBytes(1, mac_);
     }
     getUnknownFields().writeTo(output);
   }
+
   private int computeSerializedSize_0() {
     int size = 0;
     if (!mac_.isEmpty()) {
-      size += com.google.protobuf.CodedOutputStream
-        .computeBytesSize(1, mac_);
+      size += com.google.protobuf.CodedOutputStream.computeBytesSize(1, mac_);
     }
     return size;
   }
+
   @java.lang.Override
   public int getSerializedSize() {
     int size = memoizedSize;
@@ -106,15 +115,14 @@
   @java.lang.Override
   public boolean equals(final java.lang.Object obj) {
     if (obj == this) {
-     return true;
+      return true;
     }
     if (!(obj instanceof org.almondslip.protocol.wire.Proof)) {
       return super.equals(obj);
     }
     org.almondslip.protocol.wire.Proof other = (org.almondslip.protocol.wire.Proof) obj;
 
-    if (!getMac()
-        .equals(other.getMac())) return false;
+    if (!getMac().equals(other.getMac())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -133,132 +141,135 @@
     return hash;
   }
 
-  public static org.almondslip.protocol.wire.Proof parseFrom(
-      java.nio.ByteBuffer data)
+  public static org.almondslip.protocol.wire.Proof parseFrom(java.nio.ByteBuffer data)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data);
   }
+
   public static org.almondslip.protocol.wire.Proof parseFrom(
-      java.nio.ByteBuffer data,
-      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+      java.nio.ByteBuffer data, com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data, extensionRegistry);
   }
-  public static org.almondslip.protocol.wire.Proof parseFrom(
-      com.google.protobuf.ByteString data)
+
+  public static org.almondslip.protocol.wire.Proof parseFrom(com.google.protobuf.ByteString data)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data);
   }
+
   public static org.almondslip.protocol.wire.Proof parseFrom(
       com.google.protobuf.ByteString data,
       com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data, extensionRegistry);
   }
+
   public static org.almondslip.protocol.wire.Proof parseFrom(byte[] data)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data);
   }
+
   public static org.almondslip.protocol.wire.Proof parseFrom(
-      byte[] data,
-      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+      byte[] data, com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data, extensionRegistry);
   }
+
   public static org.almondslip.protocol.wire.Proof parseFrom(java.io.InputStream input)
       throws java.io.IOException {
-    return com.google.protobuf.GeneratedMessage
-        .parseWithIOException(PARSER, input);
+    return com.google.protobuf.GeneratedMessage.parseWithIOException(PARSER, input);
   }
+
   public static org.almondslip.protocol.wire.Proof parseFrom(
-      java.io.InputStream input,
-      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+      java.io.InputStream input, com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws java.io.IOException {
-    return com.google.protobuf.GeneratedMessage
-        .parseWithIOException(PARSER, input, extensionRegistry);
+    return com.google.protobuf.GeneratedMessage.parseWithIOException(
+        PARSER, input, extensionRegistry);
   }
 
   public static org.almondslip.protocol.wire.Proof parseDelimitedFrom(java.io.InputStream input)
       throws java.io.IOException {
-    return com.google.protobuf.GeneratedMessage
-        .parseDelimitedWithIOException(PARSER, input);
+    return com.google.protobuf.GeneratedMessage.parseDelimitedWithIOException(PARSER, input);
   }
 
   public static org.almondslip.protocol.wire.Proof parseDelimitedFrom(
-      java.io.InputStream input,
-      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+      java.io.InputStream input, com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws java.io.IOException {
-    return com.google.protobuf.GeneratedMessage
-        .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
+    return com.google.protobuf.GeneratedMessage.parseDelimitedWithIOException(
+        PARSER, input, extensionRegistry);
   }
+
   public static org.almondslip.protocol.wire.Proof parseFrom(
-      com.google.protobuf.CodedInputStream input)
-      throws java.io.IOException {
-    return com.google.protobuf.GeneratedMessage
-        .parseWithIOException(PARSER, input);
+      com.google.protobuf.CodedInputStream input) throws java.io.IOException {
+    return com.google.protobuf.GeneratedMessage.parseWithIOException(PARSER, input);
   }
+
   public static org.almondslip.protocol.wire.Proof parseFrom(
       com.google.protobuf.CodedInputStream input,
       com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws java.io.IOException {
-    return com.google.protobuf.GeneratedMessage
-        .parseWithIOException(PARSER, input, extensionRegistry);
+    return com.google.protobuf.GeneratedMessage.parseWithIOException(
+        PARSER, input, extensionRegistry);
   }
 
   @java.lang.Override
-  public Builder newBuilderForType() { return newBuilder(); }
+  public Builder newBuilderForType() {
+    return newBuilder();
+  }
+
   public static Builder newBuilder() {
     return DEFAULT_INSTANCE.toBuilder();
   }
+
   public static Builder newBuilder(org.almondslip.protocol.wire.Proof prototype) {
     return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
   }
+
   @java.lang.Override
   public Builder toBuilder() {
-    return this == DEFAULT_INSTANCE
-        ? new Builder() : new Builder().mergeFrom(this);
+    return this == DEFAULT_INSTANCE ? new Builder() : new Builder().mergeFrom(this);
   }
 
   @java.lang.Override
-  protected Builder newBuilderForType(
-      com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+  protected Builder newBuilderForType(com.google.protobuf.GeneratedMessage.BuilderParent parent) {
     Builder builder = new Builder(parent);
     return builder;
   }
+
   /**
+   *
+   *
    * <pre>
    * HMAC-SHA256 with the shared secret over the peer's nonce, the own nonce and the own role.
    * </pre>
    *
    * Protobuf type {@code almondslip.Proof}
    */
-  public static final class Builder extends
-      com.google.protobuf.GeneratedMessage.Builder<Builder> implements
+  public static final class Builder extends com.google.protobuf.GeneratedMessage.Builder<Builder>
+      implements
       // @@protoc_insertion_point(builder_implements:almondslip.Proof)
       org.almondslip.protocol.wire.ProofOrBuilder {
-    public static final com.google.protobuf.Descriptors.Descriptor
-        getDescriptor() {
+    public static final com.google.protobuf.Descriptors.Descriptor getDescriptor() {
       return org.almondslip.protocol.wire.Almondslip.internal_static_almondslip_Proof_descriptor;
     }
 
     @java.lang.Override
     protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
         internalGetFieldAccessorTable() {
-      return org.almondslip.protocol.wire.Almondslip.internal_static_almondslip_Proof_fieldAccessorTable
+      return org.almondslip.protocol.wire.Almondslip
+          .internal_static_almondslip_Proof_fieldAccessorTable
           .ensureFieldAccessorsInitialized(
-              org.almondslip.protocol.wire.Proof.class, org.almondslip.protocol.wire.Proof.Builder.class);
+              org.almondslip.protocol.wire.Proof.class,
+              org.almondslip.protocol.wire.Proof.Builder.class);
     }
 
     // Construct using org.almondslip.protocol.wire.Proof.newBuilder()
-    private Builder() {
-
-    }
+    private Builder() {}
 
-    private Builder(
-        com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+    private Builder(com.google.protobuf.GeneratedMessage.BuilderParent parent) {
       super(parent);
-
     }
+
     @java.lang.Override
     public Builder clear() {
       super.clear();
@@ -268,8 +279,7 @@
     }
 
     @java.lang.Override
-    public com.google.protobuf.Descriptors.Descriptor
-        getDescriptorForType() {
+    public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
       return org.almondslip.protocol.wire.Almondslip.internal_static_almondslip_Proof_descriptor;
     }
 
@@ -290,7 +300,9 @@
     @java.lang.Override
     public org.almondslip.protocol.wire.Proof buildPartial() {
       org.almondslip.protocol.wire.Proof result = new org.almondslip.protocol.wire.Proof(this);
-      if (bitField0_ != 0) { buildPartial0(result); }
+      if (bitField0_ != 0) {
+        buildPartial0(result);
+      }
       onBuilt();
       return result;
     }
@@ -305,7 +317,7 @@
     @java.lang.Override
     public Builder mergeFrom(com.google.protobuf.Message other) {
       if (other instanceof org.almondslip.protocol.wire.Proof) {
-        return mergeFrom((org.almondslip.protocol.wire.Proof)other);
+        return mergeFrom((org.almondslip.protocol.wire.Proof) other);
       } else {
         super.mergeFrom(other);
         return this;
@@ -341,17 +353,19 @@
             case 0:
               done = true;
               break;
-            case 10: {
-              mac_ = input.readBytes();
-              bitField0_ |= 0x00000001;
-              break;
-            } // case 10
-            default: {
-              if (!super.parseUnknownField(input, extensionRegistry, tag)) {
-                done = true; // was an endgroup tag
-              }
-              break;
-            } // default:
+            case 10:
+              {
+                mac_ = input.readBytes();
+                bitField0_ |= 0x00000001;
+                break;
+              } // case 10
+            default:
+              {
+                if (!super.parseUnknownField(input, extensionRegistry, tag)) {
+                  done = true; // was an endgroup tag
+                }
+                break;
+              } // default:
           } // switch (tag)
         } // while (!done)
       } catch (com.google.protobuf.InvalidProtocolBufferException e) {
@@ -361,19 +375,24 @@
       } // finally
       return this;
     }
+
     private int bitField0_;
 
     private com.google.protobuf.ByteString mac_ = com.google.protobuf.ByteString.EMPTY;
+
     /**
      * <code>bytes mac = 1;</code>
+     *
      * @return The mac.
      */
     @java.lang.Override
     public com.google.protobuf.ByteString getMac() {
       return mac_;
     }
+
     /**
      * <code>bytes mac = 1;</code>
+     *
      * @param value The mac to set.
      * @return This builder for chaining.
      */
@@ -384,8 +403,10 @@
       onChanged();
       return this;
     }
+
     /**
      * <code>bytes mac = 1;</code>
+     *
      * @return This builder for chaining.
      */
     public Builder clearMac() {
@@ -400,6 +421,7 @@
 
   // @@protoc_insertion_point(class_scope:almondslip.Proof)
   private static final org.almondslip.protocol.wire.Proof DEFAULT_INSTANCE;
+
   static {
     DEFAULT_INSTANCE = new org.almondslip.protocol.wire.Proof();
   }
@@ -408,27 +430,27 @@
     return DEFAULT_INSTANCE;
   }
 
-  private static final com.google.protobuf.Parser<Proof>
-      PARSER = new com.google.protobuf.AbstractParser<Proof>() {
-    @java.lang.Override
-    public Proof parsePartialFrom(
-        com.google.protobuf.CodedInputStream input,
-        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-        throws com.google.protobuf.InvalidProtocolBufferException {
-      Builder builder = newBuilder();
-      try {
-        builder.mergeFrom(input, extensionRegistry);
-      } catch (com.google.protobuf.InvalidProtocolBufferException e) {
-        throw e.setUnfinishedMessage(builder.buildPartial());
-      } catch (com.google.protobuf.UninitializedMessageException e) {
-        throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
-      } catch (java.io.IOException e) {
-        throw new com.google.protobuf.InvalidProtocolBufferException(e)
-            .setUnfinishedMessage(builder.buildPartial());
-      }
-      return builder.buildPartial();
-    }
-  };
+  private static final com.google.protobuf.Parser<Proof> PARSER =
+      new com.google.protobuf.AbstractParser<Proof>() {
+        @java.lang.Override
+        public Proof parsePartialFrom(
+            com.google.protobuf.CodedInputStream input,
+            com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+            throws com.google.protobuf.InvalidProtocolBufferException {
+          Builder builder = newBuilder();
+          try {
+            builder.mergeFrom(input, extensionRegistry);
+          } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+            throw e.setUnfinishedMessage(builder.buildPartial());
+          } catch (com.google.protobuf.UninitializedMessageException e) {
+            throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
+          } catch (java.io.IOException e) {
+            throw new com.google.protobuf.InvalidProtocolBufferException(e)
+                .setUnfinishedMessage(builder.buildPartial());
+          }
+          return builder.buildPartial();
+        }
+      };
 
   public static com.google.protobuf.Parser<Proof> parser() {
     return PARSER;
@@ -443,6 +465,4 @@
   public org.almondslip.protocol.wire.Proof getDefaultInstanceForType() {
     return DEFAULT_INSTANCE;
   }
-
 }
-
--- a/wire/src/main/java/org/almondslip/protocol/wire/ProofOrBuilder.java
+++ b/wire/src/main/java/org/almondslip/protocol/wire/ProofOrBuilder.java
@@ -6,12 +6,14 @@
 package org.almondslip.protocol.wire;
 
 @com.google.protobuf.Generated
-public interface ProofOrBuilder extends
+public interface ProofOrBuilder
+    extends
     // @@protoc_insertion_point(interface_extends:almondslip.Proof)
     com.google.protobuf.MessageOrBuilder {
 
   /**
    * <code>bytes mac = 1;</code>
+   *
    * @return The mac.
    */
   com.google.protobuf.ByteString getMac();
--- a/wire/src/main/java/org/almondslip/protocol/wire/Ran.java
+++ b/wire/src/main/java/org/almondslip/protocol/wire/Ran.java
@@ -6,6 +6,8 @@
 package org.almondslip.protocol.wire;
 
 /**
+ *
+ *
  * <pre>
  * Whether a request that ended without an answer has run at its target.
  * </pre>
@@ -13,53 +15,39 @@
  * Protobuf enum {@code almondslip.Ran}
  */
 @com.google.protobuf.Generated
-public enum Ran
-    implements com.google.protobuf.ProtocolMessageEnum {
-  /**
-   * <code>RAN_UNSPECIFIED = 0;</code>
-   */
+public enum Ran implements com.google.protobuf.ProtocolMessageEnum {
+  /** <code>RAN_UNSPECIFIED = 0;</code> */
   RAN_UNSPECIFIED(0),
-  /**
-   * <code>NO = 1;</code>
-   */
+  /** <code>NO = 1;</code> */
   NO(1),
-  /**
-   * <code>UNKNOWN = 2;</code>
-   */
+  /** <code>UNKNOWN = 2;</code> */
   UNKNOWN(2),
-  /**
-   * <code>YES = 3;</code>
-   */
+  /** <code>YES = 3;</code> */
   YES(3),
   UNRECOGNIZED(-1),
   ;
 
   static {
     com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
-      com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
-      /* major= */ 4,
-      /* minor= */ 36,
-      /* patch= */ 2,
-      /* suffix= */ "",
-      "Ran");
+        com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+        /* major= */ 4,
+        /* minor= */ 36,
+        /* patch= */ 2,
+        /* suffix= */ "",
+        "Ran");
   }
-  /**
-   * <code>RAN_UNSPECIFIED = 0;</code>
-   */
+
+  /** <code>RAN_UNSPECIFIED = 0;</code> */
   public static final int RAN_UNSPECIFIED_VALUE = 0;
-  /**
-   * <code>NO = 1;</code>
-   */
+
+  /** <code>NO = 1;</code> */
   public static final int NO_VALUE = 1;
-  /**
-   * <code>UNKNOWN = 2;</code>
-   */
+
+  /** <code>UNKNOWN = 2;</code> */
   public static final int UNKNOWN_VALUE = 2;
-  /**
-   * <code>YES = 3;</code>
-   */
-  public static final int YES_VALUE = 3;
 
+  /** <code>YES = 3;</code> */
+  public static final int YES_VALUE = 3;
 
   public final int getNumber() {
     if (this == UNRECOGNIZED) {
@@ -85,50 +73,51 @@
    */
   public static Ran forNumber(int value) {
     switch (value) {
-      case 0: return RAN_UNSPECIFIED;
-      case 1: return NO;
-      case 2: return UNKNOWN;
-      case 3: return YES;
-      default: return null;
+      case 0:
+        return RAN_UNSPECIFIED;
+      case 1:
+        return NO;
+      case 2:
+        return UNKNOWN;
+      case 3:
+        return YES;
+      default:
+        return null;
     }
   }
 
-  public static com.google.protobuf.Internal.EnumLiteMap<Ran>
-      internalGetValueMap() {
+  public static com.google.protobuf.Internal.EnumLiteMap<Ran> internalGetValueMap() {
     return internalValueMap;
   }
-  private static final com.google.protobuf.Internal.EnumLiteMap<
-      Ran> internalValueMap =
-        new com.google.protobuf.Internal.EnumLiteMap<Ran>() {
-          public Ran findValueByNumber(int number) {
-            return Ran.forNumber(number);
-          }
-        };
-
-  public final com.google.protobuf.Descriptors.EnumValueDescriptor
-      getValueDescriptor() {
+
+  private static final com.google.protobuf.Internal.EnumLiteMap<Ran> internalValueMap =
+      new com.google.protobuf.Internal.EnumLiteMap<Ran>() {
+        public Ran findValueByNumber(int number) {
+          return Ran.forNumber(number);
+        }
+      };
+
+  public final com.google.protobuf.Descriptors.EnumValueDescriptor getValueDescriptor() {
     if (this == UNRECOGNIZED) {
       throw new java.lang.IllegalStateException(
           "Can't get the descriptor of an unrecognized enum value.");
     }
     return getDescriptor().getValue(ordinal());
   }
-  public final com.google.protobuf.Descriptors.EnumDescriptor
-      getDescriptorForType() {
+
+  public final com.google.protobuf.Descriptors.EnumDescriptor getDescriptorForType() {
     return getDescriptor();
   }
-  public static com.google.protobuf.Descriptors.EnumDescriptor
-      getDescriptor() {
+
+  public static com.google.protobuf.Descriptors.EnumDescriptor getDescriptor() {
     return org.almondslip.protocol.wire.Almondslip.getDescriptor().getEnumType(1);
   }
 
   private static final Ran[] VALUES = values();
 
-  public static Ran valueOf(
-      com.google.protobuf.Descriptors.EnumValueDescriptor desc) {
+  public static Ran valueOf(com.google.protobuf.Descriptors.EnumValueDescriptor desc) {
     if (desc.getType() != getDescriptor()) {
-      throw new java.lang.IllegalArgumentException(
-        "EnumValueDescriptor is not for this type.");
+      throw new java.lang.IllegalArgumentException("EnumValueDescriptor is not for this type.");
     }
     if (desc.getIndex() == -1) {
       return UNRECOGNIZED;
@@ -144,4 +133,3 @@
 
   // @@protoc_insertion_point(enum_scope:almondslip.Ran)
 }
-
