--- a/wire/src/main/java/org/almondslip/protocol/wire/RequestId.java
+++ b/wire/src/main/java/org/almondslip/protocol/wire/RequestId.java
@@ -6,6 +6,8 @@
 package org.almondslip.protocol.wire;
 
 /**
+ *
+ *
  * <pre>
  * Identifies a request in the whole fleet and across restarts.
  * </pre>
@@ -13,29 +15,30 @@
  * Protobuf type {@code almondslip.RequestId}
  */
 @com.google.protobuf.Generated
-public final class RequestId extends
-    com.google.protobuf.GeneratedMessage implements
+public final class RequestId extends com.google.protobuf.GeneratedMessage
+    implements
     // @@protoc_insertion_point(message_implements:almondslip.RequestId)
     RequestIdOrBuilder {
-private static final long serialVersionUID = 0L;
+  private static final long serialVersionUID = 0L;
+
   static {
     com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
-      com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
-      /* major= */ 4,
-      /* minor= */ 36,
-      /* patch= */ 2,
-      /* suffix= */ "",
-      "RequestId");
+        com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+        /* major= */ 4,
+        /* minor= */ 36,
+        /* patch= */ 2,
+        /* suffix= */ "",
+        "RequestId");
   }
+
   // Use RequestId.newBuilder() to construct.
   private RequestId(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
     super(builder);
   }
-  private RequestId() {
-  }
 
-  public static final com.google.protobuf.Descriptors.Descriptor
-      getDescriptor() {
+  private RequestId() {}
+
+  public static final com.google.protobuf.Descriptors.Descriptor getDescriptor() {
     return org.almondslip.protocol.wire.Almondslip.internal_static_almondslip_RequestId_descriptor;
   }
 
@@ -47,15 +50,19 @@
   @java.lang.Override
   protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internalGetFieldAccessorTable() {
-    return org.almondslip.protocol.wire.Almondslip.internal_static_almondslip_RequestId_fieldAccessorTable
+    return org.almondslip.protocol.wire.Almondslip
+        .internal_static_almondslip_RequestId_fieldAccessorTable
         .ensureFieldAccessorsInitialized(
-            org.almondslip.protocol.wire.RequestId.class, org.almondslip.protocol.wire.RequestId.Builder.class);
+            org.almondslip.protocol.wire.RequestId.class,
+            org.almondslip.protocol.wire.RequestId.Builder.class);
   }
 
   public static final int ROUTER_INCARNATION_FIELD_NUMBER = 1;
   private long routerIncarnation_ = 0L;
+
   /**
    * <code>fixed64 router_incarnation = 1;</code>
+   *
    * @return The routerIncarnation.
    */
   @java.lang.Override
@@ -65,8 +72,10 @@
 
   public static final int SEQUENCE_FIELD_NUMBER = 2;
   private long sequence_ = 0L;
+
   /**
    * <code>uint64 sequence = 2;</code>
+   *
    * @return The sequence.
    */
   @java.lang.Override
@@ -75,6 +84,7 @@
   }
 
   private byte memoizedIsInitialized = -1;
+
   @java.lang.Override
   public final boolean isInitialized() {
     byte isInitialized = memoizedIsInitialized;
@@ -86,8 +96,7 @@
   }
 
   @java.lang.Override
-  public void writeTo(com.google.protobuf.CodedOutputStream output)
-                      throws java.io.IOException {
+  public void writeTo(com.google.protobuf.CodedOutputStream output) throws java.io.IOException {
     if (routerIncarnation_ != 0L) {
       output.writeFixed64(1, routerIncarnation_);
     }
@@ -96,18 +105,18 @@
     }
     getUnknownFields().writeTo(output);
   }
+
   private int computeSerializedSize_0() {
     int size = 0;
     if (routerIncarnation_ != 0L) {
-      size += com.google.protobuf.CodedOutputStream
-        .computeFixed64Size(1, routerIncarnation_);
+      size += com.google.protobuf.CodedOutputStream.computeFixed64Size(1, routerIncarnation_);
     }
     if (sequence_ != 0L) {
-      size += com.google.protobuf.CodedOutputStream
-        .computeUInt64Size(2, sequence_);
+      size += com.google.protobuf.CodedOutputStream.computeUInt64Size(2, sequence_);
     }
     return size;
   }
+
   @java.lang.Override
   public int getSerializedSize() {
     int size = memoizedSize;
@@ -123,17 +132,15 @@
   @java.lang.Override
   public boolean equals(final java.lang.Object obj) {
     if (obj == this) {
-     return true;
+      return true;
     }
     if (!(obj instanceof org.almondslip.protocol.wire.RequestId)) {
       return super.equals(obj);
     }
     org.almondslip.protocol.wire.RequestId other = (org.almondslip.protocol.wire.RequestId) obj;
 
-    if (getRouterIncarnation()
-        != other.getRouterIncarnation()) return false;
-    if (getSequence()
-        != other.getSequence()) return false;
+    if (getRouterIncarnation() != other.getRouterIncarnation()) return false;
+    if (getSequence() != other.getSequence()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -146,142 +153,145 @@
     int hash = 41;
     hash = (19 * hash) + getDescriptor().hashCode();
     hash = (37 * hash) + ROUTER_INCARNATION_FIELD_NUMBER;
-    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
-        getRouterIncarnation());
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(getRouterIncarnation());
     hash = (37 * hash) + SEQUENCE_FIELD_NUMBER;
-    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
-        getSequence());
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(getSequence());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
   }
 
-  public static org.almondslip.protocol.wire.RequestId parseFrom(
-      java.nio.ByteBuffer data)
+  public static org.almondslip.protocol.wire.RequestId parseFrom(java.nio.ByteBuffer data)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data);
   }
+
   public static org.almondslip.protocol.wire.RequestId parseFrom(
-      java.nio.ByteBuffer data,
-      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+      java.nio.ByteBuffer data, com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data, extensionRegistry);
   }
+
   public static org.almondslip.protocol.wire.RequestId parseFrom(
       com.google.protobuf.ByteString data)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data);
   }
+
   public static org.almondslip.protocol.wire.RequestId parseFrom(
       com.google.protobuf.ByteString data,
       com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data, extensionRegistry);
   }
+
   public static org.almondslip.protocol.wire.RequestId parseFrom(byte[] data)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data);
   }
+
   public static org.almondslip.protocol.wire.RequestId parseFrom(
-      byte[] data,
-      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+      byte[] data, com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data, extensionRegistry);
   }
+
   public static org.almondslip.protocol.wire.RequestId parseFrom(java.io.InputStream input)
       throws java.io.IOException {
-    return com.google.protobuf.GeneratedMessage
-        .parseWithIOException(PARSER, input);
+    return com.google.protobuf.GeneratedMessage.parseWithIOException(PARSER, input);
   }
+
   public static org.almondslip.protocol.wire.RequestId parseFrom(
-      java.io.InputStream input,
-      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+      java.io.InputStream input, com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws java.io.IOException {
-    return com.google.protobuf.GeneratedMessage
-        .parseWithIOException(PARSER, input, extensionRegistry);
+    return com.google.protobuf.GeneratedMessage.parseWithIOException(
+        PARSER, input, extensionRegistry);
   }
 
   public static org.almondslip.protocol.wire.RequestId parseDelimitedFrom(java.io.InputStream input)
       throws java.io.IOException {
-    return com.google.protobuf.GeneratedMessage
-        .parseDelimitedWithIOException(PARSER, input);
+    return com.google.protobuf.GeneratedMessage.parseDelimitedWithIOException(PARSER, input);
   }
 
   public static org.almondslip.protocol.wire.RequestId parseDelimitedFrom(
-      java.io.InputStream input,
-      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+      java.io.InputStream input, com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws java.io.IOException {
-    return com.google.protobuf.GeneratedMessage
-        .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
+    return com.google.protobuf.GeneratedMessage.parseDelimitedWithIOException(
+        PARSER, input, extensionRegistry);
   }
+
   public static org.almondslip.protocol.wire.RequestId parseFrom(
-      com.google.protobuf.CodedInputStream input)
-      throws java.io.IOException {
-    return com.google.protobuf.GeneratedMessage
-        .parseWithIOException(PARSER, input);
+      com.google.protobuf.CodedInputStream input) throws java.io.IOException {
+    return com.google.protobuf.GeneratedMessage.parseWithIOException(PARSER, input);
   }
+
   public static org.almondslip.protocol.wire.RequestId parseFrom(
       com.google.protobuf.CodedInputStream input,
       com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws java.io.IOException {
-    return com.google.protobuf.GeneratedMessage
-        .parseWithIOException(PARSER, input, extensionRegistry);
+    return com.google.protobuf.GeneratedMessage.parseWithIOException(
+        PARSER, input, extensionRegistry);
   }
 
   @java.lang.Override
-  public Builder newBuilderForType() { return newBuilder(); }
+  public Builder newBuilderForType() {
+    return newBuilder();
+  }
+
   public static Builder newBuilder() {
     return DEFAULT_INSTANCE.toBuilder();
   }
+
   public static Builder newBuilder(org.almondslip.protocol.wire.RequestId prototype) {
     return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
   }
+
   @java.lang.Override
   public Builder toBuilder() {
-    return this == DEFAULT_INSTANCE
-        ? new Builder() : new Builder().mergeFrom(this);
+    return this == DEFAULT_INSTANCE ? new Builder() : new Builder().mergeFrom(this);
   }
 
   @java.lang.Override
-  protected Builder newBuilderForType(
-      com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+  protected Builder newBuilderForType(com.google.protobuf.GeneratedMessage.BuilderParent parent) {
     Builder builder = new Builder(parent);
     return builder;
   }
+
   /**
+   *
+   *
    * <pre>
    * Identifies a request in the whole fleet and across restarts.
    * </pre>
    *
    * Protobuf type {@code almondslip.RequestId}
    */
-  public static final class Builder extends
-      com.google.protobuf.GeneratedMessage.Builder<Builder> implements
+  public static final class Builder extends com.google.protobuf.GeneratedMessage.Builder<Builder>
+      implements
       // @@protoc_insertion_point(builder_implements:almondslip.RequestId)
       org.almondslip.protocol.wire.RequestIdOrBuilder {
-    public static final com.google.protobuf.Descriptors.Descriptor
-        getDescriptor() {
-      return org.almondslip.protocol.wire.Almondslip.internal_static_almondslip_RequestId_descriptor;
+    public static final com.google.protobuf.Descriptors.Descriptor getDescriptor() {
+      return org.almondslip.protocol.wire.Almondslip
+          .internal_static_almondslip_RequestId_descriptor;
     }
 
     @java.lang.Override
     protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
         internalGetFieldAccessorTable() {
-      return org.almondslip.protocol.wire.Almondslip.internal_static_almondslip_RequestId_fieldAccessorTable
+      return org.almondslip.protocol.wire.Almondslip
+          .internal_static_almondslip_RequestId_fieldAccessorTable
           .ensureFieldAccessorsInitialized(
-              org.almondslip.protocol.wire.RequestId.class, org.almondslip.protocol.wire.RequestId.Builder.class);
+              org.almondslip.protocol.wire.RequestId.class,
+              org.almondslip.protocol.wire.RequestId.Builder.class);
     }
 
     // Construct using org.almondslip.protocol.wire.RequestId.newBuilder()
-    private Builder() {
-
-    }
+    private Builder() {}
 
-    private Builder(
-        com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+    private Builder(com.google.protobuf.GeneratedMessage.BuilderParent parent) {
       super(parent);
-
     }
+
     @java.lang.Override
     public Builder clear() {
       super.clear();
@@ -292,9 +302,9 @@
     }
 
     @java.lang.Override
-    public com.google.protobuf.Descriptors.Descriptor
-        getDescriptorForType() {
-      return org.almondslip.protocol.wire.Almondslip.internal_static_almondslip_RequestId_descriptor;
+    public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
+      return org.almondslip.protocol.wire.Almondslip
+          .internal_static_almondslip_RequestId_descriptor;
     }
 
     @java.lang.Override
@@ -313,8 +323,11 @@
 
     @java.lang.Override
     public org.almondslip.protocol.wire.RequestId buildPartial() {
-      org.almondslip.protocol.wire.RequestId result = new org.almondslip.protocol.wire.RequestId(this);
-      if (bitField0_ != 0) { buildPartial0(result); }
+      org.almondslip.protocol.wire.RequestId result =
+          new org.almondslip.protocol.wire.RequestId(this);
+      if (bitField0_ != 0) {
+        buildPartial0(result);
+      }
       onBuilt();
       return result;
     }
@@ -332,7 +345,7 @@
     @java.lang.Override
     public Builder mergeFrom(com.google.protobuf.Message other) {
       if (other instanceof org.almondslip.protocol.wire.RequestId) {
-        return mergeFrom((org.almondslip.protocol.wire.RequestId)other);
+        return mergeFrom((org.almondslip.protocol.wire.RequestId) other);
       } else {
         super.mergeFrom(other);
         return this;
@@ -371,22 +384,25 @@
             case 0:
               done = true;
               break;
-            case 9: {
-              routerIncarnation_ = input.readFixed64();
-              bitField0_ |= 0x00000001;
-              break;
-            } // case 9
-            case 16: {
-              sequence_ = input.readUInt64();
-              bitField0_ |= 0x00000002;
-              break;
-            } // case 16
-            default: {
-              if (!super.parseUnknownField(input, extensionRegistry, tag)) {
-                done = true; // was an endgroup tag
-              }
-              break;
-            } // default:
+            case 9:
+              {
+                routerIncarnation_ = input.readFixed64();
+                bitField0_ |= 0x00000001;
+                break;
+              } // case 9
+            case 16:
+              {
+                sequence_ = input.readUInt64();
+                bitField0_ |= 0x00000002;
+                break;
+              } // case 16
+            default:
+              {
+                if (!super.parseUnknownField(input, extensionRegistry, tag)) {
+                  done = true; // was an endgroup tag
+                }
+                break;
+              } // default:
           } // switch (tag)
         } // while (!done)
       } catch (com.google.protobuf.InvalidProtocolBufferException e) {
@@ -396,19 +412,24 @@
       } // finally
       return this;
     }
+
     private int bitField0_;
 
-    private long routerIncarnation_ ;
+    private long routerIncarnation_;
+
     /**
      * <code>fixed64 router_incarnation = 1;</code>
+     *
      * @return The routerIncarnation.
      */
     @java.lang.Override
     public long getRouterIncarnation() {
       return routerIncarnation_;
     }
+
     /**
      * <code>fixed64 router_incarnation = 1;</code>
+     *
      * @param value The routerIncarnation to set.
      * @return This builder for chaining.
      */
@@ -419,8 +440,10 @@
       onChanged();
       return this;
     }
+
     /**
      * <code>fixed64 router_incarnation = 1;</code>
+     *
      * @return This builder for chaining.
      */
     public Builder clearRouterIncarnation() {
@@ -430,17 +453,21 @@
       return this;
     }
 
-    private long sequence_ ;
+    private long sequence_;
+
     /**
      * <code>uint64 sequence = 2;</code>
+     *
      * @return The sequence.
      */
     @java.lang.Override
     public long getSequence() {
       return sequence_;
     }
+
     /**
      * <code>uint64 sequence = 2;</code>
+     *
      * @param value The sequence to set.
      * @return This builder for chaining.
      */
@@ -451,8 +478,10 @@
       onChanged();
       return this;
     }
+
     /**
      * <code>uint64 sequence = 2;</code>
+     *
      * @return This builder for chaining.
      */
     public Builder clearSequence() {
@@ -467,6 +496,7 @@
 
   // @@protoc_insertion_point(class_scope:almondslip.RequestId)
   private static final org.almondslip.protocol.wire.RequestId DEFAULT_INSTANCE;
+
   static {
     DEFAULT_INSTANCE = new org.almondslip.protocol.wire.RequestId();
   }
@@ -475,27 +505,27 @@
     return DEFAULT_INSTANCE;
   }
 
-  private static final com.google.protobuf.Parser<RequestId>
-      PARSER = new com.google.protobuf.AbstractParser<RequestId>() {
-    @java.lang.Override
-    public RequestId parsePartialFrom(
-        com.google.protobuf.CodedInputStream input,
-        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-        throws com.google.protobuf.InvalidProtocolBufferException {
-      Builder builder = newBuilder();
-      try {
-        builder.mergeFrom(input, extensionRegistry);
-      } catch (com.google.protobuf.InvalidProtocolBufferException e) {
-        throw e.setUnfinishedMessage(builder.buildPartial());
-      } catch (com.google.protobuf.UninitializedMessageException e) {
-        throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
-      } catch (java.io.IOException e) {
-        throw new com.google.protobuf.InvalidProtocolBufferException(e)
-            .setUnfinishedMessage(builder.buildPartial());
-      }
-      return builder.buildPartial();
-    }
-  };
+  private static final com.google.protobuf.Parser<RequestId> PARSER =
+      new com.google.protobuf.AbstractParser<RequestId>() {
+        @java.lang.Override
+        public RequestId parsePartialFrom(
+            com.google.protobuf.CodedInputStream input,
+            com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+            throws com.google.protobuf.InvalidProtocolBufferException {
+          Builder builder = newBuilder();
+          try {
+            builder.mergeFrom(input, extensionRegistry);
+          } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+            throw e.setUnfinishedMessage(builder.buildPartial());
+          } catch (com.google.protobuf.UninitializedMessageException e) {
+            throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
+          } catch (java.io.IOException e) {
+            throw new com.google.protobuf.InvalidProtocolBufferException(e)
+                .setUnfinishedMessage(builder.buildPartial());
+          }
+          return builder.buildPartial();
+        }
+      };
 
   public static com.google.protobuf.Parser<RequestId> parser() {
     return PARSER;
@@ -510,6 +540,4 @@
   public org.almondslip.protocol.wire.RequestId getDefaultInstanceForType() {
     return DEFAULT_INSTANCE;
   }
-
 }
-
--- a/wire/src/main/java/org/almondslip/protocol/wire/RequestIdOrBuilder.java
+++ b/wire/src/main/java/org/almondslip/protocol/wire/RequestIdOrBuilder.java
@@ -6,18 +6,21 @@
 package org.almondslip.protocol.wire;
 
 @com.google.protobuf.Generated
-public interface RequestIdOrBuilder extends
+public interface RequestIdOrBuilder
+    extends
     // @@protoc_insertion_point(interface_extends:almondslip.RequestId)
     com.google.protobuf.MessageOrBuilder {
 
   /**
    * <code>fixed64 router_incarnation = 1;</code>
+   *
    * @return The routerIncarnation.
    */
   long getRouterIncarnation();
 
   /**
    * <code>uint64 sequence = 2;</code>
+   *
    * @return The sequence.
    */
   long getSequence();
--- a/wire/src/main/java/org/almondslip/protocol/wire/Role.java
+++ b/wire/src/main/java/org/almondslip/protocol/wire/Role.java
@@ -5,49 +5,36 @@
 
 package org.almondslip.protocol.wire;
 
-/**
- * Protobuf enum {@code almondslip.Role}
- */
+/** Protobuf enum {@code almondslip.Role} */
 @com.google.protobuf.Generated
-public enum Role
-    implements com.google.protobuf.ProtocolMessageEnum {
-  /**
-   * <code>ROLE_UNSPECIFIED = 0;</code>
-   */
+public enum Role implements com.google.protobuf.ProtocolMessageEnum {
+  /** <code>ROLE_UNSPECIFIED = 0;</code> */
   ROLE_UNSPECIFIED(0),
-  /**
-   * <code>ROUTER = 1;</code>
-   */
+  /** <code>ROUTER = 1;</code> */
   ROUTER(1),
-  /**
-   * <code>AGENT = 2;</code>
-   */
+  /** <code>AGENT = 2;</code> */
   AGENT(2),
   UNRECOGNIZED(-1),
   ;
 
   static {
     com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
-      com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
-      /* major= */ 4,
-      /* minor= */ 36,
-      /* patch= */ 2,
-      /* suffix= */ "",
-      "Role");
+        com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+        /* major= */ 4,
+        /* minor= */ 36,
+        /* patch= */ 2,
+        /* suffix= */ "",
+        "Role");
   }
-  /**
-   * <code>ROLE_UNSPECIFIED = 0;</code>
-   */
+
+  /** <code>ROLE_UNSPECIFIED = 0;</code> */
   public static final int ROLE_UNSPECIFIED_VALUE = 0;
-  /**
-   * <code>ROUTER = 1;</code>
-   */
+
+  /** <code>ROUTER = 1;</code> */
   public static final int ROUTER_VALUE = 1;
-  /**
-   * <code>AGENT = 2;</code>
-   */
-  public static final int AGENT_VALUE = 2;
 
+  /** <code>AGENT = 2;</code> */
+  public static final int AGENT_VALUE = 2;
 
   public final int getNumber() {
     if (this == UNRECOGNIZED) {
@@ -73,49 +60,49 @@
    */
   public static Role forNumber(int value) {
     switch (value) {
-      case 0: return ROLE_UNSPECIFIED;
-      case 1: return ROUTER;
-      case 2: return AGENT;
-      default: return null;
+      case 0:
+        return ROLE_UNSPECIFIED;
+      case 1:
+        return ROUTER;
+      case 2:
+        return AGENT;
+      default:
+        return null;
     }
   }
 
-  public static com.google.protobuf.Internal.EnumLiteMap<Role>
-      internalGetValueMap() {
+  public static com.google.protobuf.Internal.EnumLiteMap<Role> internalGetValueMap() {
     return internalValueMap;
   }
-  private static final com.google.protobuf.Internal.EnumLiteMap<
-      Role> internalValueMap =
-        new com.google.protobuf.Internal.EnumLiteMap<Role>() {
-          public Role findValueByNumber(int number) {
-            return Role.forNumber(number);
-          }
-        };
-
-  public final com.google.protobuf.Descriptors.EnumValueDescriptor
-      getValueDescriptor() {
+
+  private static final com.google.protobuf.Internal.EnumLiteMap<Role> internalValueMap =
+      new com.google.protobuf.Internal.EnumLiteMap<Role>() {
+        public Role findValueByNumber(int number) {
+          return Role.forNumber(number);
+        }
+      };
+
+  public final com.google.protobuf.Descriptors.EnumValueDescriptor getValueDescriptor() {
     if (this == UNRECOGNIZED) {
       throw new java.lang.IllegalStateException(
           "Can't get the descriptor of an unrecognized enum value.");
     }
     return getDescriptor().getValue(ordinal());
   }
-  public final com.google.protobuf.Descriptors.EnumDescriptor
-      getDescriptorForType() {
+
+  public final com.google.protobuf.Descriptors.EnumDescriptor getDescriptorForType() {
     return getDescriptor();
   }
-  public static com.google.protobuf.Descriptors.EnumDescriptor
-      getDescriptor() {
+
+  public static com.google.protobuf.Descriptors.EnumDescriptor getDescriptor() {
     return org.almondslip.protocol.wire.Almondslip.getDescriptor().getEnumType(0);
   }
 
   private static final Role[] VALUES = values();
 
-  public static Role valueOf(
-      com.google.protobuf.Descriptors.EnumValueDescriptor desc) {
+  public static Role valueOf(com.google.protobuf.Descriptors.EnumValueDescriptor desc) {
     if (desc.getType() != getDescriptor()) {
-      throw new java.lang.IllegalArgumentException(
-        "EnumValueDescriptor is not for this type.");
+      throw new java.lang.IllegalArgumentException("EnumValueDescriptor is not for this type.");
     }
     if (desc.getIndex() == -1) {
       return UNRECOGNIZED;
@@ -131,4 +118,3 @@
 
   // @@protoc_insertion_point(enum_scope:almondslip.Role)
 }
-
--- a/wire/src/main/java/org/almondslip/protocol/wire/RootExchange.java
+++ b/wire/src/main/java/org/almondslip/protocol/wire/RootExchange.java
@@ -6,6 +6,8 @@
 package org.almondslip.protocol.wire;
 
 /**
+ *
+ *
  * <pre>
  * Between the roots of the data centres: cumulative counters of the sender's data centre, and lifts.
  * </pre>
@@ -13,24 +15,27 @@
  * Protobuf type {@code almondslip.RootExchange}
  */
 @com.google.protobuf.Generated
-public final class RootExchange extends
-    com.google.protobuf.GeneratedMessage implements
+public final class RootExchange extends com.google.protobuf.GeneratedMessage
+    implements
     // @@protoc_insertion_point(message_implements:almondslip.RootExchange)
     RootExchangeOrBuilder {
-private static final long serialVersionUID = 0L;
+  private static final long serialVersionUID = 0L;
+
   static {
     com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
-      com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
-      /* major= */ 4,
-      /* minor= */ 36,
-      /* patch= */ 2,
-      /* suffix= */ "",
-      "RootExchange");
+        com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+        /* major= */ 4,
+        /* minor= */ 36,
+        /* patch= */ 2,
+        /* suffix= */ "",
+        "RootExchange");
   }
+
   // Use RootExchange.newBuilder() to construct.
   private RootExchange(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
     super(builder);
   }
+
   private RootExchange() {
     dataCentre_ = "";
     flowId_ = emptyIntList();
@@ -40,29 +45,35 @@
     receiverCounterUs_ = emptyLongList();
   }
 
-  public static final com.google.protobuf.Descriptors.Descriptor
-      getDescriptor() {
-    return org.almondslip.protocol.wire.Almondslip.internal_static_almondslip_RootExchange_descriptor;
+  public static final com.google.protobuf.Descriptors.Descriptor getDescriptor() {
+    return org.almondslip.protocol.wire.Almondslip
+        .internal_static_almondslip_RootExchange_descriptor;
   }
 
   @java.lang.Override
   public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
-    return org.almondslip.protocol.wire.Almondslip.internal_static_almondslip_RootExchange_descriptor;
+    return org.almondslip.protocol.wire.Almondslip
+        .internal_static_almondslip_RootExchange_descriptor;
   }
 
   @java.lang.Override
   protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internalGetFieldAccessorTable() {
-    return org.almondslip.protocol.wire.Almondslip.internal_static_almondslip_RootExchange_fieldAccessorTable
+    return org.almondslip.protocol.wire.Almondslip
+        .internal_static_almondslip_RootExchange_fieldAccessorTable
         .ensureFieldAccessorsInitialized(
-            org.almondslip.protocol.wire.RootExchange.class, org.almondslip.protocol.wire.RootExchange.Builder.class);
+            org.almondslip.protocol.wire.RootExchange.class,
+            org.almondslip.protocol.wire.RootExchange.Builder.class);
   }
 
   public static final int DATA_CENTRE_FIELD_NUMBER = 1;
+
   @SuppressWarnings("serial")
   private volatile java.lang.Object dataCentre_ = "";
+
   /**
    * <code>string data_centre = 1;</code>
+   *
    * @return The dataCentre.
    */
   @java.lang.Override
@@ -71,25 +82,24 @@
     if (ref instanceof java.lang.String) {
       return (java.lang.String) ref;
     } else {
-      com.google.protobuf.ByteString bs = 
-          (com.google.protobuf.ByteString) ref;
+      com.google.protobuf.ByteString bs = (com.google.protobuf.ByteString) ref;
       java.lang.String s = bs.toStringUtf8();
       dataCentre_ = s;
       return s;
     }
   }
+
   /**
    * <code>string data_centre = 1;</code>
+   *
    * @return The bytes for dataCentre.
    */
   @java.lang.Override
-  public com.google.protobuf.ByteString
-      getDataCentreBytes() {
+  public com.google.protobuf.ByteString getDataCentreBytes() {
     java.lang.Object ref = dataCentre_;
     if (ref instanceof java.lang.String) {
-      com.google.protobuf.ByteString b = 
-          com.google.protobuf.ByteString.copyFromUtf8(
-              (java.lang.String) ref);
+      com.google.protobuf.ByteString b =
+          com.google.protobuf.ByteString.copyFromUtf8((java.lang.String) ref);
       dataCentre_ = b;
       return b;
     } else {
@@ -99,8 +109,10 @@
 
   public static final int EPOCH_FIELD_NUMBER = 2;
   private long epoch_ = 0L;
+
   /**
    * <code>uint64 epoch = 2;</code>
+   *
    * @return The epoch.
    */
   @java.lang.Override
@@ -109,129 +121,155 @@
   }
 
   public static final int FLOW_ID_FIELD_NUMBER = 3;
+
   @SuppressWarnings("serial")
-  private com.google.protobuf.Internal.IntList flowId_ =
-      emptyIntList();
+  private com.google.protobuf.Internal.IntList flowId_ = emptyIntList();
+
   /**
    * <code>repeated fixed32 flow_id = 3;</code>
+   *
    * @return A list containing the flowId.
    */
   @java.lang.Override
-  public java.util.List<java.lang.Integer>
-      getFlowIdList() {
+  public java.util.List<java.lang.Integer> getFlowIdList() {
     return flowId_;
   }
+
   /**
    * <code>repeated fixed32 flow_id = 3;</code>
+   *
    * @return The count of flowId.
    */
   public int getFlowIdCount() {
     return flowId_.size();
   }
+
   /**
    * <code>repeated fixed32 flow_id = 3;</code>
+   *
    * @param index The index of the element to return.
    * @return The flowId at the given index.
    */
   public int getFlowId(int index) {
     return flowId_.getInt(index);
   }
+
   private int flowIdMemoizedSerializedSize = -1;
 
   public static final int COUNTER_US_FIELD_NUMBER = 4;
+
   @SuppressWarnings("serial")
-  private com.google.protobuf.Internal.LongList counterUs_ =
-      emptyLongList();
+  private com.google.protobuf.Internal.LongList counterUs_ = emptyLongList();
+
   /**
    * <code>repeated uint64 counter_us = 4;</code>
+   *
    * @return A list containing the counterUs.
    */
   @java.lang.Override
-  public java.util.List<java.lang.Long>
-      getCounterUsList() {
+  public java.util.List<java.lang.Long> getCounterUsList() {
     return counterUs_;
   }
+
   /**
    * <code>repeated uint64 counter_us = 4;</code>
+   *
    * @return The count of counterUs.
    */
   public int getCounterUsCount() {
     return counterUs_.size();
   }
+
   /**
    * <code>repeated uint64 counter_us = 4;</code>
+   *
    * @param index The index of the element to return.
    * @return The counterUs at the given index.
    */
   public long getCounterUs(int index) {
     return counterUs_.getLong(index);
   }
+
   private int counterUsMemoizedSerializedSize = -1;
 
   public static final int LIFT_US_FIELD_NUMBER = 5;
+
   @SuppressWarnings("serial")
-  private com.google.protobuf.Internal.LongList liftUs_ =
-      emptyLongList();
+  private com.google.protobuf.Internal.LongList liftUs_ = emptyLongList();
+
   /**
    * <code>repeated uint64 lift_us = 5;</code>
+   *
    * @return A list containing the liftUs.
    */
   @java.lang.Override
-  public java.util.List<java.lang.Long>
-      getLiftUsList() {
+  public java.util.List<java.lang.Long> getLiftUsList() {
     return liftUs_;
   }
+
   /**
    * <code>repeated uint64 lift_us = 5;</code>
+   *
    * @return The count of liftUs.
    */
   public int getLiftUsCount() {
     return liftUs_.size();
   }
+
   /**
    * <code>repeated uint64 lift_us = 5;</code>
+   *
    * @param index The index of the element to return.
    * @return The liftUs at the given index.
    */
   public long getLiftUs(int index) {
     return liftUs_.getLong(index);
   }
+
   private int liftUsMemoizedSerializedSize = -1;
 
   public static final int BACKLOGGED_FIELD_NUMBER = 6;
+
   @SuppressWarnings("serial")
-  private com.google.protobuf.Internal.BooleanList backlogged_ =
-      emptyBooleanList();
+  private com.google.protobuf.Internal.BooleanList backlogged_ = emptyBooleanList();
+
   /**
    * <code>repeated bool backlogged = 6;</code>
+   *
    * @return A list containing the backlogged.
    */
   @java.lang.Override
-  public java.util.List<java.lang.Boolean>
-      getBackloggedList() {
+  public java.util.List<java.lang.Boolean> getBackloggedList() {
     return backlogged_;
   }
+
   /**
    * <code>repeated bool backlogged = 6;</code>
+   *
    * @return The count of backlogged.
    */
   public int getBackloggedCount() {
     return backlogged_.size();
   }
+
   /**
    * <code>repeated bool backlogged = 6;</code>
+   *
    * @param index The index of the element to return.
    * @return The backlogged at the given index.
    */
   public boolean getBacklogged(int index) {
     return backlogged_.getBoolean(index);
   }
+
   private int backloggedMemoizedSerializedSize = -1;
 
   public static final int AGENTS_FIELD_NUMBER = 7;
   private int agents_ = 0;
+
   /**
    * <code>uint32 agents = 7;</code>
+   *
    * @return The agents.
    */
   @java.lang.Override
@@ -240,48 +278,61 @@
   }
 
   public static final int RECEIVER_COUNTER_US_FIELD_NUMBER = 8;
+
   @SuppressWarnings("serial")
-  private com.google.protobuf.Internal.LongList receiverCounterUs_ =
-      emptyLongList();
+  private com.google.protobuf.Internal.LongList receiverCounterUs_ = emptyLongList();
+
   /**
+   *
+   *
    * <pre>
    * Counters that the sender holds for the receiver's data centre, so that a new root can start from them.
    * </pre>
    *
    * <code>repeated uint64 receiver_counter_us = 8;</code>
+   *
    * @return A list containing the receiverCounterUs.
    */
   @java.lang.Override
-  public java.util.List<java.lang.Long>
-      getReceiverCounterUsList() {
+  public java.util.List<java.lang.Long> getReceiverCounterUsList() {
     return receiverCounterUs_;
   }
+
   /**
+   *
+   *
    * <pre>
    * Counters that the sender holds for the receiver's data centre, so that a new root can start from them.
    * </pre>
    *
    * <code>repeated uint64 receiver_counter_us = 8;</code>
+   *
    * @return The count of receiverCounterUs.
    */
   public int getReceiverCounterUsCount() {
     return receiverCounterUs_.size();
   }
+
   /**
+   *
+   *
    * <pre>
    * Counters that the sender holds for the receiver's data centre, so that a new root can start from them.
    * </pre>
    *
    * <code>repeated uint64 receiver_counter_us = 8;</code>
+   *
    * @param index The index of the element to return.
    * @return The receiverCounterUs at the given index.
    */
   public long getReceiverCounterUs(int index) {
     return receiverCounterUs_.getLong(index);
   }
+
   private int receiverCounterUsMemoizedSerializedSize = -1;
 
   private byte memoizedIsInitialized = -1;
+
   @java.lang.Override
   public final boolean isInitialized() {
     byte isInitialized = memoizedIsInitialized;
@@ -293,8 +344,7 @@
   }
 
   @java.lang.Override
-  public void writeTo(com.google.protobuf.CodedOutputStream output)
-                      throws java.io.IOException {
+  public void writeTo(com.google.protobuf.CodedOutputStream output) throws java.io.IOException {
     getSerializedSize();
     if (!com.google.protobuf.GeneratedMessage.isStringEmpty(dataCentre_)) {
       com.google.protobuf.GeneratedMessage.writeString(output, 1, dataCentre_);
@@ -342,14 +392,14 @@
     }
     getUnknownFields().writeTo(output);
   }
+
   private int computeSerializedSize_0() {
     int size = 0;
     if (!com.google.protobuf.GeneratedMessage.isStringEmpty(dataCentre_)) {
       size += com.google.protobuf.GeneratedMessage.computeStringSize(1, dataCentre_);
     }
     if (epoch_ != 0L) {
-      size += com.google.protobuf.CodedOutputStream
-        .computeUInt64Size(2, epoch_);
+      size += com.google.protobuf.CodedOutputStream.computeUInt64Size(2, epoch_);
     }
     {
       int dataSize = 0;
@@ -357,36 +407,33 @@
       size += dataSize;
       if (!getFlowIdList().isEmpty()) {
         size += 1;
-        size += com.google.protobuf.CodedOutputStream
-            .computeInt32SizeNoTag(dataSize);
+        size += com.google.protobuf.CodedOutputStream.computeInt32SizeNoTag(dataSize);
       }
       flowIdMemoizedSerializedSize = dataSize;
     }
     {
       int dataSize = 0;
       for (int i = 0; i < counterUs_.size(); i++) {
-        dataSize += com.google.protobuf.CodedOutputStream
-          .computeUInt64SizeNoTag(counterUs_.getLong(i));
+        dataSize +=
+            com.google.protobuf.CodedOutputStream.computeUInt64SizeNoTag(counterUs_.getLong(i));
       }
       size += dataSize;
       if (!getCounterUsList().isEmpty()) {
         size += 1;
-        size += com.google.protobuf.CodedOutputStream
-            .computeInt32SizeNoTag(dataSize);
+        size += com.google.protobuf.CodedOutputStream.computeInt32SizeNoTag(dataSize);
       }
       counterUsMemoizedSerializedSize = dataSize;
     }
     {
       int dataSize = 0;
       for (int i = 0; i < liftUs_.size(); i++) {
-        dataSize += com.google.protobuf.CodedOutputStream
-          .computeUInt64SizeNoTag(liftUs_.getLong(i));
+        dataSize +=
+            com.google.protobuf.CodedOutputStream.computeUInt64SizeNoTag(liftUs_.getLong(i));
       }
       size += dataSize;
       if (!getLiftUsList().isEmpty()) {
         size += 1;
-        size += com.google.protobuf.CodedOutputStream
-            .computeInt32SizeNoTag(dataSize);
+        size += com.google.protobuf.CodedOutputStream.computeInt32SizeNoTag(dataSize);
       }
       liftUsMemoizedSerializedSize = dataSize;
     }
@@ -396,31 +443,30 @@
       size += dataSize;
       if (!getBackloggedList().isEmpty()) {
         size += 1;
-        size += com.google.protobuf.CodedOutputStream
-            .computeInt32SizeNoTag(dataSize);
+        size += com.google.protobuf.CodedOutputStream.computeInt32SizeNoTag(dataSize);
       }
       backloggedMemoizedSerializedSize = dataSize;
     }
     if (agents_ != 0) {
-      size += com.google.protobuf.CodedOutputStream
-        .computeUInt32Size(7, agents_);
+      size += com.google.protobuf.CodedOutputStream.computeUInt32Size(7, agents_);
     }
     {
       int dataSize = 0;
       for (int i = 0; i < receiverCounterUs_.size(); i++) {
-        dataSize += com.google.protobuf.CodedOutputStream
-          .computeUInt64SizeNoTag(receiverCounterUs_.getLong(i));
+        dataSize +=
+            com.google.protobuf.CodedOutputStream.computeUInt64SizeNoTag(
+                receiverCounterUs_.getLong(i));
       }
       size += dataSize;
       if (!getReceiverCounterUsList().isEmpty()) {
         size += 1;
-        size += com.google.protobuf.CodedOutputStream
-            .computeInt32SizeNoTag(dataSize);
+        size += com.google.protobuf.CodedOutputStream.computeInt32SizeNoTag(dataSize);
       }
       receiverCounterUsMemoizedSerializedSize = dataSize;
     }
     return size;
   }
+
   @java.lang.Override
   public int getSerializedSize() {
     int size = memoizedSize;
@@ -436,29 +482,22 @@
   @java.lang.Override
   public boolean equals(final java.lang.Object obj) {
     if (obj == this) {
-     return true;
+      return true;
     }
     if (!(obj instanceof org.almondslip.protocol.wire.RootExchange)) {
       return super.equals(obj);
     }
-    org.almondslip.protocol.wire.RootExchange other = (org.almondslip.protocol.wire.RootExchange) obj;
-
-    if (!getDataCentre()
-        .equals(other.getDataCentre())) return false;
-    if (getEpoch()
-        != other.getEpoch()) return false;
-    if (!getFlowIdList()
-        .equals(other.getFlowIdList())) return false;
-    if (!getCounterUsList()
-        .equals(other.getCounterUsList())) return false;
-    if (!getLiftUsList()
-        .equals(other.getLiftUsList())) return false;
-    if (!getBackloggedList()
-        .equals(other.getBackloggedList())) return false;
-    if (getAgents()
-        != other.getAgents()) return false;
-    if (!getReceiverCounterUsList()
-        .equals(other.getReceiverCounterUsList())) return false;
+    org.almondslip.protocol.wire.RootExchange other =
+        (org.almondslip.protocol.wire.RootExchange) obj;
+
+    if (!getDataCentre().equals(other.getDataCentre())) return false;
+    if (getEpoch() != other.getEpoch()) return false;
+    if (!getFlowIdList().equals(other.getFlowIdList())) return false;
+    if (!getCounterUsList().equals(other.getCounterUsList())) return false;
+    if (!getLiftUsList().equals(other.getLiftUsList())) return false;
+    if (!getBackloggedList().equals(other.getBackloggedList())) return false;
+    if (getAgents() != other.getAgents()) return false;
+    if (!getReceiverCounterUsList().equals(other.getReceiverCounterUsList())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -473,8 +512,7 @@
     hash = (37 * hash) + DATA_CENTRE_FIELD_NUMBER;
     hash = (53 * hash) + getDataCentre().hashCode();
     hash = (37 * hash) + EPOCH_FIELD_NUMBER;
-    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
-        getEpoch());
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(getEpoch());
     if (getFlowIdCount() > 0) {
       hash = (37 * hash) + FLOW_ID_FIELD_NUMBER;
       hash = (53 * hash) + getFlowIdList().hashCode();
@@ -502,132 +540,137 @@
     return hash;
   }
 
-  public static org.almondslip.protocol.wire.RootExchange parseFrom(
-      java.nio.ByteBuffer data)
+  public static org.almondslip.protocol.wire.RootExchange parseFrom(java.nio.ByteBuffer data)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data);
   }
+
   public static org.almondslip.protocol.wire.RootExchange parseFrom(
-      java.nio.ByteBuffer data,
-      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+      java.nio.ByteBuffer data, com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data, extensionRegistry);
   }
+
   public static org.almondslip.protocol.wire.RootExchange parseFrom(
       com.google.protobuf.ByteString data)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data);
   }
+
   public static org.almondslip.protocol.wire.RootExchange parseFrom(
       com.google.protobuf.ByteString data,
       com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data, extensionRegistry);
   }
+
   public static org.almondslip.protocol.wire.RootExchange parseFrom(byte[] data)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data);
   }
+
   public static org.almondslip.protocol.wire.RootExchange parseFrom(
-      byte[] data,
-      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+      byte[] data, com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data, extensionRegistry);
   }
+
   public static org.almondslip.protocol.wire.RootExchange parseFrom(java.io.InputStream input)
       throws java.io.IOException {
-    return com.google.protobuf.GeneratedMessage
-        .parseWithIOException(PARSER, input);
+    return com.google.protobuf.GeneratedMessage.parseWithIOException(PARSER, input);
   }
+
   public static org.almondslip.protocol.wire.RootExchange parseFrom(
-      java.io.InputStream input,
-      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+      java.io.InputStream input, com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws java.io.IOException {
-    return com.google.protobuf.GeneratedMessage
-        .parseWithIOException(PARSER, input, extensionRegistry);
+    return com.google.protobuf.GeneratedMessage.parseWithIOException(
+        PARSER, input, extensionRegistry);
   }
 
-  public static org.almondslip.protocol.wire.RootExchange parseDelimitedFrom(java.io.InputStream input)
-      throws java.io.IOException {
-    return com.google.protobuf.GeneratedMessage
-        .parseDelimitedWithIOException(PARSER, input);
+  public static org.almondslip.protocol.wire.RootExchange parseDelimitedFrom(
+      java.io.InputStream input) throws java.io.IOException {
+    return com.google.protobuf.GeneratedMessage.parseDelimitedWithIOException(PARSER, input);
   }
 
   public static org.almondslip.protocol.wire.RootExchange parseDelimitedFrom(
-      java.io.InputStream input,
-      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+      java.io.InputStream input, com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws java.io.IOException {
-    return com.google.protobuf.GeneratedMessage
-        .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
+    return com.google.protobuf.GeneratedMessage.parseDelimitedWithIOException(
+        PARSER, input, extensionRegistry);
   }
+
   public static org.almondslip.protocol.wire.RootExchange parseFrom(
-      com.google.protobuf.CodedInputStream input)
-      throws java.io.IOException {
-    return com.google.protobuf.GeneratedMessage
-        .parseWithIOException(PARSER, input);
+      com.google.protobuf.CodedInputStream input) throws java.io.IOException {
+    return com.google.protobuf.GeneratedMessage.parseWithIOException(PARSER, input);
   }
+
   public static org.almondslip.protocol.wire.RootExchange parseFrom(
       com.google.protobuf.CodedInputStream input,
       com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws java.io.IOException {
-    return com.google.protobuf.GeneratedMessage
-        .parseWithIOException(PARSER, input, extensionRegistry);
+    return com.google.protobuf.GeneratedMessage.parseWithIOException(
+        PARSER, input, extensionRegistry);
   }
 
   @java.lang.Override
-  public Builder newBuilderForType() { return newBuilder(); }
+  public Builder newBuilderForType() {
+    return newBuilder();
+  }
+
   public static Builder newBuilder() {
     return DEFAULT_INSTANCE.toBuilder();
   }
+
   public static Builder newBuilder(org.almondslip.protocol.wire.RootExchange prototype) {
     return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
   }
+
   @java.lang.Override
   public Builder toBuilder() {
-    return this == DEFAULT_INSTANCE
-        ? new Builder() : new Builder().mergeFrom(this);
+    return this == DEFAULT_INSTANCE ? new Builder() : new Builder().mergeFrom(this);
   }
 
   @java.lang.Override
-  protected Builder newBuilderForType(
-      com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+  protected Builder newBuilderForType(com.google.protobuf.GeneratedMessage.BuilderParent parent) {
     Builder builder = new Builder(parent);
     return builder;
   }
+
   /**
+   *
+   *
    * <pre>
    * Between the roots of the data centres: cumulative counters of the sender's data centre, and lifts.
    * </pre>
    *
    * Protobuf type {@code almondslip.RootExchange}
    */
-  public static final class Builder extends
-      com.google.protobuf.GeneratedMessage.Builder<Builder> implements
+  public static final class Builder extends com.google.protobuf.GeneratedMessage.Builder<Builder>
+      implements
       // @@protoc_insertion_point(builder_implements:almondslip.RootExchange)
       org.almondslip.protocol.wire.RootExchangeOrBuilder {
-    public static final com.google.protobuf.Descriptors.Descriptor
-        getDescriptor() {
-      return org.almondslip.protocol.wire.Almondslip.internal_static_almondslip_RootExchange_descriptor;
+    public static final com.google.protobuf.Descriptors.Descriptor getDescriptor() {
+      return org.almondslip.protocol.wire.Almondslip
+          .internal_static_almondslip_RootExchange_descriptor;
     }
 
     @java.lang.Override
     protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
         internalGetFieldAccessorTable() {
-      return org.almondslip.protocol.wire.Almondslip.internal_static_almondslip_RootExchange_fieldAccessorTable
+      return org.almondslip.protocol.wire.Almondslip
+          .internal_static_almondslip_RootExchange_fieldAccessorTable
           .ensureFieldAccessorsInitialized(
-              org.almondslip.protocol.wire.RootExchange.class, org.almondslip.protocol.wire.RootExchange.Builder.class);
+              org.almondslip.protocol.wire.RootExchange.class,
+              org.almondslip.protocol.wire.RootExchange.Builder.class);
     }
 
     // Construct using org.almondslip.protocol.wire.RootExchange.newBuilder()
-    private Builder() {
-
-    }
+    private Builder() {}
 
-    private Builder(
-        com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+    private Builder(com.google.protobuf.GeneratedMessage.BuilderParent parent) {
       super(parent);
-
     }
+
     @java.lang.Override
     public Builder clear() {
       super.clear();
@@ -644,9 +687,9 @@
     }
 
     @java.lang.Override
-    public com.google.protobuf.Descriptors.Descriptor
-        getDescriptorForType() {
-      return org.almondslip.protocol.wire.Almondslip.internal_static_almondslip_RootExchange_descriptor;
+    public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
+      return org.almondslip.protocol.wire.Almondslip
+          .internal_static_almondslip_RootExchange_descriptor;
     }
 
     @java.lang.Override
@@ -665,8 +708,11 @@
 
     @java.lang.Override
     public org.almondslip.protocol.wire.RootExchange buildPartial() {
-      org.almondslip.protocol.wire.RootExchange result = new org.almondslip.protocol.wire.RootExchange(this);
-      if (bitField0_ != 0) { buildPartial0(result); }
+      org.almondslip.protocol.wire.RootExchange result =
+          new org.almondslip.protocol.wire.RootExchange(this);
+      if (bitField0_ != 0) {
+        buildPartial0(result);
+      }
       onBuilt();
       return result;
     }
@@ -707,7 +753,7 @@
     @java.lang.Override
     public Builder mergeFrom(com.google.protobuf.Message other) {
       if (other instanceof org.almondslip.protocol.wire.RootExchange) {
-        return mergeFrom((org.almondslip.protocol.wire.RootExchange)other);
+        return mergeFrom((org.almondslip.protocol.wire.RootExchange) other);
       } else {
         super.mergeFrom(other);
         return this;
@@ -806,109 +852,123 @@
             case 0:
               done = true;
               break;
-            case 10: {
-              dataCentre_ = input.readStringRequireUtf8();
-              bitField0_ |= 0x00000001;
-              break;
-            } // case 10
-            case 16: {
-              epoch_ = input.readUInt64();
-              bitField0_ |= 0x00000002;
-              break;
-            } // case 16
-            case 29: {
-              int v = input.readFixed32();
-              ensureFlowIdIsMutable();
-              flowId_.addInt(v);
-              break;
-            } // case 29
-            case 26: {
-              int length = input.readRawVarint32();
-              int limit = input.pushLimit(length);
-              int alloc = length > 4096 ? 4096 : length;
-              ensureFlowIdIsMutable(alloc / 4);
-              while (input.getBytesUntilLimit() > 0) {
-                flowId_.addInt(input.readFixed32());
-              }
-              input.popLimit(limit);
-              break;
-            } // case 26
-            case 32: {
-              long v = input.readUInt64();
-              ensureCounterUsIsMutable();
-              counterUs_.addLong(v);
-              break;
-            } // case 32
-            case 34: {
-              int length = input.readRawVarint32();
-              int limit = input.pushLimit(length);
-              ensureCounterUsIsMutable();
-              while (input.getBytesUntilLimit() > 0) {
-                counterUs_.addLong(input.readUInt64());
-              }
-              input.popLimit(limit);
-              break;
-            } // case 34
-            case 40: {
-              long v = input.readUInt64();
-              ensureLiftUsIsMutable();
-              liftUs_.addLong(v);
-              break;
-            } // case 40
-            case 42: {
-              int length = input.readRawVarint32();
-              int limit = input.pushLimit(length);
-              ensureLiftUsIsMutable();
-              while (input.getBytesUntilLimit() > 0) {
-                liftUs_.addLong(input.readUInt64());
-              }
-              input.popLimit(limit);
-              break;
-            } // case 42
-            case 48: {
-              boolean v = input.readBool();
-              ensureBackloggedIsMutable();
-              backlogged_.addBoolean(v);
-              break;
-            } // case 48
-            case 50: {
-              int length = input.readRawVarint32();
-              int limit = input.pushLimit(length);
-              int alloc = length > 4096 ? 4096 : length;
-              ensureBackloggedIsMutable(alloc / 1);
-              while (input.getBytesUntilLimit() > 0) {
-                backlogged_.addBoolean(input.readBool());
-              }
-              input.popLimit(limit);
-              break;
-            } // case 50
-            case 56: {
-              agents_ = input.readUInt32();
-              bitField0_ |= 0x00000040;
-              break;
-            } // case 56
-            case 64: {
-              long v = input.readUInt64();
-              ensureReceiverCounterUsIsMutable();
-              receiverCounterUs_.addLong(v);
-              break;
-            } // case 64
-            case 66: {
-              int length = input.readRawVarint32();
-              int limit = input.pushLimit(length);
-              ensureReceiverCounterUsIsMutable();
-              while (input.getBytesUntilLimit() > 0) {
-                receiverCounterUs_.addLong(input.readUInt64());
-              }
-              input.popLimit(limit);
-              break;
-            } // case 66
-            default: {
-              if (!super.parseUnknownField(input, extensionRegistry, tag)) {
-                done = true; // was an endgroup tag
-              }
-              break;
-            } // default:
+            case 10:
+              {
+                dataCentre_ = input.readStringRequireUtf8();
+                bitField0_ |= 0x00000001;
+                break;
+              } // case 10
+            case 16:
+              {
+                epoch_ = input.readUInt64();
+                bitField0_ |= 0x00000002;
+                break;
+              } // case 16
+            case 29:
+              {
+                int v = input.readFixed32();
+                ensureFlowIdIsMutable();
+                flowId_.addInt(v);
+                break;
+              } // case 29
+            case 26:
+              {
+                int length = input.readRawVarint32();
+                int limit = input.pushLimit(length);
+                int alloc = length > 4096 ? 4096 : length;
+                ensureFlowIdIsMutable(alloc / 4);
+                while (input.getBytesUntilLimit() > 0) {
+                  flowId_.addInt(input.readFixed32());
+                }
+                input.popLimit(limit);
+                break;
+              } // case 26
+            case 32:
+              {
+                long v = input.readUInt64();
+                ensureCounterUsIsMutable();
+                counterUs_.addLong(v);
+                break;
+              } // case 32
+            case 34:
+              {
+                int length = input.readRawVarint32();
+                int limit = input.pushLimit(length);
+                ensureCounterUsIsMutable();
+                while (input.getBytesUntilLimit() > 0) {
+                  counterUs_.addLong(input.readUInt64());
+                }
+                input.popLimit(limit);
+                break;
+              } // case 34
+            case 40:
+              {
+                long v = input.readUInt64();
+                ensureLiftUsIsMutable();
+                liftUs_.addLong(v);
+                break;
+              } // case 40
+            case 42:
+              {
+                int length = input.readRawVarint32();
+                int limit = input.pushLimit(length);
+                ensureLiftUsIsMutable();
+                while (input.getBytesUntilLimit() > 0) {
+                  liftUs_.addLong(input.readUInt64());
+                }
+                input.popLimit(limit);
+                break;
+              } // case 42
+            case 48:
+              {
+                boolean v = input.readBool();
+                ensureBackloggedIsMutable();
+                backlogged_.addBoolean(v);
+                break;
+              } // case 48
+            case 50:
+              {
+                int length = input.readRawVarint32();
+                int limit = input.pushLimit(length);
+                int alloc = length > 4096 ? 4096 : length;
+                ensureBackloggedIsMutable(alloc / 1);
+                while (input.getBytesUntilLimit() > 0) {
+                  backlogged_.addBoolean(input.readBool());
+                }
+                input.popLimit(limit);
+                break;
+              } // case 50
+            case 56:
+              {
+                agents_ = input.readUInt32();
+                bitField0_ |= 0x00000040;
+                break;
+              } // case 56
+            case 64:
+              {
+                long v = input.readUInt64();
+                ensureReceiverCounterUsIsMutable();
+                receiverCounterUs_.addLong(v);
+                break;
+              } // case 64
+            case 66:
+              {
+                int length = input.readRawVarint32();
+                int limit = input.pushLimit(length);
+                ensureReceiverCounterUsIsMutable();
+                while (input.getBytesUntilLimit() > 0) {
+                  receiverCounterUs_.addLong(input.readUInt64());
+                }
+                input.popLimit(limit);
+                break;
+              } // case 66
+            default:
+              {
+                if (!super.parseUnknownField(input, extensionRegistry, tag)) {
+                  done = true; // was an endgroup tag
+                }
+                break;
+              } // default:
           } // switch (tag)
         } // while (!done)
       } catch (com.google.protobuf.InvalidProtocolBufferException e) {
@@ -918,18 +978,20 @@
       } // finally
       return this;
     }
+
     private int bitField0_;
 
     private java.lang.Object dataCentre_ = "";
+
     /**
      * <code>string data_centre = 1;</code>
+     *
      * @return The dataCentre.
      */
     public java.lang.String getDataCentre() {
       java.lang.Object ref = dataCentre_;
       if (!(ref instanceof java.lang.String)) {
-        com.google.protobuf.ByteString bs =
-            (com.google.protobuf.ByteString) ref;
+        com.google.protobuf.ByteString bs = (com.google.protobuf.ByteString) ref;
         java.lang.String s = bs.toStringUtf8();
         dataCentre_ = s;
         return s;
@@ -937,38 +999,41 @@
         return (java.lang.String) ref;
       }
     }
+
     /**
      * <code>string data_centre = 1;</code>
+     *
      * @return The bytes for dataCentre.
      */
-    public com.google.protobuf.ByteString
-        getDataCentreBytes() {
+    public com.google.protobuf.ByteString getDataCentreBytes() {
       java.lang.Object ref = dataCentre_;
       if (ref instanceof String) {
-        com.google.protobuf.ByteString b = 
-            com.google.protobuf.ByteString.copyFromUtf8(
-                (java.lang.String) ref);
+        com.google.protobuf.ByteString b =
+            com.google.protobuf.ByteString.copyFromUtf8((java.lang.String) ref);
         dataCentre_ = b;
         return b;
       } else {
         return (com.google.protobuf.ByteString) ref;
       }
     }
+
     /**
      * <code>string data_centre = 1;</code>
+     *
      * @param value The dataCentre to set.
      * @return This builder for chaining.
      */
-    public Builder setDataCentre(
-        java.lang.String value) {
+    public Builder setDataCentre(java.lang.String value) {
       java.util.Objects.requireNonNull(value);
       dataCentre_ = value;
       bitField0_ |= 0x00000001;
       onChanged();
       return this;
     }
+
     /**
      * <code>string data_centre = 1;</code>
+     *
      * @return This builder for chaining.
      */
     public Builder clearDataCentre() {
@@ -977,13 +1042,14 @@
       onChanged();
       return this;
     }
+
     /**
      * <code>string data_centre = 1;</code>
+     *
      * @param value The bytes for dataCentre to set.
      * @return This builder for chaining.
      */
-    public Builder setDataCentreBytes(
-        com.google.protobuf.ByteString value) {
+    public Builder setDataCentreBytes(com.google.protobuf.ByteString value) {
       java.util.Objects.requireNonNull(value);
       checkByteStringIsUtf8(value);
       dataCentre_ = value;
@@ -992,17 +1058,21 @@
       return this;
     }
 
-    private long epoch_ ;
+    private long epoch_;
+
     /**
      * <code>uint64 epoch = 2;</code>
+     *
      * @return The epoch.
      */
     @java.lang.Override
     public long getEpoch() {
       return epoch_;
     }
+
     /**
      * <code>uint64 epoch = 2;</code>
+     *
      * @param value The epoch to set.
      * @return This builder for chaining.
      */
@@ -1013,8 +1083,10 @@
       onChanged();
       return this;
     }
+
     /**
      * <code>uint64 epoch = 2;</code>
+     *
      * @return This builder for chaining.
      */
     public Builder clearEpoch() {
@@ -1025,50 +1097,58 @@
     }
 
     private com.google.protobuf.Internal.IntList flowId_ = emptyIntList();
+
     private void ensureFlowIdIsMutable() {
       if (!flowId_.isModifiable()) {
         flowId_ = makeMutableCopy(flowId_);
       }
       bitField0_ |= 0x00000004;
     }
+
     private void ensureFlowIdIsMutable(int capacity) {
       if (!flowId_.isModifiable()) {
         flowId_ = makeMutableCopy(flowId_, capacity);
       }
       bitField0_ |= 0x00000004;
     }
+
     /**
      * <code>repeated fixed32 flow_id = 3;</code>
+     *
      * @return A list containing the flowId.
      */
-    public java.util.List<java.lang.Integer>
-        getFlowIdList() {
+    public java.util.List<java.lang.Integer> getFlowIdList() {
       flowId_.makeImmutable();
       return flowId_;
     }
+
     /**
      * <code>repeated fixed32 flow_id = 3;</code>
+     *
      * @return The count of flowId.
      */
     public int getFlowIdCount() {
       return flowId_.size();
     }
+
     /**
      * <code>repeated fixed32 flow_id = 3;</code>
+     *
      * @param index The index of the element to return.
      * @return The flowId at the given index.
      */
     public int getFlowId(int index) {
       return flowId_.getInt(index);
     }
+
     /**
      * <code>repeated fixed32 flow_id = 3;</code>
+     *
      * @param index The index to set the value at.
      * @param value The flowId to set.
      * @return This builder for chaining.
      */
-    public Builder setFlowId(
-        int index, int value) {
+    public Builder setFlowId(int index, int value) {
 
       ensureFlowIdIsMutable();
       flowId_.setInt(index, value);
@@ -1076,8 +1156,10 @@
       onChanged();
       return this;
     }
+
     /**
      * <code>repeated fixed32 flow_id = 3;</code>
+     *
      * @param value The flowId to add.
      * @return This builder for chaining.
      */
@@ -1089,22 +1171,24 @@
       onChanged();
       return this;
     }
+
     /**
      * <code>repeated fixed32 flow_id = 3;</code>
+     *
      * @param values The flowId to add.
      * @return This builder for chaining.
      */
-    public Builder addAllFlowId(
-        java.lang.Iterable<? extends java.lang.Integer> values) {
+    public Builder addAllFlowId(java.lang.Iterable<? extends java.lang.Integer> values) {
       ensureFlowIdIsMutable();
-      com.google.protobuf.AbstractMessageLite.Builder.addAll(
-          values, flowId_);
+      com.google.protobuf.AbstractMessageLite.Builder.addAll(values, flowId_);
       bitField0_ |= 0x00000004;
       onChanged();
       return this;
     }
+
     /**
      * <code>repeated fixed32 flow_id = 3;</code>
+     *
      * @return This builder for chaining.
      */
     public Builder clearFlowId() {
@@ -1115,44 +1199,51 @@
     }
 
     private com.google.protobuf.Internal.LongList counterUs_ = emptyLongList();
+
     private void ensureCounterUsIsMutable() {
       if (!counterUs_.isModifiable()) {
         counterUs_ = makeMutableCopy(counterUs_);
       }
       bitField0_ |= 0x00000008;
     }
+
     /**
      * <code>repeated uint64 counter_us = 4;</code>
+     *
      * @return A list containing the counterUs.
      */
-    public java.util.List<java.lang.Long>
-        getCounterUsList() {
+    public java.util.List<java.lang.Long> getCounterUsList() {
       counterUs_.makeImmutable();
       return counterUs_;
     }
+
     /**
      * <code>repeated uint64 counter_us = 4;</code>
+     *
      * @return The count of counterUs.
      */
     public int getCounterUsCount() {
       return counterUs_.size();
     }
+
     /**
      * <code>repeated uint64 counter_us = 4;</code>
+     *
      * @param index The index of the element to return.
      * @return The counterUs at the given index.
      */
     public long getCounterUs(int index) {
       return counterUs_.getLong(index);
     }
+
     /**
      * <code>repeated uint64 counter_us = 4;</code>
+     *
      * @param index The index to set the value at.
      * @param value The counterUs to set.
      * @return This builder for chaining.
      */
-    public Builder setCounterUs(
-        int index, long value) {
+    public Builder setCounterUs(int index, long value) {
 
       ensureCounterUsIsMutable();
       counterUs_.setLong(index, value);
@@ -1160,8 +1251,10 @@
       onChanged();
       return this;
     }
+
     /**
      * <code>repeated uint64 counter_us = 4;</code>
+     *
      * @param value The counterUs to add.
      * @return This builder for chaining.
      */
@@ -1173,22 +1266,24 @@
       onChanged();
       return this;
     }
+
     /**
      * <code>repeated uint64 counter_us = 4;</code>
+     *
      * @param values The counterUs to add.
      * @return This builder for chaining.
      */
-    public Builder addAllCounterUs(
-        java.lang.Iterable<? extends java.lang.Long> values) {
+    public Builder addAllCounterUs(java.lang.Iterable<? extends java.lang.Long> values) {
       ensureCounterUsIsMutable();
-      com.google.protobuf.AbstractMessageLite.Builder.addAll(
-          values, counterUs_);
+      com.google.protobuf.AbstractMessageLite.Builder.addAll(values, counterUs_);
       bitField0_ |= 0x00000008;
       onChanged();
       return this;
     }
+
     /**
      * <code>repeated uint64 counter_us = 4;</code>
+     *
      * @return This builder for chaining.
      */
     public Builder clearCounterUs() {
@@ -1199,44 +1294,51 @@
     }
 
     private com.google.protobuf.Internal.LongList liftUs_ = emptyLongList();
+
     private void ensureLiftUsIsMutable() {
       if (!liftUs_.isModifiable()) {
         liftUs_ = makeMutableCopy(liftUs_);
       }
       bitField0_ |= 0x00000010;
     }
+
     /**
      * <code>repeated uint64 lift_us = 5;</code>
+     *
      * @return A list containing the liftUs.
      */
-    public java.util.List<java.lang.Long>
-        getLiftUsList() {
+    public java.util.List<java.lang.Long> getLiftUsList() {
       liftUs_.makeImmutable();
       return liftUs_;
     }
+
     /**
      * <code>repeated uint64 lift_us = 5;</code>
+     *
      * @return The count of liftUs.
      */
     public int getLiftUsCount() {
       return liftUs_.size();
     }
+
     /**
      * <code>repeated uint64 lift_us = 5;</code>
+     *
      * @param index The index of the element to return.
      * @return The liftUs at the given index.
      */
     public long getLiftUs(int index) {
       return liftUs_.getLong(index);
     }
+
     /**
      * <code>repeated uint64 lift_us = 5;</code>
+     *
      * @param index The index to set the value at.
      * @param value The liftUs to set.
      * @return This builder for chaining.
      */
-    public Builder setLiftUs(
-        int index, long value) {
+    public Builder setLiftUs(int index, long value) {
 
       ensureLiftUsIsMutable();
       liftUs_.setLong(index, value);
@@ -1244,8 +1346,10 @@
       onChanged();
       return this;
     }
+
     /**
      * <code>repeated uint64 lift_us = 5;</code>
+     *
      * @param value The liftUs to add.
      * @return This builder for chaining.
      */
@@ -1257,22 +1361,24 @@
       onChanged();
       return this;
     }
+
     /**
      * <code>repeated uint64 lift_us = 5;</code>
+     *
      * @param values The liftUs to add.
      * @return This builder for chaining.
      */
-    public Builder addAllLiftUs(
-        java.lang.Iterable<? extends java.lang.Long> values) {
+    public Builder addAllLiftUs(java.lang.Iterable<? extends java.lang.Long> values) {
       ensureLiftUsIsMutable();
-      com.google.protobuf.AbstractMessageLite.Builder.addAll(
-          values, liftUs_);
+      com.google.protobuf.AbstractMessageLite.Builder.addAll(values, liftUs_);
       bitField0_ |= 0x00000010;
       onChanged();
       return this;
     }
+
     /**
      * <code>repeated uint64 lift_us = 5;</code>
+     *
      * @return This builder for chaining.
      */
     public Builder clearLiftUs() {
@@ -1283,50 +1389,58 @@
     }
 
     private com.google.protobuf.Internal.BooleanList backlogged_ = emptyBooleanList();
+
     private void ensureBackloggedIsMutable() {
       if (!backlogged_.isModifiable()) {
         backlogged_ = makeMutableCopy(backlogged_);
       }
       bitField0_ |= 0x00000020;
     }
+
     private void ensureBackloggedIsMutable(int capacity) {
       if (!backlogged_.isModifiable()) {
         backlogged_ = makeMutableCopy(backlogged_, capacity);
       }
       bitField0_ |= 0x00000020;
     }
+
     /**
      * <code>repeated bool backlogged = 6;</code>
+     *
      * @return A list containing the backlogged.
      */
-    public java.util.List<java.lang.Boolean>
-        getBackloggedList() {
+    public java.util.List<java.lang.Boolean> getBackloggedList() {
       backlogged_.makeImmutable();
       return backlogged_;
     }
+
     /**
      * <code>repeated bool backlogged = 6;</code>
+     *
      * @return The count of backlogged.
      */
     public int getBackloggedCount() {
       return backlogged_.size();
     }
+
     /**
      * <code>repeated bool backlogged = 6;</code>
+     *
      * @param index The index of the element to return.
      * @return The backlogged at the given index.
      */
     public boolean getBacklogged(int index) {
       return backlogged_.getBoolean(index);
     }
+
     /**
      * <code>repeated bool backlogged = 6;</code>
+     *
      * @param index The index to set the value at.
      * @param value The backlogged to set.
      * @return This builder for chaining.
      */
-    public Builder setBacklogged(
-        int index, boolean value) {
+    public Builder setBacklogged(int index, boolean value) {
 
       ensureBackloggedIsMutable();
       backlogged_.setBoolean(index, value);
@@ -1334,8 +1448,10 @@
       onChanged();
       return this;
     }
+
     /**
      * <code>repeated bool backlogged = 6;</code>
+     *
      * @param value The backlogged to add.
      * @return This builder for chaining.
      */
@@ -1347,22 +1463,24 @@
       onChanged();
       return this;
     }
+
     /**
      * <code>repeated bool backlogged = 6;</code>
+     *
      * @param values The backlogged to add.
      * @return This builder for chaining.
      */
-    public Builder addAllBacklogged(
-        java.lang.Iterable<? extends java.lang.Boolean> values) {
+    public Builder addAllBacklogged(java.lang.Iterable<? extends java.lang.Boolean> values) {
       ensureBackloggedIsMutable();
-      com.google.protobuf.AbstractMessageLite.Builder.addAll(
-          values, backlogged_);
+      com.google.protobuf.AbstractMessageLite.Builder.addAll(values, backlogged_);
       bitField0_ |= 0x00000020;
       onChanged();
       return this;
     }
+
     /**
      * <code>repeated bool backlogged = 6;</code>
+     *
      * @return This builder for chaining.
      */
     public Builder clearBacklogged() {
@@ -1372,17 +1490,21 @@
       return this;
     }
 
-    private int agents_ ;
+    private int agents_;
+
     /**
      * <code>uint32 agents = 7;</code>
+     *
      * @return The agents.
      */
     @java.lang.Override
     public int getAgents() {
       return agents_;
     }
+
     /**
      * <code>uint32 agents = 7;</code>
+     *
      * @param value The agents to set.
      * @return This builder for chaining.
      */
@@ -1393,8 +1515,10 @@
       onChanged();
       return this;
     }
+
     /**
      * <code>uint32 agents = 7;</code>
+     *
      * @return This builder for chaining.
      */
     public Builder clearAgents() {
@@ -1405,60 +1529,75 @@
     }
 
     private com.google.protobuf.Internal.LongList receiverCounterUs_ = emptyLongList();
+
     private void ensureReceiverCounterUsIsMutable() {
       if (!receiverCounterUs_.isModifiable()) {
         receiverCounterUs_ = makeMutableCopy(receiverCounterUs_);
       }
       bitField0_ |= 0x00000080;
     }
+
     /**
+     *
+     *
      * <pre>
      * Counters that the sender holds for the receiver's data centre, so that a new root can start from them.
      * </pre>
      *
      * <code>repeated uint64 receiver_counter_us = 8;</code>
+     *
      * @return A list containing the receiverCounterUs.
      */
-    public java.util.List<java.lang.Long>
-        getReceiverCounterUsList() {
+    public java.util.List<java.lang.Long> getReceiverCounterUsList() {
       receiverCounterUs_.makeImmutable();
       return receiverCounterUs_;
     }
+
     /**
+     *
+     *
      * <pre>
      * Counters that the sender holds for the receiver's data centre, so that a new root can start from them.
      * </pre>
      *
      * <code>repeated uint64 receiver_counter_us = 8;</code>
+     *
      * @return The count of receiverCounterUs.
      */
     public int getReceiverCounterUsCount() {
       return receiverCounterUs_.size();
     }
+
     /**
+     *
+     *
      * <pre>
      * Counters that the sender holds for the receiver's data centre, so that a new root can start from them.
      * </pre>
      *
      * <code>repeated uint64 receiver_counter_us = 8;</code>
+     *
      * @param index The index of the element to return.
      * @return The receiverCounterUs at the given index.
      */
     public long getReceiverCounterUs(int index) {
       return receiverCounterUs_.getLong(index);
     }
+
     /**
+     *
+     *
      * <pre>
      * Counters that the sender holds for the receiver's data centre, so that a new root can start from them.
      * </pre>
      *
      * <code>repeated uint64 receiver_counter_us = 8;</code>
+     *
      * @param index The index to set the value at.
      * @param value The receiverCounterUs to set.
      * @return This builder for chaining.
      */
-    public Builder setReceiverCounterUs(
-        int index, long value) {
+    public Builder setReceiverCounterUs(int index, long value) {
 
       ensureReceiverCounterUsIsMutable();
       receiverCounterUs_.setLong(index, value);
@@ -1466,12 +1605,16 @@
       onChanged();
       return this;
     }
+
     /**
+     *
+     *
      * <pre>
      * Counters that the sender holds for the receiver's data centre, so that a new root can start from them.
      * </pre>
      *
      * <code>repeated uint64 receiver_counter_us = 8;</code>
+     *
      * @param value The receiverCounterUs to add.
      * @return This builder for chaining.
      */
@@ -1483,30 +1626,36 @@
       onChanged();
       return this;
     }
+
     /**
+     *
+     *
      * <pre>
      * Counters that the sender holds for the receiver's data centre, so that a new root can start from them.
      * </pre>
      *
      * <code>repeated uint64 receiver_counter_us = 8;</code>
+     *
      * @param values The receiverCounterUs to add.
      * @return This builder for chaining.
      */
-    public Builder addAllReceiverCounterUs(
-        java.lang.Iterable<? extends java.lang.Long> values) {
+    public Builder addAllReceiverCounterUs(java.lang.Iterable<? extends java.lang.Long> values) {
       ensureReceiverCounterUsIsMutable();
-      com.google.protobuf.AbstractMessageLite.Builder.addAll(
-          values, receiverCounterUs_);
+      com.google.protobuf.AbstractMessageLite.Builder.addAll(values, receiverCounterUs_);
       bitField0_ |= 0x00000080;
       onChanged();
       return this;
     }
+
     /**
+     *
+     *
      * <pre>
      * Counters that the sender holds for the receiver's data centre, so that a new root can start from them.
      * </pre>
      *
      * <code>repeated uint64 receiver_counter_us = 8;</code>
+     *
      * @return This builder for chaining.
      */
     public Builder clearReceiverCounterUs() {
@@ -1521,6 +1670,7 @@
 
   // @@protoc_insertion_point(class_scope:almondslip.RootExchange)
   private static final org.almondslip.protocol.wire.RootExchange DEFAULT_INSTANCE;
+
   static {
     DEFAULT_INSTANCE = new org.almondslip.protocol.wire.RootExchange();
   }
@@ -1529,27 +1679,27 @@
     return DEFAULT_INSTANCE;
   }
 
-  private static final com.google.protobuf.Parser<RootExchange>
-      PARSER = new com.google.protobuf.AbstractParser<RootExchange>() {
-    @java.lang.Override
-    public RootExchange parsePartialFrom(
-        com.google.protobuf.CodedInputStream input,
-        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-        throws com.google.protobuf.InvalidProtocolBufferException {
-      Builder builder = newBuilder();
-      try {
-        builder.mergeFrom(input, extensionRegistry);
-      } catch (com.google.protobuf.InvalidProtocolBufferException e) {
-        throw e.setUnfinishedMessage(builder.buildPartial());
-      } catch (com.google.protobuf.UninitializedMessageException e) {
-        throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
-      } catch (java.io.IOException e) {
-        throw new com.google.protobuf.InvalidProtocolBufferException(e)
-            .setUnfinishedMessage(builder.buildPartial());
-      }
-      return builder.buildPartial();
-    }
-  };
+  private static final com.google.protobuf.Parser<RootExchange> PARSER =
+      new com.google.protobuf.AbstractParser<RootExchange>() {
+        @java.lang.Override
+        public RootExchange parsePartialFrom(
+            com.google.protobuf.CodedInputStream input,
+            com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+            throws com.google.protobuf.InvalidProtocolBufferException {
+          Builder builder = newBuilder();
+          try {
+            builder.mergeFrom(input, extensionRegistry);
+          } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+            throw e.setUnfinishedMessage(builder.buildPartial());
+          } catch (com.google.protobuf.UninitializedMessageException e) {
+            throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
+          } catch (java.io.IOException e) {
+            throw new com.google.protobuf.InvalidProtocolBufferException(e)
+                .setUnfinishedMessage(builder.buildPartial());
+          }
+          return builder.buildPartial();
+        }
+      };
 
   public static com.google.protobuf.Parser<RootExchange> parser() {
     return PARSER;
@@ -1564,6 +1714,4 @@
   public org.almondslip.protocol.wire.RootExchange getDefaultInstanceForType() {
     return DEFAULT_INSTANCE;
   }
-
 }
-
--- a/wire/src/main/java/org/almondslip/protocol/wire/RootExchangeOrBuilder.java
+++ b/wire/src/main/java/org/almondslip/protocol/wire/RootExchangeOrBuilder.java
@@ -6,40 +6,49 @@
 package org.almondslip.protocol.wire;
 
 @com.google.protobuf.Generated
-public interface RootExchangeOrBuilder extends
+public interface RootExchangeOrBuilder
+    extends
     // @@protoc_insertion_point(interface_extends:almondslip.RootExchange)
     com.google.protobuf.MessageOrBuilder {
 
   /**
    * <code>string data_centre = 1;</code>
+   *
    * @return The dataCentre.
    */
   java.lang.String getDataCentre();
+
   /**
    * <code>string data_centre = 1;</code>
+   *
    * @return The bytes for dataCentre.
    */
-  com.google.protobuf.ByteString
-      getDataCentreBytes();
+  com.google.protobuf.ByteString getDataCentreBytes();
 
   /**
    * <code>uint64 epoch = 2;</code>
+   *
    * @return The epoch.
    */
   long getEpoch();
 
   /**
    * <code>repeated fixed32 flow_id = 3;</code>
+   *
    * @return A list containing the flowId.
    */
   java.util.List<java.lang.Integer> getFlowIdList();
+
   /**
    * <code>repeated fixed32 flow_id = 3;</code>
+   *
    * @return The count of flowId.
    */
   int getFlowIdCount();
+
   /**
    * <code>repeated fixed32 flow_id = 3;</code>
+   *
    * @param index The index of the element to return.
    * @return The flowId at the given index.
    */
@@ -47,16 +56,21 @@
 
   /**
    * <code>repeated uint64 counter_us = 4;</code>
+   *
    * @return A list containing the counterUs.
    */
   java.util.List<java.lang.Long> getCounterUsList();
+
   /**
    * <code>repeated uint64 counter_us = 4;</code>
+   *
    * @return The count of counterUs.
    */
   int getCounterUsCount();
+
   /**
    * <code>repeated uint64 counter_us = 4;</code>
+   *
    * @param index The index of the element to return.
    * @return The counterUs at the given index.
    */
@@ -64,16 +78,21 @@
 
   /**
    * <code>repeated uint64 lift_us = 5;</code>
+   *
    * @return A list containing the liftUs.
    */
   java.util.List<java.lang.Long> getLiftUsList();
+
   /**
    * <code>repeated uint64 lift_us = 5;</code>
+   *
    * @return The count of liftUs.
    */
   int getLiftUsCount();
+
   /**
    * <code>repeated uint64 lift_us = 5;</code>
+   *
    * @param index The index of the element to return.
    * @return The liftUs at the given index.
    */
@@ -81,16 +100,21 @@
 
   /**
    * <code>repeated bool backlogged = 6;</code>
+   *
    * @return A list containing the backlogged.
    */
   java.util.List<java.lang.Boolean> getBackloggedList();
+
   /**
    * <code>repeated bool backlogged = 6;</code>
+   *
    * @return The count of backlogged.
    */
   int getBackloggedCount();
+
   /**
    * <code>repeated bool backlogged = 6;</code>
+   *
    * @param index The index of the element to return.
    * @return The backlogged at the given index.
    */
@@ -98,34 +122,46 @@
 
   /**
    * <code>uint32 agents = 7;</code>
+   *
    * @return The agents.
    */
   int getAgents();
 
   /**
+   *
+   *
    * <pre>
    * Counters that the sender holds for the receiver's data centre, so that a new root can start from them.
    * </pre>
    *
    * <code>repeated uint64 receiver_counter_us = 8;</code>
+   *
    * @return A list containing the receiverCounterUs.
    */
   java.util.List<java.lang.Long> getReceiverCounterUsList();
+
   /**
+   *
+   *
    * <pre>
    * Counters that the sender holds for the receiver's data centre, so that a new root can start from them.
    * </pre>
    *
    * <code>repeated uint64 receiver_counter_us = 8;</code>
+   *
    * @return The count of receiverCounterUs.
    */
   int getReceiverCounterUsCount();
+
   /**
+   *
+   *
    * <pre>
    * Counters that the sender holds for the receiver's data centre, so that a new root can start from them.
    * </pre>
    *
    * <code>repeated uint64 receiver_counter_us = 8;</code>
+   *
    * @param index The index of the element to return.
    * @return The receiverCounterUs at the given index.
    */
--- a/wire/src/main/java/org/almondslip/protocol/wire/RootSnapshot.java
+++ b/wire/src/main/java/org/almondslip/protocol/wire/RootSnapshot.java
@@ -6,6 +6,8 @@
 package org.almondslip.protocol.wire;
 
 /**
+ *
+ *
  * <pre>
  * From a root to its successor: the counters of the own data centre.
  * </pre>
@@ -13,52 +15,60 @@
  * Protobuf type {@code almondslip.RootSnapshot}
  */
 @com.google.protobuf.Generated
-public final class RootSnapshot extends
-    com.google.protobuf.GeneratedMessage implements
+public final class RootSnapshot extends com.google.protobuf.GeneratedMessage
+    implements
     // @@protoc_insertion_point(message_implements:almondslip.RootSnapshot)
     RootSnapshotOrBuilder {
-private static final long serialVersionUID = 0L;
+  private static final long serialVersionUID = 0L;
+
   static {
     com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
-      com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
-      /* major= */ 4,
-      /* minor= */ 36,
-      /* patch= */ 2,
-      /* suffix= */ "",
-      "RootSnapshot");
+        com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+        /* major= */ 4,
+        /* minor= */ 36,
+        /* patch= */ 2,
+        /* suffix= */ "",
+        "RootSnapshot");
   }
+
   // Use RootSnapshot.newBuilder() to construct.
   private RootSnapshot(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
     super(builder);
   }
+
   private RootSnapshot() {
     flowId_ = emptyIntList();
     counterUs_ = emptyLongList();
     liftUs_ = emptyLongList();
   }
 
-  public static final com.google.protobuf.Descriptors.Descriptor
-      getDescriptor() {
-    return org.almondslip.protocol.wire.Almondslip.internal_static_almondslip_RootSnapshot_descriptor;
+  public static final com.google.protobuf.Descriptors.Descriptor getDescriptor() {
+    return org.almondslip.protocol.wire.Almondslip
+        .internal_static_almondslip_RootSnapshot_descriptor;
   }
 
   @java.lang.Override
   public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
-    return org.almondslip.protocol.wire.Almondslip.internal_static_almondslip_RootSnapshot_descriptor;
+    return org.almondslip.protocol.wire.Almondslip
+        .internal_static_almondslip_RootSnapshot_descriptor;
   }
 
   @java.lang.Override
   protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internalGetFieldAccessorTable() {
-    return org.almondslip.protocol.wire.Almondslip.internal_static_almondslip_RootSnapshot_fieldAccessorTable
+    return org.almondslip.protocol.wire.Almondslip
+        .internal_static_almondslip_RootSnapshot_fieldAccessorTable
         .ensureFieldAccessorsInitialized(
-            org.almondslip.protocol.wire.RootSnapshot.class, org.almondslip.protocol.wire.RootSnapshot.Builder.class);
+            org.almondslip.protocol.wire.RootSnapshot.class,
+            org.almondslip.protocol.wire.RootSnapshot.Builder.class);
   }
 
   public static final int EPOCH_FIELD_NUMBER = 1;
   private long epoch_ = 0L;
+
   /**
    * <code>uint64 epoch = 1;</code>
+   *
    * @return The epoch.
    */
   @java.lang.Override
@@ -67,96 +77,115 @@
   }
 
   public static final int FLOW_ID_FIELD_NUMBER = 2;
+
   @SuppressWarnings("serial")
-  private com.google.protobuf.Internal.IntList flowId_ =
-      emptyIntList();
+  private com.google.protobuf.Internal.IntList flowId_ = emptyIntList();
+
   /**
    * <code>repeated fixed32 flow_id = 2;</code>
+   *
    * @return A list containing the flowId.
    */
   @java.lang.Override
-  public java.util.List<java.lang.Integer>
-      getFlowIdList() {
+  public java.util.List<java.lang.Integer> getFlowIdList() {
     return flowId_;
   }
+
   /**
    * <code>repeated fixed32 flow_id = 2;</code>
+   *
    * @return The count of flowId.
    */
   public int getFlowIdCount() {
     return flowId_.size();
   }
+
   /**
    * <code>repeated fixed32 flow_id = 2;</code>
+   *
    * @param index The index of the element to return.
    * @return The flowId at the given index.
    */
   public int getFlowId(int index) {
     return flowId_.getInt(index);
   }
+
   private int flowIdMemoizedSerializedSize = -1;
 
   public static final int COUNTER_US_FIELD_NUMBER = 3;
+
   @SuppressWarnings("serial")
-  private com.google.protobuf.Internal.LongList counterUs_ =
-      emptyLongList();
+  private com.google.protobuf.Internal.LongList counterUs_ = emptyLongList();
+
   /**
    * <code>repeated uint64 counter_us = 3;</code>
+   *
    * @return A list containing the counterUs.
    */
   @java.lang.Override
-  public java.util.List<java.lang.Long>
-      getCounterUsList() {
+  public java.util.List<java.lang.Long> getCounterUsList() {
     return counterUs_;
   }
+
   /**
    * <code>repeated uint64 counter_us = 3;</code>
+   *
    * @return The count of counterUs.
    */
   public int getCounterUsCount() {
     return counterUs_.size();
   }
+
   /**
    * <code>repeated uint64 counter_us = 3;</code>
+   *
    * @param index The index of the element to return.
    * @return The counterUs at the given index.
    */
   public long getCounterUs(int index) {
     return counterUs_.getLong(index);
   }
+
   private int counterUsMemoizedSerializedSize = -1;
 
   public static final int LIFT_US_FIELD_NUMBER = 4;
+
   @SuppressWarnings("serial")
-  private com.google.protobuf.Internal.LongList liftUs_ =
-      emptyLongList();
+  private com.google.protobuf.Internal.LongList liftUs_ = emptyLongList();
+
   /**
    * <code>repeated uint64 lift_us = 4;</code>
+   *
    * @return A list containing the liftUs.
    */
   @java.lang.Override
-  public java.util.List<java.lang.Long>
-      getLiftUsList() {
+  public java.util.List<java.lang.Long> getLiftUsList() {
     return liftUs_;
   }
+
   /**
    * <code>repeated uint64 lift_us = 4;</code>
+   *
    * @return The count of liftUs.
    */
   public int getLiftUsCount() {
     return liftUs_.size();
   }
+
   /**
    * <code>repeated uint64 lift_us = 4;</code>
+   *
    * @param index The index of the element to return.
    * @return The liftUs at the given index.
    */
   public long getLiftUs(int index) {
     return liftUs_.getLong(index);
   }
+
   private int liftUsMemoizedSerializedSize = -1;
 
   private byte memoizedIsInitialized = -1;
+
   @java.lang.Override
   public final boolean isInitialized() {
     byte isInitialized = memoizedIsInitialized;
@@ -168,8 +197,7 @@
   }
 
   @java.lang.Override
-  public void writeTo(com.google.protobuf.CodedOutputStream output)
-                      throws java.io.IOException {
+  public void writeTo(com.google.protobuf.CodedOutputStream output) throws java.io.IOException {
     getSerializedSize();
     if (epoch_ != 0L) {
       output.writeUInt64(1, epoch_);
@@ -197,11 +225,11 @@
     }
     getUnknownFields().writeTo(output);
   }
+
   private int computeSerializedSize_0() {
     int size = 0;
     if (epoch_ != 0L) {
-      size += com.google.protobuf.CodedOutputStream
-        .computeUInt64Size(1, epoch_);
+      size += com.google.protobuf.CodedOutputStream.computeUInt64Size(1, epoch_);
     }
     {
       int dataSize = 0;
@@ -209,41 +237,39 @@
       size += dataSize;
       if (!getFlowIdList().isEmpty()) {
         size += 1;
-        size += com.google.protobuf.CodedOutputStream
-            .computeInt32SizeNoTag(dataSize);
+        size += com.google.protobuf.CodedOutputStream.computeInt32SizeNoTag(dataSize);
       }
       flowIdMemoizedSerializedSize = dataSize;
     }
     {
       int dataSize = 0;
       for (int i = 0; i < counterUs_.size(); i++) {
-        dataSize += com.google.protobuf.CodedOutputStream
-          .computeUInt64SizeNoTag(counterUs_.getLong(i));
+        dataSize +=
+            com.google.protobuf.CodedOutputStream.computeUInt64SizeNoTag(counterUs_.getLong(i));
       }
       size += dataSize;
       if (!getCounterUsList().isEmpty()) {
         size += 1;
-        size += com.google.protobuf.CodedOutputStream
-            .computeInt32SizeNoTag(dataSize);
+        size += com.google.protobuf.CodedOutputStream.computeInt32SizeNoTag(dataSize);
       }
       counterUsMemoizedSerializedSize = dataSize;
     }
     {
       int dataSize = 0;
       for (int i = 0; i < liftUs_.size(); i++) {
-        dataSize += com.google.protobuf.CodedOutputStream
-          .computeUInt64SizeNoTag(liftUs_.getLong(i));
+        dataSize +=
+            com.google.protobuf.CodedOutputStream.computeUInt64SizeNoTag(liftUs_.getLong(i));
       }
       size += dataSize;
       if (!getLiftUsList().isEmpty()) {
         size += 1;
-        size += com.google.protobuf.CodedOutputStream
-            .computeInt32SizeNoTag(dataSize);
+        size += com.google.protobuf.CodedOutputStream.computeInt32SizeNoTag(dataSize);
       }
       liftUsMemoizedSerializedSize = dataSize;
     }
     return size;
   }
+
   @java.lang.Override
   public int getSerializedSize() {
     int size = memoizedSize;
@@ -259,21 +285,18 @@
   @java.lang.Override
   public boolean equals(final java.lang.Object obj) {
     if (obj == this) {
-     return true;
+      return true;
     }
     if (!(obj instanceof org.almondslip.protocol.wire.RootSnapshot)) {
       return super.equals(obj);
     }
-    org.almondslip.protocol.wire.RootSnapshot other = (org.almondslip.protocol.wire.RootSnapshot) obj;
+    org.almondslip.protocol.wire.RootSnapshot other =
+        (org.almondslip.protocol.wire.RootSnapshot) obj;
 
-    if (getEpoch()
-        != other.getEpoch()) return false;
-    if (!getFlowIdList()
-        .equals(other.getFlowIdList())) return false;
-    if (!getCounterUsList()
-        .equals(other.getCounterUsList())) return false;
-    if (!getLiftUsList()
-        .equals(other.getLiftUsList())) return false;
+    if (getEpoch() != other.getEpoch()) return false;
+    if (!getFlowIdList().equals(other.getFlowIdList())) return false;
+    if (!getCounterUsList().equals(other.getCounterUsList())) return false;
+    if (!getLiftUsList().equals(other.getLiftUsList())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -286,8 +309,7 @@
     int hash = 41;
     hash = (19 * hash) + getDescriptor().hashCode();
     hash = (37 * hash) + EPOCH_FIELD_NUMBER;
-    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
-        getEpoch());
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(getEpoch());
     if (getFlowIdCount() > 0) {
       hash = (37 * hash) + FLOW_ID_FIELD_NUMBER;
       hash = (53 * hash) + getFlowIdList().hashCode();
@@ -305,132 +327,137 @@
     return hash;
   }
 
-  public static org.almondslip.protocol.wire.RootSnapshot parseFrom(
-      java.nio.ByteBuffer data)
+  public static org.almondslip.protocol.wire.RootSnapshot parseFrom(java.nio.ByteBuffer data)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data);
   }
+
   public static org.almondslip.protocol.wire.RootSnapshot parseFrom(
-      java.nio.ByteBuffer data,
-      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+      java.nio.ByteBuffer data, com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data, extensionRegistry);
   }
+
   public static org.almondslip.protocol.wire.RootSnapshot parseFrom(
       com.google.protobuf.ByteString data)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data);
   }
+
   public static org.almondslip.protocol.wire.RootSnapshot parseFrom(
       com.google.protobuf.ByteString data,
       com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data, extensionRegistry);
   }
+
   public static org.almondslip.protocol.wire.RootSnapshot parseFrom(byte[] data)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data);
   }
+
   public static org.almondslip.protocol.wire.RootSnapshot parseFrom(
-      byte[] data,
-      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+      byte[] data, com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data, extensionRegistry);
   }
+
   public static org.almondslip.protocol.wire.RootSnapshot parseFrom(java.io.InputStream input)
       throws java.io.IOException {
-    return com.google.protobuf.GeneratedMessage
-        .parseWithIOException(PARSER, input);
+    return com.google.protobuf.GeneratedMessage.parseWithIOException(PARSER, input);
   }
+
   public static org.almondslip.protocol.wire.RootSnapshot parseFrom(
-      java.io.InputStream input,
-      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+      java.io.InputStream input, com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws java.io.IOException {
-    return com.google.protobuf.GeneratedMessage
-        .parseWithIOException(PARSER, input, extensionRegistry);
+    return com.google.protobuf.GeneratedMessage.parseWithIOException(
+        PARSER, input, extensionRegistry);
   }
 
-  public static org.almondslip.protocol.wire.RootSnapshot parseDelimitedFrom(java.io.InputStream input)
-      throws java.io.IOException {
-    return com.google.protobuf.GeneratedMessage
-        .parseDelimitedWithIOException(PARSER, input);
+  public static org.almondslip.protocol.wire.RootSnapshot parseDelimitedFrom(
+      java.io.InputStream input) throws java.io.IOException {
+    return com.google.protobuf.GeneratedMessage.parseDelimitedWithIOException(PARSER, input);
   }
 
   public static org.almondslip.protocol.wire.RootSnapshot parseDelimitedFrom(
-      java.io.InputStream input,
-      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+      java.io.InputStream input, com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws java.io.IOException {
-    return com.google.protobuf.GeneratedMessage
-        .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
+    return com.google.protobuf.GeneratedMessage.parseDelimitedWithIOException(
+        PARSER, input, extensionRegistry);
   }
+
   public static org.almondslip.protocol.wire.RootSnapshot parseFrom(
-      com.google.protobuf.CodedInputStream input)
-      throws java.io.IOException {
-    return com.google.protobuf.GeneratedMessage
-        .parseWithIOException(PARSER, input);
+      com.google.protobuf.CodedInputStream input) throws java.io.IOException {
+    return com.google.protobuf.GeneratedMessage.parseWithIOException(PARSER, input);
   }
+
   public static org.almondslip.protocol.wire.RootSnapshot parseFrom(
       com.google.protobuf.CodedInputStream input,
       com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws java.io.IOException {
-    return com.google.protobuf.GeneratedMessage
-        .parseWithIOException(PARSER, input, extensionRegistry);
+    return com.google.protobuf.GeneratedMessage.parseWithIOException(
+        PARSER, input, extensionRegistry);
   }
 
   @java.lang.Override
-  public Builder newBuilderForType() { return newBuilder(); }
+  public Builder newBuilderForType() {
+    return newBuilder();
+  }
+
   public static Builder newBuilder() {
     return DEFAULT_INSTANCE.toBuilder();
   }
+
   public static Builder newBuilder(org.almondslip.protocol.wire.RootSnapshot prototype) {
     return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
   }
+
   @java.lang.Override
   public Builder toBuilder() {
-    return this == DEFAULT_INSTANCE
-        ? new Builder() : new Builder().mergeFrom(this);
+    return this == DEFAULT_INSTANCE ? new Builder() : new Builder().mergeFrom(this);
   }
 
   @java.lang.Override
-  protected Builder newBuilderForType(
-      com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+  protected Builder newBuilderForType(com.google.protobuf.GeneratedMessage.BuilderParent parent) {
     Builder builder = new Builder(parent);
     return builder;
   }
+
   /**
+   *
+   *
    * <pre>
    * From a root to its successor: the counters of the own data centre.
    * </pre>
    *
    * Protobuf type {@code almondslip.RootSnapshot}
    */
-  public static final class Builder extends
-      com.google.protobuf.GeneratedMessage.Builder<Builder> implements
+  public static final class Builder extends com.google.protobuf.GeneratedMessage.Builder<Builder>
+      implements
       // @@protoc_insertion_point(builder_implements:almondslip.RootSnapshot)
       org.almondslip.protocol.wire.RootSnapshotOrBuilder {
-    public static final com.google.protobuf.Descriptors.Descriptor
-        getDescriptor() {
-      return org.almondslip.protocol.wire.Almondslip.internal_static_almondslip_RootSnapshot_descriptor;
+    public static final com.google.protobuf.Descriptors.Descriptor getDescriptor() {
+      return org.almondslip.protocol.wire.Almondslip
+          .internal_static_almondslip_RootSnapshot_descriptor;
     }
 
     @java.lang.Override
     protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
         internalGetFieldAccessorTable() {
-      return org.almondslip.protocol.wire.Almondslip.internal_static_almondslip_RootSnapshot_fieldAccessorTable
+      return org.almondslip.protocol.wire.Almondslip
+          .internal_static_almondslip_RootSnapshot_fieldAccessorTable
           .ensureFieldAccessorsInitialized(
-              org.almondslip.protocol.wire.RootSnapshot.class, org.almondslip.protocol.wire.RootSnapshot.Builder.class);
+              org.almondslip.protocol.wire.RootSnapshot.class,
+              org.almondslip.protocol.wire.RootSnapshot.Builder.class);
     }
 
     // Construct using org.almondslip.protocol.wire.RootSnapshot.newBuilder()
-    private Builder() {
+    private Builder() {}
 
-    }
-
-    private Builder(
-        com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+    private Builder(com.google.protobuf.GeneratedMessage.BuilderParent parent) {
       super(parent);
-
     }
+
     @java.lang.Override
     public Builder clear() {
       super.clear();
@@ -443,9 +470,9 @@
     }
 
     @java.lang.Override
-    public com.google.protobuf.Descriptors.Descriptor
-        getDescriptorForType() {
-      return org.almondslip.protocol.wire.Almondslip.internal_static_almondslip_RootSnapshot_descriptor;
+    public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
+      return org.almondslip.protocol.wire.Almondslip
+          .internal_static_almondslip_RootSnapshot_descriptor;
     }
 
     @java.lang.Override
@@ -464,8 +491,11 @@
 
     @java.lang.Override
     public org.almondslip.protocol.wire.RootSnapshot buildPartial() {
-      org.almondslip.protocol.wire.RootSnapshot result = new org.almondslip.protocol.wire.RootSnapshot(this);
-      if (bitField0_ != 0) { buildPartial0(result); }
+      org.almondslip.protocol.wire.RootSnapshot result =
+          new org.almondslip.protocol.wire.RootSnapshot(this);
+      if (bitField0_ != 0) {
+        buildPartial0(result);
+      }
       onBuilt();
       return result;
     }
@@ -492,7 +522,7 @@
     @java.lang.Override
     public Builder mergeFrom(com.google.protobuf.Message other) {
       if (other instanceof org.almondslip.protocol.wire.RootSnapshot) {
-        return mergeFrom((org.almondslip.protocol.wire.RootSnapshot)other);
+        return mergeFrom((org.almondslip.protocol.wire.RootSnapshot) other);
       } else {
         super.mergeFrom(other);
         return this;
@@ -561,66 +591,74 @@
             case 0:
               done = true;
               break;
-            case 8: {
-              epoch_ = input.readUInt64();
-              bitField0_ |= 0x00000001;
-              break;
-            } // case 8
-            case 21: {
-              int v = input.readFixed32();
-              ensureFlowIdIsMutable();
-              flowId_.addInt(v);
-              break;
-            } // case 21
-            case 18: {
-              int length = input.readRawVarint32();
-              int limit = input.pushLimit(length);
-              int alloc = length > 4096 ? 4096 : length;
-              ensureFlowIdIsMutable(alloc / 4);
-              while (input.getBytesUntilLimit() > 0) {
-                flowId_.addInt(input.readFixed32());
-              }
-              input.popLimit(limit);
-              break;
-            } // case 18
-            case 24: {
-              long v = input.readUInt64();
-              ensureCounterUsIsMutable();
-              counterUs_.addLong(v);
-              break;
-            } // case 24
-            case 26: {
-              int length = input.readRawVarint32();
-              int limit = input.pushLimit(length);
-              ensureCounterUsIsMutable();
-              while (input.getBytesUntilLimit() > 0) {
-                counterUs_.addLong(input.readUInt64());
-              }
-              input.popLimit(limit);
-              break;
-            } // case 26
-            case 32: {
-              long v = input.readUInt64();
-              ensureLiftUsIsMutable();
-              liftUs_.addLong(v);
-              break;
-            } // case 32
-            case 34: {
-              int length = input.readRawVarint32();
-              int limit = input.pushLimit(length);
-              ensureLiftUsIsMutable();
-              while (input.getBytesUntilLimit() > 0) {
-                liftUs_.addLong(input.readUInt64());
-              }
-              input.popLimit(limit);
-              break;
-            } // case 34
-            default: {
-              if (!super.parseUnknownField(input, extensionRegistry, tag)) {
-                done = true; // was an endgroup tag
-              }
-              break;
-            } // default:
+            case 8:
+              {
+                epoch_ = input.readUInt64();
+                bitField0_ |= 0x00000001;
+                break;
+              } // case 8
+            case 21:
+              {
+                int v = input.readFixed32();
+                ensureFlowIdIsMutable();
+                flowId_.addInt(v);
+                break;
+              } // case 21
+            case 18:
+              {
+                int length = input.readRawVarint32();
+                int limit = input.pushLimit(length);
+                int alloc = length > 4096 ? 4096 : length;
+                ensureFlowIdIsMutable(alloc / 4);
+                while (input.getBytesUntilLimit() > 0) {
+                  flowId_.addInt(input.readFixed32());
+                }
+                input.popLimit(limit);
+                break;
+              } // case 18
+            case 24:
+              {
+                long v = input.readUInt64();
+                ensureCounterUsIsMutable();
+                counterUs_.addLong(v);
+                break;
+              } // case 24
+            case 26:
+              {
+                int length = input.readRawVarint32();
+                int limit = input.pushLimit(length);
+                ensureCounterUsIsMutable();
+                while (input.getBytesUntilLimit() > 0) {
+                  counterUs_.addLong(input.readUInt64());
+                }
+                input.popLimit(limit);
+                break;
+              } // case 26
+            case 32:
+              {
+                long v = input.readUInt64();
+                ensureLiftUsIsMutable();
+                liftUs_.addLong(v);
+                break;
+              } // case 32
+            case 34:
+              {
+                int length = input.readRawVarint32();
+                int limit = input.pushLimit(length);
+                ensureLiftUsIsMutable();
+                while (input.getBytesUntilLimit() > 0) {
+                  liftUs_.addLong(input.readUInt64());
+                }
+                input.popLimit(limit);
+                break;
+              } // case 34
+            default:
+              {
+                if (!super.parseUnknownField(input, extensionRegistry, tag)) {
+                  done = true; // was an endgroup tag
+                }
+                break;
+              } // default:
           } // switch (tag)
         } // while (!done)
       } catch (com.google.protobuf.InvalidProtocolBufferException e) {
@@ -630,19 +668,24 @@
       } // finally
       return this;
     }
+
     private int bitField0_;
 
-    private long epoch_ ;
+    private long epoch_;
+
     /**
      * <code>uint64 epoch = 1;</code>
+     *
      * @return The epoch.
      */
     @java.lang.Override
     public long getEpoch() {
       return epoch_;
     }
+
     /**
      * <code>uint64 epoch = 1;</code>
+     *
      * @param value The epoch to set.
      * @return This builder for chaining.
      */
@@ -653,8 +696,10 @@
       onChanged();
       return this;
     }
+
     /**
      * <code>uint64 epoch = 1;</code>
+     *
      * @return This builder for chaining.
      */
     public Builder clearEpoch() {
@@ -665,50 +710,58 @@
     }
 
     private com.google.protobuf.Internal.IntList flowId_ = emptyIntList();
+
     private void ensureFlowIdIsMutable() {
       if (!flowId_.isModifiable()) {
         flowId_ = makeMutableCopy(flowId_);
       }
       bitField0_ |= 0x00000002;
     }
+
     private void ensureFlowIdIsMutable(int capacity) {
       if (!flowId_.isModifiable()) {
         flowId_ = makeMutableCopy(flowId_, capacity);
       }
       bitField0_ |= 0x00000002;
     }
+
     /**
      * <code>repeated fixed32 flow_id = 2;</code>
+     *
      * @return A list containing the flowId.
      */
-    public java.util.List<java.lang.Integer>
-        getFlowIdList() {
+    public java.util.List<java.lang.Integer> getFlowIdList() {
       flowId_.makeImmutable();
       return flowId_;
     }
+
     /**
      * <code>repeated fixed32 flow_id = 2;</code>
+     *
      * @return The count of flowId.
      */
     public int getFlowIdCount() {
       return flowId_.size();
     }
+
     /**
      * <code>repeated fixed32 flow_id = 2;</code>
+     *
      * @param index The index of the element to return.
      * @return The flowId at the given index.
      */
     public int getFlowId(int index) {
       return flowId_.getInt(index);
     }
+
     /**
      * <code>repeated fixed32 flow_id = 2;</code>
+     *
      * @param index The index to set the value at.
      * @param value The flowId to set.
      * @return This builder for chaining.
      */
-    public Builder setFlowId(
-        int index, int value) {
+    public Builder setFlowId(int index, int value) {
 
       ensureFlowIdIsMutable();
       flowId_.setInt(index, value);
@@ -716,8 +769,10 @@
       onChanged();
       return this;
     }
+
     /**
      * <code>repeated fixed32 flow_id = 2;</code>
+     *
      * @param value The flowId to add.
      * @return This builder for chaining.
      */
@@ -729,22 +784,24 @@
       onChanged();
       return this;
     }
+
     /**
      * <code>repeated fixed32 flow_id = 2;</code>
+     *
      * @param values The flowId to add.
      * @return This builder for chaining.
      */
-    public Builder addAllFlowId(
-        java.lang.Iterable<? extends java.lang.Integer> values) {
+    public Builder addAllFlowId(java.lang.Iterable<? extends java.lang.Integer> values) {
       ensureFlowIdIsMutable();
-      com.google.protobuf.AbstractMessageLite.Builder.addAll(
-          values, flowId_);
+      com.google.protobuf.AbstractMessageLite.Builder.addAll(values, flowId_);
       bitField0_ |= 0x00000002;
       onChanged();
       return this;
     }
+
     /**
      * <code>repeated fixed32 flow_id = 2;</code>
+     *
      * @return This builder for chaining.
      */
     public Builder clearFlowId() {
@@ -755,44 +812,51 @@
     }
 
     private com.google.protobuf.Internal.LongList counterUs_ = emptyLongList();
+
     private void ensureCounterUsIsMutable() {
       if (!counterUs_.isModifiable()) {
         counterUs_ = makeMutableCopy(counterUs_);
       }
       bitField0_ |= 0x00000004;
     }
+
     /**
      * <code>repeated uint64 counter_us = 3;</code>
+     *
      * @return A list containing the counterUs.
      */
-    public java.util.List<java.lang.Long>
-        getCounterUsList() {
+    public java.util.List<java.lang.Long> getCounterUsList() {
       counterUs_.makeImmutable();
       return counterUs_;
     }
+
     /**
      * <code>repeated uint64 counter_us = 3;</code>
+     *
      * @return The count of counterUs.
      */
     public int getCounterUsCount() {
       return counterUs_.size();
     }
+
     /**
      * <code>repeated uint64 counter_us = 3;</code>
+     *
      * @param index The index of the element to return.
      * @return The counterUs at the given index.
      */
     public long getCounterUs(int index) {
       return counterUs_.getLong(index);
     }
+
     /**
      * <code>repeated uint64 counter_us = 3;</code>
+     *
      * @param index The index to set the value at.
      * @param value The counterUs to set.
      * @return This builder for chaining.
      */
-    public Builder setCounterUs(
-        int index, long value) {
+    public Builder setCounterUs(int index, long value) {
 
       ensureCounterUsIsMutable();
       counterUs_.setLong(index, value);
@@ -800,8 +864,10 @@
       onChanged();
       return this;
     }
+
     /**
      * <code>repeated uint64 counter_us = 3;</code>
+     *
      * @param value The counterUs to add.
      * @return This builder for chaining.
      */
@@ -813,22 +879,24 @@
       onChanged();
       return this;
     }
+
     /**
      * <code>repeated uint64 counter_us = 3;</code>
+     *
      * @param values The counterUs to add.
      * @return This builder for chaining.
      */
-    public Builder addAllCounterUs(
-        java.lang.Iterable<? extends java.lang.Long> values) {
+    public Builder addAllCounterUs(java.lang.Iterable<? extends java.lang.Long> values) {
       ensureCounterUsIsMutable();
-      com.google.protobuf.AbstractMessageLite.Builder.addAll(
-          values, counterUs_);
+      com.google.protobuf.AbstractMessageLite.Builder.addAll(values, counterUs_);
       bitField0_ |= 0x00000004;
       onChanged();
       return this;
     }
+
     /**
      * <code>repeated uint64 counter_us = 3;</code>
+     *
      * @return This builder for chaining.
      */
     public Builder clearCounterUs() {
@@ -839,44 +907,51 @@
     }
 
     private com.google.protobuf.Internal.LongList liftUs_ = emptyLongList();
+
     private void ensureLiftUsIsMutable() {
       if (!liftUs_.isModifiable()) {
         liftUs_ = makeMutableCopy(liftUs_);
       }
       bitField0_ |= 0x00000008;
     }
+
     /**
      * <code>repeated uint64 lift_us = 4;</code>
+     *
      * @return A list containing the liftUs.
      */
-    public java.util.List<java.lang.Long>
-        getLiftUsList() {
+    public java.util.List<java.lang.Long> getLiftUsList() {
       liftUs_.makeImmutable();
       return liftUs_;
     }
+
     /**
      * <code>repeated uint64 lift_us = 4;</code>
+     *
      * @return The count of liftUs.
      */
     public int getLiftUsCount() {
       return liftUs_.size();
     }
+
     /**
      * <code>repeated uint64 lift_us = 4;</code>
+     *
      * @param index The index of the element to return.
      * @return The liftUs at the given index.
      */
     public long getLiftUs(int index) {
       return liftUs_.getLong(index);
     }
+
     /**
      * <code>repeated uint64 lift_us = 4;</code>
+     *
      * @param index The index to set the value at.
      * @param value The liftUs to set.
      * @return This builder for chaining.
      */
-    public Builder setLiftUs(
-        int index, long value) {
+    public Builder setLiftUs(int index, long value) {
 
       ensureLiftUsIsMutable();
       liftUs_.setLong(index, value);
@@ -884,8 +959,10 @@
       onChanged();
       return this;
     }
+
     /**
      * <code>repeated uint64 lift_us = 4;</code>
+     *
      * @param value The liftUs to add.
      * @return This builder for chaining.
      */
@@ -897,22 +974,24 @@
       onChanged();
       return this;
     }
+
     /**
      * <code>repeated uint64 lift_us = 4;</code>
+     *
      * @param values The liftUs to add.
      * @return This builder for chaining.
      */
-    public Builder addAllLiftUs(
-        java.lang.Iterable<? extends java.lang.Long> values) {
+    public Builder addAllLiftUs(java.lang.Iterable<? extends java.lang.Long> values) {
       ensureLiftUsIsMutable();
-      com.google.protobuf.AbstractMessageLite.Builder.addAll(
-          values, liftUs_);
+      com.google.protobuf.AbstractMessageLite.Builder.addAll(values, liftUs_);
       bitField0_ |= 0x00000008;
       onChanged();
       return this;
     }
+
     /**
      * <code>repeated uint64 lift_us = 4;</code>
+     *
      * @return This builder for chaining.
      */
     public Builder clearLiftUs() {
@@ -927,6 +1006,7 @@
 
   // @@protoc_insertion_point(class_scope:almondslip.RootSnapshot)
   private static final org.almondslip.protocol.wire.RootSnapshot DEFAULT_INSTANCE;
+
   static {
     DEFAULT_INSTANCE = new org.almondslip.protocol.wire.RootSnapshot();
   }
@@ -935,27 +1015,27 @@
     return DEFAULT_INSTANCE;
   }
 
-  private static final com.google.protobuf.Parser<RootSnapshot>
-      PARSER = new com.google.protobuf.AbstractParser<RootSnapshot>() {
-    @java.lang.Override
-    public RootSnapshot parsePartialFrom(
-        com.google.protobuf.CodedInputStream input,
-        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-        throws com.google.protobuf.InvalidProtocolBufferException {
-      Builder builder = newBuilder();
-      try {
-        builder.mergeFrom(input, extensionRegistry);
-      } catch (com.google.protobuf.InvalidProtocolBufferException e) {
-        throw e.setUnfinishedMessage(builder.buildPartial());
-      } catch (com.google.protobuf.UninitializedMessageException e) {
-        throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
-      } catch (java.io.IOException e) {
-        throw new com.google.protobuf.InvalidProtocolBufferException(e)
-            .setUnfinishedMessage(builder.buildPartial());
-      }
-      return builder.buildPartial();
-    }
-  };
+  private static final com.google.protobuf.Parser<RootSnapshot> PARSER =
+      new com.google.protobuf.AbstractParser<RootSnapshot>() {
+        @java.lang.Override
+        public RootSnapshot parsePartialFrom(
+            com.google.protobuf.CodedInputStream input,
+            com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+            throws com.google.protobuf.InvalidProtocolBufferException {
+          Builder builder = newBuilder();
+          try {
+            builder.mergeFrom(input, extensionRegistry);
+          } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+            throw e.setUnfinishedMessage(builder.buildPartial());
+          } catch (com.google.protobuf.UninitializedMessageException e) {
+            throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
+          } catch (java.io.IOException e) {
+            throw new com.google.protobuf.InvalidProtocolBufferException(e)
+                .setUnfinishedMessage(builder.buildPartial());
+          }
+          return builder.buildPartial();
+        }
+      };
 
   public static com.google.protobuf.Parser<RootSnapshot> parser() {
     return PARSER;
@@ -970,6 +1050,4 @@
   public org.almondslip.protocol.wire.RootSnapshot getDefaultInstanceForType() {
     return DEFAULT_INSTANCE;
   }
-
 }
-
--- a/wire/src/main/java/org/almondslip/protocol/wire/RootSnapshotOrBuilder.java
+++ b/wire/src/main/java/org/almondslip/protocol/wire/RootSnapshotOrBuilder.java
@@ -6,28 +6,35 @@
 package org.almondslip.protocol.wire;
 
 @com.google.protobuf.Generated
-public interface RootSnapshotOrBuilder extends
+public interface RootSnapshotOrBuilder
+    extends
     // @@protoc_insertion_point(interface_extends:almondslip.RootSnapshot)
     com.google.protobuf.MessageOrBuilder {
 
   /**
    * <code>uint64 epoch = 1;</code>
+   *
    * @return The epoch.
    */
   long getEpoch();
 
   /**
    * <code>repeated fixed32 flow_id = 2;</code>
+   *
    * @return A list containing the flowId.
    */
   java.util.List<java.lang.Integer> getFlowIdList();
+
   /**
    * <code>repeated fixed32 flow_id = 2;</code>
+   *
    * @return The count of flowId.
    */
   int getFlowIdCount();
+
   /**
    * <code>repeated fixed32 flow_id = 2;</code>
+   *
    * @param index The index of the element to return.
    * @return The flowId at the given index.
    */
@@ -35,16 +42,21 @@
 
   /**
    * <code>repeated uint64 counter_us = 3;</code>
+   *
    * @return A list containing the counterUs.
    */
   java.util.List<java.lang.Long> getCounterUsList();
+
   /**
    * <code>repeated uint64 counter_us = 3;</code>
+   *
    * @return The count of counterUs.
    */
   int getCounterUsCount();
+
   /**
    * <code>repeated uint64 counter_us = 3;</code>
+   *
    * @param index The index of the element to return.
    * @return The counterUs at the given index.
    */
@@ -52,16 +64,21 @@
 
   /**
    * <code>repeated uint64 lift_us = 4;</code>
+   *
    * @return A list containing the liftUs.
    */
   java.util.List<java.lang.Long> getLiftUsList();
+
   /**
    * <code>repeated uint64 lift_us = 4;</code>
+   *
    * @return The count of liftUs.
    */
   int getLiftUsCount();
+
   /**
    * <code>repeated uint64 lift_us = 4;</code>
+   *
    * @param index The index of the element to return.
    * @return The liftUs at the given index.
    */
--- a/wire/src/main/java/org/almondslip/protocol/wire/ServiceDigest.java
+++ b/wire/src/main/java/org/almondslip/protocol/wire/ServiceDigest.java
@@ -6,6 +6,8 @@
 package org.almondslip.protocol.wire;
 
 /**
+ *
+ *
  * <pre>
  * From a parent to its children: the accounts of the fleet.
  * </pre>
@@ -13,52 +15,60 @@
  * Protobuf type {@code almondslip.ServiceDigest}
  */
 @com.google.protobuf.Generated
-public final class ServiceDigest extends
-    com.google.protobuf.GeneratedMessage implements
+public final class ServiceDigest extends com.google.protobuf.GeneratedMessage
+    implements
     // @@protoc_insertion_point(message_implements:almondslip.ServiceDigest)
     ServiceDigestOrBuilder {
-private static final long serialVersionUID = 0L;
+  private static final long serialVersionUID = 0L;
+
   static {
     com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
-      com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
-      /* major= */ 4,
-      /* minor= */ 36,
-      /* patch= */ 2,
-      /* suffix= */ "",
-      "ServiceDigest");
+        com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+        /* major= */ 4,
+        /* minor= */ 36,
+        /* patch= */ 2,
+        /* suffix= */ "",
+        "ServiceDigest");
   }
+
   // Use ServiceDigest.newBuilder() to construct.
   private ServiceDigest(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
     super(builder);
   }
+
   private ServiceDigest() {
     flowId_ = emptyIntList();
     accountUs_ = emptyLongList();
     backlogged_ = emptyBooleanList();
   }
 
-  public static final com.google.protobuf.Descriptors.Descriptor
-      getDescriptor() {
-    return org.almondslip.protocol.wire.Almondslip.internal_static_almondslip_ServiceDigest_descriptor;
+  public static final com.google.protobuf.Descriptors.Descriptor getDescriptor() {
+    return org.almondslip.protocol.wire.Almondslip
+        .internal_static_almondslip_ServiceDigest_descriptor;
   }
 
   @java.lang.Override
   public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
-    return org.almondslip.protocol.wire.Almondslip.internal_static_almondslip_ServiceDigest_descriptor;
+    return org.almondslip.protocol.wire.Almondslip
+        .internal_static_almondslip_ServiceDigest_descriptor;
   }
 
   @java.lang.Override
   protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internalGetFieldAccessorTable() {
-    return org.almondslip.protocol.wire.Almondslip.internal_static_almondslip_ServiceDigest_fieldAccessorTable
+    return org.almondslip.protocol.wire.Almondslip
+        .internal_static_almondslip_ServiceDigest_fieldAccessorTable
         .ensureFieldAccessorsInitialized(
-            org.almondslip.protocol.wire.ServiceDigest.class, org.almondslip.protocol.wire.ServiceDigest.Builder.class);
+            org.almondslip.protocol.wire.ServiceDigest.class,
+            org.almondslip.protocol.wire.ServiceDigest.Builder.class);
   }
 
   public static final int EPOCH_FIELD_NUMBER = 1;
   private long epoch_ = 0L;
+
   /**
    * <code>uint64 epoch = 1;</code>
+   *
    * @return The epoch.
    */
   @java.lang.Override
@@ -68,12 +78,16 @@
 
   public static final int ACKNOWLEDGED_FIELD_NUMBER = 2;
   private long acknowledged_ = 0L;
+
   /**
+   *
+   *
    * <pre>
    * Sequence number of the last report of the receiver that is counted.
    * </pre>
    *
    * <code>uint64 acknowledged = 2;</code>
+   *
    * @return The acknowledged.
    */
   @java.lang.Override
@@ -83,12 +97,16 @@
 
   public static final int BASE_US_FIELD_NUMBER = 3;
   private long baseUs_ = 0L;
+
   /**
+   *
+   *
    * <pre>
    * Smallest account in the digest, in microseconds; account_us are offsets from it.
    * </pre>
    *
    * <code>uint64 base_us = 3;</code>
+   *
    * @return The baseUs.
    */
   @java.lang.Override
@@ -97,99 +115,119 @@
   }
 
   public static final int FLOW_ID_FIELD_NUMBER = 4;
+
   @SuppressWarnings("serial")
-  private com.google.protobuf.Internal.IntList flowId_ =
-      emptyIntList();
+  private com.google.protobuf.Internal.IntList flowId_ = emptyIntList();
+
   /**
    * <code>repeated fixed32 flow_id = 4;</code>
+   *
    * @return A list containing the flowId.
    */
   @java.lang.Override
-  public java.util.List<java.lang.Integer>
-      getFlowIdList() {
+  public java.util.List<java.lang.Integer> getFlowIdList() {
     return flowId_;
   }
+
   /**
    * <code>repeated fixed32 flow_id = 4;</code>
+   *
    * @return The count of flowId.
    */
   public int getFlowIdCount() {
     return flowId_.size();
   }
+
   /**
    * <code>repeated fixed32 flow_id = 4;</code>
+   *
    * @param index The index of the element to return.
    * @return The flowId at the given index.
    */
   public int getFlowId(int index) {
     return flowId_.getInt(index);
   }
+
   private int flowIdMemoizedSerializedSize = -1;
 
   public static final int ACCOUNT_US_FIELD_NUMBER = 5;
+
   @SuppressWarnings("serial")
-  private com.google.protobuf.Internal.LongList accountUs_ =
-      emptyLongList();
+  private com.google.protobuf.Internal.LongList accountUs_ = emptyLongList();
+
   /**
    * <code>repeated uint64 account_us = 5;</code>
+   *
    * @return A list containing the accountUs.
    */
   @java.lang.Override
-  public java.util.List<java.lang.Long>
-      getAccountUsList() {
+  public java.util.List<java.lang.Long> getAccountUsList() {
     return accountUs_;
   }
+
   /**
    * <code>repeated uint64 account_us = 5;</code>
+   *
    * @return The count of accountUs.
    */
   public int getAccountUsCount() {
     return accountUs_.size();
   }
+
   /**
    * <code>repeated uint64 account_us = 5;</code>
+   *
    * @param index The index of the element to return.
    * @return The accountUs at the given index.
    */
   public long getAccountUs(int index) {
     return accountUs_.getLong(index);
   }
+
   private int accountUsMemoizedSerializedSize = -1;
 
   public static final int BACKLOGGED_FIELD_NUMBER = 6;
+
   @SuppressWarnings("serial")
-  private com.google.protobuf.Internal.BooleanList backlogged_ =
-      emptyBooleanList();
+  private com.google.protobuf.Internal.BooleanList backlogged_ = emptyBooleanList();
+
   /**
    * <code>repeated bool backlogged = 6;</code>
+   *
    * @return A list containing the backlogged.
    */
   @java.lang.Override
-  public java.util.List<java.lang.Boolean>
-      getBackloggedList() {
+  public java.util.List<java.lang.Boolean> getBackloggedList() {
     return backlogged_;
   }
+
   /**
    * <code>repeated bool backlogged = 6;</code>
+   *
    * @return The count of backlogged.
    */
   public int getBackloggedCount() {
     return backlogged_.size();
   }
+
   /**
    * <code>repeated bool backlogged = 6;</code>
+   *
    * @param index The index of the element to return.
    * @return The backlogged at the given index.
    */
   public boolean getBacklogged(int index) {
     return backlogged_.getBoolean(index);
   }
+
   private int backloggedMemoizedSerializedSize = -1;
 
   public static final int AGENTS_FIELD_NUMBER = 7;
   private int agents_ = 0;
+
   /**
    * <code>uint32 agents = 7;</code>
+   *
    * @return The agents.
    */
   @java.lang.Override
@@ -198,6 +236,7 @@
   }
 
   private byte memoizedIsInitialized = -1;
+
   @java.lang.Override
   public final boolean isInitialized() {
     byte isInitialized = memoizedIsInitialized;
@@ -209,8 +248,7 @@
   }
 
   @java.lang.Override
-  public void writeTo(com.google.protobuf.CodedOutputStream output)
-                      throws java.io.IOException {
+  public void writeTo(com.google.protobuf.CodedOutputStream output) throws java.io.IOException {
     getSerializedSize();
     if (epoch_ != 0L) {
       output.writeUInt64(1, epoch_);
@@ -247,19 +285,17 @@
     }
     getUnknownFields().writeTo(output);
   }
+
   private int computeSerializedSize_0() {
     int size = 0;
     if (epoch_ != 0L) {
-      size += com.google.protobuf.CodedOutputStream
-        .computeUInt64Size(1, epoch_);
+      size += com.google.protobuf.CodedOutputStream.computeUInt64Size(1, epoch_);
     }
     if (acknowledged_ != 0L) {
-      size += com.google.protobuf.CodedOutputStream
-        .computeUInt64Size(2, acknowledged_);
+      size += com.google.protobuf.CodedOutputStream.computeUInt64Size(2, acknowledged_);
     }
     if (baseUs_ != 0L) {
-      size += com.google.protobuf.CodedOutputStream
-        .computeUInt64Size(3, baseUs_);
+      size += com.google.protobuf.CodedOutputStream.computeUInt64Size(3, baseUs_);
     }
     {
       int dataSize = 0;
@@ -267,22 +303,20 @@
       size += dataSize;
       if (!getFlowIdList().isEmpty()) {
         size += 1;
-        size += com.google.protobuf.CodedOutputStream
-            .computeInt32SizeNoTag(dataSize);
+        size += com.google.protobuf.CodedOutputStream.computeInt32SizeNoTag(dataSize);
       }
       flowIdMemoizedSerializedSize = dataSize;
     }
     {
       int dataSize = 0;
       for (int i = 0; i < accountUs_.size(); i++) {
-        dataSize += com.google.protobuf.CodedOutputStream
-          .computeUInt64SizeNoTag(accountUs_.getLong(i));
+        dataSize +=
+            com.google.protobuf.CodedOutputStream.computeUInt64SizeNoTag(accountUs_.getLong(i));
       }
       size += dataSize;
       if (!getAccountUsList().isEmpty()) {
         size += 1;
-        size += com.google.protobuf.CodedOutputStream
-            .computeInt32SizeNoTag(dataSize);
+        size += com.google.protobuf.CodedOutputStream.computeInt32SizeNoTag(dataSize);
       }
       accountUsMemoizedSerializedSize = dataSize;
     }
@@ -292,17 +326,16 @@
       size += dataSize;
       if (!getBackloggedList().isEmpty()) {
         size += 1;
-        size += com.google.protobuf.CodedOutputStream
-            .computeInt32SizeNoTag(dataSize);
+        size += com.google.protobuf.CodedOutputStream.computeInt32SizeNoTag(dataSize);
       }
       backloggedMemoizedSerializedSize = dataSize;
     }
     if (agents_ != 0) {
-      size += com.google.protobuf.CodedOutputStream
-        .computeUInt32Size(7, agents_);
+      size += com.google.protobuf.CodedOutputStream.computeUInt32Size(7, agents_);
     }
     return size;
   }
+
   @java.lang.Override
   public int getSerializedSize() {
     int size = memoizedSize;
@@ -318,27 +351,21 @@
   @java.lang.Override
   public boolean equals(final java.lang.Object obj) {
     if (obj == this) {
-     return true;
+      return true;
     }
     if (!(obj instanceof org.almondslip.protocol.wire.ServiceDigest)) {
       return super.equals(obj);
     }
-    org.almondslip.protocol.wire.ServiceDigest other = (org.almondslip.protocol.wire.ServiceDigest) obj;
-
-    if (getEpoch()
-        != other.getEpoch()) return false;
-    if (getAcknowledged()
-        != other.getAcknowledged()) return false;
-    if (getBaseUs()
-        != other.getBaseUs()) return false;
-    if (!getFlowIdList()
-        .equals(other.getFlowIdList())) return false;
-    if (!getAccountUsList()
-        .equals(other.getAccountUsList())) return false;
-    if (!getBackloggedList()
-        .equals(other.getBackloggedList())) return false;
-    if (getAgents()
-        != other.getAgents()) return false;
+    org.almondslip.protocol.wire.ServiceDigest other =
+        (org.almondslip.protocol.wire.ServiceDigest) obj;
+
+    if (getEpoch() != other.getEpoch()) return false;
+    if (getAcknowledged() != other.getAcknowledged()) return false;
+    if (getBaseUs() != other.getBaseUs()) return false;
+    if (!getFlowIdList().equals(other.getFlowIdList())) return false;
+    if (!getAccountUsList().equals(other.getAccountUsList())) return false;
+    if (!getBackloggedList().equals(other.getBackloggedList())) return false;
+    if (getAgents() != other.getAgents()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -351,14 +378,11 @@
     int hash = 41;
     hash = (19 * hash) + getDescriptor().hashCode();
     hash = (37 * hash) + EPOCH_FIELD_NUMBER;
-    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
-        getEpoch());
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(getEpoch());
     hash = (37 * hash) + ACKNOWLEDGED_FIELD_NUMBER;
-    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
-        getAcknowledged());
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(getAcknowledged());
     hash = (37 * hash) + BASE_US_FIELD_NUMBER;
-    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
-        getBaseUs());
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(getBaseUs());
     if (getFlowIdCount() > 0) {
       hash = (37 * hash) + FLOW_ID_FIELD_NUMBER;
       hash = (53 * hash) + getFlowIdList().hashCode();
@@ -378,132 +402,137 @@
     return hash;
   }
 
-  public static org.almondslip.protocol.wire.ServiceDigest parseFrom(
-      java.nio.ByteBuffer data)
+  public static org.almondslip.protocol.wire.ServiceDigest parseFrom(java.nio.ByteBuffer data)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data);
   }
+
   public static org.almondslip.protocol.wire.ServiceDigest parseFrom(
-      java.nio.ByteBuffer data,
-      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+      java.nio.ByteBuffer data, com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data, extensionRegistry);
   }
+
   public static org.almondslip.protocol.wire.ServiceDigest parseFrom(
       com.google.protobuf.ByteString data)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data);
   }
+
   public static org.almondslip.protocol.wire.ServiceDigest parseFrom(
       com.google.protobuf.ByteString data,
       com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data, extensionRegistry);
   }
+
   public static org.almondslip.protocol.wire.ServiceDigest parseFrom(byte[] data)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data);
   }
+
   public static org.almondslip.protocol.wire.ServiceDigest parseFrom(
-      byte[] data,
-      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+      byte[] data, com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data, extensionRegistry);
   }
+
   public static org.almondslip.protocol.wire.ServiceDigest parseFrom(java.io.InputStream input)
       throws java.io.IOException {
-    return com.google.protobuf.GeneratedMessage
-        .parseWithIOException(PARSER, input);
+    return com.google.protobuf.GeneratedMessage.parseWithIOException(PARSER, input);
   }
+
   public static org.almondslip.protocol.wire.ServiceDigest parseFrom(
-      java.io.InputStream input,
-      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+      java.io.InputStream input, com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws java.io.IOException {
-    return com.google.protobuf.GeneratedMessage
-        .parseWithIOException(PARSER, input, extensionRegistry);
+    return com.google.protobuf.GeneratedMessage.parseWithIOException(
+        PARSER, input, extensionRegistry);
   }
 
-  public static org.almondslip.protocol.wire.ServiceDigest parseDelimitedFrom(java.io.InputStream input)
-      throws java.io.IOException {
-    return com.google.protobuf.GeneratedMessage
-        .parseDelimitedWithIOException(PARSER, input);
+  public static org.almondslip.protocol.wire.ServiceDigest parseDelimitedFrom(
+      java.io.InputStream input) throws java.io.IOException {
+    return com.google.protobuf.GeneratedMessage.parseDelimitedWithIOException(PARSER, input);
   }
 
   public static org.almondslip.protocol.wire.ServiceDigest parseDelimitedFrom(
-      java.io.InputStream input,
-      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+      java.io.InputStream input, com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws java.io.IOException {
-    return com.google.protobuf.GeneratedMessage
-        .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
+    return com.google.protobuf.GeneratedMessage.parseDelimitedWithIOException(
+        PARSER, input, extensionRegistry);
   }
+
   public static org.almondslip.protocol.wire.ServiceDigest parseFrom(
-      com.google.protobuf.CodedInputStream input)
-      throws java.io.IOException {
-    return com.google.protobuf.GeneratedMessage
-        .parseWithIOException(PARSER, input);
+      com.google.protobuf.CodedInputStream input) throws java.io.IOException {
+    return com.google.protobuf.GeneratedMessage.parseWithIOException(PARSER, input);
   }
+
   public static org.almondslip.protocol.wire.ServiceDigest parseFrom(
       com.google.protobuf.CodedInputStream input,
       com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws java.io.IOException {
-    return com.google.protobuf.GeneratedMessage
-        .parseWithIOException(PARSER, input, extensionRegistry);
+    return com.google.protobuf.GeneratedMessage.parseWithIOException(
+        PARSER, input, extensionRegistry);
   }
 
   @java.lang.Override
-  public Builder newBuilderForType() { return newBuilder(); }
+  public Builder newBuilderForType() {
+    return newBuilder();
+  }
+
   public static Builder newBuilder() {
     return DEFAULT_INSTANCE.toBuilder();
   }
+
   public static Builder newBuilder(org.almondslip.protocol.wire.ServiceDigest prototype) {
     return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
   }
+
   @java.lang.Override
   public Builder toBuilder() {
-    return this == DEFAULT_INSTANCE
-        ? new Builder() : new Builder().mergeFrom(this);
+    return this == DEFAULT_INSTANCE ? new Builder() : new Builder().mergeFrom(this);
   }
 
   @java.lang.Override
-  protected Builder newBuilderForType(
-      com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+  protected Builder newBuilderForType(com.google.protobuf.GeneratedMessage.BuilderParent parent) {
     Builder builder = new Builder(parent);
     return builder;
   }
+
   /**
+   *
+   *
    * <pre>
    * From a parent to its children: the accounts of the fleet.
    * </pre>
    *
    * Protobuf type {@code almondslip.ServiceDigest}
    */
-  public static final class Builder extends
-      com.google.protobuf.GeneratedMessage.Builder<Builder> implements
+  public static final class Builder extends com.google.protobuf.GeneratedMessage.Builder<Builder>
+      implements
       // @@protoc_insertion_point(builder_implements:almondslip.ServiceDigest)
       org.almondslip.protocol.wire.ServiceDigestOrBuilder {
-    public static final com.google.protobuf.Descriptors.Descriptor
-        getDescriptor() {
-      return org.almondslip.protocol.wire.Almondslip.internal_static_almondslip_ServiceDigest_descriptor;
+    public static final com.google.protobuf.Descriptors.Descriptor getDescriptor() {
+      return org.almondslip.protocol.wire.Almondslip
+          .internal_static_almondslip_ServiceDigest_descriptor;
     }
 
     @java.lang.Override
     protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
         internalGetFieldAccessorTable() {
-      return org.almondslip.protocol.wire.Almondslip.internal_static_almondslip_ServiceDigest_fieldAccessorTable
+      return org.almondslip.protocol.wire.Almondslip
+          .internal_static_almondslip_ServiceDigest_fieldAccessorTable
           .ensureFieldAccessorsInitialized(
-              org.almondslip.protocol.wire.ServiceDigest.class, org.almondslip.protocol.wire.ServiceDigest.Builder.class);
+              org.almondslip.protocol.wire.ServiceDigest.class,
+              org.almondslip.protocol.wire.ServiceDigest.Builder.class);
     }
 
     // Construct using org.almondslip.protocol.wire.ServiceDigest.newBuilder()
-    private Builder() {
-
-    }
+    private Builder() {}
 
-    private Builder(
-        com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+    private Builder(com.google.protobuf.GeneratedMessage.BuilderParent parent) {
       super(parent);
-
     }
+
     @java.lang.Override
     public Builder clear() {
       super.clear();
@@ -519,9 +548,9 @@
     }
 
     @java.lang.Override
-    public com.google.protobuf.Descriptors.Descriptor
-        getDescriptorForType() {
-      return org.almondslip.protocol.wire.Almondslip.internal_static_almondslip_ServiceDigest_descriptor;
+    public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
+      return org.almondslip.protocol.wire.Almondslip
+          .internal_static_almondslip_ServiceDigest_descriptor;
     }
 
     @java.lang.Override
@@ -540,8 +569,11 @@
 
     @java.lang.Override
     public org.almondslip.protocol.wire.ServiceDigest buildPartial() {
-      org.almondslip.protocol.wire.ServiceDigest result = new org.almondslip.protocol.wire.ServiceDigest(this);
-      if (bitField0_ != 0) { buildPartial0(result); }
+      org.almondslip.protocol.wire.ServiceDigest result =
+          new org.almondslip.protocol.wire.ServiceDigest(this);
+      if (bitField0_ != 0) {
+        buildPartial0(result);
+      }
       onBuilt();
       return result;
     }
@@ -577,7 +609,7 @@
     @java.lang.Override
     public Builder mergeFrom(com.google.protobuf.Message other) {
       if (other instanceof org.almondslip.protocol.wire.ServiceDigest) {
-        return mergeFrom((org.almondslip.protocol.wire.ServiceDigest)other);
+        return mergeFrom((org.almondslip.protocol.wire.ServiceDigest) other);
       } else {
         super.mergeFrom(other);
         return this;
@@ -655,82 +687,93 @@
             case 0:
               done = true;
               break;
-            case 8: {
-              epoch_ = input.readUInt64();
-              bitField0_ |= 0x00000001;
-              break;
-            } // case 8
-            case 16: {
-              acknowledged_ = input.readUInt64();
-              bitField0_ |= 0x00000002;
-              break;
-            } // case 16
-            case 24: {
-              baseUs_ = input.readUInt64();
-              bitField0_ |= 0x00000004;
-              break;
-            } // case 24
-            case 37: {
-              int v = input.readFixed32();
-              ensureFlowIdIsMutable();
-              flowId_.addInt(v);
-              break;
-            } // case 37
-            case 34: {
-              int length = input.readRawVarint32();
-              int limit = input.pushLimit(length);
-              int alloc = length > 4096 ? 4096 : length;
-              ensureFlowIdIsMutable(alloc / 4);
-              while (input.getBytesUntilLimit() > 0) {
-                flowId_.addInt(input.readFixed32());
-              }
-              input.popLimit(limit);
-              break;
-            } // case 34
-            case 40: {
-              long v = input.readUInt64();
-              ensureAccountUsIsMutable();
-              accountUs_.addLong(v);
-              break;
-            } // case 40
-            case 42: {
-              int length = input.readRawVarint32();
-              int limit = input.pushLimit(length);
-              ensureAccountUsIsMutable();
-              while (input.getBytesUntilLimit() > 0) {
-                accountUs_.addLong(input.readUInt64());
-              }
-              input.popLimit(limit);
-              break;
-            } // case 42
-            case 48: {
-              boolean v = input.readBool();
-              ensureBackloggedIsMutable();
-              backlogged_.addBoolean(v);
-              break;
-            } // case 48
-            case 50: {
-              int length = input.readRawVarint32();
-              int limit = input.pushLimit(length);
-              int alloc = length > 4096 ? 4096 : length;
-              ensureBackloggedIsMutable(alloc / 1);
-              while (input.getBytesUntilLimit() > 0) {
-                backlogged_.addBoolean(input.readBool());
-              }
-              input.popLimit(limit);
-              break;
-            } // case 50
-            case 56: {
-              agents_ = input.readUInt32();
-              bitField0_ |= 0x00000040;
-              break;
-            } // case 56
-            default: {
-              if (!super.parseUnknownField(input, extensionRegistry, tag)) {
-                done = true; // was an endgroup tag
-              }
-              break;
-            } // default:
+            case 8:
+              {
+                epoch_ = input.readUInt64();
+                bitField0_ |= 0x00000001;
+                break;
+              } // case 8
+            case 16:
+              {
+                acknowledged_ = input.readUInt64();
+                bitField0_ |= 0x00000002;
+                break;
+              } // case 16
+            case 24:
+              {
+                baseUs_ = input.readUInt64();
+                bitField0_ |= 0x00000004;
+                break;
+              } // case 24
+            case 37:
+              {
+                int v = input.readFixed32();
+                ensureFlowIdIsMutable();
+                flowId_.addInt(v);
+                break;
+              } // case 37
+            case 34:
+              {
+                int length = input.readRawVarint32();
+                int limit = input.pushLimit(length);
+                int alloc = length > 4096 ? 4096 : length;
+                ensureFlowIdIsMutable(alloc / 4);
+                while (input.getBytesUntilLimit() > 0) {
+                  flowId_.addInt(input.readFixed32());
+                }
+                input.popLimit(limit);
+                break;
+              } // case 34
+            case 40:
+              {
+                long v = input.readUInt64();
+                ensureAccountUsIsMutable();
+                accountUs_.addLong(v);
+                break;
+              } // case 40
+            case 42:
+              {
+                int length = input.readRawVarint32();
+                int limit = input.pushLimit(length);
+                ensureAccountUsIsMutable();
+                while (input.getBytesUntilLimit() > 0) {
+                  accountUs_.addLong(input.readUInt64());
+                }
+                input.popLimit(limit);
+                break;
+              } // case 42
+            case 48:
+              {
+                boolean v = input.readBool();
+                ensureBackloggedIsMutable();
+                backlogged_.addBoolean(v);
+                break;
+              } // case 48
+            case 50:
+              {
+                int length = input.readRawVarint32();
+                int limit = input.pushLimit(length);
+                int alloc = length > 4096 ? 4096 : length;
+                ensureBackloggedIsMutable(alloc / 1);
+                while (input.getBytesUntilLimit() > 0) {
+                  backlogged_.addBoolean(input.readBool());
+                }
+                input.popLimit(limit);
+                break;
+              } // case 50
+            case 56:
+              {
+                agents_ = input.readUInt32();
+                bitField0_ |= 0x00000040;
+                break;
+              } // case 56
+            default:
+              {
+                if (!super.parseUnknownField(input, extensionRegistry, tag)) {
+                  done = true; // was an endgroup tag
+                }
+                break;
+              } // default:
           } // switch (tag)
         } // while (!done)
       } catch (com.google.protobuf.InvalidProtocolBufferException e) {
@@ -740,19 +783,24 @@
       } // finally
       return this;
     }
+
     private int bitField0_;
 
-    private long epoch_ ;
+    private long epoch_;
+
     /**
      * <code>uint64 epoch = 1;</code>
+     *
      * @return The epoch.
      */
     @java.lang.Override
     public long getEpoch() {
       return epoch_;
     }
+
     /**
      * <code>uint64 epoch = 1;</code>
+     *
      * @param value The epoch to set.
      * @return This builder for chaining.
      */
@@ -763,8 +811,10 @@
       onChanged();
       return this;
     }
+
     /**
      * <code>uint64 epoch = 1;</code>
+     *
      * @return This builder for chaining.
      */
     public Builder clearEpoch() {
@@ -774,25 +824,33 @@
       return this;
     }
 
-    private long acknowledged_ ;
+    private long acknowledged_;
+
     /**
+     *
+     *
      * <pre>
      * Sequence number of the last report of the receiver that is counted.
      * </pre>
      *
      * <code>uint64 acknowledged = 2;</code>
+     *
      * @return The acknowledged.
      */
     @java.lang.Override
     public long getAcknowledged() {
       return acknowledged_;
     }
+
     /**
+     *
+     *
      * <pre>
      * Sequence number of the last report of the receiver that is counted.
      * </pre>
      *
      * <code>uint64 acknowledged = 2;</code>
+     *
      * @param value The acknowledged to set.
      * @return This builder for chaining.
      */
@@ -803,12 +861,16 @@
       onChanged();
       return this;
     }
+
     /**
+     *
+     *
      * <pre>
      * Sequence number of the last report of the receiver that is counted.
      * </pre>
      *
      * <code>uint64 acknowledged = 2;</code>
+     *
      * @return This builder for chaining.
      */
     public Builder clearAcknowledged() {
@@ -818,25 +880,33 @@
       return this;
     }
 
-    private long baseUs_ ;
+    private long baseUs_;
+
     /**
+     *
+     *
      * <pre>
      * Smallest account in the digest, in microseconds; account_us are offsets from it.
      * </pre>
      *
      * <code>uint64 base_us = 3;</code>
+     *
      * @return The baseUs.
      */
     @java.lang.Override
     public long getBaseUs() {
       return baseUs_;
     }
+
     /**
+     *
+     *
      * <pre>
      * Smallest account in the digest, in microseconds; account_us are offsets from it.
      * </pre>
      *
      * <code>uint64 base_us = 3;</code>
+     *
      * @param value The baseUs to set.
      * @return This builder for chaining.
      */
@@ -847,12 +917,16 @@
       onChanged();
       return this;
     }
+
     /**
+     *
+     *
      * <pre>
      * Smallest account in the digest, in microseconds; account_us are offsets from it.
      * </pre>
      *
      * <code>uint64 base_us = 3;</code>
+     *
      * @return This builder for chaining.
      */
     public Builder clearBaseUs() {
@@ -863,50 +937,58 @@
     }
 
     private com.google.protobuf.Internal.IntList flowId_ = emptyIntList();
+
     private void ensureFlowIdIsMutable() {
       if (!flowId_.isModifiable()) {
         flowId_ = makeMutableCopy(flowId_);
       }
       bitField0_ |= 0x00000008;
     }
+
     private void ensureFlowIdIsMutable(int capacity) {
       if (!flowId_.isModifiable()) {
         flowId_ = makeMutableCopy(flowId_, capacity);
       }
       bitField0_ |= 0x00000008;
     }
+
     /**
      * <code>repeated fixed32 flow_id = 4;</code>
+     *
      * @return A list containing the flowId.
      */
-    public java.util.List<java.lang.Integer>
-        getFlowIdList() {
+    public java.util.List<java.lang.Integer> getFlowIdList() {
       flowId_.makeImmutable();
       return flowId_;
     }
+
     /**
      * <code>repeated fixed32 flow_id = 4;</code>
+     *
      * @return The count of flowId.
      */
     public int getFlowIdCount() {
       return flowId_.size();
     }
+
     /**
      * <code>repeated fixed32 flow_id = 4;</code>
+     *
      * @param index The index of the element to return.
      * @return The flowId at the given index.
      */
     public int getFlowId(int index) {
       return flowId_.getInt(index);
     }
+
     /**
      * <code>repeated fixed32 flow_id = 4;</code>
+     *
      * @param index The index to set the value at.
      * @param value The flowId to set.
      * @return This builder for chaining.
      */
-    public Builder setFlowId(
-        int index, int value) {
+    public Builder setFlowId(int index, int value) {
 
       ensureFlowIdIsMutable();
       flowId_.setInt(index, value);
@@ -914,8 +996,10 @@
       onChanged();
       return this;
     }
+
     /**
      * <code>repeated fixed32 flow_id = 4;</code>
+     *
      * @param value The flowId to add.
      * @return This builder for chaining.
      */
@@ -927,22 +1011,24 @@
       onChanged();
       return this;
     }
+
     /**
      * <code>repeated fixed32 flow_id = 4;</code>
+     *
      * @param values The flowId to add.
      * @return This builder for chaining.
      */
-    public Builder addAllFlowId(
-        java.lang.Iterable<? extends java.lang.Integer> values) {
+    public Builder addAllFlowId(java.lang.Iterable<? extends java.lang.Integer> values) {
       ensureFlowIdIsMutable();
-      com.google.protobuf.AbstractMessageLite.Builder.addAll(
-          values, flowId_);
+      com.google.protobuf.AbstractMessageLite.Builder.addAll(values, flowId_);
       bitField0_ |= 0x00000008;
       onChanged();
       return this;
     }
+
     /**
      * <code>repeated fixed32 flow_id = 4;</code>
+     *
      * @return This builder for chaining.
      */
     public Builder clearFlowId() {
@@ -953,44 +1039,51 @@
     }
 
     private com.google.protobuf.Internal.LongList accountUs_ = emptyLongList();
+
     private void ensureAccountUsIsMutable() {
       if (!accountUs_.isModifiable()) {
         accountUs_ = makeMutableCopy(accountUs_);
       }
       bitField0_ |= 0x00000010;
     }
+
     /**
      * <code>repeated uint64 account_us = 5;</code>
+     *
      * @return A list containing the accountUs.
      */
-    public java.util.List<java.lang.Long>
-        getAccountUsList() {
+    public java.util.List<java.lang.Long> getAccountUsList() {
       accountUs_.makeImmutable();
       return accountUs_;
     }
+
     /**
      * <code>repeated uint64 account_us = 5;</code>
+     *
      * @return The count of accountUs.
      */
     public int getAccountUsCount() {
       return accountUs_.size();
     }
+
     /**
      * <code>repeated uint64 account_us = 5;</code>
+     *
      * @param index The index of the element to return.
      * @return The accountUs at the given index.
      */
     public long getAccountUs(int index) {
       return accountUs_.getLong(index);
     }
+
     /**
      * <code>repeated uint64 account_us = 5;</code>
+     *
      * @param index The index to set the value at.
      * @param value The accountUs to set.
      * @return This builder for chaining.
      */
-    public Builder setAccountUs(
-        int index, long value) {
+    public Builder setAccountUs(int index, long value) {
 
       ensureAccountUsIsMutable();
       accountUs_.setLong(index, value);
@@ -998,8 +1091,10 @@
       onChanged();
       return this;
     }
+
     /**
      * <code>repeated uint64 account_us = 5;</code>
+     *
      * @param value The accountUs to add.
      * @return This builder for chaining.
      */
@@ -1011,22 +1106,24 @@
       onChanged();
       return this;
     }
+
     /**
      * <code>repeated uint64 account_us = 5;</code>
+     *
      * @param values The accountUs to add.
      * @return This builder for chaining.
      */
-    public Builder addAllAccountUs(
-        java.lang.Iterable<? extends java.lang.Long> values) {
+    public Builder addAllAccountUs(java.lang.Iterable<? extends java.lang.Long> values) {
       ensureAccountUsIsMutable();
-      com.google.protobuf.AbstractMessageLite.Builder.addAll(
-          values, accountUs_);
+      com.google.protobuf.AbstractMessageLite.Builder.addAll(values, accountUs_);
       bitField0_ |= 0x00000010;
       onChanged();
       return this;
     }
+
     /**
      * <code>repeated uint64 account_us = 5;</code>
+     *
      * @return This builder for chaining.
      */
     public Builder clearAccountUs() {
@@ -1037,50 +1134,58 @@
     }
 
     private com.google.protobuf.Internal.BooleanList backlogged_ = emptyBooleanList();
+
     private void ensureBackloggedIsMutable() {
       if (!backlogged_.isModifiable()) {
         backlogged_ = makeMutableCopy(backlogged_);
       }
       bitField0_ |= 0x00000020;
     }
+
     private void ensureBackloggedIsMutable(int capacity) {
       if (!backlogged_.isModifiable()) {
         backlogged_ = makeMutableCopy(backlogged_, capacity);
       }
       bitField0_ |= 0x00000020;
     }
+
     /**
      * <code>repeated bool backlogged = 6;</code>
+     *
      * @return A list containing the backlogged.
      */
-    public java.util.List<java.lang.Boolean>
-        getBackloggedList() {
+    public java.util.List<java.lang.Boolean> getBackloggedList() {
       backlogged_.makeImmutable();
       return backlogged_;
     }
+
     /**
      * <code>repeated bool backlogged = 6;</code>
+     *
      * @return The count of backlogged.
      */
     public int getBackloggedCount() {
       return backlogged_.size();
     }
+
     /**
      * <code>repeated bool backlogged = 6;</code>
+     *
      * @param index The index of the element to return.
      * @return The backlogged at the given index.
      */
     public boolean getBacklogged(int index) {
       return backlogged_.getBoolean(index);
     }
+
     /**
      * <code>repeated bool backlogged = 6;</code>
+     *
      * @param index The index to set the value at.
      * @param value The backlogged to set.
      * @return This builder for chaining.
      */
-    public Builder setBacklogged(
-        int index, boolean value) {
+    public Builder setBacklogged(int index, boolean value) {
 
       ensureBackloggedIsMutable();
       backlogged_.setBoolean(index, value);
@@ -1088,8 +1193,10 @@
       onChanged();
       return this;
     }
+
     /**
      * <code>repeated bool backlogged = 6;</code>
+     *
      * @param value The backlogged to add.
      * @return This builder for chaining.
      */
@@ -1101,22 +1208,24 @@
       onChanged();
       return this;
     }
+
     /**
      * <code>repeated bool backlogged = 6;</code>
+     *
      * @param values The backlogged to add.
      * @return This builder for chaining.
      */
-    public Builder addAllBacklogged(
-        java.lang.Iterable<? extends java.lang.Boolean> values) {
+    public Builder addAllBacklogged(java.lang.Iterable<? extends java.lang.Boolean> values) {
       ensureBackloggedIsMutable();
-      com.google.protobuf.AbstractMessageLite.Builder.addAll(
-          values, backlogged_);
+      com.google.protobuf.AbstractMessageLite.Builder.addAll(values, backlogged_);
       bitField0_ |= 0x00000020;
       onChanged();
       return this;
     }
+
     /**
      * <code>repeated bool backlogged = 6;</code>
+     *
      * @return This builder for chaining.
      */
     public Builder clearBacklogged() {
@@ -1126,17 +1235,21 @@
       return this;
     }
 
-    private int agents_ ;
+    private int agents_;
+
     /**
      * <code>uint32 agents = 7;</code>
+     *
      * @return The agents.
      */
     @java.lang.Override
     public int getAgents() {
       return agents_;
     }
+
     /**
      * <code>uint32 agents = 7;</code>
+     *
      * @param value The agents to set.
      * @return This builder for chaining.
      */
@@ -1147,8 +1260,10 @@
       onChanged();
       return this;
     }
+
     /**
      * <code>uint32 agents = 7;</code>
+     *
      * @return This builder for chaining.
      */
     public Builder clearAgents() {
@@ -1163,6 +1278,7 @@
 
   // @@protoc_insertion_point(class_scope:almondslip.ServiceDigest)
   private static final org.almondslip.protocol.wire.ServiceDigest DEFAULT_INSTANCE;
+
   static {
     DEFAULT_INSTANCE = new org.almondslip.protocol.wire.ServiceDigest();
   }
@@ -1171,27 +1287,27 @@
     return DEFAULT_INSTANCE;
   }
 
-  private static final com.google.protobuf.Parser<ServiceDigest>
-      PARSER = new com.google.protobuf.AbstractParser<ServiceDigest>() {
-    @java.lang.Override
-    public ServiceDigest parsePartialFrom(
-        com.google.protobuf.CodedInputStream input,
-        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-        throws com.google.protobuf.InvalidProtocolBufferException {
-      Builder builder = newBuilder();
-      try {
-        builder.mergeFrom(input, extensionRegistry);
-      } catch (com.google.protobuf.InvalidProtocolBufferException e) {
-        throw e.setUnfinishedMessage(builder.buildPartial());
-      } catch (com.google.protobuf.UninitializedMessageException e) {
-        throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
-      } catch (java.io.IOException e) {
-        throw new com.google.protobuf.InvalidProtocolBufferException(e)
-            .setUnfinishedMessage(builder.buildPartial());
-      }
-      return builder.buildPartial();
-    }
-  };
+  private static final com.google.protobuf.Parser<ServiceDigest> PARSER =
+      new com.google.protobuf.AbstractParser<ServiceDigest>() {
+        @java.lang.Override
+        public ServiceDigest parsePartialFrom(
+            com.google.protobuf.CodedInputStream input,
+            com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+            throws com.google.protobuf.InvalidProtocolBufferException {
+          Builder builder = newBuilder();
+          try {
+            builder.mergeFrom(input, extensionRegistry);
+          } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+            throw e.setUnfinishedMessage(builder.buildPartial());
+          } catch (com.google.protobuf.UninitializedMessageException e) {
+            throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
+          } catch (java.io.IOException e) {
+            throw new com.google.protobuf.InvalidProtocolBufferException(e)
+                .setUnfinishedMessage(builder.buildPartial());
+          }
+          return builder.buildPartial();
+        }
+      };
 
   public static com.google.protobuf.Parser<ServiceDigest> parser() {
     return PARSER;
@@ -1206,6 +1322,4 @@
   public org.almondslip.protocol.wire.ServiceDigest getDefaultInstanceForType() {
     return DEFAULT_INSTANCE;
   }
-
 }
-
--- a/wire/src/main/java/org/almondslip/protocol/wire/ServiceDigestOrBuilder.java
+++ b/wire/src/main/java/org/almondslip/protocol/wire/ServiceDigestOrBuilder.java
@@ -6,48 +6,61 @@
 package org.almondslip.protocol.wire;
 
 @com.google.protobuf.Generated
-public interface ServiceDigestOrBuilder extends
+public interface ServiceDigestOrBuilder
+    extends
     // @@protoc_insertion_point(interface_extends:almondslip.ServiceDigest)
     com.google.protobuf.MessageOrBuilder {
 
   /**
    * <code>uint64 epoch = 1;</code>
+   *
    * @return The epoch.
    */
   long getEpoch();
 
   /**
+   *
+   *
    * <pre>
    * Sequence number of the last report of the receiver that is counted.
    * </pre>
    *
    * <code>uint64 acknowledged = 2;</code>
+   *
    * @return The acknowledged.
    */
   long getAcknowledged();
 
   /**
+   *
+   *
    * <pre>
    * Smallest account in the digest, in microseconds; account_us are offsets from it.
    * </pre>
    *
    * <code>uint64 base_us = 3;</code>
+   *
    * @return The baseUs.
    */
   long getBaseUs();
 
   /**
    * <code>repeated fixed32 flow_id = 4;</code>
+   *
    * @return A list containing the flowId.
    */
   java.util.List<java.lang.Integer> getFlowIdList();
+
   /**
    * <code>repeated fixed32 flow_id = 4;</code>
+   *
    * @return The count of flowId.
    */
   int getFlowIdCount();
+
   /**
    * <code>repeated fixed32 flow_id = 4;</code>
+   *
    * @param index The index of the element to return.
    * @return The flowId at the given index.
    */
@@ -55,16 +68,21 @@
 
   /**
    * <code>repeated uint64 account_us = 5;</code>
+   *
    * @return A list containing the accountUs.
    */
   java.util.List<java.lang.Long> getAccountUsList();
+
   /**
    * <code>repeated uint64 account_us = 5;</code>
+   *
    * @return The count of accountUs.
    */
   int getAccountUsCount();
+
   /**
    * <code>repeated uint64 account_us = 5;</code>
+   *
    * @param index The index of the element to return.
    * @return The accountUs at the given index.
    */
@@ -72,16 +90,21 @@
 
   /**
    * <code>repeated bool backlogged = 6;</code>
+   *
    * @return A list containing the backlogged.
    */
   java.util.List<java.lang.Boolean> getBackloggedList();
+
   /**
    * <code>repeated bool backlogged = 6;</code>
+   *
    * @return The count of backlogged.
    */
   int getBackloggedCount();
+
   /**
    * <code>repeated bool backlogged = 6;</code>
+   *
    * @param index The index of the element to return.
    * @return The backlogged at the given index.
    */
@@ -89,6 +112,7 @@
 
   /**
    * <code>uint32 agents = 7;</code>
+   *
    * @return The agents.
    */
   int getAgents();
