--- a/wire/src/main/java/org/almondslip/protocol/wire/ServiceReport.java
+++ b/wire/src/main/java/org/almondslip/protocol/wire/ServiceReport.java
@@ -6,6 +6,8 @@
 package org.almondslip.protocol.wire;
 
 /**
+ *
+ *
  * <pre>
  * From an agent to its parent in the digest tree: what its subtree served since the last acknowledged report.
  * </pre>
@@ -13,52 +15,60 @@
  * Protobuf type {@code almondslip.ServiceReport}
  */
 @com.google.protobuf.Generated
-public final class ServiceReport extends
-    com.google.protobuf.GeneratedMessage implements
+public final class ServiceReport extends com.google.protobuf.GeneratedMessage
+    implements
     // @@protoc_insertion_point(message_implements:almondslip.ServiceReport)
     ServiceReportOrBuilder {
-private static final long serialVersionUID = 0L;
+  private static final long serialVersionUID = 0L;
+
   static {
     com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
-      com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
-      /* major= */ 4,
-      /* minor= */ 36,
-      /* patch= */ 2,
-      /* suffix= */ "",
-      "ServiceReport");
+        com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+        /* major= */ 4,
+        /* minor= */ 36,
+        /* patch= */ 2,
+        /* suffix= */ "",
+        "ServiceReport");
   }
+
   // Use ServiceReport.newBuilder() to construct.
   private ServiceReport(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
     super(builder);
   }
+
   private ServiceReport() {
     flowId_ = emptyIntList();
     chargeUs_ = emptyLongList();
     backlogged_ = emptyBooleanList();
   }
 
-  public static final com.google.protobuf.Descriptors.Descriptor
-      getDescriptor() {
-    return org.almondslip.protocol.wire.Almondslip.internal_static_almondslip_ServiceReport_descriptor;
+  public static final com.google.protobuf.Descriptors.Descriptor getDescriptor() {
+    return org.almondslip.protocol.wire.Almondslip
+        .internal_static_almondslip_ServiceReport_descriptor;
   }
 
   @java.lang.Override
   public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
-    return org.almondslip.protocol.wire.Almondslip.internal_static_almondslip_ServiceReport_descriptor;
+    return org.almondslip.protocol.wire.Almondslip
+        .internal_static_almondslip_ServiceReport_descriptor;
   }
 
   @java.lang.Override
   protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internalGetFieldAccessorTable() {
-    return org.almondslip.protocol.wire.Almondslip.internal_static_almondslip_ServiceReport_fieldAccessorTable
+    return org.almondslip.protocol.wire.Almondslip
+        .internal_static_almondslip_ServiceReport_fieldAccessorTable
         .ensureFieldAccessorsInitialized(
-            org.almondslip.protocol.wire.ServiceReport.class, org.almondslip.protocol.wire.ServiceReport.Builder.class);
+            org.almondslip.protocol.wire.ServiceReport.class,
+            org.almondslip.protocol.wire.ServiceReport.Builder.class);
   }
 
   public static final int SEQUENCE_FIELD_NUMBER = 1;
   private long sequence_ = 0L;
+
   /**
    * <code>uint64 sequence = 1;</code>
+   *
    * @return The sequence.
    */
   @java.lang.Override
@@ -67,127 +77,161 @@
   }
 
   public static final int FLOW_ID_FIELD_NUMBER = 2;
+
   @SuppressWarnings("serial")
-  private com.google.protobuf.Internal.IntList flowId_ =
-      emptyIntList();
+  private com.google.protobuf.Internal.IntList flowId_ = emptyIntList();
+
   /**
    * <code>repeated fixed32 flow_id = 2;</code>
+   *
    * @return A list containing the flowId.
    */
   @java.lang.Override
-  public java.util.List<java.lang.Integer>
-      getFlowIdList() {
+  public java.util.List<java.lang.Integer> getFlowIdList() {
     return flowId_;
   }
+
   /**
    * <code>repeated fixed32 flow_id = 2;</code>
+   *
    * @return The count of flowId.
    */
   public int getFlowIdCount() {
     return flowId_.size();
   }
+
   /**
    * <code>repeated fixed32 flow_id = 2;</code>
+   *
    * @param index The index of the element to return.
    * @return The flowId at the given index.
    */
   public int getFlowId(int index) {
     return flowId_.getInt(index);
   }
+
   private int flowIdMemoizedSerializedSize = -1;
 
   public static final int CHARGE_US_FIELD_NUMBER = 3;
+
   @SuppressWarnings("serial")
-  private com.google.protobuf.Internal.LongList chargeUs_ =
-      emptyLongList();
+  private com.google.protobuf.Internal.LongList chargeUs_ = emptyLongList();
+
   /**
+   *
+   *
    * <pre>
    * Slot time divided by share, in microseconds, in the order of flow_id.
    * </pre>
    *
    * <code>repeated uint64 charge_us = 3;</code>
+   *
    * @return A list containing the chargeUs.
    */
   @java.lang.Override
-  public java.util.List<java.lang.Long>
-      getChargeUsList() {
+  public java.util.List<java.lang.Long> getChargeUsList() {
     return chargeUs_;
   }
+
   /**
+   *
+   *
    * <pre>
    * Slot time divided by share, in microseconds, in the order of flow_id.
    * </pre>
    *
    * <code>repeated uint64 charge_us = 3;</code>
+   *
    * @return The count of chargeUs.
    */
   public int getChargeUsCount() {
     return chargeUs_.size();
   }
+
   /**
+   *
+   *
    * <pre>
    * Slot time divided by share, in microseconds, in the order of flow_id.
    * </pre>
    *
    * <code>repeated uint64 charge_us = 3;</code>
+   *
    * @param index The index of the element to return.
    * @return The chargeUs at the given index.
    */
   public long getChargeUs(int index) {
     return chargeUs_.getLong(index);
   }
+
   private int chargeUsMemoizedSerializedSize = -1;
 
   public static final int BACKLOGGED_FIELD_NUMBER = 4;
+
   @SuppressWarnings("serial")
-  private com.google.protobuf.Internal.BooleanList backlogged_ =
-      emptyBooleanList();
+  private com.google.protobuf.Internal.BooleanList backlogged_ = emptyBooleanList();
+
   /**
+   *
+   *
    * <pre>
    * 1 when the flow has requests waiting somewhere in the subtree.
    * </pre>
    *
    * <code>repeated bool backlogged = 4;</code>
+   *
    * @return A list containing the backlogged.
    */
   @java.lang.Override
-  public java.util.List<java.lang.Boolean>
-      getBackloggedList() {
+  public java.util.List<java.lang.Boolean> getBackloggedList() {
     return backlogged_;
   }
+
   /**
+   *
+   *
    * <pre>
    * 1 when the flow has requests waiting somewhere in the subtree.
    * </pre>
    *
    * <code>repeated bool backlogged = 4;</code>
+   *
    * @return The count of backlogged.
    */
   public int getBackloggedCount() {
     return backlogged_.size();
   }
+
   /**
+   *
+   *
    * <pre>
    * 1 when the flow has requests waiting somewhere in the subtree.
    * </pre>
    *
    * <code>repeated bool backlogged = 4;</code>
+   *
    * @param index The index of the element to return.
    * @return The backlogged at the given index.
    */
   public boolean getBacklogged(int index) {
     return backlogged_.getBoolean(index);
   }
+
   private int backloggedMemoizedSerializedSize = -1;
 
   public static final int AGENTS_FIELD_NUMBER = 5;
   private int agents_ = 0;
+
   /**
+   *
+   *
    * <pre>
    * Number of agents in the subtree.
    * </pre>
    *
    * <code>uint32 agents = 5;</code>
+   *
    * @return The agents.
    */
   @java.lang.Override
@@ -196,6 +240,7 @@
   }
 
   private byte memoizedIsInitialized = -1;
+
   @java.lang.Override
   public final boolean isInitialized() {
     byte isInitialized = memoizedIsInitialized;
@@ -207,8 +252,7 @@
   }
 
   @java.lang.Override
-  public void writeTo(com.google.protobuf.CodedOutputStream output)
-                      throws java.io.IOException {
+  public void writeTo(com.google.protobuf.CodedOutputStream output) throws java.io.IOException {
     getSerializedSize();
     if (sequence_ != 0L) {
       output.writeUInt64(1, sequence_);
@@ -239,11 +283,11 @@
     }
     getUnknownFields().writeTo(output);
   }
+
   private int computeSerializedSize_0() {
     int size = 0;
     if (sequence_ != 0L) {
-      size += com.google.protobuf.CodedOutputStream
-        .computeUInt64Size(1, sequence_);
+      size += com.google.protobuf.CodedOutputStream.computeUInt64Size(1, sequence_);
     }
     {
       int dataSize = 0;
@@ -251,22 +295,20 @@
       size += dataSize;
       if (!getFlowIdList().isEmpty()) {
         size += 1;
-        size += com.google.protobuf.CodedOutputStream
-            .computeInt32SizeNoTag(dataSize);
+        size += com.google.protobuf.CodedOutputStream.computeInt32SizeNoTag(dataSize);
       }
       flowIdMemoizedSerializedSize = dataSize;
     }
     {
       int dataSize = 0;
       for (int i = 0; i < chargeUs_.size(); i++) {
-        dataSize += com.google.protobuf.CodedOutputStream
-          .computeUInt64SizeNoTag(chargeUs_.getLong(i));
+        dataSize +=
+            com.google.protobuf.CodedOutputStream.computeUInt64SizeNoTag(chargeUs_.getLong(i));
       }
       size += dataSize;
       if (!getChargeUsList().isEmpty()) {
         size += 1;
-        size += com.google.protobuf.CodedOutputStream
-            .computeInt32SizeNoTag(dataSize);
+        size += com.google.protobuf.CodedOutputStream.computeInt32SizeNoTag(dataSize);
       }
       chargeUsMemoizedSerializedSize = dataSize;
     }
@@ -276,17 +318,16 @@
       size += dataSize;
       if (!getBackloggedList().isEmpty()) {
         size += 1;
-        size += com.google.protobuf.CodedOutputStream
-            .computeInt32SizeNoTag(dataSize);
+        size += com.google.protobuf.CodedOutputStream.computeInt32SizeNoTag(dataSize);
       }
       backloggedMemoizedSerializedSize = dataSize;
     }
     if (agents_ != 0) {
-      size += com.google.protobuf.CodedOutputStream
-        .computeUInt32Size(5, agents_);
+      size += com.google.protobuf.CodedOutputStream.computeUInt32Size(5, agents_);
     }
     return size;
   }
+
   @java.lang.Override
   public int getSerializedSize() {
     int size = memoizedSize;
@@ -302,23 +343,19 @@
   @java.lang.Override
   public boolean equals(final java.lang.Object obj) {
     if (obj == this) {
-     return true;
+      return true;
     }
     if (!(obj instanceof org.almondslip.protocol.wire.ServiceReport)) {
       return super.equals(obj);
     }
-    org.almondslip.protocol.wire.ServiceReport other = (org.almondslip.protocol.wire.ServiceReport) obj;
-
-    if (getSequence()
-        != other.getSequence()) return false;
-    if (!getFlowIdList()
-        .equals(other.getFlowIdList())) return false;
-    if (!getChargeUsList()
-        .equals(other.getChargeUsList())) return false;
-    if (!getBackloggedList()
-        .equals(other.getBackloggedList())) return false;
-    if (getAgents()
-        != other.getAgents()) return false;
+    org.almondslip.protocol.wire.ServiceReport other =
+        (org.almondslip.protocol.wire.ServiceReport) obj;
+
+    if (getSequence() != other.getSequence()) return false;
+    if (!getFlowIdList().equals(other.getFlowIdList())) return false;
+    if (!getChargeUsList().equals(other.getChargeUsList())) return false;
+    if (!getBackloggedList().equals(other.getBackloggedList())) return false;
+    if (getAgents() != other.getAgents()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -331,8 +368,7 @@
     int hash = 41;
     hash = (19 * hash) + getDescriptor().hashCode();
     hash = (37 * hash) + SEQUENCE_FIELD_NUMBER;
-    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
-        getSequence());
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(getSequence());
     if (getFlowIdCount() > 0) {
       hash = (37 * hash) + FLOW_ID_FIELD_NUMBER;
       hash = (53 * hash) + getFlowIdList().hashCode();
@@ -352,132 +388,137 @@
     return hash;
   }
 
-  public static org.almondslip.protocol.wire.ServiceReport parseFrom(
-      java.nio.ByteBuffer data)
+  public static org.almondslip.protocol.wire.ServiceReport parseFrom(java.nio.ByteBuffer data)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data);
   }
+
   public static org.almondslip.protocol.wire.ServiceReport parseFrom(
-      java.nio.ByteBuffer data,
-      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+      java.nio.ByteBuffer data, com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data, extensionRegistry);
   }
+
   public static org.almondslip.protocol.wire.ServiceReport parseFrom(
       com.google.protobuf.ByteString data)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data);
   }
+
   public static org.almondslip.protocol.wire.ServiceReport parseFrom(
       com.google.protobuf.ByteString data,
       com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data, extensionRegistry);
   }
+
   public static org.almondslip.protocol.wire.ServiceReport parseFrom(byte[] data)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data);
   }
+
   public static org.almondslip.protocol.wire.ServiceReport parseFrom(
-      byte[] data,
-      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+      byte[] data, com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data, extensionRegistry);
   }
+
   public static org.almondslip.protocol.wire.ServiceReport parseFrom(java.io.InputStream input)
       throws java.io.IOException {
-    return com.google.protobuf.GeneratedMessage
-        .parseWithIOException(PARSER, input);
+    return com.google.protobuf.GeneratedMessage.parseWithIOException(PARSER, input);
   }
+
   public static org.almondslip.protocol.wire.ServiceReport parseFrom(
-      java.io.InputStream input,
-      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+      java.io.InputStream input, com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws java.io.IOException {
-    return com.google.protobuf.GeneratedMessage
-        .parseWithIOException(PARSER, input, extensionRegistry);
+    return com.google.protobuf.GeneratedMessage.parseWithIOException(
+        PARSER, input, extensionRegistry);
   }
 
-  public static org.almondslip.protocol.wire.ServiceReport parseDelimitedFrom(java.io.InputStream input)
-      throws java.io.IOException {
-    return com.google.protobuf.GeneratedMessage
-        .parseDelimitedWithIOException(PARSER, input);
+  public static org.almondslip.protocol.wire.ServiceReport parseDelimitedFrom(
+      java.io.InputStream input) throws java.io.IOException {
+    return com.google.protobuf.GeneratedMessage.parseDelimitedWithIOException(PARSER, input);
   }
 
   public static org.almondslip.protocol.wire.ServiceReport parseDelimitedFrom(
-      java.io.InputStream input,
-      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+      java.io.InputStream input, com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws java.io.IOException {
-    return com.google.protobuf.GeneratedMessage
-        .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
+    return com.google.protobuf.GeneratedMessage.parseDelimitedWithIOException(
+        PARSER, input, extensionRegistry);
   }
+
   public static org.almondslip.protocol.wire.ServiceReport parseFrom(
-      com.google.protobuf.CodedInputStream input)
-      throws java.io.IOException {
-    return com.google.protobuf.GeneratedMessage
-        .parseWithIOException(PARSER, input);
+      com.google.protobuf.CodedInputStream input) throws java.io.IOException {
+    return com.google.protobuf.GeneratedMessage.parseWithIOException(PARSER, input);
   }
+
   public static org.almondslip.protocol.wire.ServiceReport parseFrom(
       com.google.protobuf.CodedInputStream input,
       com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws java.io.IOException {
-    return com.google.protobuf.GeneratedMessage
-        .parseWithIOException(PARSER, input, extensionRegistry);
+    return com.google.protobuf.GeneratedMessage.parseWithIOException(
+        PARSER, input, extensionRegistry);
   }
 
   @java.lang.Override
-  public Builder newBuilderForType() { return newBuilder(); }
+  public Builder newBuilderForType() {
+    return newBuilder();
+  }
+
   public static Builder newBuilder() {
     return DEFAULT_INSTANCE.toBuilder();
   }
+
   public static Builder newBuilder(org.almondslip.protocol.wire.ServiceReport prototype) {
     return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
   }
+
   @java.lang.Override
   public Builder toBuilder() {
-    return this == DEFAULT_INSTANCE
-        ? new Builder() : new Builder().mergeFrom(this);
+    return this == DEFAULT_INSTANCE ? new Builder() : new Builder().mergeFrom(this);
   }
 
   @java.lang.Override
-  protected Builder newBuilderForType(
-      com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+  protected Builder newBuilderForType(com.google.protobuf.GeneratedMessage.BuilderParent parent) {
     Builder builder = new Builder(parent);
     return builder;
   }
+
   /**
+   *
+   *
    * <pre>
    * From an agent to its parent in the digest tree: what its subtree served since the last acknowledged report.
    * </pre>
    *
    * Protobuf type {@code almondslip.ServiceReport}
    */
-  public static final class Builder extends
-      com.google.protobuf.GeneratedMessage.Builder<Builder> implements
+  public static final class Builder extends com.google.protobuf.GeneratedMessage.Builder<Builder>
+      implements
       // @@protoc_insertion_point(builder_implements:almondslip.ServiceReport)
       org.almondslip.protocol.wire.ServiceReportOrBuilder {
-    public static final com.google.protobuf.Descriptors.Descriptor
-        getDescriptor() {
-      return org.almondslip.protocol.wire.Almondslip.internal_static_almondslip_ServiceReport_descriptor;
+    public static final com.google.protobuf.Descriptors.Descriptor getDescriptor() {
+      return org.almondslip.protocol.wire.Almondslip
+          .internal_static_almondslip_ServiceReport_descriptor;
     }
 
     @java.lang.Override
     protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
         internalGetFieldAccessorTable() {
-      return org.almondslip.protocol.wire.Almondslip.internal_static_almondslip_ServiceReport_fieldAccessorTable
+      return org.almondslip.protocol.wire.Almondslip
+          .internal_static_almondslip_ServiceReport_fieldAccessorTable
           .ensureFieldAccessorsInitialized(
-              org.almondslip.protocol.wire.ServiceReport.class, org.almondslip.protocol.wire.ServiceReport.Builder.class);
+              org.almondslip.protocol.wire.ServiceReport.class,
+              org.almondslip.protocol.wire.ServiceReport.Builder.class);
     }
 
     // Construct using org.almondslip.protocol.wire.ServiceReport.newBuilder()
-    private Builder() {
-
-    }
+    private Builder() {}
 
-    private Builder(
-        com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+    private Builder(com.google.protobuf.GeneratedMessage.BuilderParent parent) {
       super(parent);
-
     }
+
     @java.lang.Override
     public Builder clear() {
       super.clear();
@@ -491,9 +532,9 @@
     }
 
     @java.lang.Override
-    public com.google.protobuf.Descriptors.Descriptor
-        getDescriptorForType() {
-      return org.almondslip.protocol.wire.Almondslip.internal_static_almondslip_ServiceReport_descriptor;
+    public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
+      return org.almondslip.protocol.wire.Almondslip
+          .internal_static_almondslip_ServiceReport_descriptor;
     }
 
     @java.lang.Override
@@ -512,8 +553,11 @@
 
     @java.lang.Override
     public org.almondslip.protocol.wire.ServiceReport buildPartial() {
-      org.almondslip.protocol.wire.ServiceReport result = new org.almondslip.protocol.wire.ServiceReport(this);
-      if (bitField0_ != 0) { buildPartial0(result); }
+      org.almondslip.protocol.wire.ServiceReport result =
+          new org.almondslip.protocol.wire.ServiceReport(this);
+      if (bitField0_ != 0) {
+        buildPartial0(result);
+      }
       onBuilt();
       return result;
     }
@@ -543,7 +587,7 @@
     @java.lang.Override
     public Builder mergeFrom(com.google.protobuf.Message other) {
       if (other instanceof org.almondslip.protocol.wire.ServiceReport) {
-        return mergeFrom((org.almondslip.protocol.wire.ServiceReport)other);
+        return mergeFrom((org.almondslip.protocol.wire.ServiceReport) other);
       } else {
         super.mergeFrom(other);
         return this;
@@ -615,72 +659,81 @@
             case 0:
               done = true;
               break;
-            case 8: {
-              sequence_ = input.readUInt64();
-              bitField0_ |= 0x00000001;
-              break;
-            } // case 8
-            case 21: {
-              int v = input.readFixed32();
-              ensureFlowIdIsMutable();
-              flowId_.addInt(v);
-              break;
-            } // case 21
-            case 18: {
-              int length = input.readRawVarint32();
-              int limit = input.pushLimit(length);
-              int alloc = length > 4096 ? 4096 : length;
-              ensureFlowIdIsMutable(alloc / 4);
-              while (input.getBytesUntilLimit() > 0) {
-                flowId_.addInt(input.readFixed32());
-              }
-              input.popLimit(limit);
-              break;
-            } // case 18
-            case 24: {
-              long v = input.readUInt64();
-              ensureChargeUsIsMutable();
-              chargeUs_.addLong(v);
-              break;
-            } // case 24
-            case 26: {
-              int length = input.readRawVarint32();
-              int limit = input.pushLimit(length);
-              ensureChargeUsIsMutable();
-              while (input.getBytesUntilLimit() > 0) {
-                chargeUs_.addLong(input.readUInt64());
-              }
-              input.popLimit(limit);
-              break;
-            } // case 26
-            case 32: {
-              boolean v = input.readBool();
-              ensureBackloggedIsMutable();
-              backlogged_.addBoolean(v);
-              break;
-            } // case 32
-            case 34: {
-              int length = input.readRawVarint32();
-              int limit = input.pushLimit(length);
-              int alloc = length > 4096 ? 4096 : length;
-              ensureBackloggedIsMutable(alloc / 1);
-              while (input.getBytesUntilLimit() > 0) {
-                backlogged_.addBoolean(input.readBool());
-              }
-              input.popLimit(limit);
-              break;
-            } // case 34
-            case 40: {
-              agents_ = input.readUInt32();
-              bitField0_ |= 0x00000010;
-              break;
-            } // case 40
-            default: {
-              if (!super.parseUnknownField(input, extensionRegistry, tag)) {
-                done = true; // was an endgroup tag
-              }
-              break;
-            } // default:
+            case 8:
+              {
+                sequence_ = input.readUInt64();
+                bitField0_ |= 0x00000001;
+                break;
+              } // case 8
+            case 21:
+              {
+                int v = input.readFixed32();
+                ensureFlowIdIsMutable();
+                flowId_.addInt(v);
+                break;
+              } // case 21
+            case 18:
+              {
+                int length = input.readRawVarint32();
+                int limit = input.pushLimit(length);
+                int alloc = length > 4096 ? 4096 : length;
+                ensureFlowIdIsMutable(alloc / 4);
+                while (input.getBytesUntilLimit() > 0) {
+                  flowId_.addInt(input.readFixed32());
+                }
+                input.popLimit(limit);
+                break;
+              } // case 18
+            case 24:
+              {
+                long v = input.readUInt64();
+                ensureChargeUsIsMutable();
+                chargeUs_.addLong(v);
+                break;
+              } // case 24
+            case 26:
+              {
+                int length = input.readRawVarint32();
+                int limit = input.pushLimit(length);
+                ensureChargeUsIsMutable();
+                while (input.getBytesUntilLimit() > 0) {
+                  chargeUs_.addLong(input.readUInt64());
+                }
+                input.popLimit(limit);
+                break;
+              } // case 26
+            case 32:
+              {
+                boolean v = input.readBool();
+                ensureBackloggedIsMutable();
+                backlogged_.addBoolean(v);
+                break;
+              } // case 32
+            case 34:
+              {
+                int length = input.readRawVarint32();
+                int limit = input.pushLimit(length);
+                int alloc = length > 4096 ? 4096 : length;
+                ensureBackloggedIsMutable(alloc / 1);
+                while (input.getBytesUntilLimit() > 0) {
+                  backlogged_.addBoolean(input.readBool());
+                }
+                input.popLimit(limit);
+                break;
+              } // case 34
+            case 40:
+              {
+                agents_ = input.readUInt32();
+                bitField0_ |= 0x00000010;
+                break;
+              } // case 40
+            default:
+              {
+                if (!super.parseUnknownField(input, extensionRegistry, tag)) {
+                  done = true; // was an endgroup tag
+                }
+                break;
+              } // default:
           } // switch (tag)
         } // while (!done)
       } catch (com.google.protobuf.InvalidProtocolBufferException e) {
@@ -690,19 +743,24 @@
       } // finally
       return this;
     }
+
     private int bitField0_;
 
-    private long sequence_ ;
+    private long sequence_;
+
     /**
      * <code>uint64 sequence = 1;</code>
+     *
      * @return The sequence.
      */
     @java.lang.Override
     public long getSequence() {
       return sequence_;
     }
+
     /**
      * <code>uint64 sequence = 1;</code>
+     *
      * @param value The sequence to set.
      * @return This builder for chaining.
      */
@@ -713,8 +771,10 @@
       onChanged();
       return this;
     }
+
     /**
      * <code>uint64 sequence = 1;</code>
+     *
      * @return This builder for chaining.
      */
     public Builder clearSequence() {
@@ -725,50 +785,58 @@
     }
 
     private com.google.protobuf.Internal.IntList flowId_ = emptyIntList();
+
     private void ensureFlowIdIsMutable() {
       if (!flowId_.isModifiable()) {
         flowId_ = makeMutableCopy(flowId_);
       }
       bitField0_ |= 0x00000002;
     }
+
     private void ensureFlowIdIsMutable(int capacity) {
       if (!flowId_.isModifiable()) {
         flowId_ = makeMutableCopy(flowId_, capacity);
       }
       bitField0_ |= 0x00000002;
     }
+
     /**
      * <code>repeated fixed32 flow_id = 2;</code>
+     *
      * @return A list containing the flowId.
      */
-    public java.util.List<java.lang.Integer>
-        getFlowIdList() {
+    public java.util.List<java.lang.Integer> getFlowIdList() {
       flowId_.makeImmutable();
       return flowId_;
     }
+
     /**
      * <code>repeated fixed32 flow_id = 2;</code>
+     *
      * @return The count of flowId.
      */
     public int getFlowIdCount() {
       return flowId_.size();
     }
+
     /**
      * <code>repeated fixed32 flow_id = 2;</code>
+     *
      * @param index The index of the element to return.
      * @return The flowId at the given index.
      */
     public int getFlowId(int index) {
       return flowId_.getInt(index);
     }
+
     /**
      * <code>repeated fixed32 flow_id = 2;</code>
+     *
      * @param index The index to set the value at.
      * @param value The flowId to set.
      * @return This builder for chaining.
      */
-    public Builder setFlowId(
-        int index, int value) {
+    public Builder setFlowId(int index, int value) {
 
       ensureFlowIdIsMutable();
       flowId_.setInt(index, value);
@@ -776,8 +844,10 @@
       onChanged();
       return this;
     }
+
     /**
      * <code>repeated fixed32 flow_id = 2;</code>
+     *
      * @param value The flowId to add.
      * @return This builder for chaining.
      */
@@ -789,22 +859,24 @@
       onChanged();
       return this;
     }
+
     /**
      * <code>repeated fixed32 flow_id = 2;</code>
+     *
      * @param values The flowId to add.
      * @return This builder for chaining.
      */
-    public Builder addAllFlowId(
-        java.lang.Iterable<? extends java.lang.Integer> values) {
+    public Builder addAllFlowId(java.lang.Iterable<? extends java.lang.Integer> values) {
       ensureFlowIdIsMutable();
-      com.google.protobuf.AbstractMessageLite.Builder.addAll(
-          values, flowId_);
+      com.google.protobuf.AbstractMessageLite.Builder.addAll(values, flowId_);
       bitField0_ |= 0x00000002;
       onChanged();
       return this;
     }
+
     /**
      * <code>repeated fixed32 flow_id = 2;</code>
+     *
      * @return This builder for chaining.
      */
     public Builder clearFlowId() {
@@ -815,60 +887,75 @@
     }
 
     private com.google.protobuf.Internal.LongList chargeUs_ = emptyLongList();
+
     private void ensureChargeUsIsMutable() {
       if (!chargeUs_.isModifiable()) {
         chargeUs_ = makeMutableCopy(chargeUs_);
       }
       bitField0_ |= 0x00000004;
     }
+
     /**
+     *
+     *
      * <pre>
      * Slot time divided by share, in microseconds, in the order of flow_id.
      * </pre>
      *
      * <code>repeated uint64 charge_us = 3;</code>
+     *
      * @return A list containing the chargeUs.
      */
-    public java.util.List<java.lang.Long>
-        getChargeUsList() {
+    public java.util.List<java.lang.Long> getChargeUsList() {
       chargeUs_.makeImmutable();
       return chargeUs_;
     }
+
     /**
+     *
+     *
      * <pre>
      * Slot time divided by share, in microseconds, in the order of flow_id.
      * </pre>
      *
      * <code>repeated uint64 charge_us = 3;</code>
+     *
      * @return The count of chargeUs.
      */
     public int getChargeUsCount() {
       return chargeUs_.size();
     }
+
     /**
+     *
+     *
      * <pre>
      * Slot time divided by share, in microseconds, in the order of flow_id.
      * </pre>
      *
      * <code>repeated uint64 charge_us = 3;</code>
+     *
      * @param index The index of the element to return.
      * @return The chargeUs at the given index.
      */
     public long getChargeUs(int index) {
       return chargeUs_.getLong(index);
     }
+
     /**
+     *
+     *
      * <pre>
      * Slot time divided by share, in microseconds, in the order of flow_id.
      * </pre>
      *
      * <code>repeated uint64 charge_us = 3;</code>
+     *
      * @param index The index to set the value at.
      * @param value The chargeUs to set.
      * @return This builder for chaining.
      */
-    public Builder setChargeUs(
-        int index, long value) {
+    public Builder setChargeUs(int index, long value) {
 
       ensureChargeUsIsMutable();
       chargeUs_.setLong(index, value);
@@ -876,12 +963,16 @@
       onChanged();
       return this;
     }
+
     /**
+     *
+     *
      * <pre>
      * Slot time divided by share, in microseconds, in the order of flow_id.
      * </pre>
      *
      * <code>repeated uint64 charge_us = 3;</code>
+     *
      * @param value The chargeUs to add.
      * @return This builder for chaining.
      */
@@ -893,30 +984,36 @@
       onChanged();
       return this;
     }
+
     /**
+     *
+     *
      * <pre>
      * Slot time divided by share, in microseconds, in the order of flow_id.
      * </pre>
      *
      * <code>repeated uint64 charge_us = 3;</code>
+     *
      * @param values The chargeUs to add.
      * @return This builder for chaining.
      */
-    public Builder addAllChargeUs(
-        java.lang.Iterable<? extends java.lang.Long> values) {
+    public Builder addAllChargeUs(java.lang.Iterable<? extends java.lang.Long> values) {
       ensureChargeUsIsMutable();
-      com.google.protobuf.AbstractMessageLite.Builder.addAll(
-          values, chargeUs_);
+      com.google.protobuf.AbstractMessageLite.Builder.addAll(values, chargeUs_);
       bitField0_ |= 0x00000004;
       onChanged();
       return this;
     }
+
     /**
+     *
+     *
      * <pre>
      * Slot time divided by share, in microseconds, in the order of flow_id.
      * </pre>
      *
      * <code>repeated uint64 charge_us = 3;</code>
+     *
      * @return This builder for chaining.
      */
     public Builder clearChargeUs() {
@@ -927,66 +1024,82 @@
     }
 
     private com.google.protobuf.Internal.BooleanList backlogged_ = emptyBooleanList();
+
     private void ensureBackloggedIsMutable() {
       if (!backlogged_.isModifiable()) {
         backlogged_ = makeMutableCopy(backlogged_);
       }
       bitField0_ |= 0x00000008;
     }
+
     private void ensureBackloggedIsMutable(int capacity) {
       if (!backlogged_.isModifiable()) {
         backlogged_ = makeMutableCopy(backlogged_, capacity);
       }
       bitField0_ |= 0x00000008;
     }
+
     /**
+     *
+     *
      * <pre>
      * 1 when the flow has requests waiting somewhere in the subtree.
      * </pre>
      *
      * <code>repeated bool backlogged = 4;</code>
+     *
      * @return A list containing the backlogged.
      */
-    public java.util.List<java.lang.Boolean>
-        getBackloggedList() {
+    public java.util.List<java.lang.Boolean> getBackloggedList() {
       backlogged_.makeImmutable();
       return backlogged_;
     }
+
     /**
+     *
+     *
      * <pre>
      * 1 when the flow has requests waiting somewhere in the subtree.
      * </pre>
      *
      * <code>repeated bool backlogged = 4;</code>
+     *
      * @return The count of backlogged.
      */
     public int getBackloggedCount() {
       return backlogged_.size();
     }
+
     /**
+     *
+     *
      * <pre>
      * 1 when the flow has requests waiting somewhere in the subtree.
      * </pre>
      *
      * <code>repeated bool backlogged = 4;</code>
+     *
      * @param index The index of the element to return.
      * @return The backlogged at the given index.
      */
     public boolean getBacklogged(int index) {
       return backlogged_.getBoolean(index);
     }
+
     /**
+     *
+     *
      * <pre>
      * 1 when the flow has requests waiting somewhere in the subtree.
      * </pre>
      *
      * <code>repeated bool backlogged = 4;</code>
+     *
      * @param index The index to set the value at.
      * @param value The backlogged to set.
      * @return This builder for chaining.
      */
-    public Builder setBacklogged(
-        int index, boolean value) {
+    public Builder setBacklogged(int index, boolean value) {
 
       ensureBackloggedIsMutable();
       backlogged_.setBoolean(index, value);
@@ -994,12 +1107,16 @@
       onChanged();
       return this;
     }
+
     /**
+     *
+     *
      * <pre>
      * 1 when the flow has requests waiting somewhere in the subtree.
      * </pre>
      *
      * <code>repeated bool backlogged = 4;</code>
+     *
      * @param value The backlogged to add.
      * @return This builder for chaining.
      */
@@ -1011,30 +1128,36 @@
       onChanged();
       return this;
     }
+
     /**
+     *
+     *
      * <pre>
      * 1 when the flow has requests waiting somewhere in the subtree.
      * </pre>
      *
      * <code>repeated bool backlogged = 4;</code>
+     *
      * @param values The backlogged to add.
      * @return This builder for chaining.
      */
-    public Builder addAllBacklogged(
-        java.lang.Iterable<? extends java.lang.Boolean> values) {
+    public Builder addAllBacklogged(java.lang.Iterable<? extends java.lang.Boolean> values) {
       ensureBackloggedIsMutable();
-      com.google.protobuf.AbstractMessageLite.Builder.addAll(
-          values, backlogged_);
+      com.google.protobuf.AbstractMessageLite.Builder.addAll(values, backlogged_);
       bitField0_ |= 0x00000008;
       onChanged();
       return this;
     }
+
     /**
+     *
+     *
      * <pre>
      * 1 when the flow has requests waiting somewhere in the subtree.
      * </pre>
      *
      * <code>repeated bool backlogged = 4;</code>
+     *
      * @return This builder for chaining.
      */
     public Builder clearBacklogged() {
@@ -1044,25 +1167,33 @@
       return this;
     }
 
-    private int agents_ ;
+    private int agents_;
+
     /**
+     *
+     *
      * <pre>
      * Number of agents in the subtree.
      * </pre>
      *
      * <code>uint32 agents = 5;</code>
+     *
      * @return The agents.
      */
     @java.lang.Override
     public int getAgents() {
       return agents_;
     }
+
     /**
+     *
+     *
      * <pre>
      * Number of agents in the subtree.
      * </pre>
      *
      * <code>uint32 agents = 5;</code>
+     *
      * @param value The agents to set.
      * @return This builder for chaining.
      */
@@ -1073,12 +1204,16 @@
       onChanged();
       return this;
     }
+
     /**
+     *
+     *
      * <pre>
      * Number of agents in the subtree.
      * </pre>
      *
      * <code>uint32 agents = 5;</code>
+     *
      * @return This builder for chaining.
      */
     public Builder clearAgents() {
@@ -1093,6 +1228,7 @@
 
   // @@protoc_insertion_point(class_scope:almondslip.ServiceReport)
   private static final org.almondslip.protocol.wire.ServiceReport DEFAULT_INSTANCE;
+
   static {
     DEFAULT_INSTANCE = new org.almondslip.protocol.wire.ServiceReport();
   }
@@ -1101,27 +1237,27 @@
     return DEFAULT_INSTANCE;
   }
 
-  private static final com.google.protobuf.Parser<ServiceReport>
-      PARSER = new com.google.protobuf.AbstractParser<ServiceReport>() {
-    @java.lang.Override
-    public ServiceReport parsePartialFrom(
-        com.google.protobuf.CodedInputStream input,
-        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-        throws com.google.protobuf.InvalidProtocolBufferException {
-      Builder builder = newBuilder();
-      try {
-        builder.mergeFrom(input, extensionRegistry);
-      } catch (com.google.protobuf.InvalidProtocolBufferException e) {
-        throw e.setUnfinishedMessage(builder.buildPartial());
-      } catch (com.google.protobuf.UninitializedMessageException e) {
-        throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
-      } catch (java.io.IOException e) {
-        throw new com.google.protobuf.InvalidProtocolBufferException(e)
-            .setUnfinishedMessage(builder.buildPartial());
-      }
-      return builder.buildPartial();
-    }
-  };
+  private static final com.google.protobuf.Parser<ServiceReport> PARSER =
+      new com.google.protobuf.AbstractParser<ServiceReport>() {
+        @java.lang.Override
+        public ServiceReport parsePartialFrom(
+            com.google.protobuf.CodedInputStream input,
+            com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+            throws com.google.protobuf.InvalidProtocolBufferException {
+          Builder builder = newBuilder();
+          try {
+            builder.mergeFrom(input, extensionRegistry);
+          } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+            throw e.setUnfinishedMessage(builder.buildPartial());
+          } catch (com.google.protobuf.UninitializedMessageException e) {
+            throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
+          } catch (java.io.IOException e) {
+            throw new com.google.protobuf.InvalidProtocolBufferException(e)
+                .setUnfinishedMessage(builder.buildPartial());
+          }
+          return builder.buildPartial();
+        }
+      };
 
   public static com.google.protobuf.Parser<ServiceReport> parser() {
     return PARSER;
@@ -1136,6 +1272,4 @@
   public org.almondslip.protocol.wire.ServiceReport getDefaultInstanceForType() {
     return DEFAULT_INSTANCE;
   }
-
 }
-
--- a/wire/src/main/java/org/almondslip/protocol/wire/ServiceReportOrBuilder.java
+++ b/wire/src/main/java/org/almondslip/protocol/wire/ServiceReportOrBuilder.java
@@ -6,97 +6,129 @@
 package org.almondslip.protocol.wire;
 
 @com.google.protobuf.Generated
-public interface ServiceReportOrBuilder extends
+public interface ServiceReportOrBuilder
+    extends
     // @@protoc_insertion_point(interface_extends:almondslip.ServiceReport)
     com.google.protobuf.MessageOrBuilder {
 
   /**
    * <code>uint64 sequence = 1;</code>
+   *
    * @return The sequence.
    */
   long getSequence();
 
   /**
    * <code>repeated fixed32 flow_id = 2;</code>
+   *
    * @return A list containing the flowId.
    */
   java.util.List<java.lang.Integer> getFlowIdList();
+
   /**
    * <code>repeated fixed32 flow_id = 2;</code>
+   *
    * @return The count of flowId.
    */
   int getFlowIdCount();
+
   /**
    * <code>repeated fixed32 flow_id = 2;</code>
+   *
    * @param index The index of the element to return.
    * @return The flowId at the given index.
    */
   int getFlowId(int index);
 
   /**
+   *
+   *
    * <pre>
    * Slot time divided by share, in microseconds, in the order of flow_id.
    * </pre>
    *
    * <code>repeated uint64 charge_us = 3;</code>
+   *
    * @return A list containing the chargeUs.
    */
   java.util.List<java.lang.Long> getChargeUsList();
+
   /**
+   *
+   *
    * <pre>
    * Slot time divided by share, in microseconds, in the order of flow_id.
    * </pre>
    *
    * <code>repeated uint64 charge_us = 3;</code>
+   *
    * @return The count of chargeUs.
    */
   int getChargeUsCount();
+
   /**
+   *
+   *
    * <pre>
    * Slot time divided by share, in microseconds, in the order of flow_id.
    * </pre>
    *
    * <code>repeated uint64 charge_us = 3;</code>
+   *
    * @param index The index of the element to return.
    * @return The chargeUs at the given index.
    */
   long getChargeUs(int index);
 
   /**
+   *
+   *
    * <pre>
    * 1 when the flow has requests waiting somewhere in the subtree.
    * </pre>
    *
    * <code>repeated bool backlogged = 4;</code>
+   *
    * @return A list containing the backlogged.
    */
   java.util.List<java.lang.Boolean> getBackloggedList();
+
   /**
+   *
+   *
    * <pre>
    * 1 when the flow has requests waiting somewhere in the subtree.
    * </pre>
    *
    * <code>repeated bool backlogged = 4;</code>
+   *
    * @return The count of backlogged.
    */
   int getBackloggedCount();
+
   /**
+   *
+   *
    * <pre>
    * 1 when the flow has requests waiting somewhere in the subtree.
    * </pre>
    *
    * <code>repeated bool backlogged = 4;</code>
+   *
    * @param index The index of the element to return.
    * @return The backlogged at the given index.
    */
   boolean getBacklogged(int index);
 
   /**
+   *
+   *
    * <pre>
    * Number of agents in the subtree.
    * </pre>
    *
    * <code>uint32 agents = 5;</code>
+   *
    * @return The agents.
    */
   int getAgents();
--- a/wire/src/main/java/org/almondslip/protocol/wire/SuspectNotice.java
+++ b/wire/src/main/java/org/almondslip/protocol/wire/SuspectNotice.java
@@ -6,6 +6,8 @@
 package org.almondslip.protocol.wire;
 
 /**
+ *
+ *
  * <pre>
  * Spread to all peers when a target died with requests in flight, or a suspected request succeeded.
  * </pre>
@@ -13,50 +15,58 @@
  * Protobuf type {@code almondslip.SuspectNotice}
  */
 @com.google.protobuf.Generated
-public final class SuspectNotice extends
-    com.google.protobuf.GeneratedMessage implements
+public final class SuspectNotice extends com.google.protobuf.GeneratedMessage
+    implements
     // @@protoc_insertion_point(message_implements:almondslip.SuspectNotice)
     SuspectNoticeOrBuilder {
-private static final long serialVersionUID = 0L;
+  private static final long serialVersionUID = 0L;
+
   static {
     com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
-      com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
-      /* major= */ 4,
-      /* minor= */ 36,
-      /* patch= */ 2,
-      /* suffix= */ "",
-      "SuspectNotice");
+        com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+        /* major= */ 4,
+        /* minor= */ 36,
+        /* patch= */ 2,
+        /* suffix= */ "",
+        "SuspectNotice");
   }
+
   // Use SuspectNotice.newBuilder() to construct.
   private SuspectNotice(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
     super(builder);
   }
+
   private SuspectNotice() {
     crashId_ = "";
   }
 
-  public static final com.google.protobuf.Descriptors.Descriptor
-      getDescriptor() {
-    return org.almondslip.protocol.wire.Almondslip.internal_static_almondslip_SuspectNotice_descriptor;
+  public static final com.google.protobuf.Descriptors.Descriptor getDescriptor() {
+    return org.almondslip.protocol.wire.Almondslip
+        .internal_static_almondslip_SuspectNotice_descriptor;
   }
 
   @java.lang.Override
   public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
-    return org.almondslip.protocol.wire.Almondslip.internal_static_almondslip_SuspectNotice_descriptor;
+    return org.almondslip.protocol.wire.Almondslip
+        .internal_static_almondslip_SuspectNotice_descriptor;
   }
 
   @java.lang.Override
   protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internalGetFieldAccessorTable() {
-    return org.almondslip.protocol.wire.Almondslip.internal_static_almondslip_SuspectNotice_fieldAccessorTable
+    return org.almondslip.protocol.wire.Almondslip
+        .internal_static_almondslip_SuspectNotice_fieldAccessorTable
         .ensureFieldAccessorsInitialized(
-            org.almondslip.protocol.wire.SuspectNotice.class, org.almondslip.protocol.wire.SuspectNotice.Builder.class);
+            org.almondslip.protocol.wire.SuspectNotice.class,
+            org.almondslip.protocol.wire.SuspectNotice.Builder.class);
   }
 
   public static final int FINGERPRINT_FIELD_NUMBER = 1;
   private long fingerprint_ = 0L;
+
   /**
    * <code>fixed64 fingerprint = 1;</code>
+   *
    * @return The fingerprint.
    */
   @java.lang.Override
@@ -65,14 +75,19 @@
   }
 
   public static final int CRASH_ID_FIELD_NUMBER = 2;
+
   @SuppressWarnings("serial")
   private volatile java.lang.Object crashId_ = "";
+
   /**
+   *
+   *
    * <pre>
    * Target and its incarnation; a crash seen by two observers counts once. Empty when cleared is set.
    * </pre>
    *
    * <code>string crash_id = 2;</code>
+   *
    * @return The crashId.
    */
   @java.lang.Override
@@ -81,29 +96,30 @@
     if (ref instanceof java.lang.String) {
       return (java.lang.String) ref;
     } else {
-      com.google.protobuf.ByteString bs = 
-          (com.google.protobuf.ByteString) ref;
+      com.google.protobuf.ByteString bs = (com.google.protobuf.ByteString) ref;
       java.lang.String s = bs.toStringUtf8();
       crashId_ = s;
       return s;
     }
   }
+
   /**
+   *
+   *
    * <pre>
    * Target and its incarnation; a crash seen by two observers counts once. Empty when cleared is set.
    * </pre>
    *
    * <code>string crash_id = 2;</code>
+   *
    * @return The bytes for crashId.
    */
   @java.lang.Override
-  public com.google.protobuf.ByteString
-      getCrashIdBytes() {
+  public com.google.protobuf.ByteString getCrashIdBytes() {
     java.lang.Object ref = crashId_;
     if (ref instanceof java.lang.String) {
-      com.google.protobuf.ByteString b = 
-          com.google.protobuf.ByteString.copyFromUtf8(
-              (java.lang.String) ref);
+      com.google.protobuf.ByteString b =
+          com.google.protobuf.ByteString.copyFromUtf8((java.lang.String) ref);
       crashId_ = b;
       return b;
     } else {
@@ -113,8 +129,10 @@
 
   public static final int CLEARED_FIELD_NUMBER = 3;
   private boolean cleared_ = false;
+
   /**
    * <code>bool cleared = 3;</code>
+   *
    * @return The cleared.
    */
   @java.lang.Override
@@ -123,6 +141,7 @@
   }
 
   private byte memoizedIsInitialized = -1;
+
   @java.lang.Override
   public final boolean isInitialized() {
     byte isInitialized = memoizedIsInitialized;
@@ -134,8 +153,7 @@
   }
 
   @java.lang.Override
-  public void writeTo(com.google.protobuf.CodedOutputStream output)
-                      throws java.io.IOException {
+  public void writeTo(com.google.protobuf.CodedOutputStream output) throws java.io.IOException {
     if (fingerprint_ != 0L) {
       output.writeFixed64(1, fingerprint_);
     }
@@ -147,21 +165,21 @@
     }
     getUnknownFields().writeTo(output);
   }
+
   private int computeSerializedSize_0() {
     int size = 0;
     if (fingerprint_ != 0L) {
-      size += com.google.protobuf.CodedOutputStream
-        .computeFixed64Size(1, fingerprint_);
+      size += com.google.protobuf.CodedOutputStream.computeFixed64Size(1, fingerprint_);
     }
     if (!com.google.protobuf.GeneratedMessage.isStringEmpty(crashId_)) {
       size += com.google.protobuf.GeneratedMessage.computeStringSize(2, crashId_);
     }
     if (cleared_ != false) {
-      size += com.google.protobuf.CodedOutputStream
-        .computeBoolSize(3, cleared_);
+      size += com.google.protobuf.CodedOutputStream.computeBoolSize(3, cleared_);
     }
     return size;
   }
+
   @java.lang.Override
   public int getSerializedSize() {
     int size = memoizedSize;
@@ -177,19 +195,17 @@
   @java.lang.Override
   public boolean equals(final java.lang.Object obj) {
     if (obj == this) {
-     return true;
+      return true;
     }
     if (!(obj instanceof org.almondslip.protocol.wire.SuspectNotice)) {
       return super.equals(obj);
     }
-    org.almondslip.protocol.wire.SuspectNotice other = (org.almondslip.protocol.wire.SuspectNotice) obj;
+    org.almondslip.protocol.wire.SuspectNotice other =
+        (org.almondslip.protocol.wire.SuspectNotice) obj;
 
-    if (getFingerprint()
-        != other.getFingerprint()) return false;
-    if (!getCrashId()
-        .equals(other.getCrashId())) return false;
-    if (getCleared()
-        != other.getCleared()) return false;
+    if (getFingerprint() != other.getFingerprint()) return false;
+    if (!getCrashId().equals(other.getCrashId())) return false;
+    if (getCleared() != other.getCleared()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -202,144 +218,147 @@
     int hash = 41;
     hash = (19 * hash) + getDescriptor().hashCode();
     hash = (37 * hash) + FINGERPRINT_FIELD_NUMBER;
-    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
-        getFingerprint());
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(getFingerprint());
     hash = (37 * hash) + CRASH_ID_FIELD_NUMBER;
     hash = (53 * hash) + getCrashId().hashCode();
     hash = (37 * hash) + CLEARED_FIELD_NUMBER;
-    hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
-        getCleared());
+    hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(getCleared());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
   }
 
-  public static org.almondslip.protocol.wire.SuspectNotice parseFrom(
-      java.nio.ByteBuffer data)
+  public static org.almondslip.protocol.wire.SuspectNotice parseFrom(java.nio.ByteBuffer data)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data);
   }
+
   public static org.almondslip.protocol.wire.SuspectNotice parseFrom(
-      java.nio.ByteBuffer data,
-      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+      java.nio.ByteBuffer data, com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data, extensionRegistry);
   }
+
   public static org.almondslip.protocol.wire.SuspectNotice parseFrom(
       com.google.protobuf.ByteString data)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data);
   }
+
   public static org.almondslip.protocol.wire.SuspectNotice parseFrom(
       com.google.protobuf.ByteString data,
       com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data, extensionRegistry);
   }
+
   public static org.almondslip.protocol.wire.SuspectNotice parseFrom(byte[] data)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data);
   }
+
   public static org.almondslip.protocol.wire.SuspectNotice parseFrom(
-      byte[] data,
-      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+      byte[] data, com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data, extensionRegistry);
   }
+
   public static org.almondslip.protocol.wire.SuspectNotice parseFrom(java.io.InputStream input)
       throws java.io.IOException {
-    return com.google.protobuf.GeneratedMessage
-        .parseWithIOException(PARSER, input);
+    return com.google.protobuf.GeneratedMessage.parseWithIOException(PARSER, input);
   }
+
   public static org.almondslip.protocol.wire.SuspectNotice parseFrom(
-      java.io.InputStream input,
-      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+      java.io.InputStream input, com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws java.io.IOException {
-    return com.google.protobuf.GeneratedMessage
-        .parseWithIOException(PARSER, input, extensionRegistry);
+    return com.google.protobuf.GeneratedMessage.parseWithIOException(
+        PARSER, input, extensionRegistry);
   }
 
-  public static org.almondslip.protocol.wire.SuspectNotice parseDelimitedFrom(java.io.InputStream input)
-      throws java.io.IOException {
-    return com.google.protobuf.GeneratedMessage
-        .parseDelimitedWithIOException(PARSER, input);
+  public static org.almondslip.protocol.wire.SuspectNotice parseDelimitedFrom(
+      java.io.InputStream input) throws java.io.IOException {
+    return com.google.protobuf.GeneratedMessage.parseDelimitedWithIOException(PARSER, input);
   }
 
   public static org.almondslip.protocol.wire.SuspectNotice parseDelimitedFrom(
-      java.io.InputStream input,
-      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+      java.io.InputStream input, com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws java.io.IOException {
-    return com.google.protobuf.GeneratedMessage
-        .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
+    return com.google.protobuf.GeneratedMessage.parseDelimitedWithIOException(
+        PARSER, input, extensionRegistry);
   }
+
   public static org.almondslip.protocol.wire.SuspectNotice parseFrom(
-      com.google.protobuf.CodedInputStream input)
-      throws java.io.IOException {
-    return com.google.protobuf.GeneratedMessage
-        .parseWithIOException(PARSER, input);
+      com.google.protobuf.CodedInputStream input) throws java.io.IOException {
+    return com.google.protobuf.GeneratedMessage.parseWithIOException(PARSER, input);
   }
+
   public static org.almondslip.protocol.wire.SuspectNotice parseFrom(
       com.google.protobuf.CodedInputStream input,
       com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws java.io.IOException {
-    return com.google.protobuf.GeneratedMessage
-        .parseWithIOException(PARSER, input, extensionRegistry);
+    return com.google.protobuf.GeneratedMessage.parseWithIOException(
+        PARSER, input, extensionRegistry);
   }
 
   @java.lang.Override
-  public Builder newBuilderForType() { return newBuilder(); }
+  public Builder newBuilderForType() {
+    return newBuilder();
+  }
+
   public static Builder newBuilder() {
     return DEFAULT_INSTANCE.toBuilder();
   }
+
   public static Builder newBuilder(org.almondslip.protocol.wire.SuspectNotice prototype) {
     return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
   }
+
   @java.lang.Override
   public Builder toBuilder() {
-    return this == DEFAULT_INSTANCE
-        ? new Builder() : new Builder().mergeFrom(this);
+    return this == DEFAULT_INSTANCE ? new Builder() : new Builder().mergeFrom(this);
   }
 
   @java.lang.Override
-  protected Builder newBuilderForType(
-      com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+  protected Builder newBuilderForType(com.google.protobuf.GeneratedMessage.BuilderParent parent) {
     Builder builder = new Builder(parent);
     return builder;
   }
+
   /**
+   *
+   *
    * <pre>
    * Spread to all peers when a target died with requests in flight, or a suspected request succeeded.
    * </pre>
    *
    * Protobuf type {@code almondslip.SuspectNotice}
    */
-  public static final class Builder extends
-      com.google.protobuf.GeneratedMessage.Builder<Builder> implements
+  public static final class Builder extends com.google.protobuf.GeneratedMessage.Builder<Builder>
+      implements
       // @@protoc_insertion_point(builder_implements:almondslip.SuspectNotice)
       org.almondslip.protocol.wire.SuspectNoticeOrBuilder {
-    public static final com.google.protobuf.Descriptors.Descriptor
-        getDescriptor() {
-      return org.almondslip.protocol.wire.Almondslip.internal_static_almondslip_SuspectNotice_descriptor;
+    public static final com.google.protobuf.Descriptors.Descriptor getDescriptor() {
+      return org.almondslip.protocol.wire.Almondslip
+          .internal_static_almondslip_SuspectNotice_descriptor;
     }
 
     @java.lang.Override
     protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
         internalGetFieldAccessorTable() {
-      return org.almondslip.protocol.wire.Almondslip.internal_static_almondslip_SuspectNotice_fieldAccessorTable
+      return org.almondslip.protocol.wire.Almondslip
+          .internal_static_almondslip_SuspectNotice_fieldAccessorTable
           .ensureFieldAccessorsInitialized(
-              org.almondslip.protocol.wire.SuspectNotice.class, org.almondslip.protocol.wire.SuspectNotice.Builder.class);
+              org.almondslip.protocol.wire.SuspectNotice.class,
+              org.almondslip.protocol.wire.SuspectNotice.Builder.class);
     }
 
     // Construct using org.almondslip.protocol.wire.SuspectNotice.newBuilder()
-    private Builder() {
+    private Builder() {}
 
-    }
-
-    private Builder(
-        com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+    private Builder(com.google.protobuf.GeneratedMessage.BuilderParent parent) {
       super(parent);
-
     }
+
     @java.lang.Override
     public Builder clear() {
       super.clear();
@@ -351,9 +370,9 @@
     }
 
     @java.lang.Override
-    public com.google.protobuf.Descriptors.Descriptor
-        getDescriptorForType() {
-      return org.almondslip.protocol.wire.Almondslip.internal_static_almondslip_SuspectNotice_descriptor;
+    public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
+      return org.almondslip.protocol.wire.Almondslip
+          .internal_static_almondslip_SuspectNotice_descriptor;
     }
 
     @java.lang.Override
@@ -372,8 +391,11 @@
 
     @java.lang.Override
     public org.almondslip.protocol.wire.SuspectNotice buildPartial() {
-      org.almondslip.protocol.wire.SuspectNotice result = new org.almondslip.protocol.wire.SuspectNotice(this);
-      if (bitField0_ != 0) { buildPartial0(result); }
+      org.almondslip.protocol.wire.SuspectNotice result =
+          new org.almondslip.protocol.wire.SuspectNotice(this);
+      if (bitField0_ != 0) {
+        buildPartial0(result);
+      }
       onBuilt();
       return result;
     }
@@ -394,7 +416,7 @@
     @java.lang.Override
     public Builder mergeFrom(com.google.protobuf.Message other) {
       if (other instanceof org.almondslip.protocol.wire.SuspectNotice) {
-        return mergeFrom((org.almondslip.protocol.wire.SuspectNotice)other);
+        return mergeFrom((org.almondslip.protocol.wire.SuspectNotice) other);
       } else {
         super.mergeFrom(other);
         return this;
@@ -438,27 +460,31 @@
             case 0:
               done = true;
               break;
-            case 9: {
-              fingerprint_ = input.readFixed64();
-              bitField0_ |= 0x00000001;
-              break;
-            } // case 9
-            case 18: {
-              crashId_ = input.readStringRequireUtf8();
-              bitField0_ |= 0x00000002;
-              break;
-            } // case 18
-            case 24: {
-              cleared_ = input.readBool();
-              bitField0_ |= 0x00000004;
-              break;
-            } // case 24
-            default: {
-              if (!super.parseUnknownField(input, extensionRegistry, tag)) {
-                done = true; // was an endgroup tag
-              }
-              break;
-            } // default:
+            case 9:
+              {
+                fingerprint_ = input.readFixed64();
+                bitField0_ |= 0x00000001;
+                break;
+              } // case 9
+            case 18:
+              {
+                crashId_ = input.readStringRequireUtf8();
+                bitField0_ |= 0x00000002;
+                break;
+              } // case 18
+            case 24:
+              {
+                cleared_ = input.readBool();
+                bitField0_ |= 0x00000004;
+                break;
+              } // case 24
+            default:
+              {
+                if (!super.parseUnknownField(input, extensionRegistry, tag)) {
+                  done = true; // was an endgroup tag
+                }
+                break;
+              } // default:
           } // switch (tag)
         } // while (!done)
       } catch (com.google.protobuf.InvalidProtocolBufferException e) {
@@ -468,19 +494,24 @@
       } // finally
       return this;
     }
+
     private int bitField0_;
 
-    private long fingerprint_ ;
+    private long fingerprint_;
+
     /**
      * <code>fixed64 fingerprint = 1;</code>
+     *
      * @return The fingerprint.
      */
     @java.lang.Override
     public long getFingerprint() {
       return fingerprint_;
     }
+
     /**
      * <code>fixed64 fingerprint = 1;</code>
+     *
      * @param value The fingerprint to set.
      * @return This builder for chaining.
      */
@@ -491,8 +522,10 @@
       onChanged();
       return this;
     }
+
     /**
      * <code>fixed64 fingerprint = 1;</code>
+     *
      * @return This builder for chaining.
      */
     public Builder clearFingerprint() {
@@ -503,19 +536,22 @@
     }
 
     private java.lang.Object crashId_ = "";
+
     /**
+     *
+     *
      * <pre>
      * Target and its incarnation; a crash seen by two observers counts once. Empty when cleared is set.
      * </pre>
      *
      * <code>string crash_id = 2;</code>
+     *
      * @return The crashId.
      */
     public java.lang.String getCrashId() {
       java.lang.Object ref = crashId_;
       if (!(ref instanceof java.lang.String)) {
-        com.google.protobuf.ByteString bs =
-            (com.google.protobuf.ByteString) ref;
+        com.google.protobuf.ByteString bs = (com.google.protobuf.ByteString) ref;
         java.lang.String s = bs.toStringUtf8();
         crashId_ = s;
         return s;
@@ -523,50 +559,59 @@
         return (java.lang.String) ref;
       }
     }
+
     /**
+     *
+     *
      * <pre>
      * Target and its incarnation; a crash seen by two observers counts once. Empty when cleared is set.
      * </pre>
      *
      * <code>string crash_id = 2;</code>
+     *
      * @return The bytes for crashId.
      */
-    public com.google.protobuf.ByteString
-        getCrashIdBytes() {
+    public com.google.protobuf.ByteString getCrashIdBytes() {
       java.lang.Object ref = crashId_;
       if (ref instanceof String) {
-        com.google.protobuf.ByteString b = 
-            com.google.protobuf.ByteString.copyFromUtf8(
-                (java.lang.String) ref);
+        com.google.protobuf.ByteString b =
+            com.google.protobuf.ByteString.copyFromUtf8((java.lang.String) ref);
         crashId_ = b;
         return b;
       } else {
         return (com.google.protobuf.ByteString) ref;
       }
     }
+
     /**
+     *
+     *
      * <pre>
      * Target and its incarnation; a crash seen by two observers counts once. Empty when cleared is set.
      * </pre>
      *
      * <code>string crash_id = 2;</code>
+     *
      * @param value The crashId to set.
      * @return This builder for chaining.
      */
-    public Builder setCrashId(
-        java.lang.String value) {
+    public Builder setCrashId(java.lang.String value) {
       java.util.Objects.requireNonNull(value);
       crashId_ = value;
       bitField0_ |= 0x00000002;
       onChanged();
       return this;
     }
+
     /**
+     *
+     *
      * <pre>
      * Target and its incarnation; a crash seen by two observers counts once. Empty when cleared is set.
      * </pre>
      *
      * <code>string crash_id = 2;</code>
+     *
      * @return This builder for chaining.
      */
     public Builder clearCrashId() {
@@ -575,17 +620,20 @@
       onChanged();
       return this;
     }
+
     /**
+     *
+     *
      * <pre>
      * Target and its incarnation; a crash seen by two observers counts once. Empty when cleared is set.
      * </pre>
      *
      * <code>string crash_id = 2;</code>
+     *
      * @param value The bytes for crashId to set.
      * @return This builder for chaining.
      */
-    public Builder setCrashIdBytes(
-        com.google.protobuf.ByteString value) {
+    public Builder setCrashIdBytes(com.google.protobuf.ByteString value) {
       java.util.Objects.requireNonNull(value);
       checkByteStringIsUtf8(value);
       crashId_ = value;
@@ -594,17 +642,21 @@
       return this;
     }
 
-    private boolean cleared_ ;
+    private boolean cleared_;
+
     /**
      * <code>bool cleared = 3;</code>
+     *
      * @return The cleared.
      */
     @java.lang.Override
     public boolean getCleared() {
       return cleared_;
     }
+
     /**
      * <code>bool cleared = 3;</code>
+     *
      * @param value The cleared to set.
      * @return This builder for chaining.
      */
@@ -615,8 +667,10 @@
       onChanged();
       return this;
     }
+
     /**
      * <code>bool cleared = 3;</code>
+     *
      * @return This builder for chaining.
      */
     public Builder clearCleared() {
@@ -631,6 +685,7 @@
 
   // @@protoc_insertion_point(class_scope:almondslip.SuspectNotice)
   private static final org.almondslip.protocol.wire.SuspectNotice DEFAULT_INSTANCE;
+
   static {
     DEFAULT_INSTANCE = new org.almondslip.protocol.wire.SuspectNotice();
   }
@@ -639,27 +694,27 @@
     return DEFAULT_INSTANCE;
   }
 
-  private static final com.google.protobuf.Parser<SuspectNotice>
-      PARSER = new com.google.protobuf.AbstractParser<SuspectNotice>() {
-    @java.lang.Override
-    public SuspectNotice parsePartialFrom(
-        com.google.protobuf.CodedInputStream input,
-        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-        throws com.google.protobuf.InvalidProtocolBufferException {
-      Builder builder = newBuilder();
-      try {
-        builder.mergeFrom(input, extensionRegistry);
-      } catch (com.google.protobuf.InvalidProtocolBufferException e) {
-        throw e.setUnfinishedMessage(builder.buildPartial());
-      } catch (com.google.protobuf.UninitializedMessageException e) {
-        throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
-      } catch (java.io.IOException e) {
-        throw new com.google.protobuf.InvalidProtocolBufferException(e)
-            .setUnfinishedMessage(builder.buildPartial());
-      }
-      return builder.buildPartial();
-    }
-  };
+  private static final com.google.protobuf.Parser<SuspectNotice> PARSER =
+      new com.google.protobuf.AbstractParser<SuspectNotice>() {
+        @java.lang.Override
+        public SuspectNotice parsePartialFrom(
+            com.google.protobuf.CodedInputStream input,
+            com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+            throws com.google.protobuf.InvalidProtocolBufferException {
+          Builder builder = newBuilder();
+          try {
+            builder.mergeFrom(input, extensionRegistry);
+          } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+            throw e.setUnfinishedMessage(builder.buildPartial());
+          } catch (com.google.protobuf.UninitializedMessageException e) {
+            throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
+          } catch (java.io.IOException e) {
+            throw new com.google.protobuf.InvalidProtocolBufferException(e)
+                .setUnfinishedMessage(builder.buildPartial());
+          }
+          return builder.buildPartial();
+        }
+      };
 
   public static com.google.protobuf.Parser<SuspectNotice> parser() {
     return PARSER;
@@ -674,6 +729,4 @@
   public org.almondslip.protocol.wire.SuspectNotice getDefaultInstanceForType() {
     return DEFAULT_INSTANCE;
   }
-
 }
-
--- a/wire/src/main/java/org/almondslip/protocol/wire/SuspectNoticeOrBuilder.java
+++ b/wire/src/main/java/org/almondslip/protocol/wire/SuspectNoticeOrBuilder.java
@@ -6,38 +6,47 @@
 package org.almondslip.protocol.wire;
 
 @com.google.protobuf.Generated
-public interface SuspectNoticeOrBuilder extends
+public interface SuspectNoticeOrBuilder
+    extends
     // @@protoc_insertion_point(interface_extends:almondslip.SuspectNotice)
     com.google.protobuf.MessageOrBuilder {
 
   /**
    * <code>fixed64 fingerprint = 1;</code>
+   *
    * @return The fingerprint.
    */
   long getFingerprint();
 
   /**
+   *
+   *
    * <pre>
    * Target and its incarnation; a crash seen by two observers counts once. Empty when cleared is set.
    * </pre>
    *
    * <code>string crash_id = 2;</code>
+   *
    * @return The crashId.
    */
   java.lang.String getCrashId();
+
   /**
+   *
+   *
    * <pre>
    * Target and its incarnation; a crash seen by two observers counts once. Empty when cleared is set.
    * </pre>
    *
    * <code>string crash_id = 2;</code>
+   *
    * @return The bytes for crashId.
    */
-  com.google.protobuf.ByteString
-      getCrashIdBytes();
+  com.google.protobuf.ByteString getCrashIdBytes();
 
   /**
    * <code>bool cleared = 3;</code>
+   *
    * @return The cleared.
    */
   boolean getCleared();
