--- a/runtime/src/main/java/org/almondslip/logging/JsonLines.java
+++ b/runtime/src/main/java/org/almondslip/logging/JsonLines.java
@@ -104,14 +104,15 @@
   }
 
   /**
-   * Removes the copy of the metadata that the library appends to a message.
+   * Removes the copy of the metadata that the library appends after a space or, when the message
+   * has several lines, after a line break.
    *
    * @param message the message
    * @return the message alone
    */
   private static String withoutContext(String message) {
-    int context = message.lastIndexOf(" [CONTEXT ");
-    return context < 0 ? message : message.substring(0, context);
+    int context = message.lastIndexOf("[CONTEXT ");
+    return context <= 0 ? message : message.substring(0, context - 1);
   }
 
   /**
--- /dev/null
+++ b/runtime/src/test/java/org/almondslip/settings/SectionTest.java
@@ -0,0 +1,80 @@
+package org.almondslip.settings;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.List;
+import java.util.stream.Collectors;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.LongRange;
+import org.almondslip.error.Finding;
+import org.almondslip.error.Findings;
+import org.junit.jupiter.api.Test;
+
+class SectionTest {
+
+  private final Findings findings = new Findings();
+
+  /** Guards against an operator who has to start a process once for each mistake. */
+  @Test
+  void allFindingsAreReportedTogetherWithTheirLines() {
+    String text =
+        """
+        instance: router-1
+        listen: localhost:80
+        limits:
+          drain: 5 parsecs
+          queue: many
+          colour: red
+        """;
+    Section section = Section.of("router.yaml", text, findings);
+    section.text("instance");
+    section.address("listen");
+    Section limits = section.section("limits");
+    limits.durationMillis("drain", 1, 0, 10);
+    limits.integer("queue", 1, 0, 10);
+    section.text("region");
+    section.finish();
+    assertThat(places())
+        .containsExactlyInAnyOrder(
+            "2 listen", "4 limits.drain", "5 limits.queue", "6 limits.colour", "1 region");
+  }
+
+  /** Guards against a value outside its limits that is used all the same. */
+  @Test
+  void valueOutsideItsLimitsBecomesTheDefault() {
+    Section section = Section.of("a.yaml", "silence: 9h\n", findings);
+    assertThat(section.durationMillis("silence", 3_000, 1, 10_000)).isEqualTo(3_000);
+    assertThat(places()).containsExactly("1 silence");
+  }
+
+  /** Guards against a second value that silently replaces the first. */
+  @Test
+  void keyThatAppearsTwiceIsReported() {
+    Section.of("a.yaml", "a: 1\na: 2\n", findings);
+    assertThat(findings.isEmpty()).isFalse();
+  }
+
+  /** Guards against an exception instead of a finding for a file that is not YAML. */
+  @Test
+  void textThatIsNotYamlBecomesOneFinding() {
+    Section.of("a.yaml", "a: [1, 2\nb: }", findings).finish();
+    assertThat(findings.toList()).hasSize(1);
+  }
+
+  /** Guards against units that are taken for one another. */
+  @Property(seed = "7", tries = 200)
+  void durationsKeepTheirUnit(@ForAll @LongRange(min = 0, max = 1_000) long number) {
+    Section section = Section.of("a.yaml", "a: " + number + "ms\nb: " + number + "s\n", findings);
+    assertThat(section.durationMillis("a", -1, 0, Long.MAX_VALUE)).isEqualTo(number);
+    assertThat(section.durationMillis("b", -1, 0, Long.MAX_VALUE)).isEqualTo(number * 1_000);
+  }
+
+  private List<String> places() {
+    return findings.toList().stream().map(SectionTest::place).collect(Collectors.toList());
+  }
+
+  private static String place(Finding finding) {
+    return finding.line() + " " + finding.field();
+  }
+}
