Add the state machine of the agent

Cause: a router needs a process beside each target that grants slots and runs requests. Change: core package execution: grants, stage, running requests with replay buffers, attach and replay, request history, deadlines and progress limit, exclusive runs, crash marks, drain and slot-use counters.

--- /dev/null
+++ b/core/src/main/java/org/almondslip/execution/CrashWatch.java
@@ -0,0 +1,145 @@
+package org.almondslip.execution;
+
+import java.util.Collection;
+import org.almondslip.membership.Peer;
+import org.almondslip.membership.PeerIdentity;
+import org.almondslip.protocol.wire.Frame;
+import org.almondslip.protocol.wire.SuspectNotice;
+import org.almondslip.quarantine.SuspectRegistry;
+import org.almondslip.quarantine.SuspectRegistry.Verdict;
+
+/** Marks requests that were in flight when the target crashed, and tells all peers. */
+final class CrashWatch {
+
+  /** This agent. */
+  private final PeerIdentity self;
+
+  /** Crash marks that this process knows. */
+  private final SuspectRegistry suspects;
+
+  /** Open connections. */
+  private final Peers peers;
+
+  /** Counters of the agent. */
+  private final ExecutionCounters counters;
+
+  /** Whether the target answers. */
+  private final TargetHealth health;
+
+  /** Crashes of the target that this incarnation of the agent has seen. */
+  private long crashes;
+
+  /**
+   * Creates a watch over a target that has not been probed.
+   *
+   * @param self this agent
+   * @param suspects the crash marks that this process knows
+   * @param peers the open connections
+   * @param counters the counters of the agent
+   * @param health whether the target answers
+   */
+  CrashWatch(
+      PeerIdentity self,
+      SuspectRegistry suspects,
+      Peers peers,
+      ExecutionCounters counters,
+      TargetHealth health) {
+    this.self = self;
+    this.suspects = suspects;
+    this.peers = peers;
+    this.counters = counters;
+    this.health = health;
+  }
+
+  /**
+   * Takes the result of a probe.
+   *
+   * @param answered whether the target answered
+   * @param now the current time, in milliseconds
+   */
+  void onProbe(boolean answered, long now) {
+    Collection<Long> inFlight = health.onProbe(answered, now);
+    if (inFlight.isEmpty()) {
+      return;
+    }
+    crashes++;
+    counters.add(ExecutionCounters.Count.CRASHES, 1);
+    String crashId = crashId(self, crashes);
+    for (long fingerprint : inFlight) {
+      suspects.mark(fingerprint, crashId);
+      peers.broadcast(notice(fingerprint, crashId));
+    }
+  }
+
+  /**
+   * Takes a notice and passes it on if it is new.
+   *
+   * @param from the sender
+   * @param notice the notice
+   */
+  void onNotice(Peer from, SuspectNotice notice) {
+    boolean changed =
+        notice.getCleared()
+            ? suspects.clear(notice.getFingerprint())
+            : suspects.mark(notice.getFingerprint(), notice.getCrashId());
+    if (changed) {
+      peers.broadcastExcept(Frame.newBuilder().setSuspectNotice(notice).build(), from.id());
+    }
+  }
+
+  /**
+   * Clears a request that has run alone to its end.
+   *
+   * @param fingerprint the fingerprint of the request
+   */
+  void clear(long fingerprint) {
+    suspects.clear(fingerprint);
+    SuspectNotice.Builder cleared =
+        SuspectNotice.newBuilder().setFingerprint(fingerprint).setCleared(true);
+    peers.broadcast(Frame.newBuilder().setSuspectNotice(cleared).build());
+  }
+
+  /**
+   * Returns what may be done with a request.
+   *
+   * @param fingerprint the fingerprint of the request
+   * @return the verdict
+   */
+  Verdict verdict(long fingerprint) {
+    return suspects.verdict(fingerprint);
+  }
+
+  /**
+   * Returns whether the target answers.
+   *
+   * @return the health of the target
+   */
+  TargetHealth health() {
+    return health;
+  }
+
+  /**
+   * Builds the identity of a crash, which two observers of the same crash share.
+   *
+   * @param agent the agent beside the target
+   * @param number the number of the crash in this incarnation of the agent
+   * @return the identity
+   */
+  static String crashId(PeerIdentity agent, long number) {
+    return agent.target() + "@" + Long.toUnsignedString(agent.incarnation()) + "#" + number;
+  }
+
+  /**
+   * Builds a notice.
+   *
+   * @param fingerprint the fingerprint of the request
+   * @param crashId the identity of the crash
+   * @return the frame
+   */
+  private static Frame notice(long fingerprint, String crashId) {
+    return Frame.newBuilder()
+        .setSuspectNotice(
+            SuspectNotice.newBuilder().setFingerprint(fingerprint).setCrashId(crashId))
+        .build();
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/almondslip/order/StoredAnswer.java
@@ -0,0 +1,12 @@
+package org.almondslip.order;
+
+import com.google.protobuf.ByteString;
+import org.almondslip.protocol.wire.AnswerHead;
+
+/**
+ * Complete answer of a target.
+ *
+ * @param head the status and headers
+ * @param body the body
+ */
+public record StoredAnswer(AnswerHead head, ByteString body) {}
--- /dev/null
+++ b/core/src/main/java/org/almondslip/order/package-info.java
@@ -0,0 +1,2 @@
+/** Claims of idempotency keys in the table service. */
+package org.almondslip.order;
--- /dev/null
+++ b/core/src/test/java/org/almondslip/execution/FakeClaims.java
@@ -0,0 +1,42 @@
+package org.almondslip.execution;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.Consumer;
+import org.almondslip.order.Claim;
+import org.almondslip.order.ClaimResult;
+import org.almondslip.order.Claims;
+import org.almondslip.order.Order;
+import org.almondslip.order.StoredAnswer;
+
+/** Claims that answer when the test says so. */
+final class FakeClaims implements Claims {
+
+  /** Orders that were claimed. */
+  final List<Order> orders = new ArrayList<>();
+
+  /** Receivers of the results, in the order of the claims. */
+  final List<Consumer<ClaimResult>> callbacks = new ArrayList<>();
+
+  /** Answers that were recorded. */
+  final List<StoredAnswer> completed = new ArrayList<>();
+
+  /** Claims that were released. */
+  final List<Claim> released = new ArrayList<>();
+
+  @Override
+  public void claim(Order order, Consumer<ClaimResult> callback) {
+    orders.add(order);
+    callbacks.add(callback);
+  }
+
+  @Override
+  public void complete(Claim claim, StoredAnswer answer) {
+    completed.add(answer);
+  }
+
+  @Override
+  public void release(Claim claim) {
+    released.add(claim);
+  }
+}
