--- /dev/null
+++ b/agent/src/main/java/org/almondslip/agent/AgentMetrics.java
@@ -0,0 +1,139 @@
+package org.almondslip.agent;
+
+import io.prometheus.metrics.core.metrics.CounterWithCallback;
+import io.prometheus.metrics.core.metrics.GaugeWithCallback;
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import java.util.Map;
+import java.util.function.DoubleSupplier;
+import org.almondslip.execution.ExecutionCounters;
+import org.almondslip.execution.ExecutionCounters.Count;
+import org.almondslip.protocol.TrafficCounters;
+
+/** Metrics of an agent. */
+final class AgentMetrics {
+
+  /** Milliseconds in a second. */
+  private static final double MILLIS = 1_000;
+
+  /** Registry that gets the metrics. */
+  private final PrometheusRegistry registry;
+
+  /**
+   * Creates a registrar.
+   *
+   * @param registry the registry that gets the metrics
+   */
+  AgentMetrics(PrometheusRegistry registry) {
+    this.registry = registry;
+  }
+
+  /**
+   * Registers the metrics of slots and requests.
+   *
+   * @param counters the counters of the agent
+   */
+  void register(ExecutionCounters counters) {
+    gauge("slots", "Slots of the target", counters::slots);
+    gauge("slots_busy", "Slots in use", counters::busySlots);
+    gauge("staged", "Requests that wait for a slot", counters::staged);
+    counter(
+        "slot_busy_seconds",
+        "Slot time in use",
+        "",
+        Map.of("", () -> counters.value(Count.SLOT_BUSY_MILLIS) / MILLIS));
+    counter(
+        "slot_idle_waiting_seconds",
+        "Slot time not in use while a known request waited",
+        "",
+        Map.of("", () -> counters.value(Count.SLOT_IDLE_WAITING_MILLIS) / MILLIS));
+    counter(
+        "requests",
+        "Requests by outcome",
+        "outcome",
+        Map.of(
+            "completed", () -> counters.value(Count.COMPLETED),
+            "not_run", () -> counters.value(Count.NOT_RUN),
+            "unknown", () -> counters.value(Count.OUTCOME_UNKNOWN)));
+    counter(
+        "frames",
+        "Frames that were ignored",
+        "reason",
+        Map.of(
+            "dropped", () -> counters.value(Count.FRAMES_DROPPED),
+            "repeated", () -> counters.value(Count.FRAMES_REPEATED)));
+    counter(
+        "grants_unused",
+        "Grants that no request used",
+        "reason",
+        Map.of(
+            "declined", () -> counters.value(Count.GRANTS_DECLINED),
+            "expired", () -> counters.value(Count.GRANTS_EXPIRED)));
+    counter(
+        "target_crashes",
+        "Crashes of the target",
+        "",
+        Map.of("", () -> counters.value(Count.CRASHES)));
+  }
+
+  /**
+   * Registers the metrics of inner traffic.
+   *
+   * @param traffic the counters of the transport
+   */
+  void register(TrafficCounters traffic) {
+    counter(
+        "inner_bytes",
+        "Bytes on inner connections",
+        "kind",
+        Map.of(
+            "control", traffic::controlBytes,
+            "data", traffic::dataBytes,
+            "cross_region_sent", traffic::crossRegionBytes));
+  }
+
+  /**
+   * Registers the age of the load report.
+   *
+   * @param poll the poll
+   */
+  void register(LoadPoll poll) {
+    gauge("load_age_seconds", "Age of the target's load report", () -> poll.ageMillis() / MILLIS);
+  }
+
+  /**
+   * Registers a gauge.
+   *
+   * @param name the name without prefix
+   * @param help the description
+   * @param value yields the value
+   */
+  private void gauge(String name, String help, DoubleSupplier value) {
+    GaugeWithCallback.builder()
+        .name("almondslip_agent_" + name)
+        .help(help)
+        .callback(callback -> callback.call(value.getAsDouble()))
+        .register(registry);
+  }
+
+  /**
+   * Registers a counter.
+   *
+   * @param name the name without prefix
+   * @param help the description
+   * @param label the name of the label, empty for a counter without label
+   * @param values yields the value of each label value
+   */
+  private void counter(String name, String help, String label, Map<String, DoubleSupplier> values) {
+    CounterWithCallback.Builder builder =
+        CounterWithCallback.builder().name("almondslip_agent_" + name).help(help);
+    if (label.isEmpty()) {
+      builder.callback(callback -> callback.call(values.get("").getAsDouble()));
+    } else {
+      builder
+          .labelNames(label)
+          .callback(
+              callback -> values.forEach((key, value) -> callback.call(value.getAsDouble(), key)));
+    }
+    builder.register(registry);
+  }
+}
--- /dev/null
+++ b/agent/src/main/java/org/almondslip/agent/AgentWork.java
@@ -0,0 +1,206 @@
+package org.almondslip.agent;
+
+import com.google.common.flogger.FluentLogger;
+import com.google.protobuf.ByteString;
+import java.util.concurrent.CountDownLatch;
+import java.util.function.Supplier;
+import org.almondslip.catalog.Catalog;
+import org.almondslip.duty.Duty;
+import org.almondslip.execution.AgentLogic;
+import org.almondslip.execution.DrainReason;
+import org.almondslip.execution.TargetFailure;
+import org.almondslip.protocol.PeerConnection;
+import org.almondslip.protocol.wire.Announce;
+import org.almondslip.protocol.wire.AnswerHead;
+import org.almondslip.protocol.wire.Frame;
+import org.almondslip.protocol.wire.Role;
+
+/** Work of the decision thread: passes events to the state machines. */
+final class AgentWork implements Duty.Handler<AgentEvent> {
+
+  /** Logger of this class. */
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+
+  /** State machine of the agent. */
+  private final AgentLogic logic;
+
+  /** Client of the target. */
+  private final TargetClient target;
+
+  /** Builds the announcement of this agent. */
+  private final Supplier<Announce> announcement;
+
+  /** Opened when a planned stop has finished its requests. */
+  private final CountDownLatch drained = new CountDownLatch(1);
+
+  /** Catalog as last known. */
+  private volatile Catalog catalog = Catalog.EMPTY;
+
+  /** Whether a planned stop has begun. */
+  private boolean stopping;
+
+  /**
+   * Creates the work.
+   *
+   * @param logic the state machine of the agent
+   * @param target the client of the target
+   * @param announcement builds the announcement of this agent
+   */
+  AgentWork(AgentLogic logic, TargetClient target, Supplier<Announce> announcement) {
+    this.logic = logic;
+    this.target = target;
+    this.announcement = announcement;
+  }
+
+  @Override
+  public void onEvent(AgentEvent event) {
+    event.applyTo(this);
+  }
+
+  @Override
+  public void onTick() {
+    logic.onTick();
+    if (stopping && logic.isIdle()) {
+      drained.countDown();
+    }
+  }
+
+  /**
+   * Takes a new connection. A connection that this agent opened to a router only announces it.
+   *
+   * @param connection the connection
+   */
+  void onOpen(PeerConnection connection) {
+    if (connection.dialled() && connection.peer().role() == Role.ROUTER) {
+      connection.send(Frame.newBuilder().setAnnounce(announcement.get()).build());
+      connection.close();
+    } else {
+      logic.onOpen(connection);
+    }
+  }
+
+  /**
+   * Takes the end of a connection.
+   *
+   * @param connection the connection
+   */
+  void onClose(PeerConnection connection) {
+    logic.onClose(connection.id());
+  }
+
+  /**
+   * Takes a frame.
+   *
+   * @param connection the sender
+   * @param frame the frame
+   */
+  void onFrame(PeerConnection connection, Frame frame) {
+    logic.onFrame(connection, frame);
+  }
+
+  /**
+   * Takes the failure of a dial.
+   *
+   * @param address the address that was dialled
+   * @param detail what failed
+   */
+  void onDialFailed(String address, String detail) {
+    logger.atInfo().log("no connection to %s: %s", address, detail);
+  }
+
+  /**
+   * Takes a catalog.
+   *
+   * @param next the catalog
+   */
+  void onCatalog(Catalog next) {
+    catalog = next;
+    logic.onCatalog(next);
+  }
+
+  /**
+   * Takes the head of a target's answer.
+   *
+   * @param token the call
+   * @param head the head
+   */
+  void onTargetHead(long token, AnswerHead head) {
+    logic.onTargetHead(token, head);
+    target.consumed(token);
+  }
+
+  /**
+   * Takes a piece of a target's answer.
+   *
+   * @param token the call
+   * @param data the piece
+   */
+  void onTargetData(long token, ByteString data) {
+    logic.onTargetData(token, data);
+    target.consumed(token);
+  }
+
+  /**
+   * Takes the end of a target's answer.
+   *
+   * @param token the call
+   */
+  void onTargetEnd(long token) {
+    target.forget(token);
+    logic.onTargetEnd(token);
+  }
+
+  /**
+   * Takes the failure of a call.
+   *
+   * @param token the call
+   * @param failure the failure
+   */
+  void onTargetFailed(long token, TargetFailure failure) {
+    target.forget(token);
+    logger.atFine().log("call %d failed: %s", token, failure.detail());
+    logic.onTargetFailed(token, failure);
+  }
+
+  /**
+   * Takes the result of a probe.
+   *
+   * @param answered whether the target answered
+   */
+  void onProbe(boolean answered) {
+    logic.onProbe(answered);
+  }
+
+  /**
+   * Takes the load that the target reports.
+   *
+   * @param load the requests running or waiting there
+   */
+  void onLoad(int load) {
+    logic.onLoad(load);
+  }
+
+  /** Begins a planned stop. */
+  void stop() {
+    stopping = true;
+    logic.setDrain(DrainReason.PLANNED_STOP, true);
+  }
+
+  /**
+   * Returns the catalog. May be called from any thread.
+   *
+   * @return the catalog as last known
+   */
+  Catalog catalog() {
+    return catalog;
+  }
+
+  /**
+   * Returns the latch that opens when a planned stop has finished its requests.
+   *
+   * @return the latch
+   */
+  CountDownLatch drained() {
+    return drained;
+  }
+}
--- /dev/null
+++ b/agent/src/main/java/org/almondslip/agent/ArrivalOrderBook.java
@@ -0,0 +1,54 @@
+package org.almondslip.agent;
+
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Predicate;
+import org.almondslip.catalog.Flow;
+import org.almondslip.protocol.wire.FlowOffer;
+import org.almondslip.scheduling.OfferBook;
+
+/** Offer book that serves offers in the order of their arrival. */
+final class ArrivalOrderBook implements OfferBook {
+
+  /** Offers by connection and flow. */
+  private final Map<String, Choice> offers = new LinkedHashMap<>();
+
+  @Override
+  public void offer(long routerConnection, Flow flow, FlowOffer offer, long now) {
+    String key = routerConnection + "/" + flow.id();
+    if (offer.getWaiting() == 0) {
+      offers.remove(key);
+    } else {
+      offers.put(key, new Choice(routerConnection, flow, offer));
+    }
+  }
+
+  @Override
+  public void withdrawAll(long routerConnection) {
+    offers.values().removeIf(choice -> choice.routerConnection() == routerConnection);
+  }
+
+  @Override
+  public Optional<Choice> next(Predicate<FlowOffer> eligible, long now) {
+    Optional<Choice> found =
+        offers.values().stream().filter(choice -> eligible.test(choice.offer())).findFirst();
+    found.ifPresent(
+        choice -> {
+          FlowOffer offer = choice.offer();
+          FlowOffer rest = offer.toBuilder().setWaiting(offer.getWaiting() - 1).build();
+          offer(choice.routerConnection(), choice.flow(), rest, now);
+        });
+    return found;
+  }
+
+  @Override
+  public boolean hasBacklog(Flow flow) {
+    return offers.values().stream().anyMatch(choice -> choice.flow().id() == flow.id());
+  }
+
+  @Override
+  public int waiting() {
+    return offers.values().stream().mapToInt(choice -> choice.offer().getWaiting()).sum();
+  }
+}
--- a/core/src/main/java/org/almondslip/execution/AgentLogic.java
+++ b/core/src/main/java/org/almondslip/execution/AgentLogic.java
@@ -38,6 +38,9 @@
   /** Choice among the offers. */
   private final OfferBook book;
 
+  /** Counters of the agent. */
+  private final ExecutionCounters counters;
+
   /** Open connections. */
   private final Peers peers = new Peers();
 
@@ -107,6 +110,7 @@
     this.target = self.target();
     this.effects = effects;
     this.book = book;
+    this.counters = counters;
     RequestHistory history = new RequestHistory(limits.historySize());
     this.granter = new Granter(target, limits, peers, book, accounts, workload, counters);
     this.crashes =
@@ -335,6 +339,7 @@
     }
     int known = book.waiting() + granter.openCount() + workload.stagedCount();
     usage.update(slots, workload.runningCount(), open ? known : 0, now);
+    counters.set(slots, workload.runningCount(), workload.stagedCount());
     int free = Math.max(0, slots - workload.runningCount() - granter.openCount());
     status =
         AgentStatus.newBuilder()
--- a/core/src/main/java/org/almondslip/execution/ExecutionCounters.java
+++ b/core/src/main/java/org/almondslip/execution/ExecutionCounters.java
@@ -36,6 +36,15 @@
     SLOT_IDLE_WAITING_MILLIS
   }
 
+  /** Slots of the target. */
+  private volatile int slots;
+
+  /** Slots in use. */
+  private volatile int busySlots;
+
+  /** Requests that wait for a slot. */
+  private volatile int staged;
+
   /** Creates counters at zero. */
   public ExecutionCounters() {
     Map<Count, LongAdder> all = new EnumMap<>(Count.class);
@@ -55,6 +64,46 @@
     return values.get(count).sum();
   }
 
+  /**
+   * Returns the slots of the target.
+   *
+   * @return the number, 0 while the catalog does not know the target
+   */
+  public int slots() {
+    return slots;
+  }
+
+  /**
+   * Returns the slots in use.
+   *
+   * @return the number
+   */
+  public int busySlots() {
+    return busySlots;
+  }
+
+  /**
+   * Returns the requests that wait for a slot.
+   *
+   * @return the number
+   */
+  public int staged() {
+    return staged;
+  }
+
+  /**
+   * Sets the current state.
+   *
+   * @param allSlots the slots of the target
+   * @param busy the slots in use
+   * @param waiting the requests that wait for a slot
+   */
+  void set(int allSlots, int busy, int waiting) {
+    slots = allSlots;
+    busySlots = busy;
+    staged = waiting;
+  }
+
   /**
    * Adds to a counter.
    *
--- /dev/null
+++ b/core/src/main/java/org/almondslip/order/UnavailableClaims.java
@@ -0,0 +1,24 @@
+package org.almondslip.order;
+
+import java.util.function.Consumer;
+import org.almondslip.error.ErrorCode;
+import org.almondslip.error.Ran;
+
+/** Claims of an agent without a table service: every keyed order is refused as not run. */
+public enum UnavailableClaims implements Claims {
+  /** The only instance. */
+  INSTANCE;
+
+  @Override
+  public void claim(Order order, Consumer<ClaimResult> callback) {
+    callback.accept(
+        new ClaimResult.Refused(
+            ErrorCode.ORDER_STORE_UNAVAILABLE, Ran.NO, "no table service is configured"));
+  }
+
+  @Override
+  public void complete(Claim claim, StoredAnswer answer) {}
+
+  @Override
+  public void release(Claim claim) {}
+}
