--- a/core/src/main/java/org/almondslip/execution/TargetEvents.java
+++ b/core/src/main/java/org/almondslip/execution/TargetEvents.java
@@ -100,13 +100,7 @@
     calling(token)
         .ifPresent(
             request -> {
-              request
-                  .claim()
-                  .ifPresent(
-                      claim ->
-                          request
-                              .recordedAnswer()
-                              .ifPresent(answer -> claims.complete(claim, answer)));
+              request.claim().ifPresent(claim -> claims.complete(claim, request.recordedAnswer()));
               crashes.health().onEnded(token, true);
               long cost = request.elapsed(now);
               if (finisher.end(request, AnswerEnds.complete(cost), cost, now)) {
--- /dev/null
+++ b/core/src/main/java/org/almondslip/order/ClaimState.java
@@ -0,0 +1,11 @@
+package org.almondslip.order;
+
+/** State of a claimed idempotency key. */
+public enum ClaimState {
+  /** The call may have been sent to the target. */
+  STARTED,
+  /** The target has answered. */
+  DONE,
+  /** The call was surely not sent; the key may be claimed again. */
+  RELEASED
+}
--- a/core/src/main/java/org/almondslip/order/Claims.java
+++ b/core/src/main/java/org/almondslip/order/Claims.java
@@ -1,5 +1,6 @@
 package org.almondslip.order;
 
+import java.util.Optional;
 import java.util.function.Consumer;
 
 /** Claims of idempotency keys. All methods and callbacks run on the decision thread. */
@@ -17,9 +18,9 @@
    * Records the answer of a claimed order. The record is retried while the store is down.
    *
    * @param claim the claim
-   * @param answer the answer of the target
+   * @param answer the answer of the target, empty when it was too large to keep
    */
-  void complete(Claim claim, StoredAnswer answer);
+  void complete(Claim claim, Optional<StoredAnswer> answer);
 
   /**
    * Gives up a claim whose call surely did not leave.
--- a/core/src/main/java/org/almondslip/order/UnavailableClaims.java
+++ b/core/src/main/java/org/almondslip/order/UnavailableClaims.java
@@ -1,5 +1,6 @@
 package org.almondslip.order;
 
+import java.util.Optional;
 import java.util.function.Consumer;
 import org.almondslip.error.ErrorCode;
 import org.almondslip.error.Ran;
@@ -17,7 +18,7 @@
   }
 
   @Override
-  public void complete(Claim claim, StoredAnswer answer) {}
+  public void complete(Claim claim, Optional<StoredAnswer> answer) {}
 
   @Override
   public void release(Claim claim) {}
--- a/core/src/test/java/org/almondslip/execution/AgentLogicTest.java
+++ b/core/src/test/java/org/almondslip/execution/AgentLogicTest.java
@@ -10,6 +10,7 @@
 import org.almondslip.order.Claim;
 import org.almondslip.order.ClaimRecord;
 import org.almondslip.order.ClaimResult;
+import org.almondslip.order.ClaimState;
 import org.almondslip.order.StoredAnswer;
 import org.almondslip.protocol.wire.Answer;
 import org.almondslip.protocol.wire.AnswerEnd;
@@ -308,7 +309,7 @@
    * @return the result
    */
   private ClaimResult granted() {
-    return new ClaimResult.Granted(
-        new Claim(harness.claims.orders.get(0), 1, new ClaimRecord("c")));
+    ClaimRecord record = new ClaimRecord("c", "f", ClaimState.STARTED, "i1", 42, 0, null);
+    return new ClaimResult.Granted(new Claim(harness.claims.orders.get(0), 1, record));
   }
 }
--- a/core/src/test/java/org/almondslip/execution/FakeClaims.java
+++ b/core/src/test/java/org/almondslip/execution/FakeClaims.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.function.Consumer;
 import org.almondslip.order.Claim;
 import org.almondslip.order.ClaimResult;
@@ -31,8 +32,8 @@
   }
 
   @Override
-  public void complete(Claim claim, StoredAnswer answer) {
-    completed.add(answer);
+  public void complete(Claim claim, Optional<StoredAnswer> answer) {
+    completed.add(answer.orElseThrow());
   }
 
   @Override
--- /dev/null
+++ b/core/src/test/java/org/almondslip/store/FaultyStore.java
@@ -0,0 +1,149 @@
+package org.almondslip.store;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
+
+/** Tables and objects in memory that lose, delay and refuse calls. A call runs on {@link #step}. */
+public final class FaultyStore implements TableStore, ObjectStore {
+
+  /** What happens to a call. */
+  public enum Fault {
+    /** The call is applied and answered. */
+    NONE,
+    /** The call is applied, its answer is lost. */
+    ANSWER_LOST,
+    /** The call is lost. */
+    REQUEST_LOST,
+    /** The call is applied only after its sender has given up waiting for the answer. */
+    LATE,
+    /** The call is refused. */
+    REFUSED
+  }
+
+  /** Rows by table and key. */
+  public final Map<String, Row> rows = new HashMap<>();
+
+  /** Objects by key. */
+  public final Map<String, byte[]> values = new HashMap<>();
+
+  /** Calls that have not run. */
+  private final Deque<Runnable> calls = new ArrayDeque<>();
+
+  /** Writes that are on their way although their sender has given up. */
+  private final List<Runnable> late = new ArrayList<>();
+
+  /** Chooses the fault of each call. */
+  private Supplier<Fault> faults;
+
+  /**
+   * Creates empty stores.
+   *
+   * @param faults chooses the fault of each call
+   */
+  public FaultyStore(Supplier<Fault> faults) {
+    this.faults = faults;
+  }
+
+  /** Ends all faults. */
+  public void heal() {
+    faults = () -> Fault.NONE;
+  }
+
+  /** Runs the oldest call; returns false when there is none. */
+  public boolean step() {
+    Runnable call = calls.pollFirst();
+    if (call != null) {
+      call.run();
+    }
+    return call != null;
+  }
+
+  /** Runs all calls, also those that the answers cause. */
+  public void drain() {
+    while (step()) {
+      continue;
+    }
+  }
+
+  /** Applies one of the late writes. */
+  public void landLate(Random random) {
+    if (!late.isEmpty()) {
+      late.remove(random.nextInt(late.size())).run();
+    }
+  }
+
+  @Override
+  public void read(String table, String key, Consumer<StoreResult<Optional<Row>>> callback) {
+    call(() -> Optional.ofNullable(rows.get(table + "/" + key)), callback);
+  }
+
+  @Override
+  public void scan(String table, String prefix, Consumer<StoreResult<List<Row>>> callback) {
+    throw new UnsupportedOperationException();
+  }
+
+  @Override
+  public void transact(Transaction transaction, Consumer<StoreResult<Outcome>> callback) {
+    call(() -> apply(transaction), callback);
+  }
+
+  @Override
+  public void put(String key, byte[] value, Consumer<StoreResult<Boolean>> callback) {
+    call(() -> values.put(key, value) == null, callback);
+  }
+
+  @Override
+  public void get(String key, Consumer<StoreResult<Optional<byte[]>>> callback) {
+    call(() -> Optional.ofNullable(values.get(key)), callback);
+  }
+
+  private <T> void call(Supplier<T> action, Consumer<StoreResult<T>> callback) {
+    calls.addLast(
+        () -> {
+          switch (faults.get()) {
+            case NONE -> callback.accept(new StoreResult.Success<>(action.get()));
+            case ANSWER_LOST -> {
+              action.get();
+              callback.accept(new StoreResult.Unknown<>("answer lost"));
+            }
+            case REQUEST_LOST -> callback.accept(new StoreResult.Unknown<>("request lost"));
+            case LATE -> {
+              late.add(action::get);
+              callback.accept(new StoreResult.Unknown<>("late"));
+            }
+            default -> callback.accept(new StoreResult.NotApplied<>("refused"));
+          }
+        });
+  }
+
+  private Outcome apply(Transaction transaction) {
+    List<Row> conflicts = new ArrayList<>();
+    boolean holds = true;
+    for (Condition condition : transaction.conditions()) {
+      Row row = rows.get(condition.table() + "/" + condition.key());
+      if ((row == null ? 0 : row.version()) != condition.version()) {
+        holds = false;
+        Optional.ofNullable(row).ifPresent(conflicts::add);
+      }
+    }
+    if (holds) {
+      transaction.writes().forEach(this::write);
+    }
+    return new Outcome(holds, conflicts);
+  }
+
+  private void write(Write write) {
+    String name = write.table() + "/" + write.key();
+    Row row = rows.get(name);
+    long version = row == null ? 1 : row.version() + 1;
+    rows.put(name, new Row(write.key(), version, write.value().orElseThrow()));
+  }
+}
