--- /dev/null
+++ b/runtime/src/main/java/org/almondslip/platform/HttpInstanceList.java
@@ -0,0 +1,89 @@
+package org.almondslip.platform;
+
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpMethod;
+import io.vertx.core.json.JsonArray;
+import io.vertx.core.json.JsonObject;
+import java.net.URLEncoder;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.concurrent.Executor;
+import java.util.function.Consumer;
+import org.almondslip.membership.Member;
+import org.almondslip.protocol.wire.Role;
+import org.almondslip.store.InstanceList;
+import org.almondslip.store.StoreResult;
+
+/** Client of the instance list. */
+public final class HttpInstanceList implements InstanceList, AutoCloseable {
+
+  /** Sender of the calls. */
+  private final HttpCaller caller;
+
+  /** Path and query of the list as this region sees it. */
+  private final String uri;
+
+  /**
+   * Creates a client.
+   *
+   * @param vertx the event loop
+   * @param address the address of the service as {@code ip:port}
+   * @param region the region of this process, since addresses may depend on it
+   * @param limitMillis the time limit of a call in milliseconds
+   * @param executor runs the callbacks
+   */
+  public HttpInstanceList(
+      Vertx vertx, String address, String region, long limitMillis, Executor executor) {
+    this.caller = new HttpCaller(vertx, address, limitMillis, executor);
+    this.uri = "/instances?region=" + URLEncoder.encode(region, StandardCharsets.UTF_8);
+  }
+
+  @Override
+  public void list(Consumer<StoreResult<List<Member>>> callback) {
+    caller.call(
+        HttpMethod.GET,
+        uri,
+        Buffer.buffer(),
+        reply -> callback.accept(reply.toResult(HttpInstanceList::toMembers)));
+  }
+
+  @Override
+  public void close() {
+    caller.close();
+  }
+
+  /**
+   * Reads the list.
+   *
+   * @param body the body of the answer
+   * @return the instances
+   */
+  private static List<Member> toMembers(Buffer body) {
+    JsonArray instances = body.toJsonObject().getJsonArray("instances");
+    List<Member> members = new ArrayList<>();
+    for (int i = 0; i < instances.size(); i++) {
+      members.add(toMember(instances.getJsonObject(i)));
+    }
+    return members;
+  }
+
+  /**
+   * Reads an instance.
+   *
+   * @param json the JSON form
+   * @return the instance
+   */
+  private static Member toMember(JsonObject json) {
+    return new Member(
+        json.getString("id"),
+        Role.valueOf(json.getString("role").toUpperCase(Locale.ROOT)),
+        json.getString("region"),
+        json.getString("data_centre"),
+        json.getString("address"),
+        json.getString("target", ""),
+        json.getBoolean("leaving", false));
+  }
+}
--- a/runtime/src/main/java/org/almondslip/settings/Section.java
+++ b/runtime/src/main/java/org/almondslip/settings/Section.java
@@ -94,6 +94,43 @@
     return child;
   }
 
+  /**
+   * Reads a list of sections.
+   *
+   * @param key the key of the list
+   * @return the sections in order, empty when the key is missing
+   */
+  public List<Section> sections(String key) {
+    read.add(key);
+    SettingsNode node = mapping.fields().get(key);
+    List<Section> sections = new ArrayList<>();
+    if (node instanceof SettingsNode.Sequence sequence) {
+      for (SettingsNode item : sequence.items()) {
+        if (item instanceof SettingsNode.Mapping found) {
+          String itemPath = pathOf(key) + "[" + sections.size() + "]";
+          sections.add(new Section(file, itemPath, found, findings));
+        } else {
+          addFinding(key, item.line(), "must be a list of mappings");
+        }
+      }
+    } else if (node != null) {
+      addFinding(key, node.line(), "must be a list");
+    }
+    children.addAll(sections);
+    return sections;
+  }
+
+  /**
+   * Creates a finding at a field of this section without reporting it.
+   *
+   * @param key the key
+   * @param message what is wrong and what is expected
+   * @return the finding
+   */
+  public Finding finding(String key, String message) {
+    return new Finding(file, lineOf(key), pathOf(key), message);
+  }
+
   /**
    * Returns whether a key is present.
    *
