--- /dev/null
+++ b/cli/src/main/java/org/almondslip/cli/package-info.java
@@ -0,0 +1,2 @@
+/** Command line of the operators. */
+package org.almondslip.cli;
--- a/core/src/main/java/org/almondslip/catalog/CatalogSync.java
+++ b/core/src/main/java/org/almondslip/catalog/CatalogSync.java
@@ -150,6 +150,17 @@
     }
   }
 
+  /**
+   * This process has applied a ticket. Its changes are announced without another read, so that they
+   * spread even when the table service fails right after the write.
+   *
+   * @param applied the catalog after the ticket
+   */
+  void onApplied(Catalog applied) {
+    ready = true;
+    publish(include(applied));
+  }
+
   /**
    * A connection has been opened.
    *
@@ -240,14 +251,23 @@
     reading = reading && number != readNumber;
     if (result instanceof StoreResult.Success<CatalogLoader.Loaded> success) {
       ready = true;
-      Catalog loaded = success.value().catalog();
-      publish(catalog.merge(loaded.changedAfter(catalog.revision()), loaded.revision()));
+      publish(include(success.value().catalog()));
     }
     if (again) {
       read();
     }
   }
 
+  /**
+   * Adds what another complete catalog has and the current one lacks.
+   *
+   * @param other the other catalog
+   * @return the current catalog with the changes
+   */
+  private Catalog include(Catalog other) {
+    return catalog.merge(other.changedAfter(catalog.revision()), other.revision());
+  }
+
   /**
    * Notes the revision of a peer and pulls if it is higher.
    *
--- a/core/src/main/java/org/almondslip/catalog/Ticket.java
+++ b/core/src/main/java/org/almondslip/catalog/Ticket.java
@@ -28,13 +28,26 @@
   }
 
   /**
-   * Returns the same change under another number.
+   * Returns a ticket with other objects.
    *
-   * @param newNumber the number
+   * @param newObjects the complete new state of each touched object
    * @return the new ticket
    */
-  public Ticket withNumber(long newNumber) {
-    return new Ticket(newNumber, author, note, objects);
+  public Ticket withObjects(List<CatalogObject> newObjects) {
+    return new Ticket(number, author, note, newObjects);
+  }
+
+  /**
+   * Returns the touched objects whose stored number is not smaller than the ticket's.
+   *
+   * @param catalog the catalog
+   * @return the objects as they stand
+   */
+  public List<VersionedObject> standing(Catalog catalog) {
+    return objects.stream()
+        .flatMap(object -> catalog.object(object.kind(), object.name()).stream())
+        .filter(state -> state.number() >= number)
+        .toList();
   }
 
   /**
--- a/core/src/main/java/org/almondslip/catalog/TicketApplier.java
+++ b/core/src/main/java/org/almondslip/catalog/TicketApplier.java
@@ -3,7 +3,6 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.function.Consumer;
-import java.util.function.Supplier;
 import org.almondslip.error.ErrorCode;
 import org.almondslip.store.TableStore;
 import org.almondslip.time.Clock;
@@ -25,8 +24,8 @@
   /** Access to the table service. */
   private final TableStore store;
 
-  /** Newest catalog that this process knows. */
-  private final Supplier<Catalog> catalog;
+  /** Catalog of this process, which receives the changes of applied tickets. */
+  private final CatalogSync sync;
 
   /** Source of time. */
   private final Clock clock;
@@ -41,14 +40,14 @@
    * Creates an applier.
    *
    * @param store the access to the table service
-   * @param catalog the newest catalog that this process knows
+   * @param sync the catalog of this process
    * @param clock the source of time
    * @param random the source of jitter
    */
   public TicketApplier(
-      TableStore store, Supplier<Catalog> catalog, Clock clock, UniformRandomProvider random) {
+      TableStore store, CatalogSync sync, Clock clock, UniformRandomProvider random) {
     this.store = store;
-    this.catalog = catalog;
+    this.sync = sync;
     this.clock = clock;
     this.random = random;
   }
@@ -67,8 +66,7 @@
               ErrorCode.ROUTER_OVERLOADED, "too many tickets are being applied; nothing changed"));
       return;
     }
-    TicketAttempt attempt =
-        new TicketAttempt(ticket, source, store, catalog, clock, random, callback);
+    TicketAttempt attempt = new TicketAttempt(ticket, source, store, sync, clock, random, callback);
     attempts.add(attempt);
     attempt.start();
     attempts.removeIf(TicketAttempt::isFinished);
--- a/core/src/main/java/org/almondslip/catalog/TicketAttempt.java
+++ b/core/src/main/java/org/almondslip/catalog/TicketAttempt.java
@@ -7,7 +7,6 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.Consumer;
-import java.util.function.Supplier;
 import org.almondslip.error.ErrorCode;
 import org.almondslip.error.Findings;
 import org.almondslip.store.StoreResult;
@@ -51,8 +50,8 @@
   /** Access to the table service. */
   private final TableStore store;
 
-  /** Newest catalog that this process knows. */
-  private final Supplier<Catalog> catalog;
+  /** Catalog of this process, which receives the changes of an applied ticket. */
+  private final CatalogSync sync;
 
   /** Source of time. */
   private final Clock clock;
@@ -69,6 +68,9 @@
   /** Time after which no further try starts. */
   private final long deadline;
 
+  /** Catalog as the last write would leave it. */
+  private Catalog written = Catalog.EMPTY;
+
   /** Whether a write has been sent whose outcome is not known. */
   private boolean unknownWrite;
 
@@ -87,7 +89,7 @@
    * @param ticket the ticket to apply
    * @param source the places of the ticket's fields
    * @param store the access to the table service
-   * @param catalog the newest catalog that this process knows
+   * @param sync the catalog of this process
    * @param clock the source of time
    * @param random the source of jitter
    * @param callback the receiver of the outcome
@@ -96,14 +98,14 @@
       Ticket ticket,
       TicketSource source,
       TableStore store,
-      Supplier<Catalog> catalog,
+      CatalogSync sync,
       Clock clock,
       UniformRandomProvider random,
       Consumer<TicketResult> callback) {
     this.ticket = ticket;
     this.source = source;
     this.store = store;
-    this.catalog = catalog;
+    this.sync = sync;
     this.clock = clock;
     this.random = random;
     this.callback = callback;
@@ -143,9 +145,12 @@
       retry(CatalogLoader.detailOf(result));
     } else if (success.value().isPresent()) {
       long revision = CatalogTables.revisionOf(success.value().get());
+      if (revision == written.revision()) {
+        sync.onApplied(written);
+      }
       finish(new TicketResult.Applied(revision, !unknownWrite));
     } else {
-      loader.load(catalog.get(), this::onCatalog);
+      loader.load(sync.catalog(), this::onCatalog);
     }
   }
 
@@ -160,13 +165,15 @@
       return;
     }
     Catalog current = success.value().catalog();
-    List<VersionedObject> standing = standing(current);
+    List<VersionedObject> standing = ticket.standing(current);
     Findings findings = new Findings();
     TicketValidator.validate(ticket, source, current, findings);
     if (!standing.isEmpty()
-        && standing.stream().allMatch(this::isOwn)
-        && standing.size() == ticket.objects().size()) {
-      finish(new TicketResult.Applied(standing.get(0).revision(), true));
+        && standing.size() == ticket.objects().size()
+        && standing.stream().allMatch(this::isOwn)) {
+      sync.onApplied(current);
+      long revision = standing.stream().mapToLong(VersionedObject::revision).max().orElse(0);
+      finish(new TicketResult.Applied(revision, !unknownWrite));
     } else if (!standing.isEmpty()) {
       finish(new TicketResult.Conflict(standing));
     } else if (!findings.isEmpty()) {
@@ -176,19 +183,6 @@
     }
   }
 
-  /**
-   * Returns the touched objects whose stored number is not smaller than the ticket's.
-   *
-   * @param current the catalog
-   * @return the objects as they stand
-   */
-  private List<VersionedObject> standing(Catalog current) {
-    return ticket.objects().stream()
-        .flatMap(object -> current.object(object.kind(), object.name()).stream())
-        .filter(state -> state.number() >= ticket.number())
-        .toList();
-  }
-
   /**
    * Returns whether a stored state is what the ticket would write.
    *
@@ -273,14 +267,17 @@
     String revisionValue = CatalogTables.revisionValue(revision);
     writes.add(write(CatalogTables.STATE, CatalogTables.REVISION, revisionValue));
     writes.add(write(CatalogTables.TICKETS, ticket.recordKey(), revisionValue));
+    List<VersionedObject> states = new ArrayList<>();
     for (CatalogObject object : ticket.objects()) {
       String key = object.key();
       conditions.add(new Condition(CatalogTables.OBJECTS, key, versions.getOrDefault(key, 0L)));
       VersionedObject state = new VersionedObject(object, ticket.number(), revision);
+      states.add(state);
       writes.add(write(CatalogTables.OBJECTS, key, CatalogTables.objectValue(state)));
       String audit = CatalogTables.auditValue(audit(object, revision, loaded.catalog()));
       writes.add(write(CatalogTables.AUDIT, CatalogTables.auditPrefix(revision) + key, audit));
     }
+    written = loaded.catalog().merge(states, revision);
     store.transact(new Transaction(conditions, writes), outcome -> onOutcome(revision, outcome));
   }
 
@@ -329,6 +326,7 @@
   private void onOutcome(long revision, StoreResult<Outcome> result) {
     if (result instanceof StoreResult.Success<Outcome> success) {
       if (success.value().applied()) {
+        sync.onApplied(written);
         finish(new TicketResult.Applied(revision, false));
       } else {
         retry("other tickets were applied at the same time");
--- /dev/null
+++ b/router/src/main/java/org/almondslip/router/admin/package-info.java
@@ -0,0 +1,2 @@
+/** HTTP interface of the operators. */
+package org.almondslip.router.admin;
--- a/standins/src/test/java/org/almondslip/standins/platform/TableServiceStandinTest.java
+++ b/standins/src/test/java/org/almondslip/standins/platform/TableServiceStandinTest.java
@@ -140,8 +140,7 @@
             () -> true,
             catalog -> {});
     TicketApplier applier =
-        new TicketApplier(
-            store, sync::catalog, Clock.Standard.SYSTEM, RandomSource.SPLIT_MIX_64.create(2L));
+        new TicketApplier(store, sync, Clock.Standard.SYSTEM, RandomSource.SPLIT_MIX_64.create(2L));
     Ticket ticket = new Ticket(7, "kim", "new", List.of(new Organisation("acme", List.of())));
     List<TicketResult> results = new java.util.ArrayList<>();
     thread.get(
