--- /dev/null
+++ b/core/src/main/java/org/almondslip/routing/AgentTable.java
@@ -0,0 +1,153 @@
+package org.almondslip.routing;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.Predicate;
+import org.almondslip.catalog.Catalog;
+import org.almondslip.catalog.CatalogObject.Target;
+import org.almondslip.membership.Peer;
+
+/** Connected agents and which of them may get requests of a flow. */
+final class AgentTable {
+
+  /** Connections by their number. */
+  private final Map<Long, AgentLink> links = new LinkedHashMap<>();
+
+  /** Number of the newest connection of each agent instance. */
+  private final Map<String, Long> newest = new HashMap<>();
+
+  /** Ejected targets. */
+  private final OutlierEjector ejector;
+
+  /** Attempts in flight. */
+  private final InFlightTable inFlight;
+
+  /** Catalog in force. */
+  private Catalog catalog = Catalog.EMPTY;
+
+  /**
+   * Creates an empty table.
+   *
+   * @param ejector the ejected targets
+   * @param inFlight the attempts in flight
+   */
+  AgentTable(OutlierEjector ejector, InFlightTable inFlight) {
+    this.ejector = ejector;
+    this.inFlight = inFlight;
+  }
+
+  /**
+   * Replaces the catalog.
+   *
+   * @param next the catalog in force
+   */
+  void onCatalog(Catalog next) {
+    catalog = next;
+  }
+
+  /**
+   * Adds a connection, which replaces an older one of the same instance for new work.
+   *
+   * @param peer the connection
+   * @return the link
+   */
+  AgentLink open(Peer peer) {
+    AgentLink link = new AgentLink(peer);
+    links.put(peer.id(), link);
+    newest.put(peer.peer().instanceId(), peer.id());
+    return link;
+  }
+
+  /**
+   * Removes a connection.
+   *
+   * @param peer the connection
+   */
+  void close(Peer peer) {
+    links.remove(peer.id());
+    newest.remove(peer.peer().instanceId(), peer.id());
+  }
+
+  /**
+   * Finds a connection.
+   *
+   * @param id the number of the connection
+   * @return the link, or empty when it is closed
+   */
+  Optional<AgentLink> find(long id) {
+    return Optional.ofNullable(links.get(id));
+  }
+
+  /**
+   * Returns all connections.
+   *
+   * @return the links
+   */
+  Collection<AgentLink> all() {
+    return links.values();
+  }
+
+  /**
+   * Returns the agents that may get requests of a flow now.
+   *
+   * <p>Ejected targets are left out unless all targets of the flow are ejected, since a target that
+   * may fail is better than none.
+   *
+   * @param flowId the identity of the flow
+   * @param now the current time, in milliseconds
+   * @return the links
+   */
+  List<AgentLink> candidates(int flowId, long now) {
+    Set<String> reach = catalog.targetsOf(flowId);
+    List<AgentLink> usable = new ArrayList<>();
+    List<AgentLink> open = new ArrayList<>();
+    boolean allEjected = true;
+    for (AgentLink link : links.values()) {
+      if (reach.contains(link.target()) && usable(link)) {
+        usable.add(link);
+        int allowance = ejector.allowance(link.target(), now);
+        allEjected &= allowance == 0;
+        if (allowance > inFlight.countAt(link.target())) {
+          open.add(link);
+        }
+      }
+    }
+    return allEjected ? usable : open;
+  }
+
+  /**
+   * Returns which requests of a flow an agent may get. A target at which a request has failed is
+   * left out unless it failed at all others too.
+   *
+   * @param link the agent
+   * @param candidates the agents that may get requests of the flow
+   * @return the condition
+   */
+  static Predicate<PendingRequest> eligibleFor(AgentLink link, List<AgentLink> candidates) {
+    return pending ->
+        !pending.failedAt(link.target())
+            || candidates.stream().allMatch(other -> pending.failedAt(other.target()));
+  }
+
+  /**
+   * Returns whether an agent takes any new work.
+   *
+   * @param link the agent
+   * @return true when it is up, active in the catalog and reached by its newest connection
+   */
+  private boolean usable(AgentLink link) {
+    boolean active =
+        catalog
+            .target(link.target())
+            .filter(target -> target.state() == Target.State.ACTIVE)
+            .isPresent();
+    Long current = newest.get(link.peer().peer().instanceId());
+    return active && link.takesWork() && current != null && current == link.peer().id();
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/almondslip/routing/AnswerRelay.java
@@ -0,0 +1,274 @@
+package org.almondslip.routing;
+
+import com.google.protobuf.ByteString;
+import org.almondslip.error.ErrorCode;
+import org.almondslip.membership.PeerIdentity;
+import org.almondslip.protocol.wire.Answer;
+import org.almondslip.protocol.wire.AnswerAck;
+import org.almondslip.protocol.wire.AnswerEnd;
+import org.almondslip.protocol.wire.AnswerHead;
+import org.almondslip.protocol.wire.Attach;
+import org.almondslip.protocol.wire.Frame;
+import org.almondslip.protocol.wire.RequestId;
+
+/** Passes the answers of agents to callers, each part once and in order. */
+final class AnswerRelay {
+
+  /** Status of an answer that a stream can continue with. */
+  private static final int OK = 200;
+
+  /** Shortest time between two requests to send missing parts again, in milliseconds. */
+  private static final long GAP_INTERVAL_MILLIS = 200;
+
+  /** Media type of server-sent events. */
+  private static final String EVENT_STREAM = "text/event-stream";
+
+  /** State of the router's requests. */
+  private final RouterState state;
+
+  /** Ends of attempts and requests. */
+  private final Endings endings;
+
+  /** Effects. */
+  private final RouterEffects effects;
+
+  /**
+   * Creates a relay.
+   *
+   * @param state the state of the router's requests
+   * @param endings the ends of attempts and requests
+   * @param effects the effects
+   */
+  AnswerRelay(RouterState state, Endings endings, RouterEffects effects) {
+    this.state = state;
+    this.endings = endings;
+    this.effects = effects;
+  }
+
+  /**
+   * Takes a part of an answer.
+   *
+   * @param link the agent that sent it
+   * @param answer the part
+   * @param now the current time, in milliseconds
+   */
+  void onAnswer(AgentLink link, Answer answer, long now) {
+    Attempt attempt = state.inFlight().find(answer.getRequestId()).orElse(null);
+    if (attempt == null || !isSameProcess(attempt.agent(), link.peer().peer())) {
+      onStray(link, answer);
+      return;
+    }
+    switch (attempt.window().orderOf(answer.getSequence())) {
+      case NEXT -> onNext(link, attempt, answer, now);
+      case DUPLICATE -> state.counters().count(RoutingCounters.Event.REPEATED_ANSWER);
+      default -> onGap(link, attempt, now);
+    }
+  }
+
+  /**
+   * Acknowledges what a caller has consumed.
+   *
+   * @param pending the request
+   * @param bytes the bytes consumed since the last call
+   */
+  void onConsumed(PendingRequest pending, long bytes) {
+    pending.consumed(bytes);
+    pending.attempt().ifPresent(this::acknowledge);
+  }
+
+  /**
+   * Asks an agent to continue the answer of an attempt on a connection.
+   *
+   * @param link the connection
+   * @param attempt the attempt
+   */
+  void attach(AgentLink link, Attempt attempt) {
+    Attach.Builder attach =
+        Attach.newBuilder().setRequestId(attempt.id()).setNextSequence(attempt.window().next());
+    link.peer().send(Frame.newBuilder().setAttach(attach).build());
+  }
+
+  /**
+   * Drops a part of an answer that nobody waits for. An end is acknowledged so that the agent can
+   * forget it.
+   *
+   * @param link the agent that sent it
+   * @param answer the part
+   */
+  private void onStray(AgentLink link, Answer answer) {
+    state.counters().count(RoutingCounters.Event.STRAY_ANSWER);
+    if (answer.hasEnd()) {
+      sendAck(link, answer.getRequestId(), answer.getSequence() + 1);
+    }
+  }
+
+  /**
+   * Drops a part that arrived before earlier ones and asks for those.
+   *
+   * @param link the agent that sent it
+   * @param attempt the attempt
+   * @param now the current time, in milliseconds
+   */
+  private void onGap(AgentLink link, Attempt attempt, long now) {
+    state.counters().count(RoutingCounters.Event.EARLY_ANSWER);
+    if (attempt.window().reportGap(now, GAP_INTERVAL_MILLIS)) {
+      attach(link, attempt);
+    }
+  }
+
+  /**
+   * Takes the next part of an answer.
+   *
+   * @param link the agent that sent it
+   * @param attempt the attempt
+   * @param answer the part
+   * @param now the current time, in milliseconds
+   */
+  private void onNext(AgentLink link, Attempt attempt, Answer answer, long now) {
+    if (answer.hasEnd()) {
+      attempt.window().take(attempt.pending().handedBytes());
+      sendAck(link, attempt.id(), attempt.window().next());
+      onEnd(attempt, answer, now);
+    } else if (attempt.abandoned()) {
+      attempt.window().take(attempt.pending().handedBytes());
+    } else if (answer.hasHead() == (answer.getSequence() == 0)) {
+      pass(attempt, answer);
+    } else {
+      violate(attempt, "the head must be the first part of an answer", now);
+    }
+  }
+
+  /**
+   * Passes a head or data to the caller.
+   *
+   * @param attempt the attempt
+   * @param answer the part
+   */
+  private void pass(Attempt attempt, Answer answer) {
+    PendingRequest pending = attempt.pending();
+    if (answer.hasHead()) {
+      onHead(attempt, answer.getHead());
+    } else {
+      ByteString data = answer.getData();
+      passData(pending, pending.events().map(events -> events.add(data)).orElse(data));
+    }
+    attempt.window().take(pending.handedBytes());
+  }
+
+  /**
+   * Passes the status and headers to the caller, or checks those of a continued stream.
+   *
+   * @param attempt the attempt
+   * @param head the status and headers
+   */
+  private void onHead(Attempt attempt, AnswerHead head) {
+    PendingRequest pending = attempt.pending();
+    if (!pending.headPassed()) {
+      pending.passHead(pending.request().stream() && isEventStream(head));
+      effects.head(pending.request().caller(), head);
+    } else if (!isEventStream(head)) {
+      endings.abort(pending, ErrorCode.STREAM_INTERRUPTED, "the stream could not be continued");
+    }
+  }
+
+  /**
+   * Passes bytes to the caller.
+   *
+   * @param pending the request
+   * @param data the bytes, possibly none
+   */
+  private void passData(PendingRequest pending, ByteString data) {
+    if (!data.isEmpty()) {
+      pending.handed(data.size());
+      effects.data(pending.request().caller(), data);
+    }
+  }
+
+  /**
+   * Ends an attempt.
+   *
+   * @param attempt the attempt
+   * @param answer the last part of its answer
+   * @param now the current time, in milliseconds
+   */
+  private void onEnd(Attempt attempt, Answer answer, long now) {
+    AnswerEnd end = answer.getEnd();
+    boolean answered = answer.getSequence() > 0;
+    if (!end.getComplete()) {
+      endings.fail(attempt, Failure.of(end, answered), now);
+    } else if (!answered) {
+      violate(attempt, "a complete answer must have a head", now);
+    } else {
+      if (!attempt.abandoned()) {
+        PendingRequest pending = attempt.pending();
+        pending.events().ifPresent(events -> passData(pending, events.finish()));
+      }
+      endings.succeed(attempt, end);
+    }
+  }
+
+  /**
+   * Ends an attempt whose agent broke the inner protocol.
+   *
+   * @param attempt the attempt
+   * @param detail what is wrong
+   * @param now the current time, in milliseconds
+   */
+  private void violate(Attempt attempt, String detail, long now) {
+    endings.sendCancel(attempt);
+    endings.fail(attempt, Failure.unknown(ErrorCode.INTERNAL, detail), now);
+  }
+
+  /**
+   * Sends the acknowledgement that is due.
+   *
+   * @param attempt the attempt
+   */
+  private void acknowledge(Attempt attempt) {
+    long next = attempt.window().acknowledge(attempt.pending().consumedBytes());
+    if (next > 0) {
+      state
+          .agents()
+          .find(attempt.connection())
+          .ifPresent(link -> sendAck(link, attempt.id(), next));
+    }
+  }
+
+  /**
+   * Sends an acknowledgement.
+   *
+   * @param link the agent
+   * @param id the request id
+   * @param next the sequence number below which all is acknowledged
+   */
+  private static void sendAck(AgentLink link, RequestId id, long next) {
+    AnswerAck.Builder ack = AnswerAck.newBuilder().setRequestId(id).setNextSequence(next);
+    link.peer().send(Frame.newBuilder().setAnswerAck(ack).build());
+  }
+
+  /**
+   * Returns whether an answer is a stream of events.
+   *
+   * @param head the status and headers
+   * @return true for a successful answer with the media type of server-sent events
+   */
+  private static boolean isEventStream(AnswerHead head) {
+    return head.getStatus() == OK
+        && head.getHeadersList().stream()
+            .anyMatch(
+                header ->
+                    header.getName().equalsIgnoreCase("content-type")
+                        && header.getValue().startsWith(EVENT_STREAM));
+  }
+
+  /**
+   * Returns whether two identities are of the same start of the same process.
+   *
+   * @param one an identity
+   * @param other another identity
+   * @return true when instance and incarnation agree
+   */
+  private static boolean isSameProcess(PeerIdentity one, PeerIdentity other) {
+    return one.incarnation() == other.incarnation() && one.instanceId().equals(other.instanceId());
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/almondslip/routing/Endings.java
@@ -0,0 +1,258 @@
+package org.almondslip.routing;
+
+import java.util.List;
+import java.util.Optional;
+import org.almondslip.error.ErrorCode;
+import org.almondslip.error.Ran;
+import org.almondslip.protocol.wire.AnswerEnd;
+import org.almondslip.protocol.wire.Cancel;
+import org.almondslip.protocol.wire.Frame;
+import org.almondslip.quarantine.SuspectRegistry.Verdict;
+
+/** Ends attempts and requests: success, another attempt, or a final refusal. */
+final class Endings {
+
+  /** Lowest status of errors for which coming back can help. */
+  private static final int SERVER_ERRORS = 500;
+
+  /** State of the router's requests. */
+  private final RouterState state;
+
+  /** Planner of offers. */
+  private final OfferPlanner planner;
+
+  /**
+   * Creates the endings of a router.
+   *
+   * @param state the state of the router's requests
+   * @param planner the planner of offers
+   */
+  Endings(RouterState state, OfferPlanner planner) {
+    this.state = state;
+    this.planner = planner;
+  }
+
+  /**
+   * Ends an attempt that gave the whole answer.
+   *
+   * @param attempt the attempt
+   * @param end the end of the answer
+   */
+  void succeed(Attempt attempt, AnswerEnd end) {
+    PendingRequest pending = attempt.pending();
+    state.inFlight().remove(attempt);
+    state.ejector().onSuccess(attempt.target());
+    state.suspects().onSuccess(pending.fingerprint());
+    if (end.getCostMs() > 0) {
+      state
+          .costs()
+          .onCost(
+              pending.flow().id(),
+              pending.request().hintMillis(),
+              Integer.toUnsignedLong(end.getCostMs()));
+    }
+    if (!attempt.abandoned()) {
+      state.requests().end(pending, Outcome.COMPLETE);
+    }
+  }
+
+  /**
+   * Ends an attempt without a whole answer and tries the request again where that is allowed.
+   *
+   * @param attempt the attempt
+   * @param failure why it ended
+   * @param now the current time, in milliseconds
+   */
+  void fail(Attempt attempt, Failure failure, long now) {
+    PendingRequest pending = attempt.pending();
+    state.inFlight().remove(attempt);
+    if (failure.blamesTarget()
+        && state.ejector().onFailure(attempt.target(), pending.fingerprint(), now)) {
+      state.counters().count(RoutingCounters.Event.EJECTION);
+    }
+    if (attempt.abandoned()) {
+      return;
+    }
+    pending.attemptFailed(failure.ran());
+    if (state.suspects().verdict(pending.fingerprint()) == Verdict.REFUSED) {
+      refuseCrasher(pending);
+    } else if (mayRetry(pending, failure, now) && takeBudget(failure, now)) {
+      retry(pending, now);
+    } else {
+      giveUp(pending, failure);
+    }
+  }
+
+  /**
+   * Ends an attempt whose agent is lost.
+   *
+   * @param attempt the attempt
+   * @param now the current time, in milliseconds
+   */
+  void lose(Attempt attempt, long now) {
+    state.counters().count(RoutingCounters.Event.AGENT_LOST);
+    fail(attempt, Failure.unknown(ErrorCode.AGENT_LOST, "the agent was lost"), now);
+  }
+
+  /**
+   * Refuses the waiting requests that have crashed too many targets.
+   *
+   * @param now the current time, in milliseconds
+   */
+  void refuseCrashers(long now) {
+    for (FlowQueue queue : state.queues().all()) {
+      List<PendingRequest> refused =
+          state
+              .queues()
+              .removeIf(
+                  queue,
+                  pending -> state.suspects().verdict(pending.fingerprint()) == Verdict.REFUSED);
+      if (!refused.isEmpty()) {
+        refused.forEach(this::refuseCrasher);
+        planner.plan(queue, now);
+      }
+    }
+  }
+
+  /**
+   * Ends a request with an error and stops its attempt.
+   *
+   * @param pending the request
+   * @param code the code of the error
+   * @param detail what happened
+   */
+  void abort(PendingRequest pending, ErrorCode code, String detail) {
+    Outcome outcome = outcome(pending, new Failure(code, detail, pending.ran(), 0));
+    stop(pending);
+    state.requests().end(pending, outcome);
+  }
+
+  /**
+   * Removes a request from its queue, or cancels its attempt.
+   *
+   * @param pending the request
+   */
+  void stop(PendingRequest pending) {
+    state.queues().remove(pending);
+    pending.attempt().ifPresent(this::cancel);
+  }
+
+  /**
+   * Stops an attempt whose result nobody waits for.
+   *
+   * @param attempt the attempt
+   */
+  void cancel(Attempt attempt) {
+    attempt.abandon();
+    sendCancel(attempt);
+  }
+
+  /**
+   * Sends the message that stops an attempt if its agent is connected.
+   *
+   * @param attempt the attempt
+   */
+  void sendCancel(Attempt attempt) {
+    Frame frame =
+        Frame.newBuilder().setCancel(Cancel.newBuilder().setRequestId(attempt.id())).build();
+    state.agents().find(attempt.connection()).ifPresent(link -> link.peer().send(frame));
+  }
+
+  /**
+   * Returns whether a request may be tried again.
+   *
+   * @param pending the request, whose attempt has ended
+   * @param failure why the attempt ended
+   * @param now the current time, in milliseconds
+   * @return true when deadline, attempts, idempotency and the passed bytes allow it
+   */
+  private boolean mayRetry(PendingRequest pending, Failure failure, long now) {
+    if (!failure.transientFault()
+        || pending.attempts() >= state.settings().maxAttempts()
+        || now >= pending.deadline()) {
+      return false;
+    }
+    if (!pending.idempotent()) {
+      return !pending.headPassed() && pending.ran() == Ran.NO;
+    }
+    return !pending.headPassed() || pending.events().filter(EventSplitter::resumable).isPresent();
+  }
+
+  /**
+   * Takes a token of the retry budget.
+   *
+   * @param failure why the attempt ended
+   * @param now the current time, in milliseconds
+   * @return true when the retry is free or a token was there
+   */
+  private boolean takeBudget(Failure failure, long now) {
+    if (!failure.chargesBudget() || state.budget().take(now)) {
+      return true;
+    }
+    state.counters().count(RoutingCounters.Event.RETRY_REFUSED);
+    return false;
+  }
+
+  /**
+   * Queues a request again.
+   *
+   * @param pending the request
+   * @param now the current time, in milliseconds
+   */
+  private void retry(PendingRequest pending, long now) {
+    state
+        .counters()
+        .count(pending.headPassed() ? RoutingCounters.Event.RESUME : RoutingCounters.Event.RETRY);
+    state.queues().addFirst(pending, now);
+    planner.plan(state.queues().of(pending.flow()), now);
+  }
+
+  /**
+   * Ends a request that is not tried again.
+   *
+   * @param pending the request
+   * @param failure why its last attempt ended
+   */
+  private void giveUp(PendingRequest pending, Failure failure) {
+    state.requests().end(pending, outcome(pending, failure));
+  }
+
+  /**
+   * Refuses a request that has crashed too many targets.
+   *
+   * @param pending the request
+   */
+  private void refuseCrasher(PendingRequest pending) {
+    state
+        .requests()
+        .end(
+            pending,
+            Outcome.failed(
+                ErrorCode.REQUEST_CRASHES_TARGETS,
+                "targets have ended while they ran this request",
+                pending.ran()));
+  }
+
+  /**
+   * Builds the final result of a failed request.
+   *
+   * @param pending the request
+   * @param failure why it failed
+   * @return the result, with a time to retry where coming back helps
+   */
+  private Outcome outcome(PendingRequest pending, Failure failure) {
+    boolean broken = pending.headPassed() && failure.transientFault();
+    ErrorCode code = broken ? ErrorCode.STREAM_INTERRUPTED : failure.code();
+    Ran ran = pending.headPassed() ? Ran.UNKNOWN : pending.ran();
+    Outcome outcome = Outcome.failed(code, failure.detail(), ran);
+    boolean harmless =
+        ran == Ran.NO || pending.idempotent() || !pending.request().idempotencyKey().isEmpty();
+    boolean helps = code.status() >= SERVER_ERRORS || code == ErrorCode.STILL_RUNNING;
+    if (!harmless || !helps) {
+      return outcome;
+    }
+    Optional<FlowQueue> queue = state.queues().find(pending.flow().id());
+    long millis = queue.map(Admission::retryAfterMillis).orElse(0L);
+    return outcome.withRetryAfter(Math.max(millis, failure.retryAfterMillis()));
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/almondslip/routing/EventSplitter.java
@@ -0,0 +1,142 @@
+package org.almondslip.routing;
+
+import com.google.protobuf.ByteString;
+
+/**
+ * Cuts a stream of server-sent events after each complete event and counts the events.
+ *
+ * <p>Only complete events are passed on, so that a stream that is resumed on another target
+ * continues at an event boundary. An event larger than the limit is passed in parts; the stream can
+ * then no longer be resumed.
+ */
+final class EventSplitter {
+
+  /**
+   * Largest incomplete event that is held back, in bytes. Held bytes are not acknowledged; a limit
+   * near the agent's window of 256 KiB would stop the agent in the middle of an event.
+   */
+  static final int HOLD_LIMIT = 96 << 10;
+
+  /** Bytes after the last complete event. */
+  private ByteString tail = ByteString.EMPTY;
+
+  /** Number of bytes of the tail that have been scanned. */
+  private int scanned;
+
+  /** Whether the current line has no bytes yet. */
+  private boolean lineEmpty = true;
+
+  /** Whether the last byte was a carriage return, which a line feed may complete. */
+  private boolean afterReturn;
+
+  /** Whether the current line is a comment. */
+  private boolean comment;
+
+  /** Whether the current event has a line that is not a comment. */
+  private boolean hasField;
+
+  /** Number of complete events passed on. */
+  private int events;
+
+  /** Whether the bytes passed on end at an event boundary. */
+  private boolean resumable = true;
+
+  /**
+   * Adds bytes of the stream.
+   *
+   * @param data the bytes
+   * @return the bytes up to the last complete event, possibly none
+   */
+  ByteString add(ByteString data) {
+    tail = tail.concat(data);
+    int end = 0;
+    for (int i = scanned; i < tail.size(); i++) {
+      if (scan(tail.byteAt(i))) {
+        end = i + 1;
+      }
+    }
+    scanned = tail.size();
+    if (tail.size() - end > HOLD_LIMIT) {
+      resumable = false;
+      end = tail.size();
+    }
+    return cut(end);
+  }
+
+  /**
+   * Returns the bytes after the last complete event, at the end of the stream.
+   *
+   * @return the bytes, possibly none
+   */
+  ByteString finish() {
+    return cut(tail.size());
+  }
+
+  /** Drops the incomplete event, which the next target sends again. */
+  void restart() {
+    tail = ByteString.EMPTY;
+    scanned = 0;
+    lineEmpty = true;
+    afterReturn = false;
+    comment = false;
+    hasField = false;
+  }
+
+  /**
+   * Returns the number of complete events passed on.
+   *
+   * @return the number
+   */
+  int events() {
+    return events;
+  }
+
+  /**
+   * Returns whether another target can continue the stream.
+   *
+   * @return true when the bytes passed on end at an event boundary
+   */
+  boolean resumable() {
+    return resumable;
+  }
+
+  /**
+   * Removes the first bytes of the tail.
+   *
+   * @param end the number of bytes
+   * @return the removed bytes
+   */
+  private ByteString cut(int end) {
+    ByteString ready = tail.substring(0, end);
+    tail = tail.substring(end);
+    scanned = Math.max(0, scanned - end);
+    return ready;
+  }
+
+  /**
+   * Scans one byte.
+   *
+   * @param value the byte
+   * @return true when the bytes so far end at an event boundary
+   */
+  private boolean scan(byte value) {
+    if (value == '\n' && afterReturn) {
+      afterReturn = false;
+      return lineEmpty && !hasField;
+    }
+    afterReturn = value == '\r';
+    if (value != '\n' && value != '\r') {
+      comment = lineEmpty ? value == ':' : comment;
+      hasField |= !comment;
+      lineEmpty = false;
+      return false;
+    }
+    boolean blank = lineEmpty;
+    lineEmpty = true;
+    if (blank && hasField) {
+      hasField = false;
+      events++;
+    }
+    return blank;
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/almondslip/routing/OfferPlanner.java
@@ -0,0 +1,292 @@
+package org.almondslip.routing;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Optional;
+import java.util.function.Predicate;
+import org.almondslip.protocol.wire.FlowOffer;
+import org.almondslip.quarantine.SuspectRegistry.Verdict;
+import org.apache.commons.rng.UniformRandomProvider;
+
+/**
+ * Decides which agents hold an offer of each flow.
+ *
+ * <p>An agent that holds an offer learns of changes with each dispatch or decline. In between the
+ * offer is sent again only when the number waiting has doubled, the kind of grant changed or the
+ * offer is old, so that a long queue causes few frames.
+ */
+final class OfferPlanner {
+
+  /** Age at which an offer is sent again, in milliseconds. */
+  private static final long REFRESH_MILLIS = 1_000;
+
+  /** Interval of planning a queue whose offers are all out, in milliseconds. */
+  private static final long IDLE_PLAN_MILLIS = 100;
+
+  /** Shortest time between two requests for more connections, in milliseconds. */
+  private static final long DIAL_INTERVAL_MILLIS = 250;
+
+  /** State of the router's requests. */
+  private final RouterState state;
+
+  /** Offers to send. */
+  private final OfferBatch batch;
+
+  /** Region of this router. */
+  private final String region;
+
+  /** Source of random order among equals. */
+  private final UniformRandomProvider random;
+
+  /** Effects. */
+  private final RouterEffects effects;
+
+  /**
+   * Creates a planner.
+   *
+   * @param state the state of the router's requests
+   * @param batch the offers to send
+   * @param region the region of this router
+   * @param random the source of random order among equals
+   * @param effects the effects
+   */
+  OfferPlanner(
+      RouterState state,
+      OfferBatch batch,
+      String region,
+      UniformRandomProvider random,
+      RouterEffects effects) {
+    this.state = state;
+    this.batch = batch;
+    this.region = region;
+    this.random = random;
+    this.effects = effects;
+  }
+
+  /**
+   * Brings the offers of a flow up to date.
+   *
+   * @param queue the queue of the flow
+   * @param now the current time, in milliseconds
+   */
+  void plan(FlowQueue queue, long now) {
+    List<AgentLink> candidates =
+        queue.isEmpty() ? List.of() : state.agents().candidates(queue.flow().id(), now);
+    withdrawFromOthers(queue, candidates, now);
+    if (queue.isEmpty()) {
+      return;
+    }
+    queue.served(!candidates.isEmpty(), now);
+    long waited = now - queue.head().orElseThrow().queuedAt();
+    List<AgentLink> allowed = allowed(candidates, waited);
+    int holders = refresh(queue, candidates, allowed, now);
+    long steps = 1 + Math.max(0, waited) / state.settings().wideningMillis();
+    long wanted = Math.min(allowed.size(), steps * state.settings().firstOffers());
+    extend(queue, candidates, allowed, wanted - holders, now);
+    boolean all = wanted == allowed.size() && waited >= state.settings().wideningMillis();
+    if ((all || candidates.isEmpty()) && queue.dialDue(now, DIAL_INTERVAL_MILLIS)) {
+      effects.dialMore(queue.flow().pool());
+    }
+    schedule(queue, all, waited, now);
+  }
+
+  /**
+   * Sets the time at which a queue is planned again if nothing happens before.
+   *
+   * @param queue the queue
+   * @param all whether all allowed agents hold the offer
+   * @param waited the wait of the head, in milliseconds
+   * @param now the current time, in milliseconds
+   */
+  private void schedule(FlowQueue queue, boolean all, long waited, long now) {
+    long untilSpill = state.settings().spillAfterMillis() - waited;
+    long interval = all ? IDLE_PLAN_MILLIS : state.settings().wideningMillis();
+    queue.planAt(now + (untilSpill > 0 ? Math.min(interval, untilSpill) : interval));
+  }
+
+  /**
+   * Builds the offer of a flow for one agent.
+   *
+   * @param queue the queue of the flow
+   * @param link the agent
+   * @param candidates the agents that may get requests of the flow
+   * @param now the current time, in milliseconds
+   * @return the offer, with nothing waiting when the agent should not grant
+   */
+  FlowOffer offerFor(FlowQueue queue, AgentLink link, List<AgentLink> candidates, long now) {
+    FlowOffer.Builder offer = FlowOffer.newBuilder().setFlowId(queue.flow().id());
+    if (!candidates.contains(link)) {
+      return offer.build();
+    }
+    Predicate<PendingRequest> eligible = AgentTable.eligibleFor(link, candidates);
+    Optional<PendingRequest> head = queue.first(eligible);
+    if (head.isEmpty()) {
+      return offer.build();
+    }
+    PendingRequest first = head.get();
+    long estimate = state.costs().estimateMillis(queue.flow().id(), first.request().hintMillis());
+    return offer
+        .setWaiting(queue.countEligible(eligible))
+        .setHeadAgeMs(toUint32(now - first.arrivedAt()))
+        .setEstimateMs(toUint32(estimate))
+        .setSpill(isSpill(link, candidates))
+        .setExclusive(state.suspects().verdict(first.fingerprint()) == Verdict.SUSPECT)
+        .build();
+  }
+
+  /**
+   * Limits a number to the range of the wire type.
+   *
+   * @param value the number
+   * @return the nearest number from 0 to the largest int
+   */
+  static int toUint32(long value) {
+    return (int) Math.max(0, Math.min(Integer.MAX_VALUE, value));
+  }
+
+  /**
+   * Withdraws the offer from agents that may not get the flow any more.
+   *
+   * @param queue the queue of the flow
+   * @param candidates the agents that may get requests of the flow
+   * @param now the current time, in milliseconds
+   */
+  private void withdrawFromOthers(FlowQueue queue, List<AgentLink> candidates, long now) {
+    int flowId = queue.flow().id();
+    for (AgentLink link : state.agents().all()) {
+      if (link.offer(flowId).isPresent() && !candidates.contains(link)) {
+        batch.add(link, FlowOffer.newBuilder().setFlowId(flowId).build(), now);
+      }
+    }
+  }
+
+  /**
+   * Returns the agents that may hold an offer by their region.
+   *
+   * @param candidates the agents that may get requests of the flow
+   * @param waited the wait of the head, in milliseconds
+   * @return the agents of the own region, or all after the spill time or when the own region has
+   *     none
+   */
+  private List<AgentLink> allowed(List<AgentLink> candidates, long waited) {
+    List<AgentLink> own = new ArrayList<>();
+    for (AgentLink link : candidates) {
+      if (isOwnRegion(link)) {
+        own.add(link);
+      }
+    }
+    return own.isEmpty() || waited >= state.settings().spillAfterMillis() ? candidates : own;
+  }
+
+  /**
+   * Sends the offer again to the agents for which it has changed much.
+   *
+   * @param queue the queue of the flow
+   * @param candidates the agents that may get requests of the flow
+   * @param allowed the agents that may hold an offer
+   * @param now the current time, in milliseconds
+   * @return the number of allowed agents that hold an offer
+   */
+  private int refresh(
+      FlowQueue queue, List<AgentLink> candidates, List<AgentLink> allowed, long now) {
+    int holders = 0;
+    for (AgentLink link : allowed) {
+      Optional<AgentLink.SentOffer> held = link.offer(queue.flow().id());
+      if (held.isPresent()) {
+        holders++;
+        FlowOffer fresh = offerFor(queue, link, candidates, now);
+        if (isStale(held.get(), fresh, now)) {
+          batch.add(link, fresh, now);
+        }
+      }
+    }
+    return holders;
+  }
+
+  /**
+   * Returns whether an offer must be sent again.
+   *
+   * @param held the offer that the agent holds
+   * @param fresh the offer as it should be
+   * @param now the current time, in milliseconds
+   * @return true when the difference matters
+   */
+  private static boolean isStale(AgentLink.SentOffer held, FlowOffer fresh, long now) {
+    FlowOffer old = held.offer();
+    return fresh.getWaiting() == 0
+        || fresh.getWaiting() >= 2L * old.getWaiting()
+        || fresh.getExclusive() != old.getExclusive()
+        || fresh.getSpill() != old.getSpill()
+        || now - held.sentAt() >= REFRESH_MILLIS;
+  }
+
+  /**
+   * Sends the offer to more agents, those with the most free slots first.
+   *
+   * @param queue the queue of the flow
+   * @param candidates the agents that may get requests of the flow
+   * @param allowed the agents that may hold an offer
+   * @param count the number of agents to add, possibly none
+   * @param now the current time, in milliseconds
+   */
+  private void extend(
+      FlowQueue queue, List<AgentLink> candidates, List<AgentLink> allowed, long count, long now) {
+    if (count <= 0) {
+      return;
+    }
+    List<AgentLink> others = new ArrayList<>();
+    for (AgentLink link : allowed) {
+      if (link.offer(queue.flow().id()).isEmpty()) {
+        others.add(link);
+      }
+    }
+    shuffle(others);
+    others.sort(
+        Comparator.<AgentLink, Boolean>comparing(link -> !isOwnRegion(link))
+            .thenComparing(link -> -link.freeSlots()));
+    long left = count;
+    for (AgentLink link : others) {
+      FlowOffer offer = offerFor(queue, link, candidates, now);
+      if (left > 0 && offer.getWaiting() > 0) {
+        batch.add(link, offer, now);
+        left--;
+      }
+    }
+  }
+
+  /**
+   * Puts links in random order.
+   *
+   * @param links the links
+   */
+  private void shuffle(List<AgentLink> links) {
+    for (int i = links.size() - 1; i > 0; i--) {
+      int other = random.nextInt(i + 1);
+      AgentLink moved = links.get(i);
+      links.set(i, links.get(other));
+      links.set(other, moved);
+    }
+  }
+
+  /**
+   * Returns whether an offer to an agent is spill.
+   *
+   * @param link the agent
+   * @param candidates the agents that may get requests of the flow
+   * @return true when the agent is in another region and the own region has a candidate
+   */
+  private boolean isSpill(AgentLink link, List<AgentLink> candidates) {
+    return !isOwnRegion(link) && candidates.stream().anyMatch(this::isOwnRegion);
+  }
+
+  /**
+   * Returns whether an agent is in the region of this router.
+   *
+   * @param link the agent
+   * @return true when it is
+   */
+  private boolean isOwnRegion(AgentLink link) {
+    return link.peer().peer().region().equals(region);
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/almondslip/routing/Outcome.java
@@ -0,0 +1,63 @@
+package org.almondslip.routing;
+
+import java.util.Optional;
+import org.almondslip.error.ErrorCode;
+import org.almondslip.error.Ran;
+
+/**
+ * Final result of a caller's request.
+ *
+ * @param failure the code of the error, empty when the whole answer of the target has been passed
+ * @param detail what happened, in one sentence
+ * @param ran whether the request has run
+ * @param retryAfterMillis the time after which a retry can succeed, empty when none can
+ */
+public record Outcome(
+    Optional<ErrorCode> failure, String detail, Ran ran, Optional<Long> retryAfterMillis) {
+
+  /** The whole answer of the target has been passed. */
+  public static final Outcome COMPLETE =
+      new Outcome(Optional.empty(), "", Ran.YES, Optional.empty());
+
+  /**
+   * Creates a refusal of a request that has certainly not run.
+   *
+   * @param code the code of the error
+   * @param detail what happened
+   * @return the outcome
+   */
+  public static Outcome notRun(ErrorCode code, String detail) {
+    return failed(code, detail, Ran.NO);
+  }
+
+  /**
+   * Creates a failure.
+   *
+   * @param code the code of the error
+   * @param detail what happened
+   * @param ran whether the request has run
+   * @return the outcome
+   */
+  public static Outcome failed(ErrorCode code, String detail, Ran ran) {
+    return new Outcome(Optional.of(code), detail, ran, Optional.empty());
+  }
+
+  /**
+   * Returns the outcome with a time to retry.
+   *
+   * @param millis the time in milliseconds
+   * @return the new outcome
+   */
+  public Outcome withRetryAfter(long millis) {
+    return new Outcome(failure, detail, ran, Optional.of(millis));
+  }
+
+  /**
+   * Returns the name of the outcome in metrics.
+   *
+   * @return the label of the code, {@code ok} without one
+   */
+  public String label() {
+    return failure.map(ErrorCode::label).orElse("ok");
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/almondslip/routing/OutlierEjector.java
@@ -0,0 +1,105 @@
+package org.almondslip.routing;
+
+import java.util.HashMap;
+import java.util.Map;
+
+/**
+ * Keeps requests away from targets that fail repeatedly.
+ *
+ * <p>A target is ejected after consecutive failures of different requests, so that one request that
+ * always fails cannot eject the targets of everyone. Each ejection lasts twice as long as the one
+ * before. After it the target gets one request at a time, and twice as many with each success.
+ */
+final class OutlierEjector {
+
+  /** Consecutive failures that eject a target. */
+  static final int FAILURES = 5;
+
+  /** Duration of the first ejection, in milliseconds. */
+  static final long FIRST_MILLIS = 2_000;
+
+  /** Longest ejection, in milliseconds. */
+  static final long MAX_MILLIS = 120_000;
+
+  /** Requests at a time after which slow start ends. */
+  static final int FULL_ALLOWANCE = 32;
+
+  /** State of the targets that failed recently. */
+  private final Map<String, State> states = new HashMap<>();
+
+  /** State of one target. */
+  private static final class State {
+    /** Failures since the last success. */
+    private int failures;
+
+    /** Fingerprint of the last request that failed. */
+    private long lastFingerprint;
+
+    /** Duration of the last ejection, in milliseconds; 0 before the first one. */
+    private long periodMillis;
+
+    /** End of the ejection, in milliseconds. */
+    private long until;
+
+    /** Requests at a time that slow start allows. */
+    private int allowance = FULL_ALLOWANCE;
+  }
+
+  /**
+   * Counts a failure.
+   *
+   * @param target the target
+   * @param fingerprint the fingerprint of the request that failed
+   * @param now the current time, in milliseconds
+   * @return true when the failure ejects the target
+   */
+  boolean onFailure(String target, long fingerprint, long now) {
+    State state = states.computeIfAbsent(target, name -> new State());
+    if (now < state.until || state.failures > 0 && state.lastFingerprint == fingerprint) {
+      return false;
+    }
+    state.failures++;
+    state.lastFingerprint = fingerprint;
+    boolean returning = state.allowance < FULL_ALLOWANCE;
+    if (state.failures < FAILURES && !returning) {
+      return false;
+    }
+    state.failures = 0;
+    state.periodMillis = Math.min(MAX_MILLIS, Math.max(FIRST_MILLIS, 2 * state.periodMillis));
+    state.until = now + state.periodMillis;
+    state.allowance = 1;
+    return true;
+  }
+
+  /**
+   * Counts a success.
+   *
+   * @param target the target
+   */
+  void onSuccess(String target) {
+    State state = states.get(target);
+    if (state == null) {
+      return;
+    }
+    state.failures = 0;
+    state.allowance = Math.min(FULL_ALLOWANCE, 2 * state.allowance);
+    if (state.allowance == FULL_ALLOWANCE) {
+      states.remove(target);
+    }
+  }
+
+  /**
+   * Returns how many requests may be in flight at a target.
+   *
+   * @param target the target
+   * @param now the current time, in milliseconds
+   * @return 0 while it is ejected, a small number in slow start, otherwise no limit
+   */
+  int allowance(String target, long now) {
+    State state = states.get(target);
+    if (state == null || state.allowance == FULL_ALLOWANCE) {
+      return Integer.MAX_VALUE;
+    }
+    return now < state.until ? 0 : state.allowance;
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/almondslip/routing/RouterLogic.java
@@ -0,0 +1,397 @@
+package org.almondslip.routing;
+
+import java.util.Optional;
+import org.almondslip.catalog.Catalog;
+import org.almondslip.catalog.Flow;
+import org.almondslip.error.ErrorCode;
+import org.almondslip.error.Ran;
+import org.almondslip.membership.Peer;
+import org.almondslip.protocol.wire.Frame;
+import org.almondslip.protocol.wire.Role;
+import org.almondslip.protocol.wire.SuspectNotice;
+import org.almondslip.quarantine.SuspectRegistry;
+import org.almondslip.quarantine.SuspectRegistry.Verdict;
+import org.almondslip.time.Clock;
+import org.apache.commons.rng.UniformRandomProvider;
+
+/**
+ * Decisions of a router as a deterministic state machine.
+ *
+ * <p>Methods named {@code on...} take events and are called from one thread. They act through
+ * {@link RouterEffects} and {@link Peer#send}.
+ */
+public final class RouterLogic {
+
+  /** Time after which a request that a draining router refused may come back, in milliseconds. */
+  private static final long DRAIN_RETRY_MILLIS = 1_000;
+
+  /** Source of time. */
+  private final Clock clock;
+
+  /** Offers to send. */
+  private final OfferBatch batch = new OfferBatch();
+
+  /** State that the parts share. */
+  private final RouterState state;
+
+  /** Admission of new requests. */
+  private final Admission admission;
+
+  /** Planner of offers. */
+  private final OfferPlanner planner;
+
+  /** Answers to grants. */
+  private final Dispatcher dispatcher;
+
+  /** Ends of attempts and requests. */
+  private final Endings endings;
+
+  /** Answers to callers. */
+  private final AnswerRelay relay;
+
+  /** Attempts whose connection is lost. */
+  private final Reattachment reattachment;
+
+  /** Catalog in force. */
+  private Catalog catalog = Catalog.EMPTY;
+
+  /** Whether new requests are refused because the process stops. */
+  private boolean draining;
+
+  /**
+   * Creates the decisions of a router without peers and without a catalog.
+   *
+   * @param incarnation the incarnation of this router
+   * @param region the region of this router
+   * @param settings the limits and intervals
+   * @param registry the crash marks as this process knows them
+   * @param clock the source of time
+   * @param random the source of random order among equals
+   * @param effects the effects
+   */
+  public RouterLogic(
+      long incarnation,
+      String region,
+      RoutingSettings settings,
+      SuspectRegistry registry,
+      Clock clock,
+      UniformRandomProvider random,
+      RouterEffects effects) {
+    this.clock = clock;
+    RoutingCounters counters = new RoutingCounters();
+    InFlightTable inFlight = new InFlightTable(incarnation);
+    OutlierEjector ejector = new OutlierEjector();
+    this.state =
+        new RouterState(
+            settings,
+            new Requests(counters, effects),
+            new RequestQueues(),
+            inFlight,
+            new AgentTable(ejector, inFlight),
+            ejector,
+            new Suspects(registry, effects),
+            new CostEstimator(),
+            new RetryBudget(clock.millis()),
+            counters);
+    this.admission = new Admission(state.queues(), settings);
+    this.planner = new OfferPlanner(state, batch, region, random, effects);
+    this.dispatcher = new Dispatcher(state, planner);
+    this.endings = new Endings(state, planner);
+    this.relay = new AnswerRelay(state, endings, effects);
+    this.reattachment = new Reattachment(state, endings, relay);
+  }
+
+  /**
+   * Replaces the catalog.
+   *
+   * @param next the catalog in force
+   */
+  public void onCatalog(Catalog next) {
+    catalog = next;
+    state.agents().onCatalog(next);
+    state.queues().retain(flowId -> next.flow(flowId).isPresent());
+    planAll();
+    batch.flush();
+  }
+
+  /**
+   * Takes a request of a caller.
+   *
+   * @param request the request
+   */
+  public void onRequest(CallerRequest request) {
+    long now = clock.millis();
+    state.budget().onRequest();
+    Optional<Outcome> refusal = refuse(request, now);
+    if (refusal.isPresent()) {
+      state.requests().refuse(request.caller(), refusal.get());
+    } else {
+      PendingRequest pending = toPending(request, now);
+      state.requests().add(pending);
+      state.queues().add(pending, now);
+      planner.plan(state.queues().of(pending.flow()), now);
+    }
+    batch.flush();
+  }
+
+  /**
+   * Notes that a caller has consumed bytes of its answer.
+   *
+   * @param caller the request
+   * @param bytes the bytes consumed since the last call
+   */
+  public void onConsumed(long caller, long bytes) {
+    state.requests().find(caller).ifPresent(pending -> relay.onConsumed(pending, bytes));
+  }
+
+  /**
+   * Notes that a caller has gone. It gets no further effects.
+   *
+   * @param caller the request
+   */
+  public void onCallerGone(long caller) {
+    Optional<PendingRequest> pending = state.requests().find(caller);
+    if (pending.isPresent()) {
+      endings.stop(pending.get());
+      state.requests().drop(pending.get());
+      planner.plan(state.queues().of(pending.get().flow()), clock.millis());
+    }
+    batch.flush();
+  }
+
+  /**
+   * Takes a new connection.
+   *
+   * @param peer the connection
+   */
+  public void onPeerOpen(Peer peer) {
+    state.suspects().open(peer);
+    if (peer.peer().role() == Role.AGENT) {
+      reattachment.onOpen(state.agents().open(peer), clock.millis());
+      planAll();
+    }
+    batch.flush();
+  }
+
+  /**
+   * Notes that a connection has ended.
+   *
+   * @param peer the connection
+   * @param byPeer whether the other side ended it, which indicates that its process has ended
+   */
+  public void onPeerClosed(Peer peer, boolean byPeer) {
+    long now = clock.millis();
+    state.suspects().close(peer);
+    state.agents().close(peer);
+    reattachment.onClosed(peer, byPeer, now);
+    planAll();
+    batch.flush();
+  }
+
+  /**
+   * Takes a frame. Frames that do not concern routing are ignored.
+   *
+   * @param peer the connection
+   * @param frame the frame
+   */
+  public void onFrame(Peer peer, Frame frame) {
+    if (frame.hasSuspectNotice()) {
+      onNotice(peer, frame.getSuspectNotice());
+    } else {
+      state.agents().find(peer.id()).ifPresent(link -> onAgentFrame(link, frame));
+    }
+    batch.flush();
+  }
+
+  /** Does what is due. Called every 10 ms. */
+  public void onTick() {
+    long now = clock.millis();
+    reattachment.onTick(now);
+    expire(now);
+    for (FlowQueue queue : state.queues().all()) {
+      if (queue.planDue(now)) {
+        planner.plan(queue, now);
+      }
+      if (queue.unservedFor(now, state.settings().noTargetMillis()) && !queue.isEmpty()) {
+        refuseUnserved(queue);
+      }
+    }
+    batch.flush();
+  }
+
+  /** Refuses new requests from now on because the process stops. */
+  public void onDrain() {
+    draining = true;
+  }
+
+  /** Ends all requests because the time for draining has passed. */
+  public void onDrainLimit() {
+    draining = true;
+    for (PendingRequest pending : state.requests().all()) {
+      endings.abort(pending, ErrorCode.DRAINING, "the router stops");
+    }
+    for (FlowQueue queue : state.queues().all()) {
+      planner.plan(queue, clock.millis());
+    }
+    batch.flush();
+  }
+
+  /**
+   * Returns whether a drain has been started and all requests have ended.
+   *
+   * @return true when the process may stop
+   */
+  public boolean drained() {
+    return draining && state.requests().isEmpty();
+  }
+
+  /**
+   * Returns the state for metrics.
+   *
+   * @return a copy
+   */
+  public RoutingStats stats() {
+    RoutingCounters counters = state.counters();
+    return new RoutingStats(
+        counters.outcomes(),
+        counters.byName(),
+        counters.waitMillis(),
+        state.queues().waiting(),
+        state.inFlight().size(),
+        state.requests().heldBytes(),
+        state.agents().all().size());
+  }
+
+  /**
+   * Checks a new request.
+   *
+   * @param request the request
+   * @param now the current time, in milliseconds
+   * @return the refusal, or empty when the request may wait
+   */
+  private Optional<Outcome> refuse(CallerRequest request, long now) {
+    if (draining) {
+      return Optional.of(
+          Outcome.notRun(ErrorCode.DRAINING, "the router stops")
+              .withRetryAfter(DRAIN_RETRY_MILLIS));
+    }
+    Optional<Outcome> refusal = PoolRules.refuse(catalog, request);
+    if (refusal.isPresent()) {
+      return refusal;
+    }
+    if (state.suspects().verdict(Dispatcher.fingerprint(request)) == Verdict.REFUSED) {
+      return Optional.of(
+          Outcome.notRun(
+              ErrorCode.REQUEST_CRASHES_TARGETS, "targets have ended while they ran it"));
+    }
+    return admission.check(toPending(request, now), state.requests().heldBytes(), now);
+  }
+
+  /**
+   * Creates the progress of a request that the catalog allows.
+   *
+   * @param request the request
+   * @param now the current time, in milliseconds
+   * @return the progress
+   */
+  private PendingRequest toPending(CallerRequest request, long now) {
+    Flow flow =
+        Flow.of(request.organisation(), request.pool(), catalog.shareOf(request.organisation()));
+    return new PendingRequest(
+        request,
+        flow,
+        Dispatcher.fingerprint(request),
+        PoolRules.idempotent(catalog, request),
+        now);
+  }
+
+  /**
+   * Takes a crash mark and refuses the requests that it concerns.
+   *
+   * @param peer the connection
+   * @param notice the mark
+   */
+  private void onNotice(Peer peer, SuspectNotice notice) {
+    state.suspects().onNotice(peer, notice);
+    if (state.suspects().verdict(notice.getFingerprint()) == Verdict.REFUSED) {
+      endings.refuseCrashers(clock.millis());
+    }
+  }
+
+  /**
+   * Takes a frame of an agent.
+   *
+   * @param link the agent
+   * @param frame the frame
+   */
+  private void onAgentFrame(AgentLink link, Frame frame) {
+    long now = clock.millis();
+    switch (frame.getBodyCase()) {
+      case HEARTBEAT -> onStatus(link, frame);
+      case DRAIN -> {
+        link.onDrain();
+        planAll();
+      }
+      case GRANT -> dispatcher.onGrant(link, frame.getGrant(), now);
+      case ANSWER -> relay.onAnswer(link, frame.getAnswer(), now);
+      default -> {
+        // Frames of other concerns are handled elsewhere in the process.
+      }
+    }
+  }
+
+  /**
+   * Takes the status of an agent.
+   *
+   * @param link the agent
+   * @param frame the heartbeat
+   */
+  private void onStatus(AgentLink link, Frame frame) {
+    if (!frame.getHeartbeat().hasAgent()) {
+      return;
+    }
+    boolean before = link.takesWork();
+    link.onStatus(frame.getHeartbeat().getAgent());
+    if (link.takesWork() != before) {
+      planAll();
+    }
+  }
+
+  /**
+   * Ends the requests whose deadline has passed.
+   *
+   * @param now the current time, in milliseconds
+   */
+  private void expire(long now) {
+    for (PendingRequest pending : state.requests().expired(now)) {
+      endings.abort(pending, ErrorCode.DEADLINE_EXCEEDED, "the deadline has passed");
+      state.queues().of(pending.flow()).planAt(now);
+      planner.plan(state.queues().of(pending.flow()), now);
+    }
+  }
+
+  /**
+   * Ends the requests of a flow that no agent can take.
+   *
+   * @param queue the queue of the flow
+   */
+  private void refuseUnserved(FlowQueue queue) {
+    for (PendingRequest pending : state.queues().removeIf(queue, waiting -> true)) {
+      Ran ran = pending.ran();
+      endings.abort(
+          pending,
+          ErrorCode.NO_TARGET,
+          ran == Ran.NO ? "no target is connected" : "no target is left for another attempt");
+    }
+  }
+
+  /** Brings the offers of all waiting flows up to date. */
+  private void planAll() {
+    long now = clock.millis();
+    for (FlowQueue queue : state.queues().all()) {
+      if (!queue.isEmpty()) {
+        planner.plan(queue, now);
+      }
+    }
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/almondslip/routing/RouterState.java
@@ -0,0 +1,27 @@
+package org.almondslip.routing;
+
+/**
+ * State that the parts of a router's decisions share.
+ *
+ * @param settings the limits and intervals
+ * @param requests the requests whose callers wait
+ * @param queues the queues
+ * @param inFlight the attempts in flight
+ * @param agents the connected agents
+ * @param ejector the ejected targets
+ * @param suspects the crash marks
+ * @param costs the costs of past requests
+ * @param budget the retry budget
+ * @param counters the counters
+ */
+record RouterState(
+    RoutingSettings settings,
+    Requests requests,
+    RequestQueues queues,
+    InFlightTable inFlight,
+    AgentTable agents,
+    OutlierEjector ejector,
+    Suspects suspects,
+    CostEstimator costs,
+    RetryBudget budget,
+    RoutingCounters counters) {}
--- /dev/null
+++ b/core/src/main/java/org/almondslip/routing/package-info.java
@@ -0,0 +1,2 @@
+/** Decisions of a router: queues, offers, dispatch, answers, retries and drain. */
+package org.almondslip.routing;
--- /dev/null
+++ b/core/src/test/java/org/almondslip/routing/RouterLogicTest.java
@@ -0,0 +1,308 @@
+package org.almondslip.routing;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import com.google.protobuf.ByteString;
+import java.util.List;
+import java.util.Optional;
+import org.almondslip.error.ErrorCode;
+import org.almondslip.error.Ran;
+import org.almondslip.protocol.wire.AnswerEnd;
+import org.almondslip.protocol.wire.Dispatch;
+import org.almondslip.protocol.wire.Frame;
+import org.almondslip.protocol.wire.RequestId;
+import org.almondslip.protocol.wire.SuspectNotice;
+import org.junit.jupiter.api.Test;
+
+/** Cases of {@link RouterLogic} with hand-made frames. */
+class RouterLogicTest {
+
+  /** Media type of streams. */
+  private static final String EVENTS = "text/event-stream";
+
+  /** Router and agents. */
+  private final Fixture fixture = new Fixture();
+
+  /** Guards against a break anywhere on the path of a request. */
+  @Test
+  void servesRequest() {
+    RecordingPeer agent = fixture.connect("m1", "north", 5);
+    fixture.chat(1);
+    assertThat(agent.of(Frame.BodyCase.OFFERS)).hasSize(1);
+    Dispatch dispatch = fixture.grant(agent, "belt", false).get(0);
+    assertThat(dispatch.getRequestId().getRouterIncarnation()).isEqualTo(77);
+    assertThat(dispatch.getRemaining().getWaiting()).isZero();
+    fixture.head(agent, dispatch.getRequestId(), EVENTS);
+    fixture.data(agent, dispatch.getRequestId(), 1, "data: a\n\n");
+    fixture.end(agent, dispatch.getRequestId(), 2, complete());
+    assertThat(fixture.effects.of(1).status).isEqualTo(200);
+    assertThat(fixture.effects.of(1).body.toStringUtf8()).isEqualTo("data: a\n\n");
+    assertThat(fixture.effects.of(1).ends).containsExactly(Outcome.COMPLETE);
+    assertThat(agent.of(Frame.BodyCase.ANSWER_ACK)).hasSize(1);
+  }
+
+  /** Guards against a slot that is reserved for a request that has gone. */
+  @Test
+  void declinesGrantWithoutRequest() {
+    RecordingPeer agent = fixture.connect("m1", "north", 5);
+    fixture.chat(1);
+    fixture.router.onCallerGone(1);
+    assertThat(fixture.grant(agent, "belt", false)).isEmpty();
+    assertThat(agent.of(Frame.BodyCase.DECLINE)).hasSize(1);
+    assertThat(fixture.effects.of(1).ends).isEmpty();
+  }
+
+  /** Guards against repeated or missing bytes when frames arrive twice or early. */
+  @Test
+  void dropsRepeatedAndEarlyParts() {
+    RecordingPeer agent = fixture.connect("m1", "north", 5);
+    fixture.chat(1);
+    RequestId id = fixture.grant(agent, "belt", false).get(0).getRequestId();
+    fixture.head(agent, id, EVENTS);
+    fixture.data(agent, id, 2, "data: b\n\n");
+    assertThat(agent.of(Frame.BodyCase.ATTACH)).hasSize(1);
+    fixture.data(agent, id, 1, "data: a\n\n");
+    fixture.data(agent, id, 1, "data: a\n\n");
+    fixture.data(agent, id, 2, "data: b\n\n");
+    assertThat(fixture.effects.of(1).body.toStringUtf8()).isEqualTo("data: a\n\ndata: b\n\n");
+    assertThat(fixture.router.stats().events())
+        .containsEntry("repeated_answer", 1L)
+        .containsEntry("early_answer", 1L);
+  }
+
+  /** Guards against a lost answer when only the connection is lost. */
+  @Test
+  void reattachesAfterLostConnection() {
+    RecordingPeer agent = fixture.connect("s1", "north", 5);
+    fixture.order(1);
+    RequestId id = fixture.grant(agent, "orders", false).get(0).getRequestId();
+    fixture.head(agent, id, "text/plain");
+    fixture.router.onPeerClosed(agent, false);
+    fixture.pass(9_000);
+    RecordingPeer again = fixture.connect("s1", "north", 5);
+    Frame attach = again.of(Frame.BodyCase.ATTACH).get(0);
+    assertThat(attach.getAttach().getNextSequence()).isEqualTo(1);
+    fixture.data(again, id, 1, "done");
+    fixture.end(again, id, 2, complete());
+    assertThat(fixture.effects.of(1).ends).containsExactly(Outcome.COMPLETE);
+  }
+
+  /** Guards against an order that runs twice and against a false promise that it did not run. */
+  @Test
+  void doesNotRetryOrderOfLostAgent() {
+    RecordingPeer agent = fixture.connect("s1", "north", 5);
+    fixture.order(1);
+    fixture.grant(agent, "orders", false);
+    fixture.router.onPeerClosed(agent, true);
+    final RecordingPeer other = fixture.connect("s2", "north", 6);
+    fixture.pass(10_000);
+    Outcome end = fixture.effects.of(1).ends.get(0);
+    assertThat(end.failure()).contains(ErrorCode.AGENT_LOST);
+    assertThat(end.ran()).isEqualTo(Ran.UNKNOWN);
+    assertThat(end.retryAfterMillis()).isEmpty();
+    assertThat(fixture.grant(other, "orders", false)).isEmpty();
+  }
+
+  /** Guards against giving up an order that certainly did not run. */
+  @Test
+  void retriesOrderThatDidNotRun() {
+    RecordingPeer agent = fixture.connect("s1", "north", 5);
+    fixture.order(1);
+    RequestId id = fixture.grant(agent, "orders", false).get(0).getRequestId();
+    RecordingPeer other = fixture.connect("s2", "north", 6);
+    fixture.end(agent, id, 0, notRun("target-unreachable"));
+    assertThat(fixture.grant(agent, "orders", false)).hasSize(1);
+    List<Dispatch> second = fixture.grant(other, "orders", false);
+    assertThat(second).hasSize(1);
+    assertThat(second.get(0).getRequestId()).isNotEqualTo(id);
+    assertThat(second.get(0).getAttempt()).isEqualTo(2);
+  }
+
+  /** Guards against repeated or missing events when a stream moves to another engine. */
+  @Test
+  void resumesStreamAfterWholeEvents() {
+    RecordingPeer agent = fixture.connect("m1", "north", 5);
+    fixture.chat(1);
+    RequestId id = fixture.grant(agent, "belt", false).get(0).getRequestId();
+    fixture.head(agent, id, EVENTS);
+    fixture.data(agent, id, 1, "data: a\n\ndata: b\n\nda");
+    RecordingPeer other = fixture.connect("m2", "north", 6);
+    fixture.end(agent, id, 2, AnswerEnd.newBuilder().setCode("target-failed"));
+    Dispatch second = fixture.grant(other, "belt", false).get(0);
+    assertThat(second.getResumeAfter()).isEqualTo(2);
+    fixture.head(other, second.getRequestId(), EVENTS);
+    fixture.data(other, second.getRequestId(), 1, "data: c\n\n");
+    fixture.end(other, second.getRequestId(), 2, complete());
+    assertThat(fixture.effects.of(1).body.toStringUtf8())
+        .isEqualTo("data: a\n\ndata: b\n\ndata: c\n\n");
+    assertThat(fixture.effects.of(1).ends).containsExactly(Outcome.COMPLETE);
+    assertThat(fixture.effects.faults).isEmpty();
+  }
+
+  /** Guards against a request that ends target after target. */
+  @Test
+  void refusesRequestThatCrashesTargets() {
+    RecordingPeer first = fixture.connect("m1", "north", 5);
+    fixture.connect("m2", "north", 6);
+    fixture.chat(1);
+    fixture.grant(first, "belt", false);
+    fixture.router.onPeerClosed(first, true);
+    RecordingPeer back = fixture.connect("m1", "north", 7);
+    RecordingPeer second = fixture.connect("m3", "north", 8);
+    assertThat(back.of(Frame.BodyCase.SUSPECT_NOTICE)).hasSize(1);
+    assertThat(fixture.grant(second, "belt", false)).as("not beside others").isEmpty();
+    assertThat(fixture.grant(second, "belt", true).get(0).getExclusive()).isTrue();
+    fixture.router.onPeerClosed(second, true);
+    fixture.connect("m3", "north", 9);
+    Outcome end = fixture.effects.of(1).ends.get(0);
+    assertThat(end.failure()).contains(ErrorCode.REQUEST_CRASHES_TARGETS);
+    assertThat(end.ran()).isEqualTo(Ran.UNKNOWN);
+    assertThat(fixture.effects.suspects)
+        .extracting(SuspectNotice::getCrashId)
+        .containsExactly("m1@5", "m3@8");
+    fixture.router.onRequest(Fixture.request(2, CallerRequest.Kind.MODEL, "POST", Fixture.TIMEOUT));
+    assertThat(fixture.effects.of(2).ends).as("other body").isEmpty();
+  }
+
+  /** Guards against an answer that keeps running for a caller that has gone. */
+  @Test
+  void cancelsWhenCallerGoes() {
+    RecordingPeer agent = fixture.connect("m1", "north", 5);
+    fixture.chat(1);
+    RequestId id = fixture.grant(agent, "belt", false).get(0).getRequestId();
+    fixture.router.onCallerGone(1);
+    assertThat(agent.of(Frame.BodyCase.CANCEL).get(0).getCancel().getRequestId()).isEqualTo(id);
+    fixture.head(agent, id, EVENTS);
+    assertThat(fixture.effects.of(1).status).isZero();
+  }
+
+  /** Guards against a caller that waits longer than it allowed, or is told wrongly what ran. */
+  @Test
+  void endsAtDeadline() {
+    RecordingPeer agent = fixture.connect("m1", "north", 5);
+    fixture.router.onRequest(Fixture.request(1, CallerRequest.Kind.MODEL, "POST", 500));
+    fixture.grant(agent, "belt", false);
+    fixture.router.onRequest(Fixture.request(2, CallerRequest.Kind.MODEL, "POST", 500));
+    fixture.pass(510);
+    assertThat(fixture.effects.of(1).ends.get(0).ran()).isEqualTo(Ran.UNKNOWN);
+    assertThat(fixture.effects.of(2).ends.get(0).ran()).isEqualTo(Ran.NO);
+    assertThat(fixture.effects.of(2).ends.get(0).failure()).contains(ErrorCode.DEADLINE_EXCEEDED);
+    assertThat(fixture.effects.of(2).ends.get(0).retryAfterMillis()).isPresent();
+  }
+
+  /** Guards against requests that wait for targets that are all gone. */
+  @Test
+  void refusesWithoutAnyAgent() {
+    fixture.chat(1);
+    assertThat(fixture.effects.dialled).containsExactly("belt");
+    fixture.pass(5_010);
+    Outcome end = fixture.effects.of(1).ends.get(0);
+    assertThat(end.failure()).contains(ErrorCode.NO_TARGET);
+    assertThat(end.ran()).isEqualTo(Ran.NO);
+  }
+
+  /** Guards against a drain that loses requests or does not end. */
+  @Test
+  void drainsAfterLastRequest() {
+    final RecordingPeer agent = fixture.connect("m1", "north", 5);
+    fixture.chat(1);
+    fixture.router.onDrain();
+    fixture.chat(2);
+    assertThat(fixture.effects.of(2).ends.get(0).failure()).contains(ErrorCode.DRAINING);
+    assertThat(fixture.router.drained()).isFalse();
+    RequestId id = fixture.grant(agent, "belt", false).get(0).getRequestId();
+    fixture.head(agent, id, EVENTS);
+    fixture.end(agent, id, 1, complete());
+    assertThat(fixture.router.drained()).isTrue();
+  }
+
+  /** Guards against offers that stay at agents and requests that stay open after the limit. */
+  @Test
+  void endsEverythingAtDrainLimit() {
+    RecordingPeer agent = fixture.connect("m1", "north", 5);
+    fixture.chat(1);
+    fixture.grant(agent, "belt", false);
+    fixture.chat(2);
+    fixture.router.onDrainLimit();
+    assertThat(fixture.effects.of(1).ends.get(0).ran()).isEqualTo(Ran.UNKNOWN);
+    assertThat(fixture.effects.of(2).ends.get(0).ran()).isEqualTo(Ran.NO);
+    List<Frame> offers = agent.of(Frame.BodyCase.OFFERS);
+    assertThat(offers.get(offers.size() - 1).getOffers().getOffers(0).getWaiting()).isZero();
+    assertThat(fixture.router.drained()).isTrue();
+  }
+
+  /** Guards against an agent that stops because its window is never acknowledged. */
+  @Test
+  void acknowledgesWhatCallerConsumed() {
+    RecordingPeer agent = fixture.connect("s1", "north", 5);
+    fixture.order(1);
+    RequestId id = fixture.grant(agent, "orders", false).get(0).getRequestId();
+    fixture.head(agent, id, "text/plain");
+    fixture.data(agent, id, 1, "x".repeat(40_000));
+    fixture.data(agent, id, 2, "x".repeat(40_000));
+    assertThat(agent.of(Frame.BodyCase.ANSWER_ACK)).isEmpty();
+    fixture.router.onConsumed(1, 70_000);
+    List<Frame> acks = agent.of(Frame.BodyCase.ANSWER_ACK);
+    assertThat(acks).hasSize(1);
+    assertThat(acks.get(0).getAnswerAck().getNextSequence()).isEqualTo(2);
+  }
+
+  /** Guards against memory that grows with the number of waiting requests. */
+  @Test
+  void refusesBeyondLimits() {
+    Fixture small = new Fixture(RoutingSettings.DEFAULT.withQueues(2, 3, 10));
+    for (long caller = 1; caller <= 3; caller++) {
+      small.chat(caller);
+    }
+    Outcome end = small.effects.of(3).ends.get(0);
+    assertThat(end.failure()).isEqualTo(Optional.of(ErrorCode.ORGANISATION_QUEUE_FULL));
+    assertThat(end.retryAfterMillis()).isPresent();
+    Fixture heavy = new Fixture(RoutingSettings.DEFAULT.withHeldBytes(10));
+    heavy.chat(1);
+    heavy.chat(2);
+    assertThat(heavy.effects.of(2).ends.get(0).failure()).contains(ErrorCode.ROUTER_OVERLOADED);
+  }
+
+  /** Guards against an organisation that uses a pool outside its reach. */
+  @Test
+  void refusesPoolOutsideReach() {
+    CallerRequest request =
+        new CallerRequest(
+            1,
+            "stranger",
+            "belt",
+            CallerRequest.Kind.MODEL,
+            "POST",
+            "/x",
+            List.of(),
+            ByteString.EMPTY,
+            Fixture.TIMEOUT,
+            1,
+            false,
+            "");
+    fixture.router.onRequest(request);
+    assertThat(fixture.effects.of(1).ends.get(0).failure()).contains(ErrorCode.POOL_NOT_REACHABLE);
+  }
+
+  /**
+   * Builds the end of a whole answer.
+   *
+   * @return the end
+   */
+  private static AnswerEnd.Builder complete() {
+    return AnswerEnd.newBuilder()
+        .setComplete(true)
+        .setRan(org.almondslip.protocol.wire.Ran.YES)
+        .setCostMs(10);
+  }
+
+  /**
+   * Builds the end of a request that did not run.
+   *
+   * @param code the code
+   * @return the end
+   */
+  private static AnswerEnd.Builder notRun(String code) {
+    return AnswerEnd.newBuilder().setCode(code).setRan(org.almondslip.protocol.wire.Ran.NO);
+  }
+}
