--- a/runtime/src/main/java/org/almondslip/settings/Section.java
+++ b/runtime/src/main/java/org/almondslip/settings/Section.java
@@ -104,6 +104,15 @@
     return mapping.fields().containsKey(key);
   }
 
+  /**
+   * Lists the keys of this section in the order of the file.
+   *
+   * @return the keys
+   */
+  public List<String> keys() {
+    return List.copyOf(mapping.fields().keySet());
+  }
+
   /**
    * Reads a text that must be present.
    *
--- /dev/null
+++ b/standins/src/main/java/org/almondslip/standins/package-info.java
@@ -0,0 +1,2 @@
+/** Stand-ins for the outside systems, for tests, the demo and the benchmark. */
+package org.almondslip.standins;
