--- /dev/null
+++ b/core/src/main/java/org/almondslip/accounting/ChildReports.java
@@ -0,0 +1,196 @@
+package org.almondslip.accounting;
+
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Set;
+import org.almondslip.protocol.wire.ServiceReport;
+
+/** Reports of the agents below one node of the digest tree. */
+final class ChildReports {
+
+  /** How long the state of a child is used after its last report, in milliseconds. */
+  private final long staleMillis;
+
+  /** State of each agent that has reported. */
+  private final Map<String, Child> children = new HashMap<>();
+
+  /** Charges that were received and not taken. */
+  private Map<Integer, Long> pending = new HashMap<>();
+
+  /**
+   * Creates a store without reports.
+   *
+   * @param staleMillis how long the state of a child is used after its last report, in milliseconds
+   */
+  ChildReports(long staleMillis) {
+    this.staleMillis = staleMillis;
+  }
+
+  /**
+   * Merges a report. The charges of a report that has been merged before are not added again.
+   *
+   * @param childId the sender
+   * @param incarnation the incarnation of the sender
+   * @param report the report
+   * @param now the current time, in milliseconds
+   */
+  void merge(String childId, long incarnation, ServiceReport report, long now) {
+    Child child = children.get(childId);
+    if (child == null || Long.compareUnsigned(child.incarnation, incarnation) < 0) {
+      child = new Child(incarnation);
+      children.put(childId, child);
+    }
+    if (child.incarnation != incarnation || report.getSequence() < child.merged) {
+      return;
+    }
+    if (report.getSequence() > child.merged) {
+      child.merged = report.getSequence();
+      DigestCodec.charges(report).forEach((id, micros) -> pending.merge(id, micros, Long::sum));
+    }
+    child.backlogged = DigestCodec.backlogged(report);
+    child.agents = report.getAgents();
+    child.reportedAt = now;
+  }
+
+  /**
+   * Adds charges that were taken earlier and have to be passed on again.
+   *
+   * @param charges the charges by flow identity
+   */
+  void giveBack(Map<Integer, Long> charges) {
+    charges.forEach((id, micros) -> pending.merge(id, micros, Long::sum));
+  }
+
+  /**
+   * Takes the charges that were received since the last call.
+   *
+   * @return the charges and the reports that contain them
+   */
+  Taken take() {
+    Map<String, Long> sequences = new HashMap<>();
+    children.forEach((id, child) -> sequences.put(id, child.merged));
+    Taken taken = new Taken(pending, sequences);
+    pending = new HashMap<>();
+    return taken;
+  }
+
+  /**
+   * Marks reports as counted in the digest.
+   *
+   * @param sequences the last counted sequence number by child
+   */
+  void onCounted(Map<String, Long> sequences) {
+    sequences.forEach(
+        (id, sequence) -> {
+          Child child = children.get(id);
+          if (child != null && sequence <= child.merged) {
+            child.counted = Math.max(child.counted, sequence);
+          }
+        });
+  }
+
+  /**
+   * Returns the last report of a child that the digest counts.
+   *
+   * @param childId the child
+   * @return the sequence number, 0 when there is none
+   */
+  long counted(String childId) {
+    Child child = children.get(childId);
+    return child == null ? 0 : child.counted;
+  }
+
+  /**
+   * Returns whether children have reported.
+   *
+   * @param expected the children
+   * @param since the earliest time of a report, in milliseconds
+   * @return true when each of them has reported since then
+   */
+  boolean haveReported(Iterable<String> expected, long since) {
+    for (String id : expected) {
+      Child child = children.get(id);
+      if (child == null || child.reportedAt < since) {
+        return false;
+      }
+    }
+    return true;
+  }
+
+  /**
+   * Returns the agents that reported recently, and drops the state of the others after a while.
+   *
+   * @param now the current time, in milliseconds
+   * @return the instance ids
+   */
+  Set<String> recent(long now) {
+    Set<String> recent = new HashSet<>();
+    children.forEach(
+        (id, child) -> {
+          if (now - child.reportedAt <= staleMillis) {
+            recent.add(id);
+          }
+        });
+    return recent;
+  }
+
+  /**
+   * Adds the flows with requests waiting below this node.
+   *
+   * @param target the set to add to
+   * @param now the current time, in milliseconds
+   */
+  void addBacklogged(Set<Integer> target, long now) {
+    recent(now).forEach(id -> target.addAll(children.get(id).backlogged));
+  }
+
+  /**
+   * Returns the number of agents below this node.
+   *
+   * @param now the current time, in milliseconds
+   * @return the number
+   */
+  int agents(long now) {
+    return recent(now).stream().mapToInt(id -> children.get(id).agents).sum();
+  }
+
+  /**
+   * Charges of the subtree and the reports that contain them.
+   *
+   * @param charges the charges by flow identity
+   * @param sequences the last sequence number by child
+   */
+  record Taken(Map<Integer, Long> charges, Map<String, Long> sequences) {}
+
+  /** State of one child. */
+  private static final class Child {
+
+    /** Incarnation that sent the reports. */
+    private final long incarnation;
+
+    /** Last report whose charges were merged. */
+    private long merged;
+
+    /** Last report that the digest counts. */
+    private long counted;
+
+    /** Time of the last report, in milliseconds. */
+    private long reportedAt;
+
+    /** Number of agents in the subtree of the child. */
+    private int agents;
+
+    /** Flows with requests waiting in the subtree of the child. */
+    private Set<Integer> backlogged = Set.of();
+
+    /**
+     * Creates a child without reports.
+     *
+     * @param incarnation the incarnation that sends the reports
+     */
+    private Child(long incarnation) {
+      this.incarnation = incarnation;
+    }
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/almondslip/accounting/DigestSettings.java
@@ -0,0 +1,45 @@
+package org.almondslip.accounting;
+
+/**
+ * Times of the digest waves.
+ *
+ * @param intervalMillis the time between two waves, in milliseconds
+ * @param graceMillis how long a node waits for each level of the tree below it, in milliseconds
+ * @param activeMillis how long a flow stays in the messages after its last service or backlog, in
+ *     milliseconds
+ */
+public record DigestSettings(long intervalMillis, long graceMillis, long activeMillis) {
+
+  /** Settings of a fleet that does not change them. */
+  public static final DigestSettings DEFAULT = new DigestSettings(1_000, 100, 10_000);
+
+  /**
+   * Returns settings with another interval.
+   *
+   * @param millis the time between two waves, in milliseconds
+   * @return the new settings
+   */
+  public DigestSettings withIntervalMillis(long millis) {
+    return new DigestSettings(millis, graceMillis, activeMillis);
+  }
+
+  /**
+   * Returns settings with another grace period.
+   *
+   * @param millis the grace period, in milliseconds
+   * @return the new settings
+   */
+  public DigestSettings withGraceMillis(long millis) {
+    return new DigestSettings(intervalMillis, millis, activeMillis);
+  }
+
+  /**
+   * Returns settings with another activity time.
+   *
+   * @param millis the activity time, in milliseconds
+   * @return the new settings
+   */
+  public DigestSettings withActiveMillis(long millis) {
+    return new DigestSettings(intervalMillis, graceMillis, millis);
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/almondslip/membership/PollerElection.java
@@ -0,0 +1,44 @@
+package org.almondslip.membership;
+
+import java.util.Collection;
+import java.util.List;
+
+/** Choice of the instances that poll the table service for a data centre. */
+public enum PollerElection {
+  /** The live instances with the smallest rendezvous hashes. */
+  SMALLEST_HASH;
+
+  /** Pollers in each data centre. Three keep polling when one fails and another is slow. */
+  public static final int POLLERS = 3;
+
+  /** Order of the instances. */
+  private static final RendezvousOrder ORDER = new RendezvousOrder("poller");
+
+  /**
+   * Returns the pollers of a data centre.
+   *
+   * @param members the members of the fleet
+   * @param dataCentre the data centre
+   * @return the instance ids, at most {@link #POLLERS}
+   */
+  public List<String> pollers(Collection<Member> members, String dataCentre) {
+    return members.stream()
+        .filter(member -> member.dataCentre().equals(dataCentre) && !member.leaving())
+        .map(Member::instanceId)
+        .distinct()
+        .sorted(ORDER)
+        .limit(POLLERS)
+        .toList();
+  }
+
+  /**
+   * Returns whether an instance is a poller of its data centre.
+   *
+   * @param members the members of the fleet
+   * @param self the instance
+   * @return true when the instance polls
+   */
+  public boolean isPoller(Collection<Member> members, Member self) {
+    return pollers(members, self.dataCentre()).contains(self.instanceId());
+  }
+}
--- /dev/null
+++ b/core/src/test/java/org/almondslip/accounting/FleetHarness.java
@@ -0,0 +1,178 @@
+package org.almondslip.accounting;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.PriorityQueue;
+import java.util.TreeMap;
+import java.util.stream.IntStream;
+import org.almondslip.catalog.Flow;
+import org.almondslip.membership.Member;
+import org.almondslip.protocol.wire.FlowOffer;
+import org.almondslip.protocol.wire.Frame;
+import org.almondslip.protocol.wire.Role;
+import org.almondslip.time.Clock;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.apache.commons.rng.simple.RandomSource;
+
+/** Agents with ledgers, offer books and digest nodes, driven by one manual clock. */
+final class FleetHarness {
+
+  /** Step of the clock, in milliseconds. */
+  private static final long STEP = 10;
+
+  final FleetPlan plan;
+  final UniformRandomProvider random;
+  final Clock.Manual clock = new Clock.Manual(1_000_000L);
+  final List<Flow> flows = new ArrayList<>();
+  final Map<Integer, Flow> flowsById = new HashMap<>();
+  final Map<String, SimulatedAgent> agents = new TreeMap<>();
+  final Map<Integer, Long> started = new HashMap<>();
+  final Map<String, Long> bytes = new TreeMap<>();
+  private final PriorityQueue<Event> events = new PriorityQueue<>();
+  private final Map<Integer, Integer> reach = new HashMap<>();
+  private long eventCount;
+  private boolean partitioned;
+
+  FleetHarness(FleetPlan plan) {
+    this.plan = plan;
+    this.random = RandomSource.XO_RO_SHI_RO_128_PP.create(plan.seed());
+    for (int index = 0; index < plan.organisations(); index++) {
+      Flow flow = Flow.of("org" + index, "pool", 1);
+      flows.add(flow);
+      flowsById.put(flow.id(), flow);
+      int organisation = index;
+      long count =
+          IntStream.range(0, plan.agents())
+              .filter(agent -> plan.reach().reaches(organisation, agent, plan))
+              .count();
+      reach.put(flow.id(), (int) count);
+    }
+    for (int index = 0; index < plan.agents(); index++) {
+      add(index, 1);
+    }
+    sendMembers();
+  }
+
+  /** Starts an agent, which replaces an earlier incarnation. */
+  SimulatedAgent add(int index, long incarnation) {
+    String dc = "dc" + index % plan.dataCentres();
+    Member member = new Member("i" + index, Role.AGENT, dc, dc, "", "t" + index, false);
+    SimulatedAgent agent = new SimulatedAgent(this, member, index, incarnation);
+    agents.put(member.instanceId(), agent);
+    for (int flow = 0; flow < flows.size(); flow++) {
+      if (plan.reach().reaches(flow, index, plan)) {
+        agent.setWaiting(flows.get(flow), plan.waiting());
+      }
+    }
+    return agent;
+  }
+
+  void sendMembers() {
+    List<Member> members = agents.values().stream().map(agent -> agent.member).toList();
+    agents.values().forEach(agent -> agent.node.onMembers(members));
+  }
+
+  int agentsInReach(Flow flow) {
+    return reach.get(flow.id());
+  }
+
+  Optional<Flow> flow(int id) {
+    return Optional.ofNullable(flowsById.get(id));
+  }
+
+  void partition(boolean value) {
+    partitioned = value;
+  }
+
+  /** Removes an agent without notice; its peers see the connection close after a while. */
+  void kill(String id, long noticedAfter) {
+    agents.remove(id).stop();
+    at(noticedAfter, () -> agents.values().forEach(agent -> agent.node.onPeerClosed(id)));
+  }
+
+  /** Sends a frame with the delay, loss and repetition of the plan. */
+  void send(SimulatedAgent from, String to, Frame frame) {
+    bytes.merge(from.member.instanceId(), (long) frame.getSerializedSize(), Long::sum);
+    bytes.merge(to, (long) frame.getSerializedSize(), Long::sum);
+    int copies = random.nextDouble() < plan.repeated() ? 2 : 1;
+    for (int copy = 0; copy < copies; copy++) {
+      if (random.nextDouble() >= plan.lost()) {
+        long delay = plan.delayMillis() + random.nextLong(plan.jitterMillis() + 1);
+        at(delay, () -> deliver(from, to, frame));
+      }
+    }
+  }
+
+  private void deliver(SimulatedAgent from, String to, Frame frame) {
+    SimulatedAgent receiver = agents.get(to);
+    boolean cut =
+        partitioned
+            && receiver != null
+            && !receiver.member.dataCentre().equals(from.member.dataCentre());
+    if (receiver != null && !cut) {
+      receiver.node.onFrame(from, frame);
+    }
+  }
+
+  void at(long delay, Runnable action) {
+    events.add(new Event(clock.millis() + delay, eventCount++, action));
+  }
+
+  /** Runs for a time and samples the gap of the given flows. */
+  Gap run(long millis, List<Flow> sampled) {
+    Gap gap = new Gap();
+    long end = clock.millis() + millis;
+    while (clock.millis() < end) {
+      clock.advance(STEP);
+      while (!events.isEmpty() && events.peek().time <= clock.millis()) {
+        events.poll().action.run();
+      }
+      agents.values().forEach(SimulatedAgent::tick);
+      gap.add(sampled.stream().mapToLong(flow -> started.getOrDefault(flow.id(), 0L)).toArray());
+    }
+    return gap;
+  }
+
+  FlowOffer offer(Flow flow, int waiting) {
+    return FlowOffer.newBuilder()
+        .setFlowId(flow.id())
+        .setWaiting(waiting)
+        .setEstimateMs((int) plan.meanCostMillis())
+        .build();
+  }
+
+  /** Action at a time. */
+  private record Event(long time, long number, Runnable action) implements Comparable<Event> {
+    @Override
+    public int compareTo(Event other) {
+      int byTime = Long.compare(time, other.time);
+      return byTime != 0 ? byTime : Long.compare(number, other.number);
+    }
+  }
+
+  /** Largest and mean gap between flows, in milliseconds of slot time. */
+  static final class Gap {
+    long largest;
+    private long sum;
+    private long samples;
+
+    void add(long[] values) {
+      long smallest = Long.MAX_VALUE;
+      long top = Long.MIN_VALUE;
+      for (long value : values) {
+        smallest = Math.min(smallest, value);
+        top = Math.max(top, value);
+      }
+      largest = Math.max(largest, top - smallest);
+      sum += top - smallest;
+      samples++;
+    }
+
+    long mean() {
+      return sum / Math.max(1, samples);
+    }
+  }
+}
