Add the router program: callers' HTTP API and the decision thread

Cause: RouterLogic needs a process that serves callers and agents.

Change: RouterMain starts a router with settings, bearer keys, routes, limits on bodies, headers, connections and readers, problem documents, metrics and drain. DialPlanner chooses the agents to connect to.

--- a/core/src/main/java/org/almondslip/routing/AnswerWindow.java
+++ b/core/src/main/java/org/almondslip/routing/AnswerWindow.java
@@ -12,10 +12,10 @@
 final class AnswerWindow {
 
   /**
-   * Consumed bytes that cause an acknowledgement. A quarter of the agent's window of 256 KiB keeps
-   * the stream flowing at one small frame for each 64 KiB.
+   * Consumed bytes that cause an acknowledgement. One small frame for each 16 KiB costs a quarter
+   * of a percent of the data, and agents keep little for callers that read well.
    */
-  static final long ACK_BYTES = 64 << 10;
+  static final long ACK_BYTES = 16 << 10;
 
   /** Parts that have been received but not acknowledged. */
   private final Deque<Part> parts = new ArrayDeque<>();
--- /dev/null
+++ b/core/src/main/java/org/almondslip/routing/DialPlanner.java
@@ -0,0 +1,263 @@
+package org.almondslip.routing;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.function.Consumer;
+import org.almondslip.catalog.Catalog;
+import org.almondslip.catalog.CatalogObject.Target;
+import org.almondslip.membership.Member;
+import org.almondslip.membership.PeerIdentity;
+import org.almondslip.protocol.wire.Role;
+import org.apache.commons.codec.digest.MurmurHash3;
+import org.apache.commons.rng.UniformRandomProvider;
+
+/**
+ * Decides which agents a router connects to.
+ *
+ * <p>For each pool it keeps connections to a limited number of agents, own region first. Within a
+ * region the order is a hash of router and agent, so that the routers spread over the agents.
+ */
+public final class DialPlanner {
+
+  /** Connections for each pool while nothing waits long. */
+  static final int AGENTS_PER_POOL = 16;
+
+  /** Connections added for a pool at a time while its requests wait. */
+  static final int MORE_AGENTS = 4;
+
+  /** Largest number of connections for a pool; bounds heartbeats and memory. */
+  static final int MAX_AGENTS_PER_POOL = 64;
+
+  /** Time without waiting requests after which the limit of a pool is the normal one again. */
+  private static final long CALM_MILLIS = 30_000;
+
+  /** First delay after a failure, in milliseconds. */
+  private static final long FIRST_BACKOFF_MILLIS = 100;
+
+  /** Longest delay after failures, in milliseconds. */
+  private static final long MAX_BACKOFF_MILLIS = 5_000;
+
+  /** Time after which a dial without an answer is repeated, in milliseconds. */
+  private static final long DIAL_MILLIS = 5_000;
+
+  /** Interval of planning, in milliseconds. */
+  private static final long INTERVAL_MILLIS = 50;
+
+  /** Instance of this router. */
+  private final String instance;
+
+  /** Region of this router. */
+  private final String region;
+
+  /** Source of jitter. */
+  private final UniformRandomProvider random;
+
+  /** Opens a connection to an address. */
+  private final Consumer<String> dialler;
+
+  /** Open connections by instance; two may overlap for a moment. */
+  private final Map<String, Integer> connected = new HashMap<>();
+
+  /** Dials that failed or have not been answered, by address. */
+  private final Map<String, Dial> dials = new HashMap<>();
+
+  /** Raised limits by pool. */
+  private final Map<String, Demand> demands = new HashMap<>();
+
+  /** Agents by target pool in dialling order. */
+  private Map<String, List<Member>> agentsByPool = new TreeMap<>();
+
+  /** Known members. */
+  private List<Member> members = List.of();
+
+  /** Catalog in force. */
+  private Catalog catalog = Catalog.EMPTY;
+
+  /** Time of the next planning, in milliseconds. */
+  private long nextAt;
+
+  /**
+   * Dial that has not succeeded.
+   *
+   * @param failures the number of failures in a row
+   * @param notBefore the time of the next try, in milliseconds
+   */
+  private record Dial(int failures, long notBefore) {}
+
+  /**
+   * Raised limit of a pool.
+   *
+   * @param limit the number of connections
+   * @param raisedAt the time of the last raise, in milliseconds
+   */
+  private record Demand(int limit, long raisedAt) {}
+
+  /**
+   * Creates a planner without members.
+   *
+   * @param instance the instance of this router
+   * @param region the region of this router
+   * @param random the source of jitter
+   * @param dialler opens a connection to an address
+   */
+  public DialPlanner(
+      String instance, String region, UniformRandomProvider random, Consumer<String> dialler) {
+    this.instance = instance;
+    this.region = region;
+    this.random = random;
+    this.dialler = dialler;
+  }
+
+  /**
+   * Replaces the known members.
+   *
+   * @param next the members, also routers and leaving ones
+   */
+  public void onMembers(List<Member> next) {
+    members = List.copyOf(next);
+    Set<String> addresses = new HashSet<>();
+    members.forEach(member -> addresses.add(member.innerAddress()));
+    dials.keySet().retainAll(addresses);
+    index();
+  }
+
+  /**
+   * Replaces the catalog.
+   *
+   * @param next the catalog in force
+   */
+  public void onCatalog(Catalog next) {
+    catalog = next;
+    index();
+  }
+
+  /**
+   * Notes an open connection.
+   *
+   * @param peer the process at the other end
+   */
+  public void onOpen(PeerIdentity peer) {
+    connected.merge(peer.instanceId(), 1, Integer::sum);
+    dials.remove(peer.innerAddress());
+  }
+
+  /**
+   * Notes that a connection has ended. It is dialled again after a short random delay.
+   *
+   * @param peer the process at the other end
+   * @param now the current time, in milliseconds
+   */
+  public void onClosed(PeerIdentity peer, long now) {
+    connected.computeIfPresent(peer.instanceId(), (id, count) -> count > 1 ? count - 1 : null);
+    dials.put(peer.innerAddress(), new Dial(0, now + random.nextLong(FIRST_BACKOFF_MILLIS)));
+  }
+
+  /**
+   * Notes that a dial has failed. The delay doubles with each failure.
+   *
+   * @param address the address
+   * @param now the current time, in milliseconds
+   */
+  public void onDialFailed(String address, long now) {
+    Dial dial = dials.getOrDefault(address, new Dial(0, now));
+    long backoff = FIRST_BACKOFF_MILLIS << Math.min(dial.failures(), Byte.SIZE);
+    long delay = Math.min(MAX_BACKOFF_MILLIS, backoff);
+    long jittered = delay / 2 + random.nextLong(delay / 2 + 1);
+    dials.put(address, new Dial(dial.failures() + 1, now + jittered));
+  }
+
+  /**
+   * Raises the number of connections for a pool whose requests wait.
+   *
+   * @param pool the pool
+   * @param now the current time, in milliseconds
+   */
+  public void dialMore(String pool, long now) {
+    int limit = Math.min(MAX_AGENTS_PER_POOL, limitOf(pool, now) + MORE_AGENTS);
+    demands.put(pool, new Demand(limit, now));
+  }
+
+  /**
+   * Dials the agents that are wanted and not connected.
+   *
+   * @param now the current time, in milliseconds
+   */
+  public void onTick(long now) {
+    if (now < nextAt) {
+      return;
+    }
+    nextAt = now + INTERVAL_MILLIS;
+    agentsByPool.forEach(
+        (pool, agents) -> {
+          int limit = Math.min(agents.size(), limitOf(pool, now));
+          agents.subList(0, limit).forEach(agent -> dial(agent, now));
+        });
+  }
+
+  /**
+   * Dials an agent unless it is connected, being dialled or failed just now.
+   *
+   * @param agent the agent
+   * @param now the current time, in milliseconds
+   */
+  private void dial(Member agent, long now) {
+    Dial dial = dials.getOrDefault(agent.innerAddress(), new Dial(0, now));
+    if (!connected.containsKey(agent.instanceId()) && dial.notBefore() <= now) {
+      dials.put(agent.innerAddress(), new Dial(dial.failures(), now + DIAL_MILLIS));
+      dialler.accept(agent.innerAddress());
+    }
+  }
+
+  /**
+   * Returns the number of connections for a pool.
+   *
+   * @param pool the pool
+   * @param now the current time, in milliseconds
+   * @return the number
+   */
+  private int limitOf(String pool, long now) {
+    Demand demand = demands.get(pool);
+    if (demand == null || now - demand.raisedAt() >= CALM_MILLIS) {
+      return AGENTS_PER_POOL;
+    }
+    return demand.limit();
+  }
+
+  /** Sorts the usable agents of each pool. */
+  private void index() {
+    Map<String, List<Member>> next = new TreeMap<>();
+    for (Member member : members) {
+      if (member.role() == Role.AGENT && !member.leaving()) {
+        catalog
+            .target(member.target())
+            .filter(target -> target.state() == Target.State.ACTIVE)
+            .ifPresent(
+                target ->
+                    next.computeIfAbsent(target.pool(), pool -> new ArrayList<>()).add(member));
+      }
+    }
+    Comparator<Member> order =
+        Comparator.<Member, Boolean>comparing(member -> !member.region().equals(region))
+            .thenComparing(member -> hash(member.instanceId()));
+    next.values().forEach(agents -> agents.sort(order));
+    agentsByPool = next;
+  }
+
+  /**
+   * Returns the place of an agent in the order of this router.
+   *
+   * @param agent the instance of the agent
+   * @return a hash of both instances
+   */
+  private int hash(String agent) {
+    byte[] both = (instance + "/" + agent).getBytes(StandardCharsets.UTF_8);
+    return MurmurHash3.hash32x86(both, 0, both.length, 0);
+  }
+}
--- a/core/src/main/java/org/almondslip/routing/Endings.java
+++ b/core/src/main/java/org/almondslip/routing/Endings.java
@@ -1,7 +1,9 @@
 package org.almondslip.routing;
 
+import java.util.EnumSet;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import org.almondslip.error.ErrorCode;
 import org.almondslip.error.Ran;
 import org.almondslip.protocol.wire.AnswerEnd;
@@ -12,8 +14,17 @@
 /** Ends attempts and requests: success, another attempt, or a final refusal. */
 final class Endings {
 
-  /** Lowest status of errors for which coming back can help. */
-  private static final int SERVER_ERRORS = 500;
+  /** Errors after which the same request can succeed later. */
+  private static final Set<ErrorCode> TEMPORARY =
+      EnumSet.of(
+          ErrorCode.STILL_RUNNING,
+          ErrorCode.TARGET_UNREACHABLE,
+          ErrorCode.ROUTER_OVERLOADED,
+          ErrorCode.DRAINING,
+          ErrorCode.NOT_READY,
+          ErrorCode.NO_TARGET,
+          ErrorCode.ORDER_STORE_UNAVAILABLE,
+          ErrorCode.DEADLINE_EXCEEDED);
 
   /** State of the router's requests. */
   private final RouterState state;
@@ -247,8 +258,7 @@
     Outcome outcome = Outcome.failed(code, failure.detail(), ran);
     boolean harmless =
         ran == Ran.NO || pending.idempotent() || !pending.request().idempotencyKey().isEmpty();
-    boolean helps = code.status() >= SERVER_ERRORS || code == ErrorCode.STILL_RUNNING;
-    if (!harmless || !helps) {
+    if (!harmless || !TEMPORARY.contains(code)) {
       return outcome;
     }
     Optional<FlowQueue> queue = state.queues().find(pending.flow().id());
--- /dev/null
+++ b/router/src/main/java/org/almondslip/router/RequestSink.java
@@ -0,0 +1,54 @@
+package org.almondslip.router;
+
+import org.almondslip.duty.Duty;
+import org.almondslip.routing.CallerRequest;
+
+/** Where the callers' API hands its events. */
+interface RequestSink {
+
+  /**
+   * Takes a request.
+   *
+   * @param request the request
+   * @return false when there is no room for it
+   */
+  boolean arrived(CallerRequest request);
+
+  /**
+   * Notes that a caller has consumed bytes of its answer.
+   *
+   * @param caller the request
+   * @param bytes the number of bytes
+   */
+  void consumed(long caller, long bytes);
+
+  /**
+   * Notes that a caller has gone.
+   *
+   * @param caller the request
+   */
+  void gone(long caller);
+
+  /**
+   * Hands the events to a decision thread.
+   *
+   * @param duty the decision thread
+   */
+  record ToDuty(Duty<RouterEvent> duty) implements RequestSink {
+
+    @Override
+    public boolean arrived(CallerRequest request) {
+      return duty.offer(new RouterEvent.Arrived(request));
+    }
+
+    @Override
+    public void consumed(long caller, long bytes) {
+      duty.put(new RouterEvent.Consumed(caller, bytes));
+    }
+
+    @Override
+    public void gone(long caller) {
+      duty.put(new RouterEvent.Gone(caller));
+    }
+  }
+}
--- a/router/src/main/java/org/almondslip/router/RouterMain.java
+++ b/router/src/main/java/org/almondslip/router/RouterMain.java
@@ -1,5 +1,7 @@
 package org.almondslip.router;
 
+import org.almondslip.process.Launcher;
+
 /** Entry point of the program. */
 public final class RouterMain {
 
@@ -12,6 +14,6 @@
    * @param args the command-line arguments
    */
   public static void main(String[] args) {
-    System.exit(1);
+    Launcher.run(new RouterProgram(), args);
   }
 }
