Forget cancelled attempts and test the router under faults

Cause: an attempt whose caller had gone stayed in the in-flight table when its agent never sent an end, for instance after a lost frame; agents do not answer cancellations. A response whose last bytes had not left was also no longer watched for a stalled reader.

Change: abandoned attempts are forgotten after the reattach time, and bodies are released when a request ends. An exchange ends when its last bytes have left. FaultyFleet drives RouterLogic with fake agents that delay, repeat, reorder and lose frames, connections and processes.

--- a/core/src/main/java/org/almondslip/routing/AnswerRelay.java
+++ b/core/src/main/java/org/almondslip/routing/AnswerRelay.java
@@ -132,7 +132,7 @@
     } else if (attempt.abandoned()) {
       attempt.window().take(attempt.pending().handedBytes());
     } else if (answer.hasHead() == (answer.getSequence() == 0)) {
-      pass(attempt, answer);
+      pass(attempt, answer, now);
     } else {
       violate(attempt, "the head must be the first part of an answer", now);
     }
@@ -143,11 +143,12 @@
    *
    * @param attempt the attempt
    * @param answer the part
+   * @param now the current time, in milliseconds
    */
-  private void pass(Attempt attempt, Answer answer) {
+  private void pass(Attempt attempt, Answer answer, long now) {
     PendingRequest pending = attempt.pending();
     if (answer.hasHead()) {
-      onHead(attempt, answer.getHead());
+      onHead(attempt, answer.getHead(), now);
     } else {
       ByteString data = answer.getData();
       passData(pending, pending.events().map(events -> events.add(data)).orElse(data));
@@ -160,14 +161,16 @@
    *
    * @param attempt the attempt
    * @param head the status and headers
+   * @param now the current time, in milliseconds
    */
-  private void onHead(Attempt attempt, AnswerHead head) {
+  private void onHead(Attempt attempt, AnswerHead head, long now) {
     PendingRequest pending = attempt.pending();
     if (!pending.headPassed()) {
       pending.passHead(pending.request().stream() && isEventStream(head));
       effects.head(pending.request().caller(), head);
     } else if (!isEventStream(head)) {
-      endings.abort(pending, ErrorCode.STREAM_INTERRUPTED, "the stream could not be continued");
+      endings.abort(
+          pending, ErrorCode.STREAM_INTERRUPTED, "the stream could not be continued", now);
     }
   }
 
--- a/core/src/main/java/org/almondslip/routing/Attempt.java
+++ b/core/src/main/java/org/almondslip/routing/Attempt.java
@@ -30,6 +30,9 @@
   /** Whether the caller no longer waits for the answer. */
   private boolean abandoned;
 
+  /** Time since which the caller no longer waits, in milliseconds. */
+  private long abandonedAt;
+
   /**
    * Creates an attempt.
    *
@@ -149,8 +152,24 @@
     return abandoned;
   }
 
-  /** Notes that the caller no longer waits for the answer. */
-  void abandon() {
+  /**
+   * Notes that the caller no longer waits for the answer.
+   *
+   * @param now the current time, in milliseconds
+   */
+  void abandon(long now) {
     abandoned = true;
+    abandonedAt = now;
+  }
+
+  /**
+   * Returns whether the caller has not waited for the answer for some time.
+   *
+   * @param now the current time, in milliseconds
+   * @param limitMillis the time, in milliseconds
+   * @return true when the attempt was abandoned at least that time ago
+   */
+  boolean abandonedFor(long now, long limitMillis) {
+    return abandoned && now - abandonedAt >= limitMillis;
   }
 }
--- a/core/src/main/java/org/almondslip/routing/CallerRequest.java
+++ b/core/src/main/java/org/almondslip/routing/CallerRequest.java
@@ -61,4 +61,25 @@
   public CallerRequest {
     headers = List.copyOf(headers);
   }
+
+  /**
+   * Returns the request without its body, for the time in which only its identity is needed.
+   *
+   * @return the new request
+   */
+  CallerRequest withoutBody() {
+    return new CallerRequest(
+        caller,
+        organisation,
+        pool,
+        kind,
+        method,
+        path,
+        List.of(),
+        ByteString.EMPTY,
+        timeoutMillis,
+        hintMillis,
+        stream,
+        idempotencyKey);
+  }
 }
--- a/core/src/main/java/org/almondslip/routing/Endings.java
+++ b/core/src/main/java/org/almondslip/routing/Endings.java
@@ -131,10 +131,11 @@
    * @param pending the request
    * @param code the code of the error
    * @param detail what happened
+   * @param now the current time, in milliseconds
    */
-  void abort(PendingRequest pending, ErrorCode code, String detail) {
+  void abort(PendingRequest pending, ErrorCode code, String detail, long now) {
     Outcome outcome = outcome(pending, new Failure(code, detail, pending.ran(), 0));
-    stop(pending);
+    stop(pending, now);
     state.requests().end(pending, outcome);
   }
 
@@ -142,19 +143,21 @@
    * Removes a request from its queue, or cancels its attempt.
    *
    * @param pending the request
+   * @param now the current time, in milliseconds
    */
-  void stop(PendingRequest pending) {
+  void stop(PendingRequest pending, long now) {
     state.queues().remove(pending);
-    pending.attempt().ifPresent(this::cancel);
+    pending.attempt().ifPresent(attempt -> cancel(attempt, now));
   }
 
   /**
    * Stops an attempt whose result nobody waits for.
    *
    * @param attempt the attempt
+   * @param now the current time, in milliseconds
    */
-  void cancel(Attempt attempt) {
-    attempt.abandon();
+  private void cancel(Attempt attempt, long now) {
+    attempt.abandon(now);
     sendCancel(attempt);
   }
 
--- a/core/src/main/java/org/almondslip/routing/PendingRequest.java
+++ b/core/src/main/java/org/almondslip/routing/PendingRequest.java
@@ -9,8 +9,8 @@
 /** Progress of one caller's request over all its attempts. */
 final class PendingRequest {
 
-  /** Request as the caller sent it. */
-  private final CallerRequest request;
+  /** Request as the caller sent it; without its body after its end. */
+  private CallerRequest request;
 
   /** Flow of the request. */
   private final Flow flow;
@@ -78,6 +78,11 @@
     return request;
   }
 
+  /** Releases the body of a request that has ended. Its attempt may still wait for its end. */
+  void releaseBody() {
+    request = request.withoutBody();
+  }
+
   /**
    * Returns the flow.
    *
--- a/core/src/main/java/org/almondslip/routing/Reattachment.java
+++ b/core/src/main/java/org/almondslip/routing/Reattachment.java
@@ -75,12 +75,17 @@
   }
 
   /**
-   * Gives up attempts whose connection has not come back in time.
+   * Gives up attempts whose connection has not come back in time, and forgets cancelled ones.
+   * Agents need not answer a cancellation.
    *
    * @param now the current time, in milliseconds
    */
   void onTick(long now) {
     long limit = state.settings().reattachMillis();
+    state
+        .inFlight()
+        .matching(attempt -> attempt.abandonedFor(now, limit))
+        .forEach(state.inFlight()::remove);
     lose(state.inFlight().matching(attempt -> attempt.lostFor(now, limit)), false, now);
   }
 
--- a/core/src/main/java/org/almondslip/routing/Requests.java
+++ b/core/src/main/java/org/almondslip/routing/Requests.java
@@ -143,6 +143,7 @@
     boolean removed = byCaller.remove(pending.request().caller(), pending);
     if (removed) {
       heldBytes -= pending.request().body().size();
+      pending.releaseBody();
     }
     return removed;
   }
--- a/core/src/main/java/org/almondslip/routing/RouterLogic.java
+++ b/core/src/main/java/org/almondslip/routing/RouterLogic.java
@@ -152,7 +152,7 @@
   public void onCallerGone(long caller) {
     Optional<PendingRequest> pending = state.requests().find(caller);
     if (pending.isPresent()) {
-      endings.stop(pending.get());
+      endings.stop(pending.get(), clock.millis());
       state.requests().drop(pending.get());
       planner.plan(state.queues().of(pending.get().flow()), clock.millis());
     }
@@ -228,7 +228,7 @@
   public void onDrainLimit() {
     draining = true;
     for (PendingRequest pending : state.requests().all()) {
-      endings.abort(pending, ErrorCode.DRAINING, "the router stops");
+      endings.abort(pending, ErrorCode.DRAINING, "the router stops", clock.millis());
     }
     for (FlowQueue queue : state.queues().all()) {
       planner.plan(queue, clock.millis());
@@ -364,7 +364,7 @@
    */
   private void expire(long now) {
     for (PendingRequest pending : state.requests().expired(now)) {
-      endings.abort(pending, ErrorCode.DEADLINE_EXCEEDED, "the deadline has passed");
+      endings.abort(pending, ErrorCode.DEADLINE_EXCEEDED, "the deadline has passed", now);
       state.queues().of(pending.flow()).planAt(now);
       planner.plan(state.queues().of(pending.flow()), now);
     }
@@ -381,7 +381,8 @@
       endings.abort(
           pending,
           ErrorCode.NO_TARGET,
-          ran == Ran.NO ? "no target is connected" : "no target is left for another attempt");
+          ran == Ran.NO ? "no target is connected" : "no target is left for another attempt",
+          clock.millis());
     }
   }
 
--- /dev/null
+++ b/core/src/test/java/org/almondslip/routing/FaultyFleet.java
@@ -0,0 +1,273 @@
+package org.almondslip.routing;
+
+import com.google.protobuf.ByteString;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.Set;
+import org.almondslip.protocol.wire.Frame;
+import org.almondslip.quarantine.SuspectRegistry;
+import org.almondslip.time.Clock;
+import org.apache.commons.rng.simple.RandomSource;
+
+/** Router with fake agents behind connections that fail in random ways. */
+final class FaultyFleet {
+
+  /** Targets of the fleet. */
+  private static final List<String> TARGETS = List.of("m1", "m2", "m3", "s1", "s2");
+
+  /** Largest number of waiting requests. */
+  static final int QUEUE_LIMIT = 12;
+
+  /** Time limit of requests, in milliseconds. */
+  private static final long TIMEOUT = 20_000;
+
+  /** Clock of the router. */
+  final Clock.Manual clock = new Clock.Manual(5_000);
+
+  /** What callers received. */
+  final RecordingEffects effects = new RecordingEffects();
+
+  /** How often each body was run by a target. */
+  final Map<String, Integer> runs = new HashMap<>();
+
+  /** Callers that have gone. */
+  final Set<Long> gone = new HashSet<>();
+
+  /** Bodies of the requests by caller. */
+  final Map<Long, String> bodies = new HashMap<>();
+
+  /** Callers of orders, which are not idempotent. */
+  final Set<Long> orders = new HashSet<>();
+
+  /** Router under test. */
+  final RouterLogic router =
+      new RouterLogic(
+          9,
+          "north",
+          RoutingSettings.DEFAULT.withQueues(5, 10, QUEUE_LIMIT),
+          new SuspectRegistry(),
+          clock,
+          RandomSource.XO_RO_SHI_RO_128_PP.create(7L),
+          effects);
+
+  /** Agents, in the order of the targets. */
+  private final List<Node> nodes = new ArrayList<>();
+
+  /** Source of faults. */
+  private final Random random;
+
+  /** Number of the next connection. */
+  private long connection = 1;
+
+  /** Number of the last caller. */
+  private long caller;
+
+  /** One agent with its connection. */
+  private static final class Node {
+    /** Target. */
+    private final String target;
+
+    /** Agent. */
+    private FakeAgent agent;
+
+    /** Incarnation of the agent. */
+    private long incarnation = 1;
+
+    /** Connection, null while there is none. */
+    private RecordingPeer link;
+
+    /** Frames on the way to the router. */
+    private final Deque<Frame> arriving = new ArrayDeque<>();
+
+    /**
+     * Creates an agent without a connection.
+     *
+     * @param target the target
+     */
+    private Node(String target) {
+      this.target = target;
+    }
+  }
+
+  /**
+   * Creates a fleet.
+   *
+   * @param seed the seed of the faults
+   */
+  FaultyFleet(long seed) {
+    random = new Random(seed);
+    router.onCatalog(Fixture.catalog());
+    for (String target : TARGETS) {
+      Node node = new Node(target);
+      node.agent = new FakeAgent(2, runs);
+      nodes.add(node);
+    }
+  }
+
+  /**
+   * Lets something happen.
+   *
+   * @param faults whether faults may happen
+   */
+  void step(boolean faults) {
+    Node node = nodes.get(random.nextInt(nodes.size()));
+    int action = random.nextInt(100);
+    if (action < 10 && faults) {
+      arrive();
+    } else if (action < 12 && faults) {
+      hangUp();
+    } else if (action < 40) {
+      toAgent(node);
+    } else if (action < 65) {
+      node.agent.work();
+      node.arriving.addAll(node.agent.outgoing);
+      node.agent.outgoing.clear();
+    } else if (action < 90) {
+      toRouter(node, faults);
+    } else if (action < 95) {
+      clock.advance(10);
+      router.onTick();
+    } else if (node.link == null) {
+      connect(node);
+    } else if (faults) {
+      fault(node, action);
+    }
+    consume();
+  }
+
+  /** Lets agents and connections work without faults until every request must have ended. */
+  void settle() {
+    for (int i = 0; i < 400; i++) {
+      step(false);
+    }
+    for (long left = TIMEOUT + 11_000; left > 0; left -= 500) {
+      clock.advance(500);
+      router.onTick();
+      for (int i = 0; i < 40; i++) {
+        step(false);
+      }
+    }
+  }
+
+  /** Sends a request of a new caller. */
+  private void arrive() {
+    caller++;
+    boolean order = random.nextBoolean();
+    CallerRequest.Kind kind = order ? CallerRequest.Kind.SERVICE : CallerRequest.Kind.MODEL;
+    if (order) {
+      orders.add(caller);
+    }
+    CallerRequest request = Fixture.request(caller, kind, "POST", TIMEOUT);
+    bodies.put(caller, request.body().toStringUtf8());
+    router.onRequest(request);
+  }
+
+  /** Lets a caller go. */
+  private void hangUp() {
+    if (caller > 0) {
+      long leaving = 1 + random.nextInt((int) caller);
+      if (effects.of(leaving).ends.isEmpty()) {
+        gone.add(leaving);
+        router.onCallerGone(leaving);
+      }
+    }
+  }
+
+  /**
+   * Delivers the next frame to an agent.
+   *
+   * @param node the agent
+   */
+  private void toAgent(Node node) {
+    if (node.link != null && !node.link.queued.isEmpty()) {
+      node.agent.onFrame(node.link.queued.poll());
+    }
+  }
+
+  /**
+   * Delivers a frame to the router, possibly twice, early or never.
+   *
+   * @param node the agent
+   * @param faults whether faults may happen
+   */
+  private void toRouter(Node node, boolean faults) {
+    if (node.link == null || node.arriving.isEmpty()) {
+      return;
+    }
+    int fault = faults ? random.nextInt(20) : 20;
+    if (fault == 0) {
+      node.arriving.poll();
+    } else if (fault == 1) {
+      node.arriving.addLast(node.arriving.poll());
+    } else {
+      Frame frame = node.arriving.poll();
+      router.onFrame(node.link, frame);
+      if (fault == 2) {
+        router.onFrame(node.link, frame);
+      }
+    }
+  }
+
+  /**
+   * Breaks a connection, an agent, or the calls at a target.
+   *
+   * @param node the agent
+   * @param action the kind of fault
+   */
+  private void fault(Node node, int action) {
+    switch (action) {
+      case 95 -> node.agent.breakRunning();
+      case 96 -> node.agent.handBack();
+      case 97 -> {
+        disconnect(node, true);
+        node.agent = new FakeAgent(2, runs);
+        node.incarnation++;
+      }
+      case 98 -> node.link.queued.poll();
+      default -> disconnect(node, false);
+    }
+  }
+
+  /**
+   * Closes a connection; frames on the way are lost.
+   *
+   * @param node the agent
+   * @param byPeer whether the agent closed it
+   */
+  private void disconnect(Node node, boolean byPeer) {
+    RecordingPeer link = node.link;
+    node.link = null;
+    node.arriving.clear();
+    node.agent.onDisconnect();
+    router.onPeerClosed(link, byPeer);
+  }
+
+  /**
+   * Opens a connection.
+   *
+   * @param node the agent
+   */
+  private void connect(Node node) {
+    node.link =
+        new RecordingPeer(
+            connection++, RecordingPeer.agent(node.target, "north", node.incarnation));
+    router.onPeerOpen(node.link);
+  }
+
+  /** Lets the callers read everything. */
+  private void consume() {
+    effects.callers.forEach(
+        (id, received) -> {
+          ByteString body = received.body;
+          if (received.ends.isEmpty() && !body.isEmpty()) {
+            router.onConsumed(id, 1);
+          }
+        });
+  }
+}
--- a/router/src/main/java/org/almondslip/router/CallerServer.java
+++ b/router/src/main/java/org/almondslip/router/CallerServer.java
@@ -129,7 +129,6 @@
    */
   private void handle(HttpServerRequest request) {
     guard.onHeaders(request.connection());
-    request.response().endHandler(ended -> guard.expectHeaders(request.connection()));
     Optional<String> organisation = authenticator.organisation(request.getHeader("Authorization"));
     if (organisation.isEmpty()) {
       reader(request, "", null)
@@ -160,7 +159,8 @@
         request,
         limits,
         exchanges.incoming(),
-        body -> start(request, organisation, route, body));
+        body -> start(request, organisation, route, body),
+        () -> guard.expectHeaders(request.connection()));
   }
 
   /**
@@ -173,7 +173,16 @@
    */
   private void start(HttpServerRequest request, String organisation, Route route, Buffer body) {
     long caller = exchanges.nextCaller();
-    Exchange exchange = new Exchange(caller, organisation, request, vertx, exchanges, sink, clock);
+    Exchange exchange =
+        new Exchange(
+            caller,
+            organisation,
+            request,
+            vertx,
+            exchanges,
+            sink,
+            clock,
+            () -> guard.expectHeaders(request.connection()));
     exchange.start(
         RequestReader.toCallerRequest(caller, organisation, route, request, body, limits));
   }
--- a/router/src/main/java/org/almondslip/router/Exchange.java
+++ b/router/src/main/java/org/almondslip/router/Exchange.java
@@ -3,10 +3,12 @@
 import com.google.common.flogger.FluentLogger;
 import com.google.protobuf.ByteString;
 import io.vertx.core.Context;
+import io.vertx.core.Future;
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpServerRequest;
 import io.vertx.core.http.HttpServerResponse;
+import java.util.Set;
 import org.almondslip.error.ErrorCode;
 import org.almondslip.logging.JsonLines;
 import org.almondslip.protocol.wire.AnswerHead;
@@ -31,7 +33,7 @@
   private static final int OK = 200;
 
   /** Statuses without a body. */
-  private static final java.util.Set<Integer> BODILESS = java.util.Set.of(204, 304);
+  private static final Set<Integer> BODILESS = Set.of(204, 304);
 
   /** Number of the caller. */
   private final long caller;
@@ -57,9 +59,15 @@
   /** Source of time. */
   private final Clock clock;
 
-  /** Whether the answer has ended or the caller has gone. */
+  /** Called when the whole answer has left for the caller. */
+  private final Runnable onSent;
+
+  /** Whether the result is final. Its last bytes may still be on their way to the caller. */
   private boolean ended;
 
+  /** Whether everything has been released. */
+  private boolean released;
+
   /** Whether the status has been sent. */
   private boolean headSent;
 
@@ -82,6 +90,7 @@
    * @param exchanges all open exchanges
    * @param sink the receiver of the events
    * @param clock the source of time
+   * @param onSent called when the whole answer has left for the caller
    */
   Exchange(
       long caller,
@@ -90,7 +99,8 @@
       Vertx vertx,
       Exchanges exchanges,
       RequestSink sink,
-      Clock clock) {
+      Clock clock,
+      Runnable onSent) {
     this.caller = caller;
     this.organisation = organisation;
     this.request = request;
@@ -99,6 +109,7 @@
     this.exchanges = exchanges;
     this.sink = sink;
     this.clock = clock;
+    this.onSent = onSent;
   }
 
   /**
@@ -205,27 +216,37 @@
     if (ended) {
       return;
     }
-    finish();
+    ended = true;
     outcome.failure().ifPresent(code -> log(outcome, code));
-    if (outcome.failure().isEmpty()) {
-      response.end();
-    } else if (!headSent) {
-      Refusal.send(response, outcome);
-    } else if (eventStream) {
-      response.end("event: error\ndata: " + Problem.toJson(outcome) + "\n\n");
-    } else {
+    if (outcome.failure().isPresent() && headSent && !eventStream) {
       request.connection().close();
+    } else {
+      last(outcome).onComplete(sent -> release()).onSuccess(sent -> onSent.run());
     }
   }
 
+  /**
+   * Sends the last part of the answer.
+   *
+   * @param outcome the final result
+   * @return when everything has left for the caller
+   */
+  private Future<Void> last(Outcome outcome) {
+    if (outcome.failure().isEmpty()) {
+      return response.end();
+    }
+    return headSent
+        ? response.end("event: error\ndata: " + Problem.toJson(outcome) + "\n\n")
+        : Refusal.send(response, outcome);
+  }
+
   /** Ends the exchange by closing the connection. */
   void drop() {
     run(() -> request.connection().close());
   }
 
   /**
-   * Closes the connection when the caller has read nothing for too long. The end of an answer is
-   * watched too: its connection stays in the table of the server.
+   * Closes the connection when the caller has read nothing for too long, also of the last bytes.
    *
    * @param now the current time, in milliseconds
    * @param limitMillis the longest time without progress, in milliseconds
@@ -247,28 +268,33 @@
    * @param bytes the number of bytes
    */
   private void onRead(int bytes) {
-    if (ended) {
+    if (released) {
       return;
     }
     unread -= bytes;
     progressAt = clock.millis();
     exchanges.unread().release(bytes);
-    sink.consumed(caller, bytes);
+    if (!ended) {
+      sink.consumed(caller, bytes);
+    }
   }
 
-  /** Notes that the connection has closed before the end of the answer. */
+  /** Notes that the connection has closed before the whole answer has left. */
   private void onClose() {
     if (!ended) {
-      finish();
+      ended = true;
       sink.gone(caller);
     }
+    release();
   }
 
   /** Releases what the exchange holds. */
-  private void finish() {
-    ended = true;
-    exchanges.remove(this);
-    exchanges.unread().release(unread);
+  private void release() {
+    if (!released) {
+      released = true;
+      exchanges.remove(this);
+      exchanges.unread().release(unread);
+    }
   }
 
   /**
--- a/router/src/main/java/org/almondslip/router/RequestReader.java
+++ b/router/src/main/java/org/almondslip/router/RequestReader.java
@@ -38,6 +38,9 @@
   /** Receiver of the body. */
   private final Consumer<Buffer> receiver;
 
+  /** Called when a refusal has left for the caller and the connection can be used again. */
+  private final Runnable onSent;
+
   /** Body so far. */
   private Buffer body = Buffer.buffer();
 
@@ -55,18 +58,21 @@
    * @param limits the limits of the API
    * @param incoming the bodies that are being received
    * @param receiver the receiver of the body
+   * @param onSent called when a refusal has left and the connection can be used again
    */
   RequestReader(
       Vertx vertx,
       HttpServerRequest request,
       CallerLimits limits,
       ByteBudget incoming,
-      Consumer<Buffer> receiver) {
+      Consumer<Buffer> receiver,
+      Runnable onSent) {
     this.vertx = vertx;
     this.request = request;
     this.limits = limits;
     this.incoming = incoming;
     this.receiver = receiver;
+    this.onSent = onSent;
   }
 
   /** Starts to receive. */
@@ -164,7 +170,7 @@
     try {
       receiver.accept(whole);
     } catch (AlmondslipException e) {
-      Refusal.send(request.response(), Refusal.of(e));
+      Refusal.send(request.response(), Refusal.of(e)).onSuccess(sent -> onSent.run());
     }
   }
 
