--- /dev/null
+++ b/bench/src/main/java/org/almondslip/bench/deployment/package-info.java
@@ -0,0 +1,2 @@
+/** Deployments and the generator of their settings. */
+package org.almondslip.bench.deployment;
--- /dev/null
+++ b/bench/src/main/java/org/almondslip/bench/measure/package-info.java
@@ -0,0 +1,2 @@
+/** Measures of fairness, utilisation, traffic, memory and processor time. */
+package org.almondslip.bench.measure;
--- /dev/null
+++ b/bench/src/main/java/org/almondslip/bench/package-info.java
@@ -0,0 +1,2 @@
+/** Load and experiment tool. */
+package org.almondslip.bench;
