--- a/bench/src/main/java/org/almondslip/bench/Command.java
+++ b/bench/src/main/java/org/almondslip/bench/Command.java
@@ -64,6 +64,13 @@
         return command.prepare();
       }
     },
+    /** Enters the instances of a deployment into its instance lists. */
+    REGISTER {
+      @Override
+      ObjectNode run(Command command) {
+        return Registration.of(Vertx.vertx(), Path.of(command.directory));
+      }
+    },
     /** Sends a short burst. */
     DEMO {
       @Override
--- a/bench/src/main/java/org/almondslip/bench/Report.java
+++ b/bench/src/main/java/org/almondslip/bench/Report.java
@@ -23,6 +23,9 @@
    */
   private static final double DIGEST_DELAY_MILLIS = 2_000;
 
+  /** Metric of the agents that counts the bytes of inner connections by kind. */
+  private static final String AGENT_BYTES = "almondslip_agent_inner_bytes_total";
+
   /** Factor by which values are rounded. */
   private static final double ROUNDING = 1000.0;
 
@@ -163,9 +166,14 @@
   Report withCosts(FleetSnapshot before, FleetSnapshot after) {
     double seconds = after.secondsSince(before);
     int nodes = Math.max(1, after.metrics().size());
-    double control = after.growth(before, "almondslip_control_bytes");
+    double control =
+        after.growth(before, "almondslip_control_bytes")
+            + after.growth(before, AGENT_BYTES + "{kind=\"control\"}");
+    double crossRegion =
+        after.growth(before, "almondslip_cross_region_bytes")
+            + after.growth(before, AGENT_BYTES + "{kind=\"cross_region_sent\"}");
     json.put("control_bytes_per_second_per_node", round(control / seconds / nodes));
-    json.put("cross_region_bytes", after.growth(before, "almondslip_cross_region_bytes"));
+    json.put("cross_region_bytes", crossRegion);
     json.put("router_cpu_cores", round(after.coresPerProcess(before, "router")));
     json.put("agent_cpu_cores", round(after.coresPerProcess(before, "agent")));
     ObjectNode memory = json.putObject("rss_mb");
--- a/bench/src/main/java/org/almondslip/bench/deployment/SettingsFiles.java
+++ b/bench/src/main/java/org/almondslip/bench/deployment/SettingsFiles.java
@@ -33,7 +33,10 @@
   /** Files by name. */
   private final Map<String, String> files = new LinkedHashMap<>();
 
-  /** Processes in the order of their start: program, settings file, readiness address and path. */
+  /** Entries of the instance lists. */
+  private final ArrayNode members = JsonNodeFactory.instance.arrayNode();
+
+  /** Processes in the order of their start: program, name and an address that each binds. */
   private final List<String> processes = new ArrayList<>();
 
   /**
@@ -65,6 +68,7 @@
     settings.addPlatform();
     deployment.agents().forEach(settings::addAgent);
     deployment.routers().forEach(settings::addRouter);
+    settings.files.put("instances.json", settings.members.toPrettyString() + "\n");
     settings.files.put("ticket.json", settings.ticket().toPrettyString() + "\n");
     settings.files.put("processes", String.join("\n", settings.processes) + "\n");
     return settings.files;
@@ -83,7 +87,7 @@
           .end();
     }
     String ready = deployment.agents().get(0).address(Node.Port.TARGET);
-    add("standins", "targets", text, ready + " /health");
+    add("standins", "targets", text, ready);
   }
 
   /** Adds the links when the deployment has any. */
@@ -101,49 +105,52 @@
           .end();
     }
     List<Network.Link> links = network.links();
-    add("standins", "network", text, links.get(links.size() - 1).control() + " /link");
+    add("standins", "network", text, links.get(links.size() - 1).control());
   }
 
   /** Adds the stand-ins of the platform. */
   private void addPlatform() {
     SettingsText text = new SettingsText().begin("standins");
-    text.begin("tables")
-        .field("kind", "table-service")
-        .field("listen", platform.tableService())
-        .end();
-    text.begin("objects")
-        .field("kind", "object-store")
-        .field("listen", platform.objectStore())
-        .end();
+    addStandin(text, "tables", "table-service", platform.tableService());
+    addStandin(text, "objects", "object-store", platform.objectStore());
     for (String dataCentre : platform.dataCentres()) {
-      text.begin("instances-" + dataCentre)
-          .field("kind", "instance-list")
-          .field("listen", platform.instanceList(dataCentre))
-          .begin("instances");
-      deployment.routers().forEach(node -> addMember(text, dataCentre, node));
-      deployment.agents().forEach(node -> addMember(text, dataCentre, node));
-      text.end().end();
+      String list = platform.instanceList(dataCentre);
+      addStandin(text, "instances-" + dataCentre, "instance-list", list);
+      deployment.routers().forEach(node -> addMember(dataCentre, node));
+      deployment.agents().forEach(node -> addMember(dataCentre, node));
     }
-    add("standins", "platform", text, platform.tableService() + " /health");
+    add("standins", "platform", text, platform.tableService());
+  }
+
+  /**
+   * Adds a stand-in without further settings.
+   *
+   * @param text receives the settings
+   * @param name the name
+   * @param kind the kind
+   * @param listen the address
+   */
+  private static void addStandin(SettingsText text, String name, String kind, String listen) {
+    text.begin(name).field("kind", kind).field("listen", listen).end();
   }
 
   /**
    * Adds an instance to the list of a data centre.
    *
-   * @param text the settings
    * @param dataCentre the data centre that reads the list
    * @param node the instance
    */
-  private void addMember(SettingsText text, String dataCentre, Node node) {
-    text.begin(node.instance())
-        .field("role", node.pool().isPresent() ? "agent" : "router")
-        .field("region", node.region())
-        .field("data_centre", node.dataCentre())
-        .field("inner_address", network.innerAddress(dataCentre, node));
-    if (node.pool().isPresent()) {
-      text.field("target", node.target());
-    }
-    text.end();
+  private void addMember(String dataCentre, Node node) {
+    ObjectNode member = members.addObject();
+    member.put("list", platform.instanceList(dataCentre)).put("id", node.instance());
+    member
+        .putObject("entry")
+        .put("role", node.pool().isPresent() ? "agent" : "router")
+        .put("region", node.region())
+        .put("data_centre", node.dataCentre())
+        .put("address", network.innerAddress(dataCentre, node))
+        .put("target", node.pool().isPresent() ? node.target() : "")
+        .put("leaving", false);
   }
 
   /**
@@ -160,7 +167,7 @@
     if (!policy.equals("fair")) {
       text.field("policy", policy);
     }
-    add("agent", node.instance(), text, node.address(Node.Port.OPERATIONS) + " /ready");
+    add("agent", node.instance(), text, node.address(Node.Port.OPERATIONS));
   }
 
   /**
@@ -174,7 +181,7 @@
             .field("listen", node.address(Node.Port.LISTEN))
             .field("admin_listen", node.address(Node.Port.ADMIN))
             .field("operator_key", OPERATOR_KEY);
-    add("router", node.instance(), text, node.address(Node.Port.OPERATIONS) + " /health");
+    add("router", node.instance(), text, node.address(Node.Port.OPERATIONS));
   }
 
   /**
@@ -204,12 +211,11 @@
    * @param program the program
    * @param name the name of the process
    * @param text the settings
-   * @param ready the address and path that answer when the process is ready
+   * @param address an address that the process binds; routers and agents serve /ready there
    */
-  private void add(String program, String name, SettingsText text, String ready) {
-    String file = name + ".yaml";
-    files.put(file, text.toString());
-    processes.add(program + " " + file + " " + ready);
+  private void add(String program, String name, SettingsText text, String address) {
+    files.put(name + ".yaml", text.toString());
+    processes.add(program + " " + name + " " + address);
   }
 
   /**
--- a/bench/src/main/java/org/almondslip/bench/measure/FleetSnapshot.java
+++ b/bench/src/main/java/org/almondslip/bench/measure/FleetSnapshot.java
@@ -64,16 +64,6 @@
     return sum;
   }
 
-  /**
-   * Returns whether any process has a metric.
-   *
-   * @param name the name of the metric
-   * @return true when one has it
-   */
-  public boolean has(String name) {
-    return metrics.values().stream().anyMatch(text -> text.has(name));
-  }
-
   /**
    * Returns the seconds since an earlier snapshot.
    *
--- a/bench/src/main/java/org/almondslip/bench/measure/MetricsText.java
+++ b/bench/src/main/java/org/almondslip/bench/measure/MetricsText.java
@@ -3,7 +3,7 @@
 import java.util.HashMap;
 import java.util.Map;
 
-/** Metrics of a process, summed over their labels. */
+/** Metrics of a process, for each set of labels and summed over the labels. */
 public final class MetricsText {
 
   /** Values by name. */
@@ -35,8 +35,8 @@
   /**
    * Returns a metric.
    *
-   * @param name the name, without the suffix {@code _total}
-   * @return the sum over all labels, 0 when there is none
+   * @param name the name, with its labels as in the text or without the suffix {@code _total}
+   * @return the value, or the sum over all labels; 0 when there is none
    */
   public double get(String name) {
     return values.getOrDefault(name, values.getOrDefault(name + "_total", 0.0));
@@ -63,7 +63,11 @@
     int space = line.lastIndexOf(' ');
     String name = line.substring(0, brace >= 0 ? brace : line.indexOf(' '));
     try {
-      values.merge(name, Double.parseDouble(line.substring(space + 1)), Double::sum);
+      double value = Double.parseDouble(line.substring(space + 1));
+      values.merge(name, value, Double::sum);
+      if (brace >= 0) {
+        values.put(line.substring(0, space), value);
+      }
     } catch (NumberFormatException e) {
       // Not a sample line; the format allows comments of later versions.
     }
