Bind a crashed stand-in again once its old server has closed

Cause: ModelEngineTest.markedBodyCrashesTheEngineAndItComesBack failed once under load of the machine. The server was bound again while its predecessor was still closing; the bind failed and was not repeated.

Change: the address is bound after the old server has closed, and again every 20 ms while it is in use. The tests of the platform stand-ins use HttpStandin, which has the method address() that the merged interface lacks.

--- a/standins/src/main/java/org/almondslip/standins/target/TargetServer.java
+++ b/standins/src/main/java/org/almondslip/standins/target/TargetServer.java
@@ -25,6 +25,9 @@
   /** Largest body that a target reads, in bytes. */
   private static final int MAX_BODY_BYTES = 4 << 20;
 
+  /** Wait until the address is bound again after it was found in use, in milliseconds. */
+  private static final long RETRY_MILLIS = 20;
+
   /** Name in the settings. */
   private final String name;
 
@@ -285,8 +288,14 @@
   /** Closes all connections, loses the state of the target and refuses connections for a while. */
   private void goDown() {
     target.crash();
-    server.close();
     List.copyOf(connections).forEach(HttpConnection::close);
-    vertx.setTimer(faults.downMillis(), timer -> listen());
+    server
+        .close()
+        .onComplete(closed -> vertx.setTimer(faults.downMillis(), timer -> listenAgain()));
+  }
+
+  /** Binds the address again, and once more when it is still in use. */
+  private void listenAgain() {
+    listen().onFailure(failure -> vertx.setTimer(RETRY_MILLIS, timer -> listenAgain()));
   }
 }
--- a/standins/src/test/java/org/almondslip/standins/platform/TableServiceStandinTest.java
+++ b/standins/src/test/java/org/almondslip/standins/platform/TableServiceStandinTest.java
@@ -19,7 +19,6 @@
 import org.almondslip.platform.HttpTableStore;
 import org.almondslip.resource.Closer;
 import org.almondslip.standins.HttpStandin;
-import org.almondslip.standins.Standin;
 import org.almondslip.store.StoreResult;
 import org.almondslip.store.TableStore.Condition;
 import org.almondslip.store.TableStore.Outcome;
@@ -54,7 +53,7 @@
   void start() {
     Vertx vertx = Vertx.vertx();
     closer.register(() -> vertx.close().toCompletionStage().toCompletableFuture().join());
-    Standin standin =
+    HttpStandin standin =
         closer.register(
             new HttpStandin("tables", "127.0.0.1:0", vertx, new TableServiceStandin(new Tables())));
     standin.start();
--- a/standins/src/test/java/org/almondslip/standins/target/ModelEngineTest.java
+++ b/standins/src/test/java/org/almondslip/standins/target/ModelEngineTest.java
@@ -19,6 +19,9 @@
   private static final String BODY =
       "{\"model\":\"m\",\"stream\":true,\"max_tokens\":20,\"messages\":[{\"content\":\"hi\"}]}";
 
+  /** Longest wait for the engine after a crash; far above what it needs. */
+  private static final long UP_LIMIT_MILLIS = 30_000;
+
   private final Vertx vertx = Vertx.vertx();
 
   private final TargetServer.BoundStandin engine = start(true);
@@ -124,11 +127,12 @@
   }
 
   private int untilUp() throws IOException {
-    for (int attempt = 0; ; attempt++) {
+    long deadline = Clock.Standard.SYSTEM.millis() + UP_LIMIT_MILLIS;
+    while (true) {
       try {
         return client.send("POST", PATH, BODY).statusCode();
       } catch (IOException e) {
-        if (attempt == 10_000) {
+        if (Clock.Standard.SYSTEM.millis() > deadline) {
           throw e;
         }
       }
