Take the fairness bound from core and utilisation from the agents

Cause: the bench computed its own bound, and agents read GET /load at plain services, which counted these reads as runs.

Change: the bound comes from FairnessBound with the default digest settings; utilisation comes from the slot time of the agents, with the sampled value beside it; the plain service answers GET /load without a run; a ticket is applied with the command line.

--- a/bench/src/main/java/org/almondslip/bench/Report.java
+++ b/bench/src/main/java/org/almondslip/bench/Report.java
@@ -4,7 +4,10 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.util.LinkedHashMap;
 import java.util.Map;
+import java.util.OptionalDouble;
 import org.HdrHistogram.Histogram;
+import org.almondslip.accounting.DigestSettings;
+import org.almondslip.accounting.FairnessBound;
 import org.almondslip.bench.deployment.Deployment;
 import org.almondslip.bench.deployment.Organisation;
 import org.almondslip.bench.deployment.Pool;
@@ -17,11 +20,11 @@
 /** Result of an experiment as JSON. */
 final class Report {
 
-  /**
-   * Time from one digest to the next one that an agent may use: interval of 1 s, wave and allowed
-   * staleness of another interval.
-   */
-  private static final double DIGEST_DELAY_MILLIS = 2_000;
+  /** Fan-out of the digest tree. */
+  private static final int FAN_OUT = 3;
+
+  /** What agents add to the account of offers from other regions, in milliseconds. */
+  private static final long LOCALITY_SLACK_MILLIS = 0;
 
   /** Metric of the agents that counts the bytes of inner connections by kind. */
   private static final String AGENT_BYTES = "almondslip_agent_inner_bytes_total";
@@ -124,7 +127,9 @@
         json.put("fairness_gap", round(gap.millis())).put("fairness_bound", round(bound));
       }
     }
-    json.put("utilisation", utilisation(busy, idle));
+    double sampled = utilisation(busy, idle);
+    json.put("utilisation_sampled", sampled);
+    json.put("utilisation", fleetUtilisation(run).orElse(sampled));
     json.set("pools", pools);
     return this;
   }
@@ -183,7 +188,7 @@
   }
 
   /**
-   * Returns the bound of the fairness gap: 2*n*c + S*D/w.
+   * Returns the bound of the fairness gap when no wave is lost.
    *
    * @param pool the pool
    * @return the bound in milliseconds of slot time per unit of share
@@ -191,8 +196,15 @@
   private double bound(Pool pool) {
     int smallest =
         deployment.organisations().stream().mapToInt(Organisation::share).min().orElse(1);
-    double largestCost = pool.maxCostMillis() / smallest;
-    return 2 * pool.targets() * largestCost + pool.slots() * DIGEST_DELAY_MILLIS / smallest;
+    int height = 0;
+    for (int rest = deployment.agents().size(); rest > 1; rest /= FAN_OUT) {
+      height++;
+    }
+    long delay = FairnessBound.delayMillis(DigestSettings.DEFAULT, height, 0);
+    long cost = (long) pool.maxCostMillis();
+    return new FairnessBound(
+            pool.targets(), pool.slots(), cost, smallest, delay, LOCALITY_SLACK_MILLIS)
+        .chargeGapMillis();
   }
 
   /**
@@ -206,6 +218,18 @@
     return shares;
   }
 
+  /**
+   * Returns the part of the slot time that was busy by the metrics of the agents.
+   *
+   * @param run the phase in which all organisations were backlogged
+   * @return the part, or empty when no agent reports slot time
+   */
+  private static OptionalDouble fleetUtilisation(LoadRun.Result run) {
+    double busy = run.after().growth(run.before(), "almondslip_agent_slot_busy_seconds");
+    double idle = run.after().growth(run.before(), "almondslip_agent_slot_idle_waiting_seconds");
+    return busy + idle == 0 ? OptionalDouble.empty() : OptionalDouble.of(utilisation(busy, idle));
+  }
+
   /**
    * Returns the part of the slot time that was busy.
    *
--- a/bench/src/main/java/org/almondslip/bench/deployment/SettingsFiles.java
+++ b/bench/src/main/java/org/almondslip/bench/deployment/SettingsFiles.java
@@ -16,7 +16,7 @@
   private static final String SECRET = "bench-secret-on-loopback-only";
 
   /** Key of the operators of a deployment. */
-  public static final String OPERATOR_KEY = "bench-operator-key";
+  private static final String OPERATOR_KEY = "bench-operator-key";
 
   /** Deployment. */
   private final Deployment deployment;
@@ -70,6 +70,9 @@
     deployment.routers().forEach(settings::addRouter);
     settings.files.put("instances.json", settings.members.toPrettyString() + "\n");
     settings.files.put("ticket.json", settings.ticket().toPrettyString() + "\n");
+    String admin = deployment.routers().get(0).address(Node.Port.ADMIN);
+    settings.files.put("admin", admin + "\n");
+    settings.files.put("operator.key", OPERATOR_KEY + "\n");
     settings.files.put("processes", String.join("\n", settings.processes) + "\n");
     return settings.files;
   }
--- a/bench/src/main/java/org/almondslip/bench/load/Entry.java
+++ b/bench/src/main/java/org/almondslip/bench/load/Entry.java
@@ -11,6 +11,12 @@
 /** Where requests are sent and how a caller identifies itself there. */
 public interface Entry {
 
+  /**
+   * Header by which the stand-in targets tell organisations apart. Callers send it themselves,
+   * since routers and agents pass their headers on.
+   */
+  String ORGANISATION_HEADER = "X-Organisation";
+
   /**
    * Returns the options of a request.
    *
@@ -50,7 +56,8 @@
           options(addresses.get(request.number() % addresses.size()), prefix + path, request)
               .putHeader(
                   "Authorization", deployment.organisation(request.organisation()).authorization())
-              .putHeader("X-Request-Timeout-Ms", TIMEOUT_MILLIS);
+              .putHeader("X-Request-Timeout-Ms", TIMEOUT_MILLIS)
+              .putHeader(ORGANISATION_HEADER, request.organisation());
       if (request.kind() == RequestKind.KEYED_ORDER) {
         options.putHeader("Idempotency-Key", "order-" + request.number());
       }
@@ -94,7 +101,7 @@
       List<String> targets = addresses.get(request.pool());
       String address = targets.get(request.number() % targets.size());
       return options(address, request.kind().path(request.number()), request)
-          .putHeader("X-Organisation", prefix + request.organisation());
+          .putHeader(ORGANISATION_HEADER, prefix + request.organisation());
     }
   }
 
--- a/bin/lib.sh
+++ b/bin/lib.sh
@@ -117,6 +117,20 @@
   done <"$run_dir/processes"
 }
 
+# apply_ticket: creates all organisations, shares, keys and targets with the command line.
+apply_ticket() {
+  local deadline=$((SECONDS + 60))
+  until run_tool cli --admin "$(cat "$run_dir/admin")" --key-file "$run_dir/operator.key" \
+    apply "$run_dir/ticket.json" >"$run_dir/apply.log" 2>&1; do
+    if [ "$SECONDS" -ge "$deadline" ]; then
+      echo "the ticket was not applied:" >&2
+      tail -n 5 "$run_dir/apply.log" >&2
+      return 1
+    fi
+    sleep 0.5
+  done
+}
+
 # await_ready: waits until all routers and agents take work.
 await_ready() {
   local program name address
--- a/standins/src/main/java/org/almondslip/standins/target/PlainService.java
+++ b/standins/src/main/java/org/almondslip/standins/target/PlainService.java
@@ -50,15 +50,34 @@
 
   @Override
   public void handle(Call call, TargetServer.FaultSource faults) {
-    if (call.route().equals("GET /runs")) {
-      ObjectNode json = JsonNodeFactory.instance.objectNode().put("begun", begun);
-      json.set("runs", runs);
-      call.end(200, json);
-    } else {
-      run(call, faults);
+    switch (call.route()) {
+      case "GET /runs" -> call.end(200, runs());
+      case "GET /load" -> call.end(200, load());
+      default -> run(call, faults);
     }
   }
 
+  /**
+   * Lists all runs.
+   *
+   * @return the JSON form
+   */
+  private ObjectNode runs() {
+    ObjectNode json = JsonNodeFactory.instance.objectNode().put("begun", begun);
+    json.set("runs", runs);
+    return json;
+  }
+
+  /**
+   * Returns the present load.
+   *
+   * @return the JSON form
+   */
+  private ObjectNode load() {
+    ObjectNode json = JsonNodeFactory.instance.objectNode();
+    return json.put("running", ledger.running()).put("slots", settings.slots());
+  }
+
   @Override
   public ObjectNode usage() {
     return ledger.toJson(clock.millis()).put("slots", settings.slots());
--- a/standins/src/test/java/org/almondslip/standins/target/PlainServiceTest.java
+++ b/standins/src/test/java/org/almondslip/standins/target/PlainServiceTest.java
@@ -20,6 +20,7 @@
     Client client = new Client(standin.port());
     client.send("POST", "/orders", "one", "Idempotency-Key", "k1", "X-Organisation", "acme");
     client.send("GET", "/stock?item=2", "");
+    assertThat(client.get("/load").path("running").asInt()).isZero();
     JsonNode runs = client.get("/runs");
     assertThat(runs.path("begun").asInt()).isEqualTo(2);
     assertThat(runs.at("/runs/0/idempotencyKey").asText()).isEqualTo("k1");
