--- a/standins/src/main/java/org/almondslip/standins/HttpStandin.java
+++ b/standins/src/main/java/org/almondslip/standins/HttpStandin.java
@@ -103,13 +103,20 @@
   }
 
   @Override
-  public String start() {
+  public void start() {
     int colon = address.lastIndexOf(':');
     String host = address.substring(0, colon);
     int port = Integer.parseInt(address.substring(colon + 1));
-    int bound =
-        server.listen(port, host).toCompletionStage().toCompletableFuture().join().actualPort();
-    return host + ":" + bound;
+    server.listen(port, host).toCompletionStage().toCompletableFuture().join();
+  }
+
+  /**
+   * Returns the address that {@link #start} has bound.
+   *
+   * @return the address as {@code ip:port}
+   */
+  public String address() {
+    return address.substring(0, address.lastIndexOf(':') + 1) + server.actualPort();
   }
 
   @Override
--- a/standins/src/main/java/org/almondslip/standins/StandinKind.java
+++ b/standins/src/main/java/org/almondslip/standins/StandinKind.java
@@ -1,40 +1,82 @@
 package org.almondslip.standins;
 
-import io.vertx.core.Vertx;
 import java.util.Arrays;
 import java.util.Optional;
-import java.util.function.Function;
+import java.util.stream.Collectors;
 import org.almondslip.settings.Section;
 import org.almondslip.standins.platform.InstanceListStandin;
 import org.almondslip.standins.platform.ObjectStoreStandin;
 import org.almondslip.standins.platform.TableServiceStandin;
+import org.almondslip.standins.target.EngineSettings;
+import org.almondslip.standins.target.LinkSettings;
+import org.almondslip.standins.target.ServiceSettings;
 
 /** Kinds of stand-ins; each reads its own settings. */
 public enum StandinKind {
-  /** The table service. */
-  TABLE_SERVICE("table-service", TableServiceStandin::read),
-  /** The object store. */
-  OBJECT_STORE("object-store", ObjectStoreStandin::read),
-  /** The instance list. */
-  INSTANCE_LIST("instance-list", InstanceListStandin::read);
+  /** Model engine that streams. */
+  MODEL_ENGINE("model-engine") {
+    @Override
+    public Standin.Factory read(String name, Section section) {
+      return EngineSettings.read(name, section);
+    }
+  },
+  /** Plain HTTP service that records its runs. */
+  PLAIN_SERVICE("plain-service") {
+    @Override
+    public Standin.Factory read(String name, Section section) {
+      return ServiceSettings.read(name, section);
+    }
+  },
+  /** TCP relay with delay and faults. */
+  LINK("link") {
+    @Override
+    public Standin.Factory read(String name, Section section) {
+      return LinkSettings.read(name, section);
+    }
+  },
+  /** Table service of the platform. */
+  TABLE_SERVICE("table-service") {
+    @Override
+    public Standin.Factory read(String name, Section section) {
+      return TableServiceStandin.read(name, section);
+    }
+  },
+  /** Object store of the platform. */
+  OBJECT_STORE("object-store") {
+    @Override
+    public Standin.Factory read(String name, Section section) {
+      return ObjectStoreStandin.read(name, section);
+    }
+  },
+  /** Instance list of the platform. */
+  INSTANCE_LIST("instance-list") {
+    @Override
+    public Standin.Factory read(String name, Section section) {
+      return InstanceListStandin.read(name, section);
+    }
+  };
 
   /** Name in the settings. */
   private final String label;
 
-  /** Reads the settings of one stand-in. */
-  private final Function<Section, Function<Vertx, Standin>> reader;
-
   /**
    * Creates a kind.
    *
    * @param label the name in the settings
-   * @param reader reads the settings of one stand-in
    */
-  StandinKind(String label, Function<Section, Function<Vertx, Standin>> reader) {
+  StandinKind(String label) {
     this.label = label;
-    this.reader = reader;
   }
 
+  /**
+   * Reads the settings of a stand-in of this kind. Faults become findings of the section.
+   *
+   * @param name the name of the stand-in
+   * @param section its section of the settings
+   * @return a factory, only used when there is no finding
+   */
+  public abstract Standin.Factory read(String name, Section section);
+
   /**
    * Finds a kind by its name.
    *
@@ -46,21 +88,11 @@
   }
 
   /**
-   * Reads the settings of one stand-in; faults become findings.
-   *
-   * @param section the settings
-   * @return creates the stand-in
-   */
-  public Function<Vertx, Standin> read(Section section) {
-    return reader.apply(section);
-  }
-
-  /**
-   * Returns the names of all kinds.
+   * Lists the names of all kinds.
    *
    * @return the names, separated by commas
    */
   public static String labels() {
-    return String.join(", ", Arrays.stream(values()).map(kind -> kind.label).toList());
+    return Arrays.stream(values()).map(kind -> kind.label).collect(Collectors.joining(", "));
   }
 }
--- a/standins/src/main/java/org/almondslip/standins/StandinsMain.java
+++ b/standins/src/main/java/org/almondslip/standins/StandinsMain.java
@@ -1,21 +1,19 @@
 package org.almondslip.standins;
 
-import com.google.common.flogger.FluentLogger;
 import io.vertx.core.Vertx;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
-import java.util.function.Function;
 import org.almondslip.process.Launcher;
 import org.almondslip.process.Program;
 import org.almondslip.resource.Closer;
 import org.almondslip.settings.Section;
 
-/** Entry point of the program that runs the stand-ins named in its settings. */
-public final class StandinsMain implements Program<List<Function<Vertx, Standin>>> {
+/** Program that runs the stand-ins named in its settings. */
+public final class StandinsMain implements Program<List<Standin.Factory>> {
 
-  /** Logger of this class. */
-  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+  /** Not instantiable from outside. */
+  private StandinsMain() {}
 
   /**
    * Runs the program.
@@ -32,29 +30,33 @@
   }
 
   @Override
-  public List<Function<Vertx, Standin>> read(Section section) {
+  public List<Standin.Factory> read(Section section) {
     section.optionalText("instance");
     section.optionalText("region");
-    List<Function<Vertx, Standin>> factories = new ArrayList<>();
-    for (Section entry : section.sections("standins")) {
-      Optional<StandinKind> kind = StandinKind.ofLabel(entry.text("kind"));
-      if (kind.isPresent()) {
-        factories.add(kind.get().read(entry));
+    Section all = section.section("standins");
+    List<Standin.Factory> factories = new ArrayList<>();
+    for (String name : all.keys()) {
+      Section one = all.section(name);
+      Optional<StandinKind> kind = StandinKind.ofLabel(one.text("kind"));
+      if (kind.isEmpty()) {
+        one.report("kind", "must be one of " + StandinKind.labels());
       } else {
-        entry.report("kind", "must be one of " + StandinKind.labels());
+        factories.add(kind.get().read(name, one));
       }
     }
+    if (factories.isEmpty()) {
+      section.report("standins", "must name at least one stand-in");
+    }
     return factories;
   }
 
   @Override
-  public Running start(List<Function<Vertx, Standin>> factories) {
-    Closer closer = new Closer();
+  public Program.Running start(List<Standin.Factory> factories) {
     Vertx vertx = Vertx.vertx();
+    Closer closer = new Closer();
     closer.register(() -> vertx.close().toCompletionStage().toCompletableFuture().join());
-    for (Function<Vertx, Standin> factory : factories) {
-      Standin standin = closer.register(factory.apply(vertx));
-      logger.atInfo().log("stand-in %s listens on %s", standin.name(), standin.start());
+    for (Standin.Factory factory : factories) {
+      closer.register(factory.create(vertx)).start();
     }
     return closer::close;
   }
--- a/standins/src/main/java/org/almondslip/standins/package-info.java
+++ b/standins/src/main/java/org/almondslip/standins/package-info.java
@@ -1,2 +1,2 @@
-/** Stand-ins for the systems outside the fleet, for tests, demo and benchmarks. */
+/** Stand-ins for the outside systems, for tests, the demo and the benchmark. */
 package org.almondslip.standins;
--- a/standins/src/main/java/org/almondslip/standins/platform/InstanceListStandin.java
+++ b/standins/src/main/java/org/almondslip/standins/platform/InstanceListStandin.java
@@ -1,13 +1,11 @@
 package org.almondslip.standins.platform;
 
-import io.vertx.core.Vertx;
 import io.vertx.core.json.JsonArray;
 import io.vertx.core.json.JsonObject;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.Map;
 import java.util.TreeMap;
-import java.util.function.Function;
 import org.almondslip.settings.Section;
 import org.almondslip.standins.HttpStandin;
 import org.almondslip.standins.HttpStandin.Answer;
@@ -62,11 +60,11 @@
   /**
    * Reads the settings.
    *
+   * @param name the name of the stand-in
    * @param section the settings
    * @return creates the stand-in
    */
-  public static Function<Vertx, Standin> read(Section section) {
-    String name = section.text("name");
+  public static Standin.Factory read(String name, Section section) {
     String listen = section.address("listen");
     long lag = section.durationMillis("lag", 0, 0, MAX_LAG_MILLIS);
     return vertx ->
--- a/standins/src/main/java/org/almondslip/standins/platform/ObjectStoreStandin.java
+++ b/standins/src/main/java/org/almondslip/standins/platform/ObjectStoreStandin.java
@@ -1,10 +1,8 @@
 package org.almondslip.standins.platform;
 
-import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
-import java.util.function.Function;
 import org.almondslip.settings.Section;
 import org.almondslip.standins.HttpStandin;
 import org.almondslip.standins.HttpStandin.Answer;
@@ -23,11 +21,11 @@
   /**
    * Reads the settings.
    *
+   * @param name the name of the stand-in
    * @param section the settings
    * @return creates the stand-in
    */
-  public static Function<Vertx, Standin> read(Section section) {
-    String name = section.text("name");
+  public static Standin.Factory read(String name, Section section) {
     String listen = section.address("listen");
     return vertx -> new HttpStandin(name, listen, vertx, new ObjectStoreStandin());
   }
--- a/standins/src/main/java/org/almondslip/standins/platform/TableServiceStandin.java
+++ b/standins/src/main/java/org/almondslip/standins/platform/TableServiceStandin.java
@@ -1,12 +1,10 @@
 package org.almondslip.standins.platform;
 
-import io.vertx.core.Vertx;
 import io.vertx.core.json.JsonArray;
 import io.vertx.core.json.JsonObject;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
-import java.util.function.Function;
 import org.almondslip.settings.Section;
 import org.almondslip.standins.HttpStandin;
 import org.almondslip.standins.HttpStandin.Answer;
@@ -39,11 +37,11 @@
   /**
    * Reads the settings.
    *
+   * @param name the name of the stand-in
    * @param section the settings
    * @return creates the stand-in
    */
-  public static Function<Vertx, Standin> read(Section section) {
-    String name = section.text("name");
+  public static Standin.Factory read(String name, Section section) {
     String listen = section.address("listen");
     return vertx -> new HttpStandin(name, listen, vertx, new TableServiceStandin(new Tables()));
   }
--- a/standins/src/test/java/org/almondslip/standins/platform/InstanceListStandinTest.java
+++ b/standins/src/test/java/org/almondslip/standins/platform/InstanceListStandinTest.java
@@ -54,7 +54,8 @@
     InstanceListStandin service = new InstanceListStandin(clock, LAG_MILLIS);
     HttpStandin standin =
         closer.register(new HttpStandin("instances", "127.0.0.1:0", vertx, service));
-    address = standin.start();
+    standin.start();
+    address = standin.address();
   }
 
   @AfterEach
