--- a/core/src/main/java/org/almondslip/membership/Membership.java
+++ b/core/src/main/java/org/almondslip/membership/Membership.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -53,6 +54,9 @@
   /** Members as they were last reported. */
   private Map<String, Member> members = Map.of();
 
+  /** The same members in the order of their ids. */
+  private List<Member> sorted = List.of();
+
   /** Whether this process is marked leaving in the instance list. */
   private boolean selfLeaving;
 
@@ -148,10 +152,11 @@
    * Returns all members: instances that are in the list, are connected or have announced
    * themselves.
    *
-   * @return the members, with the leaving ones marked
+   * @return the members in the order of their ids, with the leaving ones marked; the same object
+   *     while nothing has changed
    */
-  public Collection<Member> members() {
-    return members.values();
+  public List<Member> members() {
+    return sorted;
   }
 
   /**
@@ -171,9 +176,7 @@
    * @return the members that are not leaving
    */
   public List<Member> usable(Role role) {
-    return members.values().stream()
-        .filter(member -> member.role() == role && !member.leaving())
-        .toList();
+    return sorted.stream().filter(member -> member.role() == role && !member.leaving()).toList();
   }
 
   /**
@@ -210,13 +213,27 @@
    * @return true when it is elected
    */
   public boolean isPoller() {
-    List<String> neighbours =
-        members.values().stream()
-            .filter(member -> !member.leaving())
-            .filter(member -> member.dataCentre().equals(self.dataCentre()))
-            .map(Member::instanceId)
-            .toList();
-    return Rendezvous.holds("catalog", self.instanceId(), neighbours, Rendezvous.POLLERS);
+    Collection<Member> all = new ArrayList<>(sorted);
+    all.add(toMember(self));
+    return PollerElection.SMALLEST_HASH.isPoller(all, toMember(self));
+  }
+
+  /**
+   * Converts this process. It counts itself, so that a lagging list never leaves a data centre with
+   * fewer pollers than wanted.
+   *
+   * @param identity this process
+   * @return the member
+   */
+  private static Member toMember(PeerIdentity identity) {
+    return new Member(
+        identity.instanceId(),
+        identity.role(),
+        identity.region(),
+        identity.dataCentre(),
+        identity.innerAddress(),
+        identity.target(),
+        false);
   }
 
   /**
@@ -292,6 +309,7 @@
     current.remove(self.instanceId());
     if (!current.equals(members)) {
       members = Map.copyOf(current);
+      sorted = current.values().stream().sorted(Comparator.comparing(Member::instanceId)).toList();
       listener.onMembers(this);
     }
   }
--- a/router/src/main/java/org/almondslip/router/admin/OperatorKey.java
+++ b/router/src/main/java/org/almondslip/router/admin/OperatorKey.java
@@ -15,6 +15,16 @@
   /** Start of the header's value. */
   private static final String SCHEME = "Bearer ";
 
+  /**
+   * Creates the key of a secret.
+   *
+   * @param secret the secret that operators send
+   * @return the key
+   */
+  public static OperatorKey ofSecret(String secret) {
+    return new OperatorKey(DigestUtils.sha256Hex(secret));
+  }
+
   /**
    * Returns whether a request carries the key. The comparison takes the same time for every wrong
    * key.
