Close stalled callers at once and test the limits of the callers' API

Cause: Vert.x closes a connection only after its pending writes.

Change: Aborts closes the channel without waiting; refusals and idle connections have time limits that do not depend on the caller.

--- /dev/null
+++ b/core/src/test/java/org/almondslip/routing/AdmissionTest.java
@@ -0,0 +1,47 @@
+package org.almondslip.routing;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import org.almondslip.error.ErrorCode;
+import org.almondslip.error.Ran;
+import org.junit.jupiter.api.Test;
+
+/** Cases of {@link Admission}, seen through a router. */
+class AdmissionTest {
+
+  /** Router and agents. */
+  private final Fixture fixture = new Fixture();
+
+  /**
+   * Guards against a wait that is known to be in vain, and a return time unrelated to the queue.
+   */
+  @Test
+  void refusesWhenWaitExceedsDeadline() {
+    RecordingPeer agent = fixture.connect("m1", "north", 1);
+    for (long caller = 1; caller <= 6; caller++) {
+      fixture.chat(caller);
+    }
+    for (int i = 0; i < 2; i++) {
+      fixture.pass(2_000);
+      fixture.grant(agent, "belt", false);
+    }
+    fixture.router.onRequest(Fixture.request(7, CallerRequest.Kind.MODEL, "POST", 4_000));
+    Outcome end = fixture.effects.of(7).ends.get(0);
+    assertThat(end.failure()).contains(ErrorCode.DEADLINE_TOO_SHORT);
+    assertThat(end.ran()).isEqualTo(Ran.NO);
+    assertThat(end.retryAfterMillis()).contains(8_000L);
+    fixture.router.onRequest(Fixture.request(8, CallerRequest.Kind.MODEL, "POST", 9_000));
+    assertThat(fixture.effects.of(8).ends).isEmpty();
+  }
+
+  /** Guards against an old slow rate that refuses requests to an idle pool. */
+  @Test
+  void admitsToEmptyQueue() {
+    RecordingPeer agent = fixture.connect("m1", "north", 1);
+    fixture.chat(1);
+    fixture.pass(30_000);
+    fixture.grant(agent, "belt", false);
+    fixture.router.onRequest(Fixture.request(2, CallerRequest.Kind.MODEL, "POST", 100));
+    assertThat(fixture.effects.of(2).ends).isEmpty();
+  }
+}
--- /dev/null
+++ b/core/src/test/java/org/almondslip/routing/PoolRulesTest.java
@@ -0,0 +1,47 @@
+package org.almondslip.routing;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.List;
+import org.almondslip.catalog.Catalog;
+import org.almondslip.catalog.CatalogObject.Target;
+import org.almondslip.catalog.VersionedObject;
+import org.almondslip.error.ErrorCode;
+import org.junit.jupiter.api.Test;
+
+/** Cases of {@link PoolRules}. */
+class PoolRulesTest {
+
+  /** Guards against an order that is run again because of its method. */
+  @Test
+  void knowsIdempotentMethods() {
+    assertThat(idempotent(Fixture.catalog(), "GET")).isTrue();
+    assertThat(idempotent(Fixture.catalog(), "PUT")).isTrue();
+    assertThat(idempotent(Fixture.catalog(), "POST")).isFalse();
+    assertThat(idempotent(Fixture.catalog(), "PATCH")).isFalse();
+    Target special = new Target("s1", "orders", Target.Type.SERVICE, 1, null, null, List.of("put"));
+    Catalog changed = Fixture.catalog().merge(List.of(new VersionedObject(special, 2, 2)), 2);
+    assertThat(idempotent(changed, "PUT")).isFalse();
+  }
+
+  /** Guards against refusals with a wrong reason. */
+  @Test
+  void refusesWithReason() {
+    CallerRequest request = Fixture.request(1, CallerRequest.Kind.SERVICE, "GET", Fixture.TIMEOUT);
+    assertThat(PoolRules.refuse(Catalog.EMPTY, request).orElseThrow().failure())
+        .contains(ErrorCode.NOT_READY);
+    assertThat(PoolRules.refuse(Fixture.catalog(), request)).isEmpty();
+  }
+
+  /**
+   * Asks about a request to the pool of orders.
+   *
+   * @param catalog the catalog
+   * @param method the method
+   * @return whether it is idempotent
+   */
+  private static boolean idempotent(Catalog catalog, String method) {
+    CallerRequest request = Fixture.request(1, CallerRequest.Kind.SERVICE, method, Fixture.TIMEOUT);
+    return PoolRules.idempotent(catalog, request);
+  }
+}
--- a/router/src/main/java/org/almondslip/router/ConnectionGuard.java
+++ b/router/src/main/java/org/almondslip/router/ConnectionGuard.java
@@ -69,7 +69,7 @@
   void expectHeaders(HttpConnection connection) {
     if (open.containsKey(connection)) {
       onHeaders(connection);
-      timers.put(connection, vertx.setTimer(limits.headerMillis(), id -> connection.close()));
+      timers.put(connection, vertx.setTimer(limits.headerMillis(), id -> Aborts.abort(connection)));
     }
   }
 
--- a/router/src/main/java/org/almondslip/router/Exchange.java
+++ b/router/src/main/java/org/almondslip/router/Exchange.java
@@ -217,6 +217,7 @@
       return;
     }
     ended = true;
+    progressAt = unread == 0 ? clock.millis() : progressAt;
     outcome.failure().ifPresent(code -> log(outcome, code));
     if (outcome.failure().isPresent() && headSent && !eventStream) {
       request.connection().close();
@@ -242,7 +243,7 @@
 
   /** Ends the exchange by closing the connection. */
   void drop() {
-    run(() -> request.connection().close());
+    run(() -> Aborts.abort(request.connection()));
   }
 
   /**
@@ -252,14 +253,12 @@
    * @param limitMillis the longest time without progress, in milliseconds
    */
   void dropIfStalled(long now, long limitMillis) {
-    if (unread > 0) {
-      run(
-          () -> {
-            if (unread > 0 && now - progressAt >= limitMillis) {
-              request.connection().close();
-            }
-          });
-    }
+    run(
+        () -> {
+          if ((unread > 0 || ended) && now - progressAt >= limitMillis) {
+            Aborts.abort(request.connection());
+          }
+        });
   }
 
   /**
--- a/router/src/main/java/org/almondslip/router/RequestReader.java
+++ b/router/src/main/java/org/almondslip/router/RequestReader.java
@@ -38,8 +38,8 @@
   /** Receiver of the body. */
   private final Consumer<Buffer> receiver;
 
-  /** Called when a refusal has left for the caller and the connection can be used again. */
-  private final Runnable onSent;
+  /** Called when a request has been refused and its connection can be used again. */
+  private final Runnable onRefused;
 
   /** Body so far. */
   private Buffer body = Buffer.buffer();
@@ -58,7 +58,7 @@
    * @param limits the limits of the API
    * @param incoming the bodies that are being received
    * @param receiver the receiver of the body
-   * @param onSent called when a refusal has left and the connection can be used again
+   * @param onRefused called when the request has been refused and its connection can be used again
    */
   RequestReader(
       Vertx vertx,
@@ -66,13 +66,13 @@
       CallerLimits limits,
       ByteBudget incoming,
       Consumer<Buffer> receiver,
-      Runnable onSent) {
+      Runnable onRefused) {
     this.vertx = vertx;
     this.request = request;
     this.limits = limits;
     this.incoming = incoming;
     this.receiver = receiver;
-    this.onSent = onSent;
+    this.onRefused = onRefused;
   }
 
   /** Starts to receive. */
@@ -98,8 +98,8 @@
     }
     finish();
     request.response().putHeader("Connection", "close");
-    Refusal.send(request.response(), outcome)
-        .onComplete(sent -> vertx.setTimer(LINGER_MILLIS, id -> request.connection().close()));
+    Refusal.send(request.response(), outcome);
+    vertx.setTimer(LINGER_MILLIS, id -> Aborts.abort(request.connection()));
   }
 
   /**
@@ -170,7 +170,8 @@
     try {
       receiver.accept(whole);
     } catch (AlmondslipException e) {
-      Refusal.send(request.response(), Refusal.of(e)).onSuccess(sent -> onSent.run());
+      Refusal.send(request.response(), Refusal.of(e));
+      onRefused.run();
     }
   }
 
