Count bodies as incoming until the decision thread has them

Cause: bodies left the limit of incoming bytes before the decision thread counted them, so the ring could hold up to its capacity in full bodies.

Change: the bytes are released when RouterDuty has handled the request.

--- a/router/src/main/java/org/almondslip/router/CallerServer.java
+++ b/router/src/main/java/org/almondslip/router/CallerServer.java
@@ -184,7 +184,8 @@
             clock,
             () -> guard.expectHeaders(request.connection()));
     exchange.start(
-        RequestReader.toCallerRequest(caller, organisation, route, request, body, limits));
+        RequestReader.toCallerRequest(caller, organisation, route, request, body, limits),
+        () -> exchanges.incoming().release(body.length()));
   }
 
   /**
--- a/router/src/main/java/org/almondslip/router/Exchange.java
+++ b/router/src/main/java/org/almondslip/router/Exchange.java
@@ -125,12 +125,14 @@
    * Hands the request to the decisions, or refuses it when there is no room.
    *
    * @param callerRequest the request
+   * @param taken called when the decisions have counted the request or it is refused
    */
-  void start(CallerRequest callerRequest) {
+  void start(CallerRequest callerRequest, Runnable taken) {
     exchanges.add(this);
     response.closeHandler(closed -> onClose());
     response.exceptionHandler(failure -> onClose());
-    if (!sink.arrived(callerRequest)) {
+    if (!sink.arrived(callerRequest, taken)) {
+      taken.run();
       end(
           Outcome.notRun(ErrorCode.ROUTER_OVERLOADED, "the decision thread is busy")
               .withRetryAfter(1));
--- a/router/src/main/java/org/almondslip/router/RequestReader.java
+++ b/router/src/main/java/org/almondslip/router/RequestReader.java
@@ -35,7 +35,7 @@
   /** Bodies that are being received. */
   private final ByteBudget incoming;
 
-  /** Receiver of the body. */
+  /** Receiver of the body, which releases its bytes unless it throws. */
   private final Consumer<Buffer> receiver;
 
   /** Called when a request has been refused and its connection can be used again. */
@@ -160,16 +160,21 @@
     }
   }
 
-  /** Hands the body over. */
+  /**
+   * Hands the body over. It counts as being received until the decisions have counted it, so that
+   * the ring to the decision thread holds no more than the limit.
+   */
   private void onEnd() {
     if (done) {
       return;
     }
     Buffer whole = body;
+    body = Buffer.buffer();
     finish();
     try {
       receiver.accept(whole);
     } catch (AlmondslipException e) {
+      incoming.release(whole.length());
       Refusal.send(request.response(), Refusal.of(e));
       onRefused.run();
     }
--- a/router/src/main/java/org/almondslip/router/RequestSink.java
+++ b/router/src/main/java/org/almondslip/router/RequestSink.java
@@ -10,9 +10,10 @@
    * Takes a request.
    *
    * @param request the request
-   * @return false when there is no room for it
+   * @param taken called when the decisions have counted the request
+   * @return false when there is no room for it; taken is not called then
    */
-  boolean arrived(CallerRequest request);
+  boolean arrived(CallerRequest request, Runnable taken);
 
   /**
    * Notes that a caller has consumed bytes of its answer.
@@ -37,8 +38,8 @@
   record ToDuty(Duty<RouterEvent> duty) implements RequestSink {
 
     @Override
-    public boolean arrived(CallerRequest request) {
-      return duty.offer(new RouterEvent.Arrived(request));
+    public boolean arrived(CallerRequest request, Runnable taken) {
+      return duty.offer(new RouterEvent.Arrived(request, taken));
     }
 
     @Override
--- a/router/src/main/java/org/almondslip/router/RouterDuty.java
+++ b/router/src/main/java/org/almondslip/router/RouterDuty.java
@@ -75,6 +75,7 @@
   public void onEvent(RouterEvent event) {
     if (event instanceof RouterEvent.Arrived arrived) {
       logic.onRequest(arrived.request());
+      arrived.taken().run();
     } else if (event instanceof RouterEvent.Consumed consumed) {
       logic.onConsumed(consumed.caller(), consumed.bytes());
     } else if (event instanceof RouterEvent.Gone gone) {
--- a/router/src/main/java/org/almondslip/router/RouterEvent.java
+++ b/router/src/main/java/org/almondslip/router/RouterEvent.java
@@ -11,8 +11,9 @@
    * A caller has sent a request.
    *
    * @param request the request
+   * @param taken called when the decisions have counted the request
    */
-  record Arrived(CallerRequest request) implements RouterEvent {}
+  record Arrived(CallerRequest request, Runnable taken) implements RouterEvent {}
 
   /**
    * A caller has consumed bytes of its answer.
