--- a/standins/src/main/java/org/almondslip/standins/StandinKind.java
+++ b/standins/src/main/java/org/almondslip/standins/StandinKind.java
@@ -4,6 +4,9 @@
 import java.util.Optional;
 import java.util.stream.Collectors;
 import org.almondslip.settings.Section;
+import org.almondslip.standins.platform.InstanceListStandin;
+import org.almondslip.standins.platform.ObjectStoreStandin;
+import org.almondslip.standins.platform.TableServiceStandin;
 import org.almondslip.standins.target.EngineSettings;
 import org.almondslip.standins.target.LinkSettings;
 import org.almondslip.standins.target.ServiceSettings;
@@ -30,6 +33,27 @@
     public Standin.Factory read(String name, Section section) {
       return LinkSettings.read(name, section);
     }
+  },
+  /** Table service of the platform. */
+  TABLE_SERVICE("table-service") {
+    @Override
+    public Standin.Factory read(String name, Section section) {
+      return TableServiceStandin.read(name, section);
+    }
+  },
+  /** Object store of the platform. */
+  OBJECT_STORE("object-store") {
+    @Override
+    public Standin.Factory read(String name, Section section) {
+      return ObjectStoreStandin.read(name, section);
+    }
+  },
+  /** Instance list of the platform. */
+  INSTANCE_LIST("instance-list") {
+    @Override
+    public Standin.Factory read(String name, Section section) {
+      return InstanceListStandin.read(name, section);
+    }
   };
 
   /** Name in the settings. */
