--- a/system-tests/src/test/java/org/almondslip/faults/AgentNode.java
+++ b/system-tests/src/test/java/org/almondslip/faults/AgentNode.java
@@ -1,6 +1,5 @@
 package org.almondslip.faults;
 
-import java.util.function.Function;
 import org.almondslip.accounting.Accounts;
 import org.almondslip.catalog.Catalog;
 import org.almondslip.catalog.Flow;
@@ -8,7 +7,7 @@
 import org.almondslip.execution.AgentLogic;
 import org.almondslip.execution.ExecutionCounters;
 import org.almondslip.membership.PeerIdentity;
-import org.almondslip.order.Claims;
+import org.almondslip.order.TableClaims;
 import org.almondslip.protocol.wire.Frame;
 import org.almondslip.protocol.wire.Heartbeat;
 import org.almondslip.protocol.wire.Role;
@@ -23,19 +22,19 @@
 
   private final PeerIdentity identity;
   private final AgentLogic logic;
-  private final Claims claims;
+  private final TableClaims claims;
 
   AgentNode(
       String name,
       long incarnation,
       FakeTarget target,
       Timeline timeline,
-      Function<Node, Claims> claims,
+      FleetClaims claims,
       Catalog catalog) {
     super(name);
     this.identity =
         new PeerIdentity(name, incarnation, Role.AGENT, "seoul", "seoul-1", "127.0.0.1:2", name);
-    this.claims = claims.apply(this);
+    this.claims = claims.of(this, identity);
     this.logic =
         new AgentLogic(
             identity,
@@ -61,6 +60,7 @@
   @Override
   void onTick() {
     logic.onTick();
+    claims.onTick();
   }
 
   @Override
--- a/system-tests/src/test/java/org/almondslip/faults/CrashingRequestTest.java
+++ b/system-tests/src/test/java/org/almondslip/faults/CrashingRequestTest.java
@@ -10,7 +10,7 @@
 
   private static final String BODY = "please " + FakeTarget.CRASH;
 
-  private final FaultFleet fleet = new FaultFleet(FleetClaims::create);
+  private final FaultFleet fleet = new FaultFleet();
 
   /** Guards against one request that takes down target after target as its caller repeats it. */
   @Test
--- a/system-tests/src/test/java/org/almondslip/faults/FaultFleet.java
+++ b/system-tests/src/test/java/org/almondslip/faults/FaultFleet.java
@@ -2,11 +2,9 @@
 
 import java.util.ArrayList;
 import java.util.List;
-import java.util.function.Function;
 import org.almondslip.catalog.Catalog;
 import org.almondslip.catalog.CatalogObject;
 import org.almondslip.catalog.VersionedObject;
-import org.almondslip.order.Claims;
 import org.almondslip.protocol.wire.Frame;
 import org.almondslip.protocol.wire.Heartbeat;
 
@@ -26,7 +24,6 @@
   private static final long TICK_MILLIS = 10;
   private static final long HEARTBEAT_MILLIS = 1_000;
   private static final long DIAL_MILLIS = 200;
-  private static final long CLAIM_DEADLINE_MILLIS = 120_000;
 
   private final Timeline timeline = new Timeline();
   private final Network network = new Network();
@@ -36,13 +33,12 @@
   private final List<AgentNode> agents = new ArrayList<>();
   private final List<FakeTarget> targets = new ArrayList<>();
   private final List<Link> links = new ArrayList<>();
-  private final Function<Node, Claims> claims;
+  private final FleetClaims claims = new FleetClaims(timeline, store);
   private Catalog catalog = catalog(CatalogObject.Target.State.ACTIVE, 1);
   private long nextIncarnation = 1;
   private long nextSubmission = 1;
 
-  FaultFleet(ClaimsFactory factory) {
-    this.claims = node -> factory.create(store.clientOf(node), timeline.clock(), node);
+  FaultFleet() {
     for (int i = 0; i < ROUTERS; i++) {
       routers.add(new RouterNode("router-" + i, nextIncarnation++, timeline, history, catalog));
     }
@@ -56,14 +52,6 @@
     advance(DIAL_MILLIS + HEARTBEAT_MILLIS);
   }
 
-  /** Creates the claims of an agent. */
-  @FunctionalInterface
-  interface ClaimsFactory {
-
-    Claims create(
-        org.almondslip.store.TableStore store, org.almondslip.time.Clock clock, Node node);
-  }
-
   Timeline timeline() {
     return timeline;
   }
--- a/system-tests/src/test/java/org/almondslip/faults/FaultMatrixTest.java
+++ b/system-tests/src/test/java/org/almondslip/faults/FaultMatrixTest.java
@@ -50,7 +50,7 @@
   }
 
   private static void run(Cell cell) {
-    FaultFleet fleet = new FaultFleet(FleetClaims::create);
+    FaultFleet fleet = new FaultFleet();
     Trigger trigger = new Trigger(fleet, cell);
     fleet.network().setObserver(trigger);
     long first = fleet.submit(0, "hanbit", cell.kind(), "first");
--- a/system-tests/src/test/java/org/almondslip/faults/FaultSequence.java
+++ b/system-tests/src/test/java/org/almondslip/faults/FaultSequence.java
@@ -13,7 +13,7 @@
 
   private final long seed;
   private final SplittableRandom random;
-  private final FaultFleet fleet = new FaultFleet(FleetClaims::create);
+  private final FaultFleet fleet = new FaultFleet();
   private final List<String> orders = new ArrayList<>();
 
   private FaultSequence(long seed) {
@@ -72,7 +72,7 @@
       orders.add(body);
     }
     if (fleet.router(router).responsive()) {
-      fleet.submit(router, random.nextBoolean() ? "hanbit" : "crockera", kind, body);
+      fleet.submit(router, body.hashCode() % 2 == 0 ? "hanbit" : "crockera", kind, body);
     }
   }
 }
