Take the router's catalog and members from the platform and serve operators

Cause: the router ran with an empty catalog, since the catalog and the members were built in parallel. Change: FleetView joins the platform's clients, the catalog and the membership for any process; the router takes it through its FleetSource and serves the operators' interface; accepted connections carry announcements only.

--- a/router/src/main/java/org/almondslip/router/Router.java
+++ b/router/src/main/java/org/almondslip/router/Router.java
@@ -22,6 +22,7 @@
 import org.almondslip.protocol.wire.SuspectNotice;
 import org.almondslip.quarantine.SuspectRegistry;
 import org.almondslip.resource.Closer;
+import org.almondslip.router.admin.AdminServer;
 import org.almondslip.routing.DialPlanner;
 import org.almondslip.routing.RouterLogic;
 import org.almondslip.time.Clock;
@@ -79,6 +80,9 @@
   /** Health, readiness and metrics. */
   private final OperationsServer operations;
 
+  /** Operators' interface, empty when the catalog is fixed. */
+  private final Optional<AdminServer> admin;
+
   /** Catalog in force, for the threads of the callers' API. */
   private volatile Catalog catalog = Catalog.EMPTY;
 
@@ -96,15 +100,16 @@
    *
    * @param settings the settings
    * @param clock the source of time
-   * @param fleet the source of the catalog and the members
+   * @param fleets creates the source of the catalog and the members
    */
-  Router(RouterSettings settings, Clock clock, FleetSource fleet) {
+  Router(RouterSettings settings, Clock clock, FleetSource.Factory fleets) {
     this.settings = settings;
     this.clock = clock;
     Vertx vertx = Vertx.vertx(vertxOptions());
     closer.register(() -> vertx.close().toCompletionStage().toCompletableFuture().join());
     PeerIdentity self = identity(settings, clock);
     UniformRandomProvider random = RandomSource.XO_RO_SHI_RO_128_PP.create();
+    FleetSource fleet = fleets.create(vertx, self, random, this::onDecisionThread);
     this.exchanges = new Exchanges(settings.callers(), this::dialMore, this::recordSuspect);
     this.logic =
         new RouterLogic(
@@ -140,6 +145,12 @@
     PrometheusRegistry registry = new PrometheusRegistry();
     registerMetrics(new RouterMetrics(registry), traffic);
     this.operations = closer.register(new OperationsServer(vertx, registry, this::obstacle));
+    this.admin =
+        fleet
+            .view()
+            .map(view -> new Operators(settings, view, work::stats))
+            .map(operators -> operators.toServer(vertx, clock, random, this::onDecisionThread));
+    admin.ifPresent(closer::register);
   }
 
   /** Starts the decision thread and listens on all addresses. */
@@ -147,6 +158,7 @@
     duty.start();
     String inner = transport.listen();
     operationsPort = operations.listen(settings.operationsListen());
+    admin.ifPresent(operators -> operators.listen(settings.adminListen()));
     port = server.listen(settings.listen());
     logger.atInfo().log("callers are served on port %d, peers on %s", port, inner);
   }
@@ -186,6 +198,15 @@
     return operationsPort;
   }
 
+  /**
+   * Runs an action on the decision thread.
+   *
+   * @param action the action
+   */
+  private void onDecisionThread(Runnable action) {
+    duty.put(new RouterEvent.Task(action));
+  }
+
   /**
    * Waits until no request is in progress.
    *
--- a/router/src/main/java/org/almondslip/router/RouterDuty.java
+++ b/router/src/main/java/org/almondslip/router/RouterDuty.java
@@ -5,6 +5,7 @@
 import org.almondslip.catalog.Catalog;
 import org.almondslip.duty.Duty;
 import org.almondslip.membership.Member;
+import org.almondslip.protocol.PeerConnection;
 import org.almondslip.routing.DialPlanner;
 import org.almondslip.routing.RouterLogic;
 import org.almondslip.routing.RoutingStats;
@@ -130,18 +131,42 @@
       fleet.onFrame(received.peer(), received.frame());
       logic.onFrame(received.peer(), received.frame());
     } else if (event instanceof RouterEvent.Opened opened) {
-      dials.onOpen(opened.peer().peer());
-      fleet.onPeerOpen(opened.peer());
-      logic.onPeerOpen(opened.peer());
+      onOpened(opened.peer());
     } else if (event instanceof RouterEvent.Closed closed) {
-      dials.onClosed(closed.peer().peer(), clock.millis());
-      fleet.onPeerClosed(closed.peer());
-      logic.onPeerClosed(closed.peer(), closed.byPeer());
+      onClosed(closed);
     } else if (event instanceof RouterEvent.DialFailed failed) {
       dials.onDialFailed(failed.address(), clock.millis());
     }
   }
 
+  /**
+   * Takes a new connection. Only dialled ones carry requests; agents open others to announce
+   * themselves.
+   *
+   * @param peer the connection
+   */
+  private void onOpened(PeerConnection peer) {
+    fleet.onPeerOpen(peer);
+    if (peer.dialled()) {
+      dials.onOpen(peer.peer());
+      logic.onPeerOpen(peer);
+    }
+  }
+
+  /**
+   * Takes the end of a connection.
+   *
+   * @param closed the end
+   */
+  private void onClosed(RouterEvent.Closed closed) {
+    PeerConnection peer = closed.peer();
+    fleet.onPeerClosed(peer);
+    if (peer.dialled()) {
+      dials.onClosed(peer.peer(), clock.millis());
+      logic.onPeerClosed(peer, closed.byPeer());
+    }
+  }
+
   /** Takes over a new catalog and new members. */
   private void takeChanges() {
     if (fleet.catalog() != catalog) {
--- a/router/src/main/java/org/almondslip/router/RouterProgram.java
+++ b/router/src/main/java/org/almondslip/router/RouterProgram.java
@@ -1,7 +1,6 @@
 package org.almondslip.router;
 
-import java.util.List;
-import org.almondslip.catalog.Catalog;
+import org.almondslip.platform.FleetView;
 import org.almondslip.process.Program;
 import org.almondslip.settings.Section;
 import org.almondslip.time.Clock;
@@ -21,9 +20,14 @@
 
   @Override
   public Running start(RouterSettings settings) {
+    Clock clock = Clock.Standard.SYSTEM;
     Router router =
         new Router(
-            settings, Clock.Standard.SYSTEM, new FleetSource.Fixed(Catalog.EMPTY, List.of()));
+            settings,
+            clock,
+            (vertx, self, random, decision) ->
+                new PlatformFleet(
+                    new FleetView(vertx, settings.platform(), self, clock, random, decision)));
     router.start();
     return router;
   }
--- a/router/src/main/java/org/almondslip/router/RouterSettings.java
+++ b/router/src/main/java/org/almondslip/router/RouterSettings.java
@@ -4,6 +4,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.Optional;
+import org.almondslip.platform.PlatformAddresses;
 import org.almondslip.routing.RoutingSettings;
 import org.almondslip.settings.Section;
 
@@ -18,6 +19,7 @@
  * @param adminListen the address for operators
  * @param operationsListen the address for health and metrics
  * @param secret the secret that all processes of the fleet share
+ * @param operatorKey the key of the operators' interface
  * @param platform the addresses of the platform
  * @param routing the limits and intervals of the decisions
  * @param callers the limits of the callers' API
@@ -32,7 +34,8 @@
     String adminListen,
     String operationsListen,
     String secret,
-    PlatformSettings platform,
+    String operatorKey,
+    PlatformAddresses platform,
     RoutingSettings routing,
     CallerLimits callers,
     long drainMillis) {
@@ -49,15 +52,6 @@
   /** Largest queue that is accepted, in requests. */
   private static final long MAX_QUEUE = 100_000;
 
-  /**
-   * Addresses of the platform.
-   *
-   * @param tableService the address of the table service
-   * @param objectStore the address of the object store
-   * @param instanceList the address of the instance list
-   */
-  public record PlatformSettings(String tableService, String objectStore, String instanceList) {}
-
   /**
    * Reads the settings.
    *
@@ -75,52 +69,53 @@
         section.address("inner_listen"),
         section.address("admin_listen"),
         section.address("operations_listen"),
-        secret(section),
-        new PlatformSettings(
-            platform.address("table_service"),
-            platform.address("object_store"),
-            platform.address("instance_list")),
+        secret(section, "secret"),
+        secret(section, "operator_key"),
+        PlatformAddresses.of(platform),
         routing(limits),
         CallerLimits.of(limits),
         limits.durationMillis("drain_limit", DRAIN_MILLIS, 0, MAX_MILLIS));
   }
 
   /**
-   * Reads the shared secret from the settings or from the file that they name.
+   * Reads a secret from the settings or from the file that they name.
    *
    * @param section the top level of the file
+   * @param key the key of the secret; the one of its file ends with {@code _file}
    * @return the secret, empty when there is a finding
    */
-  private static String secret(Section section) {
-    Optional<String> file = section.optionalText("secret_file");
-    if (file.isPresent() && section.has("secret")) {
-      section.report("secret_file", "must not be given together with secret");
+  private static String secret(Section section, String key) {
+    String fileKey = key + "_file";
+    Optional<String> file = section.optionalText(fileKey);
+    if (file.isPresent() && section.optionalText(key).isPresent()) {
+      section.report(fileKey, "must not be given together with " + key);
     }
-    String key = file.isPresent() ? "secret_file" : "secret";
-    String secret = file.map(name -> read(section, name)).orElseGet(() -> section.text("secret"));
+    String secret =
+        file.map(name -> read(section, fileKey, name)).orElseGet(() -> section.text(key));
     if (!secret.isEmpty() && secret.length() < MIN_SECRET) {
-      section.report(key, "must have at least " + MIN_SECRET + " characters");
+      String given = file.isPresent() ? fileKey : key;
+      section.report(given, "must have at least " + MIN_SECRET + " characters");
     }
     return secret;
   }
 
   /**
-   * Reads the file with the secret.
+   * Reads the file with a secret.
    *
    * @param section the top level of the settings
+   * @param key the key that names the file
    * @param name the name of the file
    * @return the content without surrounding white space, empty when it cannot be read
    */
-  private static String read(Section section, String name) {
-    section.optionalText("secret");
+  private static String read(Section section, String key, String name) {
     try {
       String secret = Files.readString(Path.of(name)).trim();
       if (secret.isEmpty()) {
-        section.report("secret_file", "names an empty file");
+        section.report(key, "names an empty file");
       }
       return secret;
     } catch (IOException e) {
-      section.report("secret_file", "names a file that cannot be read");
+      section.report(key, "names a file that cannot be read");
       return "";
     }
   }
--- a/router/src/test/java/org/almondslip/router/RouterFixture.java
+++ b/router/src/test/java/org/almondslip/router/RouterFixture.java
@@ -17,6 +17,7 @@
 import org.almondslip.catalog.CatalogObject.Organisation;
 import org.almondslip.catalog.CatalogObject.Target;
 import org.almondslip.catalog.VersionedObject;
+import org.almondslip.platform.PlatformAddresses;
 import org.almondslip.routing.RoutingSettings;
 import org.almondslip.time.Clock;
 import org.apache.commons.codec.digest.DigestUtils;
@@ -61,12 +62,13 @@
             "127.0.0.1:0",
             "127.0.0.1:0",
             SECRET,
-            new RouterSettings.PlatformSettings("", "", ""),
+            SECRET,
+            new PlatformAddresses("", "", ""),
             RoutingSettings.DEFAULT,
             limits,
             5_000);
     FleetSource fleet = new FleetSource.Fixed(catalog(), List.of(model.member(), service.member()));
-    router = new Router(settings, Clock.Standard.SYSTEM, fleet);
+    router = new Router(settings, Clock.Standard.SYSTEM, (vertx, self, random, decision) -> fleet);
     router.start();
     await(() -> metrics().contains("almondslip_connected_agents 2.0"));
   }
