Replace all platform connections when one goes silent; decode off the ring

Cause: after open connections had gone silent, each pooled one cost a call its whole time limit. Large answers were decoded on the decision thread, each tick of the membership visited all members, and each heartbeat all peers. Change: the HTTP caller gives up its whole pool when a sent call gets no answer in time, before it reports that call; answers are decoded on the event loop; expiry is looked for once a second; pulls stop early when no peer is known to be ahead; answers of the platform may be compressed; an audit row that cannot be read is answered as unavailable. With eight connections gone silent, one read is lost and the next eight succeed; the test failed before the pool was replaced ahead of the report.

--- a/core/src/main/java/org/almondslip/catalog/CatalogSync.java
+++ b/core/src/main/java/org/almondslip/catalog/CatalogSync.java
@@ -61,6 +61,9 @@
   /** Newest catalog. */
   private volatile Catalog catalog = Catalog.EMPTY;
 
+  /** Highest revision that any peer has reported. */
+  private long highestKnown;
+
   /** Whether the catalog has been read from the table service or a peer. */
   private volatile boolean ready;
 
@@ -276,11 +279,18 @@
    */
   private void learn(CatalogPeer peer, long revision) {
     peer.learn(revision);
+    highestKnown = Math.max(highestKnown, revision);
     pull();
   }
 
-  /** Pulls from the best peer with a higher revision, unless a pull is outstanding. */
+  /**
+   * Pulls from the best peer with a higher revision, unless a pull is outstanding. Called for each
+   * heartbeat, so the usual case without anything to pull must not look at all peers.
+   */
   private void pull() {
+    if (highestKnown <= catalog.revision()) {
+      return;
+    }
     long now = clock.millis();
     boolean outstanding =
         peers.values().stream().anyMatch(peer -> peer.isPulling(now, PULL_LIMIT_MILLIS));
--- a/core/src/main/java/org/almondslip/membership/Membership.java
+++ b/core/src/main/java/org/almondslip/membership/Membership.java
@@ -27,6 +27,12 @@
   /** Middle of the interval between reads of the instance list, in milliseconds. */
   static final long POLL_MILLIS = 5_000;
 
+  /**
+   * Interval at which expired announcements and marks are looked for, in milliseconds. Ticks are
+   * more frequent, and each look visits all members.
+   */
+  private static final long EXPIRY_MILLIS = 1_000;
+
   /** Largest deviation from the interval, as a fraction. */
   private static final double JITTER = 0.2;
 
@@ -66,6 +72,9 @@
   /** Whether a read is outstanding. */
   private boolean reading;
 
+  /** Time at which expired announcements and marks are looked for next. */
+  private long nextExpiry = Long.MIN_VALUE;
+
   /** Time of the next read. */
   private long nextRead = Long.MIN_VALUE;
 
@@ -110,7 +119,9 @@
       reading = true;
       list.list(this::onList);
     }
-    refresh();
+    if (clock.millis() >= nextExpiry) {
+      refresh();
+    }
   }
 
   /**
@@ -301,6 +312,7 @@
   /** Computes the members and reports them if they have changed. */
   private void refresh() {
     long now = clock.millis();
+    nextExpiry = now + EXPIRY_MILLIS;
     states.values().removeIf(state -> state.isGone(now));
     Map<String, Member> current = new HashMap<>();
     for (MemberState state : states.values()) {
--- a/router/src/main/java/org/almondslip/router/admin/AuditReader.java
+++ b/router/src/main/java/org/almondslip/router/admin/AuditReader.java
@@ -7,6 +7,7 @@
 import java.util.function.Predicate;
 import org.almondslip.catalog.AuditEntry;
 import org.almondslip.catalog.CatalogTables;
+import org.almondslip.error.AlmondslipException;
 import org.almondslip.store.StoreResult;
 import org.almondslip.store.TableStore;
 import org.almondslip.store.TableStore.Row;
@@ -80,21 +81,36 @@
   }
 
   /**
-   * Takes over the entries of a block.
+   * Takes over the entries of a block. A row that cannot be read counts as a failed read, so that
+   * the operator gets an answer.
    *
    * @param revision a revision of the block
    * @param result the rows
    */
   private void onBlock(long revision, StoreResult<List<Row>> result) {
-    if (result instanceof StoreResult.Success<List<Row>> success) {
-      success.value().stream()
+    if (result instanceof StoreResult.Success<List<Row>> success && collect(success.value())) {
+      read(revision / BLOCK * BLOCK - 1);
+    } else {
+      callback.accept(new StoreResult.NotApplied<>("the audit entries cannot be read"));
+    }
+  }
+
+  /**
+   * Collects the wanted entries of a block, the newest first.
+   *
+   * @param rows the rows
+   * @return false when a row cannot be read
+   */
+  private boolean collect(List<Row> rows) {
+    try {
+      rows.stream()
           .map(CatalogTables::auditOf)
           .filter(filter)
           .sorted(Comparator.comparing(AuditEntry::revision).reversed())
           .forEach(found::add);
-      read(revision / BLOCK * BLOCK - 1);
-    } else {
-      callback.accept(new StoreResult.NotApplied<>("the audit entries cannot be read"));
+      return true;
+    } catch (AlmondslipException e) {
+      return false;
     }
   }
 }
--- a/runtime/src/main/java/org/almondslip/platform/HttpCaller.java
+++ b/runtime/src/main/java/org/almondslip/platform/HttpCaller.java
@@ -7,7 +7,9 @@
 import io.vertx.core.http.HttpMethod;
 import io.vertx.core.http.PoolOptions;
 import java.util.concurrent.Executor;
+import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.Consumer;
+import java.util.function.Function;
 
 /** Sends calls to one service of the platform, each with a time limit for the whole call. */
 final class HttpCaller implements AutoCloseable {
@@ -21,8 +23,11 @@
   /** Event loop. */
   private final Vertx vertx;
 
-  /** Client with its connections. */
-  private final HttpClient client;
+  /** Address and limits of the connections. */
+  private final HttpClientOptions options;
+
+  /** Client with its connections, replaced when one of them has gone silent. */
+  private final AtomicReference<HttpClient> client;
 
   /** Time limit of a call in milliseconds. */
   private final long limitMillis;
@@ -40,15 +45,14 @@
    */
   HttpCaller(Vertx vertx, String address, long limitMillis, Executor executor) {
     int colon = address.lastIndexOf(':');
-    HttpClientOptions options =
+    this.options =
         new HttpClientOptions()
             .setDefaultHost(address.substring(0, colon))
             .setDefaultPort(Integer.parseInt(address.substring(colon + 1)))
+            .setDecompressionSupported(true)
             .setConnectTimeout((int) limitMillis);
-    PoolOptions pool =
-        new PoolOptions().setHttp1MaxSize(CONNECTIONS).setMaxWaitQueueSize(WAITING_CALLS);
     this.vertx = vertx;
-    this.client = vertx.createHttpClient(options, pool);
+    this.client = new AtomicReference<>(newClient());
     this.limitMillis = limitMillis;
     this.executor = executor;
   }
@@ -59,20 +63,64 @@
    * @param method the method
    * @param uri the path and query
    * @param body the body, which may be empty
-   * @param callback receives the reply once, on the executor
+   * @param converter reads the reply, on the event loop so that large answers don't hold up the
+   *     executor
+   * @param callback receives the converted reply once, on the executor
+   * @param <T> the type of the converted reply
    */
-  void call(HttpMethod method, String uri, Buffer body, Consumer<HttpReply> callback) {
+  <T> void call(
+      HttpMethod method,
+      String uri,
+      Buffer body,
+      Function<HttpReply, T> converter,
+      Consumer<T> callback) {
     HttpExchange exchange =
-        new HttpExchange(body, reply -> executor.execute(() -> callback.accept(reply)));
-    long timer = vertx.setTimer(limitMillis, id -> exchange.expire(limitMillis));
+        new HttpExchange(
+            body,
+            reply -> {
+              T converted = converter.apply(reply);
+              executor.execute(() -> callback.accept(converted));
+            });
+    HttpClient used = client.get();
+    long timer =
+        vertx.setTimer(limitMillis, id -> exchange.expire(limitMillis, () -> replace(used)));
     exchange.onFinished(() -> vertx.cancelTimer(timer));
-    client
-        .request(method, uri)
+    used.request(method, uri)
         .onComplete(exchange::send, failure -> exchange.onNotSent(String.valueOf(failure)));
   }
 
   @Override
   public void close() {
-    client.close().toCompletionStage().toCompletableFuture().join();
+    client.get().close().toCompletionStage().toCompletableFuture().join();
+  }
+
+  /**
+   * Gives up all connections after one of them has gone silent.
+   *
+   * <p>The others may be silent too, and trying them one after the other would take a time limit
+   * each. Calls on them that are still in progress keep their own time.
+   *
+   * @param used the client with the silent connection
+   */
+  private void replace(HttpClient used) {
+    if (client.get() == used) {
+      HttpClient fresh = newClient();
+      if (client.compareAndSet(used, fresh)) {
+        vertx.setTimer(limitMillis, id -> used.close());
+      } else {
+        fresh.close();
+      }
+    }
+  }
+
+  /**
+   * Creates a client without connections.
+   *
+   * @return the client
+   */
+  private HttpClient newClient() {
+    PoolOptions pool =
+        new PoolOptions().setHttp1MaxSize(CONNECTIONS).setMaxWaitQueueSize(WAITING_CALLS);
+    return vertx.createHttpClient(options, pool);
   }
 }
--- a/runtime/src/main/java/org/almondslip/platform/HttpExchange.java
+++ b/runtime/src/main/java/org/almondslip/platform/HttpExchange.java
@@ -82,12 +82,17 @@
    * good.
    *
    * @param limitMillis the time limit
+   * @param onSilent run before the reply is reported if the call was sent and got no answer
    */
-  synchronized void expire(long limitMillis) {
+  synchronized void expire(long limitMillis, Runnable onSilent) {
     String detail = "no answer within " + limitMillis + " ms";
+    if (finished) {
+      return;
+    }
     if (request == null) {
       finish(new HttpReply.NotSent(detail));
-    } else if (!finished) {
+    } else {
+      onSilent.run();
       finish(new HttpReply.Lost(detail));
       request.reset();
     }
--- a/runtime/src/main/java/org/almondslip/platform/HttpInstanceList.java
+++ b/runtime/src/main/java/org/almondslip/platform/HttpInstanceList.java
@@ -47,7 +47,8 @@
         HttpMethod.GET,
         uri,
         Buffer.buffer(),
-        reply -> callback.accept(reply.toResult(HttpInstanceList::toMembers)));
+        reply -> reply.toResult(HttpInstanceList::toMembers),
+        callback);
   }
 
   @Override
--- a/runtime/src/main/java/org/almondslip/platform/HttpObjectStore.java
+++ b/runtime/src/main/java/org/almondslip/platform/HttpObjectStore.java
@@ -38,13 +38,13 @@
         HttpMethod.PUT,
         path(key),
         Buffer.buffer(value),
-        reply -> callback.accept(reply.toResult(body -> true)));
+        reply -> reply.toResult(body -> true),
+        callback);
   }
 
   @Override
   public void get(String key, Consumer<StoreResult<Optional<byte[]>>> callback) {
-    caller.call(
-        HttpMethod.GET, path(key), Buffer.buffer(), reply -> callback.accept(toValue(reply)));
+    caller.call(HttpMethod.GET, path(key), Buffer.buffer(), HttpObjectStore::toValue, callback);
   }
 
   @Override
--- a/runtime/src/main/java/org/almondslip/platform/HttpTableStore.java
+++ b/runtime/src/main/java/org/almondslip/platform/HttpTableStore.java
@@ -42,7 +42,8 @@
         HttpMethod.GET,
         "/tables/" + encode(table) + "/" + encode(key),
         Buffer.buffer(),
-        reply -> callback.accept(toRow(reply)));
+        HttpTableStore::toOptionalRow,
+        callback);
   }
 
   @Override
@@ -51,9 +52,8 @@
         HttpMethod.GET,
         "/tables/" + encode(table) + "?prefix=" + encode(prefix),
         Buffer.buffer(),
-        reply ->
-            callback.accept(
-                reply.toResult(body -> toRows(body.toJsonObject().getJsonArray("rows")))));
+        reply -> reply.toResult(body -> toRows(body.toJsonObject().getJsonArray("rows"))),
+        callback);
   }
 
   @Override
@@ -62,7 +62,8 @@
         HttpMethod.POST,
         "/tables/transact",
         toJson(transaction).toBuffer(),
-        reply -> callback.accept(reply.toResult(HttpTableStore::toOutcome)));
+        reply -> reply.toResult(HttpTableStore::toOutcome),
+        callback);
   }
 
   @Override
@@ -76,7 +77,7 @@
    * @param reply the reply
    * @return the row, or empty when there is none
    */
-  private static StoreResult<Optional<Row>> toRow(HttpReply reply) {
+  private static StoreResult<Optional<Row>> toOptionalRow(HttpReply reply) {
     if (reply instanceof HttpReply.Answered answered && answered.status() == NOT_FOUND) {
       return new StoreResult.Success<>(Optional.empty());
     }
--- a/standins/src/main/java/org/almondslip/standins/HttpStandin.java
+++ b/standins/src/main/java/org/almondslip/standins/HttpStandin.java
@@ -3,6 +3,7 @@
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpServer;
+import io.vertx.core.http.HttpServerOptions;
 import io.vertx.core.http.HttpServerRequest;
 import java.util.Optional;
 
@@ -94,7 +95,10 @@
     this.vertx = vertx;
     this.service = service;
     this.faults = new FaultSwitch(name.hashCode());
-    this.server = vertx.createHttpServer().requestHandler(this::receive);
+    this.server =
+        vertx
+            .createHttpServer(new HttpServerOptions().setCompressionSupported(true))
+            .requestHandler(this::receive);
   }
 
   @Override
--- a/standins/src/test/java/org/almondslip/standins/platform/TableServiceStandinTest.java
+++ b/standins/src/test/java/org/almondslip/standins/platform/TableServiceStandinTest.java
@@ -9,6 +9,7 @@
 import java.net.http.HttpResponse.BodyHandlers;
 import java.util.List;
 import java.util.Optional;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.almondslip.catalog.CatalogObject.Organisation;
 import org.almondslip.catalog.CatalogSync;
 import org.almondslip.catalog.Kind;
@@ -128,6 +129,23 @@
     assertThat(read("k")).isEqualTo(success(Optional.of(new Row("k", 1, "{}"))));
   }
 
+  /** Guards against a time limit for each of several connections that went silent together. */
+  @Test
+  void allSilentConnectionsAreReplacedAtOnce() {
+    insert("k");
+    fault("{\"mode\":\"slow\",\"delay_ms\":100}");
+    AtomicInteger answers = new AtomicInteger();
+    for (int i = 0; i < 8; i++) {
+      store.read("t", "k", result -> answers.incrementAndGet());
+    }
+    thread.awaitTrue(() -> answers.get() == 8);
+    fault("{\"mode\":\"silent-open\"}");
+    assertThat(read("k")).isInstanceOf(StoreResult.Unknown.class);
+    for (int i = 0; i < 8; i++) {
+      assertThat(read("k")).isEqualTo(success(Optional.of(new Row("k", 1, "{}"))));
+    }
+  }
+
   /** Guards against a ticket that is lost with the answer to its write. */
   @Test
   void ticketWithLostAnswerIsAppliedOnceAndSeenByAnotherProcess() {
