--- a/bench/src/main/java/org/almondslip/bench/Command.java
+++ b/bench/src/main/java/org/almondslip/bench/Command.java
@@ -163,6 +163,7 @@
     Experiment experiment = experiment(deployment);
     ObjectNode json = JsonNodeFactory.instance.objectNode();
     ArrayNode rounds = json.putArray("rounds");
+    experiment.warmUp(SOAK_ROUNDS);
     for (int i = 0; i < LOADS.length; i++) {
       rounds.add(experiment.steady(LOADS[i], millis() / LOADS.length, i));
     }
@@ -184,6 +185,7 @@
     Experiment experiment = experiment(deployment);
     ObjectNode json = JsonNodeFactory.instance.objectNode();
     ArrayNode rounds = json.putArray("rounds");
+    experiment.warmUp(SOAK_ROUNDS);
     for (int i = 0; i < SOAK_ROUNDS; i++) {
       rounds.add(experiment.steady(SOAK_LOAD, millis() / SOAK_ROUNDS, i));
     }
--- a/bench/src/main/java/org/almondslip/bench/Experiment.java
+++ b/bench/src/main/java/org/almondslip/bench/Experiment.java
@@ -102,8 +102,7 @@
    */
   ObjectNode fleet(long millis) {
     Phase steadyPhase = Phase.steady(millis / 3, STEADY_LOAD);
-    Phase warmUp = Phase.steady(WARM_UP_MILLIS, STEADY_LOAD);
-    new LoadRun(setup).run(plan(2), warmUp, entry);
+    warmUp(2);
     LoadRun.Result steady = new LoadRun(setup).run(plan(0), steadyPhase, entry);
     // The same plan again, so that the engines see the same requests at the same times.
     Entry direct = direct(RunCheck.DIRECT_PREFIX);
@@ -126,7 +125,16 @@
   }
 
   /**
-   * Sends a steady load in rounds.
+   * Sends a load whose results are not used.
+   *
+   * @param index the number of its plan
+   */
+  void warmUp(int index) {
+    new LoadRun(setup).run(plan(index), Phase.steady(WARM_UP_MILLIS, STEADY_LOAD), entry);
+  }
+
+  /**
+   * Sends one round of a steady load.
    *
    * @param load the load, as a part of the capacity
    * @param millis the time of one round
--- a/bin/lib.sh
+++ b/bin/lib.sh
@@ -101,8 +101,8 @@
   done
 }
 
-# start_all: starts the processes of $run_dir/processes and enters them into the instance lists.
-start_all() {
+# start_standins: starts the stand-ins of $run_dir/processes and fills the instance lists.
+start_standins() {
   local program name address
   while read -r program name address; do
     [ "$program" = standins ] || continue
@@ -110,6 +110,11 @@
     await "$name" "$address"
   done <"$run_dir/processes"
   run_tool bench register --dir "$run_dir" >/dev/null
+}
+
+# start_fleet: starts the routers and agents of $run_dir/processes.
+start_fleet() {
+  local program name address
   while read -r program name address; do
     [ "$program" = standins ] || start "$program" "$name"
   done <"$run_dir/processes"
@@ -161,7 +166,7 @@
   done
 }
 
-# stop_all: stops everything that start_all started, routers first so that none loses its targets.
+# stop_all: stops all processes of $run_dir/processes, routers first so that none loses its targets.
 stop_all() {
   [ -f "$run_dir/processes" ] || return 0
   stop_program router
--- a/standins/src/main/java/org/almondslip/standins/target/Link.java
+++ b/standins/src/main/java/org/almondslip/standins/target/Link.java
@@ -37,6 +37,9 @@
   /** Bytes relayed in both directions. */
   private final LongAdder bytes = new LongAdder();
 
+  /** Bytes that a fault has lost. */
+  private final LongAdder lost = new LongAdder();
+
   /** What to close. */
   private final Closer closer = new Closer();
 
@@ -158,7 +161,8 @@
   private String control(HttpServerRequest request, String body) {
     ObjectNode json = JsonNodeFactory.instance.objectNode();
     if (request.path().equals("/link")) {
-      return json.put("bytes", bytes.sum()).put("connections", relays.size()).toString();
+      json.put("bytes", bytes.sum()).put("lost", lost.sum());
+      return json.put("connections", relays.size()).toString();
     }
     Optional<LinkFaults> parsed = LinkFaults.parse(body);
     if (!request.path().equals("/faults") || parsed.isEmpty()) {
@@ -235,6 +239,8 @@
             if (passes(forward)) {
               bytes.add(buffer.length());
               later(() -> write(from, to, buffer));
+            } else {
+              lost.add(buffer.length());
             }
           });
       from.closeHandler(closed -> onEnd(forward));
