--- a/router/src/main/java/org/almondslip/router/Exchange.java
+++ b/router/src/main/java/org/almondslip/router/Exchange.java
@@ -125,12 +125,14 @@
    * Hands the request to the decisions, or refuses it when there is no room.
    *
    * @param callerRequest the request
+   * @param taken called when the decisions have counted the request or it is refused
    */
-  void start(CallerRequest callerRequest) {
+  void start(CallerRequest callerRequest, Runnable taken) {
     exchanges.add(this);
     response.closeHandler(closed -> onClose());
     response.exceptionHandler(failure -> onClose());
-    if (!sink.arrived(callerRequest)) {
+    if (!sink.arrived(callerRequest, taken)) {
+      taken.run();
       end(
           Outcome.notRun(ErrorCode.ROUTER_OVERLOADED, "the decision thread is busy")
               .withRetryAfter(1));
@@ -217,6 +219,7 @@
       return;
     }
     ended = true;
+    progressAt = unread == 0 ? clock.millis() : progressAt;
     outcome.failure().ifPresent(code -> log(outcome, code));
     if (outcome.failure().isPresent() && headSent && !eventStream) {
       request.connection().close();
@@ -242,7 +245,7 @@
 
   /** Ends the exchange by closing the connection. */
   void drop() {
-    run(() -> request.connection().close());
+    run(() -> Aborts.abort(request.connection()));
   }
 
   /**
@@ -252,14 +255,12 @@
    * @param limitMillis the longest time without progress, in milliseconds
    */
   void dropIfStalled(long now, long limitMillis) {
-    if (unread > 0) {
-      run(
-          () -> {
-            if (unread > 0 && now - progressAt >= limitMillis) {
-              request.connection().close();
-            }
-          });
-    }
+    run(
+        () -> {
+          if ((unread > 0 || ended) && now - progressAt >= limitMillis) {
+            Aborts.abort(request.connection());
+          }
+        });
   }
 
   /**
--- a/router/src/main/java/org/almondslip/router/RequestReader.java
+++ b/router/src/main/java/org/almondslip/router/RequestReader.java
@@ -35,11 +35,11 @@
   /** Bodies that are being received. */
   private final ByteBudget incoming;
 
-  /** Receiver of the body. */
+  /** Receiver of the body, which releases its bytes unless it throws. */
   private final Consumer<Buffer> receiver;
 
-  /** Called when a refusal has left for the caller and the connection can be used again. */
-  private final Runnable onSent;
+  /** Called when a request has been refused and its connection can be used again. */
+  private final Runnable onRefused;
 
   /** Body so far. */
   private Buffer body = Buffer.buffer();
@@ -58,7 +58,7 @@
    * @param limits the limits of the API
    * @param incoming the bodies that are being received
    * @param receiver the receiver of the body
-   * @param onSent called when a refusal has left and the connection can be used again
+   * @param onRefused called when the request has been refused and its connection can be used again
    */
   RequestReader(
       Vertx vertx,
@@ -66,13 +66,13 @@
       CallerLimits limits,
       ByteBudget incoming,
       Consumer<Buffer> receiver,
-      Runnable onSent) {
+      Runnable onRefused) {
     this.vertx = vertx;
     this.request = request;
     this.limits = limits;
     this.incoming = incoming;
     this.receiver = receiver;
-    this.onSent = onSent;
+    this.onRefused = onRefused;
   }
 
   /** Starts to receive. */
@@ -98,8 +98,8 @@
     }
     finish();
     request.response().putHeader("Connection", "close");
-    Refusal.send(request.response(), outcome)
-        .onComplete(sent -> vertx.setTimer(LINGER_MILLIS, id -> request.connection().close()));
+    Refusal.send(request.response(), outcome);
+    vertx.setTimer(LINGER_MILLIS, id -> Aborts.abort(request.connection()));
   }
 
   /**
@@ -160,17 +160,23 @@
     }
   }
 
-  /** Hands the body over. */
+  /**
+   * Hands the body over. It counts as being received until the decisions have counted it, so that
+   * the ring to the decision thread holds no more than the limit.
+   */
   private void onEnd() {
     if (done) {
       return;
     }
     Buffer whole = body;
+    body = Buffer.buffer();
     finish();
     try {
       receiver.accept(whole);
     } catch (AlmondslipException e) {
-      Refusal.send(request.response(), Refusal.of(e)).onSuccess(sent -> onSent.run());
+      incoming.release(whole.length());
+      Refusal.send(request.response(), Refusal.of(e));
+      onRefused.run();
     }
   }
 
