Handle signals in scripts while a tool runs

Cause: bash runs a trap only after the program in the foreground has ended, so a TERM to bin/bench took up to the length of the run.

Change: tools run in the background and the script waits for them; their end is part of the cleanup.

--- a/bin/lib.sh
+++ b/bin/lib.sh
@@ -47,12 +47,15 @@
   exec java "${java_flags[@]}" -jar "$jar" "$@"
 }
 
-# run_tool MODULE ARGUMENT...: runs a program that is not part of the fleet with more memory.
+# run_tool MODULE ARGUMENT...: runs a program that is not part of the fleet with more memory. The shell
+# waits for it in the background, since it would otherwise handle a signal only after the program's end.
 run_tool() {
   local jar
   jar="$(jar_of "$1")"
   shift
-  java -Xmx512m -jar "$jar" "$@"
+  java -Xmx512m -jar "$jar" "$@" &
+  tool_pid=$!
+  wait "$tool_pid"
 }
 
 # A port range of this run, so that two runs on one machine rarely clash.
@@ -168,6 +171,7 @@
 
 # stop_all: stops all processes of $run_dir/processes, routers first so that none loses its targets.
 stop_all() {
+  [ -z "${tool_pid:-}" ] || kill -TERM "$tool_pid" 2>/dev/null || true
   [ -f "$run_dir/processes" ] || return 0
   stop_program router
   stop_program agent
