Spread offsets evenly, take virtual time from reach, split the digest node

Cause: independent random offsets add up to different sums for two flows, a flow was lifted only to the account of the slowest flow of its pool whatever its reach, and hints that are too low let a flow take all slots at once. Change: each agent's offset is its place in a per-flow order of the agents that reach the flow; virtual time is the largest of the smallest accounts at the targets that a flow reaches; the ledger corrects hints by earlier costs; root duties and the place in the tree are classes of their own; the grace period is shortened so that a wave ends within half an interval; FairnessBound has the interval and the delay as separate settings (Report of bench adapted).

--- a/bench/src/main/java/org/almondslip/bench/Report.java
+++ b/bench/src/main/java/org/almondslip/bench/Report.java
@@ -203,7 +203,13 @@
     long delay = FairnessBound.delayMillis(DigestSettings.DEFAULT, height, 0);
     long cost = (long) pool.maxCostMillis();
     return new FairnessBound(
-            pool.targets(), pool.slots(), cost, smallest, delay, LOCALITY_SLACK_MILLIS)
+            pool.targets(),
+            pool.slots(),
+            cost,
+            smallest,
+            DigestSettings.DEFAULT.intervalMillis(),
+            delay,
+            LOCALITY_SLACK_MILLIS)
         .chargeGapMillis();
   }
 
--- a/core/src/main/java/org/almondslip/accounting/AccountLedger.java
+++ b/core/src/main/java/org/almondslip/accounting/AccountLedger.java
@@ -2,9 +2,6 @@
 
 import java.util.HashMap;
 import java.util.Map;
-import java.util.Optional;
-import java.util.function.IntFunction;
-import java.util.function.ToIntFunction;
 import org.almondslip.catalog.Flow;
 import org.apache.commons.rng.UniformRandomProvider;
 
@@ -17,25 +14,22 @@
   /** Microseconds in a millisecond. */
   private static final long MICROS_PER_MILLI = 1_000L;
 
-  /** Factor by which older charges count less with each digest when a portion is measured. */
-  private static final double DECAY = 0.8;
-
   /** How the own charges are extrapolated. */
   private final PortionRule rule;
 
-  /** Number of agents that reach a flow. */
-  private final ToIntFunction<Flow> agentsInReach;
+  /** Target beside this agent. */
+  private final String target;
 
-  /** Flows by identity. */
-  private final IntFunction<Optional<Flow>> flows;
+  /** Flows and their reach. */
+  private final FlowDirectory directory;
 
-  /** Cost of the largest request, in microseconds. */
-  private final long largestCostMicros;
+  /** Slot time of the largest request, in milliseconds. */
+  private final long largestCostMillis;
 
   /** Source of the offsets. */
   private final UniformRandomProvider random;
 
-  /** State of each flow that was charged here. */
+  /** State of each flow that was charged or offered here. */
   private final Map<Integer, LocalFlow> local = new HashMap<>();
 
   /** Charged requests that have not ended. */
@@ -44,36 +38,37 @@
   /** Flows of the last digest. */
   private Map<Integer, FlowState> digest = Map.of();
 
-  /** Smallest account among the backlogged flows of each pool, never decreasing. */
-  private final Map<String, Long> virtualTimes = new HashMap<>();
+  /** Smallest account among the backlogged flows that reach the own target, in microseconds. */
+  private long virtualTimeMicros;
 
   /**
    * Creates a ledger.
    *
    * @param rule how the own charges are extrapolated
-   * @param agentsInReach the number of agents that reach a flow
-   * @param flows the flows by identity
+   * @param target the target beside this agent
+   * @param directory the flows and their reach
    * @param largestCostMillis the slot time of the largest request, in milliseconds
    * @param random the source of the offsets
    */
   public AccountLedger(
       PortionRule rule,
-      ToIntFunction<Flow> agentsInReach,
-      IntFunction<Optional<Flow>> flows,
+      String target,
+      FlowDirectory directory,
       long largestCostMillis,
       UniformRandomProvider random) {
     this.rule = rule;
-    this.agentsInReach = agentsInReach;
-    this.flows = flows;
-    this.largestCostMicros = largestCostMillis * MICROS_PER_MILLI;
+    this.target = target;
+    this.directory = directory;
+    this.largestCostMillis = largestCostMillis;
     this.random = random;
   }
 
   @Override
   public void start(long token, Flow flow, long estimateMillis) {
-    Running request = new Running(flow);
+    Running request = new Running(flow, estimateMillis);
     if (running.putIfAbsent(token, request) == null) {
-      charge(request, estimateMillis * MICROS_PER_MILLI / flow.share());
+      long expected = local(flow).expectedMillis(estimateMillis);
+      charge(request, Math.min(largestCostMillis, expected));
     }
   }
 
@@ -81,8 +76,7 @@
   public void progress(long token, long elapsedMillis) {
     Running request = running.get(token);
     if (request != null) {
-      long cost = elapsedMillis * MICROS_PER_MILLI / request.flow.share();
-      charge(request, Math.max(request.chargedMicros, cost));
+      charge(request, Math.max(request.chargedMillis, elapsedMillis));
     }
   }
 
@@ -90,15 +84,17 @@
   public void settle(long token, long costMillis) {
     Running request = running.remove(token);
     if (request != null) {
-      charge(request, costMillis * MICROS_PER_MILLI / request.flow.share());
+      charge(request, costMillis);
+      if (costMillis > 0) {
+        local(request.flow).learn(request.hintMillis, costMillis);
+      }
     }
   }
 
   @Override
   public long estimateMicros(Flow flow) {
-    LocalFlow own = local(flow);
-    double extrapolated = own.uncountedMicros() / own.portion();
-    return accountMicros(flow) + Math.round(extrapolated + own.offset * offsetRange(flow, own));
+    long largestCostMicros = largestCostMillis * MICROS_PER_MILLI;
+    return accountMicros(flow.id()) + Math.round(local(flow).sinceDigest(rule, largestCostMicros));
   }
 
   /**
@@ -110,23 +106,19 @@
    */
   Map<Integer, Long> takeCharges() {
     Map<Integer, Long> taken = new HashMap<>();
-    for (Map.Entry<Integer, LocalFlow> entry : local.entrySet()) {
-      LocalFlow own = entry.getValue();
-      if (own.newMicros > 0) {
-        taken.put(entry.getKey(), own.newMicros);
-        own.takenMicros += own.newMicros;
-        own.newMicros = 0;
-      }
-    }
+    local.forEach(
+        (id, flow) -> {
+          long micros = flow.take();
+          if (micros > 0) {
+            taken.put(id, micros);
+          }
+        });
     return taken;
   }
 
   /** Drops the charges taken so far from the own charges, as the next digest counts them. */
   void onCounted() {
-    for (LocalFlow own : local.values()) {
-      own.countedMicros += own.takenMicros;
-      own.takenMicros = 0;
-    }
+    local.values().forEach(LocalFlow::onCounted);
   }
 
   /**
@@ -135,55 +127,47 @@
    * @param states the state of each active flow by identity
    */
   void onDigest(Map<Integer, FlowState> states) {
-    for (Map.Entry<Integer, LocalFlow> entry : local.entrySet()) {
-      FlowState before = digest.get(entry.getKey());
-      FlowState after = states.get(entry.getKey());
-      boolean lifted = before == null || after == null || !before.backlogged();
-      entry.getValue().measure(lifted ? 0 : after.accountMicros() - before.accountMicros());
-    }
+    local.forEach(
+        (id, flow) -> {
+          flow.reach(directory.targetsOf(id), target);
+          FlowState before = digest.get(id);
+          FlowState after = states.get(id);
+          // The account of a flow that was idle may rise by a lift, which is no service.
+          boolean unknown = before == null || after == null || !before.backlogged();
+          flow.measure(unknown ? 0 : after.accountMicros() - before.accountMicros());
+        });
     digest = Map.copyOf(states);
-    VirtualTime.ofPools(states, flows)
-        .forEach((pool, time) -> virtualTimes.merge(pool, time, Math::max));
+    virtualTimeMicros =
+        new VirtualTime(states, directory).atTarget(target).orElse(virtualTimeMicros);
   }
 
   /**
    * Returns the account of a flow without own charges. A flow that the digest does not show as
    * backlogged is at virtual time, so that it gets no credit for the time without work.
    *
-   * @param flow the flow
+   * @param flowId the identity of the flow
    * @return the account, in microseconds
    */
-  private long accountMicros(Flow flow) {
-    FlowState state = digest.get(flow.id());
-    long virtualTime = virtualTimes.getOrDefault(flow.pool(), 0L);
+  private long accountMicros(int flowId) {
+    FlowState state = digest.get(flowId);
     if (state == null) {
-      return virtualTime;
+      return virtualTimeMicros;
     }
     return state.backlogged()
         ? state.accountMicros()
-        : Math.max(state.accountMicros(), virtualTime);
-  }
-
-  /**
-   * Returns the largest offset of a flow.
-   *
-   * @param flow the flow
-   * @param own the state of the flow
-   * @return the offset, in microseconds divided by share
-   */
-  private double offsetRange(Flow flow, LocalFlow own) {
-    return largestCostMicros / own.portion() / flow.share();
+        : Math.max(state.accountMicros(), virtualTimeMicros);
   }
 
   /**
    * Sets the charge of a request.
    *
    * @param request the request
-   * @param micros the charge, in microseconds divided by share
+   * @param millis the charge, in milliseconds of slot time
    */
-  private void charge(Running request, long micros) {
-    local(request.flow).newMicros += micros - request.chargedMicros;
-    request.chargedMicros = micros;
+  private void charge(Running request, long millis) {
+    long change = (millis - request.chargedMillis) * MICROS_PER_MILLI;
+    request.chargedMillis = millis;
+    local(request.flow).charge(change / request.flow.share());
   }
 
   /**
@@ -193,7 +177,14 @@
    * @return the state, created when the flow is new
    */
   private LocalFlow local(Flow flow) {
-    return local.computeIfAbsent(flow.id(), id -> new LocalFlow(flow, random.nextDouble()));
+    LocalFlow known = local.get(flow.id());
+    if (known != null) {
+      return known;
+    }
+    LocalFlow created = new LocalFlow(flow, random.nextDouble());
+    created.reach(directory.targetsOf(flow.id()), target);
+    local.put(flow.id(), created);
+    return created;
   }
 
   /** Request that has been charged and has not ended. */
@@ -202,84 +193,21 @@
     /** Flow of the request. */
     private final Flow flow;
 
-    /** Charge so far, in microseconds divided by share. */
-    private long chargedMicros;
+    /** Expected slot time as given, in milliseconds. */
+    private final long hintMillis;
+
+    /** Charge so far, in milliseconds of slot time. */
+    private long chargedMillis;
 
     /**
      * Creates a request without charge.
      *
      * @param flow the flow of the request
+     * @param hintMillis the expected slot time as given, in milliseconds
      */
-    private Running(Flow flow) {
+    private Running(Flow flow, long hintMillis) {
       this.flow = flow;
-    }
-  }
-
-  /** Own charges of a flow. */
-  private final class LocalFlow {
-
-    /** The flow. */
-    private final Flow flow;
-
-    /** Random number between 0 and 1 that keeps the agents from choosing in lockstep. */
-    private final double offset;
-
-    /** Charges that were not taken; negative when a settled charge was reduced. */
-    private long newMicros;
-
-    /** Charges that were taken and not counted. */
-    private long takenMicros;
-
-    /** Charges that were counted since the last digest. */
-    private long countedMicros;
-
-    /** Own charges in the recent past. */
-    private double ownCharge;
-
-    /** Charges of the fleet in the recent past. */
-    private double fleetCharge;
-
-    /**
-     * Creates a flow without charges.
-     *
-     * @param flow the flow
-     * @param offset a random number between 0 and 1
-     */
-    private LocalFlow(Flow flow, double offset) {
-      this.flow = flow;
-      this.offset = offset;
-    }
-
-    /**
-     * Returns the charges that the last digest does not count.
-     *
-     * @return the charges, in microseconds divided by share
-     */
-    private long uncountedMicros() {
-      return newMicros + takenMicros;
-    }
-
-    /**
-     * Returns the own part of the flow's service in the fleet.
-     *
-     * @return the portion, above 0 and at most 1
-     */
-    private double portion() {
-      double initial = 1.0 / Math.max(1, agentsInReach.applyAsInt(flow));
-      return rule.portion(initial, ownCharge, fleetCharge);
-    }
-
-    /**
-     * Adds the charges between two digests to the recent past.
-     *
-     * @param fleetMicros the charges of the fleet, 0 when unknown
-     */
-    private void measure(long fleetMicros) {
-      if (fleetMicros > 0) {
-        ownCharge = DECAY * ownCharge + countedMicros;
-        fleetCharge = DECAY * fleetCharge + fleetMicros;
-      }
-      countedMicros = 0;
+      this.hintMillis = hintMillis;
     }
   }
 }
--- a/core/src/main/java/org/almondslip/accounting/ChildReports.java
+++ b/core/src/main/java/org/almondslip/accounting/ChildReports.java
@@ -4,6 +4,7 @@
 import java.util.HashSet;
 import java.util.Map;
 import java.util.Set;
+import org.almondslip.membership.PeerIdentity;
 import org.almondslip.protocol.wire.ServiceReport;
 
 /** Reports of the agents below one node of the digest tree. */
@@ -30,16 +31,16 @@
   /**
    * Merges a report. The charges of a report that has been merged before are not added again.
    *
-   * @param childId the sender
-   * @param incarnation the incarnation of the sender
+   * @param sender the sender
    * @param report the report
    * @param now the current time, in milliseconds
    */
-  void merge(String childId, long incarnation, ServiceReport report, long now) {
-    Child child = children.get(childId);
+  void merge(PeerIdentity sender, ServiceReport report, long now) {
+    long incarnation = sender.incarnation();
+    Child child = children.get(sender.instanceId());
     if (child == null || Long.compareUnsigned(child.incarnation, incarnation) < 0) {
       child = new Child(incarnation);
-      children.put(childId, child);
+      children.put(sender.instanceId(), child);
     }
     if (child.incarnation != incarnation || report.getSequence() < child.merged) {
       return;
@@ -119,7 +120,7 @@
   }
 
   /**
-   * Returns the agents that reported recently, and drops the state of the others after a while.
+   * Returns the agents that reported recently.
    *
    * @param now the current time, in milliseconds
    * @return the instance ids
--- a/core/src/main/java/org/almondslip/accounting/DigestNode.java
+++ b/core/src/main/java/org/almondslip/accounting/DigestNode.java
@@ -3,20 +3,17 @@
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
-import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
-import java.util.function.IntFunction;
 import java.util.function.Supplier;
 import org.almondslip.catalog.Flow;
-import org.almondslip.membership.DigestTree;
 import org.almondslip.membership.Member;
 import org.almondslip.membership.Peer;
 import org.almondslip.membership.PeerIdentity;
 import org.almondslip.protocol.wire.Frame;
+import org.almondslip.protocol.wire.RootSnapshot;
 import org.almondslip.protocol.wire.ServiceDigest;
-import org.almondslip.protocol.wire.ServiceReport;
 import org.almondslip.time.Clock;
 
 /**
@@ -31,14 +28,11 @@
   /** Waves after which an agent that sends nothing is forgotten. */
   private static final long STALE_WAVES = 3;
 
-  /** Waves that a root without counters waits for others to send them. */
-  private static final long RECOVERY_WAVES = 2;
-
   /** Times of the waves. */
   private final DigestSettings settings;
 
-  /** Identity of this agent. */
-  private final Member self;
+  /** Place of this agent in the tree. */
+  private final TreePosition position;
 
   /** Accounts of this agent. */
   private final AccountLedger ledger;
@@ -56,19 +50,7 @@
   private final ChildReports children;
 
   /** Counters for the time when this agent is root or successor. */
-  private final RootCounters counters;
-
-  /** Agents whose connection is closed. */
-  private final Set<String> unreachable = new HashSet<>();
-
-  /** Last known incarnation of each peer. */
-  private final Map<String, Long> incarnations = new HashMap<>();
-
-  /** Charges counted here since this agent acts as root. */
-  private final Map<Integer, Long> countedAsRoot = new HashMap<>();
-
-  /** Tree of all data centres. */
-  private DigestTree tree = DigestTree.EMPTY;
+  private final RootDuty root;
 
   /** Report that has not been acknowledged. */
   private Optional<Outstanding> outstanding = Optional.empty();
@@ -88,9 +70,6 @@
   /** Start of the current wave, in milliseconds of the monotonic clock. */
   private long waveStart;
 
-  /** Wave in which this agent began to act as root. */
-  private Optional<Long> rootSince = Optional.empty();
-
   /** What this agent does in the current wave. */
   private Stage stage = Stage.DONE;
 
@@ -101,7 +80,7 @@
    * @param self the identity of this agent
    * @param ledger the accounts of this agent
    * @param backlog the flows with requests waiting at this agent
-   * @param flows the flows by identity
+   * @param directory the flows and their reach
    * @param clock the source of time
    * @param effects the sender of frames
    */
@@ -110,18 +89,18 @@
       Member self,
       AccountLedger ledger,
       Supplier<? extends Collection<Flow>> backlog,
-      IntFunction<Optional<Flow>> flows,
+      FlowDirectory directory,
       Clock clock,
       Effects effects) {
     this.settings = settings;
-    this.self = self;
+    this.position = new TreePosition(self);
     this.ledger = ledger;
     this.backlog = backlog;
     this.clock = clock;
     this.effects = effects;
     this.children = new ChildReports(STALE_WAVES * settings.intervalMillis());
     long activeWaves = settings.activeMillis() / settings.intervalMillis();
-    this.counters = new RootCounters(self.dataCentre(), activeWaves, flows);
+    this.root = new RootDuty(new RootCounters(self.dataCentre(), activeWaves, directory));
     // A report of this incarnation must have a higher number than those of earlier ones.
     this.sequence = clock.wallMillis();
   }
@@ -132,13 +111,10 @@
    * @param members all processes; routers are skipped
    */
   public void onMembers(Collection<Member> members) {
-    tree = DigestTree.of(members);
-    Set<String> known = new HashSet<>();
-    tree.dataCentres().forEach(name -> known.addAll(tree.agents(name)));
-    unreachable.retainAll(known);
-    if (rootSince.isPresent() && parent().isPresent()) {
-      parent().ifPresent(root -> effects.send(root, snapshot(true)));
-      endRoot();
+    position.onMembers(members);
+    if (root.isActing() && position.parent().isPresent()) {
+      effects.send(position.parent().get(), root.snapshot(epoch, wave, true));
+      root.end();
     }
   }
 
@@ -148,20 +124,16 @@
    * @param peer the agent
    */
   public void onPeerOpen(PeerIdentity peer) {
-    String id = peer.instanceId();
-    Long before = incarnations.put(id, peer.incarnation());
-    unreachable.remove(id);
-    if (rootSince.isEmpty() || parent().isEmpty()) {
+    boolean sameProcess = position.onOpen(peer);
+    if (!root.isActing() || position.parent().isEmpty()) {
       return;
     }
-    if (before != null && before == peer.incarnation()) {
-      // The root kept its counters, so it lacks only what was counted here meanwhile.
-      counters.retract(countedAsRoot);
-      children.giveBack(countedAsRoot);
+    if (sameProcess) {
+      children.giveBack(root.endInFavour(wave));
     } else {
-      effects.send(id, snapshot(true));
+      effects.send(peer.instanceId(), root.snapshot(epoch, wave, true));
+      root.end();
     }
-    endRoot();
   }
 
   /**
@@ -170,7 +142,7 @@
    * @param instanceId the agent
    */
   public void onPeerClosed(String instanceId) {
-    unreachable.add(instanceId);
+    position.onClosed(instanceId);
   }
 
   /**
@@ -179,12 +151,7 @@
    * @return the instance ids
    */
   public Set<String> peersToDial() {
-    Set<String> ids = new HashSet<>();
-    ancestors().forEach(ids::add);
-    if (parent().isEmpty()) {
-      ids.addAll(otherRoots());
-    }
-    return ids;
+    return position.peersToDial();
   }
 
   /** Starts a wave when its time has come and continues the current one. */
@@ -207,15 +174,10 @@
   public void onFrame(Peer peer, Frame frame) {
     String sender = peer.peer().instanceId();
     switch (frame.getBodyCase()) {
-      case SERVICE_REPORT -> onReport(peer.peer(), frame.getServiceReport());
+      case SERVICE_REPORT -> children.merge(peer.peer(), frame.getServiceReport(), clock.millis());
       case SERVICE_DIGEST -> onDigest(frame.getServiceDigest());
       case ROOT_EXCHANGE -> onExchange(frame);
-      case ROOT_SNAPSHOT -> {
-        rootEpoch = Math.max(rootEpoch, frame.getRootSnapshot().getEpoch());
-        if (counters.merge(frame.getRootSnapshot(), wave)) {
-          effects.send(sender, snapshot(true));
-        }
-      }
+      case ROOT_SNAPSHOT -> onSnapshot(sender, frame.getRootSnapshot());
       default -> {
         return;
       }
@@ -226,8 +188,8 @@
   /** Continues the current wave as far as the received messages and the time allow. */
   private void advance() {
     if (stage == Stage.COLLECTING && collected()) {
-      if (parent().isPresent()) {
-        sendReport(parent().get());
+      if (position.parent().isPresent()) {
+        sendReport(position.parent().get());
         stage = Stage.DONE;
       } else {
         sendExchanges();
@@ -245,12 +207,19 @@
    * @return true when the own report can be sent
    */
   private boolean collected() {
-    List<String> expected = tree.children(self.dataCentre(), self.instanceId());
-    int height = tree.height(self.dataCentre(), self.instanceId());
     // A child whose clock is ahead reports shortly before the wave starts here.
     long earliest = waveStart - settings.intervalMillis() / 4;
-    return clock.millis() >= waveStart + height * settings.graceMillis()
-        || children.haveReported(expected, earliest);
+    return clock.millis() >= waveStart + position.height() * graceMillis()
+        || children.haveReported(position.children(), earliest);
+  }
+
+  /**
+   * Returns how long this agent waits for each level below it.
+   *
+   * @return the time, in milliseconds
+   */
+  private long graceMillis() {
+    return settings.graceMillis(position.treeHeight());
   }
 
   /**
@@ -259,11 +228,9 @@
    * @return true when the digest can be sent
    */
   private boolean exchanged() {
-    int height = tree.height(self.dataCentre(), self.instanceId());
-    return clock.millis() >= waveStart + (height + 1) * settings.graceMillis()
-        || tree.dataCentres().stream()
-            .filter(name -> !name.equals(self.dataCentre()))
-            .allMatch(name -> counters.hasExchanged(name, wave));
+    return clock.millis() >= waveStart + (position.height() + 1) * graceMillis()
+        || position.otherRoots().keySet().stream()
+            .allMatch(name -> root.counters().hasExchanged(name, wave));
   }
 
   /**
@@ -282,61 +249,43 @@
     Outstanding report = outstanding.get();
     effects.send(
         parent,
-        DigestCodec.report(report.sequence, report.charges, backlogged(), agentsInSubtree()));
+        DigestCodec.report(report.sequence(), report.charges(), backlogged(), agentsInSubtree()));
   }
 
   /** Counts the charges of the data centre and sends the counters to the other roots. */
   private void sendExchanges() {
-    if (rootSince.isEmpty()) {
-      rootSince = Optional.of(wave);
-    }
+    root.begin(wave);
     epoch = Math.max(Math.max(epoch, rootEpoch) + 1, clock.wallMillis());
-    boolean recovering = isRecovering();
+    boolean recovering = root.isRecovering(wave);
     if (!recovering) {
       countCharges();
     }
-    for (String dataCentre : tree.dataCentres()) {
-      if (!dataCentre.equals(self.dataCentre())) {
-        tree.root(dataCentre, this::isReachable)
-            .ifPresent(root -> effects.send(root, exchangeFrame(dataCentre)));
-      }
-    }
-    tree.successor(self.dataCentre(), this::isReachable)
-        .ifPresent(successor -> effects.send(successor, snapshot(false)));
+    position.otherRoots().forEach((name, id) -> effects.send(id, exchangeFrame(name)));
+    position.successor().ifPresent(id -> effects.send(id, root.snapshot(epoch, wave, false)));
     stage = recovering ? Stage.DONE : Stage.EXCHANGING;
   }
 
-  /** Moves the charges of the subtree to the counters. */
+  /** Moves the charges of the subtree to the root.counters(). */
   private void countCharges() {
     outstanding.ifPresent(
         report -> {
-          count(report.charges);
-          children.onCounted(report.childSequences);
+          root.count(report.charges(), wave);
+          children.onCounted(report.childSequences());
         });
     outstanding = Optional.empty();
     ChildReports.Taken taken = children.take();
-    count(taken.charges());
-    count(ledger.takeCharges());
+    root.count(taken.charges(), wave);
+    root.count(ledger.takeCharges(), wave);
     children.onCounted(taken.sequences());
   }
 
-  /**
-   * Adds charges to the counters.
-   *
-   * @param charges the charges by flow identity
-   */
-  private void count(Map<Integer, Long> charges) {
-    counters.add(charges, wave);
-    charges.forEach((id, micros) -> countedAsRoot.merge(id, micros, Long::sum));
-  }
-
   /** Sends the accounts of the fleet to the agents below. */
   private void sendDigest() {
-    counters.lift(backlogged(), wave);
-    Map<Integer, FlowState> states = counters.states(wave);
+    root.counters().lift(backlogged(), wave);
+    Map<Integer, FlowState> states = root.counters().states(wave);
     ledger.onCounted();
     ledger.onDigest(states);
-    passDown(DigestCodec.digest(epoch, states, agentsInSubtree() + counters.remoteAgents()));
+    passDown(DigestCodec.digest(epoch, states, agentsInSubtree() + root.counters().remoteAgents()));
   }
 
   /**
@@ -346,21 +295,11 @@
    */
   private void passDown(ServiceDigest digest) {
     Set<String> receivers = children.recent(clock.millis());
-    receivers.addAll(tree.children(self.dataCentre(), self.instanceId()));
+    receivers.addAll(position.children());
     receivers.forEach(
         id -> effects.send(id, DigestCodec.digestFrame(digest, children.counted(id))));
   }
 
-  /**
-   * Handles the report of an agent below.
-   *
-   * @param child the sender
-   * @param report the report
-   */
-  private void onReport(PeerIdentity child, ServiceReport report) {
-    children.merge(child.instanceId(), child.incarnation(), report, clock.millis());
-  }
-
   /**
    * Handles a digest. An older one than the last is ignored.
    *
@@ -371,8 +310,8 @@
       return;
     }
     epoch = digest.getEpoch();
-    if (outstanding.isPresent() && outstanding.get().sequence == digest.getAcknowledged()) {
-      children.onCounted(outstanding.get().childSequences);
+    if (outstanding.isPresent() && outstanding.get().sequence() == digest.getAcknowledged()) {
+      children.onCounted(outstanding.get().childSequences());
       ledger.onCounted();
       outstanding = Optional.empty();
     }
@@ -387,23 +326,21 @@
    * @param frame the frame
    */
   private void onExchange(Frame frame) {
-    counters.merge(frame.getRootExchange(), wave);
-    parent().ifPresent(parent -> effects.send(parent, frame));
-  }
-
-  /** Ends the time as root. */
-  private void endRoot() {
-    rootSince = Optional.empty();
-    countedAsRoot.clear();
+    root.counters().merge(frame.getRootExchange(), wave);
+    position.parent().ifPresent(parent -> effects.send(parent, frame));
   }
 
   /**
-   * Returns whether this root still waits for the counters of its data centre.
+   * Merges the counters of the own data centre, and sends the own ones when the sender lacks some.
    *
-   * @return true when it does not send digests yet
+   * @param sender the sender
+   * @param snapshot the message
    */
-  private boolean isRecovering() {
-    return !counters.isInformed() && wave - rootSince.orElse(wave) < RECOVERY_WAVES;
+  private void onSnapshot(String sender, RootSnapshot snapshot) {
+    rootEpoch = Math.max(rootEpoch, snapshot.getEpoch());
+    if (root.counters().merge(snapshot, wave)) {
+      effects.send(sender, root.snapshot(epoch, wave, true));
+    }
   }
 
   /**
@@ -415,20 +352,10 @@
   private Frame exchangeFrame(String dataCentre) {
     return Frame.newBuilder()
         .setRootExchange(
-            counters.exchange(dataCentre, epoch, backlogged(), agentsInSubtree(), wave))
+            root.counters().exchange(dataCentre, epoch, backlogged(), agentsInSubtree(), wave))
         .build();
   }
 
-  /**
-   * Builds the message to the successor or the new root.
-   *
-   * @param all whether flows that are not active are included
-   * @return the frame
-   */
-  private Frame snapshot(boolean all) {
-    return Frame.newBuilder().setRootSnapshot(counters.snapshot(epoch, wave, all)).build();
-  }
-
   /**
    * Returns the flows with requests waiting in the subtree.
    *
@@ -450,53 +377,6 @@
     return 1 + children.agents(clock.millis());
   }
 
-  /**
-   * Returns the agent that gets the reports of this one.
-   *
-   * @return the parent, or empty when this agent acts as root
-   */
-  private Optional<String> parent() {
-    return tree.parent(self.dataCentre(), self.instanceId(), this::isReachable);
-  }
-
-  /**
-   * Returns the parent and the agents that could replace it.
-   *
-   * @return the reachable parent and the parent in the full tree
-   */
-  private List<String> ancestors() {
-    Set<String> ids = new HashSet<>();
-    parent().ifPresent(ids::add);
-    tree.parent(self.dataCentre(), self.instanceId(), id -> true).ifPresent(ids::add);
-    return List.copyOf(ids);
-  }
-
-  /**
-   * Returns the roots of the other data centres.
-   *
-   * @return the instance ids
-   */
-  private Set<String> otherRoots() {
-    Set<String> roots = new HashSet<>();
-    for (String dataCentre : tree.dataCentres()) {
-      if (!dataCentre.equals(self.dataCentre())) {
-        tree.root(dataCentre, this::isReachable).ifPresent(roots::add);
-        tree.root(dataCentre, id -> true).ifPresent(roots::add);
-      }
-    }
-    return roots;
-  }
-
-  /**
-   * Returns whether an agent is not known to be unreachable.
-   *
-   * @param instanceId the agent
-   * @return true when frames may reach it
-   */
-  private boolean isReachable(String instanceId) {
-    return !unreachable.contains(instanceId);
-  }
-
   /** What an agent does in a wave. */
   private enum Stage {
     /** Waits for the reports of its children. */
@@ -507,16 +387,6 @@
     DONE
   }
 
-  /**
-   * Report that has not been acknowledged.
-   *
-   * @param sequence the sequence number
-   * @param charges the charges by flow identity
-   * @param childSequences the reports of the children that it contains
-   */
-  private record Outstanding(
-      long sequence, Map<Integer, Long> charges, Map<String, Long> childSequences) {}
-
   /** Sender of frames to other agents. */
   public interface Effects {
 
--- a/core/src/main/java/org/almondslip/accounting/DigestSettings.java
+++ b/core/src/main/java/org/almondslip/accounting/DigestSettings.java
@@ -42,4 +42,15 @@
   public DigestSettings withActiveMillis(long millis) {
     return new DigestSettings(intervalMillis, graceMillis, millis);
   }
+
+  /**
+   * Returns the grace period in a tree. It is shortened so that a wave with silent agents ends
+   * within half an interval; otherwise the next wave would begin before a digest is sent.
+   *
+   * @param height the number of levels below the root
+   * @return the grace period of each level, in milliseconds
+   */
+  public long graceMillis(int height) {
+    return Math.min(graceMillis, intervalMillis / (2L * (height + 1)));
+  }
 }
--- a/core/src/main/java/org/almondslip/accounting/PortionRule.java
+++ b/core/src/main/java/org/almondslip/accounting/PortionRule.java
@@ -29,8 +29,8 @@
   };
 
   /**
-   * How far a measured portion may fall below the initial one. A smaller portion would let one
-   * request outweigh minutes of service elsewhere.
+   * How far a measured portion may fall below the initial one. With a smaller portion, one request
+   * would outweigh minutes of service elsewhere.
    */
   private static final double SMALLEST_FACTOR = 4.0;
 
--- /dev/null
+++ b/core/src/main/java/org/almondslip/accounting/Reach.java
@@ -0,0 +1,57 @@
+package org.almondslip.accounting;
+
+import java.nio.charset.StandardCharsets;
+import java.util.Set;
+import org.apache.commons.codec.digest.MurmurHash3;
+
+/**
+ * Place of one agent among the agents that reach a flow.
+ *
+ * @param agents the number of agents, at least 1
+ * @param rank the number of agents before this one in an order that differs for each flow
+ */
+record Reach(int agents, int rank) {
+
+  /**
+   * Computes the place of an agent.
+   *
+   * @param flowId the identity of the flow, which selects the order
+   * @param targets the targets of the flow
+   * @param own the target of the agent
+   * @return the place
+   */
+  static Reach of(int flowId, Set<String> targets, String own) {
+    long ownHash = hash(flowId, own);
+    int before = 0;
+    for (String target : targets) {
+      if (!target.equals(own) && Long.compareUnsigned(hash(flowId, target), ownHash) < 0) {
+        before++;
+      }
+    }
+    int others = targets.contains(own) ? targets.size() - 1 : targets.size();
+    return new Reach(others + 1, before);
+  }
+
+  /**
+   * Returns the position of the agent in the order as a number from 0 to 1. The positions of all
+   * agents are spread evenly, so that they add up to nearly the same sum for every flow.
+   *
+   * @param jitter a number from 0 to 1 that moves the agent within its place
+   * @return the position
+   */
+  double position(double jitter) {
+    return (rank + jitter) / agents;
+  }
+
+  /**
+   * Computes the hash that orders the targets of a flow.
+   *
+   * @param flowId the identity of the flow
+   * @param target the target
+   * @return the hash
+   */
+  private static long hash(int flowId, String target) {
+    byte[] name = target.getBytes(StandardCharsets.UTF_8);
+    return MurmurHash3.hash128x64(name, 0, name.length, flowId)[0];
+  }
+}
--- a/core/src/main/java/org/almondslip/accounting/RootCounters.java
+++ b/core/src/main/java/org/almondslip/accounting/RootCounters.java
@@ -4,11 +4,8 @@
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Map;
-import java.util.Optional;
 import java.util.Set;
 import java.util.TreeMap;
-import java.util.function.IntFunction;
-import org.almondslip.catalog.Flow;
 import org.almondslip.protocol.wire.RootExchange;
 import org.almondslip.protocol.wire.RootSnapshot;
 
@@ -22,14 +19,17 @@
   /** Waves without backlog after which a flow counts as idle. */
   private static final long IDLE_WAVES = 2;
 
+  /** Waves between two exchanges that repeat all lifts, to save a third of the bytes. */
+  private static final long LIFT_WAVES = 10;
+
   /** Data centre whose counters are kept here. */
   private final String dataCentre;
 
   /** Waves that a flow stays active after its last service or backlog. */
   private final long activeWaves;
 
-  /** Flows by identity. */
-  private final IntFunction<Optional<Flow>> flows;
+  /** Reach of the flows. */
+  private final FlowDirectory directory;
 
   /** State of each flow. */
   private final Map<Integer, RootFlow> entries = new TreeMap<>();
@@ -37,20 +37,20 @@
   /** Last exchange of each other data centre. */
   private final Map<String, Remote> remotes = new HashMap<>();
 
-  /** Virtual time of each pool, in microseconds. */
-  private final Map<String, Long> virtualTimes = new HashMap<>();
+  /** Last wave in which a flow was lifted here. */
+  private long liftWave;
 
   /**
    * Creates counters at zero.
    *
    * @param dataCentre the data centre whose counters are kept here
    * @param activeWaves the waves that a flow stays active
-   * @param flows the flows by identity
+   * @param directory the reach of the flows
    */
-  RootCounters(String dataCentre, long activeWaves, IntFunction<Optional<Flow>> flows) {
+  RootCounters(String dataCentre, long activeWaves, FlowDirectory directory) {
     this.dataCentre = dataCentre;
     this.activeWaves = activeWaves;
-    this.flows = flows;
+    this.directory = directory;
   }
 
   /**
@@ -60,20 +60,17 @@
    * @param wave the current wave
    */
   void add(Map<Integer, Long> charges, long wave) {
-    charges.forEach(
-        (id, micros) -> {
-          RootFlow flow = flow(id);
-          flow.raise(dataCentre, flow.counter(dataCentre) + micros, wave);
-        });
+    charges.forEach((id, micros) -> flow(id).add(dataCentre, micros, wave));
   }
 
   /**
    * Takes back charges that are reported to another root.
    *
    * @param charges the charges by flow identity
+   * @param wave the current wave
    */
-  void retract(Map<Integer, Long> charges) {
-    charges.forEach((id, micros) -> flow(id).counters.merge(dataCentre, -micros, Long::sum));
+  void retract(Map<Integer, Long> charges, long wave) {
+    charges.forEach((id, micros) -> flow(id).add(dataCentre, -micros, wave));
   }
 
   /**
@@ -104,7 +101,7 @@
       behind |= counter < flow.counter(exchange.getDataCentre());
       flow.raise(exchange.getDataCentre(), counter, wave);
       if (index < exchange.getLiftUsCount()) {
-        flow.lift = Math.max(flow.lift, exchange.getLiftUs(index));
+        flow.raiseLift(exchange.getLiftUs(index));
       }
       if (index < exchange.getReceiverCounterUsCount()) {
         flow.raise(dataCentre, exchange.getReceiverCounterUs(index), wave);
@@ -135,7 +132,7 @@
       RootFlow flow = flow(snapshot.getFlowId(index));
       behind |= snapshot.getCounterUs(index) < flow.counter(dataCentre);
       flow.raise(dataCentre, snapshot.getCounterUs(index), wave);
-      flow.lift = Math.max(flow.lift, snapshot.getLiftUs(index));
+      flow.raiseLift(snapshot.getLiftUs(index));
     }
     return behind;
   }
@@ -166,18 +163,49 @@
     Set<Integer> risen = new HashSet<>();
     for (int id : all) {
       RootFlow flow = flow(id);
-      if (wave - flow.backloggedWave > IDLE_WAVES) {
+      if (flow.unbackloggedWaves(wave) > IDLE_WAVES) {
         risen.add(id);
       }
     }
-    Map<Integer, FlowState> others = states(wave);
-    others.keySet().removeAll(risen);
-    VirtualTime.ofPools(others, flows)
-        .forEach((pool, time) -> virtualTimes.merge(pool, time, Math::max));
-    risen.forEach(id -> flow(id).liftTo(virtualTimes.getOrDefault(pool(id), 0L)));
+    liftRisen(risen, wave);
     all.forEach(id -> flow(id).touch(wave));
   }
 
+  /**
+   * Lifts flows to virtual time.
+   *
+   * @param risen the flows that have become backlogged
+   * @param wave the current wave
+   */
+  private void liftRisen(Set<Integer> risen, long wave) {
+    if (risen.isEmpty()) {
+      return;
+    }
+    // Flows that are no longer active count as well: after a quiet time of the whole pool their
+    // accounts are all that virtual time can be taken from.
+    Map<Integer, FlowState> others = new HashMap<>();
+    entries.forEach((id, flow) -> others.put(id, state(flow, wave)));
+    others.keySet().removeAll(risen);
+    VirtualTime time = new VirtualTime(others, directory);
+    for (int id : risen) {
+      long account = time.of(directory.targetsOf(id)).orElse(0L);
+      if (flow(id).liftTo(account)) {
+        liftWave = wave;
+      }
+    }
+  }
+
+  /**
+   * Returns the state of a flow.
+   *
+   * @param flow the flow
+   * @param wave the current wave
+   * @return the state
+   */
+  private static FlowState state(RootFlow flow, long wave) {
+    return new FlowState(flow.account(), flow.unbackloggedWaves(wave) <= IDLE_WAVES);
+  }
+
   /**
    * Returns the states of the active flows.
    *
@@ -188,9 +216,8 @@
     Map<Integer, FlowState> states = new HashMap<>();
     entries.forEach(
         (id, flow) -> {
-          if (wave - flow.activeWave <= activeWaves) {
-            boolean backlogged = wave - flow.backloggedWave <= IDLE_WAVES;
-            states.put(id, new FlowState(flow.account(), backlogged));
+          if (flow.idleWaves(wave) <= activeWaves) {
+            states.put(id, state(flow, wave));
           }
         });
     return states;
@@ -219,14 +246,17 @@
       String receiver, long epoch, Collection<Integer> backlogged, int agents, long wave) {
     Remote remote = remotes.get(receiver);
     boolean receiverBehind = remote != null && remote.behind;
+    boolean withLifts = receiverBehind || wave - liftWave <= 1 || wave % LIFT_WAVES == 0;
     RootExchange.Builder exchange =
         RootExchange.newBuilder().setDataCentre(dataCentre).setEpoch(epoch).setAgents(agents);
     entries.forEach(
         (id, flow) -> {
-          if (wave - flow.activeWave <= activeWaves || backlogged.contains(id)) {
+          if (flow.idleWaves(wave) <= activeWaves || backlogged.contains(id)) {
             exchange.addFlowId(id);
             exchange.addCounterUs(flow.counter(dataCentre));
-            exchange.addLiftUs(flow.lift);
+            if (withLifts) {
+              exchange.addLiftUs(flow.lift());
+            }
             exchange.addBacklogged(backlogged.contains(id));
             if (receiverBehind) {
               exchange.addReceiverCounterUs(flow.counter(receiver));
@@ -248,25 +278,15 @@
     RootSnapshot.Builder snapshot = RootSnapshot.newBuilder().setEpoch(epoch);
     entries.forEach(
         (id, flow) -> {
-          if (all || wave - flow.activeWave <= activeWaves) {
+          if (all || flow.idleWaves(wave) <= activeWaves) {
             snapshot.addFlowId(id);
             snapshot.addCounterUs(flow.counter(dataCentre));
-            snapshot.addLiftUs(flow.lift);
+            snapshot.addLiftUs(flow.lift());
           }
         });
     return snapshot.build();
   }
 
-  /**
-   * Returns the pool of a flow.
-   *
-   * @param id the identity of the flow
-   * @return the pool, empty when the flow is unknown
-   */
-  private String pool(int id) {
-    return flows.apply(id).map(Flow::pool).orElse("");
-  }
-
   /**
    * Returns the state of a flow.
    *
@@ -295,75 +315,4 @@
     /** Flows with requests waiting in the data centre. */
     private Set<Integer> backlogged = Set.of();
   }
-
-  /** Counters of one flow. */
-  private static final class RootFlow {
-
-    /** Wave of a flow that has never been seen. */
-    private static final long NEVER = -1_000_000L;
-
-    /** Cumulative charge by data centre, in microseconds divided by share. */
-    private final Map<String, Long> counters = new HashMap<>();
-
-    /** Sum of all lifts, in microseconds. */
-    private long lift;
-
-    /** Last wave with service or backlog. */
-    private long activeWave = NEVER;
-
-    /** Last wave with backlog. */
-    private long backloggedWave = NEVER;
-
-    /**
-     * Returns the counter of a data centre.
-     *
-     * @param dataCentre the data centre
-     * @return the counter
-     */
-    private long counter(String dataCentre) {
-      return counters.getOrDefault(dataCentre, 0L);
-    }
-
-    /**
-     * Raises the counter of a data centre; a smaller value changes nothing.
-     *
-     * @param dataCentre the data centre
-     * @param value the value
-     * @param wave the current wave
-     */
-    private void raise(String dataCentre, long value, long wave) {
-      if (value > counter(dataCentre)) {
-        counters.put(dataCentre, value);
-        activeWave = wave;
-      }
-    }
-
-    /**
-     * Raises the lift so that the account reaches a value.
-     *
-     * @param account the value, in microseconds
-     */
-    private void liftTo(long account) {
-      lift += Math.max(0, account - account());
-    }
-
-    /**
-     * Marks the flow as backlogged.
-     *
-     * @param wave the current wave
-     */
-    private void touch(long wave) {
-      activeWave = wave;
-      backloggedWave = wave;
-    }
-
-    /**
-     * Returns the account.
-     *
-     * @return slot time divided by share plus lifts, in microseconds
-     */
-    private long account() {
-      return lift + counters.values().stream().mapToLong(Long::longValue).sum();
-    }
-  }
 }
--- a/core/src/test/java/org/almondslip/accounting/FleetHarness.java
+++ b/core/src/test/java/org/almondslip/accounting/FleetHarness.java
@@ -6,7 +6,9 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.PriorityQueue;
+import java.util.Set;
 import java.util.TreeMap;
+import java.util.stream.Collectors;
 import java.util.stream.IntStream;
 import org.almondslip.catalog.Flow;
 import org.almondslip.membership.Member;
@@ -18,7 +20,7 @@
 import org.apache.commons.rng.simple.RandomSource;
 
 /** Agents with ledgers, offer books and digest nodes, driven by one manual clock. */
-final class FleetHarness {
+final class FleetHarness implements FlowDirectory {
 
   /** Step of the clock, in milliseconds. */
   private static final long STEP = 10;
@@ -32,7 +34,7 @@
   final Map<Integer, Long> started = new HashMap<>();
   final Map<String, Long> bytes = new TreeMap<>();
   private final PriorityQueue<Event> events = new PriorityQueue<>();
-  private final Map<Integer, Integer> reach = new HashMap<>();
+  private final Map<Integer, Set<String>> reach = new HashMap<>();
   private long eventCount;
   private boolean partitioned;
 
@@ -44,11 +46,12 @@
       flows.add(flow);
       flowsById.put(flow.id(), flow);
       int organisation = index;
-      long count =
+      Set<String> targets =
           IntStream.range(0, plan.agents())
               .filter(agent -> plan.reach().reaches(organisation, agent, plan))
-              .count();
-      reach.put(flow.id(), (int) count);
+              .mapToObj(agent -> "t" + agent)
+              .collect(Collectors.toSet());
+      reach.put(flow.id(), targets);
     }
     for (int index = 0; index < plan.agents(); index++) {
       add(index, 1);
@@ -75,11 +78,13 @@
     agents.values().forEach(agent -> agent.node.onMembers(members));
   }
 
-  int agentsInReach(Flow flow) {
-    return reach.get(flow.id());
+  @Override
+  public Set<String> targetsOf(int id) {
+    return reach.getOrDefault(id, Set.of());
   }
 
-  Optional<Flow> flow(int id) {
+  @Override
+  public Optional<Flow> flow(int id) {
     return Optional.ofNullable(flowsById.get(id));
   }
 
--- a/core/src/test/java/org/almondslip/accounting/SimulatedAgent.java
+++ b/core/src/test/java/org/almondslip/accounting/SimulatedAgent.java
@@ -38,7 +38,7 @@
             member.instanceId(), incarnation, Role.AGENT, "", member.dataCentre(), "", "");
     this.ledger =
         new AccountLedger(
-            plan.rule(), fleet::agentsInReach, fleet::flow, plan.largestCostMillis(), fleet.random);
+            plan.rule(), member.target(), fleet, plan.largestCostMillis(), fleet.random);
     this.book = new FairOfferBook(plan.policy(), ledger, 0);
     this.node =
         new DigestNode(
@@ -46,7 +46,7 @@
             member,
             ledger,
             book::backlogged,
-            fleet::flow,
+            fleet,
             fleet.clock,
             (id, frame) -> fleet.send(this, id, frame));
     this.freeSlots = plan.slots();
