Derive the fairness bound before measuring

Cause: the bound of design section 5 allows what the naive order does, and it assumes that costs are known when requests start.

--- a/core/src/main/java/org/almondslip/accounting/DigestNode.java
+++ b/core/src/main/java/org/almondslip/accounting/DigestNode.java
@@ -61,7 +61,7 @@
   /** Number of the last digest. */
   private long epoch;
 
-  /** Highest number of a wave that a root has sent in a snapshot. */
+  /** Highest wave number in a snapshot. */
   private long rootEpoch;
 
   /** Number of the current wave. */
@@ -178,9 +178,7 @@
       case SERVICE_DIGEST -> onDigest(frame.getServiceDigest());
       case ROOT_EXCHANGE -> onExchange(frame);
       case ROOT_SNAPSHOT -> onSnapshot(sender, frame.getRootSnapshot());
-      default -> {
-        return;
-      }
+      default -> {}
     }
     advance();
   }
--- a/core/src/main/java/org/almondslip/accounting/FairnessBound.java
+++ b/core/src/main/java/org/almondslip/accounting/FairnessBound.java
@@ -42,8 +42,8 @@
    */
   public long equalPortionMillis() {
     long offsets = agents * largestCostMillis;
-    // Requests in progress after the last choice, and two windows between count and use.
-    long running = slots * largestCostMillis;
+    // Each slot runs one request whose cost is unknown, when the digest counts and at the choice.
+    long running = 2L * slots * largestCostMillis;
     long window = slots * (delayMillis + largestCostMillis);
     return (offsets + running + 2 * window) / smallestShare + localitySlackMillis;
   }
