--- /dev/null
+++ b/core/src/main/java/org/almondslip/accounting/RootCounters.java
@@ -0,0 +1,318 @@
+package org.almondslip.accounting;
+
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import org.almondslip.protocol.wire.RootExchange;
+import org.almondslip.protocol.wire.RootSnapshot;
+
+/**
+ * Cumulative counters of all data centres as the root of one of them holds them.
+ *
+ * <p>Counters and lifts are merged by maximum, so repeated and reordered messages change nothing.
+ */
+final class RootCounters {
+
+  /** Waves without backlog after which a flow counts as idle. */
+  private static final long IDLE_WAVES = 2;
+
+  /** Waves between two exchanges that repeat all lifts, to save a third of the bytes. */
+  private static final long LIFT_WAVES = 10;
+
+  /** Data centre whose counters are kept here. */
+  private final String dataCentre;
+
+  /** Waves that a flow stays active after its last service or backlog. */
+  private final long activeWaves;
+
+  /** Reach of the flows. */
+  private final FlowDirectory directory;
+
+  /** State of each flow. */
+  private final Map<Integer, RootFlow> entries = new TreeMap<>();
+
+  /** Last exchange of each other data centre. */
+  private final Map<String, Remote> remotes = new HashMap<>();
+
+  /** Last wave in which a flow was lifted here. */
+  private long liftWave;
+
+  /**
+   * Creates counters at zero.
+   *
+   * @param dataCentre the data centre whose counters are kept here
+   * @param activeWaves the waves that a flow stays active
+   * @param directory the reach of the flows
+   */
+  RootCounters(String dataCentre, long activeWaves, FlowDirectory directory) {
+    this.dataCentre = dataCentre;
+    this.activeWaves = activeWaves;
+    this.directory = directory;
+  }
+
+  /**
+   * Adds charges of the own data centre.
+   *
+   * @param charges the charges by flow identity, in microseconds divided by share
+   * @param wave the current wave
+   */
+  void add(Map<Integer, Long> charges, long wave) {
+    charges.forEach((id, micros) -> flow(id).add(dataCentre, micros, wave));
+  }
+
+  /**
+   * Takes back charges that are reported to another root.
+   *
+   * @param charges the charges by flow identity
+   * @param wave the current wave
+   */
+  void retract(Map<Integer, Long> charges, long wave) {
+    charges.forEach((id, micros) -> flow(id).add(dataCentre, -micros, wave));
+  }
+
+  /**
+   * Returns whether any counter of the own data centre is known.
+   *
+   * @return true when there is one
+   */
+  boolean isInformed() {
+    return entries.values().stream().anyMatch(flow -> flow.counter(dataCentre) > 0);
+  }
+
+  /**
+   * Merges the counters of another data centre.
+   *
+   * @param exchange the message
+   * @param wave the current wave
+   */
+  void merge(RootExchange exchange, long wave) {
+    if (exchange.getDataCentre().equals(dataCentre)) {
+      return;
+    }
+    Remote remote = remotes.computeIfAbsent(exchange.getDataCentre(), name -> new Remote());
+    Set<Integer> backlogged = new HashSet<>();
+    boolean behind = exchange.getFlowIdCount() == 0;
+    for (int index = 0; index < exchange.getFlowIdCount(); index++) {
+      RootFlow flow = flow(exchange.getFlowId(index));
+      long counter = exchange.getCounterUs(index);
+      behind |= counter < flow.counter(exchange.getDataCentre());
+      flow.raise(exchange.getDataCentre(), counter, wave);
+      if (index < exchange.getLiftUsCount()) {
+        flow.raiseLift(exchange.getLiftUs(index));
+      }
+      if (index < exchange.getReceiverCounterUsCount()) {
+        flow.raise(dataCentre, exchange.getReceiverCounterUs(index), wave);
+      }
+      if (exchange.getBacklogged(index)) {
+        backlogged.add(exchange.getFlowId(index));
+      }
+    }
+    remote.behind = behind;
+    if (exchange.getEpoch() >= remote.epoch) {
+      remote.epoch = exchange.getEpoch();
+      remote.wave = wave;
+      remote.agents = exchange.getAgents();
+      remote.backlogged = backlogged;
+    }
+  }
+
+  /**
+   * Merges the counters of a snapshot.
+   *
+   * @param snapshot the message
+   * @param wave the current wave
+   * @return true when the sender lacks counters that are known here
+   */
+  boolean merge(RootSnapshot snapshot, long wave) {
+    boolean behind = snapshot.getFlowIdCount() == 0 && isInformed();
+    for (int index = 0; index < snapshot.getFlowIdCount(); index++) {
+      RootFlow flow = flow(snapshot.getFlowId(index));
+      behind |= snapshot.getCounterUs(index) < flow.counter(dataCentre);
+      flow.raise(dataCentre, snapshot.getCounterUs(index), wave);
+      flow.raiseLift(snapshot.getLiftUs(index));
+    }
+    return behind;
+  }
+
+  /**
+   * Returns whether a data centre has sent its counters in a wave.
+   *
+   * @param name the data centre
+   * @param wave the wave
+   * @return true when it has
+   */
+  boolean hasExchanged(String name, long wave) {
+    Remote remote = remotes.get(name);
+    return remote != null && remote.wave >= wave;
+  }
+
+  /**
+   * Marks flows as backlogged and lifts those that have become so after an idle time.
+   *
+   * @param backlogged the flows with requests waiting in the own data centre
+   * @param wave the current wave
+   */
+  void lift(Collection<Integer> backlogged, long wave) {
+    Set<Integer> all = new HashSet<>(backlogged);
+    remotes.values().stream()
+        .filter(remote -> wave - remote.wave <= IDLE_WAVES)
+        .forEach(remote -> all.addAll(remote.backlogged));
+    Set<Integer> risen = new HashSet<>();
+    for (int id : all) {
+      RootFlow flow = flow(id);
+      if (flow.unbackloggedWaves(wave) > IDLE_WAVES) {
+        risen.add(id);
+      }
+    }
+    liftRisen(risen, wave);
+    all.forEach(id -> flow(id).touch(wave));
+  }
+
+  /**
+   * Lifts flows to virtual time.
+   *
+   * @param risen the flows that have become backlogged
+   * @param wave the current wave
+   */
+  private void liftRisen(Set<Integer> risen, long wave) {
+    if (risen.isEmpty()) {
+      return;
+    }
+    // Flows that are no longer active count as well: after a quiet time of the whole pool their
+    // accounts are all that virtual time can be taken from.
+    Map<Integer, FlowState> others = new HashMap<>();
+    entries.forEach((id, flow) -> others.put(id, state(flow, wave)));
+    others.keySet().removeAll(risen);
+    VirtualTime time = new VirtualTime(others, directory);
+    for (int id : risen) {
+      long account = time.of(directory.targetsOf(id)).orElse(0L);
+      if (flow(id).liftTo(account)) {
+        liftWave = wave;
+      }
+    }
+  }
+
+  /**
+   * Returns the state of a flow.
+   *
+   * @param flow the flow
+   * @param wave the current wave
+   * @return the state
+   */
+  private static FlowState state(RootFlow flow, long wave) {
+    return new FlowState(flow.account(), flow.unbackloggedWaves(wave) <= IDLE_WAVES);
+  }
+
+  /**
+   * Returns the states of the active flows.
+   *
+   * @param wave the current wave
+   * @return the states by flow identity
+   */
+  Map<Integer, FlowState> states(long wave) {
+    Map<Integer, FlowState> states = new HashMap<>();
+    entries.forEach(
+        (id, flow) -> {
+          if (flow.idleWaves(wave) <= activeWaves) {
+            states.put(id, state(flow, wave));
+          }
+        });
+    return states;
+  }
+
+  /**
+   * Returns the number of agents in the other data centres.
+   *
+   * @return the number
+   */
+  int remoteAgents() {
+    return remotes.values().stream().mapToInt(remote -> remote.agents).sum();
+  }
+
+  /**
+   * Builds the message to the root of another data centre.
+   *
+   * @param receiver the data centre of the receiver
+   * @param epoch the number of the wave
+   * @param backlogged the flows with requests waiting in the own data centre
+   * @param agents the number of agents in the own data centre
+   * @param wave the current wave
+   * @return the message
+   */
+  RootExchange exchange(
+      String receiver, long epoch, Collection<Integer> backlogged, int agents, long wave) {
+    Remote remote = remotes.get(receiver);
+    boolean receiverBehind = remote != null && remote.behind;
+    boolean withLifts = receiverBehind || wave - liftWave <= 1 || wave % LIFT_WAVES == 0;
+    RootExchange.Builder exchange =
+        RootExchange.newBuilder().setDataCentre(dataCentre).setEpoch(epoch).setAgents(agents);
+    entries.forEach(
+        (id, flow) -> {
+          if (flow.idleWaves(wave) <= activeWaves || backlogged.contains(id)) {
+            exchange.addFlowId(id);
+            exchange.addCounterUs(flow.counter(dataCentre));
+            if (withLifts) {
+              exchange.addLiftUs(flow.lift());
+            }
+            exchange.addBacklogged(backlogged.contains(id));
+            if (receiverBehind) {
+              exchange.addReceiverCounterUs(flow.counter(receiver));
+            }
+          }
+        });
+    return exchange.build();
+  }
+
+  /**
+   * Builds the message to the successor.
+   *
+   * @param epoch the number of the wave
+   * @param wave the current wave
+   * @param all whether flows that are not active are included
+   * @return the message
+   */
+  RootSnapshot snapshot(long epoch, long wave, boolean all) {
+    RootSnapshot.Builder snapshot = RootSnapshot.newBuilder().setEpoch(epoch);
+    entries.forEach(
+        (id, flow) -> {
+          if (all || flow.idleWaves(wave) <= activeWaves) {
+            snapshot.addFlowId(id);
+            snapshot.addCounterUs(flow.counter(dataCentre));
+            snapshot.addLiftUs(flow.lift());
+          }
+        });
+    return snapshot.build();
+  }
+
+  /**
+   * Returns the state of a flow.
+   *
+   * @param id the identity of the flow
+   * @return the state, created when the flow is new
+   */
+  private RootFlow flow(int id) {
+    return entries.computeIfAbsent(id, key -> new RootFlow());
+  }
+
+  /** What is known of another data centre besides its counters. */
+  private static final class Remote {
+
+    /** Number of the last exchange. */
+    private long epoch;
+
+    /** Own wave in which the last exchange arrived. */
+    private long wave;
+
+    /** Number of agents in the data centre. */
+    private int agents;
+
+    /** Whether the last exchange showed smaller counters than are known here. */
+    private boolean behind;
+
+    /** Flows with requests waiting in the data centre. */
+    private Set<Integer> backlogged = Set.of();
+  }
+}
--- /dev/null
+++ b/router/src/main/java/org/almondslip/router/RouterProgram.java
@@ -0,0 +1,34 @@
+package org.almondslip.router;
+
+import org.almondslip.platform.FleetView;
+import org.almondslip.process.Program;
+import org.almondslip.settings.Section;
+import org.almondslip.time.Clock;
+
+/** Program of a router. */
+final class RouterProgram implements Program<RouterSettings> {
+
+  @Override
+  public String name() {
+    return "almondslip-router";
+  }
+
+  @Override
+  public RouterSettings read(Section section) {
+    return RouterSettings.of(section);
+  }
+
+  @Override
+  public Running start(RouterSettings settings) {
+    Clock clock = Clock.Standard.SYSTEM;
+    Router router =
+        new Router(
+            settings,
+            clock,
+            (vertx, self, random, decision) ->
+                new PlatformFleet(
+                    new FleetView(vertx, settings.platform(), self, clock, random, decision)));
+    router.start();
+    return router;
+  }
+}
