Join the agent with the catalog, accounts, digests and claims

Cause: the agent ran without a catalog, in order of arrival and without claims, since these parts were built in parallel. Change: the agent takes its catalog and members from the platform and its peers, announces itself to routers, dials its neighbours in the digest tree, schedules by account and claims idempotency keys in the table service; the policy and the largest cost are settings.

--- a/agent/src/main/java/org/almondslip/agent/Agent.java
+++ b/agent/src/main/java/org/almondslip/agent/Agent.java
@@ -7,13 +7,22 @@
 import java.security.SecureRandom;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
-import org.almondslip.catalog.Catalog;
+import org.almondslip.accounting.AccountLedger;
+import org.almondslip.accounting.DigestNode;
+import org.almondslip.accounting.DigestSettings;
+import org.almondslip.accounting.FlowDirectory;
+import org.almondslip.accounting.PortionRule;
 import org.almondslip.duty.Duty;
 import org.almondslip.execution.AgentLogic;
 import org.almondslip.execution.ExecutionCounters;
+import org.almondslip.membership.DialSchedule;
+import org.almondslip.membership.Member;
 import org.almondslip.membership.PeerIdentity;
 import org.almondslip.metrics.OperationsServer;
-import org.almondslip.order.UnavailableClaims;
+import org.almondslip.order.ClaimCounters;
+import org.almondslip.order.ClaimLimits;
+import org.almondslip.order.TableClaims;
+import org.almondslip.platform.FleetView;
 import org.almondslip.process.Program;
 import org.almondslip.protocol.PeerTransport;
 import org.almondslip.protocol.TrafficCounters;
@@ -23,7 +32,10 @@
 import org.almondslip.protocol.wire.Role;
 import org.almondslip.quarantine.SuspectRegistry;
 import org.almondslip.resource.Closer;
+import org.almondslip.scheduling.FairOfferBook;
 import org.almondslip.time.Clock;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.apache.commons.rng.simple.RandomSource;
 
 /** A running agent: its threads, servers and clients. */
 public final class Agent implements Program.Running {
@@ -49,6 +61,9 @@
   /** Resources of the agent. */
   private final Closer closer = new Closer();
 
+  /** Catalog and members. */
+  private final FleetView view;
+
   /** Decision thread. */
   private final Duty<AgentEvent> duty;
 
@@ -78,16 +93,37 @@
     closer.register(() -> vertx.close().toCompletionStage().toCompletableFuture().join());
     TargetClient target = closer.register(new TargetClient(vertx, settings.target(), this::put));
     ExecutionCounters counters = new ExecutionCounters();
+    ClaimCounters claimCounters = new ClaimCounters();
     PeerIdentity self = identity(settings, clock);
+    UniformRandomProvider random = RandomSource.XO_RO_SHI_RO_128_PP.create();
+    this.view =
+        new FleetView(
+            vertx, settings.platform(), self, clock, random, action -> put(work -> action.run()));
+    FlowDirectory directory = FlowDirectory.of(view::catalog);
+    AgentSettings.SchedulingSettings scheduling = settings.scheduling();
+    AccountLedger ledger =
+        new AccountLedger(
+            PortionRule.MEASURED, self.target(), directory, scheduling.largestCostMillis(), random);
+    FairOfferBook book =
+        new FairOfferBook(scheduling.policy(), ledger, scheduling.localitySlackMillis());
+    TableClaims claims =
+        new TableClaims(
+            self,
+            view.tables(),
+            view.objects(),
+            (instance, incarnation) -> view.membership().member(instance).isEmpty(),
+            ClaimLimits.DEFAULT,
+            clock,
+            claimCounters);
     AgentLogic logic =
         new AgentLogic(
             self,
             settings.limits(),
             clock,
             target,
-            UnavailableClaims.INSTANCE,
-            new ArrivalOrderBook(),
-            UnchargedAccounts.INSTANCE,
+            claims,
+            book,
+            ledger,
             new SuspectRegistry(),
             counters);
     TrafficCounters traffic = new TrafficCounters();
@@ -98,7 +134,17 @@
             () -> heartbeat(logic),
             new PeerEvents(this::put),
             traffic);
-    this.work = new AgentWork(logic, target, this::announcement);
+    FleetLinks links = new FleetLinks(view, new DialSchedule(clock, random), transport::dial);
+    DigestNode digests =
+        new DigestNode(
+            DigestSettings.DEFAULT,
+            toMember(self),
+            ledger,
+            book::backlogged,
+            directory,
+            clock,
+            links::send);
+    this.work = new AgentWork(logic, target, view, links, digests, claims, this::announcement);
     this.duty = new Duty<>("agent", RING_CAPACITY, TICK_MILLIS, clock, work);
     closer.register(duty);
     closer.register(transport);
@@ -108,6 +154,7 @@
     metrics.register(counters);
     metrics.register(traffic);
     metrics.register(load);
+    metrics.register(claimCounters);
     this.operations = closer.register(new OperationsServer(vertx, registry, () -> obstacle(logic)));
   }
 
@@ -138,15 +185,6 @@
     closer.close();
   }
 
-  /**
-   * Gives the agent a catalog.
-   *
-   * @param catalog the catalog
-   */
-  void setCatalog(Catalog catalog) {
-    duty.put(current -> current.onCatalog(catalog));
-  }
-
   /**
    * Returns the address for inner connections.
    *
@@ -182,7 +220,7 @@
    */
   private Heartbeat heartbeat(AgentLogic logic) {
     return Heartbeat.newBuilder()
-        .setCatalogRevision(work.catalog().revision())
+        .setCatalogRevision(view.catalog().revision())
         .setAgent(logic.status())
         .build();
   }
@@ -238,4 +276,21 @@
         settings.innerListen(),
         settings.target().name());
   }
+
+  /**
+   * Describes this agent as a member of the fleet.
+   *
+   * @param self the identity of this agent
+   * @return the member
+   */
+  private static Member toMember(PeerIdentity self) {
+    return new Member(
+        self.instanceId(),
+        self.role(),
+        self.region(),
+        self.dataCentre(),
+        self.innerAddress(),
+        self.target(),
+        false);
+  }
 }
--- a/agent/src/main/java/org/almondslip/agent/AgentSettings.java
+++ b/agent/src/main/java/org/almondslip/agent/AgentSettings.java
@@ -1,6 +1,11 @@
 package org.almondslip.agent;
 
+import java.util.Arrays;
+import java.util.Locale;
+import java.util.Optional;
 import org.almondslip.execution.AgentLimits;
+import org.almondslip.platform.PlatformAddresses;
+import org.almondslip.scheduling.Policy;
 import org.almondslip.settings.Section;
 
 /**
@@ -14,6 +19,7 @@
  * @param secret the secret that all processes of the fleet share
  * @param target the target beside the agent
  * @param platform the addresses of the platform
+ * @param scheduling the order in which waiting requests get slots
  * @param limits the limits of requests
  * @param drainMillis the longest time that a planned stop waits for running requests
  */
@@ -25,7 +31,8 @@
     String operationsListen,
     String secret,
     TargetSettings target,
-    PlatformSettings platform,
+    PlatformAddresses platform,
+    SchedulingSettings scheduling,
     AgentLimits limits,
     long drainMillis) {
 
@@ -76,13 +83,51 @@
   }
 
   /**
-   * Addresses of the platform.
+   * Order in which waiting requests get slots.
    *
-   * @param tableService the address of the table service
-   * @param objectStore the address of the object store
-   * @param instanceList the address of the instance list
+   * @param policy the order among flows
+   * @param largestCostMillis the slot time of the largest request
+   * @param localitySlackMillis what is added to the account of offers from other regions
    */
-  public record PlatformSettings(String tableService, String objectStore, String instanceList) {}
+  public record SchedulingSettings(
+      Policy policy, long largestCostMillis, long localitySlackMillis) {
+
+    /** Default slot time of the largest request, in milliseconds. */
+    private static final long LARGEST_COST_MILLIS = 30_000;
+
+    /** Default addition to the account of offers from other regions, in milliseconds. */
+    private static final long LOCALITY_SLACK_MILLIS = 1_000;
+
+    /**
+     * Reads the order.
+     *
+     * @param section the top level of the file
+     * @return the order
+     */
+    static SchedulingSettings of(Section section) {
+      String name = section.optionalText("policy").orElse("fair");
+      Optional<Policy> policy =
+          Arrays.stream(Policy.values()).filter(known -> label(known).equals(name)).findFirst();
+      if (policy.isEmpty()) {
+        section.report("policy", "must be fair, fifo or round-robin");
+      }
+      Section accounts = section.section("accounts");
+      return new SchedulingSettings(
+          policy.orElse(Policy.FAIR),
+          accounts.durationMillis("largest_cost", LARGEST_COST_MILLIS, 1, MAX_MILLIS),
+          accounts.durationMillis("locality_slack", LOCALITY_SLACK_MILLIS, 0, MAX_MILLIS));
+    }
+
+    /**
+     * Returns the name of a policy in settings.
+     *
+     * @param policy the policy
+     * @return the name
+     */
+    private static String label(Policy policy) {
+      return policy.name().toLowerCase(Locale.ROOT).replace('_', '-');
+    }
+  }
 
   /**
    * Reads the settings.
@@ -108,24 +153,12 @@
             target.text("name"),
             target.address("address"),
             limits.durationMillis("connect", CONNECT_MILLIS, 1, MAX_MILLIS)),
-        platform(section.section("platform")),
+        PlatformAddresses.of(section.section("platform")),
+        SchedulingSettings.of(section),
         limits(target, limits),
         limits.durationMillis("drain", DRAIN_MILLIS, 0, MAX_MILLIS));
   }
 
-  /**
-   * Reads the addresses of the platform.
-   *
-   * @param section the section
-   * @return the addresses
-   */
-  private static PlatformSettings platform(Section section) {
-    return new PlatformSettings(
-        section.address("table_service"),
-        section.address("object_store"),
-        section.address("instance_list"));
-  }
-
   /**
    * Reads the limits of requests.
    *
--- a/agent/src/main/java/org/almondslip/agent/AgentWork.java
+++ b/agent/src/main/java/org/almondslip/agent/AgentWork.java
@@ -4,11 +4,14 @@
 import com.google.protobuf.ByteString;
 import java.util.concurrent.CountDownLatch;
 import java.util.function.Supplier;
+import org.almondslip.accounting.DigestNode;
 import org.almondslip.catalog.Catalog;
 import org.almondslip.duty.Duty;
 import org.almondslip.execution.AgentLogic;
 import org.almondslip.execution.DrainReason;
 import org.almondslip.execution.TargetFailure;
+import org.almondslip.order.TableClaims;
+import org.almondslip.platform.FleetView;
 import org.almondslip.protocol.PeerConnection;
 import org.almondslip.protocol.wire.Announce;
 import org.almondslip.protocol.wire.AnswerHead;
@@ -27,14 +30,26 @@
   /** Client of the target. */
   private final TargetClient target;
 
+  /** Catalog, members and connections to them. */
+  private final FleetView view;
+
+  /** Connections that this agent opens. */
+  private final FleetLinks links;
+
+  /** Digest waves. */
+  private final DigestNode digests;
+
+  /** Claims of idempotency keys. */
+  private final TableClaims claims;
+
   /** Builds the announcement of this agent. */
   private final Supplier<Announce> announcement;
 
   /** Opened when a planned stop has finished its requests. */
   private final CountDownLatch drained = new CountDownLatch(1);
 
-  /** Catalog as last known. */
-  private volatile Catalog catalog = Catalog.EMPTY;
+  /** Catalog that the state machine of the agent has. */
+  private Catalog catalog = Catalog.EMPTY;
 
   /** Whether a planned stop has begun. */
   private boolean stopping;
@@ -44,23 +59,44 @@
    *
    * @param logic the state machine of the agent
    * @param target the client of the target
+   * @param view the catalog and the members
+   * @param links the connections that this agent opens
+   * @param digests the digest waves
+   * @param claims the claims of idempotency keys
    * @param announcement builds the announcement of this agent
    */
-  AgentWork(AgentLogic logic, TargetClient target, Supplier<Announce> announcement) {
+  AgentWork(
+      AgentLogic logic,
+      TargetClient target,
+      FleetView view,
+      FleetLinks links,
+      DigestNode digests,
+      TableClaims claims,
+      Supplier<Announce> announcement) {
     this.logic = logic;
     this.target = target;
+    this.view = view;
+    this.links = links;
+    this.digests = digests;
+    this.claims = claims;
     this.announcement = announcement;
   }
 
   @Override
   public void onEvent(AgentEvent event) {
     event.applyTo(this);
+    takeCatalog();
   }
 
   @Override
   public void onTick() {
+    links.onTick(digests);
+    takeCatalog();
+    logic.setDrain(DrainReason.INSTANCE_LEAVING, view.membership().isSelfLeaving());
     logic.onTick();
-    if (stopping && logic.isIdle()) {
+    claims.onTick();
+    digests.onTick();
+    if (stopping && logic.isIdle() && claims.isSettled()) {
       drained.countDown();
     }
   }
@@ -74,7 +110,9 @@
     if (connection.dialled() && connection.peer().role() == Role.ROUTER) {
       connection.send(Frame.newBuilder().setAnnounce(announcement.get()).build());
       connection.close();
+      links.onAnnounced(connection.peer().instanceId());
     } else {
+      links.onOpen(connection, digests);
       logic.onOpen(connection);
     }
   }
@@ -85,6 +123,7 @@
    * @param connection the connection
    */
   void onClose(PeerConnection connection) {
+    links.onClose(connection, digests);
     logic.onClose(connection.id());
   }
 
@@ -95,6 +134,8 @@
    * @param frame the frame
    */
   void onFrame(PeerConnection connection, Frame frame) {
+    view.onFrame(connection, frame);
+    digests.onFrame(connection, frame);
     logic.onFrame(connection, frame);
   }
 
@@ -106,16 +147,15 @@
    */
   void onDialFailed(String address, String detail) {
     logger.atInfo().log("no connection to %s: %s", address, detail);
+    links.onDialFailed(address, digests);
   }
 
-  /**
-   * Takes a catalog.
-   *
-   * @param next the catalog
-   */
-  void onCatalog(Catalog next) {
-    catalog = next;
-    logic.onCatalog(next);
+  /** Takes over a new catalog. */
+  private void takeCatalog() {
+    if (view.catalog() != catalog) {
+      catalog = view.catalog();
+      logic.onCatalog(catalog);
+    }
   }
 
   /**
@@ -186,15 +226,6 @@
     logic.setDrain(DrainReason.PLANNED_STOP, true);
   }
 
-  /**
-   * Returns the catalog. May be called from any thread.
-   *
-   * @return the catalog as last known
-   */
-  Catalog catalog() {
-    return catalog;
-  }
-
   /**
    * Returns the latch that opens when a planned stop has finished its requests.
    *
--- a/agent/src/test/java/org/almondslip/agent/AgentTest.java
+++ b/agent/src/test/java/org/almondslip/agent/AgentTest.java
@@ -10,16 +10,13 @@
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
-import java.util.List;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
-import org.almondslip.agent.AgentSettings.PlatformSettings;
+import org.almondslip.agent.AgentSettings.SchedulingSettings;
 import org.almondslip.agent.AgentSettings.TargetSettings;
-import org.almondslip.catalog.Catalog;
-import org.almondslip.catalog.CatalogObject;
 import org.almondslip.catalog.FlowId;
-import org.almondslip.catalog.VersionedObject;
 import org.almondslip.execution.AgentLimits;
+import org.almondslip.platform.PlatformAddresses;
 import org.almondslip.protocol.wire.Answer;
 import org.almondslip.protocol.wire.AnswerEnd;
 import org.almondslip.protocol.wire.Dispatch;
@@ -30,6 +27,7 @@
 import org.almondslip.protocol.wire.Ran;
 import org.almondslip.protocol.wire.RequestId;
 import org.almondslip.resource.Closer;
+import org.almondslip.scheduling.Policy;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 
@@ -147,13 +145,13 @@
             "127.0.0.1:0",
             SECRET,
             new TargetSettings("t1", "127.0.0.1:" + targetPort, 1_000),
-            new PlatformSettings("127.0.0.1:1", "127.0.0.1:1", "127.0.0.1:1"),
+            new PlatformAddresses("127.0.0.1:1", "127.0.0.1:1", "127.0.0.1:1"),
+            new SchedulingSettings(Policy.FAIR, 30_000, 1_000),
             AgentLimits.DEFAULT,
             10_000);
     Agent agent = new Agent(settings);
     closer.register(agent::close);
     agent.start();
-    agent.setCatalog(catalog());
     return agent;
   }
 
@@ -164,13 +162,6 @@
     return router;
   }
 
-  private static Catalog catalog() {
-    CatalogObject target = new CatalogObject.Target("t1", "pool", null, 2, null, null, List.of());
-    CatalogObject organisation = new CatalogObject.Organisation("acme", List.of("pool"));
-    return Catalog.EMPTY.merge(
-        List.of(new VersionedObject(target, 1, 1), new VersionedObject(organisation, 1, 1)), 1);
-  }
-
   private static Frame offer(int waiting) {
     FlowOffer.Builder offer =
         FlowOffer.newBuilder().setFlowId(FlowId.of("acme", "pool")).setWaiting(waiting);
--- a/agent/src/test/java/org/almondslip/agent/TestRouter.java
+++ b/agent/src/test/java/org/almondslip/agent/TestRouter.java
@@ -1,10 +1,13 @@
 package org.almondslip.agent;
 
+import java.util.List;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Predicate;
+import org.almondslip.catalog.CatalogObject;
+import org.almondslip.catalog.Kind;
 import org.almondslip.membership.PeerIdentity;
 import org.almondslip.protocol.CloseReason;
 import org.almondslip.protocol.PeerConnection;
@@ -13,12 +16,14 @@
 import org.almondslip.protocol.TrafficCounters;
 import org.almondslip.protocol.TransportSettings;
 import org.almondslip.protocol.wire.AnswerAck;
+import org.almondslip.protocol.wire.CatalogChanges;
+import org.almondslip.protocol.wire.CatalogRevision;
 import org.almondslip.protocol.wire.Frame;
 import org.almondslip.protocol.wire.Heartbeat;
 import org.almondslip.protocol.wire.RequestId;
 import org.almondslip.protocol.wire.Role;
 
-/** Router that only keeps what it receives. */
+/** Router that keeps what it receives and hands out a catalog with one target. */
 final class TestRouter implements PeerListener, AutoCloseable {
 
   private static final long PATIENCE_SECONDS = 30;
@@ -73,11 +78,16 @@
 
   @Override
   public void onOpen(PeerConnection opened) {
+    CatalogRevision revision = CatalogRevision.newBuilder().setRevision(1).build();
+    opened.send(Frame.newBuilder().setCatalogRevision(revision).build());
     connection.complete(opened);
   }
 
   @Override
   public void onFrame(PeerConnection from, Frame frame) {
+    if (frame.hasCatalogPull()) {
+      from.send(Frame.newBuilder().setCatalogChanges(catalog()).build());
+    }
     frames.add(frame);
   }
 
@@ -91,4 +101,22 @@
   public void close() {
     transport.close();
   }
+
+  private static CatalogChanges catalog() {
+    return CatalogChanges.newBuilder()
+        .setRevision(1)
+        .addObjects(object(new CatalogObject.Target("t1", "pool", null, 2, null, null, null)))
+        .addObjects(object(new CatalogObject.Organisation("acme", List.of("pool"))))
+        .build();
+  }
+
+  private static org.almondslip.protocol.wire.CatalogObject object(CatalogObject object) {
+    return org.almondslip.protocol.wire.CatalogObject.newBuilder()
+        .setKind(object.kind().label())
+        .setName(object.name())
+        .setNumber(1)
+        .setRevision(1)
+        .setJson(Kind.toJson(object))
+        .build();
+  }
 }
