--- /dev/null
+++ b/core/src/test/java/org/almondslip/routing/FailureTest.java
@@ -0,0 +1,41 @@
+package org.almondslip.routing;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import org.almondslip.error.ErrorCode;
+import org.almondslip.error.Ran;
+import org.almondslip.protocol.wire.AnswerEnd;
+import org.junit.jupiter.api.Test;
+
+/** Cases of {@link Failure}. */
+class FailureTest {
+
+  /** Guards against a "not run" that the answer itself or a missing field contradicts. */
+  @Test
+  void trustsNotRunOnlyWithoutAnswer() {
+    AnswerEnd no =
+        AnswerEnd.newBuilder()
+            .setCode("draining")
+            .setRan(org.almondslip.protocol.wire.Ran.NO)
+            .build();
+    assertThat(Failure.of(no, false).ran()).isEqualTo(Ran.NO);
+    assertThat(Failure.of(no, true).ran()).isEqualTo(Ran.UNKNOWN);
+    assertThat(Failure.of(AnswerEnd.getDefaultInstance(), false).ran()).isEqualTo(Ran.UNKNOWN);
+    assertThat(Failure.of(AnswerEnd.getDefaultInstance(), false).code())
+        .isEqualTo(ErrorCode.INTERNAL);
+  }
+
+  /** Guards against retries of decisions about the request, and free retries of real failures. */
+  @Test
+  void knowsWhatRetriesCanChange() {
+    for (String code : new String[] {"still-running", "idempotency-key-reused", "cancelled"}) {
+      AnswerEnd end = AnswerEnd.newBuilder().setCode(code).build();
+      assertThat(Failure.of(end, false).transientFault()).as(code).isFalse();
+    }
+    Failure failed = Failure.unknown(ErrorCode.TARGET_FAILED, "");
+    assertThat(failed.transientFault() && failed.blamesTarget() && failed.chargesBudget()).isTrue();
+    Failure handedBack = new Failure(ErrorCode.DRAINING, "", Ran.NO, 0);
+    assertThat(handedBack.transientFault()).isTrue();
+    assertThat(handedBack.blamesTarget() || handedBack.chargesBudget()).isFalse();
+  }
+}
--- /dev/null
+++ b/core/src/test/java/org/almondslip/routing/SuspectsTest.java
@@ -0,0 +1,61 @@
+package org.almondslip.routing;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import org.almondslip.protocol.wire.Frame;
+import org.almondslip.protocol.wire.SuspectNotice;
+import org.almondslip.quarantine.SuspectRegistry;
+import org.almondslip.quarantine.SuspectRegistry.Verdict;
+import org.junit.jupiter.api.Test;
+
+/** Cases of {@link Suspects}. */
+class SuspectsTest {
+
+  /** Recorded effects. */
+  private final RecordingEffects effects = new RecordingEffects();
+
+  /** Marks under test. */
+  private final Suspects suspects = new Suspects(new SuspectRegistry(), effects);
+
+  /** First peer. */
+  private final RecordingPeer first = peer(1);
+
+  /** Second peer. */
+  private final RecordingPeer second = peer(2);
+
+  /** Guards against notices that travel in circles for ever, or stop after one hop. */
+  @Test
+  void passesNewNoticesToOthersOnce() {
+    SuspectNotice notice = SuspectNotice.newBuilder().setFingerprint(7).setCrashId("m1@1").build();
+    suspects.onNotice(first, notice);
+    suspects.onNotice(second, notice);
+    assertThat(first.sent).isEmpty();
+    assertThat(second.of(Frame.BodyCase.SUSPECT_NOTICE)).hasSize(1);
+    assertThat(effects.suspects).as("recorded by the process that saw the crash").isEmpty();
+  }
+
+  /** Guards against two marks for one crash, and against innocent requests that stay suspected. */
+  @Test
+  void countsCrashOnceAndClearsOnSuccess() {
+    suspects.onCrash(7, RecordingPeer.agent("m1", "north", 5));
+    suspects.onCrash(7, RecordingPeer.agent("m1", "north", 5));
+    assertThat(suspects.verdict(7)).isEqualTo(Verdict.SUSPECT);
+    suspects.onSuccess(7);
+    suspects.onSuccess(7);
+    assertThat(suspects.verdict(7)).isEqualTo(Verdict.CLEAR);
+    assertThat(effects.suspects).hasSize(2);
+    assertThat(first.sent).hasSize(2);
+  }
+
+  /**
+   * Connects a peer.
+   *
+   * @param id the number of the connection
+   * @return the connection
+   */
+  private RecordingPeer peer(long id) {
+    RecordingPeer peer = new RecordingPeer(id, RecordingPeer.agent("m" + id, "north", 1));
+    suspects.open(peer);
+    return peer;
+  }
+}
