Connect the router to the table service, the instance list and operators

Cause: the router started with an empty, fixed fleet.

Change: PlatformFleet joins CatalogSync, Membership and TicketApplier to the decision thread; AdminServer listens on admin_listen with the new setting operator_key. Instances that are marked leaving get no offers. Crash marks are written to the table suspects. DialPlanner knows agents by instance, since a relay between regions changes their addresses.

--- a/core/src/main/java/org/almondslip/routing/AgentTable.java
+++ b/core/src/main/java/org/almondslip/routing/AgentTable.java
@@ -31,6 +31,9 @@
   /** Catalog in force. */
   private Catalog catalog = Catalog.EMPTY;
 
+  /** Instances that are marked leaving. */
+  private Set<String> leaving = Set.of();
+
   /**
    * Creates an empty table.
    *
@@ -51,6 +54,15 @@
     catalog = next;
   }
 
+  /**
+   * Replaces the instances that get no new work.
+   *
+   * @param instances the instances that are marked leaving
+   */
+  void onLeaving(Set<String> instances) {
+    leaving = Set.copyOf(instances);
+  }
+
   /**
    * Adds a connection, which replaces an older one of the same instance for new work.
    *
@@ -148,6 +160,10 @@
             .filter(target -> target.state() == Target.State.ACTIVE)
             .isPresent();
     Long current = newest.get(link.peer().peer().instanceId());
-    return active && link.takesWork() && current != null && current == link.peer().id();
+    return active
+        && link.takesWork()
+        && !leaving.contains(link.peer().peer().instanceId())
+        && current != null
+        && current == link.peer().id();
   }
 }
--- a/core/src/main/java/org/almondslip/routing/DialPlanner.java
+++ b/core/src/main/java/org/almondslip/routing/DialPlanner.java
@@ -145,7 +145,7 @@
    */
   public void onOpen(PeerIdentity peer) {
     connected.merge(peer.instanceId(), 1, Integer::sum);
-    dials.remove(peer.innerAddress());
+    dials.remove(addressOf(peer));
   }
 
   /**
@@ -156,7 +156,7 @@
    */
   public void onClosed(PeerIdentity peer, long now) {
     connected.computeIfPresent(peer.instanceId(), (id, count) -> count > 1 ? count - 1 : null);
-    dials.put(peer.innerAddress(), new Dial(0, now + random.nextLong(FIRST_BACKOFF_MILLIS)));
+    dials.put(addressOf(peer), new Dial(0, now + random.nextLong(FIRST_BACKOFF_MILLIS)));
   }
 
   /**
@@ -230,6 +230,21 @@
     return demand.limit();
   }
 
+  /**
+   * Returns the address at which a process is dialled. It can differ from the one that the process
+   * states when a relay stands between regions.
+   *
+   * @param peer the process
+   * @return the address of its member, or the stated one when it is no member
+   */
+  private String addressOf(PeerIdentity peer) {
+    return members.stream()
+        .filter(member -> member.instanceId().equals(peer.instanceId()))
+        .map(Member::innerAddress)
+        .findFirst()
+        .orElse(peer.innerAddress());
+  }
+
   /** Sorts the usable agents of each pool. */
   private void index() {
     Map<String, List<Member>> next = new TreeMap<>();
--- a/core/src/main/java/org/almondslip/routing/RouterLogic.java
+++ b/core/src/main/java/org/almondslip/routing/RouterLogic.java
@@ -1,8 +1,8 @@
 package org.almondslip.routing;
 
 import java.util.Optional;
+import java.util.Set;
 import org.almondslip.catalog.Catalog;
-import org.almondslip.catalog.Flow;
 import org.almondslip.error.ErrorCode;
 import org.almondslip.error.Ran;
 import org.almondslip.membership.Peer;
@@ -22,9 +22,6 @@
  */
 public final class RouterLogic {
 
-  /** Time after which a request that a draining router refused may come back, in milliseconds. */
-  private static final long DRAIN_RETRY_MILLIS = 1_000;
-
   /** Source of time. */
   private final Clock clock;
 
@@ -34,8 +31,8 @@
   /** State that the parts share. */
   private final RouterState state;
 
-  /** Admission of new requests. */
-  private final Admission admission;
+  /** Checks of new requests. */
+  private final Intake intake;
 
   /** Planner of offers. */
   private final OfferPlanner planner;
@@ -52,12 +49,6 @@
   /** Attempts whose connection is lost. */
   private final Reattachment reattachment;
 
-  /** Catalog in force. */
-  private Catalog catalog = Catalog.EMPTY;
-
-  /** Whether new requests are refused because the process stops. */
-  private boolean draining;
-
   /**
    * Creates the decisions of a router without peers and without a catalog.
    *
@@ -93,7 +84,7 @@
             new CostEstimator(),
             new RetryBudget(clock.millis()),
             counters);
-    this.admission = new Admission(state.queues(), settings);
+    this.intake = new Intake(state);
     this.planner = new OfferPlanner(state, batch, region, random, effects);
     this.dispatcher = new Dispatcher(state, planner);
     this.endings = new Endings(state, planner);
@@ -107,13 +98,24 @@
    * @param next the catalog in force
    */
   public void onCatalog(Catalog next) {
-    catalog = next;
+    intake.onCatalog(next);
     state.agents().onCatalog(next);
     state.queues().retain(flowId -> next.flow(flowId).isPresent());
     planAll();
     batch.flush();
   }
 
+  /**
+   * Replaces the instances that get no new work.
+   *
+   * @param instances the instances that are marked leaving
+   */
+  public void onLeaving(Set<String> instances) {
+    state.agents().onLeaving(instances);
+    planAll();
+    batch.flush();
+  }
+
   /**
    * Takes a request of a caller.
    *
@@ -122,11 +124,11 @@
   public void onRequest(CallerRequest request) {
     long now = clock.millis();
     state.budget().onRequest();
-    Optional<Outcome> refusal = refuse(request, now);
+    PendingRequest pending = intake.toPending(request, now);
+    Optional<Outcome> refusal = intake.refuse(pending, now);
     if (refusal.isPresent()) {
       state.requests().refuse(request.caller(), refusal.get());
     } else {
-      PendingRequest pending = toPending(request, now);
       state.requests().add(pending);
       state.queues().add(pending, now);
       planner.plan(state.queues().of(pending.flow()), now);
@@ -221,12 +223,12 @@
 
   /** Refuses new requests from now on because the process stops. */
   public void onDrain() {
-    draining = true;
+    intake.onDrain();
   }
 
   /** Ends all requests because the time for draining has passed. */
   public void onDrainLimit() {
-    draining = true;
+    intake.onDrain();
     for (PendingRequest pending : state.requests().all()) {
       endings.abort(pending, ErrorCode.DRAINING, "the router stops", clock.millis());
     }
@@ -242,7 +244,7 @@
    * @return true when the process may stop
    */
   public boolean drained() {
-    return draining && state.requests().isEmpty();
+    return intake.draining() && state.requests().isEmpty();
   }
 
   /**
@@ -262,49 +264,6 @@
         state.agents().all().size());
   }
 
-  /**
-   * Checks a new request.
-   *
-   * @param request the request
-   * @param now the current time, in milliseconds
-   * @return the refusal, or empty when the request may wait
-   */
-  private Optional<Outcome> refuse(CallerRequest request, long now) {
-    if (draining) {
-      return Optional.of(
-          Outcome.notRun(ErrorCode.DRAINING, "the router stops")
-              .withRetryAfter(DRAIN_RETRY_MILLIS));
-    }
-    Optional<Outcome> refusal = PoolRules.refuse(catalog, request);
-    if (refusal.isPresent()) {
-      return refusal;
-    }
-    if (state.suspects().verdict(Dispatcher.fingerprint(request)) == Verdict.REFUSED) {
-      return Optional.of(
-          Outcome.notRun(
-              ErrorCode.REQUEST_CRASHES_TARGETS, "targets have ended while they ran it"));
-    }
-    return admission.check(toPending(request, now), state.requests().heldBytes(), now);
-  }
-
-  /**
-   * Creates the progress of a request that the catalog allows.
-   *
-   * @param request the request
-   * @param now the current time, in milliseconds
-   * @return the progress
-   */
-  private PendingRequest toPending(CallerRequest request, long now) {
-    Flow flow =
-        Flow.of(request.organisation(), request.pool(), catalog.shareOf(request.organisation()));
-    return new PendingRequest(
-        request,
-        flow,
-        Dispatcher.fingerprint(request),
-        PoolRules.idempotent(catalog, request),
-        now);
-  }
-
   /**
    * Takes a crash mark and refuses the requests that it concerns.
    *
--- a/router/src/main/java/org/almondslip/router/FleetSource.java
+++ b/router/src/main/java/org/almondslip/router/FleetSource.java
@@ -1,13 +1,24 @@
 package org.almondslip.router;
 
+import io.vertx.core.Vertx;
+import io.vertx.core.json.JsonObject;
 import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.Executor;
+import java.util.function.Supplier;
 import org.almondslip.catalog.Catalog;
 import org.almondslip.membership.Member;
 import org.almondslip.membership.Peer;
+import org.almondslip.membership.PeerIdentity;
 import org.almondslip.protocol.wire.Frame;
+import org.almondslip.protocol.wire.SuspectNotice;
+import org.almondslip.router.admin.AdminService;
 
-/** Where a router learns the catalog and the members. All methods run on the decision thread. */
-interface FleetSource {
+/**
+ * Where a router learns the catalog and the members. All methods but {@link #admin} and {@link
+ * #close} run on the decision thread.
+ */
+interface FleetSource extends AutoCloseable {
 
   /** Does what is due. */
   void onTick();
@@ -48,6 +59,39 @@
    */
   List<Member> members();
 
+  /**
+   * Records a crash mark, or the clearing of one, in durable storage.
+   *
+   * @param notice the mark
+   */
+  void recordSuspect(SuspectNotice notice);
+
+  /**
+   * Returns the operations of the operators' interface.
+   *
+   * @param status the status of this process; called on the decision thread
+   * @return the operations, empty when the source cannot be changed
+   */
+  Optional<AdminService> admin(Supplier<JsonObject> status);
+
+  @Override
+  void close();
+
+  /** Creates a source for a router. */
+  @FunctionalInterface
+  interface Factory {
+
+    /**
+     * Creates a source.
+     *
+     * @param self the router
+     * @param vertx the event loops
+     * @param decision runs work on the decision thread
+     * @return the source
+     */
+    FleetSource create(PeerIdentity self, Vertx vertx, Executor decision);
+  }
+
   /**
    * Catalog and members that never change.
    *
@@ -67,5 +111,16 @@
 
     @Override
     public void onFrame(Peer peer, Frame frame) {}
+
+    @Override
+    public void recordSuspect(SuspectNotice notice) {}
+
+    @Override
+    public Optional<AdminService> admin(Supplier<JsonObject> status) {
+      return Optional.empty();
+    }
+
+    @Override
+    public void close() {}
   }
 }
--- a/router/src/main/java/org/almondslip/router/Router.java
+++ b/router/src/main/java/org/almondslip/router/Router.java
@@ -5,6 +5,7 @@
 import io.vertx.core.Vertx;
 import io.vertx.core.VertxOptions;
 import io.vertx.core.file.FileSystemOptions;
+import io.vertx.core.json.JsonObject;
 import java.security.SecureRandom;
 import java.util.Optional;
 import java.util.concurrent.CountDownLatch;
@@ -22,8 +23,11 @@
 import org.almondslip.protocol.wire.SuspectNotice;
 import org.almondslip.quarantine.SuspectRegistry;
 import org.almondslip.resource.Closer;
+import org.almondslip.router.admin.AdminServer;
+import org.almondslip.router.admin.OperatorKey;
 import org.almondslip.routing.DialPlanner;
 import org.almondslip.routing.RouterLogic;
+import org.almondslip.routing.RoutingStats;
 import org.almondslip.time.Clock;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.apache.commons.rng.simple.RandomSource;
@@ -55,6 +59,9 @@
   /** Open resources. */
   private final Closer closer = new Closer();
 
+  /** Source of the catalog and the members. */
+  private final FleetSource fleet;
+
   /** Decisions. */
   private final RouterLogic logic;
 
@@ -76,6 +83,9 @@
   /** Callers' API. */
   private final CallerServer server;
 
+  /** Operators' API, empty when the fleet cannot be changed. */
+  private final Optional<AdminServer> admin;
+
   /** Health, readiness and metrics. */
   private final OperationsServer operations;
 
@@ -88,6 +98,9 @@
   /** Port of the callers' API. */
   private int port;
 
+  /** Port of the operators' API, 0 without one. */
+  private int adminPort;
+
   /** Port of health and metrics. */
   private int operationsPort;
 
@@ -96,15 +109,16 @@
    *
    * @param settings the settings
    * @param clock the source of time
-   * @param fleet the source of the catalog and the members
+   * @param factory creates the source of the catalog and the members
    */
-  Router(RouterSettings settings, Clock clock, FleetSource fleet) {
+  Router(RouterSettings settings, Clock clock, FleetSource.Factory factory) {
     this.settings = settings;
     this.clock = clock;
     Vertx vertx = Vertx.vertx(vertxOptions());
     closer.register(() -> vertx.close().toCompletionStage().toCompletableFuture().join());
     PeerIdentity self = identity(settings, clock);
     UniformRandomProvider random = RandomSource.XO_RO_SHI_RO_128_PP.create();
+    this.fleet = closer.register(factory.create(self, vertx, this::decide));
     this.exchanges = new Exchanges(settings.callers(), this::dialMore, this::recordSuspect);
     this.logic =
         new RouterLogic(
@@ -137,6 +151,13 @@
                 exchanges,
                 new RequestSink.ToDuty(duty),
                 clock));
+    this.admin =
+        fleet
+            .admin(this::status)
+            .map(
+                service ->
+                    new AdminServer(vertx, OperatorKey.ofSecret(settings.operatorKey()), service));
+    admin.ifPresent(closer::register);
     PrometheusRegistry registry = new PrometheusRegistry();
     registerMetrics(new RouterMetrics(registry), traffic);
     this.operations = closer.register(new OperationsServer(vertx, registry, this::obstacle));
@@ -145,8 +166,9 @@
   /** Starts the decision thread and listens on all addresses. */
   void start() {
     duty.start();
-    String inner = transport.listen();
+    final String inner = transport.listen();
     operationsPort = operations.listen(settings.operationsListen());
+    adminPort = admin.map(operators -> operators.listen(settings.adminListen())).orElse(0);
     port = server.listen(settings.listen());
     logger.atInfo().log("callers are served on port %d, peers on %s", port, inner);
   }
@@ -177,6 +199,15 @@
     return port;
   }
 
+  /**
+   * Returns the port of the operators' API.
+   *
+   * @return the port that was bound, 0 without one
+   */
+  int adminPort() {
+    return adminPort;
+  }
+
   /**
    * Returns the port of health and metrics.
    *
@@ -260,11 +291,38 @@
   }
 
   /**
-   * Logs a crash mark.
+   * Runs work on the decision thread.
+   *
+   * @param action the work
+   */
+  private void decide(Runnable action) {
+    duty.put(new RouterEvent.Task(action));
+  }
+
+  /**
+   * Returns the status that operators see.
+   *
+   * @return the status
+   */
+  private JsonObject status() {
+    RoutingStats stats = logic.stats();
+    return new JsonObject()
+        .put("instance", settings.instance())
+        .put("region", settings.region())
+        .put("revision", catalog.revision())
+        .put("draining", draining)
+        .put("agents", stats.agents())
+        .put("waiting", stats.waiting())
+        .put("in_flight", stats.inFlight());
+  }
+
+  /**
+   * Logs and records a crash mark.
    *
    * @param notice the mark
    */
   private void recordSuspect(SuspectNotice notice) {
+    fleet.recordSuspect(notice);
     logger.atWarning().log(
         "request with fingerprint %x %s",
         notice.getFingerprint(),
--- a/router/src/main/java/org/almondslip/router/RouterDuty.java
+++ b/router/src/main/java/org/almondslip/router/RouterDuty.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.function.Consumer;
+import java.util.stream.Collectors;
 import org.almondslip.catalog.Catalog;
 import org.almondslip.duty.Duty;
 import org.almondslip.membership.Member;
@@ -153,6 +154,11 @@
     if (fleet.members() != members) {
       members = fleet.members();
       dials.onMembers(members);
+      logic.onLeaving(
+          members.stream()
+              .filter(Member::leaving)
+              .map(Member::instanceId)
+              .collect(Collectors.toSet()));
     }
   }
 }
--- a/router/src/main/java/org/almondslip/router/RouterProgram.java
+++ b/router/src/main/java/org/almondslip/router/RouterProgram.java
@@ -1,7 +1,5 @@
 package org.almondslip.router;
 
-import java.util.List;
-import org.almondslip.catalog.Catalog;
 import org.almondslip.process.Program;
 import org.almondslip.settings.Section;
 import org.almondslip.time.Clock;
@@ -21,9 +19,13 @@
 
   @Override
   public Running start(RouterSettings settings) {
+    Clock clock = Clock.Standard.SYSTEM;
     Router router =
         new Router(
-            settings, Clock.Standard.SYSTEM, new FleetSource.Fixed(Catalog.EMPTY, List.of()));
+            settings,
+            clock,
+            (self, vertx, decision) ->
+                new PlatformFleet(settings.platform(), clock, self, vertx, decision));
     router.start();
     return router;
   }
--- a/router/src/main/java/org/almondslip/router/RouterSettings.java
+++ b/router/src/main/java/org/almondslip/router/RouterSettings.java
@@ -17,6 +17,7 @@
  * @param innerListen the address for inner connections
  * @param adminListen the address for operators
  * @param operationsListen the address for health and metrics
+ * @param operatorKey the key that operators send
  * @param secret the secret that all processes of the fleet share
  * @param platform the addresses of the platform
  * @param routing the limits and intervals of the decisions
@@ -31,6 +32,7 @@
     String innerListen,
     String adminListen,
     String operationsListen,
+    String operatorKey,
     String secret,
     PlatformSettings platform,
     RoutingSettings routing,
@@ -75,6 +77,7 @@
         section.address("inner_listen"),
         section.address("admin_listen"),
         section.address("operations_listen"),
+        operatorKey(section),
         secret(section),
         new PlatformSettings(
             platform.address("table_service"),
@@ -85,6 +88,20 @@
         limits.durationMillis("drain_limit", DRAIN_MILLIS, 0, MAX_MILLIS));
   }
 
+  /**
+   * Reads the key of the operators.
+   *
+   * @param section the top level of the file
+   * @return the key, empty when there is a finding
+   */
+  private static String operatorKey(Section section) {
+    String key = section.text("operator_key");
+    if (!key.isEmpty() && key.length() < MIN_SECRET) {
+      section.report("operator_key", "must have at least " + MIN_SECRET + " characters");
+    }
+    return key;
+  }
+
   /**
    * Reads the shared secret from the settings or from the file that they name.
    *
--- a/router/src/test/java/org/almondslip/router/RouterFixture.java
+++ b/router/src/test/java/org/almondslip/router/RouterFixture.java
@@ -60,13 +60,14 @@
             "127.0.0.1:0",
             "127.0.0.1:0",
             "127.0.0.1:0",
+            "0123456789abcdef",
             SECRET,
             new RouterSettings.PlatformSettings("", "", ""),
             RoutingSettings.DEFAULT,
             limits,
             5_000);
     FleetSource fleet = new FleetSource.Fixed(catalog(), List.of(model.member(), service.member()));
-    router = new Router(settings, Clock.Standard.SYSTEM, fleet);
+    router = new Router(settings, Clock.Standard.SYSTEM, (self, vertx, decision) -> fleet);
     router.start();
     await(() -> metrics().contains("almondslip_connected_agents 2.0"));
   }
