--- a/router/src/test/java/org/almondslip/router/RouterFixture.java
+++ b/router/src/test/java/org/almondslip/router/RouterFixture.java
@@ -17,7 +17,6 @@
 import org.almondslip.catalog.CatalogObject.Organisation;
 import org.almondslip.catalog.CatalogObject.Target;
 import org.almondslip.catalog.VersionedObject;
-import org.almondslip.platform.PlatformAddresses;
 import org.almondslip.routing.RoutingSettings;
 import org.almondslip.time.Clock;
 import org.apache.commons.codec.digest.DigestUtils;
@@ -61,14 +60,14 @@
             "127.0.0.1:0",
             "127.0.0.1:0",
             "127.0.0.1:0",
+            "0123456789abcdef",
             SECRET,
-            SECRET,
-            new PlatformAddresses("", "", ""),
+            new RouterSettings.PlatformSettings("", "", ""),
             RoutingSettings.DEFAULT,
             limits,
             5_000);
     FleetSource fleet = new FleetSource.Fixed(catalog(), List.of(model.member(), service.member()));
-    router = new Router(settings, Clock.Standard.SYSTEM, (vertx, self, random, decision) -> fleet);
+    router = new Router(settings, Clock.Standard.SYSTEM, (self, vertx, decision) -> fleet);
     router.start();
     await(() -> metrics().contains("almondslip_connected_agents 2.0"));
   }
