Wire the agent with accounts, digests, claims and the platform

Cause: the agent served offers in the order of arrival, charged nothing and refused every keyed order. Change: fair offer book, account ledger, digest node with dialled parents, catalog and members from the fleet view, claims in the table service, announcement to all routers of the instance list, policy and digest settings, claim metrics. The interim book and accounts are gone.

--- a/agent/src/main/java/org/almondslip/agent/Agent.java
+++ b/agent/src/main/java/org/almondslip/agent/Agent.java
@@ -7,21 +7,19 @@
 import java.security.SecureRandom;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
-import org.almondslip.catalog.Catalog;
 import org.almondslip.duty.Duty;
-import org.almondslip.execution.AgentLogic;
 import org.almondslip.execution.ExecutionCounters;
 import org.almondslip.membership.PeerIdentity;
 import org.almondslip.metrics.OperationsServer;
-import org.almondslip.order.UnavailableClaims;
+import org.almondslip.order.ClaimCounters;
 import org.almondslip.process.Program;
 import org.almondslip.protocol.PeerTransport;
 import org.almondslip.protocol.TrafficCounters;
 import org.almondslip.protocol.TransportSettings;
+import org.almondslip.protocol.wire.AgentStatus;
 import org.almondslip.protocol.wire.Announce;
 import org.almondslip.protocol.wire.Heartbeat;
 import org.almondslip.protocol.wire.Role;
-import org.almondslip.quarantine.SuspectRegistry;
 import org.almondslip.resource.Closer;
 import org.almondslip.time.Clock;
 
@@ -52,6 +50,9 @@
   /** Decision thread. */
   private final Duty<AgentEvent> duty;
 
+  /** State machines of the agent. */
+  private final AgentParts parts;
+
   /** Work of the decision thread. */
   private final AgentWork work;
 
@@ -79,26 +80,20 @@
     TargetClient target = closer.register(new TargetClient(vertx, settings.target(), this::put));
     ExecutionCounters counters = new ExecutionCounters();
     PeerIdentity self = identity(settings, clock);
-    AgentLogic logic =
-        new AgentLogic(
-            self,
-            settings.limits(),
-            clock,
-            target,
-            UnavailableClaims.INSTANCE,
-            new ArrivalOrderBook(),
-            UnchargedAccounts.INSTANCE,
-            new SuspectRegistry(),
-            counters);
+    ClaimCounters claims = new ClaimCounters();
+    AgentParts.Surroundings outside =
+        new AgentParts.Surroundings(
+            vertx, target, this::onDecisionThread, this::dial, this::announcement);
+    this.parts = AgentParts.of(settings, self, clock, outside, counters, claims);
     TrafficCounters traffic = new TrafficCounters();
     this.transport =
         new PeerTransport(
             self,
             TransportSettings.of(settings.secret()),
-            () -> heartbeat(logic),
+            this::heartbeat,
             new PeerEvents(this::put),
             traffic);
-    this.work = new AgentWork(logic, target, this::announcement);
+    this.work = new AgentWork(parts, target);
     this.duty = new Duty<>("agent", RING_CAPACITY, TICK_MILLIS, clock, work);
     closer.register(duty);
     closer.register(transport);
@@ -106,9 +101,10 @@
     PrometheusRegistry registry = new PrometheusRegistry();
     AgentMetrics metrics = new AgentMetrics(registry);
     metrics.register(counters);
+    metrics.register(claims);
     metrics.register(traffic);
     metrics.register(load);
-    this.operations = closer.register(new OperationsServer(vertx, registry, () -> obstacle(logic)));
+    this.operations = closer.register(new OperationsServer(vertx, registry, this::obstacle));
   }
 
   /** Starts all threads and servers. */
@@ -138,15 +134,6 @@
     closer.close();
   }
 
-  /**
-   * Gives the agent a catalog.
-   *
-   * @param catalog the catalog
-   */
-  void setCatalog(Catalog catalog) {
-    duty.put(current -> current.onCatalog(catalog));
-  }
-
   /**
    * Returns the address for inner connections.
    *
@@ -174,16 +161,33 @@
     duty.put(event);
   }
 
+  /**
+   * Runs an action on the decision thread.
+   *
+   * @param action the action
+   */
+  private void onDecisionThread(Runnable action) {
+    duty.put(ignored -> action.run());
+  }
+
+  /**
+   * Opens an inner connection.
+   *
+   * @param address the address as {@code ip:port}
+   */
+  private void dial(String address) {
+    transport.dial(address);
+  }
+
   /**
    * Builds a heartbeat.
    *
-   * @param logic the state machine of the agent
    * @return the heartbeat without its sequence number
    */
-  private Heartbeat heartbeat(AgentLogic logic) {
+  private Heartbeat heartbeat() {
     return Heartbeat.newBuilder()
-        .setCatalogRevision(work.catalog().revision())
-        .setAgent(logic.status())
+        .setCatalogRevision(parts.fleet().catalog().revision())
+        .setAgent(parts.logic().status())
         .build();
   }
 
@@ -205,19 +209,17 @@
   /**
    * Returns why the agent takes no work.
    *
-   * @param logic the state machine of the agent
    * @return the reason, empty when it is ready
    */
-  private static Optional<String> obstacle(AgentLogic logic) {
-    if (logic.status().getDraining()) {
+  private Optional<String> obstacle() {
+    AgentStatus status = parts.logic().status();
+    if (status.getDraining()) {
       return Optional.of("draining");
     }
-    if (logic.status().getSlots() == 0) {
+    if (status.getSlots() == 0) {
       return Optional.of("the catalog does not know the target yet");
     }
-    return logic.status().getHealthy()
-        ? Optional.empty()
-        : Optional.of("the target does not answer");
+    return status.getHealthy() ? Optional.empty() : Optional.of("the target does not answer");
   }
 
   /**
--- a/agent/src/main/java/org/almondslip/agent/AgentMetrics.java
+++ b/agent/src/main/java/org/almondslip/agent/AgentMetrics.java
@@ -3,10 +3,13 @@
 import io.prometheus.metrics.core.metrics.CounterWithCallback;
 import io.prometheus.metrics.core.metrics.GaugeWithCallback;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import java.util.Locale;
 import java.util.Map;
+import java.util.TreeMap;
 import java.util.function.DoubleSupplier;
 import org.almondslip.execution.ExecutionCounters;
 import org.almondslip.execution.ExecutionCounters.Count;
+import org.almondslip.order.ClaimCounters;
 import org.almondslip.protocol.TrafficCounters;
 
 /** Metrics of an agent. */
@@ -75,6 +78,19 @@
         Map.of("", () -> counters.value(Count.CRASHES)));
   }
 
+  /**
+   * Registers the metrics of claims.
+   *
+   * @param claims the counters of claims
+   */
+  void register(ClaimCounters claims) {
+    Map<String, DoubleSupplier> values = new TreeMap<>();
+    for (ClaimCounters.Result result : ClaimCounters.Result.values()) {
+      values.put(result.name().toLowerCase(Locale.ROOT), () -> claims.value(result));
+    }
+    counter("claims", "Claims of idempotency keys and their records", "result", values);
+  }
+
   /**
    * Registers the metrics of inner traffic.
    *
--- a/agent/src/main/java/org/almondslip/agent/AgentSettings.java
+++ b/agent/src/main/java/org/almondslip/agent/AgentSettings.java
@@ -1,6 +1,11 @@
 package org.almondslip.agent;
 
+import java.util.Locale;
+import java.util.Optional;
+import org.almondslip.accounting.DigestSettings;
 import org.almondslip.execution.AgentLimits;
+import org.almondslip.platform.PlatformAddresses;
+import org.almondslip.scheduling.Policy;
 import org.almondslip.settings.Section;
 
 /**
@@ -14,6 +19,7 @@
  * @param secret the secret that all processes of the fleet share
  * @param target the target beside the agent
  * @param platform the addresses of the platform
+ * @param scheduling the order of requests
  * @param limits the limits of requests
  * @param drainMillis the longest time that a planned stop waits for running requests
  */
@@ -25,7 +31,8 @@
     String operationsListen,
     String secret,
     TargetSettings target,
-    PlatformSettings platform,
+    PlatformAddresses platform,
+    SchedulingSettings scheduling,
     AgentLimits limits,
     long drainMillis) {
 
@@ -38,6 +45,9 @@
   /** Longest time limit that is accepted, in milliseconds: one hour. */
   private static final long MAX_MILLIS = 3_600_000;
 
+  /** Shortest interval between digest waves, in milliseconds. */
+  private static final long MIN_DIGEST_MILLIS = 100;
+
   /** Default time limit for connecting to the target, in milliseconds. */
   private static final long CONNECT_MILLIS = 1_000;
 
@@ -76,13 +86,20 @@
   }
 
   /**
-   * Addresses of the platform.
+   * Order of requests.
    *
-   * @param tableService the address of the table service
-   * @param objectStore the address of the object store
-   * @param instanceList the address of the instance list
+   * @param policy the order of the offers
+   * @param localitySlackMillis what is added to the account of an offer from another region
+   * @param largestCostMillis the slot time of the largest request
+   * @param digest the times of the digest waves
    */
-  public record PlatformSettings(String tableService, String objectStore, String instanceList) {}
+  public record SchedulingSettings(
+      Policy policy, long localitySlackMillis, long largestCostMillis, DigestSettings digest) {
+
+    /** Settings of a fleet that does not change them. */
+    static final SchedulingSettings DEFAULT =
+        new SchedulingSettings(Policy.FAIR, 0, 10_000, DigestSettings.DEFAULT);
+  }
 
   /**
    * Reads the settings.
@@ -108,22 +125,59 @@
             target.text("name"),
             target.address("address"),
             limits.durationMillis("connect", CONNECT_MILLIS, 1, MAX_MILLIS)),
-        platform(section.section("platform")),
+        PlatformAddresses.of(section.section("platform")),
+        scheduling(section.section("scheduling")),
         limits(target, limits),
         limits.durationMillis("drain", DRAIN_MILLIS, 0, MAX_MILLIS));
   }
 
   /**
-   * Reads the addresses of the platform.
+   * Reads the order of requests.
+   *
+   * @param section the section
+   * @return the order
+   */
+  private static SchedulingSettings scheduling(Section section) {
+    SchedulingSettings defaults = SchedulingSettings.DEFAULT;
+    long slack =
+        section.durationMillis("locality_slack", defaults.localitySlackMillis(), 0, MAX_MILLIS);
+    long largest =
+        section.durationMillis("largest_cost", defaults.largestCostMillis(), 1, MAX_MILLIS);
+    long interval =
+        section.durationMillis(
+            "digest_interval", defaults.digest().intervalMillis(), MIN_DIGEST_MILLIS, MAX_MILLIS);
+    return new SchedulingSettings(
+        policy(section), slack, largest, defaults.digest().withIntervalMillis(interval));
+  }
+
+  /**
+   * Reads the order of the offers.
    *
    * @param section the section
-   * @return the addresses
+   * @return the policy
+   */
+  private static Policy policy(Section section) {
+    Optional<String> name = section.optionalText("policy");
+    if (name.isEmpty()) {
+      return Policy.FAIR;
+    }
+    for (Policy policy : Policy.values()) {
+      if (label(policy).equals(name.get())) {
+        return policy;
+      }
+    }
+    section.report("policy", "must be fair, fifo or round-robin, not '" + name.get() + "'");
+    return Policy.FAIR;
+  }
+
+  /**
+   * Returns the name of a policy in settings.
+   *
+   * @param policy the policy
+   * @return its name in lower case with hyphens
    */
-  private static PlatformSettings platform(Section section) {
-    return new PlatformSettings(
-        section.address("table_service"),
-        section.address("object_store"),
-        section.address("instance_list"));
+  private static String label(Policy policy) {
+    return policy.name().toLowerCase(Locale.ROOT).replace('_', '-');
   }
 
   /**
--- a/agent/src/main/java/org/almondslip/agent/AgentWork.java
+++ b/agent/src/main/java/org/almondslip/agent/AgentWork.java
@@ -3,14 +3,12 @@
 import com.google.common.flogger.FluentLogger;
 import com.google.protobuf.ByteString;
 import java.util.concurrent.CountDownLatch;
-import java.util.function.Supplier;
 import org.almondslip.catalog.Catalog;
 import org.almondslip.duty.Duty;
 import org.almondslip.execution.AgentLogic;
 import org.almondslip.execution.DrainReason;
 import org.almondslip.execution.TargetFailure;
 import org.almondslip.protocol.PeerConnection;
-import org.almondslip.protocol.wire.Announce;
 import org.almondslip.protocol.wire.AnswerHead;
 import org.almondslip.protocol.wire.Frame;
 import org.almondslip.protocol.wire.Role;
@@ -27,14 +25,17 @@
   /** Client of the target. */
   private final TargetClient target;
 
-  /** Builds the announcement of this agent. */
-  private final Supplier<Announce> announcement;
+  /** State machines of the agent. */
+  private final AgentParts parts;
 
   /** Opened when a planned stop has finished its requests. */
   private final CountDownLatch drained = new CountDownLatch(1);
 
-  /** Catalog as last known. */
-  private volatile Catalog catalog = Catalog.EMPTY;
+  /** Catalog as it was last passed on. */
+  private Catalog catalog = Catalog.EMPTY;
+
+  /** Whether the instance list last marked this instance as leaving. */
+  private boolean leaving;
 
   /** Whether a planned stop has begun. */
   private boolean stopping;
@@ -42,14 +43,13 @@
   /**
    * Creates the work.
    *
-   * @param logic the state machine of the agent
+   * @param parts the state machines of the agent
    * @param target the client of the target
-   * @param announcement builds the announcement of this agent
    */
-  AgentWork(AgentLogic logic, TargetClient target, Supplier<Announce> announcement) {
-    this.logic = logic;
+  AgentWork(AgentParts parts, TargetClient target) {
+    this.parts = parts;
+    this.logic = parts.logic();
     this.target = target;
-    this.announcement = announcement;
   }
 
   @Override
@@ -59,22 +59,39 @@
 
   @Override
   public void onTick() {
+    parts.fleet().onTick();
+    passOnChanges();
+    parts.claims().onTick();
     logic.onTick();
-    if (stopping && logic.isIdle()) {
+    parts.digest().onTick();
+    parts.links().onTick(parts.digest());
+    if (stopping && logic.isIdle() && parts.claims().isSettled()) {
       drained.countDown();
     }
   }
 
+  /** Passes on a new catalog and a new mark of the instance list. */
+  private void passOnChanges() {
+    Catalog newest = parts.fleet().catalog();
+    if (newest != catalog) {
+      catalog = newest;
+      parts.book().retain(flow -> newest.flow(flow.id()).isPresent());
+      logic.onCatalog(newest);
+    }
+    boolean marked = parts.fleet().membership().isSelfLeaving();
+    if (marked != leaving) {
+      leaving = marked;
+      logic.setDrain(DrainReason.INSTANCE_LEAVING, marked);
+    }
+  }
+
   /**
-   * Takes a new connection. A connection that this agent opened to a router only announces it.
+   * Takes a new connection.
    *
    * @param connection the connection
    */
   void onOpen(PeerConnection connection) {
-    if (connection.dialled() && connection.peer().role() == Role.ROUTER) {
-      connection.send(Frame.newBuilder().setAnnounce(announcement.get()).build());
-      connection.close();
-    } else {
+    if (parts.links().onOpen(connection, parts.digest())) {
       logic.onOpen(connection);
     }
   }
@@ -85,6 +102,7 @@
    * @param connection the connection
    */
   void onClose(PeerConnection connection) {
+    parts.links().onClose(connection, parts.digest());
     logic.onClose(connection.id());
   }
 
@@ -95,6 +113,11 @@
    * @param frame the frame
    */
   void onFrame(PeerConnection connection, Frame frame) {
+    parts.fleet().onFrame(connection, frame);
+    passOnChanges();
+    if (connection.peer().role() == Role.AGENT) {
+      parts.digest().onFrame(connection, frame);
+    }
     logic.onFrame(connection, frame);
   }
 
@@ -106,16 +129,7 @@
    */
   void onDialFailed(String address, String detail) {
     logger.atInfo().log("no connection to %s: %s", address, detail);
-  }
-
-  /**
-   * Takes a catalog.
-   *
-   * @param next the catalog
-   */
-  void onCatalog(Catalog next) {
-    catalog = next;
-    logic.onCatalog(next);
+    parts.links().onDialFailed(address, parts.digest());
   }
 
   /**
@@ -186,15 +200,6 @@
     logic.setDrain(DrainReason.PLANNED_STOP, true);
   }
 
-  /**
-   * Returns the catalog. May be called from any thread.
-   *
-   * @return the catalog as last known
-   */
-  Catalog catalog() {
-    return catalog;
-  }
-
   /**
    * Returns the latch that opens when a planned stop has finished its requests.
    *
--- a/agent/src/test/java/org/almondslip/agent/AgentTest.java
+++ b/agent/src/test/java/org/almondslip/agent/AgentTest.java
@@ -10,16 +10,13 @@
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
-import java.util.List;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
-import org.almondslip.agent.AgentSettings.PlatformSettings;
+import org.almondslip.agent.AgentSettings.SchedulingSettings;
 import org.almondslip.agent.AgentSettings.TargetSettings;
-import org.almondslip.catalog.Catalog;
-import org.almondslip.catalog.CatalogObject;
 import org.almondslip.catalog.FlowId;
-import org.almondslip.catalog.VersionedObject;
 import org.almondslip.execution.AgentLimits;
+import org.almondslip.platform.PlatformAddresses;
 import org.almondslip.protocol.wire.Answer;
 import org.almondslip.protocol.wire.AnswerEnd;
 import org.almondslip.protocol.wire.Dispatch;
@@ -147,30 +144,26 @@
             "127.0.0.1:0",
             SECRET,
             new TargetSettings("t1", "127.0.0.1:" + targetPort, 1_000),
-            new PlatformSettings("127.0.0.1:1", "127.0.0.1:1", "127.0.0.1:1"),
+            new PlatformAddresses("127.0.0.1:1", "127.0.0.1:1", "127.0.0.1:1"),
+            SchedulingSettings.DEFAULT,
             AgentLimits.DEFAULT,
             10_000);
     Agent agent = new Agent(settings);
     closer.register(agent::close);
     agent.start();
-    agent.setCatalog(catalog());
     return agent;
   }
 
   private TestRouter connect(Agent agent) throws InterruptedException {
     TestRouter router = closer.register(new TestRouter(SECRET));
     router.dial(agent.innerAddress());
-    router.await(frame -> frame.getHeartbeat().getAgent().getHealthy());
+    router.await(
+        frame ->
+            frame.getHeartbeat().getAgent().getHealthy()
+                && frame.getHeartbeat().getAgent().getSlots() > 0);
     return router;
   }
 
-  private static Catalog catalog() {
-    CatalogObject target = new CatalogObject.Target("t1", "pool", null, 2, null, null, List.of());
-    CatalogObject organisation = new CatalogObject.Organisation("acme", List.of("pool"));
-    return Catalog.EMPTY.merge(
-        List.of(new VersionedObject(target, 1, 1), new VersionedObject(organisation, 1, 1)), 1);
-  }
-
   private static Frame offer(int waiting) {
     FlowOffer.Builder offer =
         FlowOffer.newBuilder().setFlowId(FlowId.of("acme", "pool")).setWaiting(waiting);
--- a/agent/src/test/java/org/almondslip/agent/TestRouter.java
+++ b/agent/src/test/java/org/almondslip/agent/TestRouter.java
@@ -1,10 +1,15 @@
 package org.almondslip.agent;
 
+import java.util.List;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Predicate;
+import org.almondslip.catalog.Catalog;
+import org.almondslip.catalog.CatalogObject;
+import org.almondslip.catalog.Kind;
+import org.almondslip.catalog.VersionedObject;
 import org.almondslip.membership.PeerIdentity;
 import org.almondslip.protocol.CloseReason;
 import org.almondslip.protocol.PeerConnection;
@@ -13,6 +18,7 @@
 import org.almondslip.protocol.TrafficCounters;
 import org.almondslip.protocol.TransportSettings;
 import org.almondslip.protocol.wire.AnswerAck;
+import org.almondslip.protocol.wire.CatalogChanges;
 import org.almondslip.protocol.wire.Frame;
 import org.almondslip.protocol.wire.Heartbeat;
 import org.almondslip.protocol.wire.RequestId;
@@ -23,6 +29,15 @@
 
   private static final long PATIENCE_SECONDS = 30;
 
+  /** Catalog with one target that has two slots, and one organisation. */
+  private static final Catalog CATALOG =
+      Catalog.EMPTY.merge(
+          List.of(
+              new VersionedObject(
+                  new CatalogObject.Target("t1", "pool", null, 2, null, null, List.of()), 1, 1),
+              new VersionedObject(new CatalogObject.Organisation("acme", List.of("pool")), 1, 1)),
+          1);
+
   final BlockingQueue<Frame> frames = new LinkedBlockingQueue<>();
 
   private final CompletableFuture<PeerConnection> connection = new CompletableFuture<>();
@@ -35,7 +50,7 @@
         new PeerTransport(
             self,
             TransportSettings.of(secret).withLimits(100, 10_000),
-            Heartbeat::getDefaultInstance,
+            () -> Heartbeat.newBuilder().setCatalogRevision(CATALOG.revision()).build(),
             this,
             new TrafficCounters());
   }
@@ -79,6 +94,21 @@
   @Override
   public void onFrame(PeerConnection from, Frame frame) {
     frames.add(frame);
+    if (frame.hasCatalogPull()) {
+      CatalogChanges.Builder changes = CatalogChanges.newBuilder().setRevision(CATALOG.revision());
+      CATALOG.all().forEach(state -> changes.addObjects(toWire(state)));
+      from.send(Frame.newBuilder().setCatalogChanges(changes).build());
+    }
+  }
+
+  private static org.almondslip.protocol.wire.CatalogObject toWire(VersionedObject state) {
+    return org.almondslip.protocol.wire.CatalogObject.newBuilder()
+        .setKind(state.object().kind().label())
+        .setName(state.object().name())
+        .setNumber(state.number())
+        .setRevision(state.revision())
+        .setJson(Kind.toJson(state.object()))
+        .build();
   }
 
   @Override
