--- a/agent/src/main/java/org/almondslip/agent/Agent.java
+++ b/agent/src/main/java/org/almondslip/agent/Agent.java
@@ -7,35 +7,21 @@
 import java.security.SecureRandom;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
-import org.almondslip.accounting.AccountLedger;
-import org.almondslip.accounting.DigestNode;
-import org.almondslip.accounting.DigestSettings;
-import org.almondslip.accounting.FlowDirectory;
-import org.almondslip.accounting.PortionRule;
 import org.almondslip.duty.Duty;
-import org.almondslip.execution.AgentLogic;
 import org.almondslip.execution.ExecutionCounters;
-import org.almondslip.membership.DialSchedule;
-import org.almondslip.membership.Member;
 import org.almondslip.membership.PeerIdentity;
 import org.almondslip.metrics.OperationsServer;
 import org.almondslip.order.ClaimCounters;
-import org.almondslip.order.ClaimLimits;
-import org.almondslip.order.TableClaims;
-import org.almondslip.platform.FleetView;
 import org.almondslip.process.Program;
 import org.almondslip.protocol.PeerTransport;
 import org.almondslip.protocol.TrafficCounters;
 import org.almondslip.protocol.TransportSettings;
+import org.almondslip.protocol.wire.AgentStatus;
 import org.almondslip.protocol.wire.Announce;
 import org.almondslip.protocol.wire.Heartbeat;
 import org.almondslip.protocol.wire.Role;
-import org.almondslip.quarantine.SuspectRegistry;
 import org.almondslip.resource.Closer;
-import org.almondslip.scheduling.FairOfferBook;
 import org.almondslip.time.Clock;
-import org.apache.commons.rng.UniformRandomProvider;
-import org.apache.commons.rng.simple.RandomSource;
 
 /** A running agent: its threads, servers and clients. */
 public final class Agent implements Program.Running {
@@ -61,12 +47,12 @@
   /** Resources of the agent. */
   private final Closer closer = new Closer();
 
-  /** Catalog and members. */
-  private final FleetView view;
-
   /** Decision thread. */
   private final Duty<AgentEvent> duty;
 
+  /** State machines of the agent. */
+  private final AgentParts parts;
+
   /** Work of the decision thread. */
   private final AgentWork work;
 
@@ -93,58 +79,21 @@
     closer.register(() -> vertx.close().toCompletionStage().toCompletableFuture().join());
     TargetClient target = closer.register(new TargetClient(vertx, settings.target(), this::put));
     ExecutionCounters counters = new ExecutionCounters();
-    ClaimCounters claimCounters = new ClaimCounters();
     PeerIdentity self = identity(settings, clock);
-    UniformRandomProvider random = RandomSource.XO_RO_SHI_RO_128_PP.create();
-    this.view =
-        new FleetView(
-            vertx, settings.platform(), self, clock, random, action -> put(work -> action.run()));
-    FlowDirectory directory = FlowDirectory.of(view::catalog);
-    AgentSettings.SchedulingSettings scheduling = settings.scheduling();
-    AccountLedger ledger =
-        new AccountLedger(
-            PortionRule.MEASURED, self.target(), directory, scheduling.largestCostMillis(), random);
-    FairOfferBook book =
-        new FairOfferBook(scheduling.policy(), ledger, scheduling.localitySlackMillis());
-    TableClaims claims =
-        new TableClaims(
-            self,
-            view.tables(),
-            view.objects(),
-            (instance, incarnation) -> view.membership().member(instance).isEmpty(),
-            ClaimLimits.DEFAULT,
-            clock,
-            claimCounters);
-    AgentLogic logic =
-        new AgentLogic(
-            self,
-            settings.limits(),
-            clock,
-            target,
-            claims,
-            book,
-            ledger,
-            new SuspectRegistry(),
-            counters);
+    ClaimCounters claims = new ClaimCounters();
+    AgentParts.Surroundings outside =
+        new AgentParts.Surroundings(
+            vertx, target, this::onDecisionThread, this::dial, this::announcement);
+    this.parts = AgentParts.of(settings, self, clock, outside, counters, claims);
     TrafficCounters traffic = new TrafficCounters();
     this.transport =
         new PeerTransport(
             self,
             TransportSettings.of(settings.secret()),
-            () -> heartbeat(logic),
+            this::heartbeat,
             new PeerEvents(this::put),
             traffic);
-    FleetLinks links = new FleetLinks(view, new DialSchedule(clock, random), transport::dial);
-    DigestNode digests =
-        new DigestNode(
-            DigestSettings.DEFAULT,
-            toMember(self),
-            ledger,
-            book::backlogged,
-            directory,
-            clock,
-            links::send);
-    this.work = new AgentWork(logic, target, view, links, digests, claims, this::announcement);
+    this.work = new AgentWork(parts, target);
     this.duty = new Duty<>("agent", RING_CAPACITY, TICK_MILLIS, clock, work);
     closer.register(duty);
     closer.register(transport);
@@ -152,10 +101,10 @@
     PrometheusRegistry registry = new PrometheusRegistry();
     AgentMetrics metrics = new AgentMetrics(registry);
     metrics.register(counters);
+    metrics.register(claims);
     metrics.register(traffic);
     metrics.register(load);
-    metrics.register(claimCounters);
-    this.operations = closer.register(new OperationsServer(vertx, registry, () -> obstacle(logic)));
+    this.operations = closer.register(new OperationsServer(vertx, registry, this::obstacle));
   }
 
   /** Starts all threads and servers. */
@@ -212,16 +161,33 @@
     duty.put(event);
   }
 
+  /**
+   * Runs an action on the decision thread.
+   *
+   * @param action the action
+   */
+  private void onDecisionThread(Runnable action) {
+    duty.put(ignored -> action.run());
+  }
+
+  /**
+   * Opens an inner connection.
+   *
+   * @param address the address as {@code ip:port}
+   */
+  private void dial(String address) {
+    transport.dial(address);
+  }
+
   /**
    * Builds a heartbeat.
    *
-   * @param logic the state machine of the agent
    * @return the heartbeat without its sequence number
    */
-  private Heartbeat heartbeat(AgentLogic logic) {
+  private Heartbeat heartbeat() {
     return Heartbeat.newBuilder()
-        .setCatalogRevision(view.catalog().revision())
-        .setAgent(logic.status())
+        .setCatalogRevision(parts.fleet().catalog().revision())
+        .setAgent(parts.logic().status())
         .build();
   }
 
@@ -243,19 +209,17 @@
   /**
    * Returns why the agent takes no work.
    *
-   * @param logic the state machine of the agent
    * @return the reason, empty when it is ready
    */
-  private static Optional<String> obstacle(AgentLogic logic) {
-    if (logic.status().getDraining()) {
+  private Optional<String> obstacle() {
+    AgentStatus status = parts.logic().status();
+    if (status.getDraining()) {
       return Optional.of("draining");
     }
-    if (logic.status().getSlots() == 0) {
+    if (status.getSlots() == 0) {
       return Optional.of("the catalog does not know the target yet");
     }
-    return logic.status().getHealthy()
-        ? Optional.empty()
-        : Optional.of("the target does not answer");
+    return status.getHealthy() ? Optional.empty() : Optional.of("the target does not answer");
   }
 
   /**
@@ -276,21 +240,4 @@
         settings.innerListen(),
         settings.target().name());
   }
-
-  /**
-   * Describes this agent as a member of the fleet.
-   *
-   * @param self the identity of this agent
-   * @return the member
-   */
-  private static Member toMember(PeerIdentity self) {
-    return new Member(
-        self.instanceId(),
-        self.role(),
-        self.region(),
-        self.dataCentre(),
-        self.innerAddress(),
-        self.target(),
-        false);
-  }
 }
--- a/agent/src/main/java/org/almondslip/agent/AgentMetrics.java
+++ b/agent/src/main/java/org/almondslip/agent/AgentMetrics.java
@@ -78,6 +78,19 @@
         Map.of("", () -> counters.value(Count.CRASHES)));
   }
 
+  /**
+   * Registers the metrics of claims.
+   *
+   * @param claims the counters of claims
+   */
+  void register(ClaimCounters claims) {
+    Map<String, DoubleSupplier> values = new TreeMap<>();
+    for (ClaimCounters.Result result : ClaimCounters.Result.values()) {
+      values.put(result.name().toLowerCase(Locale.ROOT), () -> claims.value(result));
+    }
+    counter("claims", "Claims of idempotency keys and their records", "result", values);
+  }
+
   /**
    * Registers the metrics of inner traffic.
    *
@@ -103,19 +116,6 @@
     gauge("load_age_seconds", "Age of the target's load report", () -> poll.ageMillis() / MILLIS);
   }
 
-  /**
-   * Registers the metrics of claims.
-   *
-   * @param claims the counters of claims
-   */
-  void register(ClaimCounters claims) {
-    Map<String, DoubleSupplier> values = new TreeMap<>();
-    for (ClaimCounters.Result result : ClaimCounters.Result.values()) {
-      values.put(result.name().toLowerCase(Locale.ROOT), () -> claims.value(result));
-    }
-    counter("claims", "Claims of idempotency keys by result", "result", values);
-  }
-
   /**
    * Registers a gauge.
    *
--- a/agent/src/main/java/org/almondslip/agent/AgentSettings.java
+++ b/agent/src/main/java/org/almondslip/agent/AgentSettings.java
@@ -1,8 +1,8 @@
 package org.almondslip.agent;
 
-import java.util.Arrays;
 import java.util.Locale;
 import java.util.Optional;
+import org.almondslip.accounting.DigestSettings;
 import org.almondslip.execution.AgentLimits;
 import org.almondslip.platform.PlatformAddresses;
 import org.almondslip.scheduling.Policy;
@@ -19,7 +19,7 @@
  * @param secret the secret that all processes of the fleet share
  * @param target the target beside the agent
  * @param platform the addresses of the platform
- * @param scheduling the order in which waiting requests get slots
+ * @param scheduling the order of requests
  * @param limits the limits of requests
  * @param drainMillis the longest time that a planned stop waits for running requests
  */
@@ -45,6 +45,9 @@
   /** Longest time limit that is accepted, in milliseconds: one hour. */
   private static final long MAX_MILLIS = 3_600_000;
 
+  /** Shortest interval between digest waves, in milliseconds. */
+  private static final long MIN_DIGEST_MILLIS = 100;
+
   /** Default time limit for connecting to the target, in milliseconds. */
   private static final long CONNECT_MILLIS = 1_000;
 
@@ -83,50 +86,19 @@
   }
 
   /**
-   * Order in which waiting requests get slots.
+   * Order of requests.
    *
-   * @param policy the order among flows
+   * @param policy the order of the offers
+   * @param localitySlackMillis what is added to the account of an offer from another region
    * @param largestCostMillis the slot time of the largest request
-   * @param localitySlackMillis what is added to the account of offers from other regions
+   * @param digest the times of the digest waves
    */
   public record SchedulingSettings(
-      Policy policy, long largestCostMillis, long localitySlackMillis) {
-
-    /** Default slot time of the largest request, in milliseconds. */
-    private static final long LARGEST_COST_MILLIS = 30_000;
-
-    /** Default addition to the account of offers from other regions, in milliseconds. */
-    private static final long LOCALITY_SLACK_MILLIS = 1_000;
-
-    /**
-     * Reads the order.
-     *
-     * @param section the top level of the file
-     * @return the order
-     */
-    static SchedulingSettings of(Section section) {
-      String name = section.optionalText("policy").orElse("fair");
-      Optional<Policy> policy =
-          Arrays.stream(Policy.values()).filter(known -> label(known).equals(name)).findFirst();
-      if (policy.isEmpty()) {
-        section.report("policy", "must be fair, fifo or round-robin");
-      }
-      Section accounts = section.section("accounts");
-      return new SchedulingSettings(
-          policy.orElse(Policy.FAIR),
-          accounts.durationMillis("largest_cost", LARGEST_COST_MILLIS, 1, MAX_MILLIS),
-          accounts.durationMillis("locality_slack", LOCALITY_SLACK_MILLIS, 0, MAX_MILLIS));
-    }
+      Policy policy, long localitySlackMillis, long largestCostMillis, DigestSettings digest) {
 
-    /**
-     * Returns the name of a policy in settings.
-     *
-     * @param policy the policy
-     * @return the name
-     */
-    private static String label(Policy policy) {
-      return policy.name().toLowerCase(Locale.ROOT).replace('_', '-');
-    }
+    /** Settings of a fleet that does not change them. */
+    static final SchedulingSettings DEFAULT =
+        new SchedulingSettings(Policy.FAIR, 0, 10_000, DigestSettings.DEFAULT);
   }
 
   /**
@@ -154,11 +126,60 @@
             target.address("address"),
             limits.durationMillis("connect", CONNECT_MILLIS, 1, MAX_MILLIS)),
         PlatformAddresses.of(section.section("platform")),
-        SchedulingSettings.of(section),
+        scheduling(section.section("scheduling")),
         limits(target, limits),
         limits.durationMillis("drain", DRAIN_MILLIS, 0, MAX_MILLIS));
   }
 
+  /**
+   * Reads the order of requests.
+   *
+   * @param section the section
+   * @return the order
+   */
+  private static SchedulingSettings scheduling(Section section) {
+    SchedulingSettings defaults = SchedulingSettings.DEFAULT;
+    long slack =
+        section.durationMillis("locality_slack", defaults.localitySlackMillis(), 0, MAX_MILLIS);
+    long largest =
+        section.durationMillis("largest_cost", defaults.largestCostMillis(), 1, MAX_MILLIS);
+    long interval =
+        section.durationMillis(
+            "digest_interval", defaults.digest().intervalMillis(), MIN_DIGEST_MILLIS, MAX_MILLIS);
+    return new SchedulingSettings(
+        policy(section), slack, largest, defaults.digest().withIntervalMillis(interval));
+  }
+
+  /**
+   * Reads the order of the offers.
+   *
+   * @param section the section
+   * @return the policy
+   */
+  private static Policy policy(Section section) {
+    Optional<String> name = section.optionalText("policy");
+    if (name.isEmpty()) {
+      return Policy.FAIR;
+    }
+    for (Policy policy : Policy.values()) {
+      if (label(policy).equals(name.get())) {
+        return policy;
+      }
+    }
+    section.report("policy", "must be fair, fifo or round-robin, not '" + name.get() + "'");
+    return Policy.FAIR;
+  }
+
+  /**
+   * Returns the name of a policy in settings.
+   *
+   * @param policy the policy
+   * @return its name in lower case with hyphens
+   */
+  private static String label(Policy policy) {
+    return policy.name().toLowerCase(Locale.ROOT).replace('_', '-');
+  }
+
   /**
    * Reads the limits of requests.
    *
--- a/agent/src/main/java/org/almondslip/agent/AgentWork.java
+++ b/agent/src/main/java/org/almondslip/agent/AgentWork.java
@@ -3,17 +3,12 @@
 import com.google.common.flogger.FluentLogger;
 import com.google.protobuf.ByteString;
 import java.util.concurrent.CountDownLatch;
-import java.util.function.Supplier;
-import org.almondslip.accounting.DigestNode;
 import org.almondslip.catalog.Catalog;
 import org.almondslip.duty.Duty;
 import org.almondslip.execution.AgentLogic;
 import org.almondslip.execution.DrainReason;
 import org.almondslip.execution.TargetFailure;
-import org.almondslip.order.TableClaims;
-import org.almondslip.platform.FleetView;
 import org.almondslip.protocol.PeerConnection;
-import org.almondslip.protocol.wire.Announce;
 import org.almondslip.protocol.wire.AnswerHead;
 import org.almondslip.protocol.wire.Frame;
 import org.almondslip.protocol.wire.Role;
@@ -30,89 +25,73 @@
   /** Client of the target. */
   private final TargetClient target;
 
-  /** Catalog, members and connections to them. */
-  private final FleetView view;
-
-  /** Connections that this agent opens. */
-  private final FleetLinks links;
-
-  /** Digest waves. */
-  private final DigestNode digests;
-
-  /** Claims of idempotency keys. */
-  private final TableClaims claims;
-
-  /** Builds the announcement of this agent. */
-  private final Supplier<Announce> announcement;
+  /** State machines of the agent. */
+  private final AgentParts parts;
 
   /** Opened when a planned stop has finished its requests. */
   private final CountDownLatch drained = new CountDownLatch(1);
 
-  /** Catalog that the state machine of the agent has. */
+  /** Catalog as it was last passed on. */
   private Catalog catalog = Catalog.EMPTY;
 
+  /** Whether the instance list last marked this instance as leaving. */
+  private boolean leaving;
+
   /** Whether a planned stop has begun. */
   private boolean stopping;
 
   /**
    * Creates the work.
    *
-   * @param logic the state machine of the agent
+   * @param parts the state machines of the agent
    * @param target the client of the target
-   * @param view the catalog and the members
-   * @param links the connections that this agent opens
-   * @param digests the digest waves
-   * @param claims the claims of idempotency keys
-   * @param announcement builds the announcement of this agent
    */
-  AgentWork(
-      AgentLogic logic,
-      TargetClient target,
-      FleetView view,
-      FleetLinks links,
-      DigestNode digests,
-      TableClaims claims,
-      Supplier<Announce> announcement) {
-    this.logic = logic;
+  AgentWork(AgentParts parts, TargetClient target) {
+    this.parts = parts;
+    this.logic = parts.logic();
     this.target = target;
-    this.view = view;
-    this.links = links;
-    this.digests = digests;
-    this.claims = claims;
-    this.announcement = announcement;
   }
 
   @Override
   public void onEvent(AgentEvent event) {
     event.applyTo(this);
-    takeCatalog();
   }
 
   @Override
   public void onTick() {
-    links.onTick(digests);
-    takeCatalog();
-    logic.setDrain(DrainReason.INSTANCE_LEAVING, view.membership().isSelfLeaving());
+    parts.fleet().onTick();
+    passOnChanges();
+    parts.claims().onTick();
     logic.onTick();
-    claims.onTick();
-    digests.onTick();
-    if (stopping && logic.isIdle() && claims.isSettled()) {
+    parts.digest().onTick();
+    parts.links().onTick(parts.digest());
+    if (stopping && logic.isIdle() && parts.claims().isSettled()) {
       drained.countDown();
     }
   }
 
+  /** Passes on a new catalog and a new mark of the instance list. */
+  private void passOnChanges() {
+    Catalog newest = parts.fleet().catalog();
+    if (newest != catalog) {
+      catalog = newest;
+      parts.book().retain(flow -> newest.flow(flow.id()).isPresent());
+      logic.onCatalog(newest);
+    }
+    boolean marked = parts.fleet().membership().isSelfLeaving();
+    if (marked != leaving) {
+      leaving = marked;
+      logic.setDrain(DrainReason.INSTANCE_LEAVING, marked);
+    }
+  }
+
   /**
-   * Takes a new connection. A connection that this agent opened to a router only announces it.
+   * Takes a new connection.
    *
    * @param connection the connection
    */
   void onOpen(PeerConnection connection) {
-    if (connection.dialled() && connection.peer().role() == Role.ROUTER) {
-      connection.send(Frame.newBuilder().setAnnounce(announcement.get()).build());
-      connection.close();
-      links.onAnnounced(connection.peer().instanceId());
-    } else {
-      links.onOpen(connection, digests);
+    if (parts.links().onOpen(connection, parts.digest())) {
       logic.onOpen(connection);
     }
   }
@@ -123,7 +102,7 @@
    * @param connection the connection
    */
   void onClose(PeerConnection connection) {
-    links.onClose(connection, digests);
+    parts.links().onClose(connection, parts.digest());
     logic.onClose(connection.id());
   }
 
@@ -134,8 +113,11 @@
    * @param frame the frame
    */
   void onFrame(PeerConnection connection, Frame frame) {
-    view.onFrame(connection, frame);
-    digests.onFrame(connection, frame);
+    parts.fleet().onFrame(connection, frame);
+    passOnChanges();
+    if (connection.peer().role() == Role.AGENT) {
+      parts.digest().onFrame(connection, frame);
+    }
     logic.onFrame(connection, frame);
   }
 
@@ -147,15 +129,7 @@
    */
   void onDialFailed(String address, String detail) {
     logger.atInfo().log("no connection to %s: %s", address, detail);
-    links.onDialFailed(address, digests);
-  }
-
-  /** Takes over a new catalog. */
-  private void takeCatalog() {
-    if (view.catalog() != catalog) {
-      catalog = view.catalog();
-      logic.onCatalog(catalog);
-    }
+    parts.links().onDialFailed(address, parts.digest());
   }
 
   /**
--- a/agent/src/main/java/org/almondslip/agent/FleetLinks.java
+++ b/agent/src/main/java/org/almondslip/agent/FleetLinks.java
@@ -10,162 +10,160 @@
 import org.almondslip.accounting.DigestNode;
 import org.almondslip.membership.DialSchedule;
 import org.almondslip.membership.Member;
+import org.almondslip.order.AgentLiveness;
 import org.almondslip.platform.FleetView;
 import org.almondslip.protocol.PeerConnection;
 import org.almondslip.protocol.wire.Frame;
 import org.almondslip.protocol.wire.Role;
 
-/**
- * Connections that an agent opens: to its neighbours in the digest tree, which stay open, and one
- * to each router, on which it announces itself.
- *
- * <p>All methods are called on the decision thread.
- */
-final class FleetLinks {
+/** Connections to other agents: dials the parent in the digest tree and carries digest frames. */
+final class FleetLinks implements DigestNode.Effects, AgentLiveness {
 
-  /** Catalog and members. */
-  private final FleetView view;
+  /** Catalog and members of the fleet. */
+  private final FleetView fleet;
 
-  /** Times of dials. */
+  /** Times at which addresses may be dialled. */
   private final DialSchedule schedule;
 
   /** Opens a connection to an address. */
-  private final Consumer<String> dialler;
+  private final Consumer<String> dial;
 
-  /** Open connections to other agents; two agents may have dialled each other at the same time. */
-  private final Map<String, PeerConnection> agents = new HashMap<>();
+  /** Announcement to the routers. */
+  private final Announcer announcer;
 
-  /** Instances by the address that was dialled. */
-  private final Map<String, String> dialled = new HashMap<>();
+  /** Open connections to agents, by instance and number. */
+  private final Map<String, Map<Long, PeerConnection>> agents = new HashMap<>();
 
-  /** Routers that know this agent. */
-  private final Set<String> announced = new HashSet<>();
-
-  /** Members that the digests know. */
-  private List<Member> members = List.of();
+  /** Members as they were last passed on. */
+  private List<Member> known = List.of();
 
   /**
-   * Creates the state before the first connection.
+   * Creates links without connections.
    *
-   * @param view the catalog and the members
-   * @param schedule the times of dials
-   * @param dialler opens a connection to an address
+   * @param fleet the catalog and members of the fleet
+   * @param schedule the times at which addresses may be dialled
+   * @param dial opens a connection to an address
+   * @param announcer the announcement to the routers
    */
-  FleetLinks(FleetView view, DialSchedule schedule, Consumer<String> dialler) {
-    this.view = view;
+  FleetLinks(FleetView fleet, DialSchedule schedule, Consumer<String> dial, Announcer announcer) {
+    this.fleet = fleet;
     this.schedule = schedule;
-    this.dialler = dialler;
-  }
-
-  /**
-   * Sends a frame to another agent. It is dropped when there is no connection.
-   *
-   * @param instanceId the agent
-   * @param frame the frame
-   */
-  void send(String instanceId, Frame frame) {
-    Optional.ofNullable(agents.get(instanceId)).ifPresent(connection -> connection.send(frame));
+    this.dial = dial;
+    this.announcer = announcer;
   }
 
   /**
-   * Dials what is missing.
+   * Takes a new connection.
    *
-   * @param digests the digest waves, which get the members
+   * @param connection the connection
+   * @param digest the node of the digest tree
+   * @return false when the connection only served to announce this agent
    */
-  void onTick(DigestNode digests) {
-    view.onTick();
-    if (view.members() != members) {
-      members = view.members();
-      digests.onMembers(members);
+  boolean onOpen(PeerConnection connection, DigestNode digest) {
+    if (connection.dialled()) {
+      schedule.onOpen(connection.peer().innerAddress());
     }
-    for (String neighbour : digests.peersToDial()) {
-      if (!agents.containsKey(neighbour)) {
-        view.membership().member(neighbour).ifPresent(this::dial);
-      }
+    if (connection.peer().role() == Role.ROUTER && connection.dialled()) {
+      announcer.onOpen(connection);
+      return false;
     }
-    for (Member member : members) {
-      if (member.role() == Role.ROUTER && !announced.contains(member.instanceId())) {
-        dial(member);
-      }
+    fleet.onPeerOpen(connection);
+    if (connection.peer().role() == Role.AGENT) {
+      agents
+          .computeIfAbsent(connection.peer().instanceId(), id -> new HashMap<>())
+          .put(connection.id(), connection);
+      digest.onPeerOpen(connection.peer());
     }
+    return true;
   }
 
   /**
-   * Notes a connection that stays open.
+   * Takes the end of a connection.
    *
    * @param connection the connection
-   * @param digests the digest waves
+   * @param digest the node of the digest tree
    */
-  void onOpen(PeerConnection connection, DigestNode digests) {
-    view.onPeerOpen(connection);
-    if (connection.peer().role() == Role.AGENT) {
-      agents.put(connection.peer().instanceId(), connection);
-      digests.onPeerOpen(connection.peer());
-      if (connection.dialled()) {
-        addressOf(connection.peer().instanceId()).ifPresent(schedule::onOpen);
-      }
+  void onClose(PeerConnection connection, DigestNode digest) {
+    if (connection.dialled()) {
+      schedule.onEnd(connection.peer().innerAddress());
+    }
+    fleet.onPeerClosed(connection);
+    String instance = connection.peer().instanceId();
+    Map<Long, PeerConnection> open = agents.getOrDefault(instance, new HashMap<>());
+    if (open.remove(connection.id()) != null && open.isEmpty()) {
+      agents.remove(instance);
+      digest.onPeerClosed(instance);
     }
   }
 
   /**
-   * Notes that a router knows this agent. A router that restarts dials by itself.
+   * Takes the failure of a dial.
    *
-   * @param instanceId the router
+   * @param address the address that was dialled
+   * @param digest the node of the digest tree
    */
-  void onAnnounced(String instanceId) {
-    announced.add(instanceId);
+  void onDialFailed(String address, DigestNode digest) {
+    schedule.onEnd(address);
+    for (Member member : known) {
+      boolean unreachable =
+          member.innerAddress().equals(address) && !agents.containsKey(member.instanceId());
+      if (unreachable && member.role() == Role.AGENT) {
+        digest.onPeerClosed(member.instanceId());
+      }
+    }
   }
 
   /**
-   * Notes that a connection has ended.
+   * Passes on new members and dials what is missing.
    *
-   * @param connection the connection
-   * @param digests the digest waves
+   * @param digest the node of the digest tree
    */
-  void onClose(PeerConnection connection, DigestNode digests) {
-    view.onPeerClosed(connection);
-    String instanceId = connection.peer().instanceId();
-    if (connection.dialled()) {
-      addressOf(instanceId).ifPresent(schedule::onEnd);
+  void onTick(DigestNode digest) {
+    List<Member> members = fleet.members();
+    if (!members.equals(known)) {
+      known = members;
+      digest.onMembers(members);
+    }
+    if (fleet.membership().isLoaded()) {
+      announcer.onMembers(members);
     }
-    if (agents.remove(instanceId, connection)) {
-      digests.onPeerClosed(instanceId);
+    announcer.onTick();
+    Set<String> wanted = new HashSet<>(announcer.addresses());
+    for (String instance : digest.peersToDial()) {
+      addressOf(instance).ifPresent(wanted::add);
+      if (!agents.containsKey(instance)) {
+        addressOf(instance).filter(schedule::tryDial).ifPresent(dial);
+      }
     }
+    schedule.retain(wanted);
   }
 
-  /**
-   * Notes that a dial has failed.
-   *
-   * @param address the address
-   * @param digests the digest waves
-   */
-  void onDialFailed(String address, DigestNode digests) {
-    schedule.onEnd(address);
-    Optional.ofNullable(dialled.get(address))
-        .filter(instanceId -> !agents.containsKey(instanceId))
-        .ifPresent(digests::onPeerClosed);
+  @Override
+  public void send(String instanceId, Frame frame) {
+    agents.getOrDefault(instanceId, Map.of()).values().stream()
+        .findFirst()
+        .ifPresent(connection -> connection.send(frame));
   }
 
-  /**
-   * Dials a member if its address may be dialled now.
-   *
-   * @param member the member
-   */
-  private void dial(Member member) {
-    if (schedule.tryDial(member.innerAddress())) {
-      dialled.put(member.innerAddress(), member.instanceId());
-      dialler.accept(member.innerAddress());
+  @Override
+  public boolean gone(String instance, long incarnation) {
+    Optional<Long> connected =
+        agents.getOrDefault(instance, Map.of()).values().stream()
+            .map(connection -> connection.peer().incarnation())
+            .findFirst();
+    if (connected.isPresent()) {
+      return connected.get() > incarnation;
     }
+    return fleet.membership().isLoaded() && fleet.membership().member(instance).isEmpty();
   }
 
   /**
-   * Returns the address at which an instance was dialled. It may differ from the address that the
-   * instance gives itself.
+   * Returns the address of an instance.
    *
-   * @param instanceId the instance
-   * @return the address, or empty when it was not dialled
+   * @param instance the instance
+   * @return the address, or empty when the instance is unknown
    */
-  private Optional<String> addressOf(String instanceId) {
-    return view.membership().member(instanceId).map(Member::innerAddress);
+  private Optional<String> addressOf(String instance) {
+    return fleet.membership().member(instance).map(Member::innerAddress);
   }
 }
--- a/agent/src/test/java/org/almondslip/agent/AgentTest.java
+++ b/agent/src/test/java/org/almondslip/agent/AgentTest.java
@@ -27,7 +27,6 @@
 import org.almondslip.protocol.wire.Ran;
 import org.almondslip.protocol.wire.RequestId;
 import org.almondslip.resource.Closer;
-import org.almondslip.scheduling.Policy;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 
@@ -146,7 +145,7 @@
             SECRET,
             new TargetSettings("t1", "127.0.0.1:" + targetPort, 1_000),
             new PlatformAddresses("127.0.0.1:1", "127.0.0.1:1", "127.0.0.1:1"),
-            new SchedulingSettings(Policy.FAIR, 30_000, 1_000),
+            SchedulingSettings.DEFAULT,
             AgentLimits.DEFAULT,
             10_000);
     Agent agent = new Agent(settings);
@@ -158,7 +157,10 @@
   private TestRouter connect(Agent agent) throws InterruptedException {
     TestRouter router = closer.register(new TestRouter(SECRET));
     router.dial(agent.innerAddress());
-    router.await(frame -> frame.getHeartbeat().getAgent().getHealthy());
+    router.await(
+        frame ->
+            frame.getHeartbeat().getAgent().getHealthy()
+                && frame.getHeartbeat().getAgent().getSlots() > 0);
     return router;
   }
 
--- a/agent/src/test/java/org/almondslip/agent/TestRouter.java
+++ b/agent/src/test/java/org/almondslip/agent/TestRouter.java
@@ -6,8 +6,10 @@
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Predicate;
+import org.almondslip.catalog.Catalog;
 import org.almondslip.catalog.CatalogObject;
 import org.almondslip.catalog.Kind;
+import org.almondslip.catalog.VersionedObject;
 import org.almondslip.membership.PeerIdentity;
 import org.almondslip.protocol.CloseReason;
 import org.almondslip.protocol.PeerConnection;
@@ -17,17 +19,25 @@
 import org.almondslip.protocol.TransportSettings;
 import org.almondslip.protocol.wire.AnswerAck;
 import org.almondslip.protocol.wire.CatalogChanges;
-import org.almondslip.protocol.wire.CatalogRevision;
 import org.almondslip.protocol.wire.Frame;
 import org.almondslip.protocol.wire.Heartbeat;
 import org.almondslip.protocol.wire.RequestId;
 import org.almondslip.protocol.wire.Role;
 
-/** Router that keeps what it receives and hands out a catalog with one target. */
+/** Router that only keeps what it receives. */
 final class TestRouter implements PeerListener, AutoCloseable {
 
   private static final long PATIENCE_SECONDS = 30;
 
+  /** Catalog with one target that has two slots, and one organisation. */
+  private static final Catalog CATALOG =
+      Catalog.EMPTY.merge(
+          List.of(
+              new VersionedObject(
+                  new CatalogObject.Target("t1", "pool", null, 2, null, null, List.of()), 1, 1),
+              new VersionedObject(new CatalogObject.Organisation("acme", List.of("pool")), 1, 1)),
+          1);
+
   final BlockingQueue<Frame> frames = new LinkedBlockingQueue<>();
 
   private final CompletableFuture<PeerConnection> connection = new CompletableFuture<>();
@@ -40,7 +50,7 @@
         new PeerTransport(
             self,
             TransportSettings.of(secret).withLimits(100, 10_000),
-            Heartbeat::getDefaultInstance,
+            () -> Heartbeat.newBuilder().setCatalogRevision(CATALOG.revision()).build(),
             this,
             new TrafficCounters());
   }
@@ -78,17 +88,27 @@
 
   @Override
   public void onOpen(PeerConnection opened) {
-    CatalogRevision revision = CatalogRevision.newBuilder().setRevision(1).build();
-    opened.send(Frame.newBuilder().setCatalogRevision(revision).build());
     connection.complete(opened);
   }
 
   @Override
   public void onFrame(PeerConnection from, Frame frame) {
+    frames.add(frame);
     if (frame.hasCatalogPull()) {
-      from.send(Frame.newBuilder().setCatalogChanges(catalog()).build());
+      CatalogChanges.Builder changes = CatalogChanges.newBuilder().setRevision(CATALOG.revision());
+      CATALOG.all().forEach(state -> changes.addObjects(toWire(state)));
+      from.send(Frame.newBuilder().setCatalogChanges(changes).build());
     }
-    frames.add(frame);
+  }
+
+  private static org.almondslip.protocol.wire.CatalogObject toWire(VersionedObject state) {
+    return org.almondslip.protocol.wire.CatalogObject.newBuilder()
+        .setKind(state.object().kind().label())
+        .setName(state.object().name())
+        .setNumber(state.number())
+        .setRevision(state.revision())
+        .setJson(Kind.toJson(state.object()))
+        .build();
   }
 
   @Override
@@ -101,22 +121,4 @@
   public void close() {
     transport.close();
   }
-
-  private static CatalogChanges catalog() {
-    return CatalogChanges.newBuilder()
-        .setRevision(1)
-        .addObjects(object(new CatalogObject.Target("t1", "pool", null, 2, null, null, null)))
-        .addObjects(object(new CatalogObject.Organisation("acme", List.of("pool"))))
-        .build();
-  }
-
-  private static org.almondslip.protocol.wire.CatalogObject object(CatalogObject object) {
-    return org.almondslip.protocol.wire.CatalogObject.newBuilder()
-        .setKind(object.kind().label())
-        .setName(object.name())
-        .setNumber(1)
-        .setRevision(1)
-        .setJson(Kind.toJson(object))
-        .build();
-  }
 }
