--- a/system-tests/src/test/java/org/almondslip/faults/History.java
+++ b/system-tests/src/test/java/org/almondslip/faults/History.java
@@ -104,6 +104,11 @@
     return (int) submissions.values().stream().filter(Submission::completed).count();
   }
 
+  /** Returns whether every request whose router lives has ended. */
+  boolean settled() {
+    return submissions.values().stream().allMatch(one -> one.ended() || !one.router.alive());
+  }
+
   /** Checks every promise on all submissions, once the fleet has had time to settle them. */
   void check() {
     assertThat(violations).isEmpty();
