--- a/core/src/main/java/org/almondslip/accounting/AccountLedger.java
+++ b/core/src/main/java/org/almondslip/accounting/AccountLedger.java
@@ -141,6 +141,27 @@
         new VirtualTime(states, directory).atTarget(target).orElse(virtualTimeMicros);
   }
 
+  /**
+   * Returns the accounts of the last digest.
+   *
+   * @return the state of each active flow by identity
+   */
+  Map<Integer, FlowState> lastDigest() {
+    return digest;
+  }
+
+  /**
+   * Returns the own charges that no digest counts.
+   *
+   * @param flowId the identity of the flow
+   * @return the charges, in microseconds divided by share; negative when a request cost less than
+   *     was reported when it started
+   */
+  long uncountedMicros(int flowId) {
+    LocalFlow flow = local.get(flowId);
+    return flow == null ? 0 : flow.uncountedMicros();
+  }
+
   /**
    * Returns the account of a flow without own charges. A flow that the digest does not show as
    * backlogged is at virtual time, so that it gets no credit for the time without work.
--- a/core/src/main/java/org/almondslip/accounting/DigestNode.java
+++ b/core/src/main/java/org/almondslip/accounting/DigestNode.java
@@ -226,7 +226,8 @@
    * @return true when the digest can be sent
    */
   private boolean exchanged() {
-    return clock.millis() >= waveStart + (position.height() + 1) * graceMillis()
+    return !root.counters().isExchangeWave(wave)
+        || clock.millis() >= waveStart + (position.height() + 1) * graceMillis()
         || position.otherRoots().keySet().stream()
             .allMatch(name -> root.counters().hasExchanged(name, wave));
   }
@@ -258,7 +259,9 @@
     if (!recovering) {
       countCharges();
     }
-    position.otherRoots().forEach((name, id) -> effects.send(id, exchangeFrame(name)));
+    if (root.counters().isExchangeWave(wave)) {
+      position.otherRoots().forEach((name, id) -> effects.send(id, exchangeFrame(name)));
+    }
     position.successor().ifPresent(id -> effects.send(id, root.snapshot(epoch, wave, false)));
     stage = recovering ? Stage.DONE : Stage.EXCHANGING;
   }
--- a/core/src/main/java/org/almondslip/accounting/LocalFlow.java
+++ b/core/src/main/java/org/almondslip/accounting/LocalFlow.java
@@ -6,9 +6,12 @@
 /** Charges of one flow at one agent. */
 final class LocalFlow {
 
-  /** Factor by which older charges count less with each digest or request. */
+  /** Factor by which older charges count less with each digest. */
   private static final double DECAY = 0.8;
 
+  /** Factor by which older costs count less with each request. */
+  private static final double HINT_DECAY = 0.95;
+
   /** The flow. */
   private final Flow flow;
 
@@ -114,8 +117,8 @@
    * @param costMillis the cost, in milliseconds
    */
   void learn(long hintMillis, long costMillis) {
-    hintedMillis = DECAY * hintedMillis + Math.max(1, hintMillis);
-    spentMillis = DECAY * spentMillis + costMillis;
+    hintedMillis = HINT_DECAY * hintedMillis + Math.max(1, hintMillis);
+    spentMillis = HINT_DECAY * spentMillis + costMillis;
   }
 
   /**
@@ -139,6 +142,15 @@
   double sinceDigest(PortionRule rule, long largestCostMicros) {
     double portion = rule.portion(1.0 / reach.agents(), ownCharge, fleetCharge);
     double offset = reach.position(jitter) * largestCostMicros / flow.share();
-    return (newMicros + takenMicros + offset) / portion;
+    return (uncountedMicros() + offset) / portion;
+  }
+
+  /**
+   * Returns the charges that no digest counts.
+   *
+   * @return the charges, in microseconds divided by share
+   */
+  long uncountedMicros() {
+    return newMicros + takenMicros;
   }
 }
--- a/core/src/main/java/org/almondslip/accounting/RootCounters.java
+++ b/core/src/main/java/org/almondslip/accounting/RootCounters.java
@@ -19,6 +19,15 @@
   /** Waves without backlog after which a flow counts as idle. */
   private static final long IDLE_WAVES = 2;
 
+  /**
+   * Waves between two exchanges. An exchange in each wave would take a root with five others over
+   * its budget of control bytes.
+   */
+  private static final long EXCHANGE_WAVES = 2;
+
+  /** Waves for which the backlog of another data centre is used; one exchange may be lost. */
+  private static final long REMOTE_WAVES = 2 * EXCHANGE_WAVES + 1;
+
   /** Waves between two exchanges that repeat all lifts, to save a third of the bytes. */
   private static final long LIFT_WAVES = 10;
 
@@ -137,6 +146,16 @@
     return behind;
   }
 
+  /**
+   * Returns whether the roots exchange their counters in a wave.
+   *
+   * @param wave the wave
+   * @return true when they do
+   */
+  boolean isExchangeWave(long wave) {
+    return wave % EXCHANGE_WAVES == 0;
+  }
+
   /**
    * Returns whether a data centre has sent its counters in a wave.
    *
@@ -158,7 +177,7 @@
   void lift(Collection<Integer> backlogged, long wave) {
     Set<Integer> all = new HashSet<>(backlogged);
     remotes.values().stream()
-        .filter(remote -> wave - remote.wave <= IDLE_WAVES)
+        .filter(remote -> wave - remote.wave <= REMOTE_WAVES)
         .forEach(remote -> all.addAll(remote.backlogged));
     Set<Integer> risen = new HashSet<>();
     for (int id : all) {
@@ -246,7 +265,8 @@
       String receiver, long epoch, Collection<Integer> backlogged, int agents, long wave) {
     Remote remote = remotes.get(receiver);
     boolean receiverBehind = remote != null && remote.behind;
-    boolean withLifts = receiverBehind || wave - liftWave <= 1 || wave % LIFT_WAVES == 0;
+    boolean withLifts =
+        receiverBehind || wave - liftWave <= EXCHANGE_WAVES || wave % LIFT_WAVES == 0;
     RootExchange.Builder exchange =
         RootExchange.newBuilder().setDataCentre(dataCentre).setEpoch(epoch).setAgents(agents);
     entries.forEach(
--- /dev/null
+++ b/core/src/test/java/org/almondslip/accounting/FairnessExperiment.java
@@ -0,0 +1,91 @@
+package org.almondslip.accounting;
+
+import java.util.List;
+import org.almondslip.catalog.Flow;
+import org.almondslip.scheduling.Policy;
+
+/** Prints the gaps of the rules for the sizes, delays and reaches in docs/fairness.md. */
+final class FairnessExperiment {
+
+  /** Grace period of these runs, in milliseconds; frames take 2 to 4 ms. */
+  static final long GRACE = 10;
+
+  /** Time before the first sample, in milliseconds; it covers the cold start. */
+  static final long WARM_UP = 5_000;
+
+  private FairnessExperiment() {}
+
+  /** Runs all combinations with the seed in the first argument. */
+  public static void main(String[] arguments) {
+    long seed = Long.parseLong(arguments[0]);
+    for (int agents : new int[] {60, 120, 240}) {
+      for (long interval : new long[] {250, 1_000}) {
+        for (FleetPlan.Reach reach : FleetPlan.Reach.values()) {
+          for (long cost : new long[] {50, 1_000}) {
+            FleetPlan plan =
+                plan(agents, interval).withReach(reach).withCosts(cost / 10, cost).withSeed(seed);
+            for (PortionRule rule : PortionRule.values()) {
+              print(rule.name(), plan.withOrder(rule));
+            }
+          }
+        }
+      }
+    }
+    FleetPlan plan = plan(60, 1_000).withCosts(5, 50).withSeed(seed);
+    print("FIFO", plan.withPolicy(Policy.FIFO));
+    print("ROUND_ROBIN", plan.withPolicy(Policy.ROUND_ROBIN));
+  }
+
+  /** Returns the plan of a fleet with the grace period of these runs. */
+  static FleetPlan plan(int agents, long interval) {
+    DigestSettings settings =
+        DigestSettings.DEFAULT.withIntervalMillis(interval).withGraceMillis(GRACE);
+    return FleetPlan.BASE.withSize(agents, 1).withSettings(settings);
+  }
+
+  /** Returns the bound of a plan for its flows of wide reach. */
+  static FairnessBound bound(FleetPlan plan, int lostWaves) {
+    int height = 0;
+    for (int size = 1, level = 1; size < plan.agents(); height++) {
+      level *= 3;
+      size += level;
+    }
+    long delay = FairnessBound.delayMillis(plan.settings(), height, lostWaves);
+    return new FairnessBound(
+        plan.agents(),
+        plan.agents() * plan.slots(),
+        plan.largestCostMillis(),
+        1,
+        plan.settings().intervalMillis(),
+        delay,
+        0);
+  }
+
+  private static void print(String name, FleetPlan plan) {
+    FleetHarness fleet = new FleetHarness(plan);
+    fleet.run(WARM_UP, fleet.flows);
+    List<Flow> wide = fleet.flows.subList(0, plan.organisations() / 2);
+    List<Flow> narrow = fleet.flows.subList(plan.organisations() / 2, plan.organisations());
+    long largestWide = 0;
+    long largestNarrow = 0;
+    long sum = 0;
+    int samples = 200;
+    for (int sample = 0; sample < samples; sample++) {
+      fleet.run(50, List.of());
+      largestWide = Math.max(largestWide, fleet.gap(wide));
+      largestNarrow = Math.max(largestNarrow, fleet.gap(narrow));
+      sum += fleet.gap(wide);
+    }
+    System.out.printf(
+        "%-11s agents=%d interval=%d reach=%s cost=%d wide=%d mean=%d narrow=%d bound=%d%n",
+        name,
+        plan.agents(),
+        plan.settings().intervalMillis(),
+        plan.reach(),
+        plan.largestCostMillis(),
+        largestWide,
+        sum / samples,
+        largestNarrow,
+        bound(plan, 0).equalPortionMillis());
+  }
+}
--- a/core/src/test/java/org/almondslip/accounting/FleetHarness.java
+++ b/core/src/test/java/org/almondslip/accounting/FleetHarness.java
@@ -98,6 +98,31 @@
     at(noticedAfter, () -> agents.values().forEach(agent -> agent.node.onPeerClosed(id)));
   }
 
+  /** Offers the same number of requests of a flow to all agents that it reaches. */
+  void setWaiting(Flow flow, int waiting) {
+    for (SimulatedAgent agent : agents.values()) {
+      if (targetsOf(flow.id()).contains(agent.member.target())) {
+        agent.setWaiting(flow, waiting);
+      }
+    }
+  }
+
+  /** Returns the largest difference between accounts and counted costs, in milliseconds. */
+  long accountError() {
+    long largest = 0;
+    for (Flow flow : flows) {
+      long uncounted =
+          agents.values().stream().mapToLong(one -> one.ledger.uncountedMicros(flow.id())).sum();
+      long counted = started.getOrDefault(flow.id(), 0L) * 1_000 - uncounted;
+      for (SimulatedAgent agent : agents.values()) {
+        FlowState state = agent.ledger.lastDigest().get(flow.id());
+        long account = state == null ? 0 : state.accountMicros();
+        largest = Math.max(largest, Math.abs(account - counted) / 1_000);
+      }
+    }
+    return largest;
+  }
+
   /** Sends a frame with the delay, loss and repetition of the plan. */
   void send(SimulatedAgent from, String to, Frame frame) {
     bytes.merge(from.member.instanceId(), (long) frame.getSerializedSize(), Long::sum);
@@ -126,9 +151,9 @@
     events.add(new Event(clock.millis() + delay, eventCount++, action));
   }
 
-  /** Runs for a time and samples the gap of the given flows. */
-  Gap run(long millis, List<Flow> sampled) {
-    Gap gap = new Gap();
+  /** Runs for a time and returns the largest gap of the given flows. */
+  long run(long millis, List<Flow> sampled) {
+    long largest = 0;
     long end = clock.millis() + millis;
     while (clock.millis() < end) {
       clock.advance(STEP);
@@ -136,9 +161,21 @@
         events.poll().action.run();
       }
       agents.values().forEach(SimulatedAgent::tick);
-      gap.add(sampled.stream().mapToLong(flow -> started.getOrDefault(flow.id(), 0L)).toArray());
+      largest = Math.max(largest, gap(sampled));
+    }
+    return largest;
+  }
+
+  /** Returns the difference of the costs that were started for flows, in milliseconds. */
+  long gap(List<Flow> compared) {
+    long smallest = Long.MAX_VALUE;
+    long largest = Long.MIN_VALUE;
+    for (Flow flow : compared) {
+      long cost = started.getOrDefault(flow.id(), 0L);
+      smallest = Math.min(smallest, cost);
+      largest = Math.max(largest, cost);
     }
-    return gap;
+    return compared.isEmpty() ? 0 : largest - smallest;
   }
 
   FlowOffer offer(Flow flow, int waiting) {
@@ -157,27 +194,4 @@
       return byTime != 0 ? byTime : Long.compare(number, other.number);
     }
   }
-
-  /** Largest and mean gap between flows, in milliseconds of slot time. */
-  static final class Gap {
-    long largest;
-    private long sum;
-    private long samples;
-
-    void add(long[] values) {
-      long smallest = Long.MAX_VALUE;
-      long top = Long.MIN_VALUE;
-      for (long value : values) {
-        smallest = Math.min(smallest, value);
-        top = Math.max(top, value);
-      }
-      largest = Math.max(largest, top - smallest);
-      sum += top - smallest;
-      samples++;
-    }
-
-    long mean() {
-      return sum / Math.max(1, samples);
-    }
-  }
 }
--- a/core/src/test/java/org/almondslip/accounting/FleetPlan.java
+++ b/core/src/test/java/org/almondslip/accounting/FleetPlan.java
@@ -101,6 +101,26 @@
         seed);
   }
 
+  FleetPlan withPolicy(Policy newPolicy) {
+    return new FleetPlan(
+        agents,
+        dataCentres,
+        organisations,
+        slots,
+        reach,
+        newPolicy,
+        rule,
+        settings,
+        smallestCostMillis,
+        largestCostMillis,
+        delayMillis,
+        jitterMillis,
+        lost,
+        repeated,
+        waiting,
+        seed);
+  }
+
   FleetPlan withOrder(PortionRule newRule) {
     return new FleetPlan(
         agents,
