--- a/router/src/main/java/org/almondslip/router/Router.java
+++ b/router/src/main/java/org/almondslip/router/Router.java
@@ -109,7 +109,7 @@
     closer.register(() -> vertx.close().toCompletionStage().toCompletableFuture().join());
     PeerIdentity self = identity(settings, clock);
     UniformRandomProvider random = RandomSource.XO_RO_SHI_RO_128_PP.create();
-    FleetSource fleet = fleets.create(vertx, self, random, this::onDecisionThread);
+    final FleetSource fleet = fleets.create(vertx, self, random, this::onDecisionThread);
     this.exchanges = new Exchanges(settings.callers(), this::dialMore, this::recordSuspect);
     this.logic =
         new RouterLogic(
@@ -156,7 +156,7 @@
   /** Starts the decision thread and listens on all addresses. */
   void start() {
     duty.start();
-    String inner = transport.listen();
+    final String inner = transport.listen();
     operationsPort = operations.listen(settings.operationsListen());
     admin.ifPresent(operators -> operators.listen(settings.adminListen()));
     port = server.listen(settings.listen());
--- a/router/src/test/java/org/almondslip/router/admin/AdminServerTest.java
+++ b/router/src/test/java/org/almondslip/router/admin/AdminServerTest.java
@@ -45,18 +45,21 @@
   /** Address of the interface. */
   private String address;
 
+  /** Address of the table service. */
+  private String tables;
+
   @BeforeEach
   void start() {
     Vertx vertx = Vertx.vertx();
     closer.register(() -> vertx.close().toCompletionStage().toCompletableFuture().join());
     ScheduledExecutorService decision = new ScheduledThreadPoolExecutor(1);
     closer.register(decision::shutdownNow);
-    HttpStandin tables =
+    HttpStandin service =
         closer.register(
             new HttpStandin("t", "127.0.0.1:0", vertx, new TableServiceStandin(new Tables())));
-    tables.start();
-    HttpTableStore store =
-        closer.register(new HttpTableStore(vertx, tables.address(), 5_000, decision));
+    service.start();
+    tables = service.address();
+    HttpTableStore store = closer.register(new HttpTableStore(vertx, tables, 5_000, decision));
     CatalogSync sync =
         new CatalogSync(
             store,
@@ -66,12 +69,12 @@
             catalog -> {});
     TicketApplier applier =
         new TicketApplier(store, sync, Clock.Standard.SYSTEM, RandomSource.SPLIT_MIX_64.create(2L));
-    decision.scheduleAtFixedRate(applier::onTick, 0, 10, TimeUnit.MILLISECONDS);
-    AdminService service =
+    decision.scheduleAtFixedRate(sync::onTick, 0, 10, TimeUnit.MILLISECONDS);
+    AdminService operations =
         new AdminService(
             decision, applier, sync, store, () -> new JsonObject().put("instance", "r1"));
     AdminServer server =
-        closer.register(new AdminServer(vertx, OperatorKey.ofSecret(KEY), service));
+        closer.register(new AdminServer(vertx, OperatorKey.ofSecret(KEY), operations));
     address = "127.0.0.1:" + server.listen("127.0.0.1:0");
   }
 
@@ -107,6 +110,17 @@
     assertThat(get("audit?before=1").getJsonArray("entries")).isEmpty();
   }
 
+  /** Guards against an operator who waits in vain after the answer to the write was lost. */
+  @Test
+  void ticketWithLostAnswerIsSettled() {
+    String fault = "{\"mode\":\"lose\",\"count\":2,\"path\":\"/tables/transact\"}";
+    URI faults = URI.create("http://" + tables + "/faults");
+    HttpRequest request =
+        HttpRequest.newBuilder(faults).POST(BodyPublishers.ofString(fault)).build();
+    assertThat(send(request).statusCode()).isEqualTo(200);
+    assertThat(apply(3, "")).isEqualTo(json("{\"revision\":1,\"repeated\":false}"));
+  }
+
   /** Guards against a refusal that does not tell what stands. */
   @Test
   void lowerNumberIsConflict() {
