--- a/router/src/main/java/org/almondslip/router/FleetSource.java
+++ b/router/src/main/java/org/almondslip/router/FleetSource.java
@@ -1,19 +1,24 @@
 package org.almondslip.router;
 
 import io.vertx.core.Vertx;
+import io.vertx.core.json.JsonObject;
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.Executor;
+import java.util.function.Supplier;
 import org.almondslip.catalog.Catalog;
 import org.almondslip.membership.Member;
 import org.almondslip.membership.Peer;
 import org.almondslip.membership.PeerIdentity;
-import org.almondslip.platform.FleetView;
 import org.almondslip.protocol.wire.Frame;
-import org.apache.commons.rng.UniformRandomProvider;
+import org.almondslip.protocol.wire.SuspectNotice;
+import org.almondslip.router.admin.AdminService;
 
-/** Where a router learns the catalog and the members. All methods run on the decision thread. */
-interface FleetSource {
+/**
+ * Where a router learns the catalog and the members. All methods but {@link #admin} and {@link
+ * #close} run on the decision thread.
+ */
+interface FleetSource extends AutoCloseable {
 
   /** Does what is due. */
   void onTick();
@@ -55,11 +60,22 @@
   List<Member> members();
 
   /**
-   * Returns the view of the platform, which operators need.
+   * Records a crash mark, or the clearing of one, in durable storage.
    *
-   * @return the view, empty when the catalog does not come from the platform
+   * @param notice the mark
    */
-  Optional<FleetView> view();
+  void recordSuspect(SuspectNotice notice);
+
+  /**
+   * Returns the operations of the operators' interface.
+   *
+   * @param status the status of this process; called on the decision thread
+   * @return the operations, empty when the source cannot be changed
+   */
+  Optional<AdminService> admin(Supplier<JsonObject> status);
+
+  @Override
+  void close();
 
   /** Creates a source for a router. */
   @FunctionalInterface
@@ -68,14 +84,12 @@
     /**
      * Creates a source.
      *
-     * @param vertx the event loop of the platform's clients
      * @param self the router
-     * @param random the source of jitter
-     * @param decision runs actions on the decision thread
+     * @param vertx the event loops
+     * @param decision runs work on the decision thread
      * @return the source
      */
-    FleetSource create(
-        Vertx vertx, PeerIdentity self, UniformRandomProvider random, Executor decision);
+    FleetSource create(PeerIdentity self, Vertx vertx, Executor decision);
   }
 
   /**
@@ -99,8 +113,14 @@
     public void onFrame(Peer peer, Frame frame) {}
 
     @Override
-    public Optional<FleetView> view() {
+    public void recordSuspect(SuspectNotice notice) {}
+
+    @Override
+    public Optional<AdminService> admin(Supplier<JsonObject> status) {
       return Optional.empty();
     }
+
+    @Override
+    public void close() {}
   }
 }
