Read crash marks from the table service at the start

Cause: a router that starts cold would send a request that has crashed two targets to a third one.

Change: PlatformFleet reads the table suspects until that succeeds once; RouterLogic takes the marks without passing them on.

--- a/core/src/main/java/org/almondslip/routing/RouterLogic.java
+++ b/core/src/main/java/org/almondslip/routing/RouterLogic.java
@@ -1,5 +1,6 @@
 package org.almondslip.routing;
 
+import java.util.List;
 import java.util.Optional;
 import java.util.Set;
 import org.almondslip.catalog.Catalog;
@@ -116,6 +117,17 @@
     batch.flush();
   }
 
+  /**
+   * Takes crash marks from durable storage, so that a router that has just started knows them.
+   *
+   * @param notices the marks
+   */
+  public void onStoredSuspects(List<SuspectNotice> notices) {
+    state.suspects().onStored(notices);
+    endings.refuseCrashers(clock.millis());
+    batch.flush();
+  }
+
   /**
    * Takes a request of a caller.
    *
--- a/core/src/main/java/org/almondslip/routing/Suspects.java
+++ b/core/src/main/java/org/almondslip/routing/Suspects.java
@@ -1,6 +1,7 @@
 package org.almondslip.routing;
 
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 import org.almondslip.membership.Peer;
 import org.almondslip.membership.PeerIdentity;
@@ -75,6 +76,15 @@
     }
   }
 
+  /**
+   * Takes marks from durable storage, which peers know already.
+   *
+   * @param notices the marks
+   */
+  void onStored(List<SuspectNotice> notices) {
+    notices.forEach(this::apply);
+  }
+
   /**
    * Marks a request that was in flight at an agent that was lost.
    *
--- a/core/src/test/java/org/almondslip/routing/RouterLogicTest.java
+++ b/core/src/test/java/org/almondslip/routing/RouterLogicTest.java
@@ -164,6 +164,20 @@
     assertThat(fixture.effects.of(2).ends).as("other body").isEmpty();
   }
 
+  /** Guards against a router that starts cold and sends a known crasher to a third target. */
+  @Test
+  void knowsStoredCrashMarks() {
+    CallerRequest request = Fixture.request(1, CallerRequest.Kind.MODEL, "POST", Fixture.TIMEOUT);
+    SuspectNotice.Builder mark =
+        SuspectNotice.newBuilder().setFingerprint(Dispatcher.fingerprint(request));
+    fixture.router.onStoredSuspects(
+        List.of(mark.setCrashId("m1@1").build(), mark.setCrashId("m2@1").build()));
+    fixture.router.onRequest(request);
+    assertThat(fixture.effects.of(1).ends.get(0).failure())
+        .contains(ErrorCode.REQUEST_CRASHES_TARGETS);
+    assertThat(fixture.effects.of(1).ends.get(0).ran()).isEqualTo(Ran.NO);
+  }
+
   /** Guards against an answer that keeps running for a caller that has gone. */
   @Test
   void cancelsWhenCallerGoes() {
--- a/router/src/main/java/org/almondslip/router/FleetSource.java
+++ b/router/src/main/java/org/almondslip/router/FleetSource.java
@@ -59,6 +59,13 @@
    */
   List<Member> members();
 
+  /**
+   * Returns the crash marks that were in durable storage at the start of this process.
+   *
+   * @return the marks, the same object while nothing has changed
+   */
+  List<SuspectNotice> storedSuspects();
+
   /**
    * Records a crash mark, or the clearing of one, in durable storage.
    *
@@ -112,6 +119,11 @@
     @Override
     public void onFrame(Peer peer, Frame frame) {}
 
+    @Override
+    public List<SuspectNotice> storedSuspects() {
+      return List.of();
+    }
+
     @Override
     public void recordSuspect(SuspectNotice notice) {}
 
--- a/router/src/main/java/org/almondslip/router/PlatformFleet.java
+++ b/router/src/main/java/org/almondslip/router/PlatformFleet.java
@@ -29,6 +29,9 @@
   /** Time limit of a call to the platform, in milliseconds. */
   private static final long CALL_MILLIS = 2_000;
 
+  /** Interval between tries to read the crash marks, in milliseconds. */
+  private static final long READ_INTERVAL_MILLIS = 5_000;
+
   /** Open clients. */
   private final Closer closer = new Closer();
 
@@ -50,6 +53,18 @@
   /** Runs work on the decision thread. */
   private final Executor decision;
 
+  /** Source of time. */
+  private final Clock clock;
+
+  /** Crash marks read at the start. */
+  private List<SuspectNotice> storedSuspects = List.of();
+
+  /** Whether the crash marks have been read. */
+  private boolean suspectsRead;
+
+  /** Time of the next try to read them, in milliseconds. */
+  private long readSuspectsAt;
+
   /** Known members. */
   private List<Member> members = List.of();
 
@@ -69,6 +84,8 @@
       Vertx vertx,
       Executor decision) {
     this.decision = decision;
+    this.clock = clock;
+    this.readSuspectsAt = clock.millis();
     UniformRandomProvider random = RandomSource.XO_RO_SHI_RO_128_PP.create();
     this.store =
         closer.register(new HttpTableStore(vertx, settings.tableService(), CALL_MILLIS, decision));
@@ -88,6 +105,19 @@
     membership.onTick();
     sync.onTick();
     applier.onTick();
+    readSuspects();
+  }
+
+  /** Reads the crash marks until that has succeeded once. */
+  private void readSuspects() {
+    if (!suspectsRead && clock.millis() >= readSuspectsAt) {
+      readSuspectsAt = clock.millis() + READ_INTERVAL_MILLIS;
+      suspects.read(
+          marks -> {
+            suspectsRead = true;
+            storedSuspects = marks;
+          });
+    }
   }
 
   @Override
@@ -118,6 +148,11 @@
     return members;
   }
 
+  @Override
+  public List<SuspectNotice> storedSuspects() {
+    return storedSuspects;
+  }
+
   @Override
   public void recordSuspect(SuspectNotice notice) {
     suspects.record(notice);
--- a/router/src/main/java/org/almondslip/router/RouterDuty.java
+++ b/router/src/main/java/org/almondslip/router/RouterDuty.java
@@ -6,6 +6,7 @@
 import org.almondslip.catalog.Catalog;
 import org.almondslip.duty.Duty;
 import org.almondslip.membership.Member;
+import org.almondslip.protocol.wire.SuspectNotice;
 import org.almondslip.routing.DialPlanner;
 import org.almondslip.routing.RouterLogic;
 import org.almondslip.routing.RoutingStats;
@@ -41,6 +42,9 @@
   /** Known members. */
   private List<Member> members = List.of();
 
+  /** Crash marks from durable storage that have been taken over. */
+  private List<SuspectNotice> suspects = List.of();
+
   /** Number of ticks so far. */
   private long ticks;
 
@@ -143,7 +147,7 @@
     }
   }
 
-  /** Takes over a new catalog and new members. */
+  /** Takes over a new catalog, new members and stored crash marks. */
   private void takeChanges() {
     if (fleet.catalog() != catalog) {
       catalog = fleet.catalog();
@@ -151,6 +155,10 @@
       dials.onCatalog(catalog);
       logic.onCatalog(catalog);
     }
+    if (fleet.storedSuspects() != suspects) {
+      suspects = fleet.storedSuspects();
+      logic.onStoredSuspects(suspects);
+    }
     if (fleet.members() != members) {
       members = fleet.members();
       dials.onMembers(members);
--- a/router/src/main/java/org/almondslip/router/SuspectTable.java
+++ b/router/src/main/java/org/almondslip/router/SuspectTable.java
@@ -4,6 +4,7 @@
 import io.vertx.core.json.JsonObject;
 import java.util.List;
 import java.util.Optional;
+import java.util.function.Consumer;
 import org.almondslip.protocol.wire.SuspectNotice;
 import org.almondslip.store.StoreResult;
 import org.almondslip.store.TableStore;
@@ -14,6 +15,9 @@
   /** Name of the table. */
   static final String TABLE = "suspects";
 
+  /** Base of the fingerprints in keys. */
+  private static final int HEX = 16;
+
   /** Logger of this class. */
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
@@ -29,6 +33,22 @@
     this.store = store;
   }
 
+  /**
+   * Reads all marks.
+   *
+   * @param callback receives the marks, and is not called when they cannot be read
+   */
+  void read(Consumer<List<SuspectNotice>> callback) {
+    store.scan(
+        TABLE,
+        "",
+        result -> {
+          if (result instanceof StoreResult.Success<List<TableStore.Row>> success) {
+            callback.accept(success.value().stream().map(SuspectTable::toNotice).toList());
+          }
+        });
+  }
+
   /**
    * Writes a mark, or deletes the marks of a request that is cleared. A failure is logged: the
    * processes that know the mark keep it in memory.
@@ -87,6 +107,20 @@
         });
   }
 
+  /**
+   * Reads a mark out of a row.
+   *
+   * @param row the row
+   * @return the mark
+   */
+  private static SuspectNotice toNotice(TableStore.Row row) {
+    int slash = row.key().indexOf('/');
+    return SuspectNotice.newBuilder()
+        .setFingerprint(Long.parseUnsignedLong(row.key().substring(0, slash), HEX))
+        .setCrashId(row.key().substring(slash + 1))
+        .build();
+  }
+
   /**
    * Returns the start of the keys of a request.
    *
--- a/router/src/test/java/org/almondslip/router/PlatformFleetTest.java
+++ b/router/src/test/java/org/almondslip/router/PlatformFleetTest.java
@@ -10,6 +10,8 @@
 import java.net.http.HttpRequest.BodyPublishers;
 import java.net.http.HttpResponse;
 import java.net.http.HttpResponse.BodyHandlers;
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
 import org.almondslip.membership.Member;
 import org.almondslip.platform.HttpTableStore;
 import org.almondslip.protocol.wire.SuspectNotice;
@@ -98,6 +100,9 @@
     suspects.record(mark);
     RouterFixture.await(() -> tables.scan(SuspectTable.TABLE, "").size() == 1);
     assertThat(tables.read(SuspectTable.TABLE, "0000000000000abc/s1@5")).isPresent();
+    List<SuspectNotice> read = new CopyOnWriteArrayList<>();
+    suspects.read(read::addAll);
+    RouterFixture.await(() -> read.contains(mark));
     suspects.record(SuspectNotice.newBuilder().setFingerprint(0xabc).setCleared(true).build());
     RouterFixture.await(() -> tables.scan(SuspectTable.TABLE, "").isEmpty());
   }
