--- a/core/src/main/java/org/almondslip/catalog/CatalogSync.java
+++ b/core/src/main/java/org/almondslip/catalog/CatalogSync.java
@@ -61,6 +61,9 @@
   /** Newest catalog. */
   private volatile Catalog catalog = Catalog.EMPTY;
 
+  /** Highest revision that any peer has reported. */
+  private long highestKnown;
+
   /** Whether the catalog has been read from the table service or a peer. */
   private volatile boolean ready;
 
@@ -204,7 +207,8 @@
   }
 
   /**
-   * Returns whether the next read is due.
+   * Returns whether the next read is due. A process without connections hears no announcements, so
+   * it reads as often as a poller.
    *
    * @return true when the interval has passed
    */
@@ -216,7 +220,7 @@
     if (reading) {
       return since >= READ_LIMIT_MILLIS;
     }
-    boolean frequent = !ready || poller.getAsBoolean();
+    boolean frequent = !ready || peers.isEmpty() || poller.getAsBoolean();
     return since >= (frequent ? POLLER_MILLIS : othersInterval);
   }
 
@@ -276,11 +280,18 @@
    */
   private void learn(CatalogPeer peer, long revision) {
     peer.learn(revision);
+    highestKnown = Math.max(highestKnown, revision);
     pull();
   }
 
-  /** Pulls from the best peer with a higher revision, unless a pull is outstanding. */
+  /**
+   * Pulls from the best peer with a higher revision, unless a pull is outstanding. Called for each
+   * heartbeat, so the usual case without anything to pull must not look at all peers.
+   */
   private void pull() {
+    if (highestKnown <= catalog.revision()) {
+      return;
+    }
     long now = clock.millis();
     boolean outstanding =
         peers.values().stream().anyMatch(peer -> peer.isPulling(now, PULL_LIMIT_MILLIS));
