--- a/agent/src/main/java/org/almondslip/agent/AgentMetrics.java
+++ b/agent/src/main/java/org/almondslip/agent/AgentMetrics.java
@@ -39,6 +39,10 @@
     gauge("slots", "Slots of the target", counters::slots);
     gauge("slots_busy", "Slots in use", counters::busySlots);
     gauge("staged", "Requests that wait for a slot", counters::staged);
+    gauge(
+        "exclusive",
+        "1 while a request that must run alone keeps other slots empty",
+        () -> counters.waitsAlone() ? 1 : 0);
     counter(
         "slot_busy_seconds",
         "Slot time in use",
--- a/core/src/main/java/org/almondslip/execution/AgentLogic.java
+++ b/core/src/main/java/org/almondslip/execution/AgentLogic.java
@@ -339,7 +339,7 @@
     }
     int known = book.waiting() + granter.openCount() + workload.stagedCount();
     usage.update(slots, workload.runningCount(), open ? known : 0, now);
-    counters.set(slots, workload.runningCount(), workload.stagedCount());
+    counters.set(slots, workload.runningCount(), workload.stagedCount(), workload.hasExclusive());
     int free = Math.max(0, slots - workload.runningCount() - granter.openCount());
     status =
         AgentStatus.newBuilder()
--- a/core/src/main/java/org/almondslip/execution/ExecutionCounters.java
+++ b/core/src/main/java/org/almondslip/execution/ExecutionCounters.java
@@ -45,6 +45,9 @@
   /** Requests that wait for a slot. */
   private volatile int staged;
 
+  /** Whether a request that must run alone keeps other slots empty. */
+  private volatile boolean alone;
+
   /** Creates counters at zero. */
   public ExecutionCounters() {
     Map<Count, LongAdder> all = new EnumMap<>(Count.class);
@@ -91,17 +94,28 @@
     return staged;
   }
 
+  /**
+   * Returns whether a request that must run alone keeps other slots empty.
+   *
+   * @return true while such a request is staged or running
+   */
+  public boolean waitsAlone() {
+    return alone;
+  }
+
   /**
    * Sets the current state.
    *
    * @param allSlots the slots of the target
    * @param busy the slots in use
    * @param waiting the requests that wait for a slot
+   * @param exclusive whether a request that must run alone is staged or running
    */
-  void set(int allSlots, int busy, int waiting) {
+  void set(int allSlots, int busy, int waiting, boolean exclusive) {
     slots = allSlots;
     busySlots = busy;
     staged = waiting;
+    alone = exclusive;
   }
 
   /**
