--- a/router/src/main/java/org/almondslip/router/RouterProgram.java
+++ b/router/src/main/java/org/almondslip/router/RouterProgram.java
@@ -1,6 +1,5 @@
 package org.almondslip.router;
 
-import org.almondslip.platform.FleetView;
 import org.almondslip.process.Program;
 import org.almondslip.settings.Section;
 import org.almondslip.time.Clock;
@@ -25,9 +24,8 @@
         new Router(
             settings,
             clock,
-            (vertx, self, random, decision) ->
-                new PlatformFleet(
-                    new FleetView(vertx, settings.platform(), self, clock, random, decision)));
+            (self, vertx, decision) ->
+                new PlatformFleet(settings.platform(), clock, self, vertx, decision));
     router.start();
     return router;
   }
--- a/router/src/main/java/org/almondslip/router/RouterSettings.java
+++ b/router/src/main/java/org/almondslip/router/RouterSettings.java
@@ -4,7 +4,6 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.Optional;
-import org.almondslip.platform.PlatformAddresses;
 import org.almondslip.routing.RoutingSettings;
 import org.almondslip.settings.Section;
 
@@ -18,8 +17,8 @@
  * @param innerListen the address for inner connections
  * @param adminListen the address for operators
  * @param operationsListen the address for health and metrics
+ * @param operatorKey the key that operators send
  * @param secret the secret that all processes of the fleet share
- * @param operatorKey the key of the operators' interface
  * @param platform the addresses of the platform
  * @param routing the limits and intervals of the decisions
  * @param callers the limits of the callers' API
@@ -33,9 +32,9 @@
     String innerListen,
     String adminListen,
     String operationsListen,
-    String secret,
     String operatorKey,
-    PlatformAddresses platform,
+    String secret,
+    PlatformSettings platform,
     RoutingSettings routing,
     CallerLimits callers,
     long drainMillis) {
@@ -52,6 +51,15 @@
   /** Largest queue that is accepted, in requests. */
   private static final long MAX_QUEUE = 100_000;
 
+  /**
+   * Addresses of the platform.
+   *
+   * @param tableService the address of the table service
+   * @param objectStore the address of the object store
+   * @param instanceList the address of the instance list
+   */
+  public record PlatformSettings(String tableService, String objectStore, String instanceList) {}
+
   /**
    * Reads the settings.
    *
@@ -69,53 +77,67 @@
         section.address("inner_listen"),
         section.address("admin_listen"),
         section.address("operations_listen"),
-        secret(section, "secret"),
-        secret(section, "operator_key"),
-        PlatformAddresses.of(platform),
+        operatorKey(section),
+        secret(section),
+        new PlatformSettings(
+            platform.address("table_service"),
+            platform.address("object_store"),
+            platform.address("instance_list")),
         routing(limits),
         CallerLimits.of(limits),
         limits.durationMillis("drain_limit", DRAIN_MILLIS, 0, MAX_MILLIS));
   }
 
   /**
-   * Reads a secret from the settings or from the file that they name.
+   * Reads the key of the operators.
+   *
+   * @param section the top level of the file
+   * @return the key, empty when there is a finding
+   */
+  private static String operatorKey(Section section) {
+    String key = section.text("operator_key");
+    if (!key.isEmpty() && key.length() < MIN_SECRET) {
+      section.report("operator_key", "must have at least " + MIN_SECRET + " characters");
+    }
+    return key;
+  }
+
+  /**
+   * Reads the shared secret from the settings or from the file that they name.
    *
    * @param section the top level of the file
-   * @param key the key of the secret; the one of its file ends with {@code _file}
    * @return the secret, empty when there is a finding
    */
-  private static String secret(Section section, String key) {
-    String fileKey = key + "_file";
-    Optional<String> file = section.optionalText(fileKey);
-    if (file.isPresent() && section.optionalText(key).isPresent()) {
-      section.report(fileKey, "must not be given together with " + key);
+  private static String secret(Section section) {
+    Optional<String> file = section.optionalText("secret_file");
+    if (file.isPresent() && section.has("secret")) {
+      section.report("secret_file", "must not be given together with secret");
     }
-    String secret =
-        file.map(name -> read(section, fileKey, name)).orElseGet(() -> section.text(key));
+    String key = file.isPresent() ? "secret_file" : "secret";
+    String secret = file.map(name -> read(section, name)).orElseGet(() -> section.text("secret"));
     if (!secret.isEmpty() && secret.length() < MIN_SECRET) {
-      String given = file.isPresent() ? fileKey : key;
-      section.report(given, "must have at least " + MIN_SECRET + " characters");
+      section.report(key, "must have at least " + MIN_SECRET + " characters");
     }
     return secret;
   }
 
   /**
-   * Reads the file with a secret.
+   * Reads the file with the secret.
    *
    * @param section the top level of the settings
-   * @param key the key that names the file
    * @param name the name of the file
    * @return the content without surrounding white space, empty when it cannot be read
    */
-  private static String read(Section section, String key, String name) {
+  private static String read(Section section, String name) {
+    section.optionalText("secret");
     try {
       String secret = Files.readString(Path.of(name)).trim();
       if (secret.isEmpty()) {
-        section.report(key, "names an empty file");
+        section.report("secret_file", "names an empty file");
       }
       return secret;
     } catch (IOException e) {
-      section.report(key, "names a file that cannot be read");
+      section.report("secret_file", "names a file that cannot be read");
       return "";
     }
   }
