--- a/router/src/main/java/org/almondslip/router/PlatformFleet.java
+++ b/router/src/main/java/org/almondslip/router/PlatformFleet.java
@@ -104,7 +104,6 @@
   public void onTick() {
     membership.onTick();
     sync.onTick();
-    applier.onTick();
     readSuspects();
   }
 
