Look for stalled callers without a task for each exchange

Cause: the search for callers that read nothing queued one task on the event loop for each exchange every 250 ms.

Change: only exchanges with unread bytes or a final result are looked at on the event loop.

--- a/router/src/main/java/org/almondslip/router/Exchange.java
+++ b/router/src/main/java/org/almondslip/router/Exchange.java
@@ -63,7 +63,7 @@
   private final Runnable onSent;
 
   /** Whether the result is final. Its last bytes may still be on their way to the caller. */
-  private boolean ended;
+  private volatile boolean ended;
 
   /** Whether everything has been released. */
   private boolean released;
@@ -255,12 +255,14 @@
    * @param limitMillis the longest time without progress, in milliseconds
    */
   void dropIfStalled(long now, long limitMillis) {
-    run(
-        () -> {
-          if ((unread > 0 || ended) && now - progressAt >= limitMillis) {
-            Aborts.abort(request.connection());
-          }
-        });
+    if (unread > 0 || ended) {
+      run(
+          () -> {
+            if ((unread > 0 || ended) && now - progressAt >= limitMillis) {
+              Aborts.abort(request.connection());
+            }
+          });
+    }
   }
 
   /**
