Sample the pools on an event loop of their own and warm up before the demo

Cause: samples shared the event loop of the load generator; a burst delayed them, and the demo's window held one sample.

Change: samplers have their own event loop, the report names the number of samples, the demo warms up first and floods from a small organisation.

--- a/bench/src/main/java/org/almondslip/bench/Experiment.java
+++ b/bench/src/main/java/org/almondslip/bench/Experiment.java
@@ -82,6 +82,7 @@
    * @return the report
    */
   ObjectNode demo(long millis) {
+    warmUp(1);
     LoadRun.Result contended = contended(plan(0), millis);
     return new Report(deployment, seed)
         .withCounts(List.of(contended.tally()))
@@ -170,7 +171,9 @@
    * @return what it yielded
    */
   private LoadRun.Result contended(LoadPlan plan, long millis) {
-    String flood = deployment.organisations().get(0).name();
+    // The last organisation is a small one, so that its flood must wait behind the larger shares.
+    int last = deployment.organisations().size() - 1;
+    String flood = deployment.organisations().get(last).name();
     Phase phase =
         Phase.contention(millis, CONTENDED_LOAD, flood, Math.min(BURST_MILLIS, millis / 2));
     return new LoadRun(setup).run(plan, phase, entry);
--- a/bench/src/main/java/org/almondslip/bench/LoadRun.java
+++ b/bench/src/main/java/org/almondslip/bench/LoadRun.java
@@ -39,6 +39,9 @@
   /** Event loop of the load generator. */
   private final Context context;
 
+  /** Event loop of the samplers. */
+  private final Context samplerContext;
+
   /** Counts and latencies. */
   private final Tally tally = new Tally();
 
@@ -119,6 +122,7 @@
   LoadRun(Setup setup) {
     this.setup = setup;
     this.context = setup.vertx().getOrCreateContext();
+    this.samplerContext = setup.vertx().getOrCreateContext();
     for (Pool pool : setup.deployment().pools()) {
       samplers.put(
           pool,
@@ -144,13 +148,13 @@
     FleetSnapshot before = setup.snapshot();
     Promise<Void> done = Promise.promise();
     LoadGenerator generator = new LoadGenerator(setup.vertx(), context, entry, tally);
-    context.runOnContext(
+    startMillis = System.nanoTime() / 1_000_000;
+    samplerContext.runOnContext(
         ignored -> {
-          startMillis = System.nanoTime() / 1_000_000;
           samplers.values().forEach(PoolSampler::start);
           setup.vertx().setTimer(phase.millis(), timer -> stopSamplers());
-          generator.run(requests, DRAIN_MILLIS).onComplete(done);
         });
+    generator.run(requests, DRAIN_MILLIS).onComplete(done);
     await(done.future());
     return new Result(phase, tally, samplers, startMillis, before, setup.snapshot());
   }
--- a/bench/src/main/java/org/almondslip/bench/Report.java
+++ b/bench/src/main/java/org/almondslip/bench/Report.java
@@ -113,12 +113,13 @@
     ObjectNode pools = JsonNodeFactory.instance.objectNode();
     for (Map.Entry<Pool, PoolSampler> entry : run.samplers().entrySet()) {
       PoolSampler sampler = entry.getValue();
-      FairnessGap gap =
-          FairnessGap.of(sampler.window(run.windowStart(), run.windowEnd()), shares());
+      var window = sampler.window(run.windowStart(), run.windowEnd());
+      FairnessGap gap = FairnessGap.of(window, shares());
       double bound = bound(entry.getKey());
       ObjectNode pool = pools.putObject(entry.getKey().name());
       pool.put("fairness_gap", round(gap.millis())).put("fairness_bound", round(bound));
       pool.put("backlogged_organisations", gap.organisations().size());
+      pool.put("samples", window.size());
       pool.put("utilisation", utilisation(sampler.busy(), sampler.idleWhileWaiting()));
       busy += sampler.busy();
       idle += sampler.idleWhileWaiting();
--- a/bench/src/main/java/org/almondslip/bench/deployment/DeploymentKind.java
+++ b/bench/src/main/java/org/almondslip/bench/deployment/DeploymentKind.java
@@ -13,7 +13,7 @@
           "demo",
           List.of("east", "west"),
           1,
-          List.of(new Pool("chat", true, 3, 4, 10), new Pool("orders", false, 1, 4, 40)),
+          List.of(new Pool("chat", true, 3, 4, 20), new Pool("orders", false, 1, 4, 40)),
           List.of(
               new Organisation("amber", 4, 8),
               new Organisation("birch", 2, 3),
--- a/bench/src/main/java/org/almondslip/bench/deployment/SettingsFiles.java
+++ b/bench/src/main/java/org/almondslip/bench/deployment/SettingsFiles.java
@@ -168,7 +168,7 @@
         .field("address", node.address(Node.Port.TARGET))
         .end();
     if (!policy.equals("fair")) {
-      text.field("policy", policy);
+      text.begin("scheduling").field("policy", policy).end();
     }
     add("agent", node.instance(), text, node.address(Node.Port.OPERATIONS));
   }
--- a/bench/src/main/java/org/almondslip/bench/load/Tally.java
+++ b/bench/src/main/java/org/almondslip/bench/load/Tally.java
@@ -1,14 +1,17 @@
 package org.almondslip.bench.load;
 
 import java.util.EnumMap;
-import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeMap;
+import java.util.concurrent.ConcurrentHashMap;
 import org.HdrHistogram.Histogram;
 
-/** Counts and latencies of a load. Confined to the event loop of the generator. */
+/**
+ * Counts and latencies of a load. Confined to the event loop of the generator, but for the requests
+ * without their end, which samplers read on their own event loop.
+ */
 public final class Tally {
 
   /** Longest latency that the histograms hold, in microseconds. */
@@ -30,7 +33,7 @@
   private final Map<Verdict, Integer> wrong = new EnumMap<>(Verdict.class);
 
   /** Requests without their end, by organisation within pool. */
-  private final Map<String, Map<String, Integer>> outstanding = new HashMap<>();
+  private final Map<String, Map<String, Integer>> outstanding = new ConcurrentHashMap<>();
 
   /** Bodies of orders that completed. */
   private final Set<String> completedOrders = new HashSet<>();
@@ -234,7 +237,7 @@
    */
   private void count(PlannedRequest request, int change) {
     outstanding
-        .computeIfAbsent(request.pool(), pool -> new HashMap<>())
+        .computeIfAbsent(request.pool(), pool -> new ConcurrentHashMap<>())
         .merge(request.organisation(), change, Integer::sum);
   }
 }
--- a/bench/src/main/java/org/almondslip/bench/measure/PoolSampler.java
+++ b/bench/src/main/java/org/almondslip/bench/measure/PoolSampler.java
@@ -73,7 +73,10 @@
     this.outstanding = outstanding;
   }
 
-  /** Starts to sample. Must be called on the event loop of the load generator. */
+  /**
+   * Starts to sample. Must be called on an event loop that is not the one of the load generator, as
+   * a burst would delay the samples there.
+   */
   public void start() {
     timer = vertx.setPeriodic(INTERVAL_MILLIS, tick -> sample());
   }
