Read all objects when audit entries are missing; tick the applier explicitly

Cause: a revision whose audit entries have been removed was counted as read without its changes. The router now calls TicketApplier.onTick itself, so the applier's registration with CatalogSync was a second way to do the same.

--- a/core/src/main/java/org/almondslip/catalog/CatalogLoader.java
+++ b/core/src/main/java/org/almondslip/catalog/CatalogLoader.java
@@ -89,7 +89,8 @@
   }
 
   /**
-   * Reads the audit entries of one revision after the other.
+   * Reads the audit entries of one revision after the other. Every ticket writes at least one, so a
+   * revision without entries means that old ones have been removed, and all objects are read.
    *
    * @param known the known catalog
    * @param next the next revision to read
@@ -117,8 +118,12 @@
                 callback,
                 CatalogLoader::toChanges,
                 found -> {
-                  changes.addAll(found);
-                  loadDelta(known, next + 1, last, changes, callback);
+                  if (found.isEmpty()) {
+                    loadAll(known, last, callback);
+                  } else {
+                    changes.addAll(found);
+                    loadDelta(known, next + 1, last, changes, callback);
+                  }
                 }));
   }
 
--- a/standins/src/test/java/org/almondslip/standins/platform/TableServiceStandinTest.java
+++ b/standins/src/test/java/org/almondslip/standins/platform/TableServiceStandinTest.java
@@ -168,7 +168,7 @@
         });
     thread.awaitTrue(
         () -> {
-          sync.onTick();
+          applier.onTick();
           return !results.isEmpty();
         });
     assertThat(results).containsExactly(new TicketResult.Applied(1, false));
