Test the agent against the platform's stand-ins; join the digest tree

Cause: the members of the fleet view leave this agent out, so the digest node never found itself in the tree and sent no report. Change: this agent is added to the members of the digest node, also while it is alone.

--- a/agent/src/main/java/org/almondslip/agent/AgentParts.java
+++ b/agent/src/main/java/org/almondslip/agent/AgentParts.java
@@ -94,7 +94,7 @@
         new FairOfferBook(scheduling.policy(), ledger, scheduling.localitySlackMillis());
     DialSchedule schedule = new DialSchedule(clock, random);
     Announcer announcer = new Announcer(schedule, outside.dial(), outside.announcement());
-    FleetLinks links = new FleetLinks(fleet, schedule, outside.dial(), announcer);
+    FleetLinks links = new FleetLinks(member(self), fleet, schedule, outside.dial(), announcer);
     DigestNode digest =
         new DigestNode(
             scheduling.digest(), member(self), ledger, book::backlogged, flows, clock, links);
--- a/agent/src/main/java/org/almondslip/agent/FleetLinks.java
+++ b/agent/src/main/java/org/almondslip/agent/FleetLinks.java
@@ -1,5 +1,6 @@
 package org.almondslip.agent;
 
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -19,6 +20,9 @@
 /** Connections to other agents: dials the parent in the digest tree and carries digest frames. */
 final class FleetLinks implements DigestNode.Effects, AgentLiveness {
 
+  /** This agent, which the members of the fleet view leave out. */
+  private final Member self;
+
   /** Catalog and members of the fleet. */
   private final FleetView fleet;
 
@@ -37,15 +41,25 @@
   /** Members as they were last passed on. */
   private List<Member> known = List.of();
 
+  /** Whether members have been passed on; an agent alone in the fleet is its own root. */
+  private boolean passedOn;
+
   /**
    * Creates links without connections.
    *
+   * @param self this agent
    * @param fleet the catalog and members of the fleet
    * @param schedule the times at which addresses may be dialled
    * @param dial opens a connection to an address
    * @param announcer the announcement to the routers
    */
-  FleetLinks(FleetView fleet, DialSchedule schedule, Consumer<String> dial, Announcer announcer) {
+  FleetLinks(
+      Member self,
+      FleetView fleet,
+      DialSchedule schedule,
+      Consumer<String> dial,
+      Announcer announcer) {
+    this.self = self;
     this.fleet = fleet;
     this.schedule = schedule;
     this.dial = dial;
@@ -120,9 +134,12 @@
    */
   void onTick(DigestNode digest) {
     List<Member> members = fleet.members();
-    if (!members.equals(known)) {
+    if (!passedOn || !members.equals(known)) {
+      passedOn = true;
       known = members;
-      digest.onMembers(members);
+      List<Member> all = new ArrayList<>(members);
+      all.add(self);
+      digest.onMembers(all);
     }
     if (fleet.membership().isLoaded()) {
       announcer.onMembers(members);
--- a/agent/src/test/java/org/almondslip/agent/TestRouter.java
+++ b/agent/src/test/java/org/almondslip/agent/TestRouter.java
@@ -17,7 +17,9 @@
 import org.almondslip.protocol.PeerTransport;
 import org.almondslip.protocol.TrafficCounters;
 import org.almondslip.protocol.TransportSettings;
+import org.almondslip.protocol.wire.Answer;
 import org.almondslip.protocol.wire.AnswerAck;
+import org.almondslip.protocol.wire.AnswerEnd;
 import org.almondslip.protocol.wire.CatalogChanges;
 import org.almondslip.protocol.wire.Frame;
 import org.almondslip.protocol.wire.Heartbeat;
@@ -44,8 +46,8 @@
 
   private final PeerTransport transport;
 
-  TestRouter(String secret) {
-    PeerIdentity self = new PeerIdentity("r1", 1, Role.ROUTER, "r", "d", "127.0.0.1:0", "");
+  TestRouter(String secret, String instance, Role role) {
+    PeerIdentity self = new PeerIdentity(instance, 1, role, "r", "d", "127.0.0.1:0", "");
     transport =
         new PeerTransport(
             self,
@@ -86,6 +88,23 @@
     }
   }
 
+  AnswerEnd awaitEnd() throws InterruptedException {
+    return await(frame -> frame.getAnswer().hasEnd()).getAnswer().getEnd();
+  }
+
+  /** Takes a whole answer and acknowledges it; returns the size of its body. */
+  int awaitAnswer(long sequence) throws InterruptedException {
+    int size = 0;
+    while (true) {
+      Answer part = await(Frame::hasAnswer).getAnswer();
+      size += part.getData().size();
+      ack(sequence, part.getSequence() + 1);
+      if (part.hasEnd()) {
+        return part.getEnd().getComplete() ? size : -1;
+      }
+    }
+  }
+
   @Override
   public void onOpen(PeerConnection opened) {
     connection.complete(opened);
