Give the samplers their own event loops and show busy slots by target

Cause: contexts that one thread asks of one instance of Vert.x are the same, so samples still waited behind bursts (1 sample in a window of 4 s), and a pool with unused targets could not be told from a slow one.

Change: samplers use their own instance of Vert.x; the report lists the mean busy slots of each target.

--- a/bench/src/main/java/org/almondslip/bench/Experiment.java
+++ b/bench/src/main/java/org/almondslip/bench/Experiment.java
@@ -70,8 +70,9 @@
       deployment.routers().forEach(node -> operations.put(node.instance(), operationsOf(node)));
       deployment.agents().forEach(node -> operations.put(node.instance(), operationsOf(node)));
     }
-    Fetcher fetcher = new Fetcher(vertx.createHttpClient());
-    this.setup = new LoadRun.Setup(vertx, deployment, fetcher, operations, directory);
+    Vertx samplers = Vertx.vertx();
+    Fetcher fetcher = new Fetcher(samplers.createHttpClient());
+    this.setup = new LoadRun.Setup(vertx, samplers, deployment, fetcher, operations, directory);
     this.entry = straight ? direct("") : routers();
   }
 
--- a/bench/src/main/java/org/almondslip/bench/LoadRun.java
+++ b/bench/src/main/java/org/almondslip/bench/LoadRun.java
@@ -54,7 +54,9 @@
   /**
    * Where and how to measure.
    *
-   * @param vertx the event loops
+   * @param vertx the event loops of the load generator
+   * @param samplerVertx the event loops of the samplers; contexts that one thread asks of one
+   *     instance of Vert.x share their event loop
    * @param deployment the deployment
    * @param fetcher the reader of pages
    * @param operations operations addresses of routers and agents
@@ -62,6 +64,7 @@
    */
   record Setup(
       Vertx vertx,
+      Vertx samplerVertx,
       Deployment deployment,
       Fetcher fetcher,
       Map<String, String> operations,
@@ -122,12 +125,12 @@
   LoadRun(Setup setup) {
     this.setup = setup;
     this.context = setup.vertx().getOrCreateContext();
-    this.samplerContext = setup.vertx().getOrCreateContext();
+    this.samplerContext = setup.samplerVertx().getOrCreateContext();
     for (Pool pool : setup.deployment().pools()) {
       samplers.put(
           pool,
           new PoolSampler(
-              setup.vertx(),
+              setup.samplerVertx(),
               setup.fetcher(),
               pool,
               targets(pool),
@@ -152,7 +155,7 @@
     samplerContext.runOnContext(
         ignored -> {
           samplers.values().forEach(PoolSampler::start);
-          setup.vertx().setTimer(phase.millis(), timer -> stopSamplers());
+          setup.samplerVertx().setTimer(phase.millis(), timer -> stopSamplers());
         });
     generator.run(requests, DRAIN_MILLIS).onComplete(done);
     await(done.future());
--- a/bench/src/main/java/org/almondslip/bench/Report.java
+++ b/bench/src/main/java/org/almondslip/bench/Report.java
@@ -1,7 +1,9 @@
 package org.almondslip.bench;
 
+import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.Arrays;
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.OptionalDouble;
@@ -120,6 +122,8 @@
       pool.put("fairness_gap", round(gap.millis())).put("fairness_bound", round(bound));
       pool.put("backlogged_organisations", gap.organisations().size());
       pool.put("samples", window.size());
+      ArrayNode byTarget = pool.putArray("busy_slots_by_target");
+      Arrays.stream(sampler.busyByTarget()).forEach(slots -> byTarget.add(round(slots)));
       pool.put("utilisation", utilisation(sampler.busy(), sampler.idleWhileWaiting()));
       busy += sampler.busy();
       idle += sampler.idleWhileWaiting();
--- a/bench/src/main/java/org/almondslip/bench/measure/PoolSampler.java
+++ b/bench/src/main/java/org/almondslip/bench/measure/PoolSampler.java
@@ -4,6 +4,7 @@
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -42,6 +43,9 @@
   /** Samples taken so far. */
   private final List<FairnessGap.Sample> samples = new ArrayList<>();
 
+  /** Slots that were busy by target, summed over the samples. */
+  private final double[] busyByTarget;
+
   /** Slots that were busy, summed over the samples. */
   private double busy;
 
@@ -70,6 +74,7 @@
     this.fetcher = fetcher;
     this.pool = pool;
     this.targets = List.copyOf(targets);
+    this.busyByTarget = new double[targets.size()];
     this.outstanding = outstanding;
   }
 
@@ -117,6 +122,15 @@
     return idleWhileWaiting;
   }
 
+  /**
+   * Returns the mean number of busy slots of each target.
+   *
+   * @return the numbers in the order of the targets
+   */
+  public double[] busyByTarget() {
+    return Arrays.stream(busyByTarget).map(sum -> sum / Math.max(1, samples.size())).toArray();
+  }
+
   /** Takes a sample when all targets answer. */
   private void sample() {
     List<Future<JsonNode>> pages =
@@ -133,10 +147,13 @@
     Map<String, Long> slotMillis = new HashMap<>();
     Map<String, Long> running = new HashMap<>();
     int busyNow = 0;
-    for (JsonNode page : pages) {
+    for (int i = 0; i < pages.size(); i++) {
+      JsonNode page = pages.get(i);
       addFields(page.path("slotMillis"), slotMillis);
       addFields(page.path("runningBy"), running);
-      busyNow += Math.min(pool.slotsPerTarget(), page.path("running").asInt());
+      int busyHere = Math.min(pool.slotsPerTarget(), page.path("running").asInt());
+      busyByTarget[i] += busyHere;
+      busyNow += busyHere;
     }
     Set<String> backlogged = new HashSet<>();
     long waiting = 0;
