Use equal portions by reach and test ledger, tree and pollers

Change: chargeGapMillis is the bound of equal portions; tests of the ledger, the digest tree and the pollers; an experiment for the bytes of each kind of agent; plans in which an organisation is offered to a part of its reach only.

--- a/core/src/main/java/org/almondslip/accounting/AccountLedger.java
+++ b/core/src/main/java/org/almondslip/accounting/AccountLedger.java
@@ -7,7 +7,8 @@
 
 /**
  * Accounts as one agent estimates them: the accounts of the last digest plus the own charges that
- * the digest does not count, divided by the own portion of the flow's service.
+ * the digest does not count, divided by the own portion of the flow's service. An offset that
+ * differs for each agent keeps the agents from choosing the same flow at once.
  */
 public final class AccountLedger implements Accounts {
 
--- a/core/src/main/java/org/almondslip/accounting/FairnessBound.java
+++ b/core/src/main/java/org/almondslip/accounting/FairnessBound.java
@@ -40,7 +40,7 @@
    *
    * @return slot time divided by share, in milliseconds
    */
-  public long equalPortionMillis() {
+  public long chargeGapMillis() {
     long offsets = agents * largestCostMillis;
     // Each slot runs one request whose cost is unknown, when the digest counts and at the choice.
     long running = 2L * slots * largestCostMillis;
@@ -54,8 +54,8 @@
    *
    * @return slot time divided by share, in milliseconds
    */
-  public long chargeGapMillis() {
+  public long measuredPortionMillis() {
     long wave = slots * (intervalMillis + delayMillis + largestCostMillis);
-    return equalPortionMillis() + wave / smallestShare;
+    return chargeGapMillis() + wave / smallestShare;
   }
 }
--- a/core/src/main/java/org/almondslip/accounting/PortionRule.java
+++ b/core/src/main/java/org/almondslip/accounting/PortionRule.java
@@ -12,14 +12,21 @@
       return 1.0;
     }
   },
-  /** Assumes that all agents that reach the flow charge it as this agent does. */
+  /**
+   * Assumes that all agents that reach the flow charge it as this agent does. This is the rule to
+   * use: the bound holds for it, and its gap was the smallest in the runs of docs/fairness.md.
+   */
   REACH {
     @Override
     double portion(double initial, double ownCharge, double fleetCharge) {
       return initial;
     }
   },
-  /** Uses the own part of the charges in the recent past. */
+  /**
+   * Uses the own part of the charges in the recent past. The gap is larger than with equal portions
+   * and sometimes jumps, because a small portion makes single requests weigh more; used as a
+   * baseline in experiments.
+   */
   MEASURED {
     @Override
     double portion(double initial, double ownCharge, double fleetCharge) {
--- a/core/src/test/java/org/almondslip/accounting/DigestNodeTest.java
+++ b/core/src/test/java/org/almondslip/accounting/DigestNodeTest.java
@@ -31,7 +31,7 @@
     FleetPlan plan = small(seed).withNetwork(1, 50, 0.1, 0.1);
     FleetHarness fleet = new FleetHarness(plan);
     fleet.run(4_000, fleet.flows);
-    long bound = FairnessExperiment.bound(plan, 3).equalPortionMillis();
+    long bound = FairnessExperiment.bound(plan, 3).chargeGapMillis();
     assertThat(fleet.run(20_000, fleet.flows)).isLessThan(bound);
   }
 
@@ -48,7 +48,7 @@
     fleet.run(5_000, fleet.flows);
     long served = fleet.started.get(idle.id()) - before;
     long fair = SLOTS * 5_000L / fleet.flows.size();
-    long bound = FairnessExperiment.bound(fleet.plan, 0).equalPortionMillis();
+    long bound = FairnessExperiment.bound(fleet.plan, 0).chargeGapMillis();
     assertThat(lag).isGreaterThan(10 * bound);
     assertThat(served).isLessThan(fair + bound);
   }
--- a/core/src/test/java/org/almondslip/accounting/FairnessBoundTest.java
+++ b/core/src/test/java/org/almondslip/accounting/FairnessBoundTest.java
@@ -12,7 +12,7 @@
   @Test
   void ownChargesAloneExceedTheBound() {
     FleetPlan plan = FairnessExperiment.plan(240, 1_000).withOrganisations(10).withCosts(4, 40);
-    long bound = FairnessExperiment.bound(plan, 0).equalPortionMillis();
+    long bound = FairnessExperiment.bound(plan, 0).chargeGapMillis();
     assertThat(largestGap(plan.withOrder(PortionRule.NONE))).isGreaterThan(2 * bound);
     assertThat(largestGap(plan)).isLessThan(bound / 20);
   }
@@ -30,7 +30,7 @@
     int half = plan.organisations() / 2;
     long wide = fleet.run(2_000, fleet.flows.subList(0, half));
     long narrow = fleet.run(2_000, fleet.flows.subList(half, plan.organisations()));
-    long bound = FairnessExperiment.bound(plan, 0).equalPortionMillis();
+    long bound = FairnessExperiment.bound(plan, 0).chargeGapMillis();
     assertThat(Math.max(wide, narrow)).isPositive().isLessThan(bound);
   }
 
--- a/core/src/test/java/org/almondslip/accounting/FairnessExperiment.java
+++ b/core/src/test/java/org/almondslip/accounting/FairnessExperiment.java
@@ -15,25 +15,23 @@
 
   private FairnessExperiment() {}
 
-  /** Runs all combinations with the seed in the first argument. */
+  /** Runs all combinations with the seed, number of agents and interval in the arguments. */
   public static void main(String[] arguments) {
     long seed = Long.parseLong(arguments[0]);
-    for (int agents : new int[] {60, 120, 240}) {
-      for (long interval : new long[] {250, 1_000}) {
-        for (FleetPlan.Reach reach : FleetPlan.Reach.values()) {
-          for (long cost : new long[] {50, 1_000}) {
-            FleetPlan plan =
-                plan(agents, interval).withReach(reach).withCosts(cost / 10, cost).withSeed(seed);
-            for (PortionRule rule : PortionRule.values()) {
-              print(rule.name(), plan.withOrder(rule));
-            }
-          }
+    FleetPlan base = plan(Integer.parseInt(arguments[1]), Long.parseLong(arguments[2]));
+    FleetPlan shortRequests = base.withOrganisations(10).withCosts(4, 40).withSeed(seed);
+    print("NONE", shortRequests.withOrder(PortionRule.NONE));
+    print("REACH", shortRequests);
+    for (FleetPlan.Reach reach : FleetPlan.Reach.values()) {
+      for (long cost : new long[] {100, 1_000}) {
+        FleetPlan plan = base.withReach(reach).withCosts(cost / 10, cost).withSeed(seed);
+        for (PortionRule rule : PortionRule.values()) {
+          print(rule.name(), plan.withOrder(rule));
         }
       }
     }
-    FleetPlan plan = plan(60, 1_000).withCosts(5, 50).withSeed(seed);
-    print("FIFO", plan.withPolicy(Policy.FIFO));
-    print("ROUND_ROBIN", plan.withPolicy(Policy.ROUND_ROBIN));
+    print("FIFO", base.withCosts(10, 100).withPolicy(Policy.FIFO));
+    print("ROUND_ROBIN", base.withCosts(10, 100).withPolicy(Policy.ROUND_ROBIN));
   }
 
   /** Returns the plan of a fleet with the grace period of these runs. */
@@ -69,7 +67,7 @@
     long largestWide = 0;
     long largestNarrow = 0;
     long sum = 0;
-    int samples = 200;
+    int samples = 100;
     for (int sample = 0; sample < samples; sample++) {
       fleet.run(50, List.of());
       largestWide = Math.max(largestWide, fleet.gap(wide));
@@ -86,6 +84,6 @@
         largestWide,
         sum / samples,
         largestNarrow,
-        bound(plan, 0).equalPortionMillis());
+        bound(plan, 0).chargeGapMillis());
   }
 }
--- a/core/src/test/java/org/almondslip/accounting/FleetHarness.java
+++ b/core/src/test/java/org/almondslip/accounting/FleetHarness.java
@@ -33,6 +33,7 @@
   final Map<String, SimulatedAgent> agents = new TreeMap<>();
   final Map<Integer, Long> started = new HashMap<>();
   final Map<String, Long> bytes = new TreeMap<>();
+  final Map<Frame.BodyCase, Integer> largestFrames = new TreeMap<>();
   private final PriorityQueue<Event> events = new PriorityQueue<>();
   private final Map<Integer, Set<String>> reach = new HashMap<>();
   private long eventCount;
@@ -66,7 +67,7 @@
     SimulatedAgent agent = new SimulatedAgent(this, member, index, incarnation);
     agents.put(member.instanceId(), agent);
     for (int flow = 0; flow < flows.size(); flow++) {
-      if (plan.reach().reaches(flow, index, plan)) {
+      if (plan.reach().offers(flow, index, plan)) {
         agent.setWaiting(flows.get(flow), plan.waiting());
       }
     }
@@ -127,6 +128,7 @@
   void send(SimulatedAgent from, String to, Frame frame) {
     bytes.merge(from.member.instanceId(), (long) frame.getSerializedSize(), Long::sum);
     bytes.merge(to, (long) frame.getSerializedSize(), Long::sum);
+    largestFrames.merge(frame.getBodyCase(), frame.getSerializedSize(), Math::max);
     int copies = random.nextDouble() < plan.repeated() ? 2 : 1;
     for (int copy = 0; copy < copies; copy++) {
       if (random.nextDouble() >= plan.lost()) {
--- a/core/src/test/java/org/almondslip/accounting/FleetPlan.java
+++ b/core/src/test/java/org/almondslip/accounting/FleetPlan.java
@@ -254,6 +254,18 @@
         return true;
       }
     },
+    /** All organisations may use all agents, but each is offered to a quarter of them. */
+    OFFERED {
+      @Override
+      boolean reaches(int organisation, int agent, FleetPlan plan) {
+        return true;
+      }
+
+      @Override
+      boolean offers(int organisation, int agent, FleetPlan plan) {
+        return (organisation * 7 + agent * 5) % 4 == 0;
+      }
+    },
     /** Half of the organisations use half of the agents, the others use all. */
     HALF {
       @Override
@@ -263,5 +275,9 @@
     };
 
     abstract boolean reaches(int organisation, int agent, FleetPlan plan);
+
+    boolean offers(int organisation, int agent, FleetPlan plan) {
+      return reaches(organisation, agent, plan);
+    }
   }
 }
