--- a/bench/src/main/java/org/almondslip/bench/Experiment.java
+++ b/bench/src/main/java/org/almondslip/bench/Experiment.java
@@ -82,6 +82,7 @@
    * @return the report
    */
   ObjectNode demo(long millis) {
+    warmUp(1);
     LoadRun.Result contended = contended(plan(0), millis);
     return new Report(deployment, seed)
         .withCounts(List.of(contended.tally()))
@@ -102,8 +103,7 @@
    */
   ObjectNode fleet(long millis) {
     Phase steadyPhase = Phase.steady(millis / 3, STEADY_LOAD);
-    Phase warmUp = Phase.steady(WARM_UP_MILLIS, STEADY_LOAD);
-    new LoadRun(setup).run(plan(2), warmUp, entry);
+    warmUp(2);
     LoadRun.Result steady = new LoadRun(setup).run(plan(0), steadyPhase, entry);
     // The same plan again, so that the engines see the same requests at the same times.
     Entry direct = direct(RunCheck.DIRECT_PREFIX);
@@ -126,7 +126,16 @@
   }
 
   /**
-   * Sends a steady load in rounds.
+   * Sends a load whose results are not used.
+   *
+   * @param index the number of its plan
+   */
+  void warmUp(int index) {
+    new LoadRun(setup).run(plan(index), Phase.steady(WARM_UP_MILLIS, STEADY_LOAD), entry);
+  }
+
+  /**
+   * Sends one round of a steady load.
    *
    * @param load the load, as a part of the capacity
    * @param millis the time of one round
@@ -162,7 +171,9 @@
    * @return what it yielded
    */
   private LoadRun.Result contended(LoadPlan plan, long millis) {
-    String flood = deployment.organisations().get(0).name();
+    // The last organisation is a small one, so that its flood must wait behind the larger shares.
+    int last = deployment.organisations().size() - 1;
+    String flood = deployment.organisations().get(last).name();
     Phase phase =
         Phase.contention(millis, CONTENDED_LOAD, flood, Math.min(BURST_MILLIS, millis / 2));
     return new LoadRun(setup).run(plan, phase, entry);
--- a/bin/lib.sh
+++ b/bin/lib.sh
@@ -7,6 +7,7 @@
 # Flags of the long-running programs, which share an instance with other work.
 java_flags=(
   -Xmx96m                        # Control on a node is limited to 128 MB, of which the heap gets 96.
+  -Xms16m                        # Starts small: an idle agent then holds 76 MB in place of 99 MB.
   -XX:+UseSerialGC               # One collector thread and the smallest overhead for a heap of this size.
   -Xss512k                       # Stacks are shallow; the default of 1 MB is never used.
   -XX:ReservedCodeCacheSize=32m  # The compiled code of one program fits into a fraction of the default.
@@ -46,12 +47,15 @@
   exec java "${java_flags[@]}" -jar "$jar" "$@"
 }
 
-# run_tool MODULE ARGUMENT...: runs a program that is not part of the fleet with more memory.
+# run_tool MODULE ARGUMENT...: runs a program that is not part of the fleet with more memory. The shell
+# waits for it in the background, since it would otherwise handle a signal only after the program's end.
 run_tool() {
   local jar
   jar="$(jar_of "$1")"
   shift
-  java -Xmx512m -jar "$jar" "$@"
+  java -Xmx512m -jar "$jar" "$@" &
+  tool_pid=$!
+  wait "$tool_pid"
 }
 
 # A port range of this run, so that two runs on one machine rarely clash.
@@ -100,8 +104,8 @@
   done
 }
 
-# start_all: starts the processes of $run_dir/processes and enters them into the instance lists.
-start_all() {
+# start_standins: starts the stand-ins of $run_dir/processes and fills the instance lists.
+start_standins() {
   local program name address
   while read -r program name address; do
     [ "$program" = standins ] || continue
@@ -109,6 +113,11 @@
     await "$name" "$address"
   done <"$run_dir/processes"
   run_tool bench register --dir "$run_dir" >/dev/null
+}
+
+# start_fleet: starts the routers and agents of $run_dir/processes.
+start_fleet() {
+  local program name address
   while read -r program name address; do
     [ "$program" = standins ] || start "$program" "$name"
   done <"$run_dir/processes"
@@ -160,8 +169,9 @@
   done
 }
 
-# stop_all: stops everything that start_all started, routers first so that none loses its targets.
+# stop_all: stops all processes of $run_dir/processes, routers first so that none loses its targets.
 stop_all() {
+  [ -z "${tool_pid:-}" ] || kill -TERM "$tool_pid" 2>/dev/null || true
   [ -f "$run_dir/processes" ] || return 0
   stop_program router
   stop_program agent
--- a/core/src/main/java/org/almondslip/catalog/CatalogSync.java
+++ b/core/src/main/java/org/almondslip/catalog/CatalogSync.java
@@ -1,5 +1,6 @@
 package org.almondslip.catalog;
 
+import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
@@ -55,12 +56,18 @@
   /** Receiver of new catalogs. */
   private final Listener listener;
 
+  /** Appliers that write through this catalog; they wait for their next tries on its ticks. */
+  private final List<TicketApplier> appliers = new ArrayList<>();
+
   /** Open connections by their id. */
   private final Map<Long, CatalogPeer> peers = new HashMap<>();
 
   /** Newest catalog. */
   private volatile Catalog catalog = Catalog.EMPTY;
 
+  /** Highest revision that any peer has reported. */
+  private long highestKnown;
+
   /** Whether the catalog has been read from the table service or a peer. */
   private volatile boolean ready;
 
@@ -133,12 +140,25 @@
     return ready;
   }
 
-  /** Reads the revision if it is due and replaces pulls without an answer. */
+  /**
+   * Reads the revision if it is due, replaces pulls without an answer and continues the tickets
+   * that are being applied; called at least ten times a second.
+   */
   public void onTick() {
     if (isReadDue()) {
       read();
     }
     pull();
+    appliers.forEach(TicketApplier::onTick);
+  }
+
+  /**
+   * Takes over the ticks of an applier.
+   *
+   * @param applier the applier
+   */
+  void add(TicketApplier applier) {
+    appliers.add(applier);
   }
 
   /** The table service has changed, for instance by a ticket that this process applied. */
@@ -150,6 +170,17 @@
     }
   }
 
+  /**
+   * This process has applied a ticket. Its changes are announced without another read, so that they
+   * spread even when the table service fails right after the write.
+   *
+   * @param applied the catalog after the ticket
+   */
+  void onApplied(Catalog applied) {
+    ready = true;
+    publish(include(applied));
+  }
+
   /**
    * A connection has been opened.
    *
@@ -193,7 +224,8 @@
   }
 
   /**
-   * Returns whether the next read is due.
+   * Returns whether the next read is due. A process without connections hears no announcements, so
+   * it reads as often as a poller.
    *
    * @return true when the interval has passed
    */
@@ -205,7 +237,7 @@
     if (reading) {
       return since >= READ_LIMIT_MILLIS;
     }
-    boolean frequent = !ready || poller.getAsBoolean();
+    boolean frequent = !ready || peers.isEmpty() || poller.getAsBoolean();
     return since >= (frequent ? POLLER_MILLIS : othersInterval);
   }
 
@@ -240,14 +272,23 @@
     reading = reading && number != readNumber;
     if (result instanceof StoreResult.Success<CatalogLoader.Loaded> success) {
       ready = true;
-      Catalog loaded = success.value().catalog();
-      publish(catalog.merge(loaded.changedAfter(catalog.revision()), loaded.revision()));
+      publish(include(success.value().catalog()));
     }
     if (again) {
       read();
     }
   }
 
+  /**
+   * Adds what another complete catalog has and the current one lacks.
+   *
+   * @param other the other catalog
+   * @return the current catalog with the changes
+   */
+  private Catalog include(Catalog other) {
+    return catalog.merge(other.changedAfter(catalog.revision()), other.revision());
+  }
+
   /**
    * Notes the revision of a peer and pulls if it is higher.
    *
@@ -256,11 +297,18 @@
    */
   private void learn(CatalogPeer peer, long revision) {
     peer.learn(revision);
+    highestKnown = Math.max(highestKnown, revision);
     pull();
   }
 
-  /** Pulls from the best peer with a higher revision, unless a pull is outstanding. */
+  /**
+   * Pulls from the best peer with a higher revision, unless a pull is outstanding. Called for each
+   * heartbeat, so the usual case without anything to pull must not look at all peers.
+   */
   private void pull() {
+    if (highestKnown <= catalog.revision()) {
+      return;
+    }
     long now = clock.millis();
     boolean outstanding =
         peers.values().stream().anyMatch(peer -> peer.isPulling(now, PULL_LIMIT_MILLIS));
--- a/router/src/main/java/org/almondslip/router/RouterDuty.java
+++ b/router/src/main/java/org/almondslip/router/RouterDuty.java
@@ -2,9 +2,11 @@
 
 import java.util.List;
 import java.util.function.Consumer;
+import java.util.stream.Collectors;
 import org.almondslip.catalog.Catalog;
 import org.almondslip.duty.Duty;
 import org.almondslip.membership.Member;
+import org.almondslip.protocol.wire.SuspectNotice;
 import org.almondslip.routing.DialPlanner;
 import org.almondslip.routing.RouterLogic;
 import org.almondslip.routing.RoutingStats;
@@ -40,6 +42,9 @@
   /** Known members. */
   private List<Member> members = List.of();
 
+  /** Crash marks from durable storage that have been taken over. */
+  private List<SuspectNotice> suspects = List.of();
+
   /** Number of ticks so far. */
   private long ticks;
 
@@ -75,6 +80,7 @@
   public void onEvent(RouterEvent event) {
     if (event instanceof RouterEvent.Arrived arrived) {
       logic.onRequest(arrived.request());
+      arrived.taken().run();
     } else if (event instanceof RouterEvent.Consumed consumed) {
       logic.onConsumed(consumed.caller(), consumed.bytes());
     } else if (event instanceof RouterEvent.Gone gone) {
@@ -141,7 +147,7 @@
     }
   }
 
-  /** Takes over a new catalog and new members. */
+  /** Takes over a new catalog, new members and stored crash marks. */
   private void takeChanges() {
     if (fleet.catalog() != catalog) {
       catalog = fleet.catalog();
@@ -149,9 +155,18 @@
       dials.onCatalog(catalog);
       logic.onCatalog(catalog);
     }
+    if (fleet.storedSuspects() != suspects) {
+      suspects = fleet.storedSuspects();
+      logic.onStoredSuspects(suspects);
+    }
     if (fleet.members() != members) {
       members = fleet.members();
       dials.onMembers(members);
+      logic.onLeaving(
+          members.stream()
+              .filter(Member::leaving)
+              .map(Member::instanceId)
+              .collect(Collectors.toSet()));
     }
   }
 }
--- a/system-tests/src/test/java/org/almondslip/faults/FaultFleet.java
+++ b/system-tests/src/test/java/org/almondslip/faults/FaultFleet.java
@@ -2,11 +2,9 @@
 
 import java.util.ArrayList;
 import java.util.List;
-import java.util.function.Function;
 import org.almondslip.catalog.Catalog;
 import org.almondslip.catalog.CatalogObject;
 import org.almondslip.catalog.VersionedObject;
-import org.almondslip.order.Claims;
 import org.almondslip.protocol.wire.Frame;
 import org.almondslip.protocol.wire.Heartbeat;
 
@@ -26,7 +24,9 @@
   private static final long TICK_MILLIS = 10;
   private static final long HEARTBEAT_MILLIS = 1_000;
   private static final long DIAL_MILLIS = 200;
-  private static final long CLAIM_DEADLINE_MILLIS = 120_000;
+
+  /** Time for late frames and second runs to show up after the last request has ended. */
+  private static final long AFTER_SETTLING_MILLIS = 15_000;
 
   private final Timeline timeline = new Timeline();
   private final Network network = new Network();
@@ -36,13 +36,12 @@
   private final List<AgentNode> agents = new ArrayList<>();
   private final List<FakeTarget> targets = new ArrayList<>();
   private final List<Link> links = new ArrayList<>();
-  private final Function<Node, Claims> claims;
+  private final FleetClaims claims = new FleetClaims(timeline, store);
   private Catalog catalog = catalog(CatalogObject.Target.State.ACTIVE, 1);
   private long nextIncarnation = 1;
   private long nextSubmission = 1;
 
-  FaultFleet(ClaimsFactory factory) {
-    this.claims = node -> factory.create(store.clientOf(node), timeline.clock(), node);
+  FaultFleet() {
     for (int i = 0; i < ROUTERS; i++) {
       routers.add(new RouterNode("router-" + i, nextIncarnation++, timeline, history, catalog));
     }
@@ -56,14 +55,6 @@
     advance(DIAL_MILLIS + HEARTBEAT_MILLIS);
   }
 
-  /** Creates the claims of an agent. */
-  @FunctionalInterface
-  interface ClaimsFactory {
-
-    Claims create(
-        org.almondslip.store.TableStore store, org.almondslip.time.Clock clock, Node node);
-  }
-
   Timeline timeline() {
     return timeline;
   }
@@ -139,7 +130,7 @@
   }
 
   void markLeaving(int target) {
-    CatalogObject leaving = target(target, CatalogObject.Target.State.LEAVING);
+    CatalogObject leaving = targetObject(target, CatalogObject.Target.State.LEAVING);
     catalog = catalog.merge(List.of(new VersionedObject(leaving, 2, 2)), 2);
     routers.forEach(router -> router.run(() -> router.logic().onCatalog(catalog)));
     agents.forEach(agent -> agent.run(() -> agent.logic().onCatalog(catalog)));
@@ -156,7 +147,11 @@
     for (int i = 0; i < AGENTS; i++) {
       restartAgent(i);
     }
-    advance(millis);
+    long limit = timeline.now() + millis;
+    while (timeline.now() < limit && !history.settled()) {
+      advance(HEARTBEAT_MILLIS);
+    }
+    advance(AFTER_SETTLING_MILLIS);
   }
 
   private AgentNode newAgent(int index) {
@@ -204,7 +199,7 @@
   private static Catalog catalog(CatalogObject.Target.State state, long number) {
     List<VersionedObject> objects = new ArrayList<>();
     for (int i = 0; i < AGENTS; i++) {
-      objects.add(new VersionedObject(target(i, state), number, number));
+      objects.add(new VersionedObject(targetObject(i, state), number, number));
     }
     for (String organisation : List.of("hanbit", "crockera")) {
       CatalogObject object = new CatalogObject.Organisation(organisation, List.of(MODELS, DESKS));
@@ -213,7 +208,7 @@
     return Catalog.EMPTY.merge(objects, number);
   }
 
-  private static CatalogObject target(int index, CatalogObject.Target.State state) {
+  private static CatalogObject targetObject(int index, CatalogObject.Target.State state) {
     boolean engine = index < ENGINES;
     CatalogObject.Target.Type type =
         engine ? CatalogObject.Target.Type.MODEL : CatalogObject.Target.Type.SERVICE;
