--- a/agent/src/main/java/org/almondslip/agent/AgentParts.java
+++ b/agent/src/main/java/org/almondslip/agent/AgentParts.java
@@ -89,7 +89,7 @@
     FlowDirectory flows = FlowDirectory.of(catalog);
     AccountLedger ledger =
         new AccountLedger(
-            PortionRule.MEASURED, self.target(), flows, scheduling.largestCostMillis(), random);
+            PortionRule.REACH, self.target(), flows, scheduling.largestCostMillis(), random);
     FairOfferBook book =
         new FairOfferBook(scheduling.policy(), ledger, scheduling.localitySlackMillis());
     DialSchedule schedule = new DialSchedule(clock, random);
--- a/router/src/main/java/org/almondslip/router/RouterSettings.java
+++ b/router/src/main/java/org/almondslip/router/RouterSettings.java
@@ -4,6 +4,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.Optional;
+import org.almondslip.platform.PlatformAddresses;
 import org.almondslip.routing.RoutingSettings;
 import org.almondslip.settings.Section;
 
@@ -34,7 +35,7 @@
     String operationsListen,
     String operatorKey,
     String secret,
-    PlatformSettings platform,
+    PlatformAddresses platform,
     RoutingSettings routing,
     CallerLimits callers,
     long drainMillis) {
@@ -51,15 +52,6 @@
   /** Largest queue that is accepted, in requests. */
   private static final long MAX_QUEUE = 100_000;
 
-  /**
-   * Addresses of the platform.
-   *
-   * @param tableService the address of the table service
-   * @param objectStore the address of the object store
-   * @param instanceList the address of the instance list
-   */
-  public record PlatformSettings(String tableService, String objectStore, String instanceList) {}
-
   /**
    * Reads the settings.
    *
@@ -79,10 +71,7 @@
         section.address("operations_listen"),
         operatorKey(section),
         secret(section),
-        new PlatformSettings(
-            platform.address("table_service"),
-            platform.address("object_store"),
-            platform.address("instance_list")),
+        PlatformAddresses.of(platform),
         routing(limits),
         CallerLimits.of(limits),
         limits.durationMillis("drain_limit", DRAIN_MILLIS, 0, MAX_MILLIS));
--- a/router/src/test/java/org/almondslip/router/PlatformFleetTest.java
+++ b/router/src/test/java/org/almondslip/router/PlatformFleetTest.java
@@ -14,6 +14,7 @@
 import java.util.concurrent.CopyOnWriteArrayList;
 import org.almondslip.membership.Member;
 import org.almondslip.platform.HttpTableStore;
+import org.almondslip.platform.PlatformAddresses;
 import org.almondslip.protocol.wire.SuspectNotice;
 import org.almondslip.resource.Closer;
 import org.almondslip.routing.RoutingSettings;
@@ -131,8 +132,7 @@
             "127.0.0.1:0",
             SECRET,
             SECRET,
-            new RouterSettings.PlatformSettings(
-                tableService.address(), "127.0.0.1:1", instances.address()),
+            new PlatformAddresses(tableService.address(), "127.0.0.1:1", instances.address()),
             RoutingSettings.DEFAULT,
             CallerLimits.DEFAULT,
             5_000);
--- a/router/src/test/java/org/almondslip/router/RouterFixture.java
+++ b/router/src/test/java/org/almondslip/router/RouterFixture.java
@@ -17,6 +17,7 @@
 import org.almondslip.catalog.CatalogObject.Organisation;
 import org.almondslip.catalog.CatalogObject.Target;
 import org.almondslip.catalog.VersionedObject;
+import org.almondslip.platform.PlatformAddresses;
 import org.almondslip.routing.RoutingSettings;
 import org.almondslip.time.Clock;
 import org.apache.commons.codec.digest.DigestUtils;
@@ -62,7 +63,7 @@
             "127.0.0.1:0",
             "0123456789abcdef",
             SECRET,
-            new RouterSettings.PlatformSettings("", "", ""),
+            new PlatformAddresses("", "", ""),
             RoutingSettings.DEFAULT,
             limits,
             5_000);
--- a/runtime/src/main/java/org/almondslip/platform/FleetView.java
+++ b/runtime/src/main/java/org/almondslip/platform/FleetView.java
@@ -10,6 +10,7 @@
 import org.almondslip.membership.Peer;
 import org.almondslip.membership.PeerIdentity;
 import org.almondslip.protocol.wire.Frame;
+import org.almondslip.resource.Closer;
 import org.almondslip.store.ObjectStore;
 import org.almondslip.store.TableStore;
 import org.almondslip.time.Clock;
@@ -20,16 +21,19 @@
  *
  * <p>All methods must be called on the decision thread, unless they say otherwise.
  */
-public final class FleetView {
+public final class FleetView implements AutoCloseable {
 
   /** Time limit of a call to the platform, in milliseconds. */
   private static final long CALL_MILLIS = 1_000;
 
+  /** Open clients. */
+  private final Closer closer = new Closer();
+
   /** Platform's tables. */
-  private final TableStore tables;
+  private final HttpTableStore tables;
 
   /** Platform's store of large values. */
-  private final ObjectStore objects;
+  private final HttpObjectStore objects;
 
   /** Members of the fleet. */
   private final Membership membership;
@@ -54,10 +58,14 @@
       Clock clock,
       UniformRandomProvider random,
       Executor decision) {
-    this.tables = new HttpTableStore(vertx, addresses.tableService(), CALL_MILLIS, decision);
-    this.objects = new HttpObjectStore(vertx, addresses.objectStore(), CALL_MILLIS, decision);
+    this.tables =
+        closer.register(new HttpTableStore(vertx, addresses.tableService(), CALL_MILLIS, decision));
+    this.objects =
+        closer.register(new HttpObjectStore(vertx, addresses.objectStore(), CALL_MILLIS, decision));
     HttpInstanceList list =
-        new HttpInstanceList(vertx, addresses.instanceList(), self.region(), CALL_MILLIS, decision);
+        closer.register(
+            new HttpInstanceList(
+                vertx, addresses.instanceList(), self.region(), CALL_MILLIS, decision));
     this.membership = new Membership(self, list, clock, random, changed -> {});
     this.sync = new CatalogSync(tables, clock, random, membership::isPoller, changed -> {});
   }
@@ -152,4 +160,9 @@
   public ObjectStore objects() {
     return objects;
   }
+
+  @Override
+  public void close() {
+    closer.close();
+  }
 }
