--- a/core/src/main/java/org/almondslip/catalog/CatalogSync.java
+++ b/core/src/main/java/org/almondslip/catalog/CatalogSync.java
@@ -1,5 +1,6 @@
 package org.almondslip.catalog;
 
+import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
@@ -55,6 +56,9 @@
   /** Receiver of new catalogs. */
   private final Listener listener;
 
+  /** Appliers that write through this catalog; they wait for their next tries on its ticks. */
+  private final List<TicketApplier> appliers = new ArrayList<>();
+
   /** Open connections by their id. */
   private final Map<Long, CatalogPeer> peers = new HashMap<>();
 
@@ -136,12 +140,25 @@
     return ready;
   }
 
-  /** Reads the revision if it is due and replaces pulls without an answer. */
+  /**
+   * Reads the revision if it is due, replaces pulls without an answer and continues the tickets
+   * that are being applied; called at least ten times a second.
+   */
   public void onTick() {
     if (isReadDue()) {
       read();
     }
     pull();
+    appliers.forEach(TicketApplier::onTick);
+  }
+
+  /**
+   * Takes over the ticks of an applier.
+   *
+   * @param applier the applier
+   */
+  void add(TicketApplier applier) {
+    appliers.add(applier);
   }
 
   /** The table service has changed, for instance by a ticket that this process applied. */
--- a/core/src/main/java/org/almondslip/catalog/TicketApplier.java
+++ b/core/src/main/java/org/almondslip/catalog/TicketApplier.java
@@ -37,7 +37,7 @@
   private final List<TicketAttempt> attempts = new ArrayList<>();
 
   /**
-   * Creates an applier.
+   * Creates an applier, whose ticks come from the catalog's.
    *
    * @param store the access to the table service
    * @param sync the catalog of this process
@@ -50,6 +50,7 @@
     this.sync = sync;
     this.clock = clock;
     this.random = random;
+    sync.add(this);
   }
 
   /**
@@ -72,11 +73,8 @@
     attempts.removeIf(TicketAttempt::isFinished);
   }
 
-  /**
-   * Continues the tickets whose next try is due; called at least ten times a second, or tickets
-   * whose first try fails get no outcome.
-   */
-  public void onTick() {
+  /** Continues the tickets whose next try is due. */
+  void onTick() {
     List.copyOf(attempts).forEach(TicketAttempt::onTick);
     attempts.removeIf(TicketAttempt::isFinished);
   }
--- a/core/src/test/java/org/almondslip/catalog/CatalogSyncTest.java
+++ b/core/src/test/java/org/almondslip/catalog/CatalogSyncTest.java
@@ -236,7 +236,6 @@
       this.sync = new CatalogSync(store, simulation.clock(), random, () -> poller, this::onCatalog);
       this.applier = new TicketApplier(store, sync, simulation.clock(), random);
       simulation.every(20, sync::onTick);
-      simulation.every(20, applier::onTick);
     }
 
     /**
--- a/core/src/test/java/org/almondslip/catalog/TicketApplierTest.java
+++ b/core/src/test/java/org/almondslip/catalog/TicketApplierTest.java
@@ -230,7 +230,7 @@
     UniformRandomProvider random = RandomSource.SPLIT_MIX_64.create(seed);
     CatalogSync sync = new CatalogSync(store, simulation.clock(), random, () -> true, c -> {});
     TicketApplier applier = new TicketApplier(store, sync, simulation.clock(), random);
-    simulation.every(10, applier::onTick);
+    simulation.every(10, sync::onTick);
     return applier;
   }
 
--- a/router/src/test/java/org/almondslip/router/admin/AdminServerTest.java
+++ b/router/src/test/java/org/almondslip/router/admin/AdminServerTest.java
@@ -69,7 +69,7 @@
             catalog -> {});
     TicketApplier applier =
         new TicketApplier(store, sync, Clock.Standard.SYSTEM, RandomSource.SPLIT_MIX_64.create(2L));
-    decision.scheduleAtFixedRate(applier::onTick, 0, 10, TimeUnit.MILLISECONDS);
+    decision.scheduleAtFixedRate(sync::onTick, 0, 10, TimeUnit.MILLISECONDS);
     AdminService operations =
         new AdminService(
             decision, applier, sync, store, () -> new JsonObject().put("instance", "r1"));
--- a/standins/src/test/java/org/almondslip/standins/platform/TableServiceStandinTest.java
+++ b/standins/src/test/java/org/almondslip/standins/platform/TableServiceStandinTest.java
@@ -168,7 +168,7 @@
         });
     thread.awaitTrue(
         () -> {
-          applier.onTick();
+          sync.onTick();
           return !results.isEmpty();
         });
     assertThat(results).containsExactly(new TicketResult.Applied(1, false));
