--- a/agent/src/test/java/org/almondslip/agent/AgentTest.java
+++ b/agent/src/test/java/org/almondslip/agent/AgentTest.java
@@ -7,7 +7,13 @@
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Set;
+import java.util.TreeSet;
 import java.util.concurrent.TimeUnit;
+import java.util.regex.Pattern;
+import java.util.stream.Collectors;
 import org.almondslip.protocol.wire.Answer;
 import org.almondslip.protocol.wire.AnswerEnd;
 import org.almondslip.protocol.wire.Frame;
@@ -26,6 +32,15 @@
     fixture.close();
   }
 
+  /** Guards against a metric that the operators' page does not list, or no longer exists. */
+  @Test
+  void operationsPageListsEveryMetric() throws Exception {
+    Agent agent = fixture.startAgent(AgentFixture.NO_PLATFORM);
+    String page = Files.readString(Path.of("..", "docs", "OPERATIONS.md"));
+    assertThat(names("(?m)^# TYPE (\\w+) ", metrics(agent)))
+        .isEqualTo(names("(?m)^\\| `(almondslip_agent_\\w+)`", page));
+  }
+
   @Test
   void streamsAnswerOfTarget() throws Exception {
     Agent agent = fixture.startAgent(AgentFixture.NO_PLATFORM);
@@ -82,4 +97,13 @@
     HttpRequest request = HttpRequest.newBuilder(uri).build();
     return HttpClient.newHttpClient().send(request, HttpResponse.BodyHandlers.ofString()).body();
   }
+
+  private static Set<String> names(String pattern, String text) {
+    return Pattern.compile(pattern)
+        .matcher(text)
+        .results()
+        .map(match -> match.group(1))
+        .map(name -> name.replaceAll("_total$", ""))
+        .collect(Collectors.toCollection(TreeSet::new));
+  }
 }
