Ignore the announcement of an agent to which a connection is open

Cause: in bin/demo, which starts routers and agents together, some targets got no work (busy slots by target 4, 0, 0 in one run) or all requests were refused with no-target although four agents were connected, and one request was refused with request-crashes-targets without any crash. The short connection by which an agent announces its start replaced the router's own connection for new work and left none when it closed. Requests in flight were attached to it, and its close by the agent counted as the agent's end.

Ruled out: unhealthy or draining targets (load reports were younger than 1 s, no crash was counted).

Change: RouterLogic takes no second connection of the same incarnation while one is open.

Result: RouterLogicTest.keepsAgentAfterItsAnnouncementHasClosed fails without the change and passes with it; the 60 tests of routing pass.

--- a/core/src/main/java/org/almondslip/routing/AgentTable.java
+++ b/core/src/main/java/org/almondslip/routing/AgentTable.java
@@ -12,6 +12,7 @@
 import org.almondslip.catalog.Catalog;
 import org.almondslip.catalog.CatalogObject.Target;
 import org.almondslip.membership.Peer;
+import org.almondslip.membership.PeerIdentity;
 
 /** Connected agents and which of them may get requests of a flow. */
 final class AgentTable {
@@ -63,6 +64,18 @@
     leaving = Set.copyOf(instances);
   }
 
+  /**
+   * Returns whether an agent process already has a connection for new work. A second one that the
+   * same process opens only announces its start and is closed at once.
+   *
+   * @param peer the agent process
+   * @return true when a connection to this incarnation is open
+   */
+  boolean reaches(PeerIdentity peer) {
+    AgentLink link = links.get(newest.getOrDefault(peer.instanceId(), -1L));
+    return link != null && link.peer().peer().incarnation() == peer.incarnation();
+  }
+
   /**
    * Adds a connection, which replaces an older one of the same instance for new work.
    *
--- a/core/src/main/java/org/almondslip/routing/RouterLogic.java
+++ b/core/src/main/java/org/almondslip/routing/RouterLogic.java
@@ -180,7 +180,7 @@
    */
   public void onPeerOpen(Peer peer) {
     state.suspects().open(peer);
-    if (peer.peer().role() == Role.AGENT) {
+    if (peer.peer().role() == Role.AGENT && !state.agents().reaches(peer.peer())) {
       reattachment.onOpen(state.agents().open(peer), clock.millis());
       planAll();
     }
--- a/core/src/test/java/org/almondslip/routing/RouterLogicTest.java
+++ b/core/src/test/java/org/almondslip/routing/RouterLogicTest.java
@@ -41,6 +41,17 @@
     assertThat(agent.of(Frame.BodyCase.ANSWER_ACK)).hasSize(1);
   }
 
+  /** Guards against an agent without work after its announcement arrived later than the dial. */
+  @Test
+  void keepsAgentAfterItsAnnouncementHasClosed() {
+    RecordingPeer agent = fixture.connect("m1", "north", 5);
+    RecordingPeer announcement = fixture.connect("m1", "north", 5);
+    fixture.router.onPeerClosed(announcement, true);
+    fixture.chat(1);
+    assertThat(agent.of(Frame.BodyCase.OFFERS)).isNotEmpty();
+    assertThat(fixture.grant(agent, "belt", false)).hasSize(1);
+  }
+
   /** Guards against a slot that is reserved for a request that has gone. */
   @Test
   void declinesGrantWithoutRequest() {
