Measure slopes of the decision code

The capacity at the planned scale has to rest on measurements of the real code, not on estimates. bin/slopes runs the decision code and the codec on one thread, fits a line for each cost and writes a plot.

--- a/bench/src/main/java/org/almondslip/bench/Command.java
+++ b/bench/src/main/java/org/almondslip/bench/Command.java
@@ -13,12 +13,13 @@
 import org.almondslip.bench.deployment.DeploymentKind;
 import org.almondslip.bench.deployment.SettingsFiles;
 import org.almondslip.bench.measure.Slope;
+import org.almondslip.bench.slopes.SlopesRun;
 
 /** Options of one subcommand, and what it does. */
 @Parameters
 final class Command {
 
-  /** Loads of the slopes, as parts of the capacity. */
+  /** Loads of a measurement at several loads, as parts of the capacity. */
   private static final double[] LOADS = {0.2, 0.4, 0.6, 0.8};
 
   /** Rounds of a soak. */
@@ -55,6 +56,10 @@
   @Parameter(names = "--straight", description = "Send straight to the targets")
   private boolean straight;
 
+  /** Picture of the slopes. */
+  @Parameter(names = "--plot", description = "PNG file of the slopes")
+  private String plot = "slopes.png";
+
   /** What a subcommand does. */
   enum Action {
     /** Writes the settings of a deployment. */
@@ -92,11 +97,18 @@
         return command.experiment(DeploymentKind.CROCKERA).fleet(command.millis());
       }
     },
-    /** Measures how costs grow with the load. */
+    /** Measures how costs of a running deployment grow with the load. */
+    LOADS {
+      @Override
+      ObjectNode run(Command command) {
+        return command.loads();
+      }
+    },
+    /** Measures how costs of the decision code grow with the size of the fleet. */
     SLOPES {
       @Override
       ObjectNode run(Command command) {
-        return command.slopes();
+        return SlopesRun.run(Path.of(command.plot));
       }
     },
     /** Sends a steady load and watches memory. */
@@ -159,7 +171,7 @@
    *
    * @return the rounds and the slopes
    */
-  private ObjectNode slopes() {
+  private ObjectNode loads() {
     Experiment experiment = experiment(deployment);
     ObjectNode json = JsonNodeFactory.instance.objectNode();
     ArrayNode rounds = json.putArray("rounds");
