--- a/bench/src/main/java/org/almondslip/bench/slopes/DigestRig.java
+++ b/bench/src/main/java/org/almondslip/bench/slopes/DigestRig.java
@@ -110,8 +110,10 @@
         });
     Node root = measured.get("root");
     Node leaf = measured.get("leaf");
-    costs.put("report_bytes", leaf.sent.take(Frame.BodyCase.SERVICE_REPORT) / WAVES);
+    costs.put("leaf_report_bytes", leaf.sent.take(Frame.BodyCase.SERVICE_REPORT) / WAVES);
     costs.put("digest_bytes", leaf.received.take(Frame.BodyCase.SERVICE_DIGEST) / WAVES);
+    Node inner = measured.get("inner");
+    costs.put("inner_report_bytes", inner.sent.take(Frame.BodyCase.SERVICE_REPORT) / WAVES);
     double exchanges = (DATA_CENTRES - 1) * WAVES / 2.0;
     costs.put("exchange_bytes", root.sent.take(Frame.BodyCase.ROOT_EXCHANGE) / exchanges);
     costs.put("snapshot_bytes", root.sent.take(Frame.BodyCase.ROOT_SNAPSHOT) / WAVES);
--- a/bench/src/main/java/org/almondslip/bench/slopes/RequestSlopes.java
+++ b/bench/src/main/java/org/almondslip/bench/slopes/RequestSlopes.java
@@ -15,6 +15,9 @@
   /** Requests in each round of the sweep over requests. */
   private static final int[] ROUND_REQUESTS = {160, 320, 640, 960};
 
+  /** Requests before the measurement, so many that the code has been compiled by then. */
+  private static final int WARM_UP_REQUESTS = 48_000;
+
   /** Not instantiable. */
   private RequestSlopes() {}
 
@@ -25,6 +28,7 @@
    */
   static List<Series> measure() {
     RequestRig rig = new RequestRig();
+    rig.run(WARM_UP_REQUESTS, 2);
     List<Series> series = new ArrayList<>();
     series.addAll(
         Sweep.TIMED.run(
--- a/bench/src/main/java/org/almondslip/bench/slopes/SlopesRun.java
+++ b/bench/src/main/java/org/almondslip/bench/slopes/SlopesRun.java
@@ -31,6 +31,7 @@
     parts.put("requests", RequestSlopes::measure);
     parts.put("offers", OfferSlopes::measure);
     parts.put("digests", DigestSlopes::measure);
+    parts.put("membership", MembershipSlopes::measure);
     parts.put("catalog", CatalogSlopes::measure);
     ObjectNode json = JsonNodeFactory.instance.objectNode();
     json.put("java", System.getProperty("java.version"));
