Log the end of a planned stop

java.util.logging removes all handlers in a shutdown hook of its own, which runs at the same time as the hook that drains. A process that got SIGTERM therefore logged neither the start nor the end of its drain.

DrainLogManager ignores the reset until the drain has ended. Launcher names it in the system property before its logger is created, and warns when a logger was created before that.

--- a/runtime/src/main/java/org/almondslip/process/Launcher.java
+++ b/runtime/src/main/java/org/almondslip/process/Launcher.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.CountDownLatch;
 import org.almondslip.error.Finding;
 import org.almondslip.error.Findings;
+import org.almondslip.logging.DrainLogManager;
 import org.almondslip.logging.JsonLines;
 import org.almondslip.settings.Section;
 
@@ -20,7 +21,13 @@
   private static final int EXIT_USAGE = 2;
 
   /** Logger of this class. */
-  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+  private static final FluentLogger logger;
+
+  static {
+    // The class of the log manager is fixed when the first logger is created.
+    System.setProperty(DrainLogManager.PROPERTY, DrainLogManager.class.getName());
+    logger = FluentLogger.forEnclosingClass();
+  }
 
   /** Not instantiable. */
   private Launcher() {}
@@ -95,15 +102,16 @@
             "instance", section.optionalText("instance").orElse(""),
             "region", section.optionalText("region").orElse("")),
         System.out);
+    if (!DrainLogManager.keepHandlers()) {
+      logger.atWarning().log("a logger was created too early: a planned stop will not be logged");
+    }
     Program.Running running = program.start(settings);
     CountDownLatch stopped = new CountDownLatch(1);
     Runtime.getRuntime()
         .addShutdownHook(
             new Thread(
                 () -> {
-                  logger.atInfo().log("planned stop: draining");
-                  running.drain();
-                  logger.atInfo().log("stopped");
+                  drain(running);
                   stopped.countDown();
                 },
                 "shutdown"));
@@ -115,6 +123,23 @@
     }
   }
 
+  /**
+   * Does a planned stop and logs its start and its end.
+   *
+   * @param running the program
+   */
+  private static void drain(Program.Running running) {
+    logger.atInfo().log("planned stop: draining");
+    try {
+      running.drain();
+      logger.atInfo().log("stopped");
+    } catch (RuntimeException e) {
+      logger.atSevere().withCause(e).log("the planned stop failed");
+    } finally {
+      DrainLogManager.releaseHandlers();
+    }
+  }
+
   /**
    * Reads the settings file.
    *
