Strike faults at the processes of the demo

The fault tests so far drive decisions in one JVM. bin/faults runs the demo deployment as processes, sends a steady load of streams, short answers, orders and stock checks, strikes one fault in each case and checks all answers and the recorded runs.

The load tool gets the subcommand fault, which sends the load, sends a request once more to the other router when it certainly did not run, and judges the answers by the case. The stand-in engines report how many runs have begun, and routers and agents export the catalog revision as a metric.

--- a/agent/src/main/java/org/almondslip/agent/Agent.java
+++ b/agent/src/main/java/org/almondslip/agent/Agent.java
@@ -104,6 +104,7 @@
     metrics.register(claims);
     metrics.register(traffic);
     metrics.register(load);
+    metrics.registerCatalog(() -> parts.fleet().catalog().revision());
     this.operations = closer.register(new OperationsServer(vertx, registry, this::obstacle));
   }
 
--- a/agent/src/main/java/org/almondslip/agent/AgentMetrics.java
+++ b/agent/src/main/java/org/almondslip/agent/AgentMetrics.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.function.DoubleSupplier;
+import java.util.function.LongSupplier;
 import org.almondslip.execution.ExecutionCounters;
 import org.almondslip.execution.ExecutionCounters.Count;
 import org.almondslip.order.ClaimCounters;
@@ -111,6 +112,15 @@
             "cross_region_sent", traffic::crossRegionBytes));
   }
 
+  /**
+   * Registers the revision of the catalog.
+   *
+   * @param revision yields the revision in force
+   */
+  void registerCatalog(LongSupplier revision) {
+    gauge("catalog_revision", "Catalog revision in force", revision::getAsLong);
+  }
+
   /**
    * Registers the age of the load report.
    *
--- a/bench/src/main/java/org/almondslip/bench/Command.java
+++ b/bench/src/main/java/org/almondslip/bench/Command.java
@@ -1,6 +1,7 @@
 package org.almondslip.bench;
 
 import com.beust.jcommander.Parameter;
+import com.beust.jcommander.ParameterException;
 import com.beust.jcommander.Parameters;
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
@@ -10,8 +11,11 @@
 import java.io.UncheckedIOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import org.almondslip.bench.deployment.Deployment;
 import org.almondslip.bench.deployment.DeploymentKind;
 import org.almondslip.bench.deployment.SettingsFiles;
+import org.almondslip.bench.fault.FaultCase;
+import org.almondslip.bench.fault.FaultRun;
 import org.almondslip.bench.measure.Slope;
 
 /** Options of one subcommand, and what it does. */
@@ -51,6 +55,10 @@
   @Parameter(names = "--deployment", description = "DEMO, HANBIT or CROCKERA")
   private DeploymentKind deployment = DeploymentKind.DEMO;
 
+  /** Fault that strikes during the load. */
+  @Parameter(names = "--fault", description = "Name of the case of the subcommand fault")
+  private String fault = "";
+
   /** Whether to leave out the routers. */
   @Parameter(names = "--straight", description = "Send straight to the targets")
   private boolean straight;
@@ -99,6 +107,13 @@
         return command.slopes();
       }
     },
+    /** Sends a steady load during which a fault strikes, and judges the answers. */
+    FAULT {
+      @Override
+      ObjectNode run(Command command) {
+        return command.fault();
+      }
+    },
     /** Sends a steady load and watches memory. */
     SOAK {
       @Override
@@ -154,6 +169,19 @@
     return JsonNodeFactory.instance.objectNode().put("files", files.size());
   }
 
+  /**
+   * Sends a steady load to the deployment demo and judges the answers.
+   *
+   * @return the counts and what the case does not allow
+   */
+  private ObjectNode fault() {
+    FaultCase kind =
+        FaultCase.ofLabel(fault)
+            .orElseThrow(() -> new ParameterException("unknown fault '" + fault + "'"));
+    Deployment demo = DeploymentKind.DEMO.toDeployment(basePort);
+    return new FaultRun(Vertx.vertx(), demo, Path.of(directory), seed).run(kind, millis());
+  }
+
   /**
    * Measures costs at several loads and fits straight lines.
    *
--- a/bench/src/main/java/org/almondslip/bench/load/Entry.java
+++ b/bench/src/main/java/org/almondslip/bench/load/Entry.java
@@ -1,9 +1,12 @@
 package org.almondslip.bench.load;
 
 import io.vertx.core.http.RequestOptions;
+import java.util.ArrayList;
+import java.util.Collections;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import org.almondslip.bench.deployment.Deployment;
 import org.almondslip.bench.deployment.Network;
 import org.almondslip.bench.deployment.Node;
@@ -25,6 +28,16 @@
    */
   RequestOptions toOptions(PlannedRequest request);
 
+  /**
+   * Returns the options for sending a request once more after it certainly did not run.
+   *
+   * @param request the request
+   * @return address, path and headers, or empty when callers do not send again
+   */
+  default Optional<RequestOptions> toOther(PlannedRequest request) {
+    return Optional.empty();
+  }
+
   /** Sends requests to routers in turn. */
   final class Routers implements Entry {
 
@@ -65,6 +78,39 @@
     }
   }
 
+  /** Sends requests to routers in turn, and to the next router when one takes no work. */
+  final class OtherRouter implements Entry {
+
+    /** Entry of the first attempts. */
+    private final Routers first;
+
+    /** Entry of the second attempts. */
+    private final Routers second;
+
+    /**
+     * Creates an entry.
+     *
+     * @param deployment the deployment whose organisations send
+     * @param addresses the callers' addresses of the routers
+     */
+    public OtherRouter(Deployment deployment, List<String> addresses) {
+      List<String> rotated = new ArrayList<>(addresses);
+      Collections.rotate(rotated, -1);
+      this.first = new Routers(deployment, addresses);
+      this.second = new Routers(deployment, rotated);
+    }
+
+    @Override
+    public RequestOptions toOptions(PlannedRequest request) {
+      return first.toOptions(request);
+    }
+
+    @Override
+    public Optional<RequestOptions> toOther(PlannedRequest request) {
+      return Optional.of(second.toOptions(request));
+    }
+  }
+
   /** Sends requests straight to the targets of their pool in turn. */
   final class Targets implements Entry {
 
--- a/bench/src/main/java/org/almondslip/bench/load/LoadGenerator.java
+++ b/bench/src/main/java/org/almondslip/bench/load/LoadGenerator.java
@@ -11,9 +11,11 @@
 import io.vertx.core.http.HttpClientOptions;
 import io.vertx.core.http.HttpClientResponse;
 import io.vertx.core.http.PoolOptions;
+import io.vertx.core.http.RequestOptions;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 
 /**
@@ -28,6 +30,9 @@
   /** Connections to one address; far above the requests that wait at a router. */
   private static final int MAX_CONNECTIONS = 20_000;
 
+  /** Code of a refusal by a router that shuts down. */
+  private static final String DRAINING = "draining";
+
   /** Reader of JSON. */
   private static final ObjectMapper MAPPER = new ObjectMapper();
 
@@ -118,45 +123,92 @@
    */
   private void send(PlannedRequest planned) {
     tally.onSent(planned);
+    send(new Attempt(planned, entry.toOptions(planned), entry.toOther(planned)));
+  }
+
+  /**
+   * Makes an attempt. A connection that cannot be opened is certain to have run nothing.
+   *
+   * @param attempt the attempt
+   */
+  private void send(Attempt attempt) {
     client
-        .request(entry.toOptions(planned))
-        .compose(request -> request.send(planned.body()))
-        .onFailure(failure -> tally.onLost(planned))
-        .onSuccess(response -> onResponse(planned, response));
+        .request(attempt.options())
+        .onFailure(failure -> onNotTaken(attempt))
+        .onSuccess(
+            request ->
+                request
+                    .send(attempt.planned().body())
+                    .onFailure(failure -> onLost(attempt))
+                    .onSuccess(response -> onResponse(attempt, response)));
+  }
+
+  /**
+   * Sends a request to which no connection could be opened once more, or counts it as lost.
+   *
+   * @param attempt the attempt
+   */
+  private void onNotTaken(Attempt attempt) {
+    if (attempt.other().isPresent()) {
+      sendAgain(attempt);
+    } else {
+      onLost(attempt);
+    }
+  }
+
+  /**
+   * Sends a request once more.
+   *
+   * @param attempt the attempt that certainly did not run
+   */
+  private void sendAgain(Attempt attempt) {
+    tally.onSentAgain();
+    send(new Attempt(attempt.planned(), attempt.other().orElseThrow(), Optional.empty()));
+  }
+
+  /**
+   * Counts a request whose connection broke.
+   *
+   * @param attempt the attempt
+   */
+  private void onLost(Attempt attempt) {
+    tally.onLost(attempt.planned());
+    tally.onLostAt(attempt.options().getHost());
   }
 
   /**
    * Reads an answer.
    *
-   * @param planned the request
+   * @param attempt the attempt
    * @param response the head of the answer
    */
-  private void onResponse(PlannedRequest planned, HttpClientResponse response) {
+  private void onResponse(Attempt attempt, HttpClientResponse response) {
+    PlannedRequest planned = attempt.planned();
     if (response.statusCode() == 200 && planned.kind().isStream()) {
-      new StreamReader(planned, response).begin();
+      new StreamReader(attempt, response).begin();
       return;
     }
     response
         .body()
-        .onFailure(failure -> tally.onLost(planned))
+        .onFailure(failure -> onLost(attempt))
         .onSuccess(
             body -> {
               if (response.statusCode() == 200) {
                 tally.onAnswer(planned, WholeChecker.check(planned, body.toString()), "");
               } else {
-                onRefusal(planned, response.statusCode(), body.toString());
+                onRefusal(attempt, response.statusCode(), body.toString());
               }
             });
   }
 
   /**
-   * Counts a refusal.
+   * Counts a refusal, unless the router drains and the caller may use another one.
    *
-   * @param planned the request
+   * @param attempt the attempt
    * @param status the status
    * @param body the body
    */
-  private void onRefusal(PlannedRequest planned, int status, String body) {
+  private void onRefusal(Attempt attempt, int status, String body) {
     JsonNode problem;
     try {
       problem = MAPPER.readTree(body);
@@ -164,12 +216,30 @@
       problem = MAPPER.createObjectNode();
     }
     String code = problem.path("code").asText("status-" + status);
-    tally.onRefusal(planned, code, problem.path("ran").asText("unknown"));
+    String ran = problem.path("ran").asText("unknown");
+    if (code.equals(DRAINING) && ran.equals("no") && attempt.other().isPresent()) {
+      sendAgain(attempt);
+    } else {
+      tally.onRefusal(attempt.planned(), code, ran);
+    }
   }
 
+  /**
+   * An attempt to send a request.
+   *
+   * @param planned the request
+   * @param options where it is sent
+   * @param other where to send it once more when it certainly did not run
+   */
+  private record Attempt(
+      PlannedRequest planned, RequestOptions options, Optional<RequestOptions> other) {}
+
   /** Reads and checks one streamed answer. */
   private final class StreamReader {
 
+    /** Attempt. */
+    private final Attempt attempt;
+
     /** Request. */
     private final PlannedRequest planned;
 
@@ -188,11 +258,12 @@
     /**
      * Creates a reader.
      *
-     * @param planned the request
+     * @param attempt the attempt
      * @param response the head of the answer
      */
-    private StreamReader(PlannedRequest planned, HttpClientResponse response) {
-      this.planned = planned;
+    private StreamReader(Attempt attempt, HttpClientResponse response) {
+      this.attempt = attempt;
+      this.planned = attempt.planned();
       this.response = response;
       this.checker = new StreamChecker(WholeChecker.expected(planned));
     }
@@ -228,6 +299,9 @@
       if (!ended) {
         ended = true;
         tally.onAnswer(planned, checker.verdict(), checker.errorCode());
+        if (checker.verdict() == Verdict.INCOMPLETE) {
+          tally.onLostAt(attempt.options().getHost());
+        }
       }
     }
   }
--- a/bench/src/main/java/org/almondslip/bench/load/Tally.java
+++ b/bench/src/main/java/org/almondslip/bench/load/Tally.java
@@ -5,6 +5,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeMap;
+import java.util.TreeSet;
 import java.util.concurrent.ConcurrentHashMap;
 import org.HdrHistogram.Histogram;
 
@@ -41,6 +42,18 @@
   /** Bodies of orders that were refused as not run. */
   private final Set<String> notRunOrders = new HashSet<>();
 
+  /** Kinds of the refused requests by code. */
+  private final Map<String, Set<RequestKind>> refusedKinds = new TreeMap<>();
+
+  /** Requests without a final answer by the host that had taken them. */
+  private final Map<String, Integer> lostByHost = new TreeMap<>();
+
+  /** Refusals that do not say "not run", and error events. */
+  private int unknownOutcomes;
+
+  /** Requests that were sent once more, since they certainly had not run. */
+  private int sentAgain;
+
   /** Requests that were sent. */
   private int offered;
 
@@ -94,6 +107,8 @@
       }
     } else if (verdict == Verdict.ERROR_EVENT) {
       refused.merge(errorCode, 1, Integer::sum);
+      refusedKinds.computeIfAbsent(errorCode, code -> new TreeSet<>()).add(request.kind());
+      unknownOutcomes++;
     } else if (verdict.isWrong()) {
       wrong.merge(verdict, 1, Integer::sum);
     } else {
@@ -111,6 +126,10 @@
   void onRefusal(PlannedRequest request, String code, String ran) {
     count(request, -1);
     refused.merge(code, 1, Integer::sum);
+    refusedKinds.computeIfAbsent(code, label -> new TreeSet<>()).add(request.kind());
+    if (!ran.equals("no")) {
+      unknownOutcomes++;
+    }
     if (request.kind().isOrder() && ran.equals("no")) {
       notRunOrders.add(request.body());
     }
@@ -126,6 +145,57 @@
     lost++;
   }
 
+  /**
+   * Notes which host had taken a request that was lost.
+   *
+   * @param host the host
+   */
+  void onLostAt(String host) {
+    lostByHost.merge(host, 1, Integer::sum);
+  }
+
+  /** Counts a request that is sent once more. */
+  void onSentAgain() {
+    sentAgain++;
+  }
+
+  /**
+   * Returns the requests without a final answer whose connection to a host broke.
+   *
+   * @param host the host
+   * @return the number
+   */
+  public int lostAt(String host) {
+    return lostByHost.getOrDefault(host, 0);
+  }
+
+  /**
+   * Returns the kinds of the refused requests.
+   *
+   * @return the kinds by code
+   */
+  public Map<String, Set<RequestKind>> refusedKinds() {
+    return refusedKinds;
+  }
+
+  /**
+   * Returns the refusals that do not say "not run", and the error events.
+   *
+   * @return the number
+   */
+  public int unknownOutcomes() {
+    return unknownOutcomes;
+  }
+
+  /**
+   * Returns the requests that were sent once more.
+   *
+   * @return the number
+   */
+  public int sentAgain() {
+    return sentAgain;
+  }
+
   /**
    * Returns the requests without their end.
    *
--- a/bin/lib.sh
+++ b/bin/lib.sh
@@ -158,6 +158,8 @@
   done <"$run_dir/processes"
   for name in "${names[@]}"; do
     kill -TERM "$(cat "$run_dir/$name.pid")" 2>/dev/null || true
+    # A process that a fault case has paused handles the signal only after it continues.
+    kill -CONT "$(cat "$run_dir/$name.pid")" 2>/dev/null || true
   done
   for name in "${names[@]}"; do
     pid="$(cat "$run_dir/$name.pid")"
--- a/router/src/main/java/org/almondslip/router/Router.java
+++ b/router/src/main/java/org/almondslip/router/Router.java
@@ -249,6 +249,7 @@
     metrics.registerRouting(work::stats);
     metrics.registerCallers(exchanges, server);
     metrics.registerTraffic(traffic);
+    metrics.registerCatalog(() -> catalog.revision());
   }
 
   /**
--- a/router/src/main/java/org/almondslip/router/RouterMetrics.java
+++ b/router/src/main/java/org/almondslip/router/RouterMetrics.java
@@ -4,6 +4,7 @@
 import io.prometheus.metrics.core.metrics.GaugeWithCallback;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import java.util.function.DoubleSupplier;
+import java.util.function.LongSupplier;
 import java.util.function.Supplier;
 import org.almondslip.protocol.TrafficCounters;
 import org.almondslip.routing.RoutingStats;
@@ -79,6 +80,15 @@
         () -> exchanges.unread().used());
   }
 
+  /**
+   * Registers the revision of the catalog.
+   *
+   * @param revision yields the revision in force
+   */
+  void registerCatalog(LongSupplier revision) {
+    gauge("almondslip_catalog_revision", "Catalog revision in force", revision::getAsLong);
+  }
+
   /**
    * Registers the traffic of the inner protocol.
    *
--- a/standins/src/main/java/org/almondslip/standins/target/UsageLedger.java
+++ b/standins/src/main/java/org/almondslip/standins/target/UsageLedger.java
@@ -16,6 +16,9 @@
   /** Runs that have not ended. */
   private final Set<Run> running = new HashSet<>();
 
+  /** Runs that have begun. */
+  private long begun;
+
   /** A run that holds a slot. */
   static final class Run {
 
@@ -47,6 +50,7 @@
   Run begin(String organisation, long now) {
     Run run = new Run(organisation, now);
     running.add(run);
+    begun++;
     return run;
   }
 
@@ -82,7 +86,7 @@
     running.forEach(run -> total.merge(run.organisation, now - run.began, Long::sum));
     ObjectNode json = JsonNodeFactory.instance.objectNode();
     json.put("now", now);
-    json.put("running", running.size());
+    json.put("running", running.size()).put("begun", begun);
     ObjectNode organisations = json.putObject("slotMillis");
     total.forEach(organisations::put);
     Map<String, Integer> counts = new TreeMap<>();
