Refuse requests as not ready while a router has no catalog

A router that had just started answered 401 to valid keys until its catalog arrived, so callers took the refusal for a permanent one. The refusal not-ready of PoolRules was never reached, since the key was checked first.

The router now refuses with 503 not-ready, ran no and Retry-After before it checks the key.

--- a/router/src/main/java/org/almondslip/router/Authenticator.java
+++ b/router/src/main/java/org/almondslip/router/Authenticator.java
@@ -32,6 +32,15 @@
     this.catalog = catalog;
   }
 
+  /**
+   * Returns whether keys can be checked.
+   *
+   * @return false while there is no catalog, when a valid key looks like a wrong one
+   */
+  boolean isReady() {
+    return catalog.get().revision() > 0;
+  }
+
   /**
    * Finds the organisation of a caller.
    *
--- a/router/src/main/java/org/almondslip/router/CallerServer.java
+++ b/router/src/main/java/org/almondslip/router/CallerServer.java
@@ -16,6 +16,9 @@
 /** HTTP API of the callers. */
 final class CallerServer implements AutoCloseable {
 
+  /** Time after which a router without a catalog may be asked again, in milliseconds. */
+  private static final long NOT_READY_RETRY_MILLIS = 1_000;
+
   /** Interval of the search for callers that read nothing, in milliseconds. */
   private static final long STALL_CHECK_MILLIS = 250;
 
@@ -129,6 +132,13 @@
    */
   private void handle(HttpServerRequest request) {
     guard.onHeaders(request.connection());
+    if (!authenticator.isReady()) {
+      reader(request, "", null)
+          .refuse(
+              Outcome.notRun(ErrorCode.NOT_READY, "the router has no catalog yet")
+                  .withRetryAfter(NOT_READY_RETRY_MILLIS));
+      return;
+    }
     Optional<String> organisation = authenticator.organisation(request.getHeader("Authorization"));
     if (organisation.isEmpty()) {
       reader(request, "", null)
