--- a/core/src/main/java/org/almondslip/accounting/DigestNode.java
+++ b/core/src/main/java/org/almondslip/accounting/DigestNode.java
@@ -125,12 +125,10 @@
    */
   public void onPeerOpen(PeerIdentity peer) {
     boolean sameProcess = position.onOpen(peer);
-    if (!root.isActing() || position.parent().isEmpty()) {
-      return;
-    }
-    if (sameProcess) {
+    boolean replaced = root.isActing() && position.parent().isPresent();
+    if (replaced && sameProcess) {
       children.giveBack(root.endInFavour(wave));
-    } else {
+    } else if (replaced) {
       effects.send(peer.instanceId(), root.snapshot(epoch, wave, true));
       root.end();
     }
@@ -172,12 +170,11 @@
    * @param frame the frame
    */
   public void onFrame(Peer peer, Frame frame) {
-    String sender = peer.peer().instanceId();
     switch (frame.getBodyCase()) {
       case SERVICE_REPORT -> children.merge(peer.peer(), frame.getServiceReport(), clock.millis());
       case SERVICE_DIGEST -> onDigest(frame.getServiceDigest());
       case ROOT_EXCHANGE -> onExchange(frame);
-      case ROOT_SNAPSHOT -> onSnapshot(sender, frame.getRootSnapshot());
+      case ROOT_SNAPSHOT -> onSnapshot(peer, frame.getRootSnapshot());
       default -> {}
     }
     advance();
@@ -337,10 +334,10 @@
    * @param sender the sender
    * @param snapshot the message
    */
-  private void onSnapshot(String sender, RootSnapshot snapshot) {
+  private void onSnapshot(Peer sender, RootSnapshot snapshot) {
     rootEpoch = Math.max(rootEpoch, snapshot.getEpoch());
     if (root.counters().merge(snapshot, wave)) {
-      effects.send(sender, root.snapshot(epoch, wave, true));
+      effects.send(sender.peer().instanceId(), root.snapshot(epoch, wave, true));
     }
   }
 
