--- a/bench/src/main/java/org/almondslip/bench/LoadRun.java
+++ b/bench/src/main/java/org/almondslip/bench/LoadRun.java
@@ -148,7 +148,7 @@
    */
   Result run(LoadPlan plan, Phase phase, Entry entry) {
     List<PlannedRequest> requests = plan.draw(phase);
-    FleetSnapshot before = setup.snapshot();
+    final FleetSnapshot before = setup.snapshot();
     Promise<Void> done = Promise.promise();
     LoadGenerator generator = new LoadGenerator(setup.vertx(), context, entry, tally);
     startMillis = System.nanoTime() / 1_000_000;
