--- a/bin/faults.sh
+++ b/bin/faults.sh
@@ -28,11 +28,22 @@
     sleep 0.1
   done
   sleep "$lead"
+  save_metrics
   "strike_${1//-/_}"
   wait "$tool_pid" || problem "the load tool failed"
   tool_pid=
 }
 
+# save_metrics: keeps the metrics of all routers and agents beside their logs, from just before the fault.
+save_metrics() {
+  local name program
+  while read -r program name _; do
+    [ "$program" = standins ] || http_get "$(address_of "$name")" /metrics >"$run_dir/$name.metrics"
+  done <"$run_dir/processes"
+  note connected_agents "$(cat "$run_dir"/*.metrics |
+    awk '$1 == "almondslip_connected_agents" { sum += $2 } END { print sum + 0 }')"
+}
+
 # load_seconds NAME: prints how long the load lasts; the fault has ended by then.
 load_seconds() {
   case "$1" in
