Dial agents before the catalog is known

A router dials the agents of each pool, and takes the pool of an agent from the catalog. A router that started while the table service was down therefore had no connection at all and never got the catalog from its peers: in bin/faults cold-start-without-store it was not ready after 60 s.

DialPlannerTest.dialsAgentsWithoutCatalog failed before the change and passes with it.

--- a/core/src/main/java/org/almondslip/routing/DialPlanner.java
+++ b/core/src/main/java/org/almondslip/routing/DialPlanner.java
@@ -7,6 +7,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.function.Consumer;
@@ -250,12 +251,8 @@
     Map<String, List<Member>> next = new TreeMap<>();
     for (Member member : members) {
       if (member.role() == Role.AGENT && !member.leaving()) {
-        catalog
-            .target(member.target())
-            .filter(target -> target.state() == Target.State.ACTIVE)
-            .ifPresent(
-                target ->
-                    next.computeIfAbsent(target.pool(), pool -> new ArrayList<>()).add(member));
+        poolOf(member)
+            .ifPresent(pool -> next.computeIfAbsent(pool, key -> new ArrayList<>()).add(member));
       }
     }
     Comparator<Member> order =
@@ -265,6 +262,23 @@
     agentsByPool = next;
   }
 
+  /**
+   * Returns the pool in which an agent is dialled. Without a catalog all agents count as one pool,
+   * since a router that starts while the table service is down gets its catalog from them.
+   *
+   * @param agent the agent
+   * @return the pool, or empty when the agent needs no connection
+   */
+  private Optional<String> poolOf(Member agent) {
+    if (catalog.revision() == 0) {
+      return Optional.of("");
+    }
+    return catalog
+        .target(agent.target())
+        .filter(target -> target.state() == Target.State.ACTIVE)
+        .map(Target::pool);
+  }
+
   /**
    * Returns the place of an agent in the order of this router.
    *
--- a/core/src/test/java/org/almondslip/routing/DialPlannerTest.java
+++ b/core/src/test/java/org/almondslip/routing/DialPlannerTest.java
@@ -85,6 +85,22 @@
     assertThat(dialled.stream().filter(address::equals)).hasSize(2);
   }
 
+  /** Guards against a router that waits for its catalog without a peer that could send it. */
+  @Test
+  void dialsAgentsWithoutCatalog() {
+    DialPlanner started =
+        new DialPlanner("r9", "north", RandomSource.XO_RO_SHI_RO_128_PP.create(3L), dialled::add);
+    List<Member> members = new ArrayList<>();
+    for (int i = 0; i < AGENTS; i++) {
+      String address = "north" + i;
+      members.add(
+          new Member("i-" + address, Role.AGENT, "north", "x", address, "t-" + address, false));
+    }
+    started.onMembers(members);
+    started.onTick(0);
+    assertThat(dialled).hasSize(DialPlanner.AGENTS_PER_POOL);
+  }
+
   /**
    * Creates a planner with members and catalog.
    *
