Keep announcements apart from the connections that carry requests

Cause: a router took an agent's announcement for a connection to the agent. Its own connection, opened in the meantime, was ignored as a second one, and none was left when the announcement closed: bin/faults pause-router saw 3 of 4 and 1 of 4 agents connected, and all requests for the others were refused with no-target. Change: only connections that the router has opened reach the decisions on requests and dials. Metrics of the agent are ordered as the linter wants.

--- a/agent/src/main/java/org/almondslip/agent/AgentMetrics.java
+++ b/agent/src/main/java/org/almondslip/agent/AgentMetrics.java
@@ -114,21 +114,21 @@
   }
 
   /**
-   * Registers the revision of the catalog.
+   * Registers the age of the load report.
    *
-   * @param revision yields the revision in force
+   * @param poll the poll
    */
-  void registerCatalog(LongSupplier revision) {
-    gauge("catalog_revision", "Catalog revision in force", revision::getAsLong);
+  void register(LoadPoll poll) {
+    gauge("load_age_seconds", "Age of the target's load report", () -> poll.ageMillis() / MILLIS);
   }
 
   /**
-   * Registers the age of the load report.
+   * Registers the revision of the catalog.
    *
-   * @param poll the poll
+   * @param revision yields the revision in force
    */
-  void register(LoadPoll poll) {
-    gauge("load_age_seconds", "Age of the target's load report", () -> poll.ageMillis() / MILLIS);
+  void registerCatalog(LongSupplier revision) {
+    gauge("catalog_revision", "Catalog revision in force", revision::getAsLong);
   }
 
   /**
--- a/router/src/main/java/org/almondslip/router/RouterDuty.java
+++ b/router/src/main/java/org/almondslip/router/RouterDuty.java
@@ -6,6 +6,7 @@
 import org.almondslip.catalog.Catalog;
 import org.almondslip.duty.Duty;
 import org.almondslip.membership.Member;
+import org.almondslip.protocol.PeerConnection;
 import org.almondslip.protocol.wire.SuspectNotice;
 import org.almondslip.routing.DialPlanner;
 import org.almondslip.routing.RouterLogic;
@@ -135,18 +136,43 @@
       fleet.onFrame(received.peer(), received.frame());
       logic.onFrame(received.peer(), received.frame());
     } else if (event instanceof RouterEvent.Opened opened) {
-      dials.onOpen(opened.peer().peer());
-      fleet.onPeerOpen(opened.peer());
-      logic.onPeerOpen(opened.peer());
+      onOpened(opened.peer());
     } else if (event instanceof RouterEvent.Closed closed) {
-      dials.onClosed(closed.peer().peer(), clock.millis());
-      fleet.onPeerClosed(closed.peer());
-      logic.onPeerClosed(closed.peer(), closed.byPeer());
+      onClosed(closed.peer(), closed.byPeer());
     } else if (event instanceof RouterEvent.DialFailed failed) {
       dials.onDialFailed(failed.address(), clock.millis());
     }
   }
 
+  /**
+   * Takes a new connection. Only dialled ones carry requests: on the others agents announce
+   * themselves, and they are closed at once. If such a connection stood for the agent, the dialled
+   * one would be ignored and the agent would get no work after the other has ended.
+   *
+   * @param peer the connection
+   */
+  private void onOpened(PeerConnection peer) {
+    fleet.onPeerOpen(peer);
+    if (peer.dialled()) {
+      dials.onOpen(peer.peer());
+      logic.onPeerOpen(peer);
+    }
+  }
+
+  /**
+   * Takes the end of a connection.
+   *
+   * @param peer the connection
+   * @param byPeer whether the other side ended it
+   */
+  private void onClosed(PeerConnection peer, boolean byPeer) {
+    fleet.onPeerClosed(peer);
+    if (peer.dialled()) {
+      dials.onClosed(peer.peer(), clock.millis());
+      logic.onPeerClosed(peer, byPeer);
+    }
+  }
+
   /** Takes over a new catalog, new members and stored crash marks. */
   private void takeChanges() {
     if (fleet.catalog() != catalog) {
