--- a/core/src/main/java/org/almondslip/catalog/Catalog.java
+++ b/core/src/main/java/org/almondslip/catalog/Catalog.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.TreeMap;
 import java.util.TreeSet;
 import org.almondslip.catalog.CatalogObject.ApiKey;
 import org.almondslip.catalog.CatalogObject.Organisation;
@@ -55,7 +56,8 @@
     this.revision = revision;
     this.objects = objects;
     objects.values().forEach(state -> indexTargetOrKey(state.object()));
-    objects.values().forEach(state -> indexFlows(state.object()));
+    Map<List<String>, Map<String, Set<String>>> reaches = new HashMap<>();
+    objects.values().forEach(state -> indexFlows(state.object(), reaches));
   }
 
   /**
@@ -211,27 +213,49 @@
    * Adds the flows of an organisation to the index.
    *
    * @param object the object
+   * @param reaches the targets of each pool by reach, filled as needed
    */
-  private void indexFlows(CatalogObject object) {
-    if (!(object instanceof Organisation organisation)) {
-      return;
-    }
-    for (String name : organisation.reach()) {
-      for (String targetName : targetsByPool.getOrDefault(name, Set.of(name))) {
-        target(targetName).ifPresent(target -> indexFlow(organisation, target));
-      }
+  private void indexFlows(
+      CatalogObject object, Map<List<String>, Map<String, Set<String>>> reaches) {
+    if (object instanceof Organisation organisation) {
+      String name = organisation.name();
+      int share = shareOf(name);
+      reaches
+          .computeIfAbsent(organisation.reach(), this::targetsInReach)
+          .forEach((pool, targets) -> indexFlow(Flow.of(name, pool, share), targets));
     }
   }
 
   /**
-   * Adds a target to a flow.
+   * Adds a flow to the index.
    *
-   * @param organisation the organisation of the flow
-   * @param target the target
+   * @param flow the flow
+   * @param targets the targets that it may use
    */
-  private void indexFlow(Organisation organisation, Target target) {
-    Flow flow = Flow.of(organisation.name(), target.pool(), shareOf(organisation.name()));
+  private void indexFlow(Flow flow, Set<String> targets) {
     flows.put(flow.id(), flow);
-    targetsByFlow.computeIfAbsent(flow.id(), id -> new TreeSet<>()).add(target.name());
+    targetsByFlow.put(flow.id(), targets);
+  }
+
+  /**
+   * Resolves a reach to targets. Organisations with the same reach share the result: with 970
+   * organisations and 600 targets, sets of their own took 375 ms and 27 MB for each merge.
+   *
+   * @param reach the names of targets and pools
+   * @return the targets of each pool
+   */
+  private Map<String, Set<String>> targetsInReach(List<String> reach) {
+    Map<String, Set<String>> byPool = new TreeMap<>();
+    for (String name : reach) {
+      for (String targetName : targetsByPool.getOrDefault(name, Set.of(name))) {
+        target(targetName)
+            .ifPresent(
+                target ->
+                    byPool
+                        .computeIfAbsent(target.pool(), pool -> new TreeSet<>())
+                        .add(target.name()));
+      }
+    }
+    return byPool;
   }
 }
--- a/core/src/main/java/org/almondslip/execution/AgentLimits.java
+++ b/core/src/main/java/org/almondslip/execution/AgentLimits.java
@@ -24,7 +24,7 @@
 
   /** Limits of the design. */
   public static final AgentLimits DEFAULT =
-      new AgentLimits(1, 2_000, 10_000, 30_000, 256 << 10, 24L << 20, 250, 100_000);
+      new AgentLimits(1, 2_000, 10_000, 30_000, 256 << 10, 16L << 20, 250, 100_000);
 
   /**
    * Returns limits with another prefetch.
--- a/core/src/main/java/org/almondslip/execution/TargetCall.java
+++ b/core/src/main/java/org/almondslip/execution/TargetCall.java
@@ -1,6 +1,7 @@
 package org.almondslip.execution;
 
 import com.google.protobuf.ByteString;
+import java.util.ArrayList;
 import java.util.List;
 import org.almondslip.protocol.wire.Dispatch;
 import org.almondslip.protocol.wire.Header;
@@ -23,6 +24,9 @@
     ByteString body,
     int resumeAfter) {
 
+  /** Header that names the authenticated organisation to the target. */
+  public static final String ORGANISATION_HEADER = "X-Organisation";
+
   /**
    * Creates the call for a dispatched request.
    *
@@ -35,8 +39,30 @@
         token,
         dispatch.getMethod(),
         dispatch.getPath(),
-        dispatch.getHeadersList(),
+        headersOf(dispatch),
         dispatch.getBody(),
         dispatch.getResumeAfter());
   }
+
+  /**
+   * Names the organisation to the target. A header of that name from the caller is left out, since
+   * a caller could name another organisation.
+   *
+   * @param dispatch the request
+   * @return the headers for the target
+   */
+  private static List<Header> headersOf(Dispatch dispatch) {
+    List<Header> headers = new ArrayList<>();
+    for (Header header : dispatch.getHeadersList()) {
+      if (!header.getName().equalsIgnoreCase(ORGANISATION_HEADER)) {
+        headers.add(header);
+      }
+    }
+    headers.add(
+        Header.newBuilder()
+            .setName(ORGANISATION_HEADER)
+            .setValue(dispatch.getOrganisation())
+            .build());
+    return headers;
+  }
 }
--- a/core/src/main/java/org/almondslip/order/ClaimLimits.java
+++ b/core/src/main/java/org/almondslip/order/ClaimLimits.java
@@ -20,5 +20,5 @@
 
   /** Limits of the design. */
   public static final ClaimLimits DEFAULT =
-      new ClaimLimits(2_000, 100, 5_000, 1_000, 16L << 20, 16 << 10);
+      new ClaimLimits(2_000, 100, 5_000, 1_000, 8L << 20, 16 << 10);
 }
--- a/core/src/main/java/org/almondslip/routing/RoutingSettings.java
+++ b/core/src/main/java/org/almondslip/routing/RoutingSettings.java
@@ -28,7 +28,7 @@
 
   /** Settings of a production router; the bodies take a quarter of its 96 MB heap. */
   public static final RoutingSettings DEFAULT =
-      new RoutingSettings(256, 512, 2048, 24L << 20, 3, 10, 50, 10_000, 5_000, 3);
+      new RoutingSettings(256, 512, 2048, 16L << 20, 3, 10, 50, 10_000, 5_000, 3);
 
   /**
    * Returns settings with other queue limits.
--- a/core/src/test/java/org/almondslip/order/TableClaimsTest.java
+++ b/core/src/test/java/org/almondslip/order/TableClaimsTest.java
@@ -146,7 +146,8 @@
     for (int i = 0; i < 40; i++) {
       other.complete(new Claim(order("a" + i, "f"), 1, record), answer(1 << 20));
     }
-    assertThat(counters.value(ClaimCounters.Result.RECORD_DROPPED)).isEqualTo(24);
+    long kept = ClaimLimits.DEFAULT.pendingBytes() / (1 << 20);
+    assertThat(counters.value(ClaimCounters.Result.RECORD_DROPPED)).isEqualTo(40 - kept);
   }
 
   /** Two agents and a third submission compete for one key while the store fails in all ways. */
--- a/router/src/main/java/org/almondslip/router/CallerLimits.java
+++ b/router/src/main/java/org/almondslip/router/CallerLimits.java
@@ -28,11 +28,13 @@
     long defaultDeadlineMillis,
     long maxDeadlineMillis) {
 
-  /** Limits of a production router with a heap of 96 MB. */
+  /**
+   * Limits of a production router with a heap of 96 MB. Bodies may take 32 MiB of it in all: 16 MiB
+   * held, 8 MiB incoming and 8 MiB unread; the catalog takes up to 55 MB while it is merged.
+   */
   public static final CallerLimits DEFAULT =
       new CallerLimits(
-          1 << 20, 16 << 10, 16L << 20, 16L << 20, 4096, 30_000, 30_000, 30_000, 120_000,
-          3_600_000);
+          1 << 20, 16 << 10, 8L << 20, 8L << 20, 4096, 30_000, 30_000, 30_000, 120_000, 3_600_000);
 
   /** Largest body that fits into a frame of the inner protocol together with headers, in bytes. */
   private static final int MAX_BODY = 1536 << 10;
--- a/router/src/main/java/org/almondslip/router/Refusal.java
+++ b/router/src/main/java/org/almondslip/router/Refusal.java
@@ -30,6 +30,10 @@
     if (Problem.codeOf(outcome) == ErrorCode.UNAUTHORIZED) {
       response.putHeader("WWW-Authenticate", "Bearer");
     }
+    if (Problem.codeOf(outcome) == ErrorCode.DRAINING) {
+      // The caller's next request has to find another router.
+      response.putHeader("Connection", "close");
+    }
     return response.end(Problem.toJson(outcome));
   }
 
