--- a/agent/src/main/java/org/almondslip/agent/AgentSettings.java
+++ b/agent/src/main/java/org/almondslip/agent/AgentSettings.java
@@ -96,12 +96,9 @@
   public record SchedulingSettings(
       Policy policy, long localitySlackMillis, long largestCostMillis, DigestSettings digest) {
 
-    /**
-     * Settings of a fleet that does not change them. Without slack, offers of two regions take
-     * turns at small differences of their accounts, and requests cross in both directions.
-     */
+    /** Settings of a fleet that does not change them. */
     static final SchedulingSettings DEFAULT =
-        new SchedulingSettings(Policy.FAIR, 1_000, 10_000, DigestSettings.DEFAULT);
+        new SchedulingSettings(Policy.FAIR, 0, 10_000, DigestSettings.DEFAULT);
   }
 
   /**
--- a/bench/src/main/java/org/almondslip/bench/Report.java
+++ b/bench/src/main/java/org/almondslip/bench/Report.java
@@ -26,7 +26,7 @@
   private static final int FAN_OUT = 3;
 
   /** What agents add to the account of offers from other regions, in milliseconds. */
-  private static final long LOCALITY_SLACK_MILLIS = 1_000;
+  private static final long LOCALITY_SLACK_MILLIS = 0;
 
   /** Requests that an agent may hold for each slot: one that runs and one granted ahead. */
   private static final int GRANTED_AHEAD = 2;
