Draw the incarnation of router and agent in one place

Cause: both programs built the number from the start time and random bits with their own copy of the constant and the shift. Change: Incarnation in the package process serves both; behaviour is the same.

--- a/agent/src/main/java/org/almondslip/agent/Agent.java
+++ b/agent/src/main/java/org/almondslip/agent/Agent.java
@@ -4,7 +4,6 @@
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import io.vertx.core.Vertx;
 import io.vertx.core.VertxOptions;
-import java.security.SecureRandom;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import org.almondslip.duty.Duty;
@@ -12,6 +11,7 @@
 import org.almondslip.membership.PeerIdentity;
 import org.almondslip.metrics.OperationsServer;
 import org.almondslip.order.ClaimCounters;
+import org.almondslip.process.Incarnation;
 import org.almondslip.process.Program;
 import org.almondslip.protocol.PeerTransport;
 import org.almondslip.protocol.TrafficCounters;
@@ -35,9 +35,6 @@
   /** Interval between ticks of the decision thread, in milliseconds. */
   private static final long TICK_MILLIS = 20;
 
-  /** Random bits of an incarnation. */
-  private static final int INCARNATION_RANDOM_BITS = 20;
-
   /** Settings of the agent. */
   private final AgentSettings settings;
 
@@ -231,10 +228,9 @@
    * @return the identity with a new incarnation
    */
   private static PeerIdentity identity(AgentSettings settings, Clock clock) {
-    long random = new SecureRandom().nextInt(1 << INCARNATION_RANDOM_BITS);
     return new PeerIdentity(
         settings.instance(),
-        clock.wallMillis() << INCARNATION_RANDOM_BITS | random,
+        Incarnation.next(clock),
         Role.AGENT,
         settings.region(),
         settings.dataCentre(),
--- a/router/src/main/java/org/almondslip/router/Router.java
+++ b/router/src/main/java/org/almondslip/router/Router.java
@@ -6,7 +6,6 @@
 import io.vertx.core.VertxOptions;
 import io.vertx.core.file.FileSystemOptions;
 import io.vertx.core.json.JsonObject;
-import java.security.SecureRandom;
 import java.util.Optional;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
@@ -14,6 +13,7 @@
 import org.almondslip.duty.Duty;
 import org.almondslip.membership.PeerIdentity;
 import org.almondslip.metrics.OperationsServer;
+import org.almondslip.process.Incarnation;
 import org.almondslip.process.Program;
 import org.almondslip.protocol.PeerTransport;
 import org.almondslip.protocol.TrafficCounters;
@@ -41,9 +41,6 @@
   /** Size of the ring of the decision thread, in events. */
   private static final int RING_CAPACITY = 16_384;
 
-  /** Random bits of the incarnation, below the start time. */
-  private static final int INCARNATION_RANDOM_BITS = 20;
-
   /** Interval at which a drain is checked, in milliseconds. */
   private static final long DRAIN_CHECK_MILLIS = 20;
 
@@ -338,11 +335,9 @@
    * @return the identity
    */
   private static PeerIdentity identity(RouterSettings settings, Clock clock) {
-    int random = new SecureRandom().nextInt(1 << INCARNATION_RANDOM_BITS);
-    long incarnation = (clock.wallMillis() << INCARNATION_RANDOM_BITS) | random;
     return new PeerIdentity(
         settings.instance(),
-        incarnation,
+        Incarnation.next(clock),
         Role.ROUTER,
         settings.region(),
         settings.dataCentre(),
