--- /dev/null
+++ b/core/src/main/java/org/almondslip/dispatch/Dispatcher.java
@@ -0,0 +1,289 @@
+package org.almondslip.dispatch;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.almondslip.placement.EngineModel;
+import org.almondslip.placement.Placement;
+import org.almondslip.placement.TargetLoad;
+import org.almondslip.time.Clock;
+
+/**
+ * Sends jobs to targets while these have little unread work, and keeps the others in fair order.
+ *
+ * <p>The load it answers is more work than the targets can do: engines serve in order of arrival,
+ * so work that is sent early can no longer be ordered. A job whose expected wait exceeds what its
+ * objective allows is refused at once; the caller may come back when the queue has moved on.
+ */
+public final class Dispatcher {
+
+  /** Source of time. */
+  private final Clock clock;
+
+  /** Choice of targets. */
+  private final Placement placement;
+
+  /** Speed of the engines. */
+  private final EngineModel model;
+
+  /** Limits of the queues. */
+  private final DispatchLimits limits;
+
+  /** Targets by service. */
+  private final Map<String, Map<String, TargetLoad>> targets = new HashMap<>();
+
+  /** Queues by service. */
+  private final Map<String, FairQueue> queues = new HashMap<>();
+
+  /** Rates of sent work by service. */
+  private final Map<String, SendRate> rates = new HashMap<>();
+
+  /**
+   * Creates a dispatcher without targets.
+   *
+   * @param clock the source of time
+   * @param placement the choice of targets
+   * @param model the speed of the engines
+   * @param limits the limits of the queues
+   */
+  public Dispatcher(Clock clock, Placement placement, EngineModel model, DispatchLimits limits) {
+    this.clock = clock;
+    this.placement = placement;
+    this.model = model;
+    this.limits = limits;
+  }
+
+  /**
+   * Adds a target.
+   *
+   * @param target the target
+   */
+  public void add(TargetLoad target) {
+    targets
+        .computeIfAbsent(target.target().service(), service -> new HashMap<>())
+        .put(target.target().id(), target);
+    pump(target.target().service());
+  }
+
+  /**
+   * Removes a target.
+   *
+   * @param service the name of its service
+   * @param id the id of the target
+   */
+  public void remove(String service, String id) {
+    targets.getOrDefault(service, new HashMap<>()).remove(id);
+  }
+
+  /**
+   * Returns the targets of a service.
+   *
+   * @param service the name of the service
+   * @return the targets
+   */
+  public Collection<TargetLoad> targets(String service) {
+    return targets.getOrDefault(service, Map.of()).values();
+  }
+
+  /**
+   * Returns all targets.
+   *
+   * @return the targets
+   */
+  public List<TargetLoad> targets() {
+    List<TargetLoad> all = new ArrayList<>();
+    targets.values().forEach(map -> all.addAll(map.values()));
+    return all;
+  }
+
+  /**
+   * Returns the number of waiting jobs.
+   *
+   * @return the number
+   */
+  public int waiting() {
+    return queues.values().stream().mapToInt(FairQueue::size).sum();
+  }
+
+  /**
+   * Takes a job: it is sent, kept or refused before this method returns.
+   *
+   * @param job the job
+   */
+  public void submit(Job job) {
+    FairQueue queue = queue(job.service());
+    if (queue.size() == 0 || job.started()) {
+      Optional<Placement.Choice> choice = choose(job);
+      if (choice.isPresent()) {
+        queue.charge(job);
+        send(job, choice.get());
+        return;
+      }
+    }
+    if (!job.started() && isHopeless(job, queue)) {
+      job.refuse(RefusalReason.OVERLOADED, retryAfterMillis(queue));
+      return;
+    }
+    queue.add(job);
+    pump(job.service());
+  }
+
+  /**
+   * Forgets a job whose caller has gone.
+   *
+   * @param job the job
+   */
+  public void cancel(Job job) {
+    queue(job.service()).removeIf(other -> other == job);
+  }
+
+  /**
+   * Sends the waiting jobs for which a target has room.
+   *
+   * @param service the name of the service
+   */
+  public void pump(String service) {
+    FairQueue queue = queue(service);
+    boolean sent = queue.size() > 0;
+    while (sent) {
+      sent = false;
+      for (Job job : queue.heads()) {
+        Optional<Placement.Choice> choice = choose(job);
+        if (choice.isPresent()) {
+          queue.take(job);
+          send(job, choice.get());
+          sent = true;
+          break;
+        }
+      }
+    }
+  }
+
+  /** Sends what can be sent and refuses the jobs that can no longer be on time. */
+  public void tick() {
+    for (Map.Entry<String, FairQueue> entry : queues.entrySet()) {
+      FairQueue queue = entry.getValue();
+      if (queue.size() > 0) {
+        pump(entry.getKey());
+        expire(entry.getKey(), queue);
+      }
+      queue.prune();
+    }
+  }
+
+  /**
+   * Refuses jobs that can no longer be on time.
+   *
+   * @param service the name of the service
+   * @param queue the queue of the service
+   */
+  private void expire(String service, FairQueue queue) {
+    RefusalReason reason =
+        targets(service).isEmpty() ? RefusalReason.NO_TARGET : RefusalReason.OVERLOADED;
+    for (Job job : queue.removeIf(this::isLate)) {
+      job.refuse(reason, retryAfterMillis(queue));
+    }
+  }
+
+  /**
+   * Returns whether a waiting job can no longer be read in time.
+   *
+   * @param job the job
+   * @return true when it can not
+   */
+  private boolean isLate(Job job) {
+    return clock.millis() + model.readMillis(job.prompt().promptTokens()) >= job.dueAt();
+  }
+
+  /**
+   * Returns whether a new job cannot be read in time behind the jobs of its organisation.
+   *
+   * @param job the job
+   * @param queue the queue of its service
+   * @return true when it can not
+   */
+  private boolean isHopeless(Job job, FairQueue queue) {
+    if (isLate(job) || queue.size() >= limits.maxWaiting()) {
+      return true;
+    }
+    double rate = rate(job.service()).tokensPerMilli(clock.millis());
+    int sharing = Math.max(1, queue.waitingOrganisations());
+    double ahead = queue.waitingTokens(job.organisation());
+    double waitMillis = rate <= 0 ? 0 : ahead * sharing / rate;
+    return clock.millis() + waitMillis > job.dueAt();
+  }
+
+  /**
+   * Chooses a target with room for a job.
+   *
+   * @param job the job
+   * @return the target, or empty when none has room
+   */
+  private Optional<Placement.Choice> choose(Job job) {
+    long now = clock.millis();
+    List<TargetLoad> open = new ArrayList<>();
+    for (TargetLoad target : targets(job.service())) {
+      if (job.started() || hasRoom(target, now)) {
+        open.add(target);
+      }
+    }
+    return placement.choose(open, job.prompt(), job.tried(), now);
+  }
+
+  /**
+   * Returns whether a target takes more work now.
+   *
+   * @param target the target
+   * @param now the current time in milliseconds
+   * @return true when its unread work and its requests are below the limits
+   */
+  private boolean hasRoom(TargetLoad target, long now) {
+    return model.readMillis(target.unreadTokens(now)) * target.slowdown() < limits.unreadMillis()
+        && target.requests(now) < target.target().slots() * limits.slotFactor();
+  }
+
+  /**
+   * Sends a job.
+   *
+   * @param job the job
+   * @param choice the target
+   */
+  private void send(Job job, Placement.Choice choice) {
+    rate(job.service()).add(FairQueue.cost(job), clock.millis());
+    job.send(choice.load(), choice.waitMillis());
+  }
+
+  /**
+   * Returns the time after which a refused caller may come back.
+   *
+   * @param queue the queue of the service
+   * @return the time in milliseconds
+   */
+  private long retryAfterMillis(FairQueue queue) {
+    int steps = Math.min(queue.size(), limits.maxWaiting());
+    return limits.retryAfterMillis() + limits.retryAfterMillis() * steps / limits.maxWaiting();
+  }
+
+  /**
+   * Returns the queue of a service.
+   *
+   * @param service the name of the service
+   * @return the queue
+   */
+  private FairQueue queue(String service) {
+    return queues.computeIfAbsent(service, name -> new FairQueue());
+  }
+
+  /**
+   * Returns the rate of a service.
+   *
+   * @param service the name of the service
+   * @return the rate
+   */
+  private SendRate rate(String service) {
+    return rates.computeIfAbsent(service, name -> new SendRate());
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/almondslip/dispatch/package-info.java
@@ -0,0 +1,2 @@
+/** Order and admission of the requests that wait for a target. */
+package org.almondslip.dispatch;
--- /dev/null
+++ b/core/src/main/java/org/almondslip/placement/package-info.java
@@ -0,0 +1,2 @@
+/** Choice of the target that serves a request. */
+package org.almondslip.placement;
--- a/core/src/main/java/org/almondslip/routing/EventSplitter.java
+++ b/core/src/main/java/org/almondslip/routing/EventSplitter.java
@@ -9,7 +9,7 @@
  * continues at an event boundary. An event larger than the limit is passed in parts; the stream can
  * then no longer be resumed.
  */
-final class EventSplitter {
+public final class EventSplitter {
 
   /**
    * Largest incomplete event that is held back, in bytes. Held bytes are not acknowledged; a limit
@@ -47,7 +47,7 @@
    * @param data the bytes
    * @return the bytes up to the last complete event, possibly none
    */
-  ByteString add(ByteString data) {
+  public ByteString add(ByteString data) {
     tail = tail.concat(data);
     int end = 0;
     for (int i = scanned; i < tail.size(); i++) {
@@ -68,12 +68,12 @@
    *
    * @return the bytes, possibly none
    */
-  ByteString finish() {
+  public ByteString finish() {
     return cut(tail.size());
   }
 
   /** Drops the incomplete event, which the next target sends again. */
-  void restart() {
+  public void restart() {
     tail = ByteString.EMPTY;
     scanned = 0;
     lineEmpty = true;
@@ -87,7 +87,7 @@
    *
    * @return the number
    */
-  int events() {
+  public int events() {
     return events;
   }
 
@@ -96,7 +96,7 @@
    *
    * @return true when the bytes passed on end at an event boundary
    */
-  boolean resumable() {
+  public boolean resumable() {
     return resumable;
   }
 
--- /dev/null
+++ b/gateway/src/main/java/org/almondslip/gateway/CallerCall.java
@@ -0,0 +1,45 @@
+package org.almondslip.gateway;
+
+import io.vertx.core.MultiMap;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpMethod;
+import java.util.Optional;
+import org.almondslip.directory.Organisation;
+import org.almondslip.directory.Route;
+
+/**
+ * Request of a caller that may be sent to a target.
+ *
+ * @param method the method
+ * @param uri the path and the query as the caller sent them
+ * @param headers the headers as the caller sent them
+ * @param body the body
+ * @param decoded what the headers say
+ * @param route the route
+ * @param service the service that the route chose
+ * @param organisation the organisation, empty when the route needs no key
+ * @param arrivedAt the time at which the headers arrived, in milliseconds
+ * @param fingerprint the same for all attempts of a caller at one request
+ */
+record CallerCall(
+    HttpMethod method,
+    String uri,
+    MultiMap headers,
+    Buffer body,
+    HeaderCodec.CallHeaders decoded,
+    Route route,
+    String service,
+    Optional<Organisation> organisation,
+    long arrivedAt,
+    long fingerprint) {
+
+  /**
+   * Returns the time by which the caller must have the whole answer.
+   *
+   * @return the earlier of the caller's deadline and the route's timeout, in milliseconds
+   */
+  long deadlineAt() {
+    return arrivedAt
+        + Math.min(route.timeoutMillis(), decoded.deadlineMillis().orElse(Long.MAX_VALUE >> 1));
+  }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/almondslip/gateway/DirectorySource.java
@@ -0,0 +1,17 @@
+package org.almondslip.gateway;
+
+import org.almondslip.directory.Directory;
+
+/** Reads the state of the fleet and keeps a directory up to date. */
+public interface DirectorySource extends AutoCloseable {
+
+  /**
+   * Starts to read.
+   *
+   * @param directory the directory
+   */
+  void start(Directory directory);
+
+  @Override
+  void close();
+}
--- /dev/null
+++ b/gateway/src/main/java/org/almondslip/gateway/GatewayMetrics.java
@@ -0,0 +1,77 @@
+package org.almondslip.gateway;
+
+import io.prometheus.metrics.core.metrics.CounterWithCallback;
+import io.prometheus.metrics.core.metrics.GaugeWithCallback;
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import java.util.function.DoubleSupplier;
+import org.almondslip.directory.Directory;
+import org.almondslip.dispatch.Dispatcher;
+
+/** Metrics of a router that calls targets itself. They are read when they are scraped. */
+final class GatewayMetrics {
+
+  /** Milliseconds in a second. */
+  private static final double SECOND = 1_000;
+
+  /** Registry of the process. */
+  private final PrometheusRegistry registry;
+
+  /**
+   * Creates metrics that are not registered.
+   *
+   * @param registry the registry of the process
+   */
+  GatewayMetrics(PrometheusRegistry registry) {
+    this.registry = registry;
+  }
+
+  /**
+   * Registers all metrics.
+   *
+   * @param decisions the outcomes of requests
+   * @param dispatcher the queues
+   * @param intake the open requests
+   * @param callers the connections of callers
+   * @param directory the state of the fleet
+   */
+  void register(
+      DecisionLog decisions,
+      Dispatcher dispatcher,
+      Intake intake,
+      CallerConnections callers,
+      Directory directory) {
+    CounterWithCallback.builder()
+        .name("almondslip_requests_total")
+        .help("Requests that have ended, by outcome")
+        .labelNames("outcome")
+        .callback(values -> decisions.outcomes().forEach((label, n) -> values.call(n, label)))
+        .register(registry);
+    gauge("almondslip_waiting_requests", "Requests without a target", dispatcher::waiting);
+    gauge("almondslip_open_requests", "Requests that have not ended", intake::open);
+    gauge("almondslip_caller_connections", "Connections of callers", callers::size);
+    gauge(
+        "almondslip_routes_version",
+        "Version of the routes in force",
+        () -> directory.table().map(table -> (double) table.version()).orElse(0.0));
+    gauge(
+        "almondslip_routes_age_seconds",
+        "Age of the known routes and keys",
+        () -> directory.routesFreshness().ageMillis() / SECOND);
+    gauge("almondslip_targets", "Live targets", () -> directory.targets().size());
+  }
+
+  /**
+   * Registers a gauge.
+   *
+   * @param name the name
+   * @param help what it shows
+   * @param value yields the value
+   */
+  private void gauge(String name, String help, DoubleSupplier value) {
+    GaugeWithCallback.builder()
+        .name(name)
+        .help(help)
+        .callback(values -> values.call(value.getAsDouble()))
+        .register(registry);
+  }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/almondslip/gateway/GatewaySettings.java
@@ -0,0 +1,98 @@
+package org.almondslip.gateway;
+
+import org.almondslip.settings.Section;
+
+/**
+ * Settings of a router that calls targets itself.
+ *
+ * @param instance the name of the instance
+ * @param region the region of the instance
+ * @param dataCentre the data centre of the instance
+ * @param listen the address for callers
+ * @param readyListen the address of the balancer's checks
+ * @param operationsListen the address for health and metrics
+ * @param peerListen the address for datagrams of other routers
+ * @param platform the address of the platform's store
+ * @param retryWindowMillis the window of the retry budget in milliseconds
+ * @param retryRatio the repeats for each request that the fleet may make
+ * @param retryAllowance the repeats beside the ratio that this router may make in a window
+ * @param revocationMillis the time within which a removed key must stop working, in milliseconds
+ * @param drainMillis the longest time of a planned stop in milliseconds
+ */
+public record GatewaySettings(
+    String instance,
+    String region,
+    String dataCentre,
+    String listen,
+    String readyListen,
+    String operationsListen,
+    String peerListen,
+    String platform,
+    long retryWindowMillis,
+    double retryRatio,
+    double retryAllowance,
+    long revocationMillis,
+    long drainMillis) {
+
+  /** Longest time limit that is accepted, in milliseconds: one hour. */
+  private static final long MAX_MILLIS = 3_600_000;
+
+  /** Largest allowance that is accepted, in repeats. */
+  private static final double MAX_ALLOWANCE = 100_000;
+
+  /** Largest time that is accepted, in seconds: one hour. */
+  private static final double MAX_SECONDS = 3_600;
+
+  /** Default window of the retry budget in seconds. */
+  private static final double RETRY_WINDOW_SECONDS = 10;
+
+  /** Default repeats for each request. */
+  private static final double RETRY_RATIO = 0.2;
+
+  /** Default time within which a removed key must stop working, in milliseconds. */
+  private static final long REVOCATION_MILLIS = 5_000;
+
+  /** Default time limit of a planned stop, in seconds. */
+  private static final double DRAIN_SECONDS = 8;
+
+  /** Routers among which the allowance of the fleet is divided, spare ones included. */
+  private static final double ROUTERS = 40;
+
+  /** Milliseconds in a second. */
+  private static final double SECOND = 1_000;
+
+  /**
+   * Reads the settings.
+   *
+   * @param section the top level of the file
+   * @return the settings, complete only when there is no finding
+   */
+  public static GatewaySettings of(Section section) {
+    Section retries = section.section("retries");
+    Section limits = section.section("limits");
+    return new GatewaySettings(
+        section.text("instance"),
+        section.text("region"),
+        section.text("data_centre"),
+        section.address("listen"),
+        section.address("ready_listen"),
+        section.address("operations_listen"),
+        section.address("peer_listen"),
+        section.address("platform"),
+        millis(retries.decimal("window_seconds", RETRY_WINDOW_SECONDS, 0, MAX_SECONDS)),
+        retries.decimal("ratio", RETRY_RATIO, 0, 1),
+        retries.decimal("fleet_allowance", 0, 0, MAX_ALLOWANCE) / ROUTERS,
+        limits.integer("revocation_millis", REVOCATION_MILLIS, 1, MAX_MILLIS),
+        millis(limits.decimal("drain_seconds", DRAIN_SECONDS, 0, MAX_SECONDS)));
+  }
+
+  /**
+   * Converts seconds.
+   *
+   * @param seconds the time in seconds
+   * @return the time in milliseconds
+   */
+  private static long millis(double seconds) {
+    return (long) (seconds * SECOND);
+  }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/almondslip/gateway/Intake.java
@@ -0,0 +1,306 @@
+package org.almondslip.gateway;
+
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpServerRequest;
+import java.util.Arrays;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.function.BooleanSupplier;
+import org.almondslip.directory.Directory;
+import org.almondslip.directory.IntakeLimits;
+import org.almondslip.directory.Organisation;
+import org.almondslip.directory.Route;
+import org.almondslip.directory.RoutingTable;
+import org.almondslip.error.ErrorCode;
+import org.apache.commons.rng.UniformRandomProvider;
+
+/** Checks requests of callers, reads their bodies and starts to forward them. */
+final class Intake {
+
+  /** Time after which a caller may come back to a router that is not ready, in milliseconds. */
+  private static final long NOT_READY_RETRY_MILLIS = 500;
+
+  /**
+   * Part of the revocation time after which the known keys are too old. The rest covers the drift
+   * of clocks and the time of a request on its way.
+   */
+  private static final double KEY_AGE_PART = 0.95;
+
+  /** Event loop. */
+  private final Vertx vertx;
+
+  /** What all requests share. */
+  private final GatewayParts parts;
+
+  /** Settings of the router. */
+  private final GatewaySettings settings;
+
+  /** State of the fleet. */
+  private final Directory directory;
+
+  /** Connections of callers. */
+  private final CallerConnections connections;
+
+  /** Source of random numbers. */
+  private final UniformRandomProvider random;
+
+  /** Whether the router is shutting down. */
+  private final BooleanSupplier draining;
+
+  /** Requests that have not ended. */
+  private int open;
+
+  /**
+   * Creates an intake.
+   *
+   * @param vertx the event loop
+   * @param parts what all requests share
+   * @param settings the settings of the router
+   * @param directory the state of the fleet
+   * @param connections the connections of callers
+   * @param random the source of random numbers
+   * @param draining whether the router is shutting down
+   */
+  Intake(
+      Vertx vertx,
+      GatewayParts parts,
+      GatewaySettings settings,
+      Directory directory,
+      CallerConnections connections,
+      UniformRandomProvider random,
+      BooleanSupplier draining) {
+    this.vertx = vertx;
+    this.parts = parts;
+    this.settings = settings;
+    this.directory = directory;
+    this.connections = connections;
+    this.random = random;
+    this.draining = draining;
+  }
+
+  /**
+   * Returns the number of requests that have not ended.
+   *
+   * @return the number
+   */
+  int open() {
+    return open;
+  }
+
+  /**
+   * Returns whether the known keys are fresh enough to serve requests with keys.
+   *
+   * @return true when a removed key is known in time
+   */
+  boolean keysFresh() {
+    return directory.routesFreshness().ageMillis() < settings.revocationMillis() * KEY_AGE_PART;
+  }
+
+  /**
+   * Takes a request whose headers have arrived.
+   *
+   * @param request the request
+   */
+  void onRequest(HttpServerRequest request) {
+    final long arrivedAt = parts.clock().millis();
+    connections.onRequest(request.connection());
+    CallerAnswer answer = new CallerAnswer(request, draining.getAsBoolean());
+    if (request.headers().contains(StrictRequestDecoder.AMBIGUOUS_LENGTH)) {
+      reject(request, ErrorCode.BAD_REQUEST, "the request has both a length and chunks");
+      return;
+    }
+    Optional<RoutingTable> table = directory.table();
+    if (table.isEmpty()) {
+      refuse(request, answer, ErrorCode.NOT_READY, "no routes are known yet");
+      return;
+    }
+    IntakeLimits limits = table.get().limits();
+    if (headerBytes(request) > limits.maxHeaderBytes()) {
+      reject(request, ErrorCode.HEADERS_TOO_LARGE, ErrorCode.HEADERS_TOO_LARGE.title());
+      return;
+    }
+    readBody(request, answer, limits.maxBodyBytes(), arrivedAt);
+  }
+
+  /**
+   * Reads the body.
+   *
+   * @param request the request
+   * @param answer the answer
+   * @param maxBytes the largest size of the body in bytes
+   * @param arrivedAt the time at which the headers arrived, in milliseconds
+   */
+  private void readBody(
+      HttpServerRequest request, CallerAnswer answer, long maxBytes, long arrivedAt) {
+    Buffer body = Buffer.buffer();
+    request.handler(
+        data -> {
+          if (answer.ended()) {
+            return;
+          }
+          body.appendBuffer(data);
+          if (body.length() > maxBytes) {
+            answer.abandon();
+            reject(request, ErrorCode.BODY_TOO_LARGE, ErrorCode.BODY_TOO_LARGE.title());
+          }
+        });
+    request.exceptionHandler(failure -> answer.abandon());
+    request.endHandler(
+        ignored -> {
+          if (!answer.ended()) {
+            check(request, answer, body, arrivedAt);
+          }
+        });
+  }
+
+  /**
+   * Checks a whole request and forwards it.
+   *
+   * @param request the request
+   * @param answer the answer
+   * @param body the body
+   * @param arrivedAt the time at which the headers arrived, in milliseconds
+   */
+  private void check(HttpServerRequest request, CallerAnswer answer, Buffer body, long arrivedAt) {
+    RoutingTable table = directory.table().orElseThrow();
+    Optional<Route> route =
+        table.route(Objects.requireNonNullElse(request.getHeader("Host"), ""), path(request));
+    if (route.isEmpty()) {
+      fail(request, answer, ErrorCode.NOT_FOUND, "no route matches");
+      return;
+    }
+    HeaderCodec.CallHeaders decoded = parts.codec().readCall(request.headers());
+    Optional<Organisation> organisation = decoded.key().flatMap(table::organisation);
+    boolean keyed = table.needsKey(route.get());
+    if (keyed && !keysFresh()) {
+      refuse(request, answer, ErrorCode.STORE_UNAVAILABLE, "the known keys are too old");
+      return;
+    }
+    if (keyed && organisation.isEmpty()) {
+      fail(request, answer, ErrorCode.UNAUTHORIZED, ErrorCode.UNAUTHORIZED.title());
+      return;
+    }
+    if (!directory.complete()) {
+      refuse(request, answer, ErrorCode.NOT_READY, "no targets are known yet");
+      return;
+    }
+    forward(request, answer, body, arrivedAt, route.get(), decoded, organisation);
+  }
+
+  /**
+   * Forwards a request.
+   *
+   * @param request the request
+   * @param answer the answer
+   * @param body the body
+   * @param arrivedAt the time at which the headers arrived, in milliseconds
+   * @param route the route
+   * @param decoded what the headers say
+   * @param organisation the holder of the key
+   */
+  private void forward(
+      HttpServerRequest request,
+      CallerAnswer answer,
+      Buffer body,
+      long arrivedAt,
+      Route route,
+      HeaderCodec.CallHeaders decoded,
+      Optional<Organisation> organisation) {
+    String service = route.service(random.nextDouble());
+    CallerCall call =
+        new CallerCall(
+            request.method(),
+            request.uri(),
+            request.headers(),
+            body,
+            decoded,
+            route,
+            service,
+            organisation,
+            arrivedAt,
+            Arrays.hashCode(body.getBytes()) * 31L
+                + Objects.hash(request.method(), request.uri(), decoded.key()));
+    parts.budget(service).onRequest(arrivedAt);
+    open++;
+    new Forwarding(
+            parts,
+            vertx,
+            request,
+            call,
+            answer,
+            () -> {
+              open--;
+              connections.onAnswered(request.connection());
+            })
+        .start();
+  }
+
+  /**
+   * Answers a request with an error that coming back does not change.
+   *
+   * @param request the request
+   * @param answer the answer
+   * @param code the code of the error
+   * @param detail what is wrong
+   */
+  private void fail(HttpServerRequest request, CallerAnswer answer, ErrorCode code, String detail) {
+    parts.decisions().rejected(code, detail);
+    answer.fail(code, detail, OptionalLong.empty());
+    connections.onAnswered(request.connection());
+  }
+
+  /**
+   * Refuses a request that the caller may send again.
+   *
+   * @param request the request
+   * @param answer the answer
+   * @param code the code of the error
+   * @param detail why it is refused
+   */
+  private void refuse(
+      HttpServerRequest request, CallerAnswer answer, ErrorCode code, String detail) {
+    parts.decisions().rejected(code, detail);
+    answer.fail(code, detail, OptionalLong.of(NOT_READY_RETRY_MILLIS));
+    connections.onAnswered(request.connection());
+  }
+
+  /**
+   * Answers an invalid request and closes its connection, whose next bytes cannot be trusted.
+   *
+   * @param request the request
+   * @param code the code of the error
+   * @param detail what is wrong
+   */
+  private void reject(HttpServerRequest request, ErrorCode code, String detail) {
+    parts.decisions().rejected(code, detail);
+    new CallerAnswer(request, true).fail(code, detail, OptionalLong.empty());
+  }
+
+  /**
+   * Returns the path of a request without the query.
+   *
+   * @param request the request
+   * @return the path
+   */
+  private static String path(HttpServerRequest request) {
+    int query = request.uri().indexOf('?');
+    return query < 0 ? request.uri() : request.uri().substring(0, query);
+  }
+
+  /**
+   * Returns the size of the headers of a request.
+   *
+   * @param request the request
+   * @return the size in bytes
+   */
+  private static int headerBytes(HttpServerRequest request) {
+    int size = request.uri().length();
+    for (var header : request.headers()) {
+      // Each header line has a colon, a space and a line end of two bytes.
+      size += header.getKey().length() + header.getValue().length() + 4;
+    }
+    return size;
+  }
+}
--- a/runtime/src/main/java/org/almondslip/settings/Section.java
+++ b/runtime/src/main/java/org/almondslip/settings/Section.java
@@ -245,6 +245,32 @@
     }
   }
 
+  /**
+   * Reads a number that may have a fraction.
+   *
+   * @param key the key
+   * @param fallback the value when the key is missing
+   * @param min the smallest value allowed
+   * @param max the largest value allowed
+   * @return the number
+   */
+  public double decimal(String key, double fallback, double min, double max) {
+    Optional<String> text = optionalText(key);
+    if (text.isEmpty()) {
+      return fallback;
+    }
+    try {
+      double value = Double.parseDouble(text.get().trim());
+      if (value >= min && value <= max) {
+        return value;
+      }
+      addFinding(key, lineOf(key), "must be from " + min + " to " + max + ", not " + value);
+    } catch (NumberFormatException e) {
+      addFinding(key, lineOf(key), "must be a number, not '" + text.get() + "'");
+    }
+    return fallback;
+  }
+
   /**
    * Reads a switch.
    *
