Exchange load and sent prompts between routers by datagram

Cause: each router placed requests by its own load only, so that six routers together put several times the intended unread work on an engine and read shared parts again that another router had just sent. Change: a report every 60 ms with the work at each target and the prompts sent since; addresses of routers come from a table in the store.

--- a/core/src/main/java/org/almondslip/placement/TargetLoad.java
+++ b/core/src/main/java/org/almondslip/placement/TargetLoad.java
@@ -81,6 +81,15 @@
     return record;
   }
 
+  /**
+   * Returns a key that all routers share.
+   *
+   * @return a hash of the id and the start of the target
+   */
+  public long key() {
+    return (long) record.id().hashCode() << Integer.SIZE ^ Long.hashCode(record.bornMillis());
+  }
+
   /**
    * Replaces the entry by a newer one of the same incarnation.
    *
--- a/gateway/src/main/java/org/almondslip/gateway/DirectorySource.java
+++ b/gateway/src/main/java/org/almondslip/gateway/DirectorySource.java
@@ -9,8 +9,9 @@
    * Starts to read.
    *
    * @param directory the directory
+   * @param peers the receiver of the addresses of other routers
    */
-  void start(Directory directory);
+  void start(Directory directory, PeerListener peers);
 
   @Override
   void close();
--- a/gateway/src/main/java/org/almondslip/gateway/Gateway.java
+++ b/gateway/src/main/java/org/almondslip/gateway/Gateway.java
@@ -76,6 +76,9 @@
   /** Order of waiting requests. */
   private final Dispatcher dispatcher;
 
+  /** Reports of other routers. */
+  private final PeerExchange peers;
+
   /** Connections to targets. */
   private final TargetConnections targets;
 
@@ -131,20 +134,13 @@
                 .setBlockedThreadCheckIntervalUnit(TimeUnit.MILLISECONDS));
     Placement placement = new Placement(settings.dataCentre(), EngineModel.DEFAULT);
     this.dispatcher = new Dispatcher(clock, placement, EngineModel.DEFAULT, DispatchLimits.DEFAULT);
+    this.peers = new PeerExchange(vertx, settings.instance(), dispatcher, clock);
     this.targets = new TargetConnections(vertx, clock);
     this.callers = new CallerConnections(clock);
     this.directory = new Directory(clock, new Changes());
     this.source = sources.create(vertx, clock);
     GatewayParts parts =
-        new GatewayParts(
-            clock,
-            settings,
-            codec,
-            placement,
-            dispatcher,
-            targets,
-            decisions,
-            PeerReports.NoOp.INSTANCE);
+        new GatewayParts(clock, settings, codec, placement, dispatcher, targets, decisions, peers);
     this.intake =
         new Intake(
             vertx,
@@ -163,7 +159,8 @@
     new GatewayMetrics(registry).register(decisions, dispatcher, intake, callers, directory);
     onEventLoop(
         () -> {
-          source.start(directory);
+          source.start(directory, peers);
+          peers.start(settings.peerListen());
           vertx.setPeriodic(TICK_MILLIS, id -> dispatcher.tick());
           vertx.setPeriodic(SWEEP_MILLIS, id -> sweep());
           vertx
--- /dev/null
+++ b/gateway/src/main/java/org/almondslip/gateway/PeerExchange.java
@@ -0,0 +1,212 @@
+package org.almondslip.gateway;
+
+import com.google.common.flogger.FluentLogger;
+import com.google.protobuf.InvalidProtocolBufferException;
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.datagram.DatagramSocket;
+import io.vertx.core.datagram.DatagramSocketOptions;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.almondslip.dispatch.Dispatcher;
+import org.almondslip.placement.Prompt;
+import org.almondslip.placement.TargetLoad;
+import org.almondslip.protocol.wire.LoadReport;
+import org.almondslip.protocol.wire.SentPrompt;
+import org.almondslip.protocol.wire.TargetReport;
+import org.almondslip.time.Clock;
+
+/**
+ * Exchanges reports with the other routers, so that each one places requests by the load of all.
+ *
+ * <p>Reports go by datagram: a lost one is replaced by the next, and one that arrives late would be
+ * of no use.
+ */
+final class PeerExchange implements PeerReports, PeerListener, AutoCloseable {
+
+  /** Logger of this class. */
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+
+  /**
+   * Interval of reports in milliseconds. It is a few times the delay between regions: shorter ones
+   * would cost traffic and bring little fresher figures.
+   */
+  static final long INTERVAL_MILLIS = 60;
+
+  /** Largest number of prompts in a report, which keeps it within one datagram. */
+  private static final int MAX_PROMPTS = 40;
+
+  /** Event loop. */
+  private final Vertx vertx;
+
+  /** Name of this router. */
+  private final String name;
+
+  /** Targets. */
+  private final Dispatcher dispatcher;
+
+  /** Source of time. */
+  private final Clock clock;
+
+  /** Addresses of the other routers by their names. */
+  private final Map<String, Address> peers = new HashMap<>();
+
+  /** Prompts sent since the last report. */
+  private final List<SentPrompt> prompts = new ArrayList<>();
+
+  /** Socket, once it is bound. */
+  private Optional<DatagramSocket> socket = Optional.empty();
+
+  /** Whether the last report named a target. */
+  private boolean reportedLoad;
+
+  /**
+   * Address of a router.
+   *
+   * @param host the IP address
+   * @param port the port
+   */
+  private record Address(String host, int port) {}
+
+  /**
+   * Creates an exchange that is not bound yet.
+   *
+   * @param vertx the event loop
+   * @param name the name of this router
+   * @param dispatcher the targets
+   * @param clock the source of time
+   */
+  PeerExchange(Vertx vertx, String name, Dispatcher dispatcher, Clock clock) {
+    this.vertx = vertx;
+    this.name = name;
+    this.dispatcher = dispatcher;
+    this.clock = clock;
+  }
+
+  /**
+   * Binds the socket and starts to report.
+   *
+   * @param address the address as {@code ip:port}
+   */
+  void start(String address) {
+    int colon = address.lastIndexOf(':');
+    vertx
+        .createDatagramSocket(new DatagramSocketOptions())
+        .listen(Integer.parseInt(address.substring(colon + 1)), address.substring(0, colon))
+        .onFailure(failure -> logger.atSevere().withCause(failure).log("no port for reports"))
+        .onSuccess(
+            bound -> {
+              socket = Optional.of(bound);
+              bound.handler(packet -> onReport(packet.data()));
+              vertx.setPeriodic(INTERVAL_MILLIS, id -> report(bound));
+            });
+  }
+
+  @Override
+  public void onPeer(String peer, Optional<String> address) {
+    if (peer.equals(name) || address.isEmpty()) {
+      peers.remove(peer);
+      return;
+    }
+    int colon = address.get().lastIndexOf(':');
+    peers.put(
+        peer,
+        new Address(
+            address.get().substring(0, colon),
+            Integer.parseInt(address.get().substring(colon + 1))));
+    logger.atInfo().log("router %s is at %s", peer, address.get());
+  }
+
+  @Override
+  public void onSent(TargetLoad target, Prompt prompt) {
+    if (prompt.parts().isEmpty() || prompts.size() >= MAX_PROMPTS) {
+      return;
+    }
+    SentPrompt.Builder sent = SentPrompt.newBuilder().setTarget(target.key());
+    for (Prompt.Part part : prompt.parts()) {
+      sent.addParts(part.id()).addTokens(part.tokens());
+    }
+    prompts.add(sent.build());
+  }
+
+  @Override
+  public void close() {
+    socket.ifPresent(DatagramSocket::close);
+  }
+
+  /**
+   * Sends a report to all other routers.
+   *
+   * @param bound the socket
+   */
+  private void report(DatagramSocket bound) {
+    LoadReport.Builder report = LoadReport.newBuilder().setRouter(name).addAllPrompts(prompts);
+    prompts.clear();
+    for (TargetLoad target : dispatcher.targets()) {
+      if (target.ownRequests() > 0) {
+        report.addTargets(
+            TargetReport.newBuilder()
+                .setTarget(target.key())
+                .setUnreadTokens((int) target.ownUnreadTokens())
+                .setRequests(target.ownRequests()));
+      }
+    }
+    boolean load = report.getTargetsCount() > 0;
+    if (!load && !reportedLoad) {
+      return;
+    }
+    reportedLoad = load;
+    Buffer data = Buffer.buffer(report.build().toByteArray());
+    peers.values().forEach(peer -> bound.send(data, peer.port(), peer.host()));
+  }
+
+  /**
+   * Takes a report.
+   *
+   * @param data the datagram
+   */
+  private void onReport(Buffer data) {
+    LoadReport report;
+    try {
+      report = LoadReport.parseFrom(data.getBytes());
+    } catch (InvalidProtocolBufferException e) {
+      logger.atWarning().log("a report cannot be read: %s", e.getMessage());
+      return;
+    }
+    Map<Long, TargetLoad> targets = new HashMap<>();
+    dispatcher.targets().forEach(target -> targets.put(target.key(), target));
+    long now = clock.millis();
+    Map<Long, TargetReport> loads = new HashMap<>();
+    report.getTargetsList().forEach(load -> loads.put(load.getTarget(), load));
+    targets.forEach(
+        (key, target) -> {
+          TargetReport load = loads.getOrDefault(key, TargetReport.getDefaultInstance());
+          target.onReport(report.getRouter(), load.getUnreadTokens(), load.getRequests(), now);
+        });
+    for (SentPrompt sent : report.getPromptsList()) {
+      TargetLoad target = targets.get(sent.getTarget());
+      if (target != null && sent.getPartsCount() == sent.getTokensCount()) {
+        target.onPeerSent(prompt(sent));
+      }
+    }
+  }
+
+  /**
+   * Decodes a prompt.
+   *
+   * @param sent the prompt of a report
+   * @return the prompt
+   */
+  private static Prompt prompt(SentPrompt sent) {
+    List<Prompt.Part> parts = new ArrayList<>();
+    int total = 0;
+    for (int i = 0; i < sent.getPartsCount(); i++) {
+      parts.add(new Prompt.Part(sent.getParts(i), sent.getTokens(i)));
+      total += sent.getTokens(i);
+    }
+    return new Prompt(parts, total, 0);
+  }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/almondslip/gateway/PeerListener.java
@@ -0,0 +1,15 @@
+package org.almondslip.gateway;
+
+import java.util.Optional;
+
+/** Receiver of the addresses of other routers. */
+public interface PeerListener {
+
+  /**
+   * Takes the address of a router.
+   *
+   * @param name the name of its instance
+   * @param address the address for datagrams as {@code ip:port}, empty when the router has left
+   */
+  void onPeer(String name, Optional<String> address);
+}
