Queue by recent service of the whole fleet and wait for cached prompt parts

Change: routers report the service that they give; an engine takes 150 ms of unread work and 0.6 of its slots; a patient job waits for a target that keeps its shared parts; a router that shuts down closes its connections after the balancer has taken it out.

--- a/core/src/main/java/org/almondslip/dispatch/DispatchLimits.java
+++ b/core/src/main/java/org/almondslip/dispatch/DispatchLimits.java
@@ -3,19 +3,24 @@
 /**
  * Limits of the queues.
  *
- * @param unreadMillis the unread work of a target, in milliseconds of reading, above which it takes
- *     no further job
- * @param slotFactor the jobs at a target above which it takes no further one, as a multiple of its
- *     slots
+ * @param unreadMillis the unread work of an engine, in milliseconds of reading, above which it
+ *     takes no further job
+ * @param engineSlotPart the jobs at an engine above which it takes no further one, as a part of its
+ *     slots; each running job slows the tokens of all others
+ * @param againTokens the shared tokens that a patient job may have read again
  * @param maxWaiting the jobs that may wait for one service
  * @param retryAfterMillis the shortest time after which a refused caller may come back
  */
 public record DispatchLimits(
-    double unreadMillis, double slotFactor, int maxWaiting, long retryAfterMillis) {
+    double unreadMillis,
+    double engineSlotPart,
+    int againTokens,
+    int maxWaiting,
+    long retryAfterMillis) {
 
   /**
-   * Standard limits. Unread work of 400 ms keeps an engine busy over a round trip between regions
-   * and the reports of other routers, and leaves two thirds of an objective of 1.2 s for the queue.
+   * Standard limits. Unread work of 150 ms keeps an engine busy over a round trip between regions
+   * and the reports of other routers, and leaves most of an objective of 500 ms.
    */
-  public static final DispatchLimits DEFAULT = new DispatchLimits(400, 1.25, 2_000, 500);
+  public static final DispatchLimits DEFAULT = new DispatchLimits(150, 0.6, 512, 2_000, 500);
 }
--- a/core/src/main/java/org/almondslip/dispatch/Dispatcher.java
+++ b/core/src/main/java/org/almondslip/dispatch/Dispatcher.java
@@ -8,6 +8,7 @@
 import java.util.Optional;
 import org.almondslip.placement.EngineModel;
 import org.almondslip.placement.Placement;
+import org.almondslip.placement.Prompt;
 import org.almondslip.placement.TargetLoad;
 import org.almondslip.time.Clock;
 
@@ -20,6 +21,9 @@
  */
 public final class Dispatcher {
 
+  /** Time constant of the rates of sent work, in milliseconds. */
+  private static final double RATE_MILLIS = 2_000;
+
   /** Source of time. */
   private final Clock clock;
 
@@ -32,6 +36,9 @@
   /** Limits of the queues. */
   private final DispatchLimits limits;
 
+  /** Receiver of the service that this router gives. */
+  private ChargeListener listener = (service, organisation, tokens) -> {};
+
   /** Targets by service. */
   private final Map<String, Map<String, TargetLoad>> targets = new HashMap<>();
 
@@ -39,7 +46,21 @@
   private final Map<String, FairQueue> queues = new HashMap<>();
 
   /** Rates of sent work by service. */
-  private final Map<String, SendRate> rates = new HashMap<>();
+  private final Map<String, DecayingSum> rates = new HashMap<>();
+
+  /** Receiver of the service that organisations are given. */
+  @FunctionalInterface
+  public interface ChargeListener {
+
+    /**
+     * Called when a job is sent.
+     *
+     * @param service the name of the service
+     * @param organisation the name of the organisation
+     * @param tokens the service in tokens
+     */
+    void onCharged(String service, String organisation, long tokens);
+  }
 
   /**
    * Creates a dispatcher without targets.
@@ -108,6 +129,26 @@
     return queues.values().stream().mapToInt(FairQueue::size).sum();
   }
 
+  /**
+   * Names the receiver of the service that organisations are given.
+   *
+   * @param receiver the receiver
+   */
+  public void onCharge(ChargeListener receiver) {
+    listener = receiver;
+  }
+
+  /**
+   * Charges an organisation for service that another router gave it.
+   *
+   * @param service the name of the service
+   * @param organisation the name of the organisation
+   * @param tokens the service in tokens
+   */
+  public void chargeRemote(String service, String organisation, long tokens) {
+    queue(service).charge(organisation, tokens, clock.millis());
+  }
+
   /**
    * Takes a job: it is sent, kept or refused before this method returns.
    *
@@ -118,7 +159,6 @@
     if (queue.size() == 0 || job.started()) {
       Optional<Placement.Choice> choice = choose(job);
       if (choice.isPresent()) {
-        queue.charge(job);
         send(job, choice.get());
         return;
       }
@@ -150,10 +190,10 @@
     boolean sent = queue.size() > 0;
     while (sent) {
       sent = false;
-      for (Job job : queue.heads()) {
+      for (Job job : queue.ordered(clock.millis())) {
         Optional<Placement.Choice> choice = choose(job);
         if (choice.isPresent()) {
-          queue.take(job);
+          queue.remove(job);
           send(job, choice.get());
           sent = true;
           break;
@@ -170,7 +210,7 @@
         pump(entry.getKey());
         expire(entry.getKey(), queue);
       }
-      queue.prune();
+      queue.prune(clock.millis());
     }
   }
 
@@ -189,13 +229,18 @@
   }
 
   /**
-   * Returns whether a waiting job can no longer be read in time.
+   * Returns whether a job can no longer be read in time by any target.
    *
    * @param job the job
    * @return true when it can not
    */
   private boolean isLate(Job job) {
-    return clock.millis() + model.readMillis(job.prompt().promptTokens()) >= job.dueAt();
+    long now = clock.millis();
+    double least =
+        placement
+            .leastWaitMillis(targets(job.service()), job.prompt(), now)
+            .orElse(model.readMillis(job.prompt().promptTokens()));
+    return now + least >= job.dueAt();
   }
 
   /**
@@ -209,7 +254,7 @@
     if (isLate(job) || queue.size() >= limits.maxWaiting()) {
       return true;
     }
-    double rate = rate(job.service()).tokensPerMilli(clock.millis());
+    double rate = rate(job.service()).ratePerMilli(clock.millis());
     int sharing = Math.max(1, queue.waitingOrganisations());
     double ahead = queue.waitingTokens(job.organisation());
     double waitMillis = rate <= 0 ? 0 : ahead * sharing / rate;
@@ -217,32 +262,46 @@
   }
 
   /**
-   * Chooses a target with room for a job.
+   * Chooses a target with room for a job. While the job is patient, a target that would have to
+   * read shared parts again is no choice (delay scheduling).
    *
    * @param job the job
-   * @return the target, or empty when none has room
+   * @return the target, or empty when the job has to wait
    */
   private Optional<Placement.Choice> choose(Job job) {
     long now = clock.millis();
+    Collection<TargetLoad> all = targets(job.service());
     List<TargetLoad> open = new ArrayList<>();
-    for (TargetLoad target : targets(job.service())) {
-      if (job.started() || hasRoom(target, now)) {
+    for (TargetLoad target : all) {
+      if (job.started() || hasRoom(target, job.prompt(), now)) {
         open.add(target);
       }
     }
-    return placement.choose(open, job.prompt(), job.tried(), now);
+    Optional<Placement.Choice> choice = placement.choose(open, job.prompt(), job.tried(), now);
+    if (choice.isEmpty() || job.started() || now >= job.patientUntil()) {
+      return choice;
+    }
+    int again =
+        choice.get().load().missing(job.prompt())
+            - placement.leastMissing(all, job.prompt(), job.tried(), now);
+    return again > limits.againTokens() ? Optional.empty() : choice;
   }
 
   /**
    * Returns whether a target takes more work now.
    *
    * @param target the target
+   * @param prompt the prompt of the work
    * @param now the current time in milliseconds
    * @return true when its unread work and its requests are below the limits
    */
-  private boolean hasRoom(TargetLoad target, long now) {
+  private boolean hasRoom(TargetLoad target, Prompt prompt, long now) {
+    int slots = target.target().slots();
+    if (prompt.promptTokens() == 0) {
+      return target.requests(now) < slots;
+    }
     return model.readMillis(target.unreadTokens(now)) * target.slowdown() < limits.unreadMillis()
-        && target.requests(now) < target.target().slots() * limits.slotFactor();
+        && target.requests(now) < slots * limits.engineSlotPart();
   }
 
   /**
@@ -252,7 +311,11 @@
    * @param choice the target
    */
   private void send(Job job, Placement.Choice choice) {
-    rate(job.service()).add(FairQueue.cost(job), clock.millis());
+    long now = clock.millis();
+    long cost = FairQueue.cost(job);
+    rate(job.service()).add(cost, now);
+    queue(job.service()).charge(job.organisation(), cost, now);
+    listener.onCharged(job.service(), job.organisation(), cost);
     job.send(choice.load(), choice.waitMillis());
   }
 
@@ -283,7 +346,7 @@
    * @param service the name of the service
    * @return the rate
    */
-  private SendRate rate(String service) {
-    return rates.computeIfAbsent(service, name -> new SendRate());
+  private DecayingSum rate(String service) {
+    return rates.computeIfAbsent(service, name -> new DecayingSum(RATE_MILLIS));
   }
 }
--- a/core/src/main/java/org/almondslip/dispatch/FairQueue.java
+++ b/core/src/main/java/org/almondslip/dispatch/FairQueue.java
@@ -12,17 +12,20 @@
 import java.util.function.Predicate;
 
 /**
- * Jobs of one service in start-time fair order: the organisation that received the least service
- * comes next, and its own jobs keep their order. An organisation that was idle starts at the
- * virtual time of the service, so that it cannot save up service.
+ * Jobs of one service in fair order: the organisation that received the least service lately comes
+ * next, and its own jobs keep their order. Service counts with exponentially falling weights, so an
+ * organisation that was idle cannot save up service, and none waits for ever.
  */
 final class FairQueue {
 
-  /** Waiting organisations and those whose virtual time is ahead, by name. */
-  private final Map<String, Flow> flows = new HashMap<>();
+  /** Time constant of the service that counts, in milliseconds. */
+  private static final double SERVICE_MILLIS = 4_000;
+
+  /** Service below which an idle organisation is forgotten, in tokens. */
+  private static final double FORGOTTEN_TOKENS = 1;
 
-  /** Virtual time of the service, in tokens. */
-  private double virtualTime;
+  /** Organisations that wait or were served lately, by name. */
+  private final Map<String, Flow> flows = new HashMap<>();
 
   /** Number of waiting jobs. */
   private int size;
@@ -32,8 +35,8 @@
     /** Waiting jobs. */
     private final Deque<Job> jobs = new ArrayDeque<>();
 
-    /** Service received, in tokens of virtual time. */
-    private double received;
+    /** Service received by all routers, in tokens. */
+    private final DecayingSum received = new DecayingSum(SERVICE_MILLIS);
 
     /** Tokens of the waiting jobs. */
     private long waitingTokens;
@@ -55,53 +58,53 @@
    * @param job the job
    */
   void add(Job job) {
-    Flow flow = flow(job);
-    if (flow.jobs.isEmpty()) {
-      flow.received = Math.max(flow.received, virtualTime);
-    }
+    Flow flow = flow(job.organisation());
     flow.jobs.addLast(job);
     flow.waitingTokens += cost(job);
     size++;
   }
 
   /**
-   * Returns the first jobs of all organisations.
+   * Returns all jobs.
    *
-   * @return the jobs, the one of the organisation with the least service first
+   * @param now the current time in milliseconds
+   * @return the jobs, those of the organisation with the least service first
    */
-  List<Job> heads() {
+  List<Job> ordered(long now) {
     List<Flow> waiting = new ArrayList<>();
     for (Flow flow : flows.values()) {
       if (!flow.jobs.isEmpty()) {
         waiting.add(flow);
       }
     }
-    waiting.sort(Comparator.comparingDouble(flow -> flow.received));
-    List<Job> heads = new ArrayList<>();
-    waiting.forEach(flow -> heads.add(flow.jobs.peekFirst()));
-    return heads;
+    waiting.sort(Comparator.comparingDouble(flow -> flow.received.at(now)));
+    List<Job> ordered = new ArrayList<>(size);
+    waiting.forEach(flow -> ordered.addAll(flow.jobs));
+    return ordered;
   }
 
   /**
-   * Removes a job that is sent and charges its organisation.
+   * Removes a job.
    *
-   * @param job the job, the first of its organisation
+   * @param job the job
    */
-  void take(Job job) {
-    Flow flow = flow(job);
-    virtualTime = Math.max(virtualTime, flow.received);
-    discard(flow, job);
-    flow.received += cost(job);
+  void remove(Job job) {
+    Flow flow = flow(job.organisation());
+    if (flow.jobs.remove(job)) {
+      flow.waitingTokens -= cost(job);
+      size--;
+    }
   }
 
   /**
-   * Charges an organisation for a job that did not wait.
+   * Charges an organisation for service.
    *
-   * @param job the job
+   * @param organisation the name of the organisation
+   * @param tokens the service in tokens
+   * @param now the current time in milliseconds
    */
-  void charge(Job job) {
-    Flow flow = flow(job);
-    flow.received = Math.max(flow.received, virtualTime) + cost(job);
+  void charge(String organisation, long tokens, long now) {
+    flow(organisation).received.add(tokens, now);
   }
 
   /**
@@ -154,31 +157,24 @@
     return size;
   }
 
-  /** Forgets organisations that wait for nothing and are owed nothing. */
-  void prune() {
-    flows.values().removeIf(flow -> flow.jobs.isEmpty() && flow.received <= virtualTime);
-  }
-
   /**
-   * Returns the flow of a job's organisation.
+   * Forgets organisations that wait for nothing and were not served lately.
    *
-   * @param job the job
-   * @return the flow
+   * @param now the current time in milliseconds
    */
-  private Flow flow(Job job) {
-    return flows.computeIfAbsent(job.organisation(), name -> new Flow());
+  void prune(long now) {
+    flows
+        .values()
+        .removeIf(flow -> flow.jobs.isEmpty() && flow.received.at(now) < FORGOTTEN_TOKENS);
   }
 
   /**
-   * Removes a job from a flow.
+   * Returns the flow of an organisation.
    *
-   * @param flow the flow
-   * @param job the job
+   * @param organisation the name of the organisation
+   * @return the flow
    */
-  private void discard(Flow flow, Job job) {
-    if (flow.jobs.remove(job)) {
-      flow.waitingTokens -= cost(job);
-      size--;
-    }
+  private Flow flow(String organisation) {
+    return flows.computeIfAbsent(organisation, name -> new Flow());
   }
 }
--- a/core/src/main/java/org/almondslip/dispatch/Job.java
+++ b/core/src/main/java/org/almondslip/dispatch/Job.java
@@ -42,6 +42,13 @@
    */
   long dueAt();
 
+  /**
+   * Returns the time until which the request waits for a target that keeps its shared parts.
+   *
+   * @return the time in milliseconds
+   */
+  long patientUntil();
+
   /**
    * Returns whether an earlier send of the request makes it worth finishing in any case.
    *
--- a/core/src/main/java/org/almondslip/placement/Placement.java
+++ b/core/src/main/java/org/almondslip/placement/Placement.java
@@ -2,6 +2,7 @@
 
 import java.util.Collection;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.Set;
 import org.almondslip.directory.TargetRecord;
 
@@ -68,8 +69,7 @@
     TargetLoad best = null;
     double bestCost = Double.MAX_VALUE;
     for (TargetLoad target : targets) {
-      if (target.target().state() != TargetRecord.State.READY
-          || tried.contains(target.target().id())) {
+      if (!takes(target, tried)) {
         continue;
       }
       double cost = cost(target, prompt, now);
@@ -100,6 +100,51 @@
         + BEYOND_SLOTS_MILLIS * waiting;
   }
 
+  /**
+   * Returns the least expected time until a target has read a prompt.
+   *
+   * @param targets the targets of the service
+   * @param prompt the prompt
+   * @param now the current time in milliseconds
+   * @return the time in milliseconds, or empty when no target takes new requests
+   */
+  public OptionalDouble leastWaitMillis(Collection<TargetLoad> targets, Prompt prompt, long now) {
+    return targets.stream()
+        .filter(target -> takes(target, Set.of()))
+        .mapToDouble(target -> waitMillis(target, prompt, now))
+        .min();
+  }
+
+  /**
+   * Returns the least number of tokens of a prompt that a target would have to read.
+   *
+   * @param targets the targets of the service
+   * @param prompt the prompt
+   * @param tried the ids of targets that the request was sent to
+   * @param now the current time in milliseconds
+   * @return the tokens
+   */
+  public int leastMissing(
+      Collection<TargetLoad> targets, Prompt prompt, Set<String> tried, long now) {
+    return targets.stream()
+        .filter(target -> takes(target, tried) && !target.ejected(now))
+        .mapToInt(target -> target.missing(prompt))
+        .min()
+        .orElse(prompt.promptTokens());
+  }
+
+  /**
+   * Returns whether a target may get a request.
+   *
+   * @param target the target
+   * @param tried the ids of targets that the request was sent to
+   * @return true when it takes new requests and was not tried
+   */
+  private static boolean takes(TargetLoad target, Set<String> tried) {
+    return target.target().state() == TargetRecord.State.READY
+        && !tried.contains(target.target().id());
+  }
+
   /**
    * Returns the cost of sending a request to a target.
    *
--- a/gateway/src/main/java/org/almondslip/gateway/Forwarding.java
+++ b/gateway/src/main/java/org/almondslip/gateway/Forwarding.java
@@ -9,6 +9,7 @@
 import org.almondslip.dispatch.Job;
 import org.almondslip.dispatch.RefusalReason;
 import org.almondslip.error.ErrorCode;
+import org.almondslip.placement.EngineModel;
 import org.almondslip.placement.Prompt;
 import org.almondslip.placement.TargetLoad;
 
@@ -21,6 +22,15 @@
    */
   private static final double DUE_PART = 0.85;
 
+  /**
+   * Part of the objective that reading the prompt itself may take; a larger prompt is due later, so
+   * that its size alone never refuses it.
+   */
+  private static final double OWN_PART = 0.3;
+
+  /** Part of the objective for which the request waits for a target that keeps shared parts. */
+  private static final double PATIENT_PART = 0.3;
+
   /** What the request needs of its router. */
   private final GatewayParts parts;
 
@@ -120,7 +130,15 @@
     if (sends > 0) {
       return call.deadlineAt();
     }
-    return call.arrivedAt() + (long) (call.route().objectiveMillis() * DUE_PART);
+    double objective = call.route().objectiveMillis();
+    double own = EngineModel.DEFAULT.readMillis(prompt().promptTokens());
+    double excess = Math.max(0, own - objective * OWN_PART);
+    return call.arrivedAt() + (long) (objective * DUE_PART + excess);
+  }
+
+  @Override
+  public long patientUntil() {
+    return call.arrivedAt() + (long) (call.route().objectiveMillis() * PATIENT_PART);
   }
 
   @Override
--- a/gateway/src/main/java/org/almondslip/gateway/Gateway.java
+++ b/gateway/src/main/java/org/almondslip/gateway/Gateway.java
@@ -97,6 +97,9 @@
   /** Whether the router is shutting down. */
   private volatile boolean draining;
 
+  /** Whether the router takes no further requests. */
+  private volatile boolean closed;
+
   /** Server of callers. */
   private Optional<HttpServer> server = Optional.empty();
 
@@ -149,7 +152,8 @@
             directory,
             callers,
             RandomSource.XO_RO_SHI_RO_128_PP.create(),
-            () -> draining);
+            () -> draining,
+            () -> closed);
   }
 
   /** Starts to read the state of the fleet and to listen. */
@@ -188,8 +192,11 @@
                 DRAIN_CHECK_MILLIS,
                 id -> {
                   long now = clock.millis();
-                  boolean idle = intake.open() == 0 && now - startedAt > BALANCER_MILLIS;
-                  if (idle || now >= limit) {
+                  if (!closed && now - startedAt >= BALANCER_MILLIS) {
+                    closed = true;
+                    callers.closeIdle(0);
+                  }
+                  if (closed && intake.open() == 0 || now >= limit) {
                     done.countDown();
                   }
                 }));
--- a/gateway/src/main/java/org/almondslip/gateway/Intake.java
+++ b/gateway/src/main/java/org/almondslip/gateway/Intake.java
@@ -49,6 +49,9 @@
   /** Whether the router is shutting down. */
   private final BooleanSupplier draining;
 
+  /** Whether the router takes no further requests. */
+  private final BooleanSupplier closed;
+
   /** Requests that have not ended. */
   private int open;
 
@@ -62,6 +65,7 @@
    * @param connections the connections of callers
    * @param random the source of random numbers
    * @param draining whether the router is shutting down
+   * @param closed whether the router takes no further requests
    */
   Intake(
       Vertx vertx,
@@ -70,7 +74,8 @@
       Directory directory,
       CallerConnections connections,
       UniformRandomProvider random,
-      BooleanSupplier draining) {
+      BooleanSupplier draining,
+      BooleanSupplier closed) {
     this.vertx = vertx;
     this.parts = parts;
     this.settings = settings;
@@ -78,6 +83,7 @@
     this.connections = connections;
     this.random = random;
     this.draining = draining;
+    this.closed = closed;
   }
 
   /**
@@ -111,6 +117,10 @@
       reject(request, ErrorCode.BAD_REQUEST, "the request has both a length and chunks");
       return;
     }
+    if (closed.getAsBoolean()) {
+      refuse(request, answer, ErrorCode.DRAINING, ErrorCode.DRAINING.title());
+      return;
+    }
     Optional<RoutingTable> table = directory.table();
     if (table.isEmpty()) {
       refuse(request, answer, ErrorCode.NOT_READY, "no routes are known yet");
--- a/gateway/src/main/java/org/almondslip/gateway/PeerExchange.java
+++ b/gateway/src/main/java/org/almondslip/gateway/PeerExchange.java
@@ -14,6 +14,7 @@
 import org.almondslip.dispatch.Dispatcher;
 import org.almondslip.placement.Prompt;
 import org.almondslip.placement.TargetLoad;
+import org.almondslip.protocol.wire.Charge;
 import org.almondslip.protocol.wire.LoadReport;
 import org.almondslip.protocol.wire.SentPrompt;
 import org.almondslip.protocol.wire.TargetReport;
@@ -57,12 +58,23 @@
   /** Prompts sent since the last report. */
   private final List<SentPrompt> prompts = new ArrayList<>();
 
+  /** Service given to organisations since the last report. */
+  private final Map<Recipient, Long> charges = new HashMap<>();
+
   /** Socket, once it is bound. */
   private Optional<DatagramSocket> socket = Optional.empty();
 
   /** Whether the last report named a target. */
   private boolean reportedLoad;
 
+  /**
+   * Receiver of service.
+   *
+   * @param service the name of the service
+   * @param organisation the name of the organisation
+   */
+  private record Recipient(String service, String organisation) {}
+
   /**
    * Address of a router.
    *
@@ -84,6 +96,9 @@
     this.name = name;
     this.dispatcher = dispatcher;
     this.clock = clock;
+    dispatcher.onCharge(
+        (service, organisation, tokens) ->
+            charges.merge(new Recipient(service, organisation), tokens, Long::sum));
   }
 
   /**
@@ -145,6 +160,14 @@
   private void report(DatagramSocket bound) {
     LoadReport.Builder report = LoadReport.newBuilder().setRouter(name).addAllPrompts(prompts);
     prompts.clear();
+    charges.forEach(
+        (recipient, tokens) ->
+            report.addCharges(
+                Charge.newBuilder()
+                    .setService(recipient.service())
+                    .setOrganisation(recipient.organisation())
+                    .setTokens(tokens)));
+    charges.clear();
     for (TargetLoad target : dispatcher.targets()) {
       if (target.ownRequests() > 0) {
         report.addTargets(
@@ -186,6 +209,9 @@
           TargetReport load = loads.getOrDefault(key, TargetReport.getDefaultInstance());
           target.onReport(report.getRouter(), load.getUnreadTokens(), load.getRequests(), now);
         });
+    for (Charge charge : report.getChargesList()) {
+      dispatcher.chargeRemote(charge.getService(), charge.getOrganisation(), charge.getTokens());
+    }
     for (SentPrompt sent : report.getPromptsList()) {
       TargetLoad target = targets.get(sent.getTarget());
       if (target != null && sent.getPartsCount() == sent.getTokensCount()) {
--- a/wire/src/main/java/org/almondslip/protocol/wire/LoadReport.java
+++ b/wire/src/main/java/org/almondslip/protocol/wire/LoadReport.java
@@ -42,6 +42,7 @@
     targets_ = java.util.Collections.emptyList();
     prompts_ = java.util.Collections.emptyList();
     suspects_ = java.util.Collections.emptyList();
+    charges_ = java.util.Collections.emptyList();
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor getDescriptor() {
@@ -224,6 +225,42 @@
     return suspects_.get(index);
   }
 
+  public static final int CHARGES_FIELD_NUMBER = 5;
+
+  @SuppressWarnings("serial")
+  private java.util.List<org.almondslip.protocol.wire.Charge> charges_;
+
+  /** <code>repeated .almondslip.Charge charges = 5;</code> */
+  @java.lang.Override
+  public java.util.List<org.almondslip.protocol.wire.Charge> getChargesList() {
+    return charges_;
+  }
+
+  /** <code>repeated .almondslip.Charge charges = 5;</code> */
+  @java.lang.Override
+  public java.util.List<? extends org.almondslip.protocol.wire.ChargeOrBuilder>
+      getChargesOrBuilderList() {
+    return charges_;
+  }
+
+  /** <code>repeated .almondslip.Charge charges = 5;</code> */
+  @java.lang.Override
+  public int getChargesCount() {
+    return charges_.size();
+  }
+
+  /** <code>repeated .almondslip.Charge charges = 5;</code> */
+  @java.lang.Override
+  public org.almondslip.protocol.wire.Charge getCharges(int index) {
+    return charges_.get(index);
+  }
+
+  /** <code>repeated .almondslip.Charge charges = 5;</code> */
+  @java.lang.Override
+  public org.almondslip.protocol.wire.ChargeOrBuilder getChargesOrBuilder(int index) {
+    return charges_.get(index);
+  }
+
   private byte memoizedIsInitialized = -1;
 
   @java.lang.Override
@@ -250,6 +287,9 @@
     for (int i = 0; i < suspects_.size(); i++) {
       output.writeMessage(4, suspects_.get(i));
     }
+    for (int i = 0; i < charges_.size(); i++) {
+      output.writeMessage(5, charges_.get(i));
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -282,6 +322,14 @@
       }
       size += 1 * count;
     }
+
+    {
+      final int count = charges_.size();
+      for (int i = 0; i < count; i++) {
+        size += com.google.protobuf.CodedOutputStream.computeMessageSizeNoTag(charges_.get(i));
+      }
+      size += 1 * count;
+    }
     return size;
   }
 
@@ -311,6 +359,7 @@
     if (!getTargetsList().equals(other.getTargetsList())) return false;
     if (!getPromptsList().equals(other.getPromptsList())) return false;
     if (!getSuspectsList().equals(other.getSuspectsList())) return false;
+    if (!getChargesList().equals(other.getChargesList())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -336,6 +385,10 @@
       hash = (37 * hash) + SUSPECTS_FIELD_NUMBER;
       hash = (53 * hash) + getSuspectsList().hashCode();
     }
+    if (getChargesCount() > 0) {
+      hash = (37 * hash) + CHARGES_FIELD_NUMBER;
+      hash = (53 * hash) + getChargesList().hashCode();
+    }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -499,6 +552,13 @@
         suspectsBuilder_.clear();
       }
       bitField0_ = (bitField0_ & ~0x00000008);
+      if (chargesBuilder_ == null) {
+        charges_ = java.util.Collections.emptyList();
+      } else {
+        charges_ = null;
+        chargesBuilder_.clear();
+      }
+      bitField0_ = (bitField0_ & ~0x00000010);
       return this;
     }
 
@@ -562,6 +622,15 @@
       } else {
         result.suspects_ = suspectsBuilder_.build();
       }
+      if (chargesBuilder_ == null) {
+        if (((bitField0_ & 0x00000010) != 0)) {
+          charges_ = java.util.Collections.unmodifiableList(charges_);
+          bitField0_ = (bitField0_ & ~0x00000010);
+        }
+        result.charges_ = charges_;
+      } else {
+        result.charges_ = chargesBuilder_.build();
+      }
     }
 
     private void buildPartial0(org.almondslip.protocol.wire.LoadReport result) {
@@ -669,6 +738,33 @@
           }
         }
       }
+      if (chargesBuilder_ == null) {
+        if (!other.charges_.isEmpty()) {
+          if (charges_.isEmpty()) {
+            charges_ = other.charges_;
+            bitField0_ = (bitField0_ & ~0x00000010);
+          } else {
+            ensureChargesIsMutable();
+            charges_.addAll(other.charges_);
+          }
+          onChanged();
+        }
+      } else {
+        if (!other.charges_.isEmpty()) {
+          if (chargesBuilder_.isEmpty()) {
+            chargesBuilder_.dispose();
+            chargesBuilder_ = null;
+            charges_ = other.charges_;
+            bitField0_ = (bitField0_ & ~0x00000010);
+            chargesBuilder_ =
+                com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders
+                    ? internalGetChargesFieldBuilder()
+                    : null;
+          } else {
+            chargesBuilder_.addAllMessages(other.charges_);
+          }
+        }
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -738,6 +834,19 @@
                 }
                 break;
               } // case 34
+            case 42:
+              {
+                org.almondslip.protocol.wire.Charge m =
+                    input.readMessage(
+                        org.almondslip.protocol.wire.Charge.parser(), extensionRegistry);
+                if (chargesBuilder_ == null) {
+                  ensureChargesIsMutable();
+                  charges_.add(m);
+                } else {
+                  chargesBuilder_.addMessage(m);
+                }
+                break;
+              } // case 42
             default:
               {
                 if (!super.parseUnknownField(input, extensionRegistry, tag)) {
@@ -1511,6 +1620,221 @@
       return suspectsBuilder_;
     }
 
+    private java.util.List<org.almondslip.protocol.wire.Charge> charges_ =
+        java.util.Collections.emptyList();
+
+    private void ensureChargesIsMutable() {
+      if (!((bitField0_ & 0x00000010) != 0)) {
+        charges_ = new java.util.ArrayList<org.almondslip.protocol.wire.Charge>(charges_);
+        bitField0_ |= 0x00000010;
+      }
+    }
+
+    private com.google.protobuf.RepeatedFieldBuilder<
+            org.almondslip.protocol.wire.Charge,
+            org.almondslip.protocol.wire.Charge.Builder,
+            org.almondslip.protocol.wire.ChargeOrBuilder>
+        chargesBuilder_;
+
+    /** <code>repeated .almondslip.Charge charges = 5;</code> */
+    public java.util.List<org.almondslip.protocol.wire.Charge> getChargesList() {
+      if (chargesBuilder_ == null) {
+        return java.util.Collections.unmodifiableList(charges_);
+      } else {
+        return chargesBuilder_.getMessageList();
+      }
+    }
+
+    /** <code>repeated .almondslip.Charge charges = 5;</code> */
+    public int getChargesCount() {
+      if (chargesBuilder_ == null) {
+        return charges_.size();
+      } else {
+        return chargesBuilder_.getCount();
+      }
+    }
+
+    /** <code>repeated .almondslip.Charge charges = 5;</code> */
+    public org.almondslip.protocol.wire.Charge getCharges(int index) {
+      if (chargesBuilder_ == null) {
+        return charges_.get(index);
+      } else {
+        return chargesBuilder_.getMessage(index);
+      }
+    }
+
+    /** <code>repeated .almondslip.Charge charges = 5;</code> */
+    public Builder setCharges(int index, org.almondslip.protocol.wire.Charge value) {
+      if (chargesBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        ensureChargesIsMutable();
+        charges_.set(index, value);
+        onChanged();
+      } else {
+        chargesBuilder_.setMessage(index, value);
+      }
+      return this;
+    }
+
+    /** <code>repeated .almondslip.Charge charges = 5;</code> */
+    public Builder setCharges(
+        int index, org.almondslip.protocol.wire.Charge.Builder builderForValue) {
+      if (chargesBuilder_ == null) {
+        ensureChargesIsMutable();
+        charges_.set(index, builderForValue.build());
+        onChanged();
+      } else {
+        chargesBuilder_.setMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+
+    /** <code>repeated .almondslip.Charge charges = 5;</code> */
+    public Builder addCharges(org.almondslip.protocol.wire.Charge value) {
+      if (chargesBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        ensureChargesIsMutable();
+        charges_.add(value);
+        onChanged();
+      } else {
+        chargesBuilder_.addMessage(value);
+      }
+      return this;
+    }
+
+    /** <code>repeated .almondslip.Charge charges = 5;</code> */
+    public Builder addCharges(int index, org.almondslip.protocol.wire.Charge value) {
+      if (chargesBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        ensureChargesIsMutable();
+        charges_.add(index, value);
+        onChanged();
+      } else {
+        chargesBuilder_.addMessage(index, value);
+      }
+      return this;
+    }
+
+    /** <code>repeated .almondslip.Charge charges = 5;</code> */
+    public Builder addCharges(org.almondslip.protocol.wire.Charge.Builder builderForValue) {
+      if (chargesBuilder_ == null) {
+        ensureChargesIsMutable();
+        charges_.add(builderForValue.build());
+        onChanged();
+      } else {
+        chargesBuilder_.addMessage(builderForValue.build());
+      }
+      return this;
+    }
+
+    /** <code>repeated .almondslip.Charge charges = 5;</code> */
+    public Builder addCharges(
+        int index, org.almondslip.protocol.wire.Charge.Builder builderForValue) {
+      if (chargesBuilder_ == null) {
+        ensureChargesIsMutable();
+        charges_.add(index, builderForValue.build());
+        onChanged();
+      } else {
+        chargesBuilder_.addMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+
+    /** <code>repeated .almondslip.Charge charges = 5;</code> */
+    public Builder addAllCharges(
+        java.lang.Iterable<? extends org.almondslip.protocol.wire.Charge> values) {
+      if (chargesBuilder_ == null) {
+        ensureChargesIsMutable();
+        com.google.protobuf.AbstractMessageLite.Builder.addAll(values, charges_);
+        onChanged();
+      } else {
+        chargesBuilder_.addAllMessages(values);
+      }
+      return this;
+    }
+
+    /** <code>repeated .almondslip.Charge charges = 5;</code> */
+    public Builder clearCharges() {
+      if (chargesBuilder_ == null) {
+        charges_ = java.util.Collections.emptyList();
+        bitField0_ = (bitField0_ & ~0x00000010);
+        onChanged();
+      } else {
+        chargesBuilder_.clear();
+      }
+      return this;
+    }
+
+    /** <code>repeated .almondslip.Charge charges = 5;</code> */
+    public Builder removeCharges(int index) {
+      if (chargesBuilder_ == null) {
+        ensureChargesIsMutable();
+        charges_.remove(index);
+        onChanged();
+      } else {
+        chargesBuilder_.remove(index);
+      }
+      return this;
+    }
+
+    /** <code>repeated .almondslip.Charge charges = 5;</code> */
+    public org.almondslip.protocol.wire.Charge.Builder getChargesBuilder(int index) {
+      return internalGetChargesFieldBuilder().getBuilder(index);
+    }
+
+    /** <code>repeated .almondslip.Charge charges = 5;</code> */
+    public org.almondslip.protocol.wire.ChargeOrBuilder getChargesOrBuilder(int index) {
+      if (chargesBuilder_ == null) {
+        return charges_.get(index);
+      } else {
+        return chargesBuilder_.getMessageOrBuilder(index);
+      }
+    }
+
+    /** <code>repeated .almondslip.Charge charges = 5;</code> */
+    public java.util.List<? extends org.almondslip.protocol.wire.ChargeOrBuilder>
+        getChargesOrBuilderList() {
+      if (chargesBuilder_ != null) {
+        return chargesBuilder_.getMessageOrBuilderList();
+      } else {
+        return java.util.Collections.unmodifiableList(charges_);
+      }
+    }
+
+    /** <code>repeated .almondslip.Charge charges = 5;</code> */
+    public org.almondslip.protocol.wire.Charge.Builder addChargesBuilder() {
+      return internalGetChargesFieldBuilder()
+          .addBuilder(org.almondslip.protocol.wire.Charge.getDefaultInstance());
+    }
+
+    /** <code>repeated .almondslip.Charge charges = 5;</code> */
+    public org.almondslip.protocol.wire.Charge.Builder addChargesBuilder(int index) {
+      return internalGetChargesFieldBuilder()
+          .addBuilder(index, org.almondslip.protocol.wire.Charge.getDefaultInstance());
+    }
+
+    /** <code>repeated .almondslip.Charge charges = 5;</code> */
+    public java.util.List<org.almondslip.protocol.wire.Charge.Builder> getChargesBuilderList() {
+      return internalGetChargesFieldBuilder().getBuilderList();
+    }
+
+    private com.google.protobuf.RepeatedFieldBuilder<
+            org.almondslip.protocol.wire.Charge,
+            org.almondslip.protocol.wire.Charge.Builder,
+            org.almondslip.protocol.wire.ChargeOrBuilder>
+        internalGetChargesFieldBuilder() {
+      if (chargesBuilder_ == null) {
+        chargesBuilder_ =
+            new com.google.protobuf.RepeatedFieldBuilder<
+                org.almondslip.protocol.wire.Charge,
+                org.almondslip.protocol.wire.Charge.Builder,
+                org.almondslip.protocol.wire.ChargeOrBuilder>(
+                charges_, ((bitField0_ & 0x00000010) != 0), getParentForChildren(), isClean());
+        charges_ = null;
+      }
+      return chargesBuilder_;
+    }
+
     // @@protoc_insertion_point(builder_scope:almondslip.LoadReport)
   }
 
--- a/wire/src/main/java/org/almondslip/protocol/wire/LoadReportOrBuilder.java
+++ b/wire/src/main/java/org/almondslip/protocol/wire/LoadReportOrBuilder.java
@@ -84,4 +84,19 @@
 
   /** <code>repeated .almondslip.SuspectNotice suspects = 4;</code> */
   org.almondslip.protocol.wire.SuspectNoticeOrBuilder getSuspectsOrBuilder(int index);
+
+  /** <code>repeated .almondslip.Charge charges = 5;</code> */
+  java.util.List<org.almondslip.protocol.wire.Charge> getChargesList();
+
+  /** <code>repeated .almondslip.Charge charges = 5;</code> */
+  org.almondslip.protocol.wire.Charge getCharges(int index);
+
+  /** <code>repeated .almondslip.Charge charges = 5;</code> */
+  int getChargesCount();
+
+  /** <code>repeated .almondslip.Charge charges = 5;</code> */
+  java.util.List<? extends org.almondslip.protocol.wire.ChargeOrBuilder> getChargesOrBuilderList();
+
+  /** <code>repeated .almondslip.Charge charges = 5;</code> */
+  org.almondslip.protocol.wire.ChargeOrBuilder getChargesOrBuilder(int index);
 }
