Share service evenly among routes and hold organisations back across routers

Change: routes of an organisation share its service; an organisation that is behind does not wait for a cached target; routers report the service of those that wait, and hold back jobs of organisations that are ahead. Ruled out: patience alone (0.3 or 0.6 of the objective) and smaller caps.

--- a/core/src/main/java/org/almondslip/dispatch/Dispatcher.java
+++ b/core/src/main/java/org/almondslip/dispatch/Dispatcher.java
@@ -45,6 +45,9 @@
   /** Queues by service. */
   private final Map<String, FairQueue> queues = new HashMap<>();
 
+  /** Service of organisations that wait at other routers, by service. */
+  private final Map<String, FairShare> shares = new HashMap<>();
+
   /** Rates of sent work by service. */
   private final Map<String, DecayingSum> rates = new HashMap<>();
 
@@ -149,6 +152,30 @@
     queue(service).charge(organisation, tokens, clock.millis());
   }
 
+  /**
+   * Takes the service of organisations that wait at another router.
+   *
+   * @param router the name of the router
+   * @param service the name of the service
+   * @param range the service that they received
+   */
+  public void onPeerWaiting(String router, String service, WaitingRange range) {
+    share(service).onReport(router, range, clock.millis());
+  }
+
+  /**
+   * Returns the service of organisations that wait at this router.
+   *
+   * @return the ranges by service, without services for which nothing waits
+   */
+  public Map<String, WaitingRange> waitingRanges() {
+    Map<String, WaitingRange> ranges = new HashMap<>();
+    queues.forEach(
+        (service, queue) ->
+            queue.waiting(clock.millis()).ifPresent(range -> ranges.put(service, range)));
+    return ranges;
+  }
+
   /**
    * Takes a job: it is sent, kept or refused before this method returns.
    *
@@ -255,9 +282,7 @@
       return true;
     }
     double rate = rate(job.service()).ratePerMilli(clock.millis());
-    int sharing = Math.max(1, queue.waitingOrganisations());
-    double ahead = queue.waitingTokens(job.organisation());
-    double waitMillis = rate <= 0 ? 0 : ahead * sharing / rate;
+    double waitMillis = rate <= 0 ? 0 : queue.tokensAhead(job, clock.millis()) / rate;
     return clock.millis() + waitMillis > job.dueAt();
   }
 
@@ -270,15 +295,19 @@
    */
   private Optional<Placement.Choice> choose(Job job) {
     long now = clock.millis();
+    double received = queue(job.service()).received(job.organisation(), now);
+    if (!job.started() && share(job.service()).isAhead(received, now)) {
+      return Optional.empty();
+    }
     Collection<TargetLoad> all = targets(job.service());
     List<TargetLoad> open = new ArrayList<>();
     for (TargetLoad target : all) {
-      if (job.started() || hasRoom(target, job.prompt(), now)) {
+      if (job.started() || !target.ejected(now) && hasRoom(target, job.prompt(), now)) {
         open.add(target);
       }
     }
     Optional<Placement.Choice> choice = placement.choose(open, job.prompt(), job.tried(), now);
-    if (choice.isEmpty() || job.started() || now >= job.patientUntil()) {
+    if (choice.isEmpty() || !isPatient(job, now)) {
       return choice;
     }
     int again =
@@ -287,6 +316,22 @@
     return again > limits.againTokens() ? Optional.empty() : choice;
   }
 
+  /**
+   * Returns whether a job waits for a target that keeps its shared parts. An organisation that is
+   * behind does not: one with many jobs has one for each target and would be served more often.
+   *
+   * @param job the job
+   * @param now the current time in milliseconds
+   * @return true when it waits
+   */
+  private boolean isPatient(Job job, long now) {
+    FairQueue queue = queue(job.service());
+    double received = queue.received(job.organisation(), now);
+    return !job.started()
+        && now < job.patientUntil()
+        && !share(job.service()).isBehind(received, queue.waiting(now), now);
+  }
+
   /**
    * Returns whether a target takes more work now.
    *
@@ -314,7 +359,7 @@
     long now = clock.millis();
     long cost = FairQueue.cost(job);
     rate(job.service()).add(cost, now);
-    queue(job.service()).charge(job.organisation(), cost, now);
+    queue(job.service()).charge(job, now);
     listener.onCharged(job.service(), job.organisation(), cost);
     job.send(choice.load(), choice.waitMillis());
   }
@@ -340,6 +385,16 @@
     return queues.computeIfAbsent(service, name -> new FairQueue());
   }
 
+  /**
+   * Returns the service of organisations that wait at other routers.
+   *
+   * @param service the name of the service
+   * @return the reports
+   */
+  private FairShare share(String service) {
+    return shares.computeIfAbsent(service, name -> new FairShare());
+  }
+
   /**
    * Returns the rate of a service.
    *
--- a/core/src/main/java/org/almondslip/dispatch/FairQueue.java
+++ b/core/src/main/java/org/almondslip/dispatch/FairQueue.java
@@ -1,11 +1,9 @@
 package org.almondslip.dispatch;
 
-import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Comparator;
-import java.util.Deque;
+import java.util.DoubleSummaryStatistics;
 import java.util.HashMap;
-import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -13,35 +11,17 @@
 
 /**
  * Jobs of one service in fair order: the organisation that received the least service lately comes
- * next, and its own jobs keep their order. Service counts with exponentially falling weights, so an
- * organisation that was idle cannot save up service, and none waits for ever.
+ * next. Service counts with exponentially falling weights, so an organisation that was idle cannot
+ * save up service, and none waits for ever.
  */
 final class FairQueue {
 
-  /** Time constant of the service that counts, in milliseconds. */
-  private static final double SERVICE_MILLIS = 4_000;
-
-  /** Service below which an idle organisation is forgotten, in tokens. */
-  private static final double FORGOTTEN_TOKENS = 1;
-
   /** Organisations that wait or were served lately, by name. */
   private final Map<String, Flow> flows = new HashMap<>();
 
   /** Number of waiting jobs. */
   private int size;
 
-  /** Jobs of one organisation. */
-  private static final class Flow {
-    /** Waiting jobs. */
-    private final Deque<Job> jobs = new ArrayDeque<>();
-
-    /** Service received by all routers, in tokens. */
-    private final DecayingSum received = new DecayingSum(SERVICE_MILLIS);
-
-    /** Tokens of the waiting jobs. */
-    private long waitingTokens;
-  }
-
   /**
    * Returns the cost of a job.
    *
@@ -53,14 +33,12 @@
   }
 
   /**
-   * Adds a job at the end of its organisation.
+   * Adds a job at the end of its organisation and route.
    *
    * @param job the job
    */
   void add(Job job) {
-    Flow flow = flow(job.organisation());
-    flow.jobs.addLast(job);
-    flow.waitingTokens += cost(job);
+    flow(job.organisation()).add(job);
     size++;
   }
 
@@ -73,13 +51,13 @@
   List<Job> ordered(long now) {
     List<Flow> waiting = new ArrayList<>();
     for (Flow flow : flows.values()) {
-      if (!flow.jobs.isEmpty()) {
+      if (!flow.isEmpty()) {
         waiting.add(flow);
       }
     }
-    waiting.sort(Comparator.comparingDouble(flow -> flow.received.at(now)));
+    waiting.sort(Comparator.comparingDouble(flow -> flow.received(now)));
     List<Job> ordered = new ArrayList<>(size);
-    waiting.forEach(flow -> ordered.addAll(flow.jobs));
+    waiting.forEach(flow -> ordered.addAll(flow.ordered(now)));
     return ordered;
   }
 
@@ -89,63 +67,89 @@
    * @param job the job
    */
   void remove(Job job) {
-    Flow flow = flow(job.organisation());
-    if (flow.jobs.remove(job)) {
-      flow.waitingTokens -= cost(job);
-      size--;
-    }
+    size -= flow(job.organisation()).removeIf(other -> other == job).size();
   }
 
   /**
-   * Charges an organisation for service.
+   * Removes the jobs that match.
+   *
+   * @param predicate the condition
+   * @return the removed jobs
+   */
+  List<Job> removeIf(Predicate<Job> predicate) {
+    List<Job> removed = new ArrayList<>();
+    flows.values().forEach(flow -> removed.addAll(flow.removeIf(predicate)));
+    size -= removed.size();
+    return removed;
+  }
+
+  /**
+   * Charges an organisation for service of another router.
    *
    * @param organisation the name of the organisation
    * @param tokens the service in tokens
    * @param now the current time in milliseconds
    */
   void charge(String organisation, long tokens, long now) {
-    flow(organisation).received.add(tokens, now);
+    flow(organisation).charge(tokens, now);
   }
 
   /**
-   * Removes the jobs that match.
+   * Charges the organisation and the route of a job that is sent.
    *
-   * @param predicate the condition
-   * @return the removed jobs
+   * @param job the job
+   * @param now the current time in milliseconds
    */
-  List<Job> removeIf(Predicate<Job> predicate) {
-    List<Job> removed = new ArrayList<>();
-    for (Flow flow : flows.values()) {
-      for (Iterator<Job> jobs = flow.jobs.iterator(); jobs.hasNext(); ) {
-        Job job = jobs.next();
-        if (predicate.test(job)) {
-          jobs.remove();
-          flow.waitingTokens -= cost(job);
-          size--;
-          removed.add(job);
-        }
-      }
-    }
-    return removed;
+  void charge(Job job, long now) {
+    Flow flow = flow(job.organisation());
+    flow.charge(cost(job), now);
+    flow.chargeRoute(job.route(), cost(job), now);
   }
 
   /**
-   * Returns the tokens that an organisation waits for.
+   * Returns the tokens that are served before a new job, when the organisations that received no
+   * more than its own share the service.
    *
-   * @param organisation the name of the organisation
+   * @param job the job
+   * @param now the current time in milliseconds
    * @return the tokens
    */
-  long waitingTokens(String organisation) {
-    return Optional.ofNullable(flows.get(organisation)).map(flow -> flow.waitingTokens).orElse(0L);
+  long tokensAhead(Job job, long now) {
+    Flow flow = flow(job.organisation());
+    double received = flow.received(now);
+    long sharing =
+        flows.values().stream()
+            .filter(other -> other != flow && !other.isEmpty() && other.received(now) <= received)
+            .count();
+    return flow.waitingTokens(job.route()) * (sharing + 1) * Math.max(1, flow.waitingRoutes());
   }
 
   /**
-   * Returns the number of organisations with waiting jobs.
+   * Returns the service of the organisations that wait.
    *
-   * @return the number
+   * @param now the current time in milliseconds
+   * @return the least and the most service, empty when none waits
+   */
+  Optional<WaitingRange> waiting(long now) {
+    DoubleSummaryStatistics received =
+        flows.values().stream()
+            .filter(flow -> !flow.isEmpty())
+            .mapToDouble(flow -> flow.received(now))
+            .summaryStatistics();
+    return received.getCount() == 0
+        ? Optional.empty()
+        : Optional.of(new WaitingRange(received.getMin(), received.getMax()));
+  }
+
+  /**
+   * Returns the service that an organisation received lately.
+   *
+   * @param organisation the name of the organisation
+   * @param now the current time in milliseconds
+   * @return the service in tokens
    */
-  int waitingOrganisations() {
-    return (int) flows.values().stream().filter(flow -> !flow.jobs.isEmpty()).count();
+  double received(String organisation, long now) {
+    return flow(organisation).received(now);
   }
 
   /**
@@ -163,9 +167,7 @@
    * @param now the current time in milliseconds
    */
   void prune(long now) {
-    flows
-        .values()
-        .removeIf(flow -> flow.jobs.isEmpty() && flow.received.at(now) < FORGOTTEN_TOKENS);
+    flows.values().removeIf(flow -> flow.isIdle(now));
   }
 
   /**
--- a/core/src/main/java/org/almondslip/dispatch/Job.java
+++ b/core/src/main/java/org/almondslip/dispatch/Job.java
@@ -21,6 +21,13 @@
    */
   String service();
 
+  /**
+   * Returns the route of the request, whose requests are of one kind.
+   *
+   * @return the name of the route
+   */
+  String route();
+
   /**
    * Returns the size of the request.
    *
--- a/gateway/src/main/java/org/almondslip/gateway/Forwarding.java
+++ b/gateway/src/main/java/org/almondslip/gateway/Forwarding.java
@@ -29,7 +29,7 @@
   private static final double OWN_PART = 0.3;
 
   /** Part of the objective for which the request waits for a target that keeps shared parts. */
-  private static final double PATIENT_PART = 0.3;
+  private static final double PATIENT_PART = 0.6;
 
   /** What the request needs of its router. */
   private final GatewayParts parts;
@@ -115,6 +115,11 @@
     return call.service();
   }
 
+  @Override
+  public String route() {
+    return call.route().name();
+  }
+
   @Override
   public Prompt prompt() {
     return call.decoded().prompt();
--- a/gateway/src/main/java/org/almondslip/gateway/PeerExchange.java
+++ b/gateway/src/main/java/org/almondslip/gateway/PeerExchange.java
@@ -12,12 +12,14 @@
 import java.util.Map;
 import java.util.Optional;
 import org.almondslip.dispatch.Dispatcher;
+import org.almondslip.dispatch.WaitingRange;
 import org.almondslip.placement.Prompt;
 import org.almondslip.placement.TargetLoad;
 import org.almondslip.protocol.wire.Charge;
 import org.almondslip.protocol.wire.LoadReport;
 import org.almondslip.protocol.wire.SentPrompt;
 import org.almondslip.protocol.wire.TargetReport;
+import org.almondslip.protocol.wire.Waiting;
 import org.almondslip.time.Clock;
 
 /**
@@ -168,6 +170,15 @@
                     .setOrganisation(recipient.organisation())
                     .setTokens(tokens)));
     charges.clear();
+    dispatcher
+        .waitingRanges()
+        .forEach(
+            (service, range) ->
+                report.addWaiting(
+                    Waiting.newBuilder()
+                        .setService(service)
+                        .setLeast((long) range.least())
+                        .setMost((long) range.most())));
     for (TargetLoad target : dispatcher.targets()) {
       if (target.ownRequests() > 0) {
         report.addTargets(
@@ -178,7 +189,7 @@
       }
     }
     boolean load = report.getTargetsCount() > 0;
-    if (!load && !reportedLoad) {
+    if (!load && !reportedLoad && report.getWaitingCount() == 0) {
       return;
     }
     reportedLoad = load;
@@ -212,6 +223,12 @@
     for (Charge charge : report.getChargesList()) {
       dispatcher.chargeRemote(charge.getService(), charge.getOrganisation(), charge.getTokens());
     }
+    for (Waiting waiting : report.getWaitingList()) {
+      dispatcher.onPeerWaiting(
+          report.getRouter(),
+          waiting.getService(),
+          new WaitingRange(waiting.getLeast(), waiting.getMost()));
+    }
     for (SentPrompt sent : report.getPromptsList()) {
       TargetLoad target = targets.get(sent.getTarget());
       if (target != null && sent.getPartsCount() == sent.getTokensCount()) {
--- a/wire/src/main/java/org/almondslip/protocol/wire/LoadReport.java
+++ b/wire/src/main/java/org/almondslip/protocol/wire/LoadReport.java
@@ -43,6 +43,7 @@
     prompts_ = java.util.Collections.emptyList();
     suspects_ = java.util.Collections.emptyList();
     charges_ = java.util.Collections.emptyList();
+    waiting_ = java.util.Collections.emptyList();
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor getDescriptor() {
@@ -261,6 +262,42 @@
     return charges_.get(index);
   }
 
+  public static final int WAITING_FIELD_NUMBER = 6;
+
+  @SuppressWarnings("serial")
+  private java.util.List<org.almondslip.protocol.wire.Waiting> waiting_;
+
+  /** <code>repeated .almondslip.Waiting waiting = 6;</code> */
+  @java.lang.Override
+  public java.util.List<org.almondslip.protocol.wire.Waiting> getWaitingList() {
+    return waiting_;
+  }
+
+  /** <code>repeated .almondslip.Waiting waiting = 6;</code> */
+  @java.lang.Override
+  public java.util.List<? extends org.almondslip.protocol.wire.WaitingOrBuilder>
+      getWaitingOrBuilderList() {
+    return waiting_;
+  }
+
+  /** <code>repeated .almondslip.Waiting waiting = 6;</code> */
+  @java.lang.Override
+  public int getWaitingCount() {
+    return waiting_.size();
+  }
+
+  /** <code>repeated .almondslip.Waiting waiting = 6;</code> */
+  @java.lang.Override
+  public org.almondslip.protocol.wire.Waiting getWaiting(int index) {
+    return waiting_.get(index);
+  }
+
+  /** <code>repeated .almondslip.Waiting waiting = 6;</code> */
+  @java.lang.Override
+  public org.almondslip.protocol.wire.WaitingOrBuilder getWaitingOrBuilder(int index) {
+    return waiting_.get(index);
+  }
+
   private byte memoizedIsInitialized = -1;
 
   @java.lang.Override
@@ -290,6 +327,9 @@
     for (int i = 0; i < charges_.size(); i++) {
       output.writeMessage(5, charges_.get(i));
     }
+    for (int i = 0; i < waiting_.size(); i++) {
+      output.writeMessage(6, waiting_.get(i));
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -330,6 +370,14 @@
       }
       size += 1 * count;
     }
+
+    {
+      final int count = waiting_.size();
+      for (int i = 0; i < count; i++) {
+        size += com.google.protobuf.CodedOutputStream.computeMessageSizeNoTag(waiting_.get(i));
+      }
+      size += 1 * count;
+    }
     return size;
   }
 
@@ -360,6 +408,7 @@
     if (!getPromptsList().equals(other.getPromptsList())) return false;
     if (!getSuspectsList().equals(other.getSuspectsList())) return false;
     if (!getChargesList().equals(other.getChargesList())) return false;
+    if (!getWaitingList().equals(other.getWaitingList())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -389,6 +438,10 @@
       hash = (37 * hash) + CHARGES_FIELD_NUMBER;
       hash = (53 * hash) + getChargesList().hashCode();
     }
+    if (getWaitingCount() > 0) {
+      hash = (37 * hash) + WAITING_FIELD_NUMBER;
+      hash = (53 * hash) + getWaitingList().hashCode();
+    }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -559,6 +612,13 @@
         chargesBuilder_.clear();
       }
       bitField0_ = (bitField0_ & ~0x00000010);
+      if (waitingBuilder_ == null) {
+        waiting_ = java.util.Collections.emptyList();
+      } else {
+        waiting_ = null;
+        waitingBuilder_.clear();
+      }
+      bitField0_ = (bitField0_ & ~0x00000020);
       return this;
     }
 
@@ -631,6 +691,15 @@
       } else {
         result.charges_ = chargesBuilder_.build();
       }
+      if (waitingBuilder_ == null) {
+        if (((bitField0_ & 0x00000020) != 0)) {
+          waiting_ = java.util.Collections.unmodifiableList(waiting_);
+          bitField0_ = (bitField0_ & ~0x00000020);
+        }
+        result.waiting_ = waiting_;
+      } else {
+        result.waiting_ = waitingBuilder_.build();
+      }
     }
 
     private void buildPartial0(org.almondslip.protocol.wire.LoadReport result) {
@@ -765,6 +834,33 @@
           }
         }
       }
+      if (waitingBuilder_ == null) {
+        if (!other.waiting_.isEmpty()) {
+          if (waiting_.isEmpty()) {
+            waiting_ = other.waiting_;
+            bitField0_ = (bitField0_ & ~0x00000020);
+          } else {
+            ensureWaitingIsMutable();
+            waiting_.addAll(other.waiting_);
+          }
+          onChanged();
+        }
+      } else {
+        if (!other.waiting_.isEmpty()) {
+          if (waitingBuilder_.isEmpty()) {
+            waitingBuilder_.dispose();
+            waitingBuilder_ = null;
+            waiting_ = other.waiting_;
+            bitField0_ = (bitField0_ & ~0x00000020);
+            waitingBuilder_ =
+                com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders
+                    ? internalGetWaitingFieldBuilder()
+                    : null;
+          } else {
+            waitingBuilder_.addAllMessages(other.waiting_);
+          }
+        }
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -847,6 +943,19 @@
                 }
                 break;
               } // case 42
+            case 50:
+              {
+                org.almondslip.protocol.wire.Waiting m =
+                    input.readMessage(
+                        org.almondslip.protocol.wire.Waiting.parser(), extensionRegistry);
+                if (waitingBuilder_ == null) {
+                  ensureWaitingIsMutable();
+                  waiting_.add(m);
+                } else {
+                  waitingBuilder_.addMessage(m);
+                }
+                break;
+              } // case 50
             default:
               {
                 if (!super.parseUnknownField(input, extensionRegistry, tag)) {
@@ -1835,6 +1944,221 @@
       return chargesBuilder_;
     }
 
+    private java.util.List<org.almondslip.protocol.wire.Waiting> waiting_ =
+        java.util.Collections.emptyList();
+
+    private void ensureWaitingIsMutable() {
+      if (!((bitField0_ & 0x00000020) != 0)) {
+        waiting_ = new java.util.ArrayList<org.almondslip.protocol.wire.Waiting>(waiting_);
+        bitField0_ |= 0x00000020;
+      }
+    }
+
+    private com.google.protobuf.RepeatedFieldBuilder<
+            org.almondslip.protocol.wire.Waiting,
+            org.almondslip.protocol.wire.Waiting.Builder,
+            org.almondslip.protocol.wire.WaitingOrBuilder>
+        waitingBuilder_;
+
+    /** <code>repeated .almondslip.Waiting waiting = 6;</code> */
+    public java.util.List<org.almondslip.protocol.wire.Waiting> getWaitingList() {
+      if (waitingBuilder_ == null) {
+        return java.util.Collections.unmodifiableList(waiting_);
+      } else {
+        return waitingBuilder_.getMessageList();
+      }
+    }
+
+    /** <code>repeated .almondslip.Waiting waiting = 6;</code> */
+    public int getWaitingCount() {
+      if (waitingBuilder_ == null) {
+        return waiting_.size();
+      } else {
+        return waitingBuilder_.getCount();
+      }
+    }
+
+    /** <code>repeated .almondslip.Waiting waiting = 6;</code> */
+    public org.almondslip.protocol.wire.Waiting getWaiting(int index) {
+      if (waitingBuilder_ == null) {
+        return waiting_.get(index);
+      } else {
+        return waitingBuilder_.getMessage(index);
+      }
+    }
+
+    /** <code>repeated .almondslip.Waiting waiting = 6;</code> */
+    public Builder setWaiting(int index, org.almondslip.protocol.wire.Waiting value) {
+      if (waitingBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        ensureWaitingIsMutable();
+        waiting_.set(index, value);
+        onChanged();
+      } else {
+        waitingBuilder_.setMessage(index, value);
+      }
+      return this;
+    }
+
+    /** <code>repeated .almondslip.Waiting waiting = 6;</code> */
+    public Builder setWaiting(
+        int index, org.almondslip.protocol.wire.Waiting.Builder builderForValue) {
+      if (waitingBuilder_ == null) {
+        ensureWaitingIsMutable();
+        waiting_.set(index, builderForValue.build());
+        onChanged();
+      } else {
+        waitingBuilder_.setMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+
+    /** <code>repeated .almondslip.Waiting waiting = 6;</code> */
+    public Builder addWaiting(org.almondslip.protocol.wire.Waiting value) {
+      if (waitingBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        ensureWaitingIsMutable();
+        waiting_.add(value);
+        onChanged();
+      } else {
+        waitingBuilder_.addMessage(value);
+      }
+      return this;
+    }
+
+    /** <code>repeated .almondslip.Waiting waiting = 6;</code> */
+    public Builder addWaiting(int index, org.almondslip.protocol.wire.Waiting value) {
+      if (waitingBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        ensureWaitingIsMutable();
+        waiting_.add(index, value);
+        onChanged();
+      } else {
+        waitingBuilder_.addMessage(index, value);
+      }
+      return this;
+    }
+
+    /** <code>repeated .almondslip.Waiting waiting = 6;</code> */
+    public Builder addWaiting(org.almondslip.protocol.wire.Waiting.Builder builderForValue) {
+      if (waitingBuilder_ == null) {
+        ensureWaitingIsMutable();
+        waiting_.add(builderForValue.build());
+        onChanged();
+      } else {
+        waitingBuilder_.addMessage(builderForValue.build());
+      }
+      return this;
+    }
+
+    /** <code>repeated .almondslip.Waiting waiting = 6;</code> */
+    public Builder addWaiting(
+        int index, org.almondslip.protocol.wire.Waiting.Builder builderForValue) {
+      if (waitingBuilder_ == null) {
+        ensureWaitingIsMutable();
+        waiting_.add(index, builderForValue.build());
+        onChanged();
+      } else {
+        waitingBuilder_.addMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+
+    /** <code>repeated .almondslip.Waiting waiting = 6;</code> */
+    public Builder addAllWaiting(
+        java.lang.Iterable<? extends org.almondslip.protocol.wire.Waiting> values) {
+      if (waitingBuilder_ == null) {
+        ensureWaitingIsMutable();
+        com.google.protobuf.AbstractMessageLite.Builder.addAll(values, waiting_);
+        onChanged();
+      } else {
+        waitingBuilder_.addAllMessages(values);
+      }
+      return this;
+    }
+
+    /** <code>repeated .almondslip.Waiting waiting = 6;</code> */
+    public Builder clearWaiting() {
+      if (waitingBuilder_ == null) {
+        waiting_ = java.util.Collections.emptyList();
+        bitField0_ = (bitField0_ & ~0x00000020);
+        onChanged();
+      } else {
+        waitingBuilder_.clear();
+      }
+      return this;
+    }
+
+    /** <code>repeated .almondslip.Waiting waiting = 6;</code> */
+    public Builder removeWaiting(int index) {
+      if (waitingBuilder_ == null) {
+        ensureWaitingIsMutable();
+        waiting_.remove(index);
+        onChanged();
+      } else {
+        waitingBuilder_.remove(index);
+      }
+      return this;
+    }
+
+    /** <code>repeated .almondslip.Waiting waiting = 6;</code> */
+    public org.almondslip.protocol.wire.Waiting.Builder getWaitingBuilder(int index) {
+      return internalGetWaitingFieldBuilder().getBuilder(index);
+    }
+
+    /** <code>repeated .almondslip.Waiting waiting = 6;</code> */
+    public org.almondslip.protocol.wire.WaitingOrBuilder getWaitingOrBuilder(int index) {
+      if (waitingBuilder_ == null) {
+        return waiting_.get(index);
+      } else {
+        return waitingBuilder_.getMessageOrBuilder(index);
+      }
+    }
+
+    /** <code>repeated .almondslip.Waiting waiting = 6;</code> */
+    public java.util.List<? extends org.almondslip.protocol.wire.WaitingOrBuilder>
+        getWaitingOrBuilderList() {
+      if (waitingBuilder_ != null) {
+        return waitingBuilder_.getMessageOrBuilderList();
+      } else {
+        return java.util.Collections.unmodifiableList(waiting_);
+      }
+    }
+
+    /** <code>repeated .almondslip.Waiting waiting = 6;</code> */
+    public org.almondslip.protocol.wire.Waiting.Builder addWaitingBuilder() {
+      return internalGetWaitingFieldBuilder()
+          .addBuilder(org.almondslip.protocol.wire.Waiting.getDefaultInstance());
+    }
+
+    /** <code>repeated .almondslip.Waiting waiting = 6;</code> */
+    public org.almondslip.protocol.wire.Waiting.Builder addWaitingBuilder(int index) {
+      return internalGetWaitingFieldBuilder()
+          .addBuilder(index, org.almondslip.protocol.wire.Waiting.getDefaultInstance());
+    }
+
+    /** <code>repeated .almondslip.Waiting waiting = 6;</code> */
+    public java.util.List<org.almondslip.protocol.wire.Waiting.Builder> getWaitingBuilderList() {
+      return internalGetWaitingFieldBuilder().getBuilderList();
+    }
+
+    private com.google.protobuf.RepeatedFieldBuilder<
+            org.almondslip.protocol.wire.Waiting,
+            org.almondslip.protocol.wire.Waiting.Builder,
+            org.almondslip.protocol.wire.WaitingOrBuilder>
+        internalGetWaitingFieldBuilder() {
+      if (waitingBuilder_ == null) {
+        waitingBuilder_ =
+            new com.google.protobuf.RepeatedFieldBuilder<
+                org.almondslip.protocol.wire.Waiting,
+                org.almondslip.protocol.wire.Waiting.Builder,
+                org.almondslip.protocol.wire.WaitingOrBuilder>(
+                waiting_, ((bitField0_ & 0x00000020) != 0), getParentForChildren(), isClean());
+        waiting_ = null;
+      }
+      return waitingBuilder_;
+    }
+
     // @@protoc_insertion_point(builder_scope:almondslip.LoadReport)
   }
 
--- a/wire/src/main/java/org/almondslip/protocol/wire/LoadReportOrBuilder.java
+++ b/wire/src/main/java/org/almondslip/protocol/wire/LoadReportOrBuilder.java
@@ -99,4 +99,19 @@
 
   /** <code>repeated .almondslip.Charge charges = 5;</code> */
   org.almondslip.protocol.wire.ChargeOrBuilder getChargesOrBuilder(int index);
+
+  /** <code>repeated .almondslip.Waiting waiting = 6;</code> */
+  java.util.List<org.almondslip.protocol.wire.Waiting> getWaitingList();
+
+  /** <code>repeated .almondslip.Waiting waiting = 6;</code> */
+  org.almondslip.protocol.wire.Waiting getWaiting(int index);
+
+  /** <code>repeated .almondslip.Waiting waiting = 6;</code> */
+  int getWaitingCount();
+
+  /** <code>repeated .almondslip.Waiting waiting = 6;</code> */
+  java.util.List<? extends org.almondslip.protocol.wire.WaitingOrBuilder> getWaitingOrBuilderList();
+
+  /** <code>repeated .almondslip.Waiting waiting = 6;</code> */
+  org.almondslip.protocol.wire.WaitingOrBuilder getWaitingOrBuilder(int index);
 }
