--- /dev/null
+++ b/core/src/test/java/org/almondslip/directory/RoutingTableTest.java
@@ -0,0 +1,78 @@
+package org.almondslip.directory;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+
+/** Cases of {@link RoutingTable}. */
+class RoutingTableTest {
+
+  /** Table under test. */
+  private final RoutingTable table =
+      new RoutingTable(
+          1,
+          List.of(route("short", "/a/"), route("long", "/a/b/")),
+          List.of(),
+          Map.of(),
+          true,
+          new IntakeLimits(1, 1, 1, 1),
+          0);
+
+  /** Guards against a shorter prefix that hides a longer one. */
+  @Test
+  void choosesLongestPrefix() {
+    assertThat(table.route("Host.example:80", "/a/b/c")).map(Route::name).contains("long");
+    assertThat(table.route("host.example", "/a/bc")).map(Route::name).contains("short");
+  }
+
+  /** Guards against serving hosts and paths that no route names. */
+  @Test
+  void findsNoRouteElsewhere() {
+    assertThat(table.route("other.example", "/a/")).isEmpty();
+    assertThat(table.route("host.example", "/b/")).isEmpty();
+  }
+
+  /** Guards against a share that gets requests although its weight is zero. */
+  @Test
+  void dividesRequestsByWeight() {
+    Route route =
+        new Route(
+            "r",
+            "h",
+            "/",
+            RouteKind.IDEMPOTENT,
+            1,
+            1,
+            1,
+            List.of(new Route.Share("x", 90), new Route.Share("y", 10), new Route.Share("none", 0)),
+            1,
+            false);
+    assertThat(route.service(0)).isEqualTo("x");
+    assertThat(route.service(0.89)).isEqualTo("x");
+    assertThat(route.service(0.91)).isEqualTo("y");
+    assertThat(route.service(0.999)).isEqualTo("y");
+  }
+
+  /**
+   * Creates a route.
+   *
+   * @param name its name
+   * @param prefix its prefix
+   * @return the route
+   */
+  private static Route route(String name, String prefix) {
+    return new Route(
+        name,
+        "host.example",
+        prefix,
+        RouteKind.IDEMPOTENT,
+        1_000,
+        100,
+        1,
+        List.of(new Route.Share("s", 1)),
+        1,
+        false);
+  }
+}
--- /dev/null
+++ b/core/src/test/java/org/almondslip/placement/PlacementTest.java
@@ -0,0 +1,137 @@
+package org.almondslip.placement;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.List;
+import java.util.Set;
+import org.almondslip.directory.TargetRecord;
+import org.junit.jupiter.api.Test;
+
+/** Cases of {@link Placement}. */
+class PlacementTest {
+
+  /** Current time in milliseconds. */
+  private static final long NOW = 1_000;
+
+  /** Placement under test. */
+  private final Placement placement = new Placement("near", EngineModel.DEFAULT);
+
+  /** Target in the own data centre. */
+  private final TargetLoad near = load("near-1", "near", TargetRecord.State.READY);
+
+  /** Another target in the own data centre. */
+  private final TargetLoad other = load("near-2", "near", TargetRecord.State.READY);
+
+  /** Target in another data centre. */
+  private final TargetLoad far = load("far-1", "far", TargetRecord.State.READY);
+
+  /** Guards against reading a shared part again while its target has room. */
+  @Test
+  void prefersTargetThatKeepsTheSharedPart() {
+    far.onSent(prompt(1, 10));
+    far.onRead(6_000);
+    far.onEnded();
+    assertThat(chosen(prompt(1, 11))).isEqualTo("far-1");
+  }
+
+  /** Guards against a part in demand that waits at one target while others are idle. */
+  @Test
+  void spreadsWhenTheTargetIsBusy() {
+    for (int i = 0; i < 60; i++) {
+      far.onSent(prompt(1, 100 + i));
+    }
+    assertThat(chosen(prompt(1, 11))).isNotEqualTo("far-1");
+  }
+
+  /** Guards against traffic between data centres that nothing asks for. */
+  @Test
+  void prefersOwnDataCentre() {
+    assertThat(placement.choose(List.of(far, near), Prompt.NONE, Set.of(), NOW))
+        .map(choice -> choice.load().target().id())
+        .contains("near-1");
+  }
+
+  /** Guards against sending to a target that is draining, was tried or has just failed. */
+  @Test
+  void avoidsTargetsThatCannotServe() {
+    near.onFailure(NOW);
+    near.onFailure(NOW);
+    TargetLoad draining = load("near-3", "near", TargetRecord.State.DRAINING);
+    assertThat(
+            placement.choose(
+                List.of(near, draining, other, far), Prompt.NONE, Set.of("near-2"), NOW))
+        .map(choice -> choice.load().target().id())
+        .contains("far-1");
+  }
+
+  /** Guards against the load of other routers being ignored, or kept when they are gone. */
+  @Test
+  void countsReportsUntilTheyExpire() {
+    near.onReport("router-2", 40_000, 20, NOW);
+    assertThat(near.unreadTokens(NOW)).isEqualTo(40_000);
+    assertThat(near.requests(NOW)).isEqualTo(20);
+    assertThat(near.unreadTokens(NOW + TargetLoad.REPORT_EXPIRY_MILLIS)).isZero();
+  }
+
+  /** Guards against a model of the cache that never forgets. */
+  @Test
+  void forgetsPartsBeyondTheMemory() {
+    TargetLoad small = new TargetLoad(record("small", "near", TargetRecord.State.READY), 13_000);
+    small.onSent(prompt(1, 10));
+    assertThat(small.missing(prompt(1, 11))).isEqualTo(1_000);
+    small.onSent(prompt(2, 20));
+    small.onSent(prompt(3, 30));
+    assertThat(small.missing(prompt(1, 11))).isEqualTo(6_000);
+  }
+
+  /**
+   * Returns the target that is chosen among all.
+   *
+   * @param prompt the prompt
+   * @return the id of the target
+   */
+  private String chosen(Prompt prompt) {
+    return placement
+        .choose(List.of(near, other, far), prompt, Set.of(), NOW)
+        .orElseThrow()
+        .load()
+        .target()
+        .id();
+  }
+
+  /**
+   * Creates a prompt with a shared part of 5,000 tokens and an own part of 1,000.
+   *
+   * @param shared the id of the shared part
+   * @param own the id of the own part
+   * @return the prompt
+   */
+  private static Prompt prompt(long shared, long own) {
+    return new Prompt(
+        List.of(new Prompt.Part(shared, 5_000), new Prompt.Part(own, 1_000)), 6_000, 100);
+  }
+
+  /**
+   * Creates an idle target.
+   *
+   * @param id its id
+   * @param dataCentre its data centre
+   * @param state its state
+   * @return the target
+   */
+  private static TargetLoad load(String id, String dataCentre, TargetRecord.State state) {
+    return new TargetLoad(record(id, dataCentre, state), 1_000_000);
+  }
+
+  /**
+   * Creates an entry.
+   *
+   * @param id the id of the target
+   * @param dataCentre its data centre
+   * @param state its state
+   * @return the entry
+   */
+  private static TargetRecord record(String id, String dataCentre, TargetRecord.State state) {
+    return new TargetRecord(id, "s", "127.0.0.1", 80, dataCentre, 64, state, 0, 1);
+  }
+}
--- a/gateway/src/main/java/org/almondslip/gateway/CallerConnections.java
+++ b/gateway/src/main/java/org/almondslip/gateway/CallerConnections.java
@@ -3,8 +3,10 @@
 import io.vertx.core.http.HttpConnection;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import org.almondslip.time.Clock;
 
 /** Connections of callers, closed when they stay idle for longer than the operator allows. */
@@ -19,6 +21,9 @@
   /** Open connections with the time since which they are idle, or {@link #BUSY}. */
   private final Map<HttpConnection, Long> connections = new HashMap<>();
 
+  /** Connections whose further bytes are not trusted. */
+  private final Set<HttpConnection> rejected = new HashSet<>();
+
   /**
    * Creates a table without connections.
    *
@@ -55,6 +60,25 @@
     connections.computeIfPresent(connection, (key, since) -> clock.millis());
   }
 
+  /**
+   * Notes that a connection carried an invalid request; what follows on it is not read.
+   *
+   * @param connection the connection
+   */
+  void onRejected(HttpConnection connection) {
+    rejected.add(connection);
+  }
+
+  /**
+   * Returns whether a connection carried an invalid request.
+   *
+   * @param connection the connection
+   * @return true when what follows on it is not read
+   */
+  boolean isRejected(HttpConnection connection) {
+    return rejected.contains(connection);
+  }
+
   /**
    * Forgets a closed connection.
    *
@@ -62,6 +86,7 @@
    */
   void onClosed(HttpConnection connection) {
     connections.remove(connection);
+    rejected.remove(connection);
   }
 
   /**
--- a/gateway/src/main/java/org/almondslip/gateway/Gateway.java
+++ b/gateway/src/main/java/org/almondslip/gateway/Gateway.java
@@ -180,6 +180,15 @@
     listen();
   }
 
+  /**
+   * Returns the port for callers.
+   *
+   * @return the port that was bound
+   */
+  int port() {
+    return server.orElseThrow().actualPort();
+  }
+
   @Override
   public void drain() {
     draining = true;
@@ -206,6 +215,8 @@
       Thread.currentThread().interrupt();
     }
     logger.atInfo().log("stopping with %d requests open", intake.open());
+    source.close();
+    closer.close();
   }
 
   /**
--- a/gateway/src/main/java/org/almondslip/gateway/Intake.java
+++ b/gateway/src/main/java/org/almondslip/gateway/Intake.java
@@ -7,6 +7,7 @@
 import java.util.Objects;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 import org.almondslip.directory.Directory;
 import org.almondslip.directory.IntakeLimits;
@@ -28,6 +29,9 @@
    */
   private static final double KEY_AGE_PART = 0.95;
 
+  /** Time that a caller has to read the answer to an invalid request, in milliseconds. */
+  private static final long LINGER_MILLIS = 500;
+
   /** Event loop. */
   private final Vertx vertx;
 
@@ -111,6 +115,9 @@
    */
   void onRequest(HttpServerRequest request) {
     final long arrivedAt = parts.clock().millis();
+    if (connections.isRejected(request.connection())) {
+      return;
+    }
     connections.onRequest(request.connection());
     CallerAnswer answer = new CallerAnswer(request, draining.getAsBoolean());
     if (request.headers().contains(StrictRequestDecoder.AMBIGUOUS_LENGTH)) {
@@ -285,7 +292,9 @@
    */
   private void reject(HttpServerRequest request, ErrorCode code, String detail) {
     parts.decisions().rejected(code, detail);
+    connections.onRejected(request.connection());
     new CallerAnswer(request, true).fail(code, detail, OptionalLong.empty());
+    request.connection().shutdown(LINGER_MILLIS, TimeUnit.MILLISECONDS);
   }
 
   /**
--- /dev/null
+++ b/gateway/src/test/java/org/almondslip/gateway/TestCodec.java
@@ -0,0 +1,45 @@
+package org.almondslip.gateway;
+
+import io.vertx.core.MultiMap;
+import java.util.Locale;
+import java.util.Optional;
+import java.util.OptionalLong;
+import org.almondslip.placement.Prompt;
+
+/** Headers of the tests. */
+enum TestCodec implements HeaderCodec {
+  /** Only instance. */
+  INSTANCE;
+
+  @Override
+  public CallHeaders readCall(MultiMap headers) {
+    String deadline = headers.get("deadline");
+    return new CallHeaders(
+        Optional.ofNullable(headers.get("id")).orElse(""),
+        deadline == null ? OptionalLong.empty() : OptionalLong.of(Long.parseLong(deadline)),
+        Optional.ofNullable(headers.get("key")),
+        Prompt.NONE,
+        Optional.ofNullable(headers.get("last-event-id")));
+  }
+
+  @Override
+  public boolean passesToTarget(String name) {
+    String lower = name.toLowerCase(Locale.ROOT);
+    return !lower.equals("key") && !lower.equals("organisation") && !lower.equals("deadline");
+  }
+
+  @Override
+  public void writeSend(MultiMap headers, SendHeaders send) {
+    send.deadlineMillis().ifPresent(millis -> headers.set("deadline", String.valueOf(millis)));
+    send.organisation().ifPresent(name -> headers.set("organisation", name));
+    send.lastEventId().ifPresent(id -> headers.set("last-event-id", id));
+  }
+
+  @Override
+  public AnswerHeaders readAnswer(MultiMap headers) {
+    return new AnswerHeaders(
+        Optional.ofNullable(headers.get("id")),
+        headers.contains("not-run"),
+        headers.contains("signed"));
+  }
+}
