Hold requests that crash targets, log without blocking, keep SIGHUP from ending a process

Cause: a request that crashes targets was sent on by every router; a reader that stops reading the log would have blocked the event loop; the JVM ends a process on SIGHUP. JsonLinesTest closes the handlers before it reads, as lines are written later.

--- a/gateway/src/main/java/org/almondslip/gateway/DecisionLog.java
+++ b/gateway/src/main/java/org/almondslip/gateway/DecisionLog.java
@@ -26,9 +26,15 @@
    */
   void sent(CallerCall call, TargetLoad target, int sends, double waitMillis) {
     logger
-        .atFine()
+        .atInfo()
         .with(JsonLines.REQUEST_ID, call.decoded().requestId())
-        .log("sent to %s, send %d, expected wait %.0f ms", target.target().id(), sends, waitMillis);
+        .log(
+            "sent to %s, send %d, expected wait %.0f ms with %d of %d tokens to read",
+            target.target().id(),
+            sends,
+            waitMillis,
+            target.missing(call.decoded().prompt()),
+            call.decoded().prompt().promptTokens());
   }
 
   /**
--- a/gateway/src/main/java/org/almondslip/gateway/Forwarding.java
+++ b/gateway/src/main/java/org/almondslip/gateway/Forwarding.java
@@ -102,6 +102,10 @@
 
   /** Submits the request. */
   void start() {
+    if (parts.crashes().isHeld(call.fingerprint())) {
+      finish(ErrorCode.TARGET_FAILED, "the request has crashed targets", OptionalLong.empty());
+      return;
+    }
     parts.dispatcher().submit(this);
   }
 
@@ -258,6 +262,7 @@
    */
   private boolean mayTryAgain() {
     return !done
+        && !parts.crashes().isHeld(call.fingerprint())
         && sends < call.route().maxAttempts()
         && parts.clock().millis() < call.deadlineAt()
         && parts.dispatcher().targets(call.service()).stream()
--- a/gateway/src/main/java/org/almondslip/gateway/Gateway.java
+++ b/gateway/src/main/java/org/almondslip/gateway/Gateway.java
@@ -22,6 +22,7 @@
 import org.almondslip.placement.Placement;
 import org.almondslip.placement.TargetLoad;
 import org.almondslip.process.Program;
+import org.almondslip.quarantine.CrashWindow;
 import org.almondslip.resource.Closer;
 import org.almondslip.time.Clock;
 import org.apache.commons.rng.simple.RandomSource;
@@ -137,13 +138,15 @@
                 .setBlockedThreadCheckIntervalUnit(TimeUnit.MILLISECONDS));
     Placement placement = new Placement(settings.dataCentre(), EngineModel.DEFAULT);
     this.dispatcher = new Dispatcher(clock, placement, EngineModel.DEFAULT, DispatchLimits.DEFAULT);
-    this.peers = new PeerExchange(vertx, settings.instance(), dispatcher, clock);
+    CrashWindow crashes = new CrashWindow(clock);
+    this.peers = new PeerExchange(vertx, settings.instance(), dispatcher, clock, crashes);
     this.targets = new TargetConnections(vertx, clock);
     this.callers = new CallerConnections(clock);
     this.directory = new Directory(clock, new Changes());
     this.source = sources.create(vertx, clock);
     GatewayParts parts =
-        new GatewayParts(clock, settings, codec, placement, dispatcher, targets, decisions, peers);
+        new GatewayParts(
+            clock, settings, codec, placement, dispatcher, targets, decisions, peers, crashes);
     this.intake =
         new Intake(
             vertx,
--- a/gateway/src/main/java/org/almondslip/gateway/GatewayParts.java
+++ b/gateway/src/main/java/org/almondslip/gateway/GatewayParts.java
@@ -8,6 +8,7 @@
 import org.almondslip.placement.Placement;
 import org.almondslip.placement.Prompt;
 import org.almondslip.placement.TargetLoad;
+import org.almondslip.quarantine.CrashWindow;
 import org.almondslip.time.Clock;
 
 /** What all requests of a router share. */
@@ -37,6 +38,9 @@
   /** Other routers. */
   private final PeerReports peers;
 
+  /** Requests that crash targets. */
+  private final CrashWindow crashes;
+
   /** Retry budgets by service. */
   private final Map<String, RetryWindow> budgets = new HashMap<>();
 
@@ -51,6 +55,7 @@
    * @param connections the connections to targets
    * @param decisions the log of decisions
    * @param peers the other routers
+   * @param crashes the requests that crash targets
    */
   GatewayParts(
       Clock clock,
@@ -60,7 +65,8 @@
       Dispatcher dispatcher,
       TargetConnections connections,
       DecisionLog decisions,
-      PeerReports peers) {
+      PeerReports peers,
+      CrashWindow crashes) {
     this.clock = clock;
     this.settings = settings;
     this.codec = codec;
@@ -69,6 +75,7 @@
     this.connections = connections;
     this.decisions = decisions;
     this.peers = peers;
+    this.crashes = crashes;
   }
 
   /**
@@ -125,6 +132,15 @@
     return peers;
   }
 
+  /**
+   * Returns the requests that crash targets.
+   *
+   * @return the window
+   */
+  CrashWindow crashes() {
+    return crashes;
+  }
+
   /**
    * Returns the limits of the queues.
    *
--- a/gateway/src/main/java/org/almondslip/gateway/PeerExchange.java
+++ b/gateway/src/main/java/org/almondslip/gateway/PeerExchange.java
@@ -18,8 +18,10 @@
 import org.almondslip.protocol.wire.Charge;
 import org.almondslip.protocol.wire.LoadReport;
 import org.almondslip.protocol.wire.SentPrompt;
+import org.almondslip.protocol.wire.SuspectNotice;
 import org.almondslip.protocol.wire.TargetReport;
 import org.almondslip.protocol.wire.Waiting;
+import org.almondslip.quarantine.CrashWindow;
 import org.almondslip.time.Clock;
 
 /**
@@ -39,6 +41,9 @@
    */
   static final long INTERVAL_MILLIS = 60;
 
+  /** Reports that name a crash, since each one may be lost. */
+  private static final int CRASH_REPORTS = 3;
+
   /** Largest number of prompts in a report, which keeps it within one datagram. */
   private static final int MAX_PROMPTS = 40;
 
@@ -54,6 +59,9 @@
   /** Source of time. */
   private final Clock clock;
 
+  /** Requests that crash targets. */
+  private final CrashWindow window;
+
   /** Addresses of the other routers by their names. */
   private final Map<String, Address> peers = new HashMap<>();
 
@@ -63,6 +71,9 @@
   /** Service given to organisations since the last report. */
   private final Map<Recipient, Long> charges = new HashMap<>();
 
+  /** Crashes to report, with the number of reports that still name them. */
+  private final Map<SuspectNotice, Integer> crashes = new HashMap<>();
+
   /** Socket, once it is bound. */
   private Optional<DatagramSocket> socket = Optional.empty();
 
@@ -92,12 +103,14 @@
    * @param name the name of this router
    * @param dispatcher the targets
    * @param clock the source of time
+   * @param window the requests that crash targets
    */
-  PeerExchange(Vertx vertx, String name, Dispatcher dispatcher, Clock clock) {
+  PeerExchange(Vertx vertx, String name, Dispatcher dispatcher, Clock clock, CrashWindow window) {
     this.vertx = vertx;
     this.name = name;
     this.dispatcher = dispatcher;
     this.clock = clock;
+    this.window = window;
     dispatcher.onCharge(
         (service, organisation, tokens) ->
             charges.merge(new Recipient(service, organisation), tokens, Long::sum));
@@ -149,6 +162,17 @@
     prompts.add(sent.build());
   }
 
+  @Override
+  public void onCrash(long fingerprint, TargetLoad target) {
+    window.onCrash(fingerprint, Long.toString(target.key()).hashCode());
+    crashes.put(
+        SuspectNotice.newBuilder()
+            .setFingerprint(fingerprint)
+            .setCrashId(Long.toString(target.key()))
+            .build(),
+        CRASH_REPORTS);
+  }
+
   @Override
   public void close() {
     socket.ifPresent(DatagramSocket::close);
@@ -170,6 +194,9 @@
                     .setOrganisation(recipient.organisation())
                     .setTokens(tokens)));
     charges.clear();
+    report.addAllSuspects(crashes.keySet());
+    crashes.replaceAll((notice, left) -> left - 1);
+    crashes.values().removeIf(left -> left <= 0);
     dispatcher
         .waitingRanges()
         .forEach(
@@ -189,7 +216,7 @@
       }
     }
     boolean load = report.getTargetsCount() > 0;
-    if (!load && !reportedLoad && report.getWaitingCount() == 0) {
+    if (!load && !reportedLoad && report.getWaitingCount() + report.getSuspectsCount() == 0) {
       return;
     }
     reportedLoad = load;
@@ -220,6 +247,9 @@
           TargetReport load = loads.getOrDefault(key, TargetReport.getDefaultInstance());
           target.onReport(report.getRouter(), load.getUnreadTokens(), load.getRequests(), now);
         });
+    for (SuspectNotice notice : report.getSuspectsList()) {
+      window.onCrash(notice.getFingerprint(), notice.getCrashId().hashCode());
+    }
     for (Charge charge : report.getChargesList()) {
       dispatcher.chargeRemote(charge.getService(), charge.getOrganisation(), charge.getTokens());
     }
--- a/gateway/src/main/java/org/almondslip/gateway/PeerReports.java
+++ b/gateway/src/main/java/org/almondslip/gateway/PeerReports.java
@@ -14,6 +14,14 @@
    */
   void onSent(TargetLoad target, Prompt prompt);
 
+  /**
+   * Notes that a target broke its connection while it ran a request.
+   *
+   * @param fingerprint the fingerprint of the request
+   * @param target the target
+   */
+  void onCrash(long fingerprint, TargetLoad target);
+
   /** Reports without receivers, for a router that runs alone. */
   enum NoOp implements PeerReports {
     /** Only instance. */
@@ -21,5 +29,8 @@
 
     @Override
     public void onSent(TargetLoad target, Prompt prompt) {}
+
+    @Override
+    public void onCrash(long fingerprint, TargetLoad target) {}
   }
 }
--- a/gateway/src/main/java/org/almondslip/gateway/TargetCall.java
+++ b/gateway/src/main/java/org/almondslip/gateway/TargetCall.java
@@ -213,10 +213,7 @@
    * @param request the request on its connection
    */
   private void exchange(HttpClientRequest request) {
-    request
-        .response()
-        .onFailure(failure -> broken("the connection ended before an answer"))
-        .onSuccess(this::onResponse);
+    request.response().onFailure(failure -> crashed()).onSuccess(this::onResponse);
     request.exceptionHandler(failure -> broken("the connection failed"));
     request.end(call.body());
   }
@@ -267,6 +264,7 @@
       return;
     }
     response = Optional.of(received);
+    parts.crashes().onAnswer(call.fingerprint());
     HeaderCodec.AnswerHeaders head = parts.codec().readAnswer(received.headers());
     if (head.requestId().isPresent()
         && !head.requestId().get().equals(call.decoded().requestId())) {
@@ -473,6 +471,14 @@
     }
   }
 
+  /** Ends a send whose connection broke before an answer. */
+  private void crashed() {
+    if (!done) {
+      parts.peers().onCrash(call.fingerprint(), target);
+      broken("the connection ended before an answer");
+    }
+  }
+
   /**
    * Ends a send whose answer is lost.
    *
--- a/runtime/src/main/java/org/almondslip/logging/JsonLines.java
+++ b/runtime/src/main/java/org/almondslip/logging/JsonLines.java
@@ -16,7 +16,6 @@
 import java.util.logging.LogManager;
 import java.util.logging.LogRecord;
 import java.util.logging.Logger;
-import java.util.logging.StreamHandler;
 
 /** Formats log records as JSON, one object a line. */
 public final class JsonLines extends Formatter {
@@ -52,15 +51,7 @@
    */
   public static void install(Map<String, String> context, OutputStream out) {
     LogManager.getLogManager().reset();
-    StreamHandler handler =
-        new StreamHandler(out, new JsonLines(context)) {
-          @Override
-          public synchronized void publish(LogRecord record) {
-            super.publish(record);
-            flush();
-          }
-        };
-    handler.setLevel(Level.ALL);
+    BoundedHandler handler = new BoundedHandler(out, new JsonLines(context));
     Logger root = Logger.getLogger("");
     root.setLevel(Level.INFO);
     root.addHandler(handler);
--- a/runtime/src/main/java/org/almondslip/process/Launcher.java
+++ b/runtime/src/main/java/org/almondslip/process/Launcher.java
@@ -13,6 +13,7 @@
 import org.almondslip.logging.DrainLogManager;
 import org.almondslip.logging.JsonLines;
 import org.almondslip.settings.Section;
+import sun.misc.Signal;
 
 /** Reads arguments and settings, starts a program and stops it on SIGTERM. */
 public final class Launcher {
@@ -83,7 +84,7 @@
       out.println(arguments.settings() + ": no findings");
       return 0;
     }
-    runUntilStopped(program, section, settings);
+    runUntilStopped(program, arguments, section, settings);
     return 0;
   }
 
@@ -91,11 +92,13 @@
    * Starts the program and waits for the signal to stop.
    *
    * @param program the program
+   * @param arguments the command-line arguments
    * @param section the top level of the settings
    * @param settings the settings
    * @param <S> the type of the settings
    */
-  private static <S> void runUntilStopped(Program<S> program, Section section, S settings) {
+  private static <S> void runUntilStopped(
+      Program<S> program, Arguments arguments, Section section, S settings) {
     JsonLines.install(
         Map.of(
             "program", program.name(),
@@ -115,6 +118,8 @@
                   stopped.countDown();
                 },
                 "shutdown"));
+    // Without a handler the signal would end the process at once, without a planned stop.
+    Signal.handle(new Signal("HUP"), signal -> reload(program, arguments));
     logger.atInfo().log("started");
     try {
       stopped.await();
@@ -123,6 +128,25 @@
     }
   }
 
+  /**
+   * Checks the settings file again and logs whether it would be accepted. Settings are in force
+   * from the start of a process, so changed ones need a restart.
+   *
+   * @param program the program
+   * @param arguments the command-line arguments
+   * @param <S> the type of the settings
+   */
+  private static <S> void reload(Program<S> program, Arguments arguments) {
+    Findings findings = new Findings();
+    Section section =
+        Section.of(arguments.settings().toString(), read(arguments, findings), findings);
+    program.read(section);
+    section.finish();
+    logger.atInfo().log(
+        "reload: the settings file has %d findings; changes take effect at the next start",
+        findings.toList().size());
+  }
+
   /**
    * Does a planned stop and logs its start and its end.
    *
--- a/runtime/src/test/java/org/almondslip/logging/JsonLinesTest.java
+++ b/runtime/src/test/java/org/almondslip/logging/JsonLinesTest.java
@@ -7,6 +7,8 @@
 import com.google.common.flogger.FluentLogger;
 import java.io.ByteArrayOutputStream;
 import java.util.Map;
+import java.util.logging.Handler;
+import java.util.logging.Logger;
 import org.junit.jupiter.api.Test;
 
 class JsonLinesTest {
@@ -19,6 +21,10 @@
     ByteArrayOutputStream out = new ByteArrayOutputStream();
     JsonLines.install(Map.of("instance", "router-1"), out);
     logger.atInfo().with(JsonLines.REQUEST_ID, "5-17").log("refused \"%s\"\nafter %d ms", "x", 3);
+    // Records are written by a thread of their own; closing the handlers waits for it.
+    for (Handler handler : Logger.getLogger("").getHandlers()) {
+      handler.close();
+    }
     String[] lines = out.toString().split("\n");
     assertThat(lines).hasSize(1);
     JsonNode record = new ObjectMapper().readTree(lines[0]);
