--- a/gateway/src/main/java/org/almondslip/gateway/DecisionLog.java
+++ b/gateway/src/main/java/org/almondslip/gateway/DecisionLog.java
@@ -1,11 +1,14 @@
 package org.almondslip.gateway;
 
 import com.google.common.flogger.FluentLogger;
+import io.prometheus.metrics.core.metrics.Histogram;
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import java.util.Map;
 import java.util.TreeMap;
 import org.almondslip.error.ErrorCode;
 import org.almondslip.logging.JsonLines;
 import org.almondslip.placement.TargetLoad;
+import org.almondslip.time.Clock;
 
 /** Logs one line for each decision about a request, and counts the outcomes. */
 final class DecisionLog {
@@ -13,9 +16,38 @@
   /** Logger of this class. */
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
+  /** Outcome of a request whose whole answer was passed on. */
+  static final String SERVED = "served";
+
+  /** Milliseconds in a second. */
+  private static final double MILLIS_PER_SECOND = 1_000;
+
+  /** Source of time. */
+  private final Clock clock;
+
+  /** Time to the first event and to the end of served requests. */
+  private final Histogram answerSeconds;
+
   /** Requests by outcome. */
   private final Map<String, Long> outcomes = new TreeMap<>();
 
+  /**
+   * Creates a log.
+   *
+   * @param clock the source of time
+   * @param registry the metrics of the process
+   */
+  DecisionLog(Clock clock, PrometheusRegistry registry) {
+    this.clock = clock;
+    this.answerSeconds =
+        Histogram.builder()
+            .name("almondslip_gateway_answer_seconds")
+            .help("Time to the first event and to the end of served requests")
+            .labelNames("phase")
+            .classicOnly()
+            .register(registry);
+  }
+
   /**
    * Logs that a request is sent.
    *
@@ -48,14 +80,27 @@
    */
   void ended(CallerCall call, String outcome, int status, int sends, String detail) {
     outcomes.merge(outcome, 1L, Long::sum);
-    if (!outcome.equals("served")) {
-      logger
-          .atInfo()
-          .with(JsonLines.REQUEST_ID, call.decoded().requestId())
-          .log(
-              "%s: status %d after %d sends to %s: %s",
-              outcome, status, sends, call.service(), detail);
+    long elapsed = clock.millis() - call.arrivedAt();
+    if (outcome.equals(SERVED)) {
+      answerSeconds.labelValues("whole").observe(elapsed / MILLIS_PER_SECOND);
     }
+    logger
+        .atInfo()
+        .with(JsonLines.REQUEST_ID, call.decoded().requestId())
+        .log(
+            "%s: status %d after %d sends to %s and %d ms%s",
+            outcome, status, sends, call.service(), elapsed, detail.isEmpty() ? "" : ": " + detail);
+  }
+
+  /**
+   * Notes the first event of a stream.
+   *
+   * @param call the request
+   */
+  void firstEvent(CallerCall call) {
+    answerSeconds
+        .labelValues("first")
+        .observe((clock.millis() - call.arrivedAt()) / MILLIS_PER_SECOND);
   }
 
   /**
--- a/gateway/src/main/java/org/almondslip/gateway/Forwarding.java
+++ b/gateway/src/main/java/org/almondslip/gateway/Forwarding.java
@@ -3,6 +3,7 @@
 import io.vertx.core.Vertx;
 import io.vertx.core.http.HttpServerRequest;
 import java.util.HashSet;
+import java.util.Locale;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
@@ -176,7 +177,14 @@
     }
     ErrorCode code =
         reason == RefusalReason.NO_TARGET ? ErrorCode.NO_TARGET : ErrorCode.ROUTER_OVERLOADED;
-    finish(code, code.title(), OptionalLong.of(retryAfterMillis));
+    String detail =
+        String.format(
+            Locale.ROOT,
+            "%s; %d requests wait, the deadline is %d ms ahead",
+            code.title(),
+            parts.dispatcher().waiting(),
+            call.deadlineAt() - parts.clock().millis());
+    finish(code, detail, OptionalLong.of(retryAfterMillis));
   }
 
   @Override
@@ -229,7 +237,7 @@
 
   @Override
   public void onComplete(int status) {
-    parts.decisions().ended(call, "served", status, sends, lastFailure);
+    parts.decisions().ended(call, DecisionLog.SERVED, status, sends, lastFailure);
     end();
   }
 
--- a/gateway/src/main/java/org/almondslip/gateway/Gateway.java
+++ b/gateway/src/main/java/org/almondslip/gateway/Gateway.java
@@ -11,6 +11,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import org.almondslip.directory.Address;
 import org.almondslip.directory.Directory;
 import org.almondslip.directory.RoutingTable;
 import org.almondslip.directory.ServicePolicy;
@@ -92,8 +93,11 @@
   /** Reader of the state of the fleet. */
   private final DirectorySource source;
 
+  /** Metrics of the process. */
+  private final PrometheusRegistry registry = new PrometheusRegistry();
+
   /** Log of decisions. */
-  private final DecisionLog decisions = new DecisionLog();
+  private final DecisionLog decisions;
 
   /** Whether the router is shutting down. */
   private volatile boolean draining;
@@ -128,6 +132,7 @@
   public Gateway(GatewaySettings settings, Clock clock, HeaderCodec codec, SourceFactory sources) {
     this.settings = settings;
     this.clock = clock;
+    this.decisions = new DecisionLog(clock, registry);
     this.vertx =
         Vertx.vertx(
             new VertxOptions()
@@ -162,7 +167,7 @@
   /** Starts to read the state of the fleet and to listen. */
   public void start() {
     closer.register(vertx::close);
-    PrometheusRegistry registry = new PrometheusRegistry();
+    Address readyListen = Address.of(settings.readyListen());
     new GatewayMetrics(registry).register(decisions, dispatcher, intake, callers, directory);
     onEventLoop(
         () -> {
@@ -175,7 +180,7 @@
               .requestHandler(
                   request ->
                       request.response().setStatusCode(obstacle().isPresent() ? 503 : 200).end())
-              .listen(port(settings.readyListen()), host(settings.readyListen()));
+              .listen(readyListen.port(), readyListen.host());
         });
     OperationsServer operations =
         closer.register(new OperationsServer(vertx, registry, this::obstacle));
@@ -247,6 +252,7 @@
             .setMaxInitialLineLength(MAX_HEADER_BYTES)
             .setHandle100ContinueAutomatically(true)
             .setTcpNoDelay(true);
+    Address address = Address.of(settings.listen());
     CompletableFuture<HttpServer> listening = new CompletableFuture<>();
     vertx.runOnContext(
         ignored -> {
@@ -260,7 +266,7 @@
                         connection.closeHandler(closed -> callers.onClosed(connection));
                       })
                   .requestHandler(intake::onRequest)
-                  .listen(port(settings.listen()), host(settings.listen()));
+                  .listen(address.port(), address.host());
           future.onSuccess(listening::complete).onFailure(listening::completeExceptionally);
         });
     server = Optional.of(listening.join());
@@ -292,26 +298,6 @@
     done.join();
   }
 
-  /**
-   * Returns the port of an address.
-   *
-   * @param address the address as {@code ip:port}
-   * @return the port
-   */
-  private static int port(String address) {
-    return Integer.parseInt(address.substring(address.lastIndexOf(':') + 1));
-  }
-
-  /**
-   * Returns the host of an address.
-   *
-   * @param address the address as {@code ip:port}
-   * @return the host
-   */
-  private static String host(String address) {
-    return address.substring(0, address.lastIndexOf(':'));
-  }
-
   /** Applies changes of the directory. */
   private final class Changes implements Directory.Listener {
 
--- a/gateway/src/main/java/org/almondslip/gateway/GatewayMetrics.java
+++ b/gateway/src/main/java/org/almondslip/gateway/GatewayMetrics.java
@@ -41,23 +41,26 @@
       CallerConnections callers,
       Directory directory) {
     CounterWithCallback.builder()
-        .name("almondslip_requests_total")
+        .name("almondslip_gateway_requests_total")
         .help("Requests that have ended, by outcome")
         .labelNames("outcome")
         .callback(values -> decisions.outcomes().forEach((label, n) -> values.call(n, label)))
         .register(registry);
-    gauge("almondslip_waiting_requests", "Requests without a target", dispatcher::waiting);
-    gauge("almondslip_open_requests", "Requests that have not ended", intake::open);
-    gauge("almondslip_caller_connections", "Connections of callers", callers::size);
     gauge(
-        "almondslip_routes_version",
+        "almondslip_gateway_waiting_requests",
+        "Requests without a target",
+        () -> dispatcher.waiting());
+    gauge("almondslip_gateway_open_requests", "Requests that have not ended", () -> intake.open());
+    gauge("almondslip_gateway_caller_connections", "Connections of callers", () -> callers.size());
+    gauge(
+        "almondslip_gateway_routes_version",
         "Version of the routes in force",
         () -> directory.table().map(table -> (double) table.version()).orElse(0.0));
     gauge(
-        "almondslip_routes_age_seconds",
+        "almondslip_gateway_routes_age_seconds",
         "Age of the known routes and keys",
         () -> directory.routesFreshness().ageMillis() / SECOND);
-    gauge("almondslip_targets", "Live targets", () -> directory.targets().size());
+    gauge("almondslip_gateway_targets", "Live targets", () -> directory.targets().size());
   }
 
   /**
--- a/gateway/src/main/java/org/almondslip/gateway/PeerExchange.java
+++ b/gateway/src/main/java/org/almondslip/gateway/PeerExchange.java
@@ -11,6 +11,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import org.almondslip.directory.Address;
 import org.almondslip.dispatch.Dispatcher;
 import org.almondslip.dispatch.WaitingRange;
 import org.almondslip.placement.Prompt;
@@ -88,14 +89,6 @@
    */
   private record Recipient(String service, String organisation) {}
 
-  /**
-   * Address of a router.
-   *
-   * @param host the IP address
-   * @param port the port
-   */
-  private record Address(String host, int port) {}
-
   /**
    * Creates an exchange that is not bound yet.
    *
@@ -122,10 +115,10 @@
    * @param address the address as {@code ip:port}
    */
   void start(String address) {
-    int colon = address.lastIndexOf(':');
+    Address local = Address.of(address);
     vertx
         .createDatagramSocket(new DatagramSocketOptions())
-        .listen(Integer.parseInt(address.substring(colon + 1)), address.substring(0, colon))
+        .listen(local.port(), local.host())
         .onFailure(failure -> logger.atSevere().withCause(failure).log("no port for reports"))
         .onSuccess(
             bound -> {
@@ -137,16 +130,12 @@
 
   @Override
   public void onPeer(String peer, Optional<String> address) {
-    if (peer.equals(name) || address.isEmpty()) {
+    Optional<Address> parsed = address.flatMap(Address::parse);
+    if (peer.equals(name) || parsed.isEmpty()) {
       peers.remove(peer);
       return;
     }
-    int colon = address.get().lastIndexOf(':');
-    peers.put(
-        peer,
-        new Address(
-            address.get().substring(0, colon),
-            Integer.parseInt(address.get().substring(colon + 1))));
+    peers.put(peer, parsed.get());
     logger.atInfo().log("router %s is at %s", peer, address.get());
   }
 
--- a/gateway/src/main/java/org/almondslip/gateway/TargetCall.java
+++ b/gateway/src/main/java/org/almondslip/gateway/TargetCall.java
@@ -423,6 +423,7 @@
       target.onFirstEvent(parts.clock().millis() - sentAt, expectedMillis);
     }
     if (!listener.answer().begun()) {
+      parts.decisions().firstEvent(call);
       listener.answer().startStream(received.statusCode(), received.headers());
     }
     EventIds.last(events).ifPresent(listener::onEvent);
