--- a/core/src/main/java/org/almondslip/dispatch/Dispatcher.java
+++ b/core/src/main/java/org/almondslip/dispatch/Dispatcher.java
@@ -51,20 +51,6 @@
   /** Rates of sent work by service. */
   private final Map<String, DecayingSum> rates = new HashMap<>();
 
-  /** Receiver of the service that organisations are given. */
-  @FunctionalInterface
-  public interface ChargeListener {
-
-    /**
-     * Called when a job is sent.
-     *
-     * @param service the name of the service
-     * @param organisation the name of the organisation
-     * @param tokens the service in tokens
-     */
-    void onCharged(String service, String organisation, long tokens);
-  }
-
   /**
    * Creates a dispatcher without targets.
    *
--- a/gateway/src/main/java/org/almondslip/gateway/ConnectionHeaders.java
+++ b/gateway/src/main/java/org/almondslip/gateway/ConnectionHeaders.java
@@ -38,6 +38,16 @@
     return NAMES.contains(name.toLowerCase(Locale.ROOT));
   }
 
+  /**
+   * Returns whether only the end of its connection tells the end of a message.
+   *
+   * @param headers the headers of the message
+   * @return true when it has neither a length nor chunks
+   */
+  static boolean isUnframed(MultiMap headers) {
+    return !headers.contains("Content-Length") && !headers.contains("Transfer-Encoding");
+  }
+
   /**
    * Returns the names that a message declares for its connection.
    *
--- a/gateway/src/main/java/org/almondslip/gateway/Forwarding.java
+++ b/gateway/src/main/java/org/almondslip/gateway/Forwarding.java
@@ -15,7 +15,7 @@
 import org.almondslip.placement.TargetLoad;
 
 /** One request of a caller from its arrival to its answer. */
-final class Forwarding implements Job, TargetCall.Listener {
+final class Forwarding implements Job, TargetCallListener {
 
   /**
    * Part of the objective within which the target must have read the prompt; the rest covers the
--- a/gateway/src/main/java/org/almondslip/gateway/TargetCall.java
+++ b/gateway/src/main/java/org/almondslip/gateway/TargetCall.java
@@ -3,15 +3,11 @@
 import com.google.protobuf.ByteString;
 import com.google.protobuf.UnsafeByteOperations;
 import io.vertx.core.Future;
-import io.vertx.core.MultiMap;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClientRequest;
 import io.vertx.core.http.HttpClientResponse;
 import io.vertx.core.http.RequestOptions;
 import java.util.Optional;
-import java.util.OptionalLong;
-import java.util.Set;
-import org.almondslip.directory.Organisation;
 import org.almondslip.placement.TargetLoad;
 import org.almondslip.routing.EventSplitter;
 
@@ -40,10 +36,10 @@
   private final boolean continued;
 
   /** Receiver of the outcome. */
-  private final Listener listener;
+  private final TargetCallListener listener;
 
-  /** Prompt tokens that the target has to read. */
-  private final int unreadTokens;
+  /** Work that the send puts on the target. */
+  private final TargetWork work;
 
   /** Time of the send in milliseconds. */
   private final long sentAt;
@@ -60,67 +56,9 @@
   /** Cuts a stream after complete events. */
   private final EventSplitter splitter = new EventSplitter();
 
-  /** Whether the target has read the prompt. */
-  private boolean read;
-
   /** Whether the send has ended. */
   private boolean done;
 
-  /** Receiver of the outcome of a send. */
-  interface Listener {
-
-    /**
-     * Returns the answer of the caller.
-     *
-     * @return the answer
-     */
-    CallerAnswer answer();
-
-    /**
-     * Called when the target could not be connected.
-     *
-     * @param target the target
-     */
-    void onNotSent(TargetLoad target);
-
-    /**
-     * Called when the target states that it did not run the request.
-     *
-     * @param target the target
-     */
-    void onNotRun(TargetLoad target);
-
-    /**
-     * Called when the request may have run and its answer is lost.
-     *
-     * @param target the target
-     * @param reason what happened
-     */
-    void onBroken(TargetLoad target, String reason);
-
-    /**
-     * Called when the target answered with a failure of its own.
-     *
-     * @param status the status
-     * @return true when the request is sent again and the answer is dropped
-     */
-    boolean onFailureAnswer(int status);
-
-    /**
-     * Called after an event was passed on.
-     *
-     * @param eventId the id of the event
-     */
-    void onEvent(String eventId);
-
-    /**
-     * Called when the whole answer was passed on.
-     *
-     * @param status the status
-     */
-    void onComplete(int status);
-  }
-
   /**
    * Creates a send.
    *
@@ -137,7 +75,7 @@
       TargetLoad target,
       Optional<String> lastEventId,
       boolean continued,
-      Listener listener) {
+      TargetCallListener listener) {
     this.parts = parts;
     this.call = call;
     this.target = target;
@@ -146,7 +84,7 @@
     this.listener = listener;
     this.sentAt = parts.clock().millis();
     this.expectedMillis = parts.expectedMillis(target, call.decoded().prompt());
-    this.unreadTokens = target.onSent(call.decoded().prompt());
+    this.work = new TargetWork(parts.dispatcher(), target, call.decoded().prompt());
     parts.peers().onSent(target, call.decoded().prompt());
   }
 
@@ -193,7 +131,7 @@
             .setURI(call.uri())
             .setHost(target.target().host())
             .setPort(target.target().port())
-            .setHeaders(headers());
+            .setHeaders(TargetHeaders.of(call, parts, target.target().id(), lastEventId));
     held.connection()
         .request(options)
         .onFailure(failure -> notSent())
@@ -218,42 +156,6 @@
     request.end(call.body());
   }
 
-  /**
-   * Returns the headers for the target.
-   *
-   * @return the headers
-   */
-  private MultiMap headers() {
-    MultiMap headers = MultiMap.caseInsensitiveMultiMap();
-    Set<String> declared = ConnectionHeaders.declared(call.headers());
-    call.headers()
-        .forEach(
-            (name, value) -> {
-              if (!ConnectionHeaders.isConnectionHeader(name)
-                  && !declared.contains(name.toLowerCase(java.util.Locale.ROOT))
-                  && parts.codec().passesToTarget(name)) {
-                headers.add(name, value);
-              }
-            });
-    OptionalLong rest =
-        call.decoded().deadlineMillis().isPresent()
-            ? OptionalLong.of(Math.max(1, call.deadlineAt() - parts.clock().millis()))
-            : OptionalLong.empty();
-    parts
-        .codec()
-        .writeSend(
-            headers,
-            new HeaderCodec.SendHeaders(
-                rest,
-                target.target().id(),
-                call.organisation().map(Organisation::name),
-                lastEventId));
-    if (call.body().length() > 0 || call.headers().contains("Content-Length")) {
-      headers.set("Content-Length", String.valueOf(call.body().length()));
-    }
-    return headers;
-  }
-
   /**
    * Takes the head of an answer.
    *
@@ -305,7 +207,7 @@
                 return;
               }
               close();
-              release(received, ended.succeeded());
+              lease.ifPresent(held -> held.release(received, ended.succeeded()));
               then.run();
             });
     received.resume();
@@ -376,13 +278,14 @@
           if (done) {
             return;
           }
-          if (lease.map(TargetConnections.Lease::closed).orElse(true) && unframed(received)) {
+          if (lease.map(TargetConnections.Lease::closed).orElse(true)
+              && ConnectionHeaders.isUnframed(received.headers())) {
             broken("the connection was reset before the end of the answer");
             return;
           }
-          read();
+          work.read();
           close();
-          release(received, true);
+          lease.ifPresent(held -> held.release(received, true));
           then.accept(body);
         });
   }
@@ -418,8 +321,7 @@
     if (events.isEmpty()) {
       return;
     }
-    if (!read) {
-      read();
+    if (work.read()) {
       target.onFirstEvent(parts.clock().millis() - sentAt, expectedMillis);
     }
     if (!listener.answer().begun()) {
@@ -438,30 +340,21 @@
    * @param received the answer
    */
   private void endStream(HttpClientResponse received) {
-    boolean reset = lease.map(TargetConnections.Lease::closed).orElse(true) && unframed(received);
-    if (reset || !splitter.finish().isEmpty() || (!read && !continued)) {
+    boolean reset =
+        lease.map(TargetConnections.Lease::closed).orElse(true)
+            && ConnectionHeaders.isUnframed(received.headers());
+    if (reset || !splitter.finish().isEmpty() || (!work.isRead() && !continued)) {
       broken("the stream ended within an event");
       return;
     }
-    read();
+    work.read();
     target.onSuccess();
     close();
-    release(received, true);
+    lease.ifPresent(held -> held.release(received, true));
     listener.answer().endStream();
     listener.onComplete(received.statusCode());
   }
 
-  /**
-   * Returns whether the end of an answer is only told by the end of its connection.
-   *
-   * @param received the answer
-   * @return true when it has neither a length nor chunks
-   */
-  private static boolean unframed(HttpClientResponse received) {
-    return received.getHeader("Content-Length") == null
-        && received.getHeader("Transfer-Encoding") == null;
-  }
-
   /** Ends a send that never reached the target. */
   private void notSent() {
     if (!done) {
@@ -494,40 +387,9 @@
     }
   }
 
-  /**
-   * Gives the connection back.
-   *
-   * @param received the answer
-   * @param complete whether the answer was complete
-   */
-  private void release(HttpClientResponse received, boolean complete) {
-    lease.ifPresent(
-        held -> {
-          if (complete && !unframed(received)) {
-            held.release(received);
-          } else {
-            held.discard();
-          }
-        });
-  }
-
-  /** Notes that the target has read the prompt. */
-  private void read() {
-    if (!read) {
-      read = true;
-      target.onRead(unreadTokens);
-      parts.dispatcher().pump(call.service());
-    }
-  }
-
   /** Takes the request off the target. */
   private void close() {
     done = true;
-    if (!read) {
-      read = true;
-      target.onRead(unreadTokens);
-    }
-    target.onEnded();
-    parts.dispatcher().pump(call.service());
+    work.end();
   }
 }
--- a/gateway/src/main/java/org/almondslip/gateway/TargetConnections.java
+++ b/gateway/src/main/java/org/almondslip/gateway/TargetConnections.java
@@ -109,13 +109,15 @@
     }
 
     /**
-     * Gives the connection back after a complete answer.
+     * Gives the connection back after an answer.
      *
      * @param response the answer
+     * @param complete whether the answer was complete
      */
-    void release(HttpClientResponse response) {
+    void release(HttpClientResponse response, boolean complete) {
       String connectionHeader = response.getHeader("Connection");
-      if (closed || "close".equalsIgnoreCase(connectionHeader)) {
+      boolean usable = complete && !closed && !ConnectionHeaders.isUnframed(response.headers());
+      if (!usable || "close".equalsIgnoreCase(connectionHeader)) {
         discard();
         return;
       }
