Count the delay of the event loop as waiting time and refuse while it is long

Ruled out: slow connections to targets (the sends left within a millisecond of being read).

Change: a tick on the event loop measures its delay; the time for which a request may have waited unread counts from its arrival, and new requests are refused while the delay is above 250 ms. A gauge shows the delay.

Result: GatewayTest.refusesRequestThatWaitedTooLongForTheEventLoop fails without the change and passes with it; all tests of the gateway pass.

--- a/gateway/src/main/java/org/almondslip/gateway/Gateway.java
+++ b/gateway/src/main/java/org/almondslip/gateway/Gateway.java
@@ -99,6 +99,9 @@
   /** Log of decisions. */
   private final DecisionLog decisions;
 
+  /** Delay of the event loop. */
+  private final LoopDelay delay;
+
   /** Whether the router is shutting down. */
   private volatile boolean draining;
 
@@ -148,6 +151,7 @@
     this.targets = new TargetConnections(vertx, clock);
     this.callers = new CallerConnections(clock);
     this.directory = new Directory(clock, new Changes());
+    this.delay = new LoopDelay(clock, TICK_MILLIS);
     this.source = sources.create(vertx, clock);
     GatewayParts parts =
         new GatewayParts(
@@ -159,6 +163,7 @@
             settings,
             directory,
             callers,
+            delay,
             RandomSource.XO_RO_SHI_RO_128_PP.create(),
             () -> draining,
             () -> closed);
@@ -168,12 +173,12 @@
   public void start() {
     closer.register(vertx::close);
     Address readyListen = Address.of(settings.readyListen());
-    new GatewayMetrics(registry).register(decisions, dispatcher, intake, callers, directory);
+    new GatewayMetrics(registry).register(decisions, dispatcher, intake, callers, directory, delay);
     onEventLoop(
         () -> {
           source.start(directory, peers);
           peers.start(settings.peerListen());
-          vertx.setPeriodic(TICK_MILLIS, id -> dispatcher.tick());
+          vertx.setPeriodic(TICK_MILLIS, id -> tick());
           vertx.setPeriodic(SWEEP_MILLIS, id -> sweep());
           vertx
               .createHttpServer()
@@ -272,6 +277,12 @@
     server = Optional.of(listening.join());
   }
 
+  /** Measures the delay of the event loop and checks the queues. */
+  private void tick() {
+    delay.onTick();
+    dispatcher.tick();
+  }
+
   /** Closes connections that have been idle for too long. */
   private void sweep() {
     directory.tick();
--- a/gateway/src/main/java/org/almondslip/gateway/GatewayMetrics.java
+++ b/gateway/src/main/java/org/almondslip/gateway/GatewayMetrics.java
@@ -33,13 +33,15 @@
    * @param intake the open requests
    * @param callers the connections of callers
    * @param directory the state of the fleet
+   * @param delay the delay of the event loop
    */
   void register(
       DecisionLog decisions,
       Dispatcher dispatcher,
       Intake intake,
       CallerConnections callers,
-      Directory directory) {
+      Directory directory,
+      LoopDelay delay) {
     CounterWithCallback.builder()
         .name("almondslip_gateway_requests_total")
         .help("Requests that have ended, by outcome")
@@ -60,6 +62,10 @@
         "almondslip_gateway_routes_age_seconds",
         "Age of the known routes and keys",
         () -> directory.routesFreshness().ageMillis() / SECOND);
+    gauge(
+        "almondslip_gateway_event_loop_delay_seconds",
+        "Longest time that a request which is read now may have waited unread",
+        () -> delay.millis() / SECOND);
     gauge("almondslip_gateway_targets", "Live targets", () -> directory.targets().size());
   }
 
--- a/gateway/src/main/java/org/almondslip/gateway/Intake.java
+++ b/gateway/src/main/java/org/almondslip/gateway/Intake.java
@@ -29,6 +29,12 @@
    */
   private static final double KEY_AGE_PART = 0.95;
 
+  /**
+   * Delay of the event loop above which new requests are refused, in milliseconds. It is half of
+   * the shortest objectives in use: a router that far behind cannot serve more, others can.
+   */
+  private static final long MAX_DELAY_MILLIS = 250;
+
   /** Time that a caller has to read the answer to an invalid request, in milliseconds. */
   private static final long LINGER_MILLIS = 500;
 
@@ -47,6 +53,9 @@
   /** Connections of callers. */
   private final CallerConnections connections;
 
+  /** Delay of the event loop. */
+  private final LoopDelay delay;
+
   /** Source of random numbers. */
   private final UniformRandomProvider random;
 
@@ -67,6 +76,7 @@
    * @param settings the settings of the router
    * @param directory the state of the fleet
    * @param connections the connections of callers
+   * @param delay the delay of the event loop
    * @param random the source of random numbers
    * @param draining whether the router is shutting down
    * @param closed whether the router takes no further requests
@@ -77,6 +87,7 @@
       GatewaySettings settings,
       Directory directory,
       CallerConnections connections,
+      LoopDelay delay,
       UniformRandomProvider random,
       BooleanSupplier draining,
       BooleanSupplier closed) {
@@ -85,6 +96,7 @@
     this.settings = settings;
     this.directory = directory;
     this.connections = connections;
+    this.delay = delay;
     this.random = random;
     this.draining = draining;
     this.closed = closed;
@@ -114,7 +126,8 @@
    * @param request the request
    */
   void onRequest(HttpServerRequest request) {
-    final long arrivedAt = parts.clock().millis();
+    final long waited = delay.millis();
+    final long arrivedAt = parts.clock().millis() - waited;
     if (connections.isRejected(request.connection())) {
       return;
     }
@@ -128,6 +141,14 @@
       refuse(request, answer, ErrorCode.DRAINING, ErrorCode.DRAINING.title());
       return;
     }
+    if (waited > MAX_DELAY_MILLIS) {
+      refuse(
+          request,
+          answer,
+          ErrorCode.ROUTER_OVERLOADED,
+          "the event loop is up to " + waited + " ms behind");
+      return;
+    }
     Optional<RoutingTable> table = directory.table();
     if (table.isEmpty()) {
       refuse(request, answer, ErrorCode.NOT_READY, "no routes are known yet");
@@ -147,7 +168,7 @@
    * @param request the request
    * @param answer the answer
    * @param maxBytes the largest size of the body in bytes
-   * @param arrivedAt the time at which the headers arrived, in milliseconds
+   * @param arrivedAt the earliest time at which the headers arrived, in milliseconds
    */
   private void readBody(
       HttpServerRequest request, CallerAnswer answer, long maxBytes, long arrivedAt) {
@@ -178,7 +199,7 @@
    * @param request the request
    * @param answer the answer
    * @param body the body
-   * @param arrivedAt the time at which the headers arrived, in milliseconds
+   * @param arrivedAt the earliest time at which the headers arrived, in milliseconds
    */
   private void check(HttpServerRequest request, CallerAnswer answer, Buffer body, long arrivedAt) {
     RoutingTable table = directory.table().orElseThrow();
@@ -212,7 +233,7 @@
    * @param request the request
    * @param answer the answer
    * @param body the body
-   * @param arrivedAt the time at which the headers arrived, in milliseconds
+   * @param arrivedAt the earliest time at which the headers arrived, in milliseconds
    * @param route the route
    * @param decoded what the headers say
    * @param organisation the holder of the key
