Let all but underserved organisations wait for the targets that keep their parts

Delay scheduling was switched off for every organisation that received less than 0.75 of the best served one. Organisations that ask for little always did, so most jobs read their parts again wherever room was.

Change: an organisation is impatient when it gets less than 0.7 of what it asks this router for and less than 0.55 of the best served one; a job is not hopeless while a target has room; an organisation whose job was refused in the last 250 ms counts as waiting. Jobs wait for up to 0.7 of their objective instead of 0.6.

Three cases of DispatcherTest fail without the change.

--- a/core/src/main/java/org/almondslip/dispatch/Dispatcher.java
+++ b/core/src/main/java/org/almondslip/dispatch/Dispatcher.java
@@ -169,6 +169,9 @@
    */
   public void submit(Job job) {
     FairQueue queue = queue(job.service());
+    if (!job.started()) {
+      queue.onAsked(job, clock.millis());
+    }
     if (queue.size() == 0 || job.started()) {
       Optional<Placement.Choice> choice = choose(job);
       if (choice.isPresent()) {
@@ -177,6 +180,7 @@
       }
     }
     if (!job.started() && isHopeless(job, queue)) {
+      queue.onRefused(job, clock.millis());
       job.refuse(RefusalReason.OVERLOADED, retryAfterMillis(queue));
       return;
     }
@@ -237,6 +241,7 @@
     RefusalReason reason =
         targets(service).isEmpty() ? RefusalReason.NO_TARGET : RefusalReason.OVERLOADED;
     for (Job job : queue.removeIf(this::isLate)) {
+      queue.onRefused(job, clock.millis());
       job.refuse(reason, retryAfterMillis(queue));
     }
   }
@@ -267,9 +272,14 @@
     if (isLate(job) || queue.size() >= limits.maxWaiting()) {
       return true;
     }
-    double rate = rate(job.service()).ratePerMilli(clock.millis());
-    double waitMillis = rate <= 0 ? 0 : queue.tokensAhead(job, clock.millis()) / rate;
-    return clock.millis() + waitMillis > job.dueAt();
+    long now = clock.millis();
+    if (targets(job.service()).stream().anyMatch(target -> isOpen(target, job.prompt(), now))) {
+      // Jobs that wait for their shared parts leave room that this one can take in time.
+      return false;
+    }
+    double rate = rate(job.service()).ratePerMilli(now);
+    double waitMillis = rate <= 0 ? 0 : queue.tokensAhead(job, now) / rate;
+    return now + waitMillis > job.dueAt();
   }
 
   /**
@@ -288,7 +298,7 @@
     Collection<TargetLoad> all = targets(job.service());
     List<TargetLoad> open = new ArrayList<>();
     for (TargetLoad target : all) {
-      if (job.started() || !target.ejected(now) && hasRoom(target, job.prompt(), now)) {
+      if (job.started() || isOpen(target, job.prompt(), now)) {
         open.add(target);
       }
     }
@@ -303,8 +313,10 @@
   }
 
   /**
-   * Returns whether a job waits for a target that keeps its shared parts. An organisation that is
-   * behind does not: one with many jobs has one for each target and would be served more often.
+   * Returns whether a job waits for a target that keeps its shared parts. An organisation does not
+   * that received less than others and clearly less than it asked for: one with many jobs has one
+   * for each target and would be served more often. An organisation that asks for little is always
+   * behind, but its jobs come first once their patience ends, so waiting costs it nothing.
    *
    * @param job the job
    * @param now the current time in milliseconds
@@ -312,10 +324,24 @@
    */
   private boolean isPatient(Job job, long now) {
     FairQueue queue = queue(job.service());
+    if (job.started() || now >= job.patientUntil()) {
+      return false;
+    }
     double received = queue.received(job.organisation(), now);
-    return !job.started()
-        && now < job.patientUntil()
-        && !share(job.service()).isBehind(received, queue.waiting(now), now);
+    return !queue.isUnderserved(job.organisation(), now)
+        || !share(job.service()).isBehind(received, queue.waiting(now), now);
+  }
+
+  /**
+   * Returns whether a target is a choice for new work.
+   *
+   * @param target the target
+   * @param prompt the prompt of the work
+   * @param now the current time in milliseconds
+   * @return true when it has not failed lately and has room
+   */
+  private boolean isOpen(TargetLoad target, Prompt prompt, long now) {
+    return !target.ejected(now) && hasRoom(target, prompt, now);
   }
 
   /**
--- a/core/src/main/java/org/almondslip/dispatch/FairQueue.java
+++ b/core/src/main/java/org/almondslip/dispatch/FairQueue.java
@@ -106,6 +106,37 @@
     flow.chargeRoute(job.route(), cost(job), now);
   }
 
+  /**
+   * Notes that an organisation asks for service.
+   *
+   * @param job the job
+   * @param now the current time in milliseconds
+   */
+  void onAsked(Job job, long now) {
+    flow(job.organisation()).onAsked(cost(job), now);
+  }
+
+  /**
+   * Notes that a job was refused.
+   *
+   * @param job the job
+   * @param now the current time in milliseconds
+   */
+  void onRefused(Job job, long now) {
+    flow(job.organisation()).onRefused(now);
+  }
+
+  /**
+   * Returns whether this router gave an organisation clearly less than it asked for lately.
+   *
+   * @param organisation the name of the organisation
+   * @param now the current time in milliseconds
+   * @return true when it did
+   */
+  boolean isUnderserved(String organisation, long now) {
+    return flow(organisation).isUnderserved(now);
+  }
+
   /**
    * Returns the tokens that are served before a new job, when the organisations that received no
    * more than its own share the service.
@@ -125,7 +156,7 @@
   }
 
   /**
-   * Returns the service of the organisations that wait.
+   * Returns the service of the organisations that wait or were refused lately.
    *
    * @param now the current time in milliseconds
    * @return the least and the most service, empty when none waits
@@ -133,7 +164,7 @@
   Optional<WaitingRange> waiting(long now) {
     DoubleSummaryStatistics received =
         flows.values().stream()
-            .filter(flow -> !flow.isEmpty())
+            .filter(flow -> flow.isBacklogged(now))
             .mapToDouble(flow -> flow.received(now))
             .summaryStatistics();
     return received.getCount() == 0
--- a/core/src/main/java/org/almondslip/dispatch/FairShare.java
+++ b/core/src/main/java/org/almondslip/dispatch/FairShare.java
@@ -24,8 +24,9 @@
 
   /**
    * Part of the service of the best served waiting organisation below which another one is behind.
+   * It is a little more than the half that each organisation is promised.
    */
-  private static final double BEHIND_PART = 0.75;
+  private static final double BEHIND_PART = 0.55;
 
   /** Time after which a report of another router no longer counts, in milliseconds. */
   private static final long EXPIRY_MILLIS = 250;
--- a/core/src/test/java/org/almondslip/dispatch/DispatcherTest.java
+++ b/core/src/test/java/org/almondslip/dispatch/DispatcherTest.java
@@ -121,6 +121,57 @@
     assertThat(second.target()).contains(free);
   }
 
+  /** Guards against refusing a job for jobs that only wait for a busy target of their own. */
+  @Test
+  void patientJobsLeaveRoomToOthers() {
+    dispatcher.add(target("a"));
+    submit("org", "r", 1, 9_000);
+    TargetLoad free = target("b");
+    dispatcher.add(free);
+    for (int i = 0; i < 5; i++) {
+      submit("org", "r", 1, 9_000);
+    }
+    TestJob other = submit("org", "r", 2, 5_000);
+    assertThat(other.refusal()).isEmpty();
+    assertThat(other.target()).contains(free);
+  }
+
+  /**
+   * Guards against reading shared parts again for organisations that ask for little: they always
+   * received less than the others, and are served in time all the same.
+   */
+  @Test
+  void smallOrganisationWaitsForItsPartBesideLargeOnes() {
+    TargetLoad keeper = target("a");
+    dispatcher.add(keeper);
+    for (int i = 0; i < 5; i++) {
+      submit("small", "r", 1, 9_000).end();
+    }
+    final TestJob first = submit("small", "r", 1, 13_000);
+    dispatcher.onPeerWaiting("router-2", "s", new WaitingRange(500_000, 500_000));
+    dispatcher.add(target("b"));
+    TestJob second = submit("small", "r", 1, 9_000);
+    assertThat(second.target()).isEmpty();
+    first.end();
+    dispatcher.pump("s");
+    assertThat(second.target()).contains(keeper);
+  }
+
+  /** Guards against an organisation that waits for its parts while it gets less than the others. */
+  @Test
+  void underservedOrganisationTakesAnyTarget() {
+    TargetLoad keeper = target("a");
+    dispatcher.add(keeper);
+    submit("small", "r", 1, 9_000);
+    dispatcher.onPeerWaiting("router-2", "s", new WaitingRange(500_000, 500_000));
+    keeper.onReport("router-2", 100_000, 60, clock.millis());
+    assertThat(submit("small", "r", 1, 9_000).refusal()).isPresent();
+    assertThat(submit("small", "r", 1, 9_000).refusal()).isPresent();
+    TargetLoad free = target("b");
+    dispatcher.add(free);
+    assertThat(submit("small", "r", 1, 9_000).target()).contains(free);
+  }
+
   /** Guards against a router that serves its organisations while others wait elsewhere. */
   @Test
   void holdsBackForOrganisationsThatReceivedLessElsewhere() {
--- a/gateway/src/main/java/org/almondslip/gateway/Forwarding.java
+++ b/gateway/src/main/java/org/almondslip/gateway/Forwarding.java
@@ -30,7 +30,7 @@
   private static final double OWN_PART = 0.3;
 
   /** Part of the objective for which the request waits for a target that keeps shared parts. */
-  private static final double PATIENT_PART = 0.6;
+  private static final double PATIENT_PART = 0.7;
 
   /** What the request needs of its router. */
   private final GatewayParts parts;
