Add almondslip explain, which collects the log lines of a request

Cause: the way from a failed request to its cause was a search through the logs of all routers, line by line.

Change: almondslip explain REQUEST-ID FILE... prints the lines of all processes in order and the state lines of the routers that took part.

--- a/cli/src/main/java/org/almondslip/cli/AlmondslipMain.java
+++ b/cli/src/main/java/org/almondslip/cli/AlmondslipMain.java
@@ -16,6 +16,9 @@
   /** Commands by their names. */
   private final Map<String, Command> commands = new LinkedHashMap<>();
 
+  /** Command that reads logs and calls no router. */
+  private final Explain explain = new Explain();
+
   /** Parser of the arguments. */
   private final JCommander parser =
       JCommander.newBuilder().programName("almondslip").addObject(options).build();
@@ -41,6 +44,7 @@
     commands.put("status", new Command.Status());
     commands.put("audit", new Command.Audit());
     commands.forEach(parser::addCommand);
+    parser.addCommand("explain", explain);
   }
 
   /**
@@ -66,6 +70,9 @@
         usage();
         return options.help() ? ExitCode.OK : ExitCode.USAGE;
       }
+      if (parser.getParsedCommand().equals("explain")) {
+        return explain.run(new Printer(out));
+      }
       return call(commands.get(parser.getParsedCommand()), environment);
     } catch (ParameterException e) {
       err.println(e.getMessage());
