Take a removed target for gone once lapsed entries had time to return

The router kept it for 2 s after the removal, since the store had answered it again 2.1 s before; the pause after changes (250 ms) and the check of lapsed entries (up to 500 ms) came on top. Ruled out: a feed that was silent (the removal was read 0.3 s after it).

Result: DirectoryTest.removesAtOnceWhenLapsedEntriesHadTimeToReturn fails without the change.

--- a/core/src/main/java/org/almondslip/directory/Directory.java
+++ b/core/src/main/java/org/almondslip/directory/Directory.java
@@ -16,14 +16,11 @@
 public final class Directory {
 
   /**
-   * Time for which a removed target stays usable when the store was away shortly before, in
-   * milliseconds. Entries that lapse while the store is away are back within 2 s of its return.
+   * Time after an outage of the store for which a removed target stays usable, in milliseconds.
+   * Entries that lapse while the store is away are back within 2 s of its return.
    */
   static final long LAPSE_GRACE_MILLIS = 2_000;
 
-  /** Time after an outage of the store during which removals may be lapses, in milliseconds. */
-  static final long OUTAGE_MEMORY_MILLIS = 4_000;
-
   /** Source of time. */
   private final Clock clock;
 
@@ -49,7 +46,7 @@
   private final Map<String, Long> lapsed = new HashMap<>();
 
   /** End of the last outage of the store, in milliseconds. */
-  private long outageEnd = -OUTAGE_MEMORY_MILLIS;
+  private long outageEnd = -LAPSE_GRACE_MILLIS;
 
   /** Whether a complete list of targets was read. */
   private boolean listed;
@@ -186,7 +183,7 @@
     if (!advance(id, revision) || !targets.containsKey(id)) {
       return;
     }
-    if (clock.millis() - outageEnd < OUTAGE_MEMORY_MILLIS) {
+    if (clock.millis() - outageEnd < LAPSE_GRACE_MILLIS) {
       lapsed.putIfAbsent(id, clock.millis());
     } else {
       remove(id);
@@ -210,8 +207,10 @@
 
   /** Removes targets whose entries lapsed and did not come back. */
   public void tick() {
+    long now = clock.millis();
     for (String id : new HashSet<>(lapsed.keySet())) {
-      if (clock.millis() - lapsed.get(id) >= LAPSE_GRACE_MILLIS) {
+      // The second condition ends the wait while the store fails again and again.
+      if (now - outageEnd >= LAPSE_GRACE_MILLIS || now - lapsed.get(id) >= LAPSE_GRACE_MILLIS) {
         lapsed.remove(id);
         remove(id);
       }
--- a/core/src/test/java/org/almondslip/directory/DirectoryTest.java
+++ b/core/src/test/java/org/almondslip/directory/DirectoryTest.java
@@ -91,6 +91,35 @@
     assertThat(directory.targets()).isEmpty();
   }
 
+  /**
+   * Guards against sending requests to a target beyond its drain time: an entry that is removed
+   * when lapsed ones have had their time to come back is gone.
+   */
+  @Test
+  void removesAtOnceWhenLapsedEntriesHadTimeToReturn() {
+    directory.onTarget(target("a", 5, 1, TargetRecord.State.READY));
+    directory.onOutage();
+    clock.advance(Directory.LAPSE_GRACE_MILLIS);
+    directory.onRemoved("a", 6);
+    assertThat(directory.targets()).isEmpty();
+  }
+
+  /**
+   * Guards against a removed target that is kept for as long as the store fails again and again.
+   */
+  @Test
+  void removesAfterTheGracePeriodWhileTheStoreFails() {
+    directory.onTarget(target("a", 5, 1, TargetRecord.State.READY));
+    directory.onOutage();
+    directory.onRemoved("a", 6);
+    for (int i = 0; i < 10; i++) {
+      clock.advance(Directory.LAPSE_GRACE_MILLIS / 10);
+      directory.onOutage();
+    }
+    directory.tick();
+    assertThat(directory.targets()).isEmpty();
+  }
+
   /** Guards against removing a lapsed target that has registered again. */
   @Test
   void forgetsLapseOfReturnedTarget() {
--- a/gateway/src/main/java/org/almondslip/gateway/Gateway.java
+++ b/gateway/src/main/java/org/almondslip/gateway/Gateway.java
@@ -277,15 +277,15 @@
     server = Optional.of(listening.join());
   }
 
-  /** Measures the delay of the event loop and checks the queues. */
+  /** Measures the delay of the event loop and checks lapsed targets and the queues. */
   private void tick() {
     delay.onTick();
+    directory.tick();
     dispatcher.tick();
   }
 
   /** Closes connections that have been idle for too long. */
   private void sweep() {
-    directory.tick();
     targets.expire();
     directory.table().ifPresent(table -> callers.closeIdle(table.limits().idleMillis()));
   }
