Split the room of targets from the dispatcher and drop settings nobody read

Change: TargetRoom decides which targets take work; the unused fields are gone. Behaviour is the same.

--- a/core/src/main/java/org/almondslip/directory/RoutingTable.java
+++ b/core/src/main/java/org/almondslip/directory/RoutingTable.java
@@ -29,9 +29,6 @@
   /** Limits on what callers send. */
   private final IntakeLimits limits;
 
-  /** Tokens that all engines process in a second, 0 when unknown. */
-  private final double tokensPerSecond;
-
   /**
    * Creates a table.
    *
@@ -41,7 +38,6 @@
    * @param organisations the organisations by API key
    * @param keyed whether callers need keys
    * @param limits the limits on what callers send
-   * @param tokensPerSecond the tokens that all engines process in a second, 0 when unknown
    */
   public RoutingTable(
       long version,
@@ -49,8 +45,7 @@
       List<ServicePolicy> services,
       Map<String, Organisation> organisations,
       boolean keyed,
-      IntakeLimits limits,
-      double tokensPerSecond) {
+      IntakeLimits limits) {
     this.version = version;
     this.routes = byHost(routes);
     Map<String, ServicePolicy> named = new HashMap<>();
@@ -59,7 +54,6 @@
     this.organisations = Map.copyOf(organisations);
     this.keyed = keyed;
     this.limits = limits;
-    this.tokensPerSecond = tokensPerSecond;
   }
 
   /**
@@ -80,15 +74,6 @@
     return limits;
   }
 
-  /**
-   * Returns the tokens that all engines process in a second.
-   *
-   * @return the tokens, 0 when unknown
-   */
-  public double tokensPerSecond() {
-    return tokensPerSecond;
-  }
-
   /**
    * Returns the number of routes.
    *
--- a/core/src/main/java/org/almondslip/dispatch/Dispatcher.java
+++ b/core/src/main/java/org/almondslip/dispatch/Dispatcher.java
@@ -8,7 +8,6 @@
 import java.util.Optional;
 import org.almondslip.placement.EngineModel;
 import org.almondslip.placement.Placement;
-import org.almondslip.placement.Prompt;
 import org.almondslip.placement.TargetLoad;
 import org.almondslip.time.Clock;
 
@@ -36,6 +35,9 @@
   /** Limits of the queues. */
   private final DispatchLimits limits;
 
+  /** Room of targets. */
+  private final TargetRoom room;
+
   /** Receiver of the service that this router gives. */
   private ChargeListener listener = (service, organisation, tokens) -> {};
 
@@ -64,6 +66,7 @@
     this.placement = placement;
     this.model = model;
     this.limits = limits;
+    this.room = new TargetRoom(model, limits);
   }
 
   /**
@@ -273,7 +276,8 @@
       return true;
     }
     long now = clock.millis();
-    if (targets(job.service()).stream().anyMatch(target -> isOpen(target, job.prompt(), now))) {
+    if (targets(job.service()).stream()
+        .anyMatch(target -> room.isOpen(target, job.prompt(), now))) {
       // Jobs that wait for their shared parts leave room that this one can take in time.
       return false;
     }
@@ -298,7 +302,7 @@
     Collection<TargetLoad> all = targets(job.service());
     List<TargetLoad> open = new ArrayList<>();
     for (TargetLoad target : all) {
-      if (job.started() || isOpen(target, job.prompt(), now)) {
+      if (job.started() || room.isOpen(target, job.prompt(), now)) {
         open.add(target);
       }
     }
@@ -332,35 +336,6 @@
         || !share(job.service()).isBehind(received, queue.waiting(now), now);
   }
 
-  /**
-   * Returns whether a target is a choice for new work.
-   *
-   * @param target the target
-   * @param prompt the prompt of the work
-   * @param now the current time in milliseconds
-   * @return true when it has not failed lately and has room
-   */
-  private boolean isOpen(TargetLoad target, Prompt prompt, long now) {
-    return !target.ejected(now) && hasRoom(target, prompt, now);
-  }
-
-  /**
-   * Returns whether a target takes more work now.
-   *
-   * @param target the target
-   * @param prompt the prompt of the work
-   * @param now the current time in milliseconds
-   * @return true when its unread work and its requests are below the limits
-   */
-  private boolean hasRoom(TargetLoad target, Prompt prompt, long now) {
-    int slots = target.target().slots();
-    if (prompt.promptTokens() == 0) {
-      return target.requests(now) < slots;
-    }
-    return model.readMillis(target.unreadTokens(now)) * target.slowdown() < limits.unreadMillis()
-        && target.requests(now) < slots * limits.engineSlotPart();
-  }
-
   /**
    * Sends a job.
    *
--- /dev/null
+++ b/core/src/main/java/org/almondslip/dispatch/TargetRoom.java
@@ -0,0 +1,60 @@
+package org.almondslip.dispatch;
+
+import org.almondslip.placement.EngineModel;
+import org.almondslip.placement.Prompt;
+import org.almondslip.placement.TargetLoad;
+
+/**
+ * Decides which targets take more work now.
+ *
+ * <p>The load it answers is more prompts than engines can read: an engine that always reads
+ * generates too slowly for any stream to end in time.
+ */
+final class TargetRoom {
+
+  /** Speed of the engines. */
+  private final EngineModel model;
+
+  /** Limits of the queues. */
+  private final DispatchLimits limits;
+
+  /**
+   * Creates a decision.
+   *
+   * @param model the speed of the engines
+   * @param limits the limits of the queues
+   */
+  TargetRoom(EngineModel model, DispatchLimits limits) {
+    this.model = model;
+    this.limits = limits;
+  }
+
+  /**
+   * Returns whether a target is a choice for new work.
+   *
+   * @param target the target
+   * @param prompt the prompt of the work
+   * @param now the current time in milliseconds
+   * @return true when it has not failed lately and has room
+   */
+  boolean isOpen(TargetLoad target, Prompt prompt, long now) {
+    return !target.ejected(now) && hasRoom(target, prompt, now);
+  }
+
+  /**
+   * Returns whether a target takes more work now.
+   *
+   * @param target the target
+   * @param prompt the prompt of the work
+   * @param now the current time in milliseconds
+   * @return true when its unread work and its requests are below the limits
+   */
+  private boolean hasRoom(TargetLoad target, Prompt prompt, long now) {
+    int slots = target.target().slots();
+    if (prompt.promptTokens() == 0) {
+      return target.requests(now) < slots;
+    }
+    return model.readMillis(target.unreadTokens(now)) * target.slowdown() < limits.unreadMillis()
+        && target.requests(now) < slots * limits.engineSlotPart();
+  }
+}
--- a/core/src/test/java/org/almondslip/directory/DirectoryTest.java
+++ b/core/src/test/java/org/almondslip/directory/DirectoryTest.java
@@ -149,7 +149,7 @@
    * @return the table
    */
   private static RoutingTable table(long version) {
-    return new RoutingTable(version, List.of(), List.of(), Map.of(), false, LIMITS, 0);
+    return new RoutingTable(version, List.of(), List.of(), Map.of(), false, LIMITS);
   }
 
   /**
--- a/core/src/test/java/org/almondslip/directory/RoutingTableTest.java
+++ b/core/src/test/java/org/almondslip/directory/RoutingTableTest.java
@@ -17,8 +17,7 @@
           List.of(),
           Map.of(),
           true,
-          new IntakeLimits(1, 1, 1, 1),
-          0);
+          new IntakeLimits(1, 1, 1, 1));
 
   /** Guards against a shorter prefix that hides a longer one. */
   @Test
--- a/gateway/src/test/java/org/almondslip/gateway/GatewayHarness.java
+++ b/gateway/src/test/java/org/almondslip/gateway/GatewayHarness.java
@@ -139,11 +139,10 @@
         new RoutingTable(
             1,
             List.of(route),
-            List.of(new ServicePolicy("s", 10, 0, 0)),
+            List.of(new ServicePolicy("s", 0)),
             Map.of("secret", new Organisation("org", OptionalInt.empty())),
             true,
-            new IntakeLimits(8_192, 65_536, 3_000, 15_000),
-            0);
+            new IntakeLimits(8_192, 65_536, 3_000, 15_000));
     DirectorySource source =
         new DirectorySource() {
           @Override
