Handle SIGHUP from the first line of main

Its log ends with the planned stop of the process before; the next process got SIGHUP while it started and ended, since the handler was set after the start only. Ruled out: a stop that hangs (no process was left 5 s after it had logged its stop).

Change: the signal is ignored from the first line of main until its own handler is set.

--- a/runtime/src/main/java/org/almondslip/process/Launcher.java
+++ b/runtime/src/main/java/org/almondslip/process/Launcher.java
@@ -41,6 +41,8 @@
    * @param <S> the type of its settings
    */
   public static <S> void run(Program<S> program, String[] args) {
+    // By default the signal ends the process, also one that has just started.
+    Signal.handle(new Signal("HUP"), signal -> {});
     int status = launch(program, args, System.out, System.err);
     if (status != 0) {
       System.exit(status);
