Name organisation, reason and reports in the logs and metrics of a router

Lines about requests name the organisation, refusals before the queue their request and why; tokens are counted by organisation and decision, reports by what became of them. A line a second and service, only while requests wait or are refused, shows the queue, targets with room, sends held back and the service of waiting organisations as the router knows it.

RefusalReason.OVERLOADED is split into expected_wait, expired and queue_full; the test that named it asks for expected_wait, which is stricter. No decision changes.

--- a/core/src/main/java/org/almondslip/dispatch/Dispatcher.java
+++ b/core/src/main/java/org/almondslip/dispatch/Dispatcher.java
@@ -53,6 +53,9 @@
   /** Rates of sent work by service. */
   private final Map<String, DecayingSum> rates = new HashMap<>();
 
+  /** Counts of jobs. */
+  private final DispatchStatistics statistics = new DispatchStatistics();
+
   /**
    * Creates a dispatcher without targets.
    *
@@ -121,6 +124,36 @@
     return queues.values().stream().mapToInt(FairQueue::size).sum();
   }
 
+  /**
+   * Returns the counts of jobs.
+   *
+   * @return the counts
+   */
+  public DispatchStatistics statistics() {
+    return statistics;
+  }
+
+  /**
+   * Returns the state of the queues of all services with targets.
+   *
+   * @return the states
+   */
+  public List<DispatchStatus> status() {
+    long now = clock.millis();
+    List<DispatchStatus> all = new ArrayList<>();
+    targets.forEach(
+        (service, map) ->
+            all.add(
+                new DispatchStatus(
+                    service,
+                    queue(service).size(),
+                    map.size(),
+                    (int) map.values().stream().filter(target -> room.isOpen(target, now)).count(),
+                    queue(service).waiting(now),
+                    share(service).elsewhere(now))));
+    return all;
+  }
+
   /**
    * Names the receiver of the service that organisations are given.
    *
@@ -174,6 +207,7 @@
     FairQueue queue = queue(job.service());
     if (!job.started()) {
       queue.onAsked(job, clock.millis());
+      statistics.onAsked(job.service(), job.organisation(), FairQueue.cost(job));
     }
     if (queue.size() == 0 || job.started()) {
       Optional<Placement.Choice> choice = choose(job);
@@ -182,9 +216,9 @@
         return;
       }
     }
-    if (!job.started() && isHopeless(job, queue)) {
-      queue.onRefused(job, clock.millis());
-      job.refuse(RefusalReason.OVERLOADED, retryAfterMillis(queue));
+    Optional<RefusalReason> obstacle = job.started() ? Optional.empty() : obstacle(job, queue);
+    if (obstacle.isPresent()) {
+      refuse(job, queue, obstacle.get());
       return;
     }
     queue.add(job);
@@ -242,13 +276,25 @@
    */
   private void expire(String service, FairQueue queue) {
     RefusalReason reason =
-        targets(service).isEmpty() ? RefusalReason.NO_TARGET : RefusalReason.OVERLOADED;
+        targets(service).isEmpty() ? RefusalReason.NO_TARGET : RefusalReason.EXPIRED;
     for (Job job : queue.removeIf(this::isLate)) {
-      queue.onRefused(job, clock.millis());
-      job.refuse(reason, retryAfterMillis(queue));
+      refuse(job, queue, reason);
     }
   }
 
+  /**
+   * Refuses a job.
+   *
+   * @param job the job
+   * @param queue the queue of its service
+   * @param reason why it is refused
+   */
+  private void refuse(Job job, FairQueue queue, RefusalReason reason) {
+    queue.onRefused(job, clock.millis());
+    statistics.onRefused(job.service(), job.organisation(), reason, FairQueue.cost(job));
+    job.refuse(reason, retryAfterMillis(queue));
+  }
+
   /**
    * Returns whether a job can no longer be read in time by any target.
    *
@@ -265,25 +311,30 @@
   }
 
   /**
-   * Returns whether a new job cannot be read in time behind the jobs of its organisation.
+   * Returns why a new job cannot be read in time behind the jobs of its organisation.
    *
    * @param job the job
    * @param queue the queue of its service
-   * @return true when it can not
+   * @return the reason, empty when it can be read in time
    */
-  private boolean isHopeless(Job job, FairQueue queue) {
-    if (isLate(job) || queue.size() >= limits.maxWaiting()) {
-      return true;
+  private Optional<RefusalReason> obstacle(Job job, FairQueue queue) {
+    if (queue.size() >= limits.maxWaiting()) {
+      return Optional.of(RefusalReason.QUEUE_FULL);
+    }
+    if (isLate(job)) {
+      return Optional.of(RefusalReason.EXPECTED_WAIT);
     }
     long now = clock.millis();
     if (targets(job.service()).stream()
         .anyMatch(target -> room.isOpen(target, job.prompt(), now))) {
       // Jobs that wait for their shared parts leave room that this one can take in time.
-      return false;
+      return Optional.empty();
     }
     double rate = rate(job.service()).ratePerMilli(now);
     double waitMillis = rate <= 0 ? 0 : queue.tokensAhead(job, now) / rate;
-    return now + waitMillis > job.dueAt();
+    return now + waitMillis > job.dueAt()
+        ? Optional.of(RefusalReason.EXPECTED_WAIT)
+        : Optional.empty();
   }
 
   /**
@@ -297,6 +348,7 @@
     long now = clock.millis();
     double received = queue(job.service()).received(job.organisation(), now);
     if (!job.started() && share(job.service()).isAhead(received, now)) {
+      statistics.onHeldBack(job.service());
       return Optional.empty();
     }
     Collection<TargetLoad> all = targets(job.service());
@@ -347,6 +399,7 @@
     long cost = FairQueue.cost(job);
     rate(job.service()).add(cost, now);
     queue(job.service()).charge(job, now);
+    statistics.onSent(job.service(), job.organisation(), cost);
     listener.onCharged(job.service(), job.organisation(), cost);
     job.send(choice.load(), choice.waitMillis());
   }
--- a/core/src/main/java/org/almondslip/dispatch/FairShare.java
+++ b/core/src/main/java/org/almondslip/dispatch/FairShare.java
@@ -88,7 +88,7 @@
    * @param now the current time in milliseconds
    * @return the range, empty when none waits
    */
-  private Optional<WaitingRange> elsewhere(long now) {
+  Optional<WaitingRange> elsewhere(long now) {
     return reports.values().stream()
         .filter(report -> now - report.at() < EXPIRY_MILLIS)
         .map(Report::range)
--- a/core/src/main/java/org/almondslip/dispatch/TargetRoom.java
+++ b/core/src/main/java/org/almondslip/dispatch/TargetRoom.java
@@ -1,5 +1,6 @@
 package org.almondslip.dispatch;
 
+import java.util.List;
 import org.almondslip.placement.EngineModel;
 import org.almondslip.placement.Prompt;
 import org.almondslip.placement.TargetLoad;
@@ -12,6 +13,9 @@
  */
 final class TargetRoom {
 
+  /** Prompt that stands for any other one. */
+  private static final Prompt SMALL_PROMPT = new Prompt(List.of(), 1, 0);
+
   /** Speed of the engines. */
   private final EngineModel model;
 
@@ -41,6 +45,17 @@
     return !target.ejected(now) && hasRoom(target, prompt, now);
   }
 
+  /**
+   * Returns whether a target is a choice for new work of the usual kind.
+   *
+   * @param target the target
+   * @param now the current time in milliseconds
+   * @return true when it has not failed lately and has room
+   */
+  boolean isOpen(TargetLoad target, long now) {
+    return isOpen(target, target.isEngine() ? SMALL_PROMPT : Prompt.NONE, now);
+  }
+
   /**
    * Returns whether a target takes more work now.
    *
--- a/core/src/main/java/org/almondslip/placement/PrefixCache.java
+++ b/core/src/main/java/org/almondslip/placement/PrefixCache.java
@@ -28,6 +28,15 @@
     this.capacity = capacity;
   }
 
+  /**
+   * Returns the tokens that the cache holds.
+   *
+   * @return the tokens
+   */
+  long capacity() {
+    return capacity;
+  }
+
   /**
    * Returns the tokens of a prompt that the engine has to read.
    *
--- a/core/src/main/java/org/almondslip/placement/TargetLoad.java
+++ b/core/src/main/java/org/almondslip/placement/TargetLoad.java
@@ -81,6 +81,15 @@
     return record;
   }
 
+  /**
+   * Returns whether the target is a model engine.
+   *
+   * @return true when it keeps prompt parts
+   */
+  public boolean isEngine() {
+    return cache.capacity() > 0;
+  }
+
   /**
    * Returns a key that all routers share.
    *
--- a/core/src/test/java/org/almondslip/dispatch/DispatcherTest.java
+++ b/core/src/test/java/org/almondslip/dispatch/DispatcherTest.java
@@ -77,7 +77,7 @@
     TargetLoad target = target("a");
     dispatcher.add(target);
     target.onReport("router-2", 100_000, 60, clock.millis());
-    assertThat(submit("org", "r", 1, 5_000).refusal()).contains(RefusalReason.OVERLOADED);
+    assertThat(submit("org", "r", 1, 5_000).refusal()).contains(RefusalReason.EXPECTED_WAIT);
   }
 
   /** Guards against an order that is refused as not run although a target may have run it. */
--- a/gateway/src/main/java/org/almondslip/gateway/CallerCall.java
+++ b/gateway/src/main/java/org/almondslip/gateway/CallerCall.java
@@ -33,6 +33,15 @@
     long arrivedAt,
     long fingerprint) {
 
+  /**
+   * Returns the name of the organisation.
+   *
+   * @return the name, empty when the route needs no key
+   */
+  String organisationName() {
+    return organisation.map(Organisation::name).orElse("");
+  }
+
   /**
    * Returns the time by which the caller must have the whole answer.
    *
--- a/gateway/src/main/java/org/almondslip/gateway/DecisionLog.java
+++ b/gateway/src/main/java/org/almondslip/gateway/DecisionLog.java
@@ -60,10 +60,12 @@
     logger
         .atInfo()
         .with(JsonLines.REQUEST_ID, call.decoded().requestId())
+        .with(JsonLines.ORGANISATION, call.organisationName())
         .log(
-            "sent to %s, send %d, expected wait %.0f ms with %d of %d tokens to read",
+            "sent to %s, send %d after %d ms, expected wait %.0f ms with %d of %d tokens to read",
             target.target().id(),
             sends,
+            clock.millis() - call.arrivedAt(),
             waitMillis,
             target.missing(call.decoded().prompt()),
             call.decoded().prompt().promptTokens());
@@ -87,6 +89,7 @@
     logger
         .atInfo()
         .with(JsonLines.REQUEST_ID, call.decoded().requestId())
+        .with(JsonLines.ORGANISATION, call.organisationName())
         .log(
             "%s: status %d after %d sends to %s and %d ms%s",
             outcome, status, sends, call.service(), elapsed, detail.isEmpty() ? "" : ": " + detail);
@@ -108,10 +111,16 @@
    *
    * @param code the code of the error
    * @param detail why it was not accepted
+   * @param requestId the id of the request, empty when it is not known
+   * @param organisation the organisation, empty when it is not known
    */
-  void rejected(ErrorCode code, String detail) {
+  void rejected(ErrorCode code, String detail, String requestId, String organisation) {
     outcomes.merge(code.label(), 1L, Long::sum);
-    logger.atInfo().log("%s: %s", code.label(), detail);
+    logger
+        .atInfo()
+        .with(JsonLines.REQUEST_ID, requestId)
+        .with(JsonLines.ORGANISATION, organisation)
+        .log("%s: %s", code.label(), detail);
   }
 
   /**
--- a/gateway/src/main/java/org/almondslip/gateway/Forwarding.java
+++ b/gateway/src/main/java/org/almondslip/gateway/Forwarding.java
@@ -112,7 +112,7 @@
 
   @Override
   public String organisation() {
-    return call.organisation().map(org -> org.name()).orElse("");
+    return call.organisationName();
   }
 
   @Override
@@ -180,8 +180,9 @@
     String detail =
         String.format(
             Locale.ROOT,
-            "%s; %d requests wait, the deadline is %d ms ahead",
+            "%s; %s, %d requests wait, the deadline is %d ms ahead",
             code.title(),
+            reason.label(),
             parts.dispatcher().waiting(),
             call.deadlineAt() - parts.clock().millis());
     finish(code, detail, OptionalLong.of(retryAfterMillis));
--- a/gateway/src/main/java/org/almondslip/gateway/Gateway.java
+++ b/gateway/src/main/java/org/almondslip/gateway/Gateway.java
@@ -45,6 +45,9 @@
   /** Interval of the checks for idle connections in milliseconds. */
   private static final long SWEEP_MILLIS = 500;
 
+  /** Interval of the lines about the queues in milliseconds. */
+  private static final long STATUS_MILLIS = 1_000;
+
   /** Largest size of all headers that is read at all, in bytes. */
   private static final int MAX_HEADER_BYTES = 64 << 10;
 
@@ -173,13 +176,16 @@
   public void start() {
     closer.register(vertx::close);
     Address readyListen = Address.of(settings.readyListen());
-    new GatewayMetrics(registry).register(decisions, dispatcher, intake, callers, directory, delay);
+    new GatewayMetrics(registry)
+        .register(decisions, dispatcher, intake, callers, directory, delay, peers.counts());
     onEventLoop(
         () -> {
           source.start(directory, peers);
           peers.start(settings.peerListen());
           vertx.setPeriodic(TICK_MILLIS, id -> tick());
           vertx.setPeriodic(SWEEP_MILLIS, id -> sweep());
+          StatusLog status = new StatusLog(dispatcher, peers.counts(), delay);
+          vertx.setPeriodic(STATUS_MILLIS, id -> status.log());
           vertx
               .createHttpServer()
               .requestHandler(
--- a/gateway/src/main/java/org/almondslip/gateway/GatewayMetrics.java
+++ b/gateway/src/main/java/org/almondslip/gateway/GatewayMetrics.java
@@ -34,6 +34,7 @@
    * @param callers the connections of callers
    * @param directory the state of the fleet
    * @param delay the delay of the event loop
+   * @param reports the counts of reports between routers
    */
   void register(
       DecisionLog decisions,
@@ -41,13 +42,46 @@
       Intake intake,
       CallerConnections callers,
       Directory directory,
-      LoopDelay delay) {
+      LoopDelay delay,
+      ReportCounts reports) {
     CounterWithCallback.builder()
         .name("almondslip_gateway_requests_total")
         .help("Requests that have ended, by outcome")
         .labelNames("outcome")
         .callback(values -> decisions.outcomes().forEach((label, n) -> values.call(n, label)))
         .register(registry);
+    CounterWithCallback.builder()
+        .name("almondslip_gateway_job_tokens_total")
+        .help("Tokens that organisations asked for, by service and what became of them")
+        .labelNames("service", "organisation", "decision")
+        .callback(values -> jobTokens(dispatcher, values))
+        .register(registry);
+    CounterWithCallback.builder()
+        .name("almondslip_gateway_held_back_total")
+        .help("Sends that were held back for other organisations")
+        .labelNames("service")
+        .callback(values -> dispatcher.statistics().heldBack().forEach((s, n) -> values.call(n, s)))
+        .register(registry);
+    CounterWithCallback.builder()
+        .name("almondslip_gateway_reports_total")
+        .help("Datagrams between routers, by what became of them")
+        .labelNames("event")
+        .callback(
+            values -> {
+              values.call(reports.sent(), "sent");
+              values.call(reports.received(), "read");
+              values.call(reports.unreadable(), "unreadable");
+            })
+        .register(registry);
+    CounterWithCallback.builder()
+        .name("almondslip_gateway_report_bytes_total")
+        .help("Bytes of the datagrams that were sent to other routers")
+        .callback(values -> values.call(reports.sentBytes()))
+        .register(registry);
+    gauge(
+        "almondslip_gateway_largest_report_bytes",
+        "Size of the largest datagram that was sent to other routers",
+        () -> reports.largestBytes());
     gauge(
         "almondslip_gateway_waiting_requests",
         "Requests without a target",
@@ -69,6 +103,29 @@
     gauge("almondslip_gateway_targets", "Live targets", () -> directory.targets().size());
   }
 
+  /**
+   * Reads the tokens of organisations.
+   *
+   * @param dispatcher the queues
+   * @param values the receiver
+   */
+  private static void jobTokens(Dispatcher dispatcher, CounterWithCallback.Callback values) {
+    dispatcher
+        .statistics()
+        .counts()
+        .forEach(
+            (owner, counts) -> {
+              values.call(counts.asked(), owner.service(), owner.organisation(), "asked");
+              values.call(counts.sent(), owner.service(), owner.organisation(), "sent");
+              counts
+                  .refused()
+                  .forEach(
+                      (reason, tokens) ->
+                          values.call(
+                              tokens, owner.service(), owner.organisation(), reason.label()));
+            });
+  }
+
   /**
    * Registers a gauge.
    *
--- a/gateway/src/main/java/org/almondslip/gateway/Intake.java
+++ b/gateway/src/main/java/org/almondslip/gateway/Intake.java
@@ -278,7 +278,7 @@
    * @param detail what is wrong
    */
   private void fail(HttpServerRequest request, CallerAnswer answer, ErrorCode code, String detail) {
-    parts.decisions().rejected(code, detail);
+    logRejection(request, code, detail);
     answer.fail(code, detail, OptionalLong.empty());
     connections.onAnswered(request.connection());
   }
@@ -293,7 +293,7 @@
    */
   private void refuse(
       HttpServerRequest request, CallerAnswer answer, ErrorCode code, String detail) {
-    parts.decisions().rejected(code, detail);
+    logRejection(request, code, detail);
     answer.fail(code, detail, OptionalLong.of(NOT_READY_RETRY_MILLIS));
     connections.onAnswered(request.connection());
   }
@@ -306,12 +306,30 @@
    * @param detail what is wrong
    */
   private void reject(HttpServerRequest request, ErrorCode code, String detail) {
-    parts.decisions().rejected(code, detail);
+    logRejection(request, code, detail);
     connections.onRejected(request.connection());
     new CallerAnswer(request, true).fail(code, detail, OptionalLong.empty());
     request.connection().shutdown(LINGER_MILLIS, TimeUnit.MILLISECONDS);
   }
 
+  /**
+   * Logs a request that is not accepted.
+   *
+   * @param request the request
+   * @param code the code of the error
+   * @param detail why it is not accepted
+   */
+  private void logRejection(HttpServerRequest request, ErrorCode code, String detail) {
+    HeaderCodec.CallHeaders decoded = parts.codec().readCall(request.headers());
+    String organisation =
+        directory
+            .table()
+            .flatMap(table -> decoded.key().flatMap(table::organisation))
+            .map(Organisation::name)
+            .orElse("");
+    parts.decisions().rejected(code, detail, decoded.requestId(), organisation);
+  }
+
   /**
    * Returns the path of a request without the query.
    *
--- a/gateway/src/main/java/org/almondslip/gateway/PeerExchange.java
+++ b/gateway/src/main/java/org/almondslip/gateway/PeerExchange.java
@@ -11,6 +11,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.concurrent.TimeUnit;
 import org.almondslip.directory.Address;
 import org.almondslip.dispatch.Dispatcher;
 import org.almondslip.dispatch.WaitingRange;
@@ -78,6 +79,9 @@
   /** Socket, once it is bound. */
   private Optional<DatagramSocket> socket = Optional.empty();
 
+  /** Counts of reports. */
+  private final ReportCounts counts = new ReportCounts();
+
   /** Whether the last report named a target. */
   private boolean reportedLoad;
 
@@ -123,7 +127,7 @@
         .onSuccess(
             bound -> {
               socket = Optional.of(bound);
-              bound.handler(packet -> onReport(packet.data()));
+              bound.handler(packet -> onReport(packet.data(), packet.sender().host()));
               vertx.setPeriodic(INTERVAL_MILLIS, id -> report(bound));
             });
   }
@@ -162,6 +166,15 @@
         CRASH_REPORTS);
   }
 
+  /**
+   * Returns the counts of reports.
+   *
+   * @return the counts
+   */
+  ReportCounts counts() {
+    return counts;
+  }
+
   @Override
   public void close() {
     socket.ifPresent(DatagramSocket::close);
@@ -210,6 +223,7 @@
     }
     reportedLoad = load;
     Buffer data = Buffer.buffer(report.build().toByteArray());
+    counts.onSent(data.length(), peers.size());
     peers.values().forEach(peer -> bound.send(data, peer.port(), peer.host()));
   }
 
@@ -217,15 +231,19 @@
    * Takes a report.
    *
    * @param data the datagram
+   * @param sender the IP address of the sender
    */
-  private void onReport(Buffer data) {
+  private void onReport(Buffer data, String sender) {
     LoadReport report;
     try {
       report = LoadReport.parseFrom(data.getBytes());
     } catch (InvalidProtocolBufferException e) {
-      logger.atWarning().log("a report cannot be read: %s", e.getMessage());
+      counts.onUnreadable();
+      logger.atWarning().atMostEvery(1, TimeUnit.SECONDS).log(
+          "a report of %d bytes from %s cannot be read", data.length(), sender);
       return;
     }
+    counts.onReceived();
     Map<Long, TargetLoad> targets = new HashMap<>();
     dispatcher.targets().forEach(target -> targets.put(target.key(), target));
     long now = clock.millis();
--- /dev/null
+++ b/gateway/src/main/java/org/almondslip/gateway/StatusLog.java
@@ -0,0 +1,150 @@
+package org.almondslip.gateway;
+
+import com.google.common.flogger.FluentLogger;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import org.almondslip.dispatch.DispatchStatistics;
+import org.almondslip.dispatch.DispatchStatus;
+import org.almondslip.dispatch.Dispatcher;
+import org.almondslip.dispatch.WaitingRange;
+
+/**
+ * Logs a line a second for each service whose organisations do not get all that they ask for, with
+ * what the router believes about the fleet at that moment.
+ */
+final class StatusLog {
+
+  /** Logger of this class. */
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+
+  /** Order of waiting requests. */
+  private final Dispatcher dispatcher;
+
+  /** Counts of reports. */
+  private final ReportCounts reports;
+
+  /** Delay of the event loop. */
+  private final LoopDelay delay;
+
+  /** Totals of the last line by service. */
+  private final Map<String, Totals> logged = new HashMap<>();
+
+  /** Reports that were read up to the last line. */
+  private long loggedReports;
+
+  /**
+   * Tokens of a service since the start of the process.
+   *
+   * @param asked the tokens asked for
+   * @param sent the tokens sent to targets
+   * @param refused the tokens refused
+   * @param heldBack how often a send was held back
+   */
+  private record Totals(long asked, long sent, long refused, long heldBack) {
+
+    /** No tokens. */
+    private static final Totals NONE = new Totals(0, 0, 0, 0);
+
+    /**
+     * Adds the counts of an organisation.
+     *
+     * @param counts the counts
+     * @return the sum
+     */
+    private Totals plus(DispatchStatistics.Counts counts) {
+      long sum = counts.refused().values().stream().mapToLong(Long::longValue).sum();
+      return new Totals(asked + counts.asked(), sent + counts.sent(), refused + sum, heldBack);
+    }
+
+    /**
+     * Returns the difference to earlier totals.
+     *
+     * @param earlier the earlier totals
+     * @return the difference
+     */
+    private Totals minus(Totals earlier) {
+      return new Totals(
+          asked - earlier.asked,
+          sent - earlier.sent,
+          refused - earlier.refused,
+          heldBack - earlier.heldBack);
+    }
+  }
+
+  /**
+   * Creates a log.
+   *
+   * @param dispatcher the order of waiting requests
+   * @param reports the counts of reports
+   * @param delay the delay of the event loop
+   */
+  StatusLog(Dispatcher dispatcher, ReportCounts reports, LoopDelay delay) {
+    this.dispatcher = dispatcher;
+    this.reports = reports;
+    this.delay = delay;
+  }
+
+  /** Logs the services that are short of targets. */
+  void log() {
+    Map<String, Totals> totals = totals();
+    long received = reports.received() - loggedReports;
+    loggedReports = reports.received();
+    for (DispatchStatus status : dispatcher.status()) {
+      Totals now = totals.getOrDefault(status.service(), Totals.NONE);
+      Totals change =
+          now.minus(Optional.ofNullable(logged.put(status.service(), now)).orElse(Totals.NONE));
+      if (status.waiting() == 0 && change.refused() == 0 && change.heldBack() == 0) {
+        continue;
+      }
+      logger.atInfo().log(
+          "%s: %d requests wait, %d of %d targets have room; in the last second %d tokens asked,"
+              + " %d sent, %d refused, %d sends held back; service of waiting organisations %s,"
+              + " elsewhere %s; %d reports read, event loop %d ms behind",
+          status.service(),
+          status.waiting(),
+          status.openTargets(),
+          status.targets(),
+          change.asked(),
+          change.sent(),
+          change.refused(),
+          change.heldBack(),
+          text(status.local()),
+          text(status.elsewhere()),
+          received,
+          delay.millis());
+    }
+  }
+
+  /**
+   * Sums the counts of all organisations.
+   *
+   * @return the totals by service
+   */
+  private Map<String, Totals> totals() {
+    DispatchStatistics statistics = dispatcher.statistics();
+    Map<String, Totals> totals = new HashMap<>();
+    statistics
+        .heldBack()
+        .forEach((service, times) -> totals.put(service, new Totals(0, 0, 0, times)));
+    statistics
+        .counts()
+        .forEach(
+            (owner, counts) ->
+                totals.merge(
+                    owner.service(), Totals.NONE.plus(counts), (sum, one) -> sum.plus(counts)));
+    return totals;
+  }
+
+  /**
+   * Formats a range.
+   *
+   * @param range the range
+   * @return the least and the most service in tokens
+   */
+  private static String text(Optional<WaitingRange> range) {
+    return range
+        .map(found -> String.format("%.0f to %.0f", found.least(), found.most()))
+        .orElse("none");
+  }
+}
