Split the content of reports from the exchange of datagrams

ReportWriter and ReportReader hold the content, PeerExchange the sockets. No behaviour changes; DispatcherTest and GatewayMetricsTest pass.

--- a/gateway/src/main/java/org/almondslip/gateway/Gateway.java
+++ b/gateway/src/main/java/org/almondslip/gateway/Gateway.java
@@ -24,6 +24,8 @@
 import org.almondslip.placement.TargetLoad;
 import org.almondslip.process.Program;
 import org.almondslip.quarantine.CrashWindow;
+import org.almondslip.report.ReportReader;
+import org.almondslip.report.ReportWriter;
 import org.almondslip.resource.Closer;
 import org.almondslip.time.Clock;
 import org.apache.commons.rng.simple.RandomSource;
@@ -150,7 +152,13 @@
     Placement placement = new Placement(settings.dataCentre(), EngineModel.DEFAULT);
     this.dispatcher = new Dispatcher(clock, placement, EngineModel.DEFAULT, DispatchLimits.DEFAULT);
     CrashWindow crashes = new CrashWindow(clock);
-    this.peers = new PeerExchange(vertx, settings.instance(), dispatcher, clock, crashes);
+    this.peers =
+        new PeerExchange(
+            vertx,
+            settings.instance(),
+            new ReportWriter(settings.instance(), dispatcher),
+            new ReportReader(dispatcher, crashes, clock),
+            crashes);
     this.targets = new TargetConnections(vertx, clock);
     this.callers = new CallerConnections(clock);
     this.directory = new Directory(clock, new Changes());
