--- a/core/src/main/java/org/almondslip/dispatch/Dispatcher.java
+++ b/core/src/main/java/org/almondslip/dispatch/Dispatcher.java
@@ -38,12 +38,12 @@
   /** Room of targets. */
   private final TargetRoom room;
 
-  /** Receiver of the service that this router gives. */
-  private ChargeListener listener = (service, organisation, tokens) -> {};
-
   /** Targets by service. */
   private final Map<String, Map<String, TargetLoad>> targets = new HashMap<>();
 
+  /** Targets by the key that all routers share. */
+  private final Map<Long, TargetLoad> targetsByKey = new HashMap<>();
+
   /** Queues by service. */
   private final Map<String, FairQueue> queues = new HashMap<>();
 
@@ -81,6 +81,7 @@
     targets
         .computeIfAbsent(target.target().service(), service -> new HashMap<>())
         .put(target.target().id(), target);
+    targetsByKey.put(target.key(), target);
     pump(target.target().service());
   }
 
@@ -91,7 +92,18 @@
    * @param id the id of the target
    */
   public void remove(String service, String id) {
-    targets.getOrDefault(service, new HashMap<>()).remove(id);
+    Optional.ofNullable(targets.getOrDefault(service, new HashMap<>()).remove(id))
+        .ifPresent(target -> targetsByKey.remove(target.key()));
+  }
+
+  /**
+   * Finds a target.
+   *
+   * @param key the key that all routers share
+   * @return the target
+   */
+  public Optional<TargetLoad> target(long key) {
+    return Optional.ofNullable(targetsByKey.get(key));
   }
 
   /**
@@ -155,23 +167,25 @@
   }
 
   /**
-   * Names the receiver of the service that organisations are given.
+   * Charges an organisation for service that another router gave it.
    *
-   * @param receiver the receiver
+   * @param service the name of the service
+   * @param organisation the name of the organisation
+   * @param tokens the service in tokens
    */
-  public void onCharge(ChargeListener receiver) {
-    listener = receiver;
+  public void chargeRemote(String service, String organisation, long tokens) {
+    queue(service).charge(organisation, tokens, clock.millis());
   }
 
   /**
-   * Charges an organisation for service that another router gave it.
+   * Returns the service that all routers gave an organisation lately.
    *
    * @param service the name of the service
    * @param organisation the name of the organisation
-   * @param tokens the service in tokens
+   * @return the service in tokens, recent ones count most
    */
-  public void chargeRemote(String service, String organisation, long tokens) {
-    queue(service).charge(organisation, tokens, clock.millis());
+  public double received(String service, String organisation) {
+    return queue(service).received(organisation, clock.millis());
   }
 
   /**
@@ -400,7 +414,6 @@
     rate(job.service()).add(cost, now);
     queue(job.service()).charge(job, now);
     statistics.onSent(job.service(), job.organisation(), cost);
-    listener.onCharged(job.service(), job.organisation(), cost);
     job.send(choice.load(), choice.waitMillis());
   }
 
--- a/core/src/main/java/org/almondslip/report/ReportReader.java
+++ b/core/src/main/java/org/almondslip/report/ReportReader.java
@@ -4,13 +4,13 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import org.almondslip.dispatch.DispatchStatistics;
 import org.almondslip.dispatch.Dispatcher;
 import org.almondslip.dispatch.WaitingRange;
 import org.almondslip.placement.Prompt;
-import org.almondslip.placement.TargetLoad;
-import org.almondslip.protocol.wire.Charge;
 import org.almondslip.protocol.wire.LoadReport;
 import org.almondslip.protocol.wire.SentPrompt;
+import org.almondslip.protocol.wire.ServiceTotal;
 import org.almondslip.protocol.wire.SuspectNotice;
 import org.almondslip.protocol.wire.TargetReport;
 import org.almondslip.protocol.wire.Waiting;
@@ -29,6 +29,9 @@
   /** Source of time. */
   private final Clock clock;
 
+  /** Totals of the other routers by their names. */
+  private final Map<String, PeerTotals> peers = new HashMap<>();
+
   /**
    * Creates a reader.
    *
@@ -48,22 +51,19 @@
    * @param report the report
    */
   public void read(LoadReport report) {
-    Map<Long, TargetLoad> targets = new HashMap<>();
-    dispatcher.targets().forEach(target -> targets.put(target.key(), target));
     long now = clock.millis();
-    Map<Long, TargetReport> loads = new HashMap<>();
-    report.getTargetsList().forEach(load -> loads.put(load.getTarget(), load));
-    targets.forEach(
-        (key, target) -> {
-          TargetReport load = loads.getOrDefault(key, TargetReport.getDefaultInstance());
-          target.onReport(report.getRouter(), load.getUnreadTokens(), load.getRequests(), now);
-        });
+    for (TargetReport load : report.getTargetsList()) {
+      dispatcher
+          .target(load.getTarget())
+          .ifPresent(
+              target ->
+                  target.onReport(
+                      report.getRouter(), load.getUnreadTokens(), load.getRequests(), now));
+    }
     for (SuspectNotice notice : report.getSuspectsList()) {
       crashes.onCrash(notice.getFingerprint(), notice.getCrashId().hashCode());
     }
-    for (Charge charge : report.getChargesList()) {
-      dispatcher.chargeRemote(charge.getService(), charge.getOrganisation(), charge.getTokens());
-    }
+    readTotals(report, now);
     for (Waiting waiting : report.getWaitingList()) {
       dispatcher.onPeerWaiting(
           report.getRouter(),
@@ -71,13 +71,31 @@
           new WaitingRange(waiting.getLeast(), waiting.getMost()));
     }
     for (SentPrompt sent : report.getPromptsList()) {
-      TargetLoad target = targets.get(sent.getTarget());
-      if (target != null && sent.getPartsCount() == sent.getTokensCount()) {
-        target.onPeerSent(prompt(sent));
+      if (sent.getPartsCount() == sent.getTokensCount()) {
+        dispatcher.target(sent.getTarget()).ifPresent(target -> target.onPeerSent(prompt(sent)));
       }
     }
   }
 
+  /**
+   * Takes the totals of a report.
+   *
+   * @param report the report
+   * @param now the current time in milliseconds
+   */
+  private void readTotals(LoadReport report, long now) {
+    PeerTotals peer = peers.computeIfAbsent(report.getRouter(), name -> new PeerTotals());
+    peer.onReport(report.getIncarnation(), now);
+    for (ServiceTotal total : report.getTotalsList()) {
+      PeerTotals.Totals added =
+          peer.take(
+              new DispatchStatistics.Owner(total.getService(), total.getOrganisation()),
+              new PeerTotals.Totals(total.getAsked(), total.getGiven()),
+              now);
+      dispatcher.chargeRemote(total.getService(), total.getOrganisation(), added.given());
+    }
+  }
+
   /**
    * Decodes a prompt.
    *
--- a/core/src/main/java/org/almondslip/report/ReportWriter.java
+++ b/core/src/main/java/org/almondslip/report/ReportWriter.java
@@ -2,66 +2,79 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
+import org.almondslip.dispatch.DispatchStatistics;
 import org.almondslip.dispatch.Dispatcher;
 import org.almondslip.placement.Prompt;
 import org.almondslip.placement.TargetLoad;
-import org.almondslip.protocol.wire.Charge;
 import org.almondslip.protocol.wire.LoadReport;
 import org.almondslip.protocol.wire.SentPrompt;
+import org.almondslip.protocol.wire.ServiceTotal;
 import org.almondslip.protocol.wire.SuspectNotice;
 import org.almondslip.protocol.wire.TargetReport;
 import org.almondslip.protocol.wire.Waiting;
 
-/** Writes what a router tells the others about its load and its service. */
+/**
+ * Writes what a router tells the others about its load and its service.
+ *
+ * <p>Reports go by datagram, so each one stays within a frame of the network, and a lost one must
+ * cost nothing for long: service is told in totals since the start of the router, and changes are
+ * told several times.
+ */
 public final class ReportWriter {
 
-  /** Reports that name a crash, since each one may be lost. */
-  private static final int CRASH_REPORTS = 3;
+  /** Reports that tell a change, since each one may be lost. */
+  private static final int REPEATS = 3;
 
-  /** Largest number of prompts in a report, which keeps it within one datagram. */
-  private static final int MAX_PROMPTS = 40;
+  /** Largest number of prompts between two reports that are told; they only save reading twice. */
+  private static final int MAX_PROMPTS = 200;
 
   /** Name of the router. */
   private final String name;
 
+  /** Start of the router. */
+  private final long incarnation;
+
   /** Targets and queues of the router. */
   private final Dispatcher dispatcher;
 
   /** Prompts sent since the last report. */
   private final List<SentPrompt> prompts = new ArrayList<>();
 
-  /** Service given to organisations since the last report. */
-  private final Map<Recipient, Long> charges = new HashMap<>();
-
   /** Crashes to report, with the number of reports that still name them. */
   private final Map<SuspectNotice, Integer> crashes = new HashMap<>();
 
-  /** Whether the last report named a target. */
-  private boolean reportedLoad;
+  /** Targets that had work lately, with the number of reports that still name them. */
+  private final Map<Long, Integer> busyTargets = new HashMap<>();
 
-  /**
-   * Receiver of service.
-   *
-   * @param service the name of the service
-   * @param organisation the name of the organisation
-   */
-  private record Recipient(String service, String organisation) {}
+  /** Totals that were told last. */
+  private final Map<DispatchStatistics.Owner, Told> told = new LinkedHashMap<>();
+
+  /** Totals that were told. */
+  private static final class Told {
+    /** Tokens of all requests. */
+    private long asked;
+
+    /** Tokens of the requests that were sent to a target. */
+    private long given;
+
+    /** Number of reports that still tell them. */
+    private int left;
+  }
 
   /**
    * Creates a writer.
    *
    * @param name the name of the router
+   * @param incarnation the start of the router, different for each start
    * @param dispatcher the targets and queues of the router
    */
-  public ReportWriter(String name, Dispatcher dispatcher) {
+  public ReportWriter(String name, long incarnation, Dispatcher dispatcher) {
     this.name = name;
+    this.incarnation = incarnation;
     this.dispatcher = dispatcher;
-    dispatcher.onCharge(
-        (service, organisation, tokens) ->
-            charges.merge(new Recipient(service, organisation), tokens, Long::sum));
   }
 
   /**
@@ -93,51 +106,94 @@
             .setFingerprint(fingerprint)
             .setCrashId(Long.toString(target.key()))
             .build(),
-        CRASH_REPORTS);
+        REPEATS);
   }
 
   /**
-   * Writes the next report.
+   * Writes the next reports.
    *
-   * @return the report, empty when there is nothing to tell
+   * @return the reports, empty when there is nothing to tell
    */
-  public Optional<LoadReport> next() {
-    LoadReport.Builder report = LoadReport.newBuilder().setRouter(name).addAllPrompts(prompts);
-    prompts.clear();
-    charges.forEach(
-        (recipient, tokens) ->
-            report.addCharges(
-                Charge.newBuilder()
-                    .setService(recipient.service())
-                    .setOrganisation(recipient.organisation())
-                    .setTokens(tokens)));
-    charges.clear();
-    report.addAllSuspects(crashes.keySet());
+  public List<LoadReport> next() {
+    ReportPacker packer = new ReportPacker(name, incarnation);
+    addWaiting(packer);
+    addTotals(packer);
+    addTargets(packer);
+    crashes.keySet().forEach(packer::add);
     crashes.replaceAll((notice, left) -> left - 1);
     crashes.values().removeIf(left -> left <= 0);
+    prompts.forEach(packer::add);
+    prompts.clear();
+    return packer.reports();
+  }
+
+  /**
+   * Adds the service of the organisations that wait.
+   *
+   * @param packer the receiver
+   */
+  private void addWaiting(ReportPacker packer) {
     dispatcher
         .waitingRanges()
         .forEach(
             (service, range) ->
-                report.addWaiting(
+                packer.add(
                     Waiting.newBuilder()
                         .setService(service)
                         .setLeast((long) range.least())
-                        .setMost((long) range.most())));
+                        .setMost((long) range.most())
+                        .build()));
+  }
+
+  /**
+   * Adds the totals that changed lately.
+   *
+   * @param packer the receiver
+   */
+  private void addTotals(ReportPacker packer) {
+    dispatcher
+        .statistics()
+        .counts()
+        .forEach(
+            (owner, counts) -> {
+              Told last = told.computeIfAbsent(owner, key -> new Told());
+              if (last.asked != counts.asked() || last.given != counts.sent()) {
+                last.asked = counts.asked();
+                last.given = counts.sent();
+                last.left = REPEATS;
+              }
+              if (last.left > 0) {
+                last.left--;
+                packer.add(
+                    ServiceTotal.newBuilder()
+                        .setService(owner.service())
+                        .setOrganisation(owner.organisation())
+                        .setAsked(last.asked)
+                        .setGiven(last.given)
+                        .build());
+              }
+            });
+  }
+
+  /**
+   * Adds the work at targets, and for some time that a target has none left.
+   *
+   * @param packer the receiver
+   */
+  private void addTargets(ReportPacker packer) {
     for (TargetLoad target : dispatcher.targets()) {
       if (target.ownRequests() > 0) {
-        report.addTargets(
+        busyTargets.put(target.key(), REPEATS);
+        packer.add(
             TargetReport.newBuilder()
                 .setTarget(target.key())
                 .setUnreadTokens((int) target.ownUnreadTokens())
-                .setRequests(target.ownRequests()));
+                .setRequests(target.ownRequests())
+                .build());
+      } else if (busyTargets.containsKey(target.key())) {
+        busyTargets.computeIfPresent(target.key(), (key, left) -> left > 1 ? left - 1 : null);
+        packer.add(TargetReport.newBuilder().setTarget(target.key()).build());
       }
     }
-    boolean load = report.getTargetsCount() > 0;
-    if (!load && !reportedLoad && report.getWaitingCount() + report.getSuspectsCount() == 0) {
-      return Optional.empty();
-    }
-    reportedLoad = load;
-    return Optional.of(report.build());
   }
 }
--- /dev/null
+++ b/core/src/test/java/org/almondslip/dispatch/TestJobs.java
@@ -0,0 +1,30 @@
+package org.almondslip.dispatch;
+
+/** Makes jobs for tests of other packages. */
+public final class TestJobs {
+
+  /** Objective of the jobs in milliseconds. */
+  private static final long OBJECTIVE_MILLIS = 100_000;
+
+  /** Not instantiable. */
+  private TestJobs() {}
+
+  /**
+   * Creates a job that waits for nothing.
+   *
+   * @param organisation the name of the organisation
+   * @param tokens the tokens of the prompt
+   * @param arrivedAt the time of the arrival in milliseconds
+   * @return the job
+   */
+  public static Job job(String organisation, int tokens, long arrivedAt) {
+    return new TestJob(
+        organisation,
+        "r",
+        organisation.hashCode(),
+        tokens,
+        arrivedAt,
+        OBJECTIVE_MILLIS,
+        sent -> {});
+  }
+}
--- a/core/src/test/java/org/almondslip/report/FleetSimulation.java
+++ b/core/src/test/java/org/almondslip/report/FleetSimulation.java
@@ -213,7 +213,7 @@
               new Placement("dc", EngineModel.DEFAULT),
               EngineModel.DEFAULT,
               DispatchLimits.DEFAULT);
-      this.writer = new ReportWriter(name, dispatcher);
+      this.writer = new ReportWriter(name, 1, dispatcher);
       this.reader = new ReportReader(dispatcher, new CrashWindow(clock), clock);
       engines.forEach(engine -> dispatcher.add(new TargetLoad(engine.entry, 1_000_000)));
     }
@@ -284,7 +284,7 @@
 
     /** Reports to the other routers. */
     private void report() {
-      writer.next().map(LoadReport::toByteArray).ifPresent(this::transmit);
+      writer.next().forEach(report -> transmit(report.toByteArray()));
       handle(now + REPORT_INTERVAL, smallEvent(), this::report);
     }
 
--- a/gateway/src/main/java/org/almondslip/gateway/Gateway.java
+++ b/gateway/src/main/java/org/almondslip/gateway/Gateway.java
@@ -156,7 +156,7 @@
         new PeerExchange(
             vertx,
             settings.instance(),
-            new ReportWriter(settings.instance(), dispatcher),
+            new ReportWriter(settings.instance(), clock.wallMillis(), dispatcher),
             new ReportReader(dispatcher, crashes, clock),
             crashes);
     this.targets = new TargetConnections(vertx, clock);
--- a/gateway/src/main/java/org/almondslip/gateway/PeerExchange.java
+++ b/gateway/src/main/java/org/almondslip/gateway/PeerExchange.java
@@ -133,20 +133,16 @@
   }
 
   /**
-   * Sends a report to all other routers.
+   * Reports to all other routers.
    *
    * @param bound the socket
    */
   private void report(DatagramSocket bound) {
-    writer
-        .next()
-        .map(LoadReport::toByteArray)
-        .map(Buffer::buffer)
-        .ifPresent(
-            data -> {
-              counts.onSent(data.length(), peers.size());
-              peers.values().forEach(peer -> bound.send(data, peer.port(), peer.host()));
-            });
+    for (LoadReport report : writer.next()) {
+      Buffer data = Buffer.buffer(report.toByteArray());
+      counts.onSent(data.length(), peers.size());
+      peers.values().forEach(peer -> bound.send(data, peer.port(), peer.host()));
+    }
   }
 
   /**
--- a/wire/src/main/java/org/almondslip/protocol/wire/LoadReport.java
+++ b/wire/src/main/java/org/almondslip/protocol/wire/LoadReport.java
@@ -9,8 +9,8 @@
  *
  *
  * <pre>
- * Sent by datagram between routers that call targets themselves. A later report replaces the targets of an
- * earlier one; a lost report costs only its prompts.
+ * Sent by datagram between routers that call targets themselves. What a router has to tell is spread over as many
+ * datagrams as it needs; each one can be read alone, and lost ones are made up for by later ones.
  * </pre>
  *
  * Protobuf type {@code almondslip.LoadReport}
@@ -42,8 +42,8 @@
     targets_ = java.util.Collections.emptyList();
     prompts_ = java.util.Collections.emptyList();
     suspects_ = java.util.Collections.emptyList();
-    charges_ = java.util.Collections.emptyList();
     waiting_ = java.util.Collections.emptyList();
+    totals_ = java.util.Collections.emptyList();
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor getDescriptor() {
@@ -123,32 +123,72 @@
   @SuppressWarnings("serial")
   private java.util.List<org.almondslip.protocol.wire.TargetReport> targets_;
 
-  /** <code>repeated .almondslip.TargetReport targets = 2;</code> */
+  /**
+   *
+   *
+   * <pre>
+   * Targets whose load has to be told; the load of other targets is unchanged.
+   * </pre>
+   *
+   * <code>repeated .almondslip.TargetReport targets = 2;</code>
+   */
   @java.lang.Override
   public java.util.List<org.almondslip.protocol.wire.TargetReport> getTargetsList() {
     return targets_;
   }
 
-  /** <code>repeated .almondslip.TargetReport targets = 2;</code> */
+  /**
+   *
+   *
+   * <pre>
+   * Targets whose load has to be told; the load of other targets is unchanged.
+   * </pre>
+   *
+   * <code>repeated .almondslip.TargetReport targets = 2;</code>
+   */
   @java.lang.Override
   public java.util.List<? extends org.almondslip.protocol.wire.TargetReportOrBuilder>
       getTargetsOrBuilderList() {
     return targets_;
   }
 
-  /** <code>repeated .almondslip.TargetReport targets = 2;</code> */
+  /**
+   *
+   *
+   * <pre>
+   * Targets whose load has to be told; the load of other targets is unchanged.
+   * </pre>
+   *
+   * <code>repeated .almondslip.TargetReport targets = 2;</code>
+   */
   @java.lang.Override
   public int getTargetsCount() {
     return targets_.size();
   }
 
-  /** <code>repeated .almondslip.TargetReport targets = 2;</code> */
+  /**
+   *
+   *
+   * <pre>
+   * Targets whose load has to be told; the load of other targets is unchanged.
+   * </pre>
+   *
+   * <code>repeated .almondslip.TargetReport targets = 2;</code>
+   */
   @java.lang.Override
   public org.almondslip.protocol.wire.TargetReport getTargets(int index) {
     return targets_.get(index);
   }
 
-  /** <code>repeated .almondslip.TargetReport targets = 2;</code> */
+  /**
+   *
+   *
+   * <pre>
+   * Targets whose load has to be told; the load of other targets is unchanged.
+   * </pre>
+   *
+   * <code>repeated .almondslip.TargetReport targets = 2;</code>
+   */
   @java.lang.Override
   public org.almondslip.protocol.wire.TargetReportOrBuilder getTargetsOrBuilder(int index) {
     return targets_.get(index);
@@ -226,42 +266,6 @@
     return suspects_.get(index);
   }
 
-  public static final int CHARGES_FIELD_NUMBER = 5;
-
-  @SuppressWarnings("serial")
-  private java.util.List<org.almondslip.protocol.wire.Charge> charges_;
-
-  /** <code>repeated .almondslip.Charge charges = 5;</code> */
-  @java.lang.Override
-  public java.util.List<org.almondslip.protocol.wire.Charge> getChargesList() {
-    return charges_;
-  }
-
-  /** <code>repeated .almondslip.Charge charges = 5;</code> */
-  @java.lang.Override
-  public java.util.List<? extends org.almondslip.protocol.wire.ChargeOrBuilder>
-      getChargesOrBuilderList() {
-    return charges_;
-  }
-
-  /** <code>repeated .almondslip.Charge charges = 5;</code> */
-  @java.lang.Override
-  public int getChargesCount() {
-    return charges_.size();
-  }
-
-  /** <code>repeated .almondslip.Charge charges = 5;</code> */
-  @java.lang.Override
-  public org.almondslip.protocol.wire.Charge getCharges(int index) {
-    return charges_.get(index);
-  }
-
-  /** <code>repeated .almondslip.Charge charges = 5;</code> */
-  @java.lang.Override
-  public org.almondslip.protocol.wire.ChargeOrBuilder getChargesOrBuilder(int index) {
-    return charges_.get(index);
-  }
-
   public static final int WAITING_FIELD_NUMBER = 6;
 
   @SuppressWarnings("serial")
@@ -298,6 +302,61 @@
     return waiting_.get(index);
   }
 
+  public static final int INCARNATION_FIELD_NUMBER = 7;
+  private long incarnation_ = 0L;
+
+  /**
+   *
+   *
+   * <pre>
+   * Start of the sender; totals of an earlier start no longer count.
+   * </pre>
+   *
+   * <code>fixed64 incarnation = 7;</code>
+   *
+   * @return The incarnation.
+   */
+  @java.lang.Override
+  public long getIncarnation() {
+    return incarnation_;
+  }
+
+  public static final int TOTALS_FIELD_NUMBER = 8;
+
+  @SuppressWarnings("serial")
+  private java.util.List<org.almondslip.protocol.wire.ServiceTotal> totals_;
+
+  /** <code>repeated .almondslip.ServiceTotal totals = 8;</code> */
+  @java.lang.Override
+  public java.util.List<org.almondslip.protocol.wire.ServiceTotal> getTotalsList() {
+    return totals_;
+  }
+
+  /** <code>repeated .almondslip.ServiceTotal totals = 8;</code> */
+  @java.lang.Override
+  public java.util.List<? extends org.almondslip.protocol.wire.ServiceTotalOrBuilder>
+      getTotalsOrBuilderList() {
+    return totals_;
+  }
+
+  /** <code>repeated .almondslip.ServiceTotal totals = 8;</code> */
+  @java.lang.Override
+  public int getTotalsCount() {
+    return totals_.size();
+  }
+
+  /** <code>repeated .almondslip.ServiceTotal totals = 8;</code> */
+  @java.lang.Override
+  public org.almondslip.protocol.wire.ServiceTotal getTotals(int index) {
+    return totals_.get(index);
+  }
+
+  /** <code>repeated .almondslip.ServiceTotal totals = 8;</code> */
+  @java.lang.Override
+  public org.almondslip.protocol.wire.ServiceTotalOrBuilder getTotalsOrBuilder(int index) {
+    return totals_.get(index);
+  }
+
   private byte memoizedIsInitialized = -1;
 
   @java.lang.Override
@@ -324,12 +383,15 @@
     for (int i = 0; i < suspects_.size(); i++) {
       output.writeMessage(4, suspects_.get(i));
     }
-    for (int i = 0; i < charges_.size(); i++) {
-      output.writeMessage(5, charges_.get(i));
-    }
     for (int i = 0; i < waiting_.size(); i++) {
       output.writeMessage(6, waiting_.get(i));
     }
+    if (incarnation_ != 0L) {
+      output.writeFixed64(7, incarnation_);
+    }
+    for (int i = 0; i < totals_.size(); i++) {
+      output.writeMessage(8, totals_.get(i));
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -364,17 +426,20 @@
     }
 
     {
-      final int count = charges_.size();
+      final int count = waiting_.size();
       for (int i = 0; i < count; i++) {
-        size += com.google.protobuf.CodedOutputStream.computeMessageSizeNoTag(charges_.get(i));
+        size += com.google.protobuf.CodedOutputStream.computeMessageSizeNoTag(waiting_.get(i));
       }
       size += 1 * count;
     }
+    if (incarnation_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream.computeFixed64Size(7, incarnation_);
+    }
 
     {
-      final int count = waiting_.size();
+      final int count = totals_.size();
       for (int i = 0; i < count; i++) {
-        size += com.google.protobuf.CodedOutputStream.computeMessageSizeNoTag(waiting_.get(i));
+        size += com.google.protobuf.CodedOutputStream.computeMessageSizeNoTag(totals_.get(i));
       }
       size += 1 * count;
     }
@@ -407,8 +472,9 @@
     if (!getTargetsList().equals(other.getTargetsList())) return false;
     if (!getPromptsList().equals(other.getPromptsList())) return false;
     if (!getSuspectsList().equals(other.getSuspectsList())) return false;
-    if (!getChargesList().equals(other.getChargesList())) return false;
     if (!getWaitingList().equals(other.getWaitingList())) return false;
+    if (getIncarnation() != other.getIncarnation()) return false;
+    if (!getTotalsList().equals(other.getTotalsList())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -434,14 +500,16 @@
       hash = (37 * hash) + SUSPECTS_FIELD_NUMBER;
       hash = (53 * hash) + getSuspectsList().hashCode();
     }
-    if (getChargesCount() > 0) {
-      hash = (37 * hash) + CHARGES_FIELD_NUMBER;
-      hash = (53 * hash) + getChargesList().hashCode();
-    }
     if (getWaitingCount() > 0) {
       hash = (37 * hash) + WAITING_FIELD_NUMBER;
       hash = (53 * hash) + getWaitingList().hashCode();
     }
+    hash = (37 * hash) + INCARNATION_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(getIncarnation());
+    if (getTotalsCount() > 0) {
+      hash = (37 * hash) + TOTALS_FIELD_NUMBER;
+      hash = (53 * hash) + getTotalsList().hashCode();
+    }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -547,8 +615,8 @@
    *
    *
    * <pre>
-   * Sent by datagram between routers that call targets themselves. A later report replaces the targets of an
-   * earlier one; a lost report costs only its prompts.
+   * Sent by datagram between routers that call targets themselves. What a router has to tell is spread over as many
+   * datagrams as it needs; each one can be read alone, and lost ones are made up for by later ones.
    * </pre>
    *
    * Protobuf type {@code almondslip.LoadReport}
@@ -605,20 +673,21 @@
         suspectsBuilder_.clear();
       }
       bitField0_ = (bitField0_ & ~0x00000008);
-      if (chargesBuilder_ == null) {
-        charges_ = java.util.Collections.emptyList();
-      } else {
-        charges_ = null;
-        chargesBuilder_.clear();
-      }
-      bitField0_ = (bitField0_ & ~0x00000010);
       if (waitingBuilder_ == null) {
         waiting_ = java.util.Collections.emptyList();
       } else {
         waiting_ = null;
         waitingBuilder_.clear();
       }
-      bitField0_ = (bitField0_ & ~0x00000020);
+      bitField0_ = (bitField0_ & ~0x00000010);
+      incarnation_ = 0L;
+      if (totalsBuilder_ == null) {
+        totals_ = java.util.Collections.emptyList();
+      } else {
+        totals_ = null;
+        totalsBuilder_.clear();
+      }
+      bitField0_ = (bitField0_ & ~0x00000040);
       return this;
     }
 
@@ -682,23 +751,23 @@
       } else {
         result.suspects_ = suspectsBuilder_.build();
       }
-      if (chargesBuilder_ == null) {
+      if (waitingBuilder_ == null) {
         if (((bitField0_ & 0x00000010) != 0)) {
-          charges_ = java.util.Collections.unmodifiableList(charges_);
+          waiting_ = java.util.Collections.unmodifiableList(waiting_);
           bitField0_ = (bitField0_ & ~0x00000010);
         }
-        result.charges_ = charges_;
+        result.waiting_ = waiting_;
       } else {
-        result.charges_ = chargesBuilder_.build();
+        result.waiting_ = waitingBuilder_.build();
       }
-      if (waitingBuilder_ == null) {
-        if (((bitField0_ & 0x00000020) != 0)) {
-          waiting_ = java.util.Collections.unmodifiableList(waiting_);
-          bitField0_ = (bitField0_ & ~0x00000020);
+      if (totalsBuilder_ == null) {
+        if (((bitField0_ & 0x00000040) != 0)) {
+          totals_ = java.util.Collections.unmodifiableList(totals_);
+          bitField0_ = (bitField0_ & ~0x00000040);
         }
-        result.waiting_ = waiting_;
+        result.totals_ = totals_;
       } else {
-        result.waiting_ = waitingBuilder_.build();
+        result.totals_ = totalsBuilder_.build();
       }
     }
 
@@ -707,6 +776,9 @@
       if (((from_bitField0_ & 0x00000001) != 0)) {
         result.router_ = router_;
       }
+      if (((from_bitField0_ & 0x00000020) != 0)) {
+        result.incarnation_ = incarnation_;
+      }
     }
 
     @java.lang.Override
@@ -807,38 +879,11 @@
           }
         }
       }
-      if (chargesBuilder_ == null) {
-        if (!other.charges_.isEmpty()) {
-          if (charges_.isEmpty()) {
-            charges_ = other.charges_;
-            bitField0_ = (bitField0_ & ~0x00000010);
-          } else {
-            ensureChargesIsMutable();
-            charges_.addAll(other.charges_);
-          }
-          onChanged();
-        }
-      } else {
-        if (!other.charges_.isEmpty()) {
-          if (chargesBuilder_.isEmpty()) {
-            chargesBuilder_.dispose();
-            chargesBuilder_ = null;
-            charges_ = other.charges_;
-            bitField0_ = (bitField0_ & ~0x00000010);
-            chargesBuilder_ =
-                com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders
-                    ? internalGetChargesFieldBuilder()
-                    : null;
-          } else {
-            chargesBuilder_.addAllMessages(other.charges_);
-          }
-        }
-      }
       if (waitingBuilder_ == null) {
         if (!other.waiting_.isEmpty()) {
           if (waiting_.isEmpty()) {
             waiting_ = other.waiting_;
-            bitField0_ = (bitField0_ & ~0x00000020);
+            bitField0_ = (bitField0_ & ~0x00000010);
           } else {
             ensureWaitingIsMutable();
             waiting_.addAll(other.waiting_);
@@ -851,7 +896,7 @@
             waitingBuilder_.dispose();
             waitingBuilder_ = null;
             waiting_ = other.waiting_;
-            bitField0_ = (bitField0_ & ~0x00000020);
+            bitField0_ = (bitField0_ & ~0x00000010);
             waitingBuilder_ =
                 com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders
                     ? internalGetWaitingFieldBuilder()
@@ -861,6 +906,36 @@
           }
         }
       }
+      if (other.getIncarnation() != 0L) {
+        setIncarnation(other.getIncarnation());
+      }
+      if (totalsBuilder_ == null) {
+        if (!other.totals_.isEmpty()) {
+          if (totals_.isEmpty()) {
+            totals_ = other.totals_;
+            bitField0_ = (bitField0_ & ~0x00000040);
+          } else {
+            ensureTotalsIsMutable();
+            totals_.addAll(other.totals_);
+          }
+          onChanged();
+        }
+      } else {
+        if (!other.totals_.isEmpty()) {
+          if (totalsBuilder_.isEmpty()) {
+            totalsBuilder_.dispose();
+            totalsBuilder_ = null;
+            totals_ = other.totals_;
+            bitField0_ = (bitField0_ & ~0x00000040);
+            totalsBuilder_ =
+                com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders
+                    ? internalGetTotalsFieldBuilder()
+                    : null;
+          } else {
+            totalsBuilder_.addAllMessages(other.totals_);
+          }
+        }
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -930,19 +1005,6 @@
                 }
                 break;
               } // case 34
-            case 42:
-              {
-                org.almondslip.protocol.wire.Charge m =
-                    input.readMessage(
-                        org.almondslip.protocol.wire.Charge.parser(), extensionRegistry);
-                if (chargesBuilder_ == null) {
-                  ensureChargesIsMutable();
-                  charges_.add(m);
-                } else {
-                  chargesBuilder_.addMessage(m);
-                }
-                break;
-              } // case 42
             case 50:
               {
                 org.almondslip.protocol.wire.Waiting m =
@@ -956,6 +1018,25 @@
                 }
                 break;
               } // case 50
+            case 57:
+              {
+                incarnation_ = input.readFixed64();
+                bitField0_ |= 0x00000020;
+                break;
+              } // case 57
+            case 66:
+              {
+                org.almondslip.protocol.wire.ServiceTotal m =
+                    input.readMessage(
+                        org.almondslip.protocol.wire.ServiceTotal.parser(), extensionRegistry);
+                if (totalsBuilder_ == null) {
+                  ensureTotalsIsMutable();
+                  totals_.add(m);
+                } else {
+                  totalsBuilder_.addMessage(m);
+                }
+                break;
+              } // case 66
             default:
               {
                 if (!super.parseUnknownField(input, extensionRegistry, tag)) {
@@ -1098,7 +1179,15 @@
             org.almondslip.protocol.wire.TargetReportOrBuilder>
         targetsBuilder_;
 
-    /** <code>repeated .almondslip.TargetReport targets = 2;</code> */
+    /**
+     *
+     *
+     * <pre>
+     * Targets whose load has to be told; the load of other targets is unchanged.
+     * </pre>
+     *
+     * <code>repeated .almondslip.TargetReport targets = 2;</code>
+     */
     public java.util.List<org.almondslip.protocol.wire.TargetReport> getTargetsList() {
       if (targetsBuilder_ == null) {
         return java.util.Collections.unmodifiableList(targets_);
@@ -1107,7 +1196,15 @@
       }
     }
 
-    /** <code>repeated .almondslip.TargetReport targets = 2;</code> */
+    /**
+     *
+     *
+     * <pre>
+     * Targets whose load has to be told; the load of other targets is unchanged.
+     * </pre>
+     *
+     * <code>repeated .almondslip.TargetReport targets = 2;</code>
+     */
     public int getTargetsCount() {
       if (targetsBuilder_ == null) {
         return targets_.size();
@@ -1116,7 +1213,15 @@
       }
     }
 
-    /** <code>repeated .almondslip.TargetReport targets = 2;</code> */
+    /**
+     *
+     *
+     * <pre>
+     * Targets whose load has to be told; the load of other targets is unchanged.
+     * </pre>
+     *
+     * <code>repeated .almondslip.TargetReport targets = 2;</code>
+     */
     public org.almondslip.protocol.wire.TargetReport getTargets(int index) {
       if (targetsBuilder_ == null) {
         return targets_.get(index);
@@ -1125,7 +1230,15 @@
       }
     }
 
-    /** <code>repeated .almondslip.TargetReport targets = 2;</code> */
+    /**
+     *
+     *
+     * <pre>
+     * Targets whose load has to be told; the load of other targets is unchanged.
+     * </pre>
+     *
+     * <code>repeated .almondslip.TargetReport targets = 2;</code>
+     */
     public Builder setTargets(int index, org.almondslip.protocol.wire.TargetReport value) {
       if (targetsBuilder_ == null) {
         java.util.Objects.requireNonNull(value);
@@ -1138,7 +1251,15 @@
       return this;
     }
 
-    /** <code>repeated .almondslip.TargetReport targets = 2;</code> */
+    /**
+     *
+     *
+     * <pre>
+     * Targets whose load has to be told; the load of other targets is unchanged.
+     * </pre>
+     *
+     * <code>repeated .almondslip.TargetReport targets = 2;</code>
+     */
     public Builder setTargets(
         int index, org.almondslip.protocol.wire.TargetReport.Builder builderForValue) {
       if (targetsBuilder_ == null) {
@@ -1151,7 +1272,15 @@
       return this;
     }
 
-    /** <code>repeated .almondslip.TargetReport targets = 2;</code> */
+    /**
+     *
+     *
+     * <pre>
+     * Targets whose load has to be told; the load of other targets is unchanged.
+     * </pre>
+     *
+     * <code>repeated .almondslip.TargetReport targets = 2;</code>
+     */
     public Builder addTargets(org.almondslip.protocol.wire.TargetReport value) {
       if (targetsBuilder_ == null) {
         java.util.Objects.requireNonNull(value);
@@ -1164,7 +1293,15 @@
       return this;
     }
 
-    /** <code>repeated .almondslip.TargetReport targets = 2;</code> */
+    /**
+     *
+     *
+     * <pre>
+     * Targets whose load has to be told; the load of other targets is unchanged.
+     * </pre>
+     *
+     * <code>repeated .almondslip.TargetReport targets = 2;</code>
+     */
     public Builder addTargets(int index, org.almondslip.protocol.wire.TargetReport value) {
       if (targetsBuilder_ == null) {
         java.util.Objects.requireNonNull(value);
@@ -1177,7 +1314,15 @@
       return this;
     }
 
-    /** <code>repeated .almondslip.TargetReport targets = 2;</code> */
+    /**
+     *
+     *
+     * <pre>
+     * Targets whose load has to be told; the load of other targets is unchanged.
+     * </pre>
+     *
+     * <code>repeated .almondslip.TargetReport targets = 2;</code>
+     */
     public Builder addTargets(org.almondslip.protocol.wire.TargetReport.Builder builderForValue) {
       if (targetsBuilder_ == null) {
         ensureTargetsIsMutable();
@@ -1189,7 +1334,15 @@
       return this;
     }
 
-    /** <code>repeated .almondslip.TargetReport targets = 2;</code> */
+    /**
+     *
+     *
+     * <pre>
+     * Targets whose load has to be told; the load of other targets is unchanged.
+     * </pre>
+     *
+     * <code>repeated .almondslip.TargetReport targets = 2;</code>
+     */
     public Builder addTargets(
         int index, org.almondslip.protocol.wire.TargetReport.Builder builderForValue) {
       if (targetsBuilder_ == null) {
@@ -1202,7 +1355,15 @@
       return this;
     }
 
-    /** <code>repeated .almondslip.TargetReport targets = 2;</code> */
+    /**
+     *
+     *
+     * <pre>
+     * Targets whose load has to be told; the load of other targets is unchanged.
+     * </pre>
+     *
+     * <code>repeated .almondslip.TargetReport targets = 2;</code>
+     */
     public Builder addAllTargets(
         java.lang.Iterable<? extends org.almondslip.protocol.wire.TargetReport> values) {
       if (targetsBuilder_ == null) {
@@ -1215,7 +1376,15 @@
       return this;
     }
 
-    /** <code>repeated .almondslip.TargetReport targets = 2;</code> */
+    /**
+     *
+     *
+     * <pre>
+     * Targets whose load has to be told; the load of other targets is unchanged.
+     * </pre>
+     *
+     * <code>repeated .almondslip.TargetReport targets = 2;</code>
+     */
     public Builder clearTargets() {
       if (targetsBuilder_ == null) {
         targets_ = java.util.Collections.emptyList();
@@ -1227,7 +1396,15 @@
       return this;
     }
 
-    /** <code>repeated .almondslip.TargetReport targets = 2;</code> */
+    /**
+     *
+     *
+     * <pre>
+     * Targets whose load has to be told; the load of other targets is unchanged.
+     * </pre>
+     *
+     * <code>repeated .almondslip.TargetReport targets = 2;</code>
+     */
     public Builder removeTargets(int index) {
       if (targetsBuilder_ == null) {
         ensureTargetsIsMutable();
@@ -1239,12 +1416,28 @@
       return this;
     }
 
-    /** <code>repeated .almondslip.TargetReport targets = 2;</code> */
+    /**
+     *
+     *
+     * <pre>
+     * Targets whose load has to be told; the load of other targets is unchanged.
+     * </pre>
+     *
+     * <code>repeated .almondslip.TargetReport targets = 2;</code>
+     */
     public org.almondslip.protocol.wire.TargetReport.Builder getTargetsBuilder(int index) {
       return internalGetTargetsFieldBuilder().getBuilder(index);
     }
 
-    /** <code>repeated .almondslip.TargetReport targets = 2;</code> */
+    /**
+     *
+     *
+     * <pre>
+     * Targets whose load has to be told; the load of other targets is unchanged.
+     * </pre>
+     *
+     * <code>repeated .almondslip.TargetReport targets = 2;</code>
+     */
     public org.almondslip.protocol.wire.TargetReportOrBuilder getTargetsOrBuilder(int index) {
       if (targetsBuilder_ == null) {
         return targets_.get(index);
@@ -1253,7 +1446,15 @@
       }
     }
 
-    /** <code>repeated .almondslip.TargetReport targets = 2;</code> */
+    /**
+     *
+     *
+     * <pre>
+     * Targets whose load has to be told; the load of other targets is unchanged.
+     * </pre>
+     *
+     * <code>repeated .almondslip.TargetReport targets = 2;</code>
+     */
     public java.util.List<? extends org.almondslip.protocol.wire.TargetReportOrBuilder>
         getTargetsOrBuilderList() {
       if (targetsBuilder_ != null) {
@@ -1263,19 +1464,43 @@
       }
     }
 
-    /** <code>repeated .almondslip.TargetReport targets = 2;</code> */
-    public org.almondslip.protocol.wire.TargetReport.Builder addTargetsBuilder() {
-      return internalGetTargetsFieldBuilder()
-          .addBuilder(org.almondslip.protocol.wire.TargetReport.getDefaultInstance());
+    /**
+     *
+     *
+     * <pre>
+     * Targets whose load has to be told; the load of other targets is unchanged.
+     * </pre>
+     *
+     * <code>repeated .almondslip.TargetReport targets = 2;</code>
+     */
+    public org.almondslip.protocol.wire.TargetReport.Builder addTargetsBuilder() {
+      return internalGetTargetsFieldBuilder()
+          .addBuilder(org.almondslip.protocol.wire.TargetReport.getDefaultInstance());
     }
 
-    /** <code>repeated .almondslip.TargetReport targets = 2;</code> */
+    /**
+     *
+     *
+     * <pre>
+     * Targets whose load has to be told; the load of other targets is unchanged.
+     * </pre>
+     *
+     * <code>repeated .almondslip.TargetReport targets = 2;</code>
+     */
     public org.almondslip.protocol.wire.TargetReport.Builder addTargetsBuilder(int index) {
       return internalGetTargetsFieldBuilder()
           .addBuilder(index, org.almondslip.protocol.wire.TargetReport.getDefaultInstance());
     }
 
-    /** <code>repeated .almondslip.TargetReport targets = 2;</code> */
+    /**
+     *
+     *
+     * <pre>
+     * Targets whose load has to be told; the load of other targets is unchanged.
+     * </pre>
+     *
+     * <code>repeated .almondslip.TargetReport targets = 2;</code>
+     */
     public java.util.List<org.almondslip.protocol.wire.TargetReport.Builder>
         getTargetsBuilderList() {
       return internalGetTargetsFieldBuilder().getBuilderList();
@@ -1729,228 +1954,13 @@
       return suspectsBuilder_;
     }
 
-    private java.util.List<org.almondslip.protocol.wire.Charge> charges_ =
-        java.util.Collections.emptyList();
-
-    private void ensureChargesIsMutable() {
-      if (!((bitField0_ & 0x00000010) != 0)) {
-        charges_ = new java.util.ArrayList<org.almondslip.protocol.wire.Charge>(charges_);
-        bitField0_ |= 0x00000010;
-      }
-    }
-
-    private com.google.protobuf.RepeatedFieldBuilder<
-            org.almondslip.protocol.wire.Charge,
-            org.almondslip.protocol.wire.Charge.Builder,
-            org.almondslip.protocol.wire.ChargeOrBuilder>
-        chargesBuilder_;
-
-    /** <code>repeated .almondslip.Charge charges = 5;</code> */
-    public java.util.List<org.almondslip.protocol.wire.Charge> getChargesList() {
-      if (chargesBuilder_ == null) {
-        return java.util.Collections.unmodifiableList(charges_);
-      } else {
-        return chargesBuilder_.getMessageList();
-      }
-    }
-
-    /** <code>repeated .almondslip.Charge charges = 5;</code> */
-    public int getChargesCount() {
-      if (chargesBuilder_ == null) {
-        return charges_.size();
-      } else {
-        return chargesBuilder_.getCount();
-      }
-    }
-
-    /** <code>repeated .almondslip.Charge charges = 5;</code> */
-    public org.almondslip.protocol.wire.Charge getCharges(int index) {
-      if (chargesBuilder_ == null) {
-        return charges_.get(index);
-      } else {
-        return chargesBuilder_.getMessage(index);
-      }
-    }
-
-    /** <code>repeated .almondslip.Charge charges = 5;</code> */
-    public Builder setCharges(int index, org.almondslip.protocol.wire.Charge value) {
-      if (chargesBuilder_ == null) {
-        java.util.Objects.requireNonNull(value);
-        ensureChargesIsMutable();
-        charges_.set(index, value);
-        onChanged();
-      } else {
-        chargesBuilder_.setMessage(index, value);
-      }
-      return this;
-    }
-
-    /** <code>repeated .almondslip.Charge charges = 5;</code> */
-    public Builder setCharges(
-        int index, org.almondslip.protocol.wire.Charge.Builder builderForValue) {
-      if (chargesBuilder_ == null) {
-        ensureChargesIsMutable();
-        charges_.set(index, builderForValue.build());
-        onChanged();
-      } else {
-        chargesBuilder_.setMessage(index, builderForValue.build());
-      }
-      return this;
-    }
-
-    /** <code>repeated .almondslip.Charge charges = 5;</code> */
-    public Builder addCharges(org.almondslip.protocol.wire.Charge value) {
-      if (chargesBuilder_ == null) {
-        java.util.Objects.requireNonNull(value);
-        ensureChargesIsMutable();
-        charges_.add(value);
-        onChanged();
-      } else {
-        chargesBuilder_.addMessage(value);
-      }
-      return this;
-    }
-
-    /** <code>repeated .almondslip.Charge charges = 5;</code> */
-    public Builder addCharges(int index, org.almondslip.protocol.wire.Charge value) {
-      if (chargesBuilder_ == null) {
-        java.util.Objects.requireNonNull(value);
-        ensureChargesIsMutable();
-        charges_.add(index, value);
-        onChanged();
-      } else {
-        chargesBuilder_.addMessage(index, value);
-      }
-      return this;
-    }
-
-    /** <code>repeated .almondslip.Charge charges = 5;</code> */
-    public Builder addCharges(org.almondslip.protocol.wire.Charge.Builder builderForValue) {
-      if (chargesBuilder_ == null) {
-        ensureChargesIsMutable();
-        charges_.add(builderForValue.build());
-        onChanged();
-      } else {
-        chargesBuilder_.addMessage(builderForValue.build());
-      }
-      return this;
-    }
-
-    /** <code>repeated .almondslip.Charge charges = 5;</code> */
-    public Builder addCharges(
-        int index, org.almondslip.protocol.wire.Charge.Builder builderForValue) {
-      if (chargesBuilder_ == null) {
-        ensureChargesIsMutable();
-        charges_.add(index, builderForValue.build());
-        onChanged();
-      } else {
-        chargesBuilder_.addMessage(index, builderForValue.build());
-      }
-      return this;
-    }
-
-    /** <code>repeated .almondslip.Charge charges = 5;</code> */
-    public Builder addAllCharges(
-        java.lang.Iterable<? extends org.almondslip.protocol.wire.Charge> values) {
-      if (chargesBuilder_ == null) {
-        ensureChargesIsMutable();
-        com.google.protobuf.AbstractMessageLite.Builder.addAll(values, charges_);
-        onChanged();
-      } else {
-        chargesBuilder_.addAllMessages(values);
-      }
-      return this;
-    }
-
-    /** <code>repeated .almondslip.Charge charges = 5;</code> */
-    public Builder clearCharges() {
-      if (chargesBuilder_ == null) {
-        charges_ = java.util.Collections.emptyList();
-        bitField0_ = (bitField0_ & ~0x00000010);
-        onChanged();
-      } else {
-        chargesBuilder_.clear();
-      }
-      return this;
-    }
-
-    /** <code>repeated .almondslip.Charge charges = 5;</code> */
-    public Builder removeCharges(int index) {
-      if (chargesBuilder_ == null) {
-        ensureChargesIsMutable();
-        charges_.remove(index);
-        onChanged();
-      } else {
-        chargesBuilder_.remove(index);
-      }
-      return this;
-    }
-
-    /** <code>repeated .almondslip.Charge charges = 5;</code> */
-    public org.almondslip.protocol.wire.Charge.Builder getChargesBuilder(int index) {
-      return internalGetChargesFieldBuilder().getBuilder(index);
-    }
-
-    /** <code>repeated .almondslip.Charge charges = 5;</code> */
-    public org.almondslip.protocol.wire.ChargeOrBuilder getChargesOrBuilder(int index) {
-      if (chargesBuilder_ == null) {
-        return charges_.get(index);
-      } else {
-        return chargesBuilder_.getMessageOrBuilder(index);
-      }
-    }
-
-    /** <code>repeated .almondslip.Charge charges = 5;</code> */
-    public java.util.List<? extends org.almondslip.protocol.wire.ChargeOrBuilder>
-        getChargesOrBuilderList() {
-      if (chargesBuilder_ != null) {
-        return chargesBuilder_.getMessageOrBuilderList();
-      } else {
-        return java.util.Collections.unmodifiableList(charges_);
-      }
-    }
-
-    /** <code>repeated .almondslip.Charge charges = 5;</code> */
-    public org.almondslip.protocol.wire.Charge.Builder addChargesBuilder() {
-      return internalGetChargesFieldBuilder()
-          .addBuilder(org.almondslip.protocol.wire.Charge.getDefaultInstance());
-    }
-
-    /** <code>repeated .almondslip.Charge charges = 5;</code> */
-    public org.almondslip.protocol.wire.Charge.Builder addChargesBuilder(int index) {
-      return internalGetChargesFieldBuilder()
-          .addBuilder(index, org.almondslip.protocol.wire.Charge.getDefaultInstance());
-    }
-
-    /** <code>repeated .almondslip.Charge charges = 5;</code> */
-    public java.util.List<org.almondslip.protocol.wire.Charge.Builder> getChargesBuilderList() {
-      return internalGetChargesFieldBuilder().getBuilderList();
-    }
-
-    private com.google.protobuf.RepeatedFieldBuilder<
-            org.almondslip.protocol.wire.Charge,
-            org.almondslip.protocol.wire.Charge.Builder,
-            org.almondslip.protocol.wire.ChargeOrBuilder>
-        internalGetChargesFieldBuilder() {
-      if (chargesBuilder_ == null) {
-        chargesBuilder_ =
-            new com.google.protobuf.RepeatedFieldBuilder<
-                org.almondslip.protocol.wire.Charge,
-                org.almondslip.protocol.wire.Charge.Builder,
-                org.almondslip.protocol.wire.ChargeOrBuilder>(
-                charges_, ((bitField0_ & 0x00000010) != 0), getParentForChildren(), isClean());
-        charges_ = null;
-      }
-      return chargesBuilder_;
-    }
-
     private java.util.List<org.almondslip.protocol.wire.Waiting> waiting_ =
         java.util.Collections.emptyList();
 
     private void ensureWaitingIsMutable() {
-      if (!((bitField0_ & 0x00000020) != 0)) {
+      if (!((bitField0_ & 0x00000010) != 0)) {
         waiting_ = new java.util.ArrayList<org.almondslip.protocol.wire.Waiting>(waiting_);
-        bitField0_ |= 0x00000020;
+        bitField0_ |= 0x00000010;
       }
     }
 
@@ -2081,7 +2091,7 @@
     public Builder clearWaiting() {
       if (waitingBuilder_ == null) {
         waiting_ = java.util.Collections.emptyList();
-        bitField0_ = (bitField0_ & ~0x00000020);
+        bitField0_ = (bitField0_ & ~0x00000010);
         onChanged();
       } else {
         waitingBuilder_.clear();
@@ -2153,12 +2163,284 @@
                 org.almondslip.protocol.wire.Waiting,
                 org.almondslip.protocol.wire.Waiting.Builder,
                 org.almondslip.protocol.wire.WaitingOrBuilder>(
-                waiting_, ((bitField0_ & 0x00000020) != 0), getParentForChildren(), isClean());
+                waiting_, ((bitField0_ & 0x00000010) != 0), getParentForChildren(), isClean());
         waiting_ = null;
       }
       return waitingBuilder_;
     }
 
+    private long incarnation_;
+
+    /**
+     *
+     *
+     * <pre>
+     * Start of the sender; totals of an earlier start no longer count.
+     * </pre>
+     *
+     * <code>fixed64 incarnation = 7;</code>
+     *
+     * @return The incarnation.
+     */
+    @java.lang.Override
+    public long getIncarnation() {
+      return incarnation_;
+    }
+
+    /**
+     *
+     *
+     * <pre>
+     * Start of the sender; totals of an earlier start no longer count.
+     * </pre>
+     *
+     * <code>fixed64 incarnation = 7;</code>
+     *
+     * @param value The incarnation to set.
+     * @return This builder for chaining.
+     */
+    public Builder setIncarnation(long value) {
+
+      incarnation_ = value;
+      bitField0_ |= 0x00000020;
+      onChanged();
+      return this;
+    }
+
+    /**
+     *
+     *
+     * <pre>
+     * Start of the sender; totals of an earlier start no longer count.
+     * </pre>
+     *
+     * <code>fixed64 incarnation = 7;</code>
+     *
+     * @return This builder for chaining.
+     */
+    public Builder clearIncarnation() {
+      bitField0_ = (bitField0_ & ~0x00000020);
+      incarnation_ = 0L;
+      onChanged();
+      return this;
+    }
+
+    private java.util.List<org.almondslip.protocol.wire.ServiceTotal> totals_ =
+        java.util.Collections.emptyList();
+
+    private void ensureTotalsIsMutable() {
+      if (!((bitField0_ & 0x00000040) != 0)) {
+        totals_ = new java.util.ArrayList<org.almondslip.protocol.wire.ServiceTotal>(totals_);
+        bitField0_ |= 0x00000040;
+      }
+    }
+
+    private com.google.protobuf.RepeatedFieldBuilder<
+            org.almondslip.protocol.wire.ServiceTotal,
+            org.almondslip.protocol.wire.ServiceTotal.Builder,
+            org.almondslip.protocol.wire.ServiceTotalOrBuilder>
+        totalsBuilder_;
+
+    /** <code>repeated .almondslip.ServiceTotal totals = 8;</code> */
+    public java.util.List<org.almondslip.protocol.wire.ServiceTotal> getTotalsList() {
+      if (totalsBuilder_ == null) {
+        return java.util.Collections.unmodifiableList(totals_);
+      } else {
+        return totalsBuilder_.getMessageList();
+      }
+    }
+
+    /** <code>repeated .almondslip.ServiceTotal totals = 8;</code> */
+    public int getTotalsCount() {
+      if (totalsBuilder_ == null) {
+        return totals_.size();
+      } else {
+        return totalsBuilder_.getCount();
+      }
+    }
+
+    /** <code>repeated .almondslip.ServiceTotal totals = 8;</code> */
+    public org.almondslip.protocol.wire.ServiceTotal getTotals(int index) {
+      if (totalsBuilder_ == null) {
+        return totals_.get(index);
+      } else {
+        return totalsBuilder_.getMessage(index);
+      }
+    }
+
+    /** <code>repeated .almondslip.ServiceTotal totals = 8;</code> */
+    public Builder setTotals(int index, org.almondslip.protocol.wire.ServiceTotal value) {
+      if (totalsBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        ensureTotalsIsMutable();
+        totals_.set(index, value);
+        onChanged();
+      } else {
+        totalsBuilder_.setMessage(index, value);
+      }
+      return this;
+    }
+
+    /** <code>repeated .almondslip.ServiceTotal totals = 8;</code> */
+    public Builder setTotals(
+        int index, org.almondslip.protocol.wire.ServiceTotal.Builder builderForValue) {
+      if (totalsBuilder_ == null) {
+        ensureTotalsIsMutable();
+        totals_.set(index, builderForValue.build());
+        onChanged();
+      } else {
+        totalsBuilder_.setMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+
+    /** <code>repeated .almondslip.ServiceTotal totals = 8;</code> */
+    public Builder addTotals(org.almondslip.protocol.wire.ServiceTotal value) {
+      if (totalsBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        ensureTotalsIsMutable();
+        totals_.add(value);
+        onChanged();
+      } else {
+        totalsBuilder_.addMessage(value);
+      }
+      return this;
+    }
+
+    /** <code>repeated .almondslip.ServiceTotal totals = 8;</code> */
+    public Builder addTotals(int index, org.almondslip.protocol.wire.ServiceTotal value) {
+      if (totalsBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        ensureTotalsIsMutable();
+        totals_.add(index, value);
+        onChanged();
+      } else {
+        totalsBuilder_.addMessage(index, value);
+      }
+      return this;
+    }
+
+    /** <code>repeated .almondslip.ServiceTotal totals = 8;</code> */
+    public Builder addTotals(org.almondslip.protocol.wire.ServiceTotal.Builder builderForValue) {
+      if (totalsBuilder_ == null) {
+        ensureTotalsIsMutable();
+        totals_.add(builderForValue.build());
+        onChanged();
+      } else {
+        totalsBuilder_.addMessage(builderForValue.build());
+      }
+      return this;
+    }
+
+    /** <code>repeated .almondslip.ServiceTotal totals = 8;</code> */
+    public Builder addTotals(
+        int index, org.almondslip.protocol.wire.ServiceTotal.Builder builderForValue) {
+      if (totalsBuilder_ == null) {
+        ensureTotalsIsMutable();
+        totals_.add(index, builderForValue.build());
+        onChanged();
+      } else {
+        totalsBuilder_.addMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+
+    /** <code>repeated .almondslip.ServiceTotal totals = 8;</code> */
+    public Builder addAllTotals(
+        java.lang.Iterable<? extends org.almondslip.protocol.wire.ServiceTotal> values) {
+      if (totalsBuilder_ == null) {
+        ensureTotalsIsMutable();
+        com.google.protobuf.AbstractMessageLite.Builder.addAll(values, totals_);
+        onChanged();
+      } else {
+        totalsBuilder_.addAllMessages(values);
+      }
+      return this;
+    }
+
+    /** <code>repeated .almondslip.ServiceTotal totals = 8;</code> */
+    public Builder clearTotals() {
+      if (totalsBuilder_ == null) {
+        totals_ = java.util.Collections.emptyList();
+        bitField0_ = (bitField0_ & ~0x00000040);
+        onChanged();
+      } else {
+        totalsBuilder_.clear();
+      }
+      return this;
+    }
+
+    /** <code>repeated .almondslip.ServiceTotal totals = 8;</code> */
+    public Builder removeTotals(int index) {
+      if (totalsBuilder_ == null) {
+        ensureTotalsIsMutable();
+        totals_.remove(index);
+        onChanged();
+      } else {
+        totalsBuilder_.remove(index);
+      }
+      return this;
+    }
+
+    /** <code>repeated .almondslip.ServiceTotal totals = 8;</code> */
+    public org.almondslip.protocol.wire.ServiceTotal.Builder getTotalsBuilder(int index) {
+      return internalGetTotalsFieldBuilder().getBuilder(index);
+    }
+
+    /** <code>repeated .almondslip.ServiceTotal totals = 8;</code> */
+    public org.almondslip.protocol.wire.ServiceTotalOrBuilder getTotalsOrBuilder(int index) {
+      if (totalsBuilder_ == null) {
+        return totals_.get(index);
+      } else {
+        return totalsBuilder_.getMessageOrBuilder(index);
+      }
+    }
+
+    /** <code>repeated .almondslip.ServiceTotal totals = 8;</code> */
+    public java.util.List<? extends org.almondslip.protocol.wire.ServiceTotalOrBuilder>
+        getTotalsOrBuilderList() {
+      if (totalsBuilder_ != null) {
+        return totalsBuilder_.getMessageOrBuilderList();
+      } else {
+        return java.util.Collections.unmodifiableList(totals_);
+      }
+    }
+
+    /** <code>repeated .almondslip.ServiceTotal totals = 8;</code> */
+    public org.almondslip.protocol.wire.ServiceTotal.Builder addTotalsBuilder() {
+      return internalGetTotalsFieldBuilder()
+          .addBuilder(org.almondslip.protocol.wire.ServiceTotal.getDefaultInstance());
+    }
+
+    /** <code>repeated .almondslip.ServiceTotal totals = 8;</code> */
+    public org.almondslip.protocol.wire.ServiceTotal.Builder addTotalsBuilder(int index) {
+      return internalGetTotalsFieldBuilder()
+          .addBuilder(index, org.almondslip.protocol.wire.ServiceTotal.getDefaultInstance());
+    }
+
+    /** <code>repeated .almondslip.ServiceTotal totals = 8;</code> */
+    public java.util.List<org.almondslip.protocol.wire.ServiceTotal.Builder>
+        getTotalsBuilderList() {
+      return internalGetTotalsFieldBuilder().getBuilderList();
+    }
+
+    private com.google.protobuf.RepeatedFieldBuilder<
+            org.almondslip.protocol.wire.ServiceTotal,
+            org.almondslip.protocol.wire.ServiceTotal.Builder,
+            org.almondslip.protocol.wire.ServiceTotalOrBuilder>
+        internalGetTotalsFieldBuilder() {
+      if (totalsBuilder_ == null) {
+        totalsBuilder_ =
+            new com.google.protobuf.RepeatedFieldBuilder<
+                org.almondslip.protocol.wire.ServiceTotal,
+                org.almondslip.protocol.wire.ServiceTotal.Builder,
+                org.almondslip.protocol.wire.ServiceTotalOrBuilder>(
+                totals_, ((bitField0_ & 0x00000040) != 0), getParentForChildren(), isClean());
+        totals_ = null;
+      }
+      return totalsBuilder_;
+    }
+
     // @@protoc_insertion_point(builder_scope:almondslip.LoadReport)
   }
 
--- a/wire/src/main/java/org/almondslip/protocol/wire/LoadReportOrBuilder.java
+++ b/wire/src/main/java/org/almondslip/protocol/wire/LoadReportOrBuilder.java
@@ -37,20 +37,60 @@
    */
   com.google.protobuf.ByteString getRouterBytes();
 
-  /** <code>repeated .almondslip.TargetReport targets = 2;</code> */
+  /**
+   *
+   *
+   * <pre>
+   * Targets whose load has to be told; the load of other targets is unchanged.
+   * </pre>
+   *
+   * <code>repeated .almondslip.TargetReport targets = 2;</code>
+   */
   java.util.List<org.almondslip.protocol.wire.TargetReport> getTargetsList();
 
-  /** <code>repeated .almondslip.TargetReport targets = 2;</code> */
+  /**
+   *
+   *
+   * <pre>
+   * Targets whose load has to be told; the load of other targets is unchanged.
+   * </pre>
+   *
+   * <code>repeated .almondslip.TargetReport targets = 2;</code>
+   */
   org.almondslip.protocol.wire.TargetReport getTargets(int index);
 
-  /** <code>repeated .almondslip.TargetReport targets = 2;</code> */
+  /**
+   *
+   *
+   * <pre>
+   * Targets whose load has to be told; the load of other targets is unchanged.
+   * </pre>
+   *
+   * <code>repeated .almondslip.TargetReport targets = 2;</code>
+   */
   int getTargetsCount();
 
-  /** <code>repeated .almondslip.TargetReport targets = 2;</code> */
+  /**
+   *
+   *
+   * <pre>
+   * Targets whose load has to be told; the load of other targets is unchanged.
+   * </pre>
+   *
+   * <code>repeated .almondslip.TargetReport targets = 2;</code>
+   */
   java.util.List<? extends org.almondslip.protocol.wire.TargetReportOrBuilder>
       getTargetsOrBuilderList();
 
-  /** <code>repeated .almondslip.TargetReport targets = 2;</code> */
+  /**
+   *
+   *
+   * <pre>
+   * Targets whose load has to be told; the load of other targets is unchanged.
+   * </pre>
+   *
+   * <code>repeated .almondslip.TargetReport targets = 2;</code>
+   */
   org.almondslip.protocol.wire.TargetReportOrBuilder getTargetsOrBuilder(int index);
 
   /** <code>repeated .almondslip.SentPrompt prompts = 3;</code> */
@@ -85,21 +125,6 @@
   /** <code>repeated .almondslip.SuspectNotice suspects = 4;</code> */
   org.almondslip.protocol.wire.SuspectNoticeOrBuilder getSuspectsOrBuilder(int index);
 
-  /** <code>repeated .almondslip.Charge charges = 5;</code> */
-  java.util.List<org.almondslip.protocol.wire.Charge> getChargesList();
-
-  /** <code>repeated .almondslip.Charge charges = 5;</code> */
-  org.almondslip.protocol.wire.Charge getCharges(int index);
-
-  /** <code>repeated .almondslip.Charge charges = 5;</code> */
-  int getChargesCount();
-
-  /** <code>repeated .almondslip.Charge charges = 5;</code> */
-  java.util.List<? extends org.almondslip.protocol.wire.ChargeOrBuilder> getChargesOrBuilderList();
-
-  /** <code>repeated .almondslip.Charge charges = 5;</code> */
-  org.almondslip.protocol.wire.ChargeOrBuilder getChargesOrBuilder(int index);
-
   /** <code>repeated .almondslip.Waiting waiting = 6;</code> */
   java.util.List<org.almondslip.protocol.wire.Waiting> getWaitingList();
 
@@ -114,4 +139,33 @@
 
   /** <code>repeated .almondslip.Waiting waiting = 6;</code> */
   org.almondslip.protocol.wire.WaitingOrBuilder getWaitingOrBuilder(int index);
+
+  /**
+   *
+   *
+   * <pre>
+   * Start of the sender; totals of an earlier start no longer count.
+   * </pre>
+   *
+   * <code>fixed64 incarnation = 7;</code>
+   *
+   * @return The incarnation.
+   */
+  long getIncarnation();
+
+  /** <code>repeated .almondslip.ServiceTotal totals = 8;</code> */
+  java.util.List<org.almondslip.protocol.wire.ServiceTotal> getTotalsList();
+
+  /** <code>repeated .almondslip.ServiceTotal totals = 8;</code> */
+  org.almondslip.protocol.wire.ServiceTotal getTotals(int index);
+
+  /** <code>repeated .almondslip.ServiceTotal totals = 8;</code> */
+  int getTotalsCount();
+
+  /** <code>repeated .almondslip.ServiceTotal totals = 8;</code> */
+  java.util.List<? extends org.almondslip.protocol.wire.ServiceTotalOrBuilder>
+      getTotalsOrBuilderList();
+
+  /** <code>repeated .almondslip.ServiceTotal totals = 8;</code> */
+  org.almondslip.protocol.wire.ServiceTotalOrBuilder getTotalsOrBuilder(int index);
 }
--- a/wire/src/main/java/org/almondslip/protocol/wire/Charge.java
+++ b/wire/src/main/java/org/almondslip/protocol/wire/ServiceTotal.java
@@ -9,16 +9,16 @@
  *
  *
  * <pre>
- * Service that the sending router gave an organisation since its last report.
+ * Tokens of one organisation at the sending router since its start.
  * </pre>
  *
- * Protobuf type {@code almondslip.Charge}
+ * Protobuf type {@code almondslip.ServiceTotal}
  */
 @com.google.protobuf.Generated
-public final class Charge extends com.google.protobuf.GeneratedMessage
+public final class ServiceTotal extends com.google.protobuf.GeneratedMessage
     implements
-    // @@protoc_insertion_point(message_implements:almondslip.Charge)
-    ChargeOrBuilder {
+    // @@protoc_insertion_point(message_implements:almondslip.ServiceTotal)
+    ServiceTotalOrBuilder {
   private static final long serialVersionUID = 0L;
 
   static {
@@ -28,36 +28,38 @@
         /* minor= */ 36,
         /* patch= */ 2,
         /* suffix= */ "",
-        "Charge");
+        "ServiceTotal");
   }
 
-  // Use Charge.newBuilder() to construct.
-  private Charge(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+  // Use ServiceTotal.newBuilder() to construct.
+  private ServiceTotal(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
     super(builder);
   }
 
-  private Charge() {
+  private ServiceTotal() {
     service_ = "";
     organisation_ = "";
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor getDescriptor() {
-    return org.almondslip.protocol.wire.Almondslip.internal_static_almondslip_Charge_descriptor;
+    return org.almondslip.protocol.wire.Almondslip
+        .internal_static_almondslip_ServiceTotal_descriptor;
   }
 
   @java.lang.Override
   public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
-    return org.almondslip.protocol.wire.Almondslip.internal_static_almondslip_Charge_descriptor;
+    return org.almondslip.protocol.wire.Almondslip
+        .internal_static_almondslip_ServiceTotal_descriptor;
   }
 
   @java.lang.Override
   protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internalGetFieldAccessorTable() {
     return org.almondslip.protocol.wire.Almondslip
-        .internal_static_almondslip_Charge_fieldAccessorTable
+        .internal_static_almondslip_ServiceTotal_fieldAccessorTable
         .ensureFieldAccessorsInitialized(
-            org.almondslip.protocol.wire.Charge.class,
-            org.almondslip.protocol.wire.Charge.Builder.class);
+            org.almondslip.protocol.wire.ServiceTotal.class,
+            org.almondslip.protocol.wire.ServiceTotal.Builder.class);
   }
 
   public static final int SERVICE_FIELD_NUMBER = 1;
@@ -142,17 +144,36 @@
     }
   }
 
-  public static final int TOKENS_FIELD_NUMBER = 3;
-  private long tokens_ = 0L;
+  public static final int ASKED_FIELD_NUMBER = 3;
+  private long asked_ = 0L;
+
+  /**
+   *
+   *
+   * <pre>
+   * Tokens of all requests, and of those that were sent to a target.
+   * </pre>
+   *
+   * <code>uint64 asked = 3;</code>
+   *
+   * @return The asked.
+   */
+  @java.lang.Override
+  public long getAsked() {
+    return asked_;
+  }
+
+  public static final int GIVEN_FIELD_NUMBER = 4;
+  private long given_ = 0L;
 
   /**
-   * <code>uint64 tokens = 3;</code>
+   * <code>uint64 given = 4;</code>
    *
-   * @return The tokens.
+   * @return The given.
    */
   @java.lang.Override
-  public long getTokens() {
-    return tokens_;
+  public long getGiven() {
+    return given_;
   }
 
   private byte memoizedIsInitialized = -1;
@@ -175,8 +196,11 @@
     if (!com.google.protobuf.GeneratedMessage.isStringEmpty(organisation_)) {
       com.google.protobuf.GeneratedMessage.writeString(output, 2, organisation_);
     }
-    if (tokens_ != 0L) {
-      output.writeUInt64(3, tokens_);
+    if (asked_ != 0L) {
+      output.writeUInt64(3, asked_);
+    }
+    if (given_ != 0L) {
+      output.writeUInt64(4, given_);
     }
     getUnknownFields().writeTo(output);
   }
@@ -189,8 +213,11 @@
     if (!com.google.protobuf.GeneratedMessage.isStringEmpty(organisation_)) {
       size += com.google.protobuf.GeneratedMessage.computeStringSize(2, organisation_);
     }
-    if (tokens_ != 0L) {
-      size += com.google.protobuf.CodedOutputStream.computeUInt64Size(3, tokens_);
+    if (asked_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream.computeUInt64Size(3, asked_);
+    }
+    if (given_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream.computeUInt64Size(4, given_);
     }
     return size;
   }
@@ -212,14 +239,16 @@
     if (obj == this) {
       return true;
     }
-    if (!(obj instanceof org.almondslip.protocol.wire.Charge)) {
+    if (!(obj instanceof org.almondslip.protocol.wire.ServiceTotal)) {
       return super.equals(obj);
     }
-    org.almondslip.protocol.wire.Charge other = (org.almondslip.protocol.wire.Charge) obj;
+    org.almondslip.protocol.wire.ServiceTotal other =
+        (org.almondslip.protocol.wire.ServiceTotal) obj;
 
     if (!getService().equals(other.getService())) return false;
     if (!getOrganisation().equals(other.getOrganisation())) return false;
-    if (getTokens() != other.getTokens()) return false;
+    if (getAsked() != other.getAsked()) return false;
+    if (getGiven() != other.getGiven()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -235,77 +264,80 @@
     hash = (53 * hash) + getService().hashCode();
     hash = (37 * hash) + ORGANISATION_FIELD_NUMBER;
     hash = (53 * hash) + getOrganisation().hashCode();
-    hash = (37 * hash) + TOKENS_FIELD_NUMBER;
-    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(getTokens());
+    hash = (37 * hash) + ASKED_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(getAsked());
+    hash = (37 * hash) + GIVEN_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(getGiven());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
   }
 
-  public static org.almondslip.protocol.wire.Charge parseFrom(java.nio.ByteBuffer data)
+  public static org.almondslip.protocol.wire.ServiceTotal parseFrom(java.nio.ByteBuffer data)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data);
   }
 
-  public static org.almondslip.protocol.wire.Charge parseFrom(
+  public static org.almondslip.protocol.wire.ServiceTotal parseFrom(
       java.nio.ByteBuffer data, com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data, extensionRegistry);
   }
 
-  public static org.almondslip.protocol.wire.Charge parseFrom(com.google.protobuf.ByteString data)
+  public static org.almondslip.protocol.wire.ServiceTotal parseFrom(
+      com.google.protobuf.ByteString data)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data);
   }
 
-  public static org.almondslip.protocol.wire.Charge parseFrom(
+  public static org.almondslip.protocol.wire.ServiceTotal parseFrom(
       com.google.protobuf.ByteString data,
       com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data, extensionRegistry);
   }
 
-  public static org.almondslip.protocol.wire.Charge parseFrom(byte[] data)
+  public static org.almondslip.protocol.wire.ServiceTotal parseFrom(byte[] data)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data);
   }
 
-  public static org.almondslip.protocol.wire.Charge parseFrom(
+  public static org.almondslip.protocol.wire.ServiceTotal parseFrom(
       byte[] data, com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data, extensionRegistry);
   }
 
-  public static org.almondslip.protocol.wire.Charge parseFrom(java.io.InputStream input)
+  public static org.almondslip.protocol.wire.ServiceTotal parseFrom(java.io.InputStream input)
       throws java.io.IOException {
     return com.google.protobuf.GeneratedMessage.parseWithIOException(PARSER, input);
   }
 
-  public static org.almondslip.protocol.wire.Charge parseFrom(
+  public static org.almondslip.protocol.wire.ServiceTotal parseFrom(
       java.io.InputStream input, com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws java.io.IOException {
     return com.google.protobuf.GeneratedMessage.parseWithIOException(
         PARSER, input, extensionRegistry);
   }
 
-  public static org.almondslip.protocol.wire.Charge parseDelimitedFrom(java.io.InputStream input)
-      throws java.io.IOException {
+  public static org.almondslip.protocol.wire.ServiceTotal parseDelimitedFrom(
+      java.io.InputStream input) throws java.io.IOException {
     return com.google.protobuf.GeneratedMessage.parseDelimitedWithIOException(PARSER, input);
   }
 
-  public static org.almondslip.protocol.wire.Charge parseDelimitedFrom(
+  public static org.almondslip.protocol.wire.ServiceTotal parseDelimitedFrom(
       java.io.InputStream input, com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws java.io.IOException {
     return com.google.protobuf.GeneratedMessage.parseDelimitedWithIOException(
         PARSER, input, extensionRegistry);
   }
 
-  public static org.almondslip.protocol.wire.Charge parseFrom(
+  public static org.almondslip.protocol.wire.ServiceTotal parseFrom(
       com.google.protobuf.CodedInputStream input) throws java.io.IOException {
     return com.google.protobuf.GeneratedMessage.parseWithIOException(PARSER, input);
   }
 
-  public static org.almondslip.protocol.wire.Charge parseFrom(
+  public static org.almondslip.protocol.wire.ServiceTotal parseFrom(
       com.google.protobuf.CodedInputStream input,
       com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws java.io.IOException {
@@ -322,7 +354,7 @@
     return DEFAULT_INSTANCE.toBuilder();
   }
 
-  public static Builder newBuilder(org.almondslip.protocol.wire.Charge prototype) {
+  public static Builder newBuilder(org.almondslip.protocol.wire.ServiceTotal prototype) {
     return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
   }
 
@@ -341,30 +373,31 @@
    *
    *
    * <pre>
-   * Service that the sending router gave an organisation since its last report.
+   * Tokens of one organisation at the sending router since its start.
    * </pre>
    *
-   * Protobuf type {@code almondslip.Charge}
+   * Protobuf type {@code almondslip.ServiceTotal}
    */
   public static final class Builder extends com.google.protobuf.GeneratedMessage.Builder<Builder>
       implements
-      // @@protoc_insertion_point(builder_implements:almondslip.Charge)
-      org.almondslip.protocol.wire.ChargeOrBuilder {
+      // @@protoc_insertion_point(builder_implements:almondslip.ServiceTotal)
+      org.almondslip.protocol.wire.ServiceTotalOrBuilder {
     public static final com.google.protobuf.Descriptors.Descriptor getDescriptor() {
-      return org.almondslip.protocol.wire.Almondslip.internal_static_almondslip_Charge_descriptor;
+      return org.almondslip.protocol.wire.Almondslip
+          .internal_static_almondslip_ServiceTotal_descriptor;
     }
 
     @java.lang.Override
     protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
         internalGetFieldAccessorTable() {
       return org.almondslip.protocol.wire.Almondslip
-          .internal_static_almondslip_Charge_fieldAccessorTable
+          .internal_static_almondslip_ServiceTotal_fieldAccessorTable
           .ensureFieldAccessorsInitialized(
-              org.almondslip.protocol.wire.Charge.class,
-              org.almondslip.protocol.wire.Charge.Builder.class);
+              org.almondslip.protocol.wire.ServiceTotal.class,
+              org.almondslip.protocol.wire.ServiceTotal.Builder.class);
     }
 
-    // Construct using org.almondslip.protocol.wire.Charge.newBuilder()
+    // Construct using org.almondslip.protocol.wire.ServiceTotal.newBuilder()
     private Builder() {}
 
     private Builder(com.google.protobuf.GeneratedMessage.BuilderParent parent) {
@@ -377,23 +410,25 @@
       bitField0_ = 0;
       service_ = "";
       organisation_ = "";
-      tokens_ = 0L;
+      asked_ = 0L;
+      given_ = 0L;
       return this;
     }
 
     @java.lang.Override
     public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
-      return org.almondslip.protocol.wire.Almondslip.internal_static_almondslip_Charge_descriptor;
+      return org.almondslip.protocol.wire.Almondslip
+          .internal_static_almondslip_ServiceTotal_descriptor;
     }
 
     @java.lang.Override
-    public org.almondslip.protocol.wire.Charge getDefaultInstanceForType() {
-      return org.almondslip.protocol.wire.Charge.getDefaultInstance();
+    public org.almondslip.protocol.wire.ServiceTotal getDefaultInstanceForType() {
+      return org.almondslip.protocol.wire.ServiceTotal.getDefaultInstance();
     }
 
     @java.lang.Override
-    public org.almondslip.protocol.wire.Charge build() {
-      org.almondslip.protocol.wire.Charge result = buildPartial();
+    public org.almondslip.protocol.wire.ServiceTotal build() {
+      org.almondslip.protocol.wire.ServiceTotal result = buildPartial();
       if (!result.isInitialized()) {
         throw newUninitializedMessageException(result);
       }
@@ -401,8 +436,9 @@
     }
 
     @java.lang.Override
-    public org.almondslip.protocol.wire.Charge buildPartial() {
-      org.almondslip.protocol.wire.Charge result = new org.almondslip.protocol.wire.Charge(this);
+    public org.almondslip.protocol.wire.ServiceTotal buildPartial() {
+      org.almondslip.protocol.wire.ServiceTotal result =
+          new org.almondslip.protocol.wire.ServiceTotal(this);
       if (bitField0_ != 0) {
         buildPartial0(result);
       }
@@ -410,7 +446,7 @@
       return result;
     }
 
-    private void buildPartial0(org.almondslip.protocol.wire.Charge result) {
+    private void buildPartial0(org.almondslip.protocol.wire.ServiceTotal result) {
       int from_bitField0_ = bitField0_;
       if (((from_bitField0_ & 0x00000001) != 0)) {
         result.service_ = service_;
@@ -419,22 +455,25 @@
         result.organisation_ = organisation_;
       }
       if (((from_bitField0_ & 0x00000004) != 0)) {
-        result.tokens_ = tokens_;
+        result.asked_ = asked_;
+      }
+      if (((from_bitField0_ & 0x00000008) != 0)) {
+        result.given_ = given_;
       }
     }
 
     @java.lang.Override
     public Builder mergeFrom(com.google.protobuf.Message other) {
-      if (other instanceof org.almondslip.protocol.wire.Charge) {
-        return mergeFrom((org.almondslip.protocol.wire.Charge) other);
+      if (other instanceof org.almondslip.protocol.wire.ServiceTotal) {
+        return mergeFrom((org.almondslip.protocol.wire.ServiceTotal) other);
       } else {
         super.mergeFrom(other);
         return this;
       }
     }
 
-    public Builder mergeFrom(org.almondslip.protocol.wire.Charge other) {
-      if (other == org.almondslip.protocol.wire.Charge.getDefaultInstance()) return this;
+    public Builder mergeFrom(org.almondslip.protocol.wire.ServiceTotal other) {
+      if (other == org.almondslip.protocol.wire.ServiceTotal.getDefaultInstance()) return this;
       if (!other.getService().isEmpty()) {
         service_ = other.service_;
         bitField0_ |= 0x00000001;
@@ -445,8 +484,11 @@
         bitField0_ |= 0x00000002;
         onChanged();
       }
-      if (other.getTokens() != 0L) {
-        setTokens(other.getTokens());
+      if (other.getAsked() != 0L) {
+        setAsked(other.getAsked());
+      }
+      if (other.getGiven() != 0L) {
+        setGiven(other.getGiven());
       }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
@@ -486,10 +528,16 @@
               } // case 18
             case 24:
               {
-                tokens_ = input.readUInt64();
+                asked_ = input.readUInt64();
                 bitField0_ |= 0x00000004;
                 break;
               } // case 24
+            case 32:
+              {
+                given_ = input.readUInt64();
+                bitField0_ |= 0x00000008;
+                break;
+              } // case 32
             default:
               {
                 if (!super.parseUnknownField(input, extensionRegistry, tag)) {
@@ -663,62 +711,118 @@
       return this;
     }
 
-    private long tokens_;
+    private long asked_;
 
     /**
-     * <code>uint64 tokens = 3;</code>
      *
-     * @return The tokens.
+     *
+     * <pre>
+     * Tokens of all requests, and of those that were sent to a target.
+     * </pre>
+     *
+     * <code>uint64 asked = 3;</code>
+     *
+     * @return The asked.
      */
     @java.lang.Override
-    public long getTokens() {
-      return tokens_;
+    public long getAsked() {
+      return asked_;
     }
 
     /**
-     * <code>uint64 tokens = 3;</code>
      *
-     * @param value The tokens to set.
+     *
+     * <pre>
+     * Tokens of all requests, and of those that were sent to a target.
+     * </pre>
+     *
+     * <code>uint64 asked = 3;</code>
+     *
+     * @param value The asked to set.
      * @return This builder for chaining.
      */
-    public Builder setTokens(long value) {
+    public Builder setAsked(long value) {
 
-      tokens_ = value;
+      asked_ = value;
       bitField0_ |= 0x00000004;
       onChanged();
       return this;
     }
 
     /**
-     * <code>uint64 tokens = 3;</code>
+     *
+     *
+     * <pre>
+     * Tokens of all requests, and of those that were sent to a target.
+     * </pre>
+     *
+     * <code>uint64 asked = 3;</code>
      *
      * @return This builder for chaining.
      */
-    public Builder clearTokens() {
+    public Builder clearAsked() {
       bitField0_ = (bitField0_ & ~0x00000004);
-      tokens_ = 0L;
+      asked_ = 0L;
+      onChanged();
+      return this;
+    }
+
+    private long given_;
+
+    /**
+     * <code>uint64 given = 4;</code>
+     *
+     * @return The given.
+     */
+    @java.lang.Override
+    public long getGiven() {
+      return given_;
+    }
+
+    /**
+     * <code>uint64 given = 4;</code>
+     *
+     * @param value The given to set.
+     * @return This builder for chaining.
+     */
+    public Builder setGiven(long value) {
+
+      given_ = value;
+      bitField0_ |= 0x00000008;
+      onChanged();
+      return this;
+    }
+
+    /**
+     * <code>uint64 given = 4;</code>
+     *
+     * @return This builder for chaining.
+     */
+    public Builder clearGiven() {
+      bitField0_ = (bitField0_ & ~0x00000008);
+      given_ = 0L;
       onChanged();
       return this;
     }
 
-    // @@protoc_insertion_point(builder_scope:almondslip.Charge)
+    // @@protoc_insertion_point(builder_scope:almondslip.ServiceTotal)
   }
 
-  // @@protoc_insertion_point(class_scope:almondslip.Charge)
-  private static final org.almondslip.protocol.wire.Charge DEFAULT_INSTANCE;
+  // @@protoc_insertion_point(class_scope:almondslip.ServiceTotal)
+  private static final org.almondslip.protocol.wire.ServiceTotal DEFAULT_INSTANCE;
 
   static {
-    DEFAULT_INSTANCE = new org.almondslip.protocol.wire.Charge();
+    DEFAULT_INSTANCE = new org.almondslip.protocol.wire.ServiceTotal();
   }
 
-  public static org.almondslip.protocol.wire.Charge getDefaultInstance() {
+  public static org.almondslip.protocol.wire.ServiceTotal getDefaultInstance() {
     return DEFAULT_INSTANCE;
   }
 
-  private static final com.google.protobuf.Parser<Charge> PARSER =
-      new com.google.protobuf.AbstractParser<Charge>() {
+  private static final com.google.protobuf.Parser<ServiceTotal> PARSER =
+      new com.google.protobuf.AbstractParser<ServiceTotal>() {
         @java.lang.Override
-        public Charge parsePartialFrom(
+        public ServiceTotal parsePartialFrom(
             com.google.protobuf.CodedInputStream input,
             com.google.protobuf.ExtensionRegistryLite extensionRegistry)
             throws com.google.protobuf.InvalidProtocolBufferException {
@@ -737,17 +841,17 @@
         }
       };
 
-  public static com.google.protobuf.Parser<Charge> parser() {
+  public static com.google.protobuf.Parser<ServiceTotal> parser() {
     return PARSER;
   }
 
   @java.lang.Override
-  public com.google.protobuf.Parser<Charge> getParserForType() {
+  public com.google.protobuf.Parser<ServiceTotal> getParserForType() {
     return PARSER;
   }
 
   @java.lang.Override
-  public org.almondslip.protocol.wire.Charge getDefaultInstanceForType() {
+  public org.almondslip.protocol.wire.ServiceTotal getDefaultInstanceForType() {
     return DEFAULT_INSTANCE;
   }
 }
--- a/wire/src/main/java/org/almondslip/protocol/wire/ChargeOrBuilder.java
+++ b/wire/src/main/java/org/almondslip/protocol/wire/ServiceTotalOrBuilder.java
@@ -6,9 +6,9 @@
 package org.almondslip.protocol.wire;
 
 @com.google.protobuf.Generated
-public interface ChargeOrBuilder
+public interface ServiceTotalOrBuilder
     extends
-    // @@protoc_insertion_point(interface_extends:almondslip.Charge)
+    // @@protoc_insertion_point(interface_extends:almondslip.ServiceTotal)
     com.google.protobuf.MessageOrBuilder {
 
   /**
@@ -40,9 +40,22 @@
   com.google.protobuf.ByteString getOrganisationBytes();
 
   /**
-   * <code>uint64 tokens = 3;</code>
    *
-   * @return The tokens.
+   *
+   * <pre>
+   * Tokens of all requests, and of those that were sent to a target.
+   * </pre>
+   *
+   * <code>uint64 asked = 3;</code>
+   *
+   * @return The asked.
+   */
+  long getAsked();
+
+  /**
+   * <code>uint64 given = 4;</code>
+   *
+   * @return The given.
    */
-  long getTokens();
+  long getGiven();
 }
--- a/wire/src/main/java/org/almondslip/protocol/wire/TargetReport.java
+++ b/wire/src/main/java/org/almondslip/protocol/wire/TargetReport.java
@@ -9,7 +9,7 @@
  *
  *
  * <pre>
- * Work of the sending router at one target; targets without work are left out.
+ * Work of the sending router at one target.
  * </pre>
  *
  * Protobuf type {@code almondslip.TargetReport}
@@ -298,7 +298,7 @@
    *
    *
    * <pre>
-   * Work of the sending router at one target; targets without work are left out.
+   * Work of the sending router at one target.
    * </pre>
    *
    * Protobuf type {@code almondslip.TargetReport}
