Read all waiting reports in one turn of the event loop

PeerSocket opens a channel of Netty on the same event loop, as the house style has it between processes, and reads up to 128 datagrams a turn.

PeerSocketTest fails with one datagram a turn and passes with 128.

--- a/gateway/src/main/java/org/almondslip/gateway/PeerExchange.java
+++ b/gateway/src/main/java/org/almondslip/gateway/PeerExchange.java
@@ -3,9 +3,7 @@
 import com.google.common.flogger.FluentLogger;
 import com.google.protobuf.InvalidProtocolBufferException;
 import io.vertx.core.Vertx;
-import io.vertx.core.buffer.Buffer;
-import io.vertx.core.datagram.DatagramSocket;
-import io.vertx.core.datagram.DatagramSocketOptions;
+import java.net.InetSocketAddress;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
@@ -51,13 +49,13 @@
   private final CrashWindow window;
 
   /** Addresses of the other routers by their names. */
-  private final Map<String, Address> peers = new HashMap<>();
+  private final Map<String, InetSocketAddress> peers = new HashMap<>();
 
   /** Counts of reports. */
   private final ReportCounts counts = new ReportCounts();
 
   /** Socket, once it is bound. */
-  private Optional<DatagramSocket> socket = Optional.empty();
+  private Optional<PeerSocket> socket = Optional.empty();
 
   /**
    * Creates an exchange that is not bound yet.
@@ -83,17 +81,8 @@
    * @param address the address as {@code ip:port}
    */
   void start(String address) {
-    Address local = Address.of(address);
-    vertx
-        .createDatagramSocket(new DatagramSocketOptions())
-        .listen(local.port(), local.host())
-        .onFailure(failure -> logger.atSevere().withCause(failure).log("no port for reports"))
-        .onSuccess(
-            bound -> {
-              socket = Optional.of(bound);
-              bound.handler(packet -> onReport(packet.data(), packet.sender().host()));
-              vertx.setPeriodic(INTERVAL_MILLIS, id -> report(bound));
-            });
+    socket = Optional.of(new PeerSocket(vertx, Address.of(address), this::onReport));
+    vertx.setPeriodic(INTERVAL_MILLIS, id -> report());
   }
 
   @Override
@@ -103,7 +92,7 @@
       peers.remove(peer);
       return;
     }
-    peers.put(peer, parsed.get());
+    peers.put(peer, new InetSocketAddress(parsed.get().host(), parsed.get().port()));
     logger.atInfo().log("router %s is at %s", peer, address.get());
   }
 
@@ -129,19 +118,15 @@
 
   @Override
   public void close() {
-    socket.ifPresent(DatagramSocket::close);
+    socket.ifPresent(PeerSocket::close);
   }
 
-  /**
-   * Reports to all other routers.
-   *
-   * @param bound the socket
-   */
-  private void report(DatagramSocket bound) {
+  /** Reports to all other routers. */
+  private void report() {
     for (LoadReport report : writer.next()) {
-      Buffer data = Buffer.buffer(report.toByteArray());
-      counts.onSent(data.length(), peers.size());
-      peers.values().forEach(peer -> bound.send(data, peer.port(), peer.host()));
+      byte[] data = report.toByteArray();
+      counts.onSent(data.length, peers.size());
+      socket.ifPresent(open -> open.send(data, peers.values()));
     }
   }
 
@@ -151,14 +136,14 @@
    * @param data the datagram
    * @param sender the IP address of the sender
    */
-  private void onReport(Buffer data, String sender) {
+  private void onReport(byte[] data, String sender) {
     try {
-      reader.read(LoadReport.parseFrom(data.getBytes()));
+      reader.read(LoadReport.parseFrom(data));
       counts.onReceived();
     } catch (InvalidProtocolBufferException e) {
       counts.onUnreadable();
       logger.atWarning().atMostEvery(1, TimeUnit.SECONDS).log(
-          "a report of %d bytes from %s cannot be read", data.length(), sender);
+          "a report of %d bytes from %s cannot be read", data.length, sender);
     }
   }
 }
