Know the organisation of requests that a late router refuses

The check now comes when the organisation is known. The refused request counts for its organisation across the fleet, and one of an organisation that is behind its share may have waited twice as long as others.

GatewayTest.refusesRequestThatWaitedTooLongForTheEventLoop also asks for the count; there was none before.

--- a/core/src/main/java/org/almondslip/dispatch/Dispatcher.java
+++ b/core/src/main/java/org/almondslip/dispatch/Dispatcher.java
@@ -8,6 +8,7 @@
 import java.util.Optional;
 import org.almondslip.placement.EngineModel;
 import org.almondslip.placement.Placement;
+import org.almondslip.placement.Prompt;
 import org.almondslip.placement.TargetLoad;
 import org.almondslip.time.Clock;
 
@@ -210,6 +211,33 @@
     pump(job.service());
   }
 
+  /**
+   * Returns whether a router that is behind its load serves a new request all the same.
+   *
+   * @param service the name of the service
+   * @param organisation the name of the organisation
+   * @return true when the organisation received clearly less than its share
+   */
+  public boolean isBehind(String service, String organisation) {
+    return share(service).standing(organisation, clock.millis()) == Standing.BEHIND;
+  }
+
+  /**
+   * Counts a request that was refused before it became a job, so that the fleet knows what its
+   * organisation asked for.
+   *
+   * @param service the name of the service
+   * @param organisation the name of the organisation
+   * @param prompt the size of the request
+   * @param reason why it was refused
+   */
+  public void onRefused(String service, String organisation, Prompt prompt, RefusalReason reason) {
+    long cost = FairQueue.cost(prompt);
+    share(service).onAsked(organisation, cost, clock.millis());
+    statistics.onAsked(service, organisation, cost);
+    statistics.onRefused(service, organisation, reason, cost);
+  }
+
   /**
    * Forgets a job whose caller has gone.
    *
--- a/core/src/main/java/org/almondslip/dispatch/FairQueue.java
+++ b/core/src/main/java/org/almondslip/dispatch/FairQueue.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.function.Predicate;
+import org.almondslip.placement.Prompt;
 
 /**
  * Jobs of one service in fair order: the organisation that received the least service of the fleet
@@ -27,7 +28,17 @@
    * @return the tokens read and twice the tokens generated, at least 1
    */
   static long cost(Job job) {
-    return Math.max(1, job.prompt().promptTokens() + 2L * job.prompt().outputTokens());
+    return cost(job.prompt());
+  }
+
+  /**
+   * Returns the cost of a prompt.
+   *
+   * @param prompt the prompt
+   * @return the tokens read and twice the tokens generated, at least 1
+   */
+  static long cost(Prompt prompt) {
+    return Math.max(1, prompt.promptTokens() + 2L * prompt.outputTokens());
   }
 
   /**
--- a/core/src/test/java/org/almondslip/report/FleetSimulation.java
+++ b/core/src/test/java/org/almondslip/report/FleetSimulation.java
@@ -334,7 +334,11 @@
      */
     private void take(Request request, long sentAt) {
       request.arrivedAt = sentAt / MILLI;
-      if (clock.millis() - request.arrivedAt > MAX_DELAY_MILLIS) {
+      long waited = clock.millis() - request.arrivedAt;
+      boolean served = dispatcher.isBehind(SERVICE, request.organisation);
+      if (waited > MAX_DELAY_MILLIS * 2 || waited > MAX_DELAY_MILLIS && !served) {
+        dispatcher.onRefused(
+            SERVICE, request.organisation, request.prompt, RefusalReason.ROUTER_BEHIND);
         request.refuse(RefusalReason.ROUTER_BEHIND, DispatchLimits.DEFAULT.retryAfterMillis());
         return;
       }
--- a/gateway/src/main/java/org/almondslip/gateway/Gateway.java
+++ b/gateway/src/main/java/org/almondslip/gateway/Gateway.java
@@ -216,6 +216,15 @@
     return server.orElseThrow().actualPort();
   }
 
+  /**
+   * Returns the order of waiting requests.
+   *
+   * @return the dispatcher
+   */
+  Dispatcher dispatcher() {
+    return dispatcher;
+  }
+
   @Override
   public void drain() {
     draining = true;
--- a/gateway/src/main/java/org/almondslip/gateway/Intake.java
+++ b/gateway/src/main/java/org/almondslip/gateway/Intake.java
@@ -14,6 +14,7 @@
 import org.almondslip.directory.Organisation;
 import org.almondslip.directory.Route;
 import org.almondslip.directory.RoutingTable;
+import org.almondslip.dispatch.RefusalReason;
 import org.almondslip.error.ErrorCode;
 import org.apache.commons.rng.UniformRandomProvider;
 
@@ -32,6 +33,32 @@
   /** Time that a caller has to read the answer to an invalid request, in milliseconds. */
   private static final long LINGER_MILLIS = 500;
 
+  /**
+   * Factor by which a request of an organisation that received clearly less than its share may have
+   * waited longer than others.
+   */
+  private static final int BEHIND_FACTOR = 2;
+
+  /**
+   * When the headers of a request arrived.
+   *
+   * @param earliest the earliest time at which they may have arrived, in milliseconds
+   * @param waitedMillis the time for which they may have waited unread, in milliseconds
+   */
+  private record Arrival(long earliest, long waitedMillis) {
+
+    /**
+     * Estimates the arrival of headers that were read now.
+     *
+     * @param now the current time in milliseconds
+     * @param delayMillis the delay of the event loop in milliseconds
+     * @return the arrival
+     */
+    private static Arrival of(long now, long delayMillis) {
+      return new Arrival(now - delayMillis, delayMillis);
+    }
+  }
+
   /** Event loop. */
   private final Vertx vertx;
 
@@ -120,8 +147,7 @@
    * @param request the request
    */
   void onRequest(HttpServerRequest request) {
-    final long waited = delay.millis();
-    final long arrivedAt = parts.clock().millis() - waited;
+    final Arrival arrival = Arrival.of(parts.clock().millis(), delay.millis());
     if (connections.isRejected(request.connection())) {
       return;
     }
@@ -135,14 +161,6 @@
       refuse(request, answer, ErrorCode.DRAINING, ErrorCode.DRAINING.title());
       return;
     }
-    if (waited > settings.maxDelayMillis()) {
-      refuse(
-          request,
-          answer,
-          ErrorCode.ROUTER_OVERLOADED,
-          "the event loop is up to " + waited + " ms behind");
-      return;
-    }
     Optional<RoutingTable> table = directory.table();
     if (table.isEmpty()) {
       refuse(request, answer, ErrorCode.NOT_READY, "no routes are known yet");
@@ -153,7 +171,7 @@
       reject(request, ErrorCode.HEADERS_TOO_LARGE, ErrorCode.HEADERS_TOO_LARGE.title());
       return;
     }
-    readBody(request, answer, limits.maxBodyBytes(), arrivedAt);
+    readBody(request, answer, limits.maxBodyBytes(), arrival);
   }
 
   /**
@@ -162,10 +180,10 @@
    * @param request the request
    * @param answer the answer
    * @param maxBytes the largest size of the body in bytes
-   * @param arrivedAt the earliest time at which the headers arrived, in milliseconds
+   * @param arrival when the headers arrived
    */
   private void readBody(
-      HttpServerRequest request, CallerAnswer answer, long maxBytes, long arrivedAt) {
+      HttpServerRequest request, CallerAnswer answer, long maxBytes, Arrival arrival) {
     Buffer body = Buffer.buffer();
     request.handler(
         data -> {
@@ -182,7 +200,7 @@
     request.endHandler(
         ignored -> {
           if (!answer.ended()) {
-            check(request, answer, body, arrivedAt);
+            check(request, answer, body, arrival);
           }
         });
   }
@@ -193,9 +211,9 @@
    * @param request the request
    * @param answer the answer
    * @param body the body
-   * @param arrivedAt the earliest time at which the headers arrived, in milliseconds
+   * @param arrival when the headers arrived
    */
-  private void check(HttpServerRequest request, CallerAnswer answer, Buffer body, long arrivedAt) {
+  private void check(HttpServerRequest request, CallerAnswer answer, Buffer body, Arrival arrival) {
     RoutingTable table = directory.table().orElseThrow();
     Optional<Route> route =
         table.route(Objects.requireNonNullElse(request.getHeader("Host"), ""), path(request));
@@ -218,7 +236,7 @@
       refuse(request, answer, ErrorCode.NOT_READY, "no targets are known yet");
       return;
     }
-    forward(request, answer, body, arrivedAt, route.get(), decoded, organisation);
+    forward(request, answer, body, arrival, route.get(), decoded, organisation);
   }
 
   /**
@@ -227,7 +245,7 @@
    * @param request the request
    * @param answer the answer
    * @param body the body
-   * @param arrivedAt the earliest time at which the headers arrived, in milliseconds
+   * @param arrival when the headers arrived
    * @param route the route
    * @param decoded what the headers say
    * @param organisation the holder of the key
@@ -236,11 +254,21 @@
       HttpServerRequest request,
       CallerAnswer answer,
       Buffer body,
-      long arrivedAt,
+      Arrival arrival,
       Route route,
       HeaderCodec.CallHeaders decoded,
       Optional<Organisation> organisation) {
     String service = route.service(random.nextDouble());
+    String name = organisation.map(Organisation::name).orElse("");
+    if (isTooLate(arrival, service, name)) {
+      parts.dispatcher().onRefused(service, name, decoded.prompt(), RefusalReason.ROUTER_BEHIND);
+      refuse(
+          request,
+          answer,
+          ErrorCode.ROUTER_OVERLOADED,
+          "the event loop is up to " + arrival.waitedMillis() + " ms behind");
+      return;
+    }
     CallerCall call =
         new CallerCall(
             request.method(),
@@ -251,10 +279,10 @@
             route,
             service,
             organisation,
-            arrivedAt,
+            arrival.earliest(),
             Arrays.hashCode(body.getBytes()) * 31L
                 + Objects.hash(request.method(), request.uri(), decoded.key()));
-    parts.budget(service).onRequest(arrivedAt);
+    parts.budget(service).onRequest(arrival.earliest());
     open++;
     new Forwarding(
             parts,
@@ -269,6 +297,21 @@
         .start();
   }
 
+  /**
+   * Returns whether a request is refused since the router is behind its load. Organisations that
+   * received clearly less than their share are served somewhat longer than others.
+   *
+   * @param arrival when the headers arrived
+   * @param service the name of the service
+   * @param organisation the name of the organisation
+   * @return true when it is refused
+   */
+  private boolean isTooLate(Arrival arrival, String service, String organisation) {
+    long limit = settings.maxDelayMillis();
+    return arrival.waitedMillis() > limit * BEHIND_FACTOR
+        || arrival.waitedMillis() > limit && !parts.dispatcher().isBehind(service, organisation);
+  }
+
   /**
    * Answers a request with an error that coming back does not change.
    *
--- a/gateway/src/test/java/org/almondslip/gateway/GatewayTest.java
+++ b/gateway/src/test/java/org/almondslip/gateway/GatewayTest.java
@@ -6,6 +6,8 @@
 import java.net.Socket;
 import java.util.Arrays;
 import org.almondslip.directory.RouteKind;
+import org.almondslip.dispatch.DispatchStatistics;
+import org.almondslip.dispatch.RefusalReason;
 import org.almondslip.quarantine.CrashWindow;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
@@ -236,6 +238,10 @@
     String answer = GatewayHarness.call(gateway, GatewayHarness.request("deadline: 1000\r\n"));
     assertThat(answer).startsWith("HTTP/1.1 503").contains("Retry-After");
     assertThat(target.requests()).hasSize(1);
+    // The fleet has to know what the organisation of the refused request asked for.
+    assertThat(gateway.dispatcher().statistics().counts())
+        .extractingByKey(new DispatchStatistics.Owner("s", "org"))
+        .satisfies(counts -> assertThat(counts.refused()).containsKey(RefusalReason.ROUTER_BEHIND));
   }
 
   /** Guards against a planned stop that cuts off a request in progress. */
