Let the work of a decision not grow with queue, targets and routers

Each send sorted all waiting jobs again and asked every target for each of them, each tick asked every target whether each job is late, and a target summed the reports of all routers at each question.

Targets keep the sums of reports. A pump collects the targets with room once, ends when there is none, and offers each job once. A job is asked against the freest target before it is asked against all.

--- a/core/src/main/java/org/almondslip/dispatch/Dispatcher.java
+++ b/core/src/main/java/org/almondslip/dispatch/Dispatcher.java
@@ -3,9 +3,11 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import org.almondslip.placement.EngineModel;
 import org.almondslip.placement.Placement;
 import org.almondslip.placement.Prompt;
@@ -48,6 +50,9 @@
   /** Shares of the organisations by service. */
   private final Map<String, FairShare> shares = new HashMap<>();
 
+  /** Services whose jobs are being sent. */
+  private final Set<String> pumping = new HashSet<>();
+
   /** Counts of jobs. */
   private final DispatchStatistics statistics = new DispatchStatistics();
 
@@ -196,7 +201,7 @@
       statistics.onAsked(job.service(), job.organisation(), FairQueue.cost(job));
     }
     if (queue.size() == 0 || job.started()) {
-      Optional<Placement.Choice> choice = choose(job);
+      Optional<Placement.Choice> choice = choose(job, openFor(job));
       if (choice.isPresent()) {
         send(job, choice.get());
         return;
@@ -254,19 +259,35 @@
    */
   public void pump(String service) {
     FairQueue queue = queue(service);
-    boolean sent = queue.size() > 0;
-    while (sent) {
-      sent = false;
-      for (Job job : queue.ordered(share(service), clock.millis())) {
-        Optional<Placement.Choice> choice = choose(job);
-        if (choice.isPresent()) {
-          queue.remove(job);
-          send(job, choice.get());
-          sent = true;
-          break;
-        }
-      }
+    if (queue.size() == 0 || !pumping.add(service)) {
+      // A send that fails at once comes back here; the call that made it goes on with the queue.
+      return;
+    }
+    try {
+      long now = clock.millis();
+      OpenTargets open = new OpenTargets(targets(service), room, now);
+      queue.offer(share(service), now, job -> trySend(job, queue, open), () -> !open.isEmpty());
+    } finally {
+      pumping.remove(service);
+    }
+  }
+
+  /**
+   * Sends a waiting job when a target is a choice for it.
+   *
+   * @param job the job
+   * @param queue the queue of its service
+   * @param open the targets with room
+   * @return whether it was sent
+   */
+  private boolean trySend(Job job, FairQueue queue, OpenTargets open) {
+    Optional<Placement.Choice> choice = choose(job, open);
+    if (choice.isEmpty() || !queue.remove(job)) {
+      return false;
     }
+    send(job, choice.get());
+    open.refresh(choice.get().load());
+    return true;
   }
 
   /** Sends what can be sent and refuses the jobs that can no longer be on time. */
@@ -291,7 +312,8 @@
   private void expire(String service, FairQueue queue) {
     RefusalReason reason =
         targets(service).isEmpty() ? RefusalReason.NO_TARGET : RefusalReason.EXPIRED;
-    for (Job job : queue.removeIf(this::isLate)) {
+    Optional<TargetLoad> freest = placement.freest(targets(service), clock.millis());
+    for (Job job : queue.removeIf(job -> isLate(job, freest) && isLate(job))) {
       refuse(job, queue, reason);
     }
   }
@@ -323,6 +345,21 @@
     return now + least >= job.dueAt();
   }
 
+  /**
+   * Returns whether a job can no longer be read in time by one target. It spares most jobs the
+   * question to all targets.
+   *
+   * @param job the job
+   * @param target the target, empty when there is none
+   * @return true when it can not
+   */
+  private boolean isLate(Job job, Optional<TargetLoad> target) {
+    long now = clock.millis();
+    return target
+        .map(load -> now + placement.waitMillis(load, job.prompt(), now) >= job.dueAt())
+        .orElse(true);
+  }
+
   /**
    * Returns why a new job cannot be read in time behind the jobs of its organisation.
    *
@@ -340,8 +377,7 @@
     long now = clock.millis();
     FairShare share = share(job.service());
     Standing standing = share.standing(job.organisation(), now);
-    if (targets(job.service()).stream()
-        .anyMatch(target -> room.isOpen(target, job.prompt(), standing, now))) {
+    if (!openFor(job).forStanding(job.prompt(), standing).isEmpty()) {
       // Jobs that wait for their shared parts leave room that this one can take in time.
       return Optional.empty();
     }
@@ -356,31 +392,37 @@
    * read shared parts again is no choice (delay scheduling).
    *
    * @param job the job
+   * @param open the targets with room
    * @return the target, or empty when the job has to wait
    */
-  private Optional<Placement.Choice> choose(Job job) {
+  private Optional<Placement.Choice> choose(Job job, OpenTargets open) {
     long now = clock.millis();
     Standing standing = share(job.service()).standing(job.organisation(), now);
-    Collection<TargetLoad> all = targets(job.service());
-    List<TargetLoad> open = new ArrayList<>();
-    for (TargetLoad target : all) {
-      if (job.started() || room.isOpen(target, job.prompt(), standing, now)) {
-        open.add(target);
-      }
-    }
-    if (open.isEmpty() && standing == Standing.AHEAD) {
+    Collection<TargetLoad> free =
+        job.started() ? open.all() : open.forStanding(job.prompt(), standing);
+    if (free.isEmpty() && standing == Standing.AHEAD && !open.isEmpty()) {
       statistics.onHeldBack(job.service());
     }
-    Optional<Placement.Choice> choice = placement.choose(open, job.prompt(), job.tried(), now);
+    Optional<Placement.Choice> choice = placement.choose(free, job.prompt(), job.tried(), now);
     if (choice.isEmpty() || !isPatient(job, standing, now)) {
       return choice;
     }
     int again =
         choice.get().load().missing(job.prompt())
-            - placement.leastMissing(all, job.prompt(), job.tried(), now);
+            - placement.leastMissing(open.all(), job.prompt(), job.tried(), now);
     return again > limits.againTokens() ? Optional.empty() : choice;
   }
 
+  /**
+   * Returns the targets with room for a job.
+   *
+   * @param job the job
+   * @return the targets of its service
+   */
+  private OpenTargets openFor(Job job) {
+    return new OpenTargets(targets(job.service()), room, clock.millis());
+  }
+
   /**
    * Returns whether a job waits for a target that keeps its shared parts. An organisation that is
    * behind does not: one with many jobs has one for each target and would be served more often.
--- a/core/src/main/java/org/almondslip/dispatch/FairQueue.java
+++ b/core/src/main/java/org/almondslip/dispatch/FairQueue.java
@@ -3,8 +3,11 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.function.BooleanSupplier;
 import java.util.function.Predicate;
 import org.almondslip.placement.Prompt;
 
@@ -21,6 +24,15 @@
   /** Number of waiting jobs. */
   private int size;
 
+  /**
+   * Turn of an organisation.
+   *
+   * @param organisation the name of the organisation
+   * @param jobs its jobs that were not offered yet
+   * @param given the service of the organisation in tokens
+   */
+  private record Turn(String organisation, Iterator<Job> jobs, double given) {}
+
   /**
    * Returns the cost of a job.
    *
@@ -52,32 +64,45 @@
   }
 
   /**
-   * Returns all jobs.
+   * Offers the jobs in fair order. Each job is offered once; an organisation whose job is taken
+   * comes next when its service is again the least.
    *
    * @param share the service of the organisations
    * @param now the current time in milliseconds
-   * @return the jobs, those of the organisation with the least service first
+   * @param taker sends a job and returns whether it did
+   * @param goesOn returns whether further jobs can be taken
    */
-  List<Job> ordered(FairShare share, long now) {
-    List<Map.Entry<String, Flow>> waiting = new ArrayList<>();
-    for (Map.Entry<String, Flow> entry : flows.entrySet()) {
-      if (!entry.getValue().isEmpty()) {
-        waiting.add(entry);
+  void offer(FairShare share, long now, Predicate<Job> taker, BooleanSupplier goesOn) {
+    PriorityQueue<Turn> turns = new PriorityQueue<>(Comparator.comparingDouble(Turn::given));
+    flows.forEach(
+        (name, flow) -> {
+          if (!flow.isEmpty()) {
+            turns.add(new Turn(name, flow.ordered(now).iterator(), share.given(name, now)));
+          }
+        });
+    while (!turns.isEmpty() && goesOn.getAsBoolean()) {
+      Turn turn = turns.poll();
+      boolean taken = false;
+      while (!taken && turn.jobs().hasNext()) {
+        taken = taker.test(turn.jobs().next());
+      }
+      if (taken && turn.jobs().hasNext()) {
+        turns.add(
+            new Turn(turn.organisation(), turn.jobs(), share.given(turn.organisation(), now)));
       }
     }
-    waiting.sort(Comparator.comparingDouble(entry -> share.given(entry.getKey(), now)));
-    List<Job> ordered = new ArrayList<>(size);
-    waiting.forEach(entry -> ordered.addAll(entry.getValue().ordered(now)));
-    return ordered;
   }
 
   /**
    * Removes a job.
    *
    * @param job the job
+   * @return whether it was waiting
    */
-  void remove(Job job) {
-    size -= flow(job.organisation()).removeIf(other -> other == job).size();
+  boolean remove(Job job) {
+    boolean removed = flow(job.organisation()).remove(job);
+    size -= removed ? 1 : 0;
+    return removed;
   }
 
   /**
--- a/core/src/main/java/org/almondslip/dispatch/FairShare.java
+++ b/core/src/main/java/org/almondslip/dispatch/FairShare.java
@@ -136,7 +136,9 @@
       return 0;
     }
     Account account = account(organisation);
-    double perMilli = level / Account.WINDOW_MILLIS * account.partHere(now);
+    // After a time without service the share is no measure of what targets can do.
+    double covered = Math.max(level, slack());
+    double perMilli = covered / Account.WINDOW_MILLIS * account.partHere(now);
     double debtMillis =
         Account.WINDOW_MILLIS * Math.log(Math.max(1, account.given(now) / (level + slack())));
     return tokens / Math.max(perMilli, Double.MIN_NORMAL) + debtMillis;
--- a/core/src/main/java/org/almondslip/dispatch/Flow.java
+++ b/core/src/main/java/org/almondslip/dispatch/Flow.java
@@ -48,6 +48,21 @@
     lane.waitingTokens += FairQueue.cost(job);
   }
 
+  /**
+   * Removes a job.
+   *
+   * @param job the job
+   * @return whether it was waiting
+   */
+  boolean remove(Job job) {
+    Lane lane = lanes.get(job.route());
+    boolean removed = lane != null && lane.jobs.remove(job);
+    if (removed) {
+      lane.waitingTokens -= FairQueue.cost(job);
+    }
+    return removed;
+  }
+
   /**
    * Removes the jobs that match.
    *
--- a/core/src/main/java/org/almondslip/placement/Placement.java
+++ b/core/src/main/java/org/almondslip/placement/Placement.java
@@ -1,6 +1,7 @@
 package org.almondslip.placement;
 
 import java.util.Collection;
+import java.util.Comparator;
 import java.util.Optional;
 import java.util.OptionalDouble;
 import java.util.Set;
@@ -115,6 +116,19 @@
         .min();
   }
 
+  /**
+   * Returns the target with the least work.
+   *
+   * @param targets the targets of the service
+   * @param now the current time in milliseconds
+   * @return the target, or empty when none takes new requests
+   */
+  public Optional<TargetLoad> freest(Collection<TargetLoad> targets, long now) {
+    return targets.stream()
+        .filter(target -> takes(target, Set.of()))
+        .min(Comparator.comparingDouble(target -> waitMillis(target, Prompt.NONE, now)));
+  }
+
   /**
    * Returns the least number of tokens of a prompt that a target would have to read.
    *
--- a/core/src/main/java/org/almondslip/placement/TargetLoad.java
+++ b/core/src/main/java/org/almondslip/placement/TargetLoad.java
@@ -1,6 +1,7 @@
 package org.almondslip.placement;
 
 import java.util.HashMap;
+import java.util.Iterator;
 import java.util.Map;
 import org.almondslip.directory.TargetRecord;
 
@@ -43,6 +44,15 @@
   /** Reports of other routers by their name. */
   private final Map<String, Report> reports = new HashMap<>();
 
+  /** Prompt tokens of other routers that the target has not read. */
+  private long peerUnreadTokens;
+
+  /** Requests of other routers at the target. */
+  private int peerRequests;
+
+  /** Time at which the oldest report no longer counts, in milliseconds. */
+  private long reportsExpireAt = Long.MAX_VALUE;
+
   /** Failures since the last success. */
   private int failures;
 
@@ -182,7 +192,43 @@
    * @param now the current time in milliseconds
    */
   public void onReport(String router, long tokens, int count, long now) {
-    reports.put(router, new Report(tokens, count, now));
+    count(reports.put(router, new Report(tokens, count, now)), -1);
+    count(reports.get(router), 1);
+    reportsExpireAt = Math.min(reportsExpireAt, now + REPORT_EXPIRY_MILLIS);
+  }
+
+  /**
+   * Adds a report to the sums or takes it off.
+   *
+   * @param report the report, null when there is none
+   * @param sign 1 to add it, -1 to take it off
+   */
+  private void count(Report report, int sign) {
+    if (report != null) {
+      peerUnreadTokens += sign * report.unreadTokens();
+      peerRequests += sign * report.requests();
+    }
+  }
+
+  /**
+   * Forgets reports that no longer count.
+   *
+   * @param now the current time in milliseconds
+   */
+  private void expireReports(long now) {
+    if (now < reportsExpireAt) {
+      return;
+    }
+    reportsExpireAt = Long.MAX_VALUE;
+    for (Iterator<Report> all = reports.values().iterator(); all.hasNext(); ) {
+      Report report = all.next();
+      if (now - report.at() >= REPORT_EXPIRY_MILLIS) {
+        count(report, -1);
+        all.remove();
+      } else {
+        reportsExpireAt = Math.min(reportsExpireAt, report.at() + REPORT_EXPIRY_MILLIS);
+      }
+    }
   }
 
   /**
@@ -192,11 +238,8 @@
    * @return the tokens
    */
   public long unreadTokens(long now) {
-    long sum = unreadTokens;
-    for (Report report : reports.values()) {
-      sum += now - report.at() < REPORT_EXPIRY_MILLIS ? report.unreadTokens() : 0;
-    }
-    return sum;
+    expireReports(now);
+    return unreadTokens + peerUnreadTokens;
   }
 
   /**
@@ -206,11 +249,8 @@
    * @return the number
    */
   public int requests(long now) {
-    int sum = requests;
-    for (Report report : reports.values()) {
-      sum += now - report.at() < REPORT_EXPIRY_MILLIS ? report.requests() : 0;
-    }
-    return sum;
+    expireReports(now);
+    return requests + peerRequests;
   }
 
   /**
--- a/core/src/test/java/org/almondslip/dispatch/DispatcherTest.java
+++ b/core/src/test/java/org/almondslip/dispatch/DispatcherTest.java
@@ -200,6 +200,24 @@
     assertThat(submit("rich", "r", 1, 500).target()).contains(target);
   }
 
+  /** Guards against decisions whose work grows with the queue while no target has room. */
+  @Test
+  void waitingJobsCostNothingWhileNoTargetHasRoom() {
+    TargetLoad target = target("a");
+    dispatcher.add(target);
+    target.onReport("router-2", 9_000, 1, clock.millis());
+    List<TestJob> waiting = new ArrayList<>();
+    for (int i = 0; i < 50; i++) {
+      waiting.add(submit("org-" + i, "r", 1, 100));
+    }
+    int looks = waiting.stream().mapToInt(TestJob::looks).sum();
+    for (int i = 0; i < 20; i++) {
+      dispatcher.pump("s");
+    }
+    assertThat(waiting).allMatch(job -> job.target().isEmpty() && job.refusal().isEmpty());
+    assertThat(waiting.stream().mapToInt(TestJob::looks).sum()).isEqualTo(looks);
+  }
+
   /** Guards against a queue that keeps jobs when their service has no target. */
   @Test
   void refusesWhenNoTargetComesInTime() {
--- a/core/src/test/java/org/almondslip/dispatch/FairShareTest.java
+++ b/core/src/test/java/org/almondslip/dispatch/FairShareTest.java
@@ -70,11 +70,20 @@
   void expectsTheSharePartOfThisRouter() {
     share.onPeer("other", 1_000_000, 300_000, NOW);
     share.onPeer("org", 750_000, 100_000, NOW);
-    share.onAsked("org", 250_000, NOW);
+    for (int i = 0; i < 25; i++) {
+      share.onAsked("org", 10_000, NOW);
+    }
     double perMilli = 200_000 / Account.WINDOW_MILLIS / 4;
     assertThat(share.waitMillis("org", 10_000, NOW)).isCloseTo(10_000 / perMilli, within(1.0));
   }
 
+  /** Guards against refusals after a time in which no target took requests. */
+  @Test
+  void expectsSomeServiceBeforeAnythingWasGiven() {
+    share.onAsked("org", 10_000, NOW);
+    assertThat(share.waitMillis("org", 10_000, NOW)).isLessThan(Account.WINDOW_MILLIS);
+  }
+
   /** Guards against old service that keeps an organisation from its share. */
   @Test
   void forgetsOldService() {
--- a/core/src/test/java/org/almondslip/dispatch/TestJob.java
+++ b/core/src/test/java/org/almondslip/dispatch/TestJob.java
@@ -41,6 +41,9 @@
   /** Tokens that the target has to read. */
   private int unreadTokens;
 
+  /** How often the prompt was looked at. */
+  private int looks;
+
   /** Whether an earlier send was made. */
   private boolean started;
 
@@ -105,6 +108,15 @@
     return refusal;
   }
 
+  /**
+   * Returns how often the dispatcher looked at the prompt of the job.
+   *
+   * @return the number
+   */
+  int looks() {
+    return looks;
+  }
+
   /** Ends the job at its target. */
   void end() {
     target.orElseThrow().onRead(unreadTokens);
@@ -128,6 +140,7 @@
 
   @Override
   public Prompt prompt() {
+    looks++;
     return prompt;
   }
 
