Turn callers to other routers while one stays behind its load

The balancer takes all routers when fewer than half are ready, so an overload of all changes nothing.

--- a/gateway/src/main/java/org/almondslip/gateway/Gateway.java
+++ b/gateway/src/main/java/org/almondslip/gateway/Gateway.java
@@ -107,6 +107,9 @@
   /** Delay of the event loop. */
   private final LoopDelay delay;
 
+  /** Whether the router is behind its load. */
+  private final OverloadDetector overload;
+
   /** Whether the router is shutting down. */
   private volatile boolean draining;
 
@@ -163,6 +166,7 @@
     this.callers = new CallerConnections(clock);
     this.directory = new Directory(clock, new Changes());
     this.delay = new LoopDelay(clock, TICK_MILLIS);
+    this.overload = new OverloadDetector(clock, settings.maxDelayMillis());
     this.source = sources.create(vertx, clock);
     GatewayParts parts =
         new GatewayParts(
@@ -176,7 +180,7 @@
             callers,
             delay,
             RandomSource.XO_RO_SHI_RO_128_PP.create(),
-            () -> draining,
+            () -> draining || overload.overloaded(),
             () -> closed);
   }
 
@@ -185,7 +189,8 @@
     closer.register(vertx::close);
     Address readyListen = Address.of(settings.readyListen());
     new GatewayMetrics(registry)
-        .register(decisions, dispatcher, intake, callers, directory, delay, peers.counts());
+        .register(
+            decisions, dispatcher, intake, callers, directory, delay, overload, peers.counts());
     onEventLoop(
         () -> {
           source.start(directory, peers);
@@ -267,6 +272,9 @@
     if (!directory.complete()) {
       return Optional.of("routes or targets are not known yet");
     }
+    if (overload.overloaded()) {
+      return Optional.of("behind the load");
+    }
     return intake.keysFresh() ? Optional.empty() : Optional.of("the known keys are too old");
   }
 
@@ -303,6 +311,7 @@
   /** Measures the delay of the event loop and checks lapsed targets and the queues. */
   private void tick() {
     delay.onTick();
+    overload.onDelay(delay.millis());
     directory.tick();
     dispatcher.tick();
   }
--- a/gateway/src/main/java/org/almondslip/gateway/GatewayMetrics.java
+++ b/gateway/src/main/java/org/almondslip/gateway/GatewayMetrics.java
@@ -34,6 +34,7 @@
    * @param callers the connections of callers
    * @param directory the state of the fleet
    * @param delay the delay of the event loop
+   * @param overload whether the router is behind its load
    * @param reports the counts of reports between routers
    */
   void register(
@@ -43,6 +44,7 @@
       CallerConnections callers,
       Directory directory,
       LoopDelay delay,
+      OverloadDetector overload,
       ReportCounts reports) {
     CounterWithCallback.builder()
         .name("almondslip_gateway_requests_total")
@@ -100,6 +102,10 @@
         "almondslip_gateway_event_loop_delay_seconds",
         "Longest time that a request which is read now may have waited unread",
         () -> delay.millis() / SECOND);
+    gauge(
+        "almondslip_gateway_overloaded",
+        "1 while the router is behind its load and not ready",
+        () -> overload.overloaded() ? 1 : 0);
     gauge("almondslip_gateway_targets", "Live targets", () -> directory.targets().size());
   }
 
--- a/gateway/src/main/java/org/almondslip/gateway/Intake.java
+++ b/gateway/src/main/java/org/almondslip/gateway/Intake.java
@@ -80,8 +80,8 @@
   /** Source of random numbers. */
   private final UniformRandomProvider random;
 
-  /** Whether the router is shutting down. */
-  private final BooleanSupplier draining;
+  /** Whether callers are asked to open their next connection elsewhere. */
+  private final BooleanSupplier closing;
 
   /** Whether the router takes no further requests. */
   private final BooleanSupplier closed;
@@ -99,7 +99,7 @@
    * @param connections the connections of callers
    * @param delay the delay of the event loop
    * @param random the source of random numbers
-   * @param draining whether the router is shutting down
+   * @param closing whether callers are asked to open their next connection elsewhere
    * @param closed whether the router takes no further requests
    */
   Intake(
@@ -110,7 +110,7 @@
       CallerConnections connections,
       LoopDelay delay,
       UniformRandomProvider random,
-      BooleanSupplier draining,
+      BooleanSupplier closing,
       BooleanSupplier closed) {
     this.vertx = vertx;
     this.parts = parts;
@@ -119,7 +119,7 @@
     this.connections = connections;
     this.delay = delay;
     this.random = random;
-    this.draining = draining;
+    this.closing = closing;
     this.closed = closed;
   }
 
@@ -152,7 +152,7 @@
       return;
     }
     connections.onRequest(request.connection());
-    CallerAnswer answer = new CallerAnswer(request, draining.getAsBoolean());
+    CallerAnswer answer = new CallerAnswer(request, closing.getAsBoolean());
     if (request.headers().contains(StrictRequestDecoder.AMBIGUOUS_LENGTH)) {
       reject(request, ErrorCode.BAD_REQUEST, "the request has both a length and chunks");
       return;
--- a/gateway/src/test/java/org/almondslip/gateway/GatewayMetricsTest.java
+++ b/gateway/src/test/java/org/almondslip/gateway/GatewayMetricsTest.java
@@ -28,7 +28,7 @@
   void operationsPageListsEveryMetric() throws IOException {
     PrometheusRegistry registry = new PrometheusRegistry();
     DecisionLog decisions = new DecisionLog(Clock.Standard.SYSTEM, registry);
-    new GatewayMetrics(registry).register(decisions, null, null, null, null, null, null);
+    new GatewayMetrics(registry).register(decisions, null, null, null, null, null, null, null);
     Set<String> listed = new TreeSet<>();
     Matcher matcher = ROW.matcher(Files.readString(PAGE));
     while (matcher.find()) {
