--- a/core/src/main/java/org/almondslip/dispatch/Dispatcher.java
+++ b/core/src/main/java/org/almondslip/dispatch/Dispatcher.java
@@ -29,15 +29,15 @@
   /** Choice of targets. */
   private final Placement placement;
 
-  /** Speed of the engines. */
-  private final EngineModel model;
-
   /** Limits of the queues. */
   private final DispatchLimits limits;
 
   /** Room of targets. */
   private final TargetRoom room;
 
+  /** Decision which jobs can be on time. */
+  private final JobAdmission admission;
+
   /** Targets by service. */
   private final Map<String, Map<String, TargetLoad>> targets = new HashMap<>();
 
@@ -67,9 +67,9 @@
   public Dispatcher(Clock clock, Placement placement, EngineModel model, DispatchLimits limits) {
     this.clock = clock;
     this.placement = placement;
-    this.model = model;
     this.limits = limits;
     this.room = new TargetRoom(model, limits);
+    this.admission = new JobAdmission(clock, placement, model, limits);
   }
 
   /**
@@ -207,7 +207,10 @@
         return;
       }
     }
-    Optional<RefusalReason> obstacle = job.started() ? Optional.empty() : obstacle(job, queue);
+    Optional<RefusalReason> obstacle =
+        job.started()
+            ? Optional.empty()
+            : admission.obstacle(job, queue, share(job.service()), openFor(job));
     if (obstacle.isPresent()) {
       refuse(job, queue, obstacle.get());
       return;
@@ -312,8 +315,7 @@
   private void expire(String service, FairQueue queue) {
     RefusalReason reason =
         targets(service).isEmpty() ? RefusalReason.NO_TARGET : RefusalReason.EXPIRED;
-    Optional<TargetLoad> freest = placement.freest(targets(service), clock.millis());
-    for (Job job : queue.removeIf(job -> isLate(job, freest) && isLate(job))) {
+    for (Job job : queue.removeIf(admission.late(targets(service)))) {
       refuse(job, queue, reason);
     }
   }
@@ -330,63 +332,6 @@
     job.refuse(reason, retryAfterMillis(queue));
   }
 
-  /**
-   * Returns whether a job can no longer be read in time by any target.
-   *
-   * @param job the job
-   * @return true when it can not
-   */
-  private boolean isLate(Job job) {
-    long now = clock.millis();
-    double least =
-        placement
-            .leastWaitMillis(targets(job.service()), job.prompt(), now)
-            .orElse(model.readMillis(job.prompt().promptTokens()));
-    return now + least >= job.dueAt();
-  }
-
-  /**
-   * Returns whether a job can no longer be read in time by one target. It spares most jobs the
-   * question to all targets.
-   *
-   * @param job the job
-   * @param target the target, empty when there is none
-   * @return true when it can not
-   */
-  private boolean isLate(Job job, Optional<TargetLoad> target) {
-    long now = clock.millis();
-    return target
-        .map(load -> now + placement.waitMillis(load, job.prompt(), now) >= job.dueAt())
-        .orElse(true);
-  }
-
-  /**
-   * Returns why a new job cannot be read in time behind the jobs of its organisation.
-   *
-   * @param job the job
-   * @param queue the queue of its service
-   * @return the reason, empty when it can be read in time
-   */
-  private Optional<RefusalReason> obstacle(Job job, FairQueue queue) {
-    if (queue.size() >= limits.maxWaiting()) {
-      return Optional.of(RefusalReason.QUEUE_FULL);
-    }
-    if (isLate(job)) {
-      return Optional.of(RefusalReason.EXPECTED_WAIT);
-    }
-    long now = clock.millis();
-    FairShare share = share(job.service());
-    Standing standing = share.standing(job.organisation(), now);
-    if (!openFor(job).forStanding(job.prompt(), standing).isEmpty()) {
-      // Jobs that wait for their shared parts leave room that this one can take in time.
-      return Optional.empty();
-    }
-    double waitMillis = share.waitMillis(job.organisation(), queue.tokensAhead(job), now);
-    return now + waitMillis > job.dueAt()
-        ? Optional.of(RefusalReason.EXPECTED_WAIT)
-        : Optional.empty();
-  }
-
   /**
    * Chooses a target with room for a job. While the job is patient, a target that would have to
    * read shared parts again is no choice (delay scheduling).
