--- a/core/src/main/java/org/almondslip/dispatch/DispatchStatus.java
+++ b/core/src/main/java/org/almondslip/dispatch/DispatchStatus.java
@@ -8,7 +8,7 @@
  * @param targets the known targets
  * @param openTargets the targets with room for further jobs
  * @param share the even share of an organisation in tokens, infinite while nobody goes short
- * @param behind the organisations that received clearly less than their share
+ * @param underserved the organisations that received clearly less than their share
  */
 public record DispatchStatus(
-    String service, int waiting, int targets, int openTargets, double share, int behind) {}
+    String service, int waiting, int targets, int openTargets, double share, int underserved) {}
--- a/core/src/main/java/org/almondslip/dispatch/Dispatcher.java
+++ b/core/src/main/java/org/almondslip/dispatch/Dispatcher.java
@@ -162,7 +162,7 @@
                     map.size(),
                     (int) map.values().stream().filter(target -> room.isOpen(target, now)).count(),
                     share(service).level(now),
-                    share(service).behind(now))));
+                    share(service).underserved(now))));
     return all;
   }
 
@@ -220,14 +220,14 @@
   }
 
   /**
-   * Returns whether a router that is behind its load serves a new request all the same.
+   * Returns whether an organisation received clearly less than its share.
    *
    * @param service the name of the service
    * @param organisation the name of the organisation
-   * @return true when the organisation received clearly less than its share
+   * @return true when its requests are served somewhat longer than others by a late router
    */
-  public boolean isBehind(String service, String organisation) {
-    return share(service).standing(organisation, clock.millis()) == Standing.BEHIND;
+  public boolean isUnderserved(String service, String organisation) {
+    return share(service).standing(organisation, clock.millis()) == Standing.UNDERSERVED;
   }
 
   /**
@@ -345,7 +345,7 @@
     Standing standing = share(job.service()).standing(job.organisation(), now);
     Collection<TargetLoad> free =
         job.started() ? open.all() : open.forStanding(job.prompt(), standing);
-    if (free.isEmpty() && standing == Standing.AHEAD && !open.isEmpty()) {
+    if (free.isEmpty() && standing == Standing.OVERSERVED && !open.isEmpty()) {
       statistics.onHeldBack(job.service());
     }
     Optional<Placement.Choice> choice = placement.choose(free, job.prompt(), job.tried(), now);
@@ -369,8 +369,9 @@
   }
 
   /**
-   * Returns whether a job waits for a target that keeps its shared parts. An organisation that is
-   * behind does not: one with many jobs has one for each target and would be served more often.
+   * Returns whether a job waits for a target that keeps its shared parts. An underserved
+   * organisation does not: one with many jobs has one for each target and would be served more
+   * often.
    *
    * @param job the job
    * @param standing the standing of its organisation
@@ -378,7 +379,7 @@
    * @return true when it waits
    */
   private static boolean isPatient(Job job, Standing standing, long now) {
-    return !job.started() && now < job.patientUntil() && standing != Standing.BEHIND;
+    return !job.started() && now < job.patientUntil() && standing != Standing.UNDERSERVED;
   }
 
   /**
--- a/core/src/main/java/org/almondslip/dispatch/FairShare.java
+++ b/core/src/main/java/org/almondslip/dispatch/FairShare.java
@@ -9,9 +9,10 @@
  *
  * <p>Each router computes the max-min fair share from what all routers were asked for and gave: no
  * organisation gets more than it asks for, and those that ask for more than the even share get the
- * same. Organisations that are ahead of it leave a part of the room of each target to those that
- * are behind (trunk reservation). They are never held back altogether: an organisation may be
- * behind for reasons that idle targets do not help, such as a router that cannot send its requests.
+ * same. Organisations that received more leave a part of the room of each target to those that
+ * received less (trunk reservation). They are never held back altogether: an organisation may be
+ * underserved for reasons that idle targets do not help, such as a router that cannot send its
+ * requests.
  */
 final class FairShare {
 
@@ -24,11 +25,11 @@
    */
   private static final double UNCONTESTED_PART = 0.85;
 
-  /** Part of its share below which an organisation is behind. */
-  private static final double BEHIND_PART = 0.75;
+  /** Part of its share below which an organisation is underserved. */
+  private static final double UNDERSERVED_PART = 0.75;
 
-  /** Part of its share above which an organisation is ahead. */
-  private static final double AHEAD_PART = 1.15;
+  /** Part of its share above which an organisation is overserved. */
+  private static final double OVERSERVED_PART = 1.15;
 
   /** Mean requests by which an organisation may differ from its share in any case. */
   private static final double SLACK_REQUESTS = 2;
@@ -45,8 +46,8 @@
   /** Even share in tokens, infinite while nobody goes short. */
   private double level = Double.POSITIVE_INFINITY;
 
-  /** Whether an organisation is behind. */
-  private boolean anyBehind;
+  /** Whether an organisation is underserved. */
+  private boolean anyUnderserved;
 
   /** Whether the share was computed. */
   private boolean computed;
@@ -112,14 +113,14 @@
     refresh(now);
     Account account = accounts.get(organisation);
     if (account == null || Double.isInfinite(level)) {
-      return Standing.LEVEL;
+      return Standing.EVEN;
     }
-    if (isBehind(account, now)) {
-      return Standing.BEHIND;
+    if (isUnderserved(account, now)) {
+      return Standing.UNDERSERVED;
     }
-    return anyBehind && account.given(now) > level * AHEAD_PART + slack()
-        ? Standing.AHEAD
-        : Standing.LEVEL;
+    return anyUnderserved && account.given(now) > level * OVERSERVED_PART + slack()
+        ? Standing.OVERSERVED
+        : Standing.EVEN;
   }
 
   /**
@@ -156,16 +157,16 @@
   }
 
   /**
-   * Returns the number of organisations that are behind.
+   * Returns the number of underserved organisations.
    *
    * @param now the current time in milliseconds
    * @return the number
    */
-  int behind(long now) {
+  int underserved(long now) {
     refresh(now);
     return Double.isInfinite(level)
         ? 0
-        : (int) accounts.values().stream().filter(account -> isBehind(account, now)).count();
+        : (int) accounts.values().stream().filter(account -> isUnderserved(account, now)).count();
   }
 
   /**
@@ -191,9 +192,9 @@
     double[] asked = accounts.values().stream().mapToDouble(a -> a.asked(now)).toArray();
     double given = accounts.values().stream().mapToDouble(a -> a.given(now)).sum();
     level = evenShare(asked, given);
-    anyBehind =
+    anyUnderserved =
         !Double.isInfinite(level)
-            && accounts.values().stream().anyMatch(account -> isBehind(account, now));
+            && accounts.values().stream().anyMatch(account -> isUnderserved(account, now));
   }
 
   /**
@@ -227,10 +228,10 @@
    * @param now the current time in milliseconds
    * @return true when it did
    */
-  private boolean isBehind(Account account, long now) {
+  private boolean isUnderserved(Account account, long now) {
     double share = Math.min(account.asked(now), level);
     double given = account.given(now);
-    return given < share * BEHIND_PART && share - given > slack();
+    return given < share * UNDERSERVED_PART && share - given > slack();
   }
 
   /**
--- a/core/src/main/java/org/almondslip/dispatch/RefusalReason.java
+++ b/core/src/main/java/org/almondslip/dispatch/RefusalReason.java
@@ -11,7 +11,7 @@
   /** No target of the service takes requests. */
   NO_TARGET("no_target"),
   /** The router is so far behind its load that the request may have waited too long already. */
-  ROUTER_BEHIND("router_behind");
+  EVENT_LOOP_DELAY("event_loop_delay");
 
   /** Name in logs and metrics. */
   private final String label;
--- a/core/src/main/java/org/almondslip/dispatch/Standing.java
+++ b/core/src/main/java/org/almondslip/dispatch/Standing.java
@@ -3,11 +3,11 @@
 /** How the service of an organisation compares with its share of the fleet. */
 enum Standing {
   /** It received clearly less than its share. */
-  BEHIND(1, 1),
+  UNDERSERVED(1, 1),
   /** It received about its share, or all that it asked for. */
-  LEVEL(1, 1),
+  EVEN(1, 1),
   /** It received clearly more than its share while another organisation is behind. */
-  AHEAD(0.35, 0.8);
+  OVERSERVED(0.35, 0.8);
 
   /** Part of the unread work of an engine up to which its jobs are sent. */
   private final double unreadPart;
--- a/core/src/main/java/org/almondslip/dispatch/TargetRoom.java
+++ b/core/src/main/java/org/almondslip/dispatch/TargetRoom.java
@@ -54,7 +54,7 @@
    * @return true when it has not failed lately and has room
    */
   boolean isOpen(TargetLoad target, long now) {
-    return isOpen(target, target.isEngine() ? SMALL_PROMPT : Prompt.NONE, Standing.LEVEL, now);
+    return isOpen(target, target.isEngine() ? SMALL_PROMPT : Prompt.NONE, Standing.EVEN, now);
   }
 
   /**
--- a/core/src/test/java/org/almondslip/dispatch/DispatcherTest.java
+++ b/core/src/test/java/org/almondslip/dispatch/DispatcherTest.java
@@ -178,7 +178,7 @@
 
   /** Guards against a router that serves its organisations while others go short elsewhere. */
   @Test
-  void organisationAheadLeavesRoomToOrganisationsBehind() {
+  void overservedOrganisationLeavesRoomToUnderservedOnes() {
     TargetLoad target = target("a");
     dispatcher.add(target);
     dispatcher.onPeerService("s", "rich", 2_000_000, 500_000);
@@ -192,7 +192,7 @@
 
   /** Guards against targets that idle for an organisation whose requests do not come here. */
   @Test
-  void organisationAheadTakesIdleTarget() {
+  void overservedOrganisationTakesIdleTarget() {
     TargetLoad target = target("a");
     dispatcher.add(target);
     dispatcher.onPeerService("s", "rich", 2_000_000, 500_000);
--- a/core/src/test/java/org/almondslip/dispatch/FairShareTest.java
+++ b/core/src/test/java/org/almondslip/dispatch/FairShareTest.java
@@ -38,7 +38,7 @@
     share.onPeer("a", 900_000, 900_000, NOW);
     share.onPeer("b", 100_000, 95_000, NOW);
     assertThat(share.level(NOW)).isInfinite();
-    assertThat(share.standing("a", NOW)).isEqualTo(Standing.LEVEL);
+    assertThat(share.standing("a", NOW)).isEqualTo(Standing.EVEN);
     assertThat(share.waitMillis("a", 1_000_000, NOW)).isZero();
   }
 
@@ -51,10 +51,10 @@
     share.onPeer("poor", 1_000_000, 100_000, NOW);
     share.onPeer("small", 20_000, 20_000, NOW);
     assertThat(share.level(NOW)).isEqualTo(350_000);
-    assertThat(share.standing("rich", NOW)).isEqualTo(Standing.AHEAD);
-    assertThat(share.standing("poor", NOW)).isEqualTo(Standing.BEHIND);
-    assertThat(share.standing("small", NOW)).isEqualTo(Standing.LEVEL);
-    assertThat(share.standing("unknown", NOW)).isEqualTo(Standing.LEVEL);
+    assertThat(share.standing("rich", NOW)).isEqualTo(Standing.OVERSERVED);
+    assertThat(share.standing("poor", NOW)).isEqualTo(Standing.UNDERSERVED);
+    assertThat(share.standing("small", NOW)).isEqualTo(Standing.EVEN);
+    assertThat(share.standing("unknown", NOW)).isEqualTo(Standing.EVEN);
   }
 
   /** Guards against an organisation that asks for one request and counts as behind. */
@@ -62,7 +62,7 @@
   void fewRequestsOfDifferenceDoNotCount() {
     share.onPeer("flood", 2_000_000, 500_000, NOW);
     share.onAsked("small", 8_000, NOW);
-    assertThat(share.standing("small", NOW)).isEqualTo(Standing.LEVEL);
+    assertThat(share.standing("small", NOW)).isEqualTo(Standing.EVEN);
   }
 
   /** Guards against waits that ignore how much of an organisation's demand comes elsewhere. */
--- a/core/src/test/java/org/almondslip/report/FleetSimulation.java
+++ b/core/src/test/java/org/almondslip/report/FleetSimulation.java
@@ -335,11 +335,11 @@
     private void take(Request request, long sentAt) {
       request.arrivedAt = sentAt / MILLI;
       long waited = clock.millis() - request.arrivedAt;
-      boolean served = dispatcher.isBehind(SERVICE, request.organisation);
-      if (waited > MAX_DELAY_MILLIS * 2 || waited > MAX_DELAY_MILLIS && !served) {
+      boolean underserved = dispatcher.isUnderserved(SERVICE, request.organisation);
+      if (waited > MAX_DELAY_MILLIS * 2 || waited > MAX_DELAY_MILLIS && !underserved) {
         dispatcher.onRefused(
-            SERVICE, request.organisation, request.prompt, RefusalReason.ROUTER_BEHIND);
-        request.refuse(RefusalReason.ROUTER_BEHIND, DispatchLimits.DEFAULT.retryAfterMillis());
+            SERVICE, request.organisation, request.prompt, RefusalReason.EVENT_LOOP_DELAY);
+        request.refuse(RefusalReason.EVENT_LOOP_DELAY, DispatchLimits.DEFAULT.retryAfterMillis());
         return;
       }
       dispatcher.submit(request);
--- a/gateway/src/main/java/org/almondslip/gateway/Intake.java
+++ b/gateway/src/main/java/org/almondslip/gateway/Intake.java
@@ -37,7 +37,7 @@
    * Factor by which a request of an organisation that received clearly less than its share may have
    * waited longer than others.
    */
-  private static final int BEHIND_FACTOR = 2;
+  private static final int UNDERSERVED_FACTOR = 2;
 
   /**
    * When the headers of a request arrived.
@@ -261,7 +261,7 @@
     String service = route.service(random.nextDouble());
     String name = organisation.map(Organisation::name).orElse("");
     if (isTooLate(arrival, service, name)) {
-      parts.dispatcher().onRefused(service, name, decoded.prompt(), RefusalReason.ROUTER_BEHIND);
+      parts.dispatcher().onRefused(service, name, decoded.prompt(), RefusalReason.EVENT_LOOP_DELAY);
       refuse(
           request,
           answer,
@@ -308,8 +308,9 @@
    */
   private boolean isTooLate(Arrival arrival, String service, String organisation) {
     long limit = settings.maxDelayMillis();
-    return arrival.waitedMillis() > limit * BEHIND_FACTOR
-        || arrival.waitedMillis() > limit && !parts.dispatcher().isBehind(service, organisation);
+    return arrival.waitedMillis() > limit * UNDERSERVED_FACTOR
+        || arrival.waitedMillis() > limit
+            && !parts.dispatcher().isUnderserved(service, organisation);
   }
 
   /**
--- a/gateway/src/main/java/org/almondslip/gateway/StatusLog.java
+++ b/gateway/src/main/java/org/almondslip/gateway/StatusLog.java
@@ -99,8 +99,8 @@
       }
       logger.atInfo().log(
           "%s: %d requests wait, %d of %d targets have room; in the last second %d tokens asked,"
-              + " %d sent, %d refused, %d sends held back; even share %s, %d organisations behind;"
-              + " %d reports read, event loop %d ms behind",
+              + " %d sent, %d refused, %d sends held back; even share %s, %d organisations"
+              + " underserved; %d reports read, event loop %d ms behind",
           status.service(),
           status.waiting(),
           status.openTargets(),
@@ -112,7 +112,7 @@
           Double.isInfinite(status.share())
               ? "unlimited"
               : String.format(Locale.ROOT, "%.0f", status.share()),
-          status.behind(),
+          status.underserved(),
           received,
           delay.millis());
     }
--- a/gateway/src/test/java/org/almondslip/gateway/GatewayTest.java
+++ b/gateway/src/test/java/org/almondslip/gateway/GatewayTest.java
@@ -241,7 +241,8 @@
     // The fleet has to know what the organisation of the refused request asked for.
     assertThat(gateway.dispatcher().statistics().counts())
         .extractingByKey(new DispatchStatistics.Owner("s", "org"))
-        .satisfies(counts -> assertThat(counts.refused()).containsKey(RefusalReason.ROUTER_BEHIND));
+        .satisfies(
+            counts -> assertThat(counts.refused()).containsKey(RefusalReason.EVENT_LOOP_DELAY));
   }
 
   /** Guards against a planned stop that cuts off a request in progress. */
