--- a/core/src/main/java/org/almondslip/dispatch/DispatchLimits.java
+++ b/core/src/main/java/org/almondslip/dispatch/DispatchLimits.java
@@ -20,7 +20,8 @@
 
   /**
    * Standard limits. Unread work of 150 ms keeps an engine busy over a round trip between regions
-   * and the reports of other routers, and leaves most of an objective of 500 ms.
+   * and the reports of other routers, and leaves most of an objective of 500 ms. An engine reads
+   * prompts between the steps of its running jobs, so more of them would only end later.
    */
-  public static final DispatchLimits DEFAULT = new DispatchLimits(150, 0.5, 512, 2_000, 500);
+  public static final DispatchLimits DEFAULT = new DispatchLimits(150, 0.35, 512, 2_000, 500);
 }
