Bound the connections of callers by the descriptors of the process

Cause: impatient callers come back on new connections and leave the old ones open. Ruled out: a slow acceptor thread (the delay was whole seconds and the processor idle) and a late event loop. Class: a resource that callers hold without a bound.

Change: callers may hold three quarters of the descriptors. Above half of that, answers close their connections, as a refused caller comes back on a new one; at the bound, a new connection takes the place of the longest idle one. The bound, evicted and refused connections are metrics, and a line a second says when connections are short.

--- a/gateway/src/main/java/org/almondslip/gateway/CallerConnections.java
+++ b/gateway/src/main/java/org/almondslip/gateway/CallerConnections.java
@@ -1,45 +1,73 @@
 package org.almondslip.gateway;
 
 import io.vertx.core.http.HttpConnection;
-import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.HashSet;
-import java.util.List;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Set;
 import org.almondslip.time.Clock;
 
-/** Connections of callers, closed when they stay idle for longer than the operator allows. */
+/**
+ * Connections of callers, closed when they stay idle for longer than the operator allows.
+ *
+ * <p>Their number is bounded, since a process without free descriptors accepts no callers and
+ * reaches no targets. Answers close their connections when half of the capacity is in use; when all
+ * of it is, a new connection takes the place of the one that has been idle for longest.
+ */
 final class CallerConnections {
 
-  /** Value of a connection that carries a request. */
-  private static final long BUSY = Long.MAX_VALUE;
+  /** Part of the capacity above which a connection is closed after its answer. */
+  private static final double CROWDED_PART = 0.5;
 
   /** Source of time. */
   private final Clock clock;
 
-  /** Open connections with the time since which they are idle, or {@link #BUSY}. */
-  private final Map<HttpConnection, Long> connections = new HashMap<>();
+  /** Largest number of connections. */
+  private final int capacity;
+
+  /** Connections without a request and the time since which they are idle, the longest first. */
+  private final Map<HttpConnection, Long> idle = new LinkedHashMap<>();
+
+  /** Connections that carry a request. */
+  private final Set<HttpConnection> busy = new HashSet<>();
 
   /** Connections whose further bytes are not trusted. */
   private final Set<HttpConnection> rejected = new HashSet<>();
 
+  /** Idle connections that were closed for new ones. */
+  private long evicted;
+
+  /** New connections that were closed at once. */
+  private long refused;
+
   /**
    * Creates a table without connections.
    *
    * @param clock the source of time
+   * @param capacity the largest number of connections
    */
-  CallerConnections(Clock clock) {
+  CallerConnections(Clock clock, int capacity) {
     this.clock = clock;
+    this.capacity = capacity;
   }
 
   /**
-   * Takes a new connection.
+   * Takes a new connection, or closes it when all others carry requests.
    *
    * @param connection the connection
    */
   void onOpen(HttpConnection connection) {
-    connections.put(connection, clock.millis());
+    if (size() >= capacity) {
+      if (idle.isEmpty()) {
+        refused++;
+        connection.close();
+        return;
+      }
+      evicted++;
+      close(idle.keySet().iterator());
+    }
+    idle.put(connection, clock.millis());
   }
 
   /**
@@ -48,7 +76,8 @@
    * @param connection the connection
    */
   void onRequest(HttpConnection connection) {
-    connections.put(connection, BUSY);
+    idle.remove(connection);
+    busy.add(connection);
   }
 
   /**
@@ -57,7 +86,9 @@
    * @param connection the connection
    */
   void onAnswered(HttpConnection connection) {
-    connections.computeIfPresent(connection, (key, since) -> clock.millis());
+    if (busy.remove(connection)) {
+      idle.put(connection, clock.millis());
+    }
   }
 
   /**
@@ -85,7 +116,8 @@
    * @param connection the connection
    */
   void onClosed(HttpConnection connection) {
-    connections.remove(connection);
+    idle.remove(connection);
+    busy.remove(connection);
     rejected.remove(connection);
   }
 
@@ -96,14 +128,9 @@
    */
   void closeIdle(long idleMillis) {
     long now = clock.millis();
-    List<HttpConnection> expired = new ArrayList<>();
-    connections.forEach(
-        (connection, since) -> {
-          if (since != BUSY && now - since >= idleMillis) {
-            expired.add(connection);
-          }
-        });
-    expired.forEach(HttpConnection::close);
+    while (!idle.isEmpty() && now - idle.values().iterator().next() >= idleMillis) {
+      close(idle.keySet().iterator());
+    }
   }
 
   /**
@@ -112,6 +139,53 @@
    * @return the number
    */
   int size() {
-    return connections.size();
+    return idle.size() + busy.size();
+  }
+
+  /**
+   * Returns the largest number of connections.
+   *
+   * @return the number
+   */
+  int capacity() {
+    return capacity;
+  }
+
+  /**
+   * Returns whether connections are closed after their answers to make room for new ones.
+   *
+   * @return true when much of the capacity is in use
+   */
+  boolean crowded() {
+    return size() > capacity * CROWDED_PART;
+  }
+
+  /**
+   * Returns the number of idle connections that were closed for new ones.
+   *
+   * @return the number since the start of the process
+   */
+  long evicted() {
+    return evicted;
+  }
+
+  /**
+   * Returns the number of new connections that were closed at once.
+   *
+   * @return the number since the start of the process
+   */
+  long refused() {
+    return refused;
+  }
+
+  /**
+   * Closes the next connection. It is removed first, since its close handler may run at once.
+   *
+   * @param connections the connections
+   */
+  private void close(Iterator<HttpConnection> connections) {
+    HttpConnection connection = connections.next();
+    connections.remove();
+    connection.close();
   }
 }
--- a/gateway/src/main/java/org/almondslip/gateway/Gateway.java
+++ b/gateway/src/main/java/org/almondslip/gateway/Gateway.java
@@ -65,6 +65,12 @@
   /** Interval of the checks of a planned stop in milliseconds. */
   private static final long DRAIN_CHECK_MILLIS = 50;
 
+  /**
+   * Part of the descriptors that connections of callers may use. The rest is for targets, the store
+   * and files.
+   */
+  private static final double CALLER_PART = 0.75;
+
   /** Settings. */
   private final GatewaySettings settings;
 
@@ -163,7 +169,7 @@
             new ReportReader(dispatcher, crashes, clock),
             crashes);
     this.targets = new TargetConnections(vertx, clock);
-    this.callers = new CallerConnections(clock);
+    this.callers = new CallerConnections(clock, (int) (settings.maxDescriptors() * CALLER_PART));
     this.directory = new Directory(clock, new Changes());
     this.delay = new LoopDelay(clock, TICK_MILLIS);
     this.overload = new OverloadDetector(clock, settings.maxDelayMillis());
@@ -180,7 +186,7 @@
             callers,
             delay,
             RandomSource.XO_RO_SHI_RO_128_PP.create(),
-            () -> draining || overload.overloaded(),
+            () -> draining || overload.overloaded() || callers.crowded(),
             () -> closed);
   }
 
@@ -197,7 +203,7 @@
           peers.start(settings.peerListen());
           vertx.setPeriodic(TICK_MILLIS, id -> tick());
           vertx.setPeriodic(SWEEP_MILLIS, id -> sweep());
-          StatusLog status = new StatusLog(dispatcher, peers.counts(), delay);
+          StatusLog status = new StatusLog(dispatcher, peers.counts(), delay, callers);
           vertx.setPeriodic(STATUS_MILLIS, id -> status.log());
           vertx
               .createHttpServer()
--- a/gateway/src/main/java/org/almondslip/gateway/GatewayMetrics.java
+++ b/gateway/src/main/java/org/almondslip/gateway/GatewayMetrics.java
@@ -90,6 +90,20 @@
         () -> dispatcher.waiting());
     gauge("almondslip_gateway_open_requests", "Requests that have not ended", () -> intake.open());
     gauge("almondslip_gateway_caller_connections", "Connections of callers", () -> callers.size());
+    gauge(
+        "almondslip_gateway_caller_connections_limit",
+        "Largest number of connections of callers",
+        () -> callers.capacity());
+    CounterWithCallback.builder()
+        .name("almondslip_gateway_caller_connections_closed_total")
+        .help("Connections of callers that were closed for want of descriptors")
+        .labelNames("reason")
+        .callback(
+            values -> {
+              values.call(callers.evicted(), "idle");
+              values.call(callers.refused(), "all_busy");
+            })
+        .register(registry);
     gauge(
         "almondslip_gateway_routes_version",
         "Version of the routes in force",
--- a/gateway/src/main/java/org/almondslip/gateway/GatewaySettings.java
+++ b/gateway/src/main/java/org/almondslip/gateway/GatewaySettings.java
@@ -1,5 +1,7 @@
 package org.almondslip.gateway;
 
+import com.sun.management.UnixOperatingSystemMXBean;
+import java.lang.management.ManagementFactory;
 import org.almondslip.settings.Section;
 
 /**
@@ -20,6 +22,7 @@
  * @param drainMillis the longest time of a planned stop in milliseconds
  * @param maxDelayMillis the delay of the event loop above which new requests are refused, in
  *     milliseconds
+ * @param maxDescriptors the largest number of files and sockets that the process may open
  */
 public record GatewaySettings(
     String instance,
@@ -35,7 +38,8 @@
     double retryAllowance,
     long revocationMillis,
     long drainMillis,
-    long maxDelayMillis) {
+    long maxDelayMillis,
+    int maxDescriptors) {
 
   /** Longest time limit that is accepted, in milliseconds: one hour. */
   private static final long MAX_MILLIS = 3_600_000;
@@ -67,6 +71,9 @@
   /** Routers among which the allowance of the fleet is divided, spare ones included. */
   private static final double ROUTERS = 40;
 
+  /** Smallest number of descriptors that is accepted; the process itself needs about half of it. */
+  private static final int MIN_DESCRIPTORS = 256;
+
   /** Milliseconds in a second. */
   private static final double SECOND = 1_000;
 
@@ -93,7 +100,21 @@
         retries.decimal("fleet_allowance", 0, 0, MAX_ALLOWANCE) / ROUTERS,
         limits.integer("revocation_millis", REVOCATION_MILLIS, 1, MAX_MILLIS),
         millis(limits.decimal("drain_seconds", DRAIN_SECONDS, 0, MAX_SECONDS)),
-        limits.integer("max_event_loop_delay_millis", MAX_DELAY_MILLIS, 1, MAX_MILLIS));
+        limits.integer("max_event_loop_delay_millis", MAX_DELAY_MILLIS, 1, MAX_MILLIS),
+        (int)
+            limits.integer(
+                "max_descriptors", systemDescriptors(), MIN_DESCRIPTORS, Integer.MAX_VALUE));
+  }
+
+  /**
+   * Returns the number of descriptors that the operating system lets this process open.
+   *
+   * @return the number
+   */
+  private static long systemDescriptors() {
+    return ManagementFactory.getOperatingSystemMXBean() instanceof UnixOperatingSystemMXBean system
+        ? Math.min(system.getMaxFileDescriptorCount(), Integer.MAX_VALUE)
+        : Integer.MAX_VALUE;
   }
 
   /**
--- a/gateway/src/main/java/org/almondslip/gateway/StatusLog.java
+++ b/gateway/src/main/java/org/almondslip/gateway/StatusLog.java
@@ -27,6 +27,9 @@
   /** Delay of the event loop. */
   private final LoopDelay delay;
 
+  /** Connections of callers. */
+  private final CallerConnections callers;
+
   /** Totals of the last line by service. */
   private final Map<String, Totals> logged = new HashMap<>();
 
@@ -78,15 +81,24 @@
    * @param dispatcher the order of waiting requests
    * @param reports the counts of reports
    * @param delay the delay of the event loop
+   * @param callers the connections of callers
    */
-  StatusLog(Dispatcher dispatcher, ReportCounts reports, LoopDelay delay) {
+  StatusLog(
+      Dispatcher dispatcher, ReportCounts reports, LoopDelay delay, CallerConnections callers) {
     this.dispatcher = dispatcher;
     this.reports = reports;
     this.delay = delay;
+    this.callers = callers;
   }
 
-  /** Logs the services that are short of targets. */
+  /** Logs the services that are short of targets, and whether connections are. */
   void log() {
+    if (callers.crowded()) {
+      logger.atInfo().log(
+          "callers hold %d of %d connections, which are closed after their answers; %d idle ones"
+              + " were closed for new ones and %d new ones refused since the start",
+          callers.size(), callers.capacity(), callers.evicted(), callers.refused());
+    }
     Map<String, Totals> totals = totals();
     long received = reports.received() - loggedReports;
     loggedReports = reports.received();
--- /dev/null
+++ b/gateway/src/test/java/org/almondslip/gateway/CallerConnectionsTest.java
@@ -0,0 +1,123 @@
+package org.almondslip.gateway;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.vertx.core.Future;
+import io.vertx.core.http.HttpConnection;
+import java.lang.reflect.Proxy;
+import java.util.ArrayList;
+import java.util.List;
+import org.almondslip.time.Clock;
+import org.junit.jupiter.api.Test;
+
+class CallerConnectionsTest {
+
+  /** Largest number of connections. */
+  private static final int CAPACITY = 10;
+
+  /** Connections in the order in which they were closed. */
+  private final List<HttpConnection> closed = new ArrayList<>();
+
+  private final SettableClock clock = new SettableClock();
+
+  private final CallerConnections connections = new CallerConnections(clock, CAPACITY);
+
+  /** Clock that a test sets. */
+  private static final class SettableClock implements Clock {
+
+    private long now;
+
+    @Override
+    public long millis() {
+      return now;
+    }
+
+    @Override
+    public long wallMillis() {
+      return now;
+    }
+  }
+
+  /** Guards against a process that runs out of descriptors beside idle connections. */
+  @Test
+  void newConnectionReplacesTheLongestIdle() {
+    List<HttpConnection> opened = open(CAPACITY);
+    connections.onRequest(opened.get(0));
+    open(2);
+    assertThat(closed).containsExactly(opened.get(1), opened.get(2));
+    assertThat(connections.size()).isEqualTo(CAPACITY);
+  }
+
+  /** Guards against a connection counted as idle from its first request on. */
+  @Test
+  void answeredConnectionIsIdleSinceItsAnswer() {
+    List<HttpConnection> opened = open(CAPACITY);
+    connections.onRequest(opened.get(0));
+    connections.onAnswered(opened.get(0));
+    open(CAPACITY - 1);
+    assertThat(closed).containsExactlyElementsOf(opened.subList(1, CAPACITY));
+  }
+
+  /** Guards against running requests that are cut off for new connections. */
+  @Test
+  void newConnectionIsClosedWhenAllCarryRequests() {
+    open(CAPACITY).forEach(connections::onRequest);
+    List<HttpConnection> late = open(1);
+    assertThat(closed).isEqualTo(late);
+    assertThat(connections.refused()).isEqualTo(1);
+  }
+
+  /** Guards against idle connections kept although much of the capacity is in use. */
+  @Test
+  void crowdedAboveHalfOfTheCapacity() {
+    List<HttpConnection> opened = open(CAPACITY / 2);
+    assertThat(connections.crowded()).isFalse();
+    open(1);
+    assertThat(connections.crowded()).isTrue();
+    connections.onClosed(opened.get(0));
+    assertThat(connections.crowded()).isFalse();
+  }
+
+  /** Guards against connections that stay idle for ever, and against closing younger ones. */
+  @Test
+  void closesConnectionsThatWereIdleForTooLong() {
+    List<HttpConnection> early = open(2);
+    clock.now = 60;
+    final List<HttpConnection> late = open(2);
+    connections.onRequest(early.get(0));
+    clock.now = 100;
+    connections.closeIdle(100);
+    assertThat(closed).containsExactly(early.get(1));
+    clock.now = 160;
+    connections.closeIdle(100);
+    assertThat(closed).containsExactly(early.get(1), late.get(0), late.get(1));
+  }
+
+  private List<HttpConnection> open(int count) {
+    List<HttpConnection> opened = new ArrayList<>();
+    for (int i = 0; i < count; i++) {
+      HttpConnection connection = connection();
+      opened.add(connection);
+      connections.onOpen(connection);
+    }
+    return opened;
+  }
+
+  private HttpConnection connection() {
+    return (HttpConnection)
+        Proxy.newProxyInstance(
+            HttpConnection.class.getClassLoader(),
+            new Class<?>[] {HttpConnection.class},
+            (proxy, method, args) ->
+                switch (method.getName()) {
+                  case "close" -> {
+                    closed.add((HttpConnection) proxy);
+                    connections.onClosed((HttpConnection) proxy);
+                    yield Future.succeededFuture();
+                  }
+                  case "hashCode" -> System.identityHashCode(proxy);
+                  case "equals" -> proxy == args[0];
+                  default -> "connection";
+                });
+  }
+}
--- a/gateway/src/test/java/org/almondslip/gateway/GatewayHarness.java
+++ b/gateway/src/test/java/org/almondslip/gateway/GatewayHarness.java
@@ -34,6 +34,9 @@
    */
   static final long MAX_DELAY_MILLIS = 5_000;
 
+  /** Descriptors of the router. */
+  static final int DESCRIPTORS = 1_000;
+
   /** Resources of a test. */
   private final Closer closer = new Closer();
 
@@ -174,7 +177,8 @@
             10,
             30_000,
             6_000,
-            MAX_DELAY_MILLIS);
+            MAX_DELAY_MILLIS,
+            DESCRIPTORS);
     Gateway gateway = new Gateway(settings, clock, TestCodec.INSTANCE, (vertx, time) -> source);
     gateway.start();
     return gateway;
