Close connections whose request stalls

A caller that sent a part of a request and nothing more kept its connection for ever: it counted as busy from the first header on, and only idle connections have a time limit. A request that is being read now has the operator's idle limit since its last byte; only a request that has been read whole counts as busy. A planned stop still waits for requests that are being read.

GatewayTest.closesConnectionWhoseRequestStalls failed before (no end of the connection within 20 s, idle limit 500 ms) and passes now.

--- a/gateway/src/main/java/org/almondslip/gateway/CallerConnections.java
+++ b/gateway/src/main/java/org/almondslip/gateway/CallerConnections.java
@@ -9,7 +9,8 @@
 import org.almondslip.time.Clock;
 
 /**
- * Connections of callers, closed when they stay idle for longer than the operator allows.
+ * Connections of callers, closed when they stay idle, or stop within a request, for longer than the
+ * operator allows.
  *
  * <p>Their number is bounded, since a process without free descriptors accepts no callers and
  * reaches no targets. Answers close their connections when half of the capacity is in use; when all
@@ -29,7 +30,10 @@
   /** Connections without a request and the time since which they are idle, the longest first. */
   private final Map<HttpConnection, Long> idle = new LinkedHashMap<>();
 
-  /** Connections that carry a request. */
+  /** Connections whose request is being read and the time of its last bytes, the longest first. */
+  private final Map<HttpConnection, Long> reading = new LinkedHashMap<>();
+
+  /** Connections whose request has been read and not yet answered. */
   private final Set<HttpConnection> busy = new HashSet<>();
 
   /** Connections whose further bytes are not trusted. */
@@ -71,12 +75,24 @@
   }
 
   /**
-   * Notes that a connection carries a request.
+   * Notes that bytes of a request have arrived.
+   *
+   * @param connection the connection
+   */
+  void onData(HttpConnection connection) {
+    idle.remove(connection);
+    reading.remove(connection);
+    reading.put(connection, clock.millis());
+  }
+
+  /**
+   * Notes that a whole request has arrived.
    *
    * @param connection the connection
    */
   void onRequest(HttpConnection connection) {
     idle.remove(connection);
+    reading.remove(connection);
     busy.add(connection);
   }
 
@@ -86,7 +102,7 @@
    * @param connection the connection
    */
   void onAnswered(HttpConnection connection) {
-    if (busy.remove(connection)) {
+    if (busy.remove(connection) || reading.remove(connection) != null) {
       idle.put(connection, clock.millis());
     }
   }
@@ -117,6 +133,7 @@
    */
   void onClosed(HttpConnection connection) {
     idle.remove(connection);
+    reading.remove(connection);
     busy.remove(connection);
     rejected.remove(connection);
   }
@@ -127,10 +144,16 @@
    * @param idleMillis the longest idle time in milliseconds
    */
   void closeIdle(long idleMillis) {
-    long now = clock.millis();
-    while (!idle.isEmpty() && now - idle.values().iterator().next() >= idleMillis) {
-      close(idle.keySet().iterator());
-    }
+    closeOld(idle, idleMillis);
+  }
+
+  /**
+   * Closes connections that have sent a part of a request and nothing more for too long.
+   *
+   * @param idleMillis the longest time without a byte in milliseconds
+   */
+  void closeStalled(long idleMillis) {
+    closeOld(reading, idleMillis);
   }
 
   /**
@@ -139,7 +162,7 @@
    * @return the number
    */
   int size() {
-    return idle.size() + busy.size();
+    return idle.size() + reading.size() + busy.size();
   }
 
   /**
@@ -178,6 +201,19 @@
     return refused;
   }
 
+  /**
+   * Closes connections without a change for too long.
+   *
+   * @param connections the connections and the times of their last change, the earliest first
+   * @param millis the longest time without a change in milliseconds
+   */
+  private void closeOld(Map<HttpConnection, Long> connections, long millis) {
+    long now = clock.millis();
+    while (!connections.isEmpty() && now - connections.values().iterator().next() >= millis) {
+      close(connections.keySet().iterator());
+    }
+  }
+
   /**
    * Closes the next connection. It is removed first, since its close handler may run at once.
    *
--- a/gateway/src/main/java/org/almondslip/gateway/Gateway.java
+++ b/gateway/src/main/java/org/almondslip/gateway/Gateway.java
@@ -322,10 +322,17 @@
     dispatcher.tick();
   }
 
-  /** Closes connections that have been idle for too long. */
+  /** Closes connections that have been idle, or stopped within a request, for too long. */
   private void sweep() {
     targets.expire();
-    directory.table().ifPresent(table -> callers.closeIdle(table.limits().idleMillis()));
+    directory
+        .table()
+        .map(table -> table.limits().idleMillis())
+        .ifPresent(
+            millis -> {
+              callers.closeIdle(millis);
+              callers.closeStalled(millis);
+            });
   }
 
   /**
--- a/gateway/src/main/java/org/almondslip/gateway/Intake.java
+++ b/gateway/src/main/java/org/almondslip/gateway/Intake.java
@@ -151,7 +151,7 @@
     if (connections.isRejected(request.connection())) {
       return;
     }
-    connections.onRequest(request.connection());
+    connections.onData(request.connection());
     CallerAnswer answer = new CallerAnswer(request, closing.getAsBoolean());
     if (request.headers().contains(StrictRequestDecoder.AMBIGUOUS_LENGTH)) {
       reject(request, ErrorCode.BAD_REQUEST, "the request has both a length and chunks");
@@ -167,7 +167,7 @@
       return;
     }
     IntakeLimits limits = table.get().limits();
-    if (headerBytes(request) > limits.maxHeaderBytes()) {
+    if (RequestHead.size(request) > limits.maxHeaderBytes()) {
       reject(request, ErrorCode.HEADERS_TOO_LARGE, ErrorCode.HEADERS_TOO_LARGE.title());
       return;
     }
@@ -190,6 +190,7 @@
           if (answer.ended()) {
             return;
           }
+          connections.onData(request.connection());
           body.appendBuffer(data);
           if (body.length() > maxBytes) {
             answer.abandon();
@@ -200,6 +201,7 @@
     request.endHandler(
         ignored -> {
           if (!answer.ended()) {
+            connections.onRequest(request.connection());
             check(request, answer, body, arrival);
           }
         });
@@ -216,7 +218,8 @@
   private void check(HttpServerRequest request, CallerAnswer answer, Buffer body, Arrival arrival) {
     RoutingTable table = directory.table().orElseThrow();
     Optional<Route> route =
-        table.route(Objects.requireNonNullElse(request.getHeader("Host"), ""), path(request));
+        table.route(
+            Objects.requireNonNullElse(request.getHeader("Host"), ""), RequestHead.path(request));
     if (route.isEmpty()) {
       fail(request, answer, ErrorCode.NOT_FOUND, "no route matches");
       return;
@@ -373,30 +376,4 @@
             .orElse("");
     parts.decisions().rejected(code, detail, decoded.requestId(), organisation);
   }
-
-  /**
-   * Returns the path of a request without the query.
-   *
-   * @param request the request
-   * @return the path
-   */
-  private static String path(HttpServerRequest request) {
-    int query = request.uri().indexOf('?');
-    return query < 0 ? request.uri() : request.uri().substring(0, query);
-  }
-
-  /**
-   * Returns the size of the headers of a request.
-   *
-   * @param request the request
-   * @return the size in bytes
-   */
-  private static int headerBytes(HttpServerRequest request) {
-    int size = request.uri().length();
-    for (var header : request.headers()) {
-      // Each header line has a colon, a space and a line end of two bytes.
-      size += header.getKey().length() + header.getValue().length() + 4;
-    }
-    return size;
-  }
 }
--- a/gateway/src/test/java/org/almondslip/gateway/CallerConnectionsTest.java
+++ b/gateway/src/test/java/org/almondslip/gateway/CallerConnectionsTest.java
@@ -70,7 +70,7 @@
   /** Guards against idle connections kept although much of the capacity is in use. */
   @Test
   void crowdedAboveHalfOfTheCapacity() {
-    List<HttpConnection> opened = open(CAPACITY / 2);
+    final List<HttpConnection> opened = open(CAPACITY / 2);
     assertThat(connections.crowded()).isFalse();
     open(1);
     assertThat(connections.crowded()).isTrue();
@@ -93,6 +93,21 @@
     assertThat(closed).containsExactly(early.get(1), late.get(0), late.get(1));
   }
 
+  /** Guards against slow requests that are cut off, and against stalled ones that never are. */
+  @Test
+  void closesConnectionsWhoseRequestStalls() {
+    List<HttpConnection> opened = open(3);
+    opened.forEach(connections::onData);
+    connections.onRequest(opened.get(0));
+    clock.now = 60;
+    connections.onData(opened.get(1));
+    clock.now = 100;
+    connections.closeStalled(100);
+    connections.closeIdle(100);
+    assertThat(closed).containsExactly(opened.get(2));
+    assertThat(connections.size()).isEqualTo(2);
+  }
+
   private List<HttpConnection> open(int count) {
     List<HttpConnection> opened = new ArrayList<>();
     for (int i = 0; i < count; i++) {
--- a/gateway/src/test/java/org/almondslip/gateway/GatewayHarness.java
+++ b/gateway/src/test/java/org/almondslip/gateway/GatewayHarness.java
@@ -40,6 +40,9 @@
   /** Resources of a test. */
   private final Closer closer = new Closer();
 
+  /** Longest time that a connection of a caller may stay idle, in milliseconds. */
+  private long idleMillis = 15_000;
+
   /** Clock of the router. */
   private final SteppedClock clock = new SteppedClock();
 
@@ -117,6 +120,15 @@
     return closer.register(new ScriptedTarget(script));
   }
 
+  /**
+   * Sets how long connections of callers may stay idle.
+   *
+   * @param millis the time in milliseconds
+   */
+  void setIdleMillis(long millis) {
+    idleMillis = millis;
+  }
+
   /**
    * Starts a router with one route.
    *
@@ -145,7 +157,7 @@
             List.of(new ServicePolicy("s", 0)),
             Map.of("secret", new Organisation("org", OptionalInt.empty())),
             true,
-            new IntakeLimits(8_192, 65_536, 3_000, 15_000));
+            new IntakeLimits(8_192, 65_536, 3_000, idleMillis));
     DirectorySource source =
         new DirectorySource() {
           @Override
--- a/gateway/src/test/java/org/almondslip/gateway/GatewayTest.java
+++ b/gateway/src/test/java/org/almondslip/gateway/GatewayTest.java
@@ -224,6 +224,18 @@
     GatewayHarness.await(() -> target.closed() > 0);
   }
 
+  /** Guards against connections held for ever by callers that stop within a request. */
+  @Test
+  void closesConnectionWhoseRequestStalls() throws IOException {
+    ScriptedTarget target =
+        harness.target((number, socket) -> ScriptedTarget.write(socket, COMPLETE));
+    harness.setIdleMillis(500);
+    Gateway gateway = harness.gateway(RouteKind.IDEMPOTENT, 1, target);
+    String half = GatewayHarness.request("").replace("Content-Length: 2", "Content-Length: 9");
+    assertThat(GatewayHarness.call(gateway, half)).isEmpty();
+    assertThat(target.requests()).isEmpty();
+  }
+
   /**
    * Guards against a request that reaches a target after its caller has gone, because it waited
    * unread while the event loop was busy.
