Measure what reports between routers cost

docs/CAPACITY.md had no slope for the routers of the platform, whose reports go from each one to each other. bin/slopes now has bytes, datagrams and the processor time to write and read them, by organisations with a new total, targets in use and prompts sent.

--- a/bench/src/main/java/org/almondslip/bench/slopes/SlopesRun.java
+++ b/bench/src/main/java/org/almondslip/bench/slopes/SlopesRun.java
@@ -33,6 +33,7 @@
     parts.put("digests", DigestSlopes::measure);
     parts.put("membership", MembershipSlopes::measure);
     parts.put("catalog", CatalogSlopes::measure);
+    parts.put("reports", ReportSlopes::measure);
     ObjectNode json = JsonNodeFactory.instance.objectNode();
     json.put("java", System.getProperty("java.version"));
     json.put("processors", Runtime.getRuntime().availableProcessors());
