--- a/core/src/main/java/org/almondslip/dispatch/Dispatcher.java
+++ b/core/src/main/java/org/almondslip/dispatch/Dispatcher.java
@@ -196,12 +196,13 @@
    */
   public void submit(Job job) {
     FairQueue queue = queue(job.service());
+    OpenTargets open = new OpenTargets(targets(job.service()), room, clock.millis());
     if (!job.started()) {
       share(job.service()).onAsked(job.organisation(), FairQueue.cost(job), clock.millis());
       statistics.onAsked(job.service(), job.organisation(), FairQueue.cost(job));
     }
     if (queue.size() == 0 || job.started()) {
-      Optional<Placement.Choice> choice = choose(job, openFor(job));
+      Optional<Placement.Choice> choice = choose(job, open);
       if (choice.isPresent()) {
         send(job, choice.get());
         return;
@@ -210,7 +211,7 @@
     Optional<RefusalReason> obstacle =
         job.started()
             ? Optional.empty()
-            : admission.obstacle(job, queue, share(job.service()), openFor(job));
+            : admission.obstacle(job, queue, share(job.service()), open);
     if (obstacle.isPresent()) {
       refuse(job, queue, obstacle.get());
       return;
@@ -252,7 +253,7 @@
    * @param job the job
    */
   public void cancel(Job job) {
-    queue(job.service()).removeIf(other -> other == job);
+    queue(job.service()).remove(job);
   }
 
   /**
@@ -358,16 +359,6 @@
     return again > limits.againTokens() ? Optional.empty() : choice;
   }
 
-  /**
-   * Returns the targets with room for a job.
-   *
-   * @param job the job
-   * @return the targets of its service
-   */
-  private OpenTargets openFor(Job job) {
-    return new OpenTargets(targets(job.service()), room, clock.millis());
-  }
-
   /**
    * Returns whether a job waits for a target that keeps its shared parts. An underserved
    * organisation does not: one with many jobs has one for each target and would be served more
