Remove a rate that nothing asks for, and keep the packer of reports in its package

The even share took the place of the rates of sent work, which left DecayingSum.ratePerMilli without a caller. Only the package of reports uses ReportPacker. No behaviour changes.

--- a/core/src/main/java/org/almondslip/dispatch/DecayingSum.java
+++ b/core/src/main/java/org/almondslip/dispatch/DecayingSum.java
@@ -44,14 +44,4 @@
         ? sum
         : sum * Math.exp((changedAt - now) / timeConstantMillis);
   }
-
-  /**
-   * Returns the average rate.
-   *
-   * @param now the current time in milliseconds
-   * @return the amount in a millisecond
-   */
-  double ratePerMilli(long now) {
-    return at(now) / timeConstantMillis;
-  }
 }
--- a/core/src/main/java/org/almondslip/report/ReportPacker.java
+++ b/core/src/main/java/org/almondslip/report/ReportPacker.java
@@ -11,13 +11,13 @@
 import org.almondslip.protocol.wire.TargetReport;
 
 /** Spreads the entries of a report over as many datagrams as they need. */
-public final class ReportPacker {
+final class ReportPacker {
 
   /**
    * Largest size of a datagram in bytes: a frame of the network without the headers of IP and UDP.
    * Larger ones travel in fragments and are lost when one of these is.
    */
-  public static final int MAX_BYTES = 1_400;
+  static final int MAX_BYTES = 1_400;
 
   /** Name of the router. */
   private final String name;
