Keep the two tables of targets in step in one class

Dispatcher kept targets by service and, since reports are read by key, a second table by key, and changed both in add and remove. Behaviour is the same.

--- a/core/src/main/java/org/almondslip/dispatch/Dispatcher.java
+++ b/core/src/main/java/org/almondslip/dispatch/Dispatcher.java
@@ -38,11 +38,8 @@
   /** Decision which jobs can be on time. */
   private final JobAdmission admission;
 
-  /** Targets by service. */
-  private final Map<String, Map<String, TargetLoad>> targets = new HashMap<>();
-
-  /** Targets by the key that all routers share. */
-  private final Map<Long, TargetLoad> targetsByKey = new HashMap<>();
+  /** Targets. */
+  private final TargetTable targets = new TargetTable();
 
   /** Queues by service. */
   private final Map<String, FairQueue> queues = new HashMap<>();
@@ -78,10 +75,7 @@
    * @param target the target
    */
   public void add(TargetLoad target) {
-    targets
-        .computeIfAbsent(target.target().service(), service -> new HashMap<>())
-        .put(target.target().id(), target);
-    targetsByKey.put(target.key(), target);
+    targets.add(target);
     pump(target.target().service());
   }
 
@@ -92,8 +86,7 @@
    * @param id the id of the target
    */
   public void remove(String service, String id) {
-    Optional.ofNullable(targets.getOrDefault(service, new HashMap<>()).remove(id))
-        .ifPresent(target -> targetsByKey.remove(target.key()));
+    targets.remove(service, id);
   }
 
   /**
@@ -103,7 +96,7 @@
    * @return the target
    */
   public Optional<TargetLoad> target(long key) {
-    return Optional.ofNullable(targetsByKey.get(key));
+    return targets.find(key);
   }
 
   /**
@@ -113,7 +106,7 @@
    * @return the targets
    */
   public Collection<TargetLoad> targets(String service) {
-    return targets.getOrDefault(service, Map.of()).values();
+    return targets.of(service);
   }
 
   /**
@@ -122,9 +115,7 @@
    * @return the targets
    */
   public List<TargetLoad> targets() {
-    List<TargetLoad> all = new ArrayList<>();
-    targets.values().forEach(map -> all.addAll(map.values()));
-    return all;
+    return targets.all();
   }
 
   /**
@@ -153,16 +144,17 @@
   public List<DispatchStatus> status() {
     long now = clock.millis();
     List<DispatchStatus> all = new ArrayList<>();
-    targets.forEach(
-        (service, map) ->
-            all.add(
-                new DispatchStatus(
-                    service,
-                    queue(service).size(),
-                    map.size(),
-                    (int) map.values().stream().filter(target -> room.isOpen(target, now)).count(),
-                    share(service).level(now),
-                    share(service).underserved(now))));
+    for (String service : targets.services()) {
+      Collection<TargetLoad> known = targets(service);
+      all.add(
+          new DispatchStatus(
+              service,
+              queue(service).size(),
+              known.size(),
+              (int) known.stream().filter(target -> room.isOpen(target, now)).count(),
+              share(service).level(now),
+              share(service).underserved(now)));
+    }
     return all;
   }
 
