Close idle and stalled connections of callers in one call, and use the project's clock in the test

Gateway called two methods with the same limit; CallerConnections.expire does both. CallerConnectionsTest had written Clock.Manual again. Assertions and behaviour are the same.

--- a/gateway/src/main/java/org/almondslip/gateway/CallerConnections.java
+++ b/gateway/src/main/java/org/almondslip/gateway/CallerConnections.java
@@ -148,11 +148,12 @@
   }
 
   /**
-   * Closes connections that have sent a part of a request and nothing more for too long.
+   * Closes connections that have been idle, or stopped within a request, for too long.
    *
    * @param idleMillis the longest time without a byte in milliseconds
    */
-  void closeStalled(long idleMillis) {
+  void expire(long idleMillis) {
+    closeIdle(idleMillis);
     closeOld(reading, idleMillis);
   }
 
--- a/gateway/src/main/java/org/almondslip/gateway/Gateway.java
+++ b/gateway/src/main/java/org/almondslip/gateway/Gateway.java
@@ -325,14 +325,7 @@
   /** Closes connections that have been idle, or stopped within a request, for too long. */
   private void sweep() {
     targets.expire();
-    directory
-        .table()
-        .map(table -> table.limits().idleMillis())
-        .ifPresent(
-            millis -> {
-              callers.closeIdle(millis);
-              callers.closeStalled(millis);
-            });
+    directory.table().ifPresent(table -> callers.expire(table.limits().idleMillis()));
   }
 
   /**
--- a/gateway/src/test/java/org/almondslip/gateway/CallerConnectionsTest.java
+++ b/gateway/src/test/java/org/almondslip/gateway/CallerConnectionsTest.java
@@ -18,26 +18,10 @@
   /** Connections in the order in which they were closed. */
   private final List<HttpConnection> closed = new ArrayList<>();
 
-  private final SettableClock clock = new SettableClock();
+  private final Clock.Manual clock = new Clock.Manual(0);
 
   private final CallerConnections connections = new CallerConnections(clock, CAPACITY);
 
-  /** Clock that a test sets. */
-  private static final class SettableClock implements Clock {
-
-    private long now;
-
-    @Override
-    public long millis() {
-      return now;
-    }
-
-    @Override
-    public long wallMillis() {
-      return now;
-    }
-  }
-
   /** Guards against a process that runs out of descriptors beside idle connections. */
   @Test
   void newConnectionReplacesTheLongestIdle() {
@@ -82,13 +66,13 @@
   @Test
   void closesConnectionsThatWereIdleForTooLong() {
     List<HttpConnection> early = open(2);
-    clock.now = 60;
+    clock.advance(60);
     final List<HttpConnection> late = open(2);
     connections.onRequest(early.get(0));
-    clock.now = 100;
+    clock.advance(40);
     connections.closeIdle(100);
     assertThat(closed).containsExactly(early.get(1));
-    clock.now = 160;
+    clock.advance(60);
     connections.closeIdle(100);
     assertThat(closed).containsExactly(early.get(1), late.get(0), late.get(1));
   }
@@ -99,11 +83,10 @@
     List<HttpConnection> opened = open(3);
     opened.forEach(connections::onData);
     connections.onRequest(opened.get(0));
-    clock.now = 60;
+    clock.advance(60);
     connections.onData(opened.get(1));
-    clock.now = 100;
-    connections.closeStalled(100);
-    connections.closeIdle(100);
+    clock.advance(40);
+    connections.expire(100);
     assertThat(closed).containsExactly(opened.get(2));
     assertThat(connections.size()).isEqualTo(2);
   }
