Read the headers of a request once when a late router refuses it

Such a request had been decoded and its organisation looked up, and the log line did both again, at a router that is behind its load. The line has the same content (GatewayTest passes).

--- a/gateway/src/main/java/org/almondslip/gateway/Intake.java
+++ b/gateway/src/main/java/org/almondslip/gateway/Intake.java
@@ -265,11 +265,9 @@
     String name = organisation.map(Organisation::name).orElse("");
     if (isTooLate(arrival, service, name)) {
       parts.dispatcher().onRefused(service, name, decoded.prompt(), RefusalReason.EVENT_LOOP_DELAY);
-      refuse(
-          request,
-          answer,
-          ErrorCode.ROUTER_OVERLOADED,
-          "the event loop is up to " + arrival.waitedMillis() + " ms behind");
+      String detail = "the event loop is up to " + arrival.waitedMillis() + " ms behind";
+      parts.decisions().rejected(ErrorCode.ROUTER_OVERLOADED, detail, decoded.requestId(), name);
+      turnAway(request, answer, ErrorCode.ROUTER_OVERLOADED, detail);
       return;
     }
     CallerCall call =
@@ -341,6 +339,19 @@
   private void refuse(
       HttpServerRequest request, CallerAnswer answer, ErrorCode code, String detail) {
     logRejection(request, code, detail);
+    turnAway(request, answer, code, detail);
+  }
+
+  /**
+   * Tells a caller when to come back.
+   *
+   * @param request the request
+   * @param answer the answer
+   * @param code the code of the error
+   * @param detail why it is refused
+   */
+  private void turnAway(
+      HttpServerRequest request, CallerAnswer answer, ErrorCode code, String detail) {
     answer.fail(code, detail, OptionalLong.of(NOT_READY_RETRY_MILLIS));
     connections.onAnswered(request.connection());
   }
