--- a/core/src/main/java/org/almondslip/directory/Address.java
+++ b/core/src/main/java/org/almondslip/directory/Address.java
@@ -12,8 +12,11 @@
  */
 public record Address(String host, int port) {
 
+  /** Number from 0 to 255. A larger one would be resolved as a host name. */
+  private static final String OCTET = "(?:25[0-5]|2[0-4]\\d|1?\\d?\\d)";
+
   private static final Pattern IP_AND_PORT =
-      Pattern.compile("(\\d{1,3}(?:\\.\\d{1,3}){3}):(\\d{1,5})");
+      Pattern.compile("(" + OCTET + "(?:\\." + OCTET + "){3}):(\\d{1,5})");
 
   private static final int MAX_PORT = 65_535;
 
--- a/gateway/src/main/java/org/almondslip/gateway/PeerExchange.java
+++ b/gateway/src/main/java/org/almondslip/gateway/PeerExchange.java
@@ -81,7 +81,7 @@
 
   @Override
   public void onPeerAddress(String peer, Optional<String> address) {
-    Optional<Address> parsed = address.flatMap(Address::parse);
+    Optional<Address> parsed = address.flatMap(Address::parse).filter(to -> to.port() > 0);
     if (peer.equals(name) || parsed.isEmpty()) {
       peers.remove(peer);
       return;
