Accept a target's response only with the id of its request

What callers saw: a target that writes an earlier refusal or answer once more on a kept connection, without its id, had it taken for the response to the next request. The caller was told that a request had not run which the target was running, or received the answer to another request.

Cause: TargetAttempt accepted a response whose id was missing as if it matched.

Change: a response without the id of the request counts as lost, so a request that must not be repeated ends with 502. A request without an id, which no response can be matched to, is sent on a new connection.

Ruled out: a repeated refusal or answer with the id of the earlier request was already discarded; a late copy on an idle connection closes it (Vert.x), and the next request uses a new one.

--- a/gateway/src/main/java/org/almondslip/gateway/TargetAttempt.java
+++ b/gateway/src/main/java/org/almondslip/gateway/TargetAttempt.java
@@ -19,6 +19,12 @@
 
   private static final int MIN_SERVER_ERROR_STATUS = 500;
 
+  /**
+   * Maximum idle time of a connection for a request that must not be repeated, in milliseconds. A
+   * target may close an idle connection without notice, and such a request could not be retried.
+   */
+  private static final long NON_REPEATABLE_IDLE_MILLIS = 1_000;
+
   private final ForwardingContext context;
 
   private final InboundRequest inbound;
@@ -80,9 +86,8 @@
 
   /** Acquires a connection and sends the request. */
   void start() {
-    boolean repeatable = inbound.route().kind().repeatable();
     Future<TargetConnectionPool.Lease> connection =
-        context.connections().acquire(target.record(), repeatable);
+        context.connections().acquire(target.record(), maxIdleMillis());
     connection.onComplete(
         acquired -> {
           if (acquired.failed()) {
@@ -96,6 +101,15 @@
         });
   }
 
+  /** Returns the maximum idle time of the connection in milliseconds, 0 for a new connection. */
+  private long maxIdleMillis() {
+    if (inbound.decoded().requestId().isEmpty()) {
+      // A late response to an earlier request could not be told from the response to this one.
+      return 0;
+    }
+    return inbound.route().kind().repeatable() ? Long.MAX_VALUE : NON_REPEATABLE_IDLE_MILLIS;
+  }
+
   /** Resumes a response that was paused since the caller reads too slowly. */
   void resume() {
     response.ifPresent(HttpClientResponse::resume);
@@ -144,8 +158,8 @@
     response = Optional.of(received);
     context.crashQuarantine().onAnswer(inbound.fingerprint());
     HeaderCodec.ResponseHeaders headers = context.codec().readResponse(received.headers());
-    if (headers.requestId().isPresent()
-        && !headers.requestId().get().equals(inbound.decoded().requestId())) {
+    if (!headers.requestId().orElse("").equals(inbound.decoded().requestId())) {
+      // Also applies to a response without an id, which may be a late copy of an earlier one.
       onResponseLost("the target answered another request");
       return;
     }
--- a/gateway/src/main/java/org/almondslip/gateway/TargetConnectionPool.java
+++ b/gateway/src/main/java/org/almondslip/gateway/TargetConnectionPool.java
@@ -26,12 +26,6 @@
   /** Fraction of the idle timeout of a target after which a connection is no longer reused. */
   private static final double IDLE_TIMEOUT_FRACTION = 0.6;
 
-  /**
-   * Maximum idle time of a connection for a request that must not be repeated, in milliseconds. A
-   * target may close an idle connection without notice, and such a request could not be retried.
-   */
-  private static final long NON_REPEATABLE_IDLE_MILLIS = 1_000;
-
   private final Clock clock;
 
   private final HttpClientAgent client;
@@ -119,16 +113,17 @@
    * Leases an idle connection or opens a new one.
    *
    * @param target the target
-   * @param repeatable whether the request may be retried when the connection proves to be closed
+   * @param maxIdleMillis the maximum time for which the connection may have been idle, in
+   *     milliseconds; 0 for a new connection
    * @return the connection; the future fails only before anything was sent
    */
-  Future<Lease> acquire(TargetRecord target, boolean repeatable) {
+  Future<Lease> acquire(TargetRecord target, long maxIdleMillis) {
     String address = target.host() + ":" + target.port();
     Deque<Lease> deque = idle.getOrDefault(address, new ArrayDeque<>());
     long now = clock.millis();
     while (!deque.isEmpty()) {
       Lease lease = deque.pollFirst();
-      boolean fresh = repeatable || now - lease.idleSince < NON_REPEATABLE_IDLE_MILLIS;
+      boolean fresh = now - lease.idleSince < maxIdleMillis;
       if (!lease.closed && fresh && now < lease.usableUntil) {
         return Future.succeededFuture(lease);
       }
--- a/gateway/src/test/java/org/almondslip/gateway/ScriptedTarget.java
+++ b/gateway/src/test/java/org/almondslip/gateway/ScriptedTarget.java
@@ -61,6 +61,11 @@
     return requests;
   }
 
+  /** Returns the number of accepted connections. */
+  int connections() {
+    return sockets.size();
+  }
+
   /** Returns the number of connections that the router has closed. */
   int closedConnections() {
     return closedConnections;
