Bound the memory of all bodies that a router holds

What callers saw: 50 uploads of 4 MiB that never ended caused 156 OutOfMemoryErrors in a router with 96 MB of heap, and a target whose response body never ended filled the heap until the deadline.

Cause: each request body had a limit, but the sum over connections had none; response bodies had no limit at all.

Change: BodyMemory bounds the sum of all bodies to an eighth of the heap, so the bound follows -Xmx on each machine. A request that does not fit is refused at once with 503 and has not run; a response that does not fit counts as lost. Metrics: almondslip_gateway_body_bytes, its limit, and bodies refused.

--- a/gateway/src/main/java/org/almondslip/gateway/CallerRequestHandler.java
+++ b/gateway/src/main/java/org/almondslip/gateway/CallerRequestHandler.java
@@ -134,7 +134,11 @@
     connections.onData(request.connection());
     CallerResponse response = new CallerResponse(request, closeConnections.getAsBoolean());
     if (request.headers().contains(StrictRequestDecoder.AMBIGUOUS_LENGTH)) {
-      reject(request, ErrorCode.BAD_REQUEST, "the request has both a length and chunks");
+      reject(
+          request,
+          ErrorCode.BAD_REQUEST,
+          OptionalLong.empty(),
+          "the request has both a length and chunks");
       return;
     }
     if (refuseRequests.getAsBoolean()) {
@@ -148,7 +152,11 @@
     }
     IngressLimits limits = table.get().limits();
     if (RequestHead.size(request) > limits.maxHeaderBytes()) {
-      reject(request, ErrorCode.HEADERS_TOO_LARGE, ErrorCode.HEADERS_TOO_LARGE.title());
+      reject(
+          request,
+          ErrorCode.HEADERS_TOO_LARGE,
+          OptionalLong.empty(),
+          ErrorCode.HEADERS_TOO_LARGE.title());
       return;
     }
     readBody(request, response, limits.maxBodyBytes(), arrival);
@@ -157,16 +165,30 @@
   private void readBody(
       HttpServerRequest request, CallerResponse response, long maxBytes, Arrival arrival) {
     Buffer body = Buffer.buffer();
+    BodyMemory.Reservation memory = context.bodyMemory().reserve();
+    request.response().endHandler(ignored -> memory.release());
     request.handler(
         data -> {
           if (response.ended()) {
             return;
           }
           connections.onData(request.connection());
-          body.appendBuffer(data);
-          if (body.length() > maxBytes) {
+          if (body.length() + data.length() > maxBytes) {
             response.abandon();
-            reject(request, ErrorCode.BODY_TOO_LARGE, ErrorCode.BODY_TOO_LARGE.title());
+            reject(
+                request,
+                ErrorCode.BODY_TOO_LARGE,
+                OptionalLong.empty(),
+                ErrorCode.BODY_TOO_LARGE.title());
+          } else if (!memory.tryExtend(data.length())) {
+            response.abandon();
+            reject(
+                request,
+                ErrorCode.ROUTER_OVERLOADED,
+                OptionalLong.of(NOT_READY_RETRY_MILLIS),
+                "the bodies of other requests use the memory");
+          } else {
+            body.appendBuffer(data);
           }
         });
     request.exceptionHandler(failure -> response.abandon());
@@ -289,11 +311,19 @@
     connections.onRequestEnd(request.connection());
   }
 
-  /** Rejects an invalid request and closes its connection, whose further data is not trusted. */
-  private void reject(HttpServerRequest request, ErrorCode code, String detail) {
+  /**
+   * Rejects a request whose remaining data is not read, and closes its connection.
+   *
+   * @param request the request
+   * @param code the code of the error
+   * @param retryAfterMillis the time after which the caller may retry, in milliseconds
+   * @param detail the explanation, in one sentence
+   */
+  private void reject(
+      HttpServerRequest request, ErrorCode code, OptionalLong retryAfterMillis, String detail) {
     logRejected(request, code, detail);
     connections.onRejected(request.connection());
-    new CallerResponse(request, true).fail(code, detail, OptionalLong.empty());
+    new CallerResponse(request, true).fail(code, detail, retryAfterMillis);
     request.connection().shutdown(LINGER_MILLIS, TimeUnit.MILLISECONDS);
   }
 
--- a/gateway/src/main/java/org/almondslip/gateway/CallerResponse.java
+++ b/gateway/src/main/java/org/almondslip/gateway/CallerResponse.java
@@ -1,6 +1,7 @@
 package org.almondslip.gateway;
 
 import com.google.protobuf.ByteString;
+import io.vertx.core.Future;
 import io.vertx.core.MultiMap;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpServerRequest;
@@ -50,11 +51,12 @@
    * @param status the status code
    * @param headers the response headers of the target
    * @param body the body
+   * @return completes when the response has been written or the caller has gone
    */
-  void send(int status, MultiMap headers, Buffer body) {
+  Future<Void> send(int status, MultiMap headers, Buffer body) {
     HttpServerResponse response = start(status, headers);
     ended = true;
-    response.end(body);
+    return response.end(body);
   }
 
   /**
--- a/gateway/src/main/java/org/almondslip/gateway/ForwardingContext.java
+++ b/gateway/src/main/java/org/almondslip/gateway/ForwardingContext.java
@@ -32,6 +32,8 @@
 
   private final CrashQuarantine crashQuarantine;
 
+  private final BodyMemory bodyMemory;
+
   /** Retry limiters by service. */
   private final Map<String, RetryLimiter> retryLimiters = new HashMap<>();
 
@@ -47,6 +49,7 @@
    * @param decisionLog logs decisions about requests
    * @param peerReporter reports to other routers
    * @param crashQuarantine the quarantine of requests that crash targets
+   * @param bodyMemory the memory of the bodies of requests and responses
    */
   ForwardingContext(
       Clock clock,
@@ -57,7 +60,8 @@
       TargetConnectionPool connections,
       DecisionLog decisionLog,
       PeerReporter peerReporter,
-      CrashQuarantine crashQuarantine) {
+      CrashQuarantine crashQuarantine,
+      BodyMemory bodyMemory) {
     this.clock = clock;
     this.settings = settings;
     this.codec = codec;
@@ -67,6 +71,7 @@
     this.decisionLog = decisionLog;
     this.peerReporter = peerReporter;
     this.crashQuarantine = crashQuarantine;
+    this.bodyMemory = bodyMemory;
   }
 
   Clock clock() {
@@ -97,6 +102,10 @@
     return crashQuarantine;
   }
 
+  BodyMemory bodyMemory() {
+    return bodyMemory;
+  }
+
   /** Returns the limits of the request queues. */
   DispatchLimits dispatchLimits() {
     return DispatchLimits.DEFAULT;
--- a/gateway/src/main/java/org/almondslip/gateway/Gateway.java
+++ b/gateway/src/main/java/org/almondslip/gateway/Gateway.java
@@ -96,6 +96,8 @@
 
   private final DecisionLog decisionLog;
 
+  private final BodyMemory bodyMemory = BodyMemory.ofHeap();
+
   private final EventLoopDelay eventLoopDelay;
 
   private final OverloadDetector overloadDetector;
@@ -174,7 +176,8 @@
             targetConnections,
             decisionLog,
             peerExchange,
-            crashQuarantine);
+            crashQuarantine,
+            bodyMemory);
     this.requestHandler =
         new CallerRequestHandler(
             vertx,
@@ -201,7 +204,8 @@
             directory,
             eventLoopDelay,
             overloadDetector,
-            peerExchange.counts());
+            peerExchange.counts(),
+            bodyMemory);
     runOnEventLoop(
         () -> {
           source.start(directory, peerExchange);
@@ -236,6 +240,10 @@
     return dispatcher;
   }
 
+  BodyMemory bodyMemory() {
+    return bodyMemory;
+  }
+
   @Override
   public void drain() {
     draining = true;
--- a/gateway/src/main/java/org/almondslip/gateway/GatewayMetrics.java
+++ b/gateway/src/main/java/org/almondslip/gateway/GatewayMetrics.java
@@ -29,6 +29,7 @@
    * @param eventLoopDelay the delay of the event loop
    * @param overloadDetector whether the router is overloaded
    * @param reports the counts of reports between routers
+   * @param bodyMemory the memory of the bodies of requests and responses
    */
   void register(
       DecisionLog decisions,
@@ -38,7 +39,8 @@
       Directory directory,
       EventLoopDelay eventLoopDelay,
       OverloadDetector overloadDetector,
-      ReportCounts reports) {
+      ReportCounts reports,
+      BodyMemory bodyMemory) {
     CounterWithCallback.builder()
         .name("almondslip_gateway_requests_total")
         .help("Requests that have ended, by outcome")
@@ -117,6 +119,19 @@
         "1 while the router is behind its load and not ready",
         () -> overloadDetector.overloaded() ? 1 : 0);
     gauge("almondslip_gateway_targets", "Live targets", () -> directory.targets().size());
+    gauge(
+        "almondslip_gateway_body_bytes",
+        "Memory of the bodies of requests and responses",
+        () -> bodyMemory.used());
+    gauge(
+        "almondslip_gateway_body_bytes_limit",
+        "Largest memory of the bodies of requests and responses",
+        () -> bodyMemory.capacity());
+    CounterWithCallback.builder()
+        .name("almondslip_gateway_bodies_refused_total")
+        .help("Requests and responses that were given up for want of memory")
+        .callback(values -> values.call(bodyMemory.refused()))
+        .register(registry);
   }
 
   /** Collects the tokens of all organisations by what became of them. */
--- a/gateway/src/main/java/org/almondslip/gateway/TargetAttempt.java
+++ b/gateway/src/main/java/org/almondslip/gateway/TargetAttempt.java
@@ -53,6 +53,9 @@
   /** Splits the stream at event boundaries, so that only complete events are forwarded. */
   private final EventSplitter splitter = new EventSplitter();
 
+  /** Memory of a response that is forwarded when it is complete. */
+  private final BodyMemory.Reservation memory;
+
   private boolean ended;
 
   /**
@@ -82,6 +85,7 @@
     this.expectedMillis = context.expectedMillis(target, inbound.decoded().prompt());
     this.load = new AttemptLoad(context.dispatcher(), target, inbound.decoded().prompt());
     context.peerReporter().onSent(target, inbound.decoded().prompt());
+    this.memory = context.bodyMemory().reserve();
   }
 
   /** Acquires a connection and sends the request. */
@@ -118,6 +122,7 @@
   /** Closes the connection, which makes the target cancel the request. */
   void cancel() {
     if (!ended) {
+      memory.release();
       end();
       lease.ifPresent(TargetConnectionPool.Lease::discard);
     }
@@ -214,7 +219,9 @@
           boolean retried =
               received.statusCode() >= MIN_SERVER_ERROR_STATUS
                   && listener.onServerError(received.statusCode());
-          if (!retried) {
+          if (retried) {
+            memory.release();
+          } else {
             sendResponse(received, body);
           }
         });
@@ -232,10 +239,14 @@
   /** Sends a complete response to the caller. Not possible after a stream has started. */
   private void sendResponse(HttpClientResponse received, Buffer body) {
     if (listener.response().started()) {
+      memory.release();
       listener.onResponseLost(target, "the stream could not be continued");
       return;
     }
-    listener.response().send(received.statusCode(), received.headers(), body);
+    listener
+        .response()
+        .send(received.statusCode(), received.headers(), body)
+        .onComplete(ignored -> memory.release());
     listener.onComplete(received.statusCode());
   }
 
@@ -248,7 +259,17 @@
   private void collectBody(HttpClientResponse received, java.util.function.Consumer<Buffer> next) {
     Buffer body = Buffer.buffer();
     received.exceptionHandler(failure -> onResponseLost("the answer was cut off"));
-    received.handler(body::appendBuffer);
+    received.handler(
+        data -> {
+          if (ended) {
+            return;
+          }
+          if (memory.tryExtend(data.length())) {
+            body.appendBuffer(data);
+          } else {
+            onResponseLost("the answer is larger than the memory for it");
+          }
+        });
     received.endHandler(
         ignored -> {
           if (ended) {
@@ -336,6 +357,7 @@
 
   private void onResponseLost(String reason) {
     if (!ended) {
+      memory.release();
       target.onFailure(context.clock().millis());
       end();
       lease.ifPresent(TargetConnectionPool.Lease::discard);
