Answer requests whose body arrives during a planned stop

What callers saw: a request whose body was under way when SIGTERM came was cut off without an answer 2.6 s later.

Cause: a planned stop ended as soon as no request was forwarded, and a request counts as forwarded only once its body has been read. A request whose deadline had passed by then was still sent to a target, with 1 ms left.

Change: the stop also waits for connections that are receiving a request, up to the time limit of the stop, and a request whose deadline passed before it was read is refused as not run.

--- a/gateway/src/main/java/org/almondslip/gateway/CallerConnections.java
+++ b/gateway/src/main/java/org/almondslip/gateway/CallerConnections.java
@@ -119,6 +119,11 @@
     closeExpired(reading, timeoutMillis);
   }
 
+  /** Returns whether a connection is receiving a request or waits for a response. */
+  boolean hasRequests() {
+    return !reading.isEmpty() || !busy.isEmpty();
+  }
+
   /** Returns the number of open connections. */
   int size() {
     return idle.size() + reading.size() + busy.size();
--- a/gateway/src/main/java/org/almondslip/gateway/ForwardedRequest.java
+++ b/gateway/src/main/java/org/almondslip/gateway/ForwardedRequest.java
@@ -97,8 +97,18 @@
     request.response().drainHandler(ignored -> currentAttempt.ifPresent(TargetAttempt::resume));
   }
 
-  /** Submits the request to the dispatcher, or fails it when it is quarantined. */
+  /**
+   * Submits the request to the dispatcher, or fails it when it is quarantined or its deadline
+   * passed before its body was complete.
+   */
   void start() {
+    if (context.clock().millis() >= inbound.deadlineAt()) {
+      fail(
+          ErrorCode.ROUTER_OVERLOADED,
+          "the deadline passed before the request was read",
+          OptionalLong.of(context.dispatchLimits().retryAfterMillis()));
+      return;
+    }
     if (context.crashQuarantine().isQuarantined(inbound.fingerprint())) {
       fail(ErrorCode.TARGET_FAILED, "the request has crashed targets", OptionalLong.empty());
       return;
--- a/gateway/src/main/java/org/almondslip/gateway/Gateway.java
+++ b/gateway/src/main/java/org/almondslip/gateway/Gateway.java
@@ -260,7 +260,7 @@
                     refusingRequests = true;
                     callerConnections.closeIdle(0);
                   }
-                  if (refusingRequests && requestHandler.openRequests() == 0 || now >= abortAt) {
+                  if (refusingRequests && !callerConnections.hasRequests() || now >= abortAt) {
                     drained.countDown();
                   }
                 }));
