Divide the retry allowance of the fleet by the number of its routers

Cause: each router used a fortieth of the fleet's allowance, whatever the size of the fleet. At 410 routers they would together use ten times the allowance; at 3 routers they used 7 in 100 of it.

Change: FleetAllowance divides half of the allowance by the routers that are registered in the store; the other half covers routers that restart and forget their window. Before the list has been read 40 routers are assumed. The log line for each router of the list became one line with their number, which saves work in the first second of a start.

The old constant breaks its bound from 41 routers on by construction.

--- a/core/src/main/java/org/almondslip/budget/RetryLimiter.java
+++ b/core/src/main/java/org/almondslip/budget/RetryLimiter.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.function.DoubleSupplier;
 
 /**
  * Limits the retries of one router to a share of its requests within a sliding window.
@@ -23,7 +24,7 @@
   /** Retries per request, reduced by {@link #SAFETY_FACTOR}. */
   private final double effectiveRatio;
 
-  private final double allowance;
+  private final DoubleSupplier allowance;
 
   /** Arrival times of the requests in the window, in milliseconds, oldest first. */
   private final Deque<Long> requestTimes = new ArrayDeque<>();
@@ -36,10 +37,10 @@
    *
    * @param windowMillis the length of the window, in milliseconds
    * @param ratio the number of retries per request that the fleet may make
-   * @param allowance the number of retries per window that this router may make in addition to the
-   *     ratio
+   * @param allowance returns the number of retries per window that this router may make in addition
+   *     to the ratio
    */
-  public RetryLimiter(long windowMillis, double ratio, double allowance) {
+  public RetryLimiter(long windowMillis, double ratio, DoubleSupplier allowance) {
     this.windowMillis = windowMillis;
     this.effectiveRatio = ratio * SAFETY_FACTOR;
     this.allowance = allowance;
@@ -63,7 +64,8 @@
    */
   public boolean tryAcquire(long now) {
     expire(now);
-    if (retryTimes.size() + 1 > requestTimes.size() * effectiveRatio + allowance) {
+    double permitted = requestTimes.size() * effectiveRatio + allowance.getAsDouble();
+    if (retryTimes.size() + 1 > permitted) {
       return false;
     }
     retryTimes.addLast(now);
--- a/core/src/test/java/org/almondslip/budget/RetryLimiterTest.java
+++ b/core/src/test/java/org/almondslip/budget/RetryLimiterTest.java
@@ -29,7 +29,7 @@
   @Property(seed = "20261204", tries = 300)
   void retriesStayWithinBudgetInEveryWindow(
       @ForAll @Size(max = 400) List<@IntRange(max = 300) Integer> steps) {
-    RetryLimiter limiter = new RetryLimiter(WINDOW_MILLIS, RATIO, ALLOWANCE);
+    RetryLimiter limiter = new RetryLimiter(WINDOW_MILLIS, RATIO, () -> ALLOWANCE);
     final List<Long> requestTimes = new ArrayList<>();
     final List<Long> retryTimes = new ArrayList<>();
     long now = 0;
--- a/gateway/src/main/java/org/almondslip/gateway/ForwardingContext.java
+++ b/gateway/src/main/java/org/almondslip/gateway/ForwardingContext.java
@@ -2,6 +2,7 @@
 
 import java.util.HashMap;
 import java.util.Map;
+import org.almondslip.budget.FleetAllowance;
 import org.almondslip.budget.RetryLimiter;
 import org.almondslip.dispatch.DispatchLimits;
 import org.almondslip.dispatch.Dispatcher;
@@ -34,6 +35,8 @@
 
   private final BodyMemory bodyMemory;
 
+  private final FleetAllowance retryAllowance;
+
   /** Retry limiters by service. */
   private final Map<String, RetryLimiter> retryLimiters = new HashMap<>();
 
@@ -50,6 +53,7 @@
    * @param peerReporter reports to other routers
    * @param crashQuarantine the quarantine of requests that crash targets
    * @param bodyMemory the memory of the bodies of requests and responses
+   * @param retryAllowance the retries of the fleet beyond the ratio
    */
   ForwardingContext(
       Clock clock,
@@ -61,7 +65,8 @@
       DecisionLog decisionLog,
       PeerReporter peerReporter,
       CrashQuarantine crashQuarantine,
-      BodyMemory bodyMemory) {
+      BodyMemory bodyMemory,
+      FleetAllowance retryAllowance) {
     this.clock = clock;
     this.settings = settings;
     this.codec = codec;
@@ -72,6 +77,7 @@
     this.peerReporter = peerReporter;
     this.crashQuarantine = crashQuarantine;
     this.bodyMemory = bodyMemory;
+    this.retryAllowance = retryAllowance;
   }
 
   Clock clock() {
@@ -117,7 +123,7 @@
         service,
         name ->
             new RetryLimiter(
-                settings.retryWindowMillis(), settings.retryRatio(), settings.retryAllowance()));
+                settings.retryWindowMillis(), settings.retryRatio(), retryAllowance::perRouter));
   }
 
   /**
--- a/gateway/src/main/java/org/almondslip/gateway/Gateway.java
+++ b/gateway/src/main/java/org/almondslip/gateway/Gateway.java
@@ -11,6 +11,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import org.almondslip.budget.FleetAllowance;
 import org.almondslip.directory.Address;
 import org.almondslip.directory.Directory;
 import org.almondslip.directory.RoutingTable;
@@ -151,13 +152,15 @@
     Placement placement = new Placement(settings.dataCentre(), EngineModel.DEFAULT);
     this.dispatcher = new Dispatcher(clock, placement, EngineModel.DEFAULT, DispatchLimits.DEFAULT);
     CrashQuarantine crashQuarantine = new CrashQuarantine(clock);
+    FleetAllowance retryAllowance = new FleetAllowance(settings.fleetRetryAllowance());
     this.peerExchange =
         new PeerExchange(
             vertx,
             settings.instance(),
             new ReportWriter(settings.instance(), clock.wallMillis(), dispatcher),
             new ReportReader(dispatcher, crashQuarantine, clock),
-            crashQuarantine);
+            crashQuarantine,
+            retryAllowance);
     this.targetConnections = new TargetConnectionPool(vertx, clock);
     this.callerConnections =
         new CallerConnections(
@@ -177,7 +180,8 @@
             decisionLog,
             peerExchange,
             crashQuarantine,
-            bodyMemory);
+            bodyMemory,
+            retryAllowance);
     this.requestHandler =
         new CallerRequestHandler(
             vertx,
--- a/gateway/src/main/java/org/almondslip/gateway/GatewaySettings.java
+++ b/gateway/src/main/java/org/almondslip/gateway/GatewaySettings.java
@@ -17,7 +17,8 @@
  * @param platform the address of the platform's store
  * @param retryWindowMillis the window of the retry budget in milliseconds
  * @param retryRatio the maximum ratio of retries to requests, from 0 to 1
- * @param retryAllowance the number of retries per window that this router may make beyond the ratio
+ * @param fleetRetryAllowance the number of retries per window that the fleet may make beyond the
+ *     ratio
  * @param revocationMillis the time within which a revoked API key must stop working, in
  *     milliseconds
  * @param drainMillis the time limit of a planned stop in milliseconds
@@ -36,7 +37,7 @@
     String platform,
     long retryWindowMillis,
     double retryRatio,
-    double retryAllowance,
+    double fleetRetryAllowance,
     long revocationMillis,
     long drainMillis,
     long maxEventLoopDelayMillis,
@@ -66,9 +67,6 @@
    */
   private static final long DEFAULT_MAX_EVENT_LOOP_DELAY_MILLIS = 250;
 
-  /** Number of routers that share the fleet's retry allowance, including spare ones. */
-  private static final double ROUTER_COUNT = 40;
-
   /** Lower bound of the descriptor limit; the process itself needs about half of it. */
   private static final int MIN_DESCRIPTORS = 256;
 
@@ -94,7 +92,7 @@
         section.address("platform"),
         millis(retries.decimal("window_seconds", DEFAULT_RETRY_WINDOW_SECONDS, 0, MAX_SECONDS)),
         retries.decimal("ratio", DEFAULT_RETRY_RATIO, 0, 1),
-        retries.decimal("fleet_allowance", 0, 0, MAX_FLEET_ALLOWANCE) / ROUTER_COUNT,
+        retries.decimal("fleet_allowance", 0, 0, MAX_FLEET_ALLOWANCE),
         limits.integer("revocation_millis", DEFAULT_REVOCATION_MILLIS, 1, MAX_MILLIS),
         millis(limits.decimal("drain_seconds", DEFAULT_DRAIN_SECONDS, 0, MAX_SECONDS)),
         limits.integer(
--- a/gateway/src/main/java/org/almondslip/gateway/PeerAddressListener.java
+++ b/gateway/src/main/java/org/almondslip/gateway/PeerAddressListener.java
@@ -12,4 +12,7 @@
    * @param address the UDP address as {@code ip:port}, empty when the router was removed
    */
   void onPeerAddress(String name, Optional<String> address);
+
+  /** Called when the addresses of all registered routers have been reported. */
+  void onPeersListed();
 }
--- a/gateway/src/main/java/org/almondslip/gateway/PeerExchange.java
+++ b/gateway/src/main/java/org/almondslip/gateway/PeerExchange.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import org.almondslip.budget.FleetAllowance;
 import org.almondslip.directory.Address;
 import org.almondslip.placement.Prompt;
 import org.almondslip.placement.TargetLoad;
@@ -43,11 +44,16 @@
 
   private final CrashQuarantine crashes;
 
+  private final FleetAllowance retryAllowance;
+
   /** Addresses of the other routers by the names of their instances. */
   private final Map<String, InetSocketAddress> peers = new HashMap<>();
 
   private final ReportCounts counts = new ReportCounts();
 
+  /** Whether the complete list of routers has been received. */
+  private boolean listed;
+
   /** Socket, empty before {@link #start}. */
   private Optional<PeerSocket> socket = Optional.empty();
 
@@ -59,14 +65,21 @@
    * @param writer writes the reports of this router
    * @param reader applies the reports of other routers
    * @param crashes the quarantine of requests that crash targets
+   * @param retryAllowance the retries that all routers share
    */
   PeerExchange(
-      Vertx vertx, String name, ReportWriter writer, ReportReader reader, CrashQuarantine crashes) {
+      Vertx vertx,
+      String name,
+      ReportWriter writer,
+      ReportReader reader,
+      CrashQuarantine crashes,
+      FleetAllowance retryAllowance) {
     this.vertx = vertx;
     this.name = name;
     this.writer = writer;
     this.reader = reader;
     this.crashes = crashes;
+    this.retryAllowance = retryAllowance;
   }
 
   /**
@@ -84,10 +97,21 @@
     Optional<Address> parsed = address.flatMap(Address::parse).filter(to -> to.port() > 0);
     if (peer.equals(name) || parsed.isEmpty()) {
       peers.remove(peer);
-      return;
+    } else {
+      peers.put(peer, new InetSocketAddress(parsed.get().host(), parsed.get().port()));
+    }
+    if (listed) {
+      onPeersListed();
     }
-    peers.put(peer, new InetSocketAddress(parsed.get().host(), parsed.get().port()));
-    logger.atInfo().log("sending reports to router %s at %s", peer, address.get());
+  }
+
+  @Override
+  public void onPeersListed() {
+    listed = true;
+    retryAllowance.setRouters(peers.size() + 1);
+    logger.atInfo().atMostEvery(1, TimeUnit.SECONDS).log(
+        "sending reports to %d routers, retry allowance %.2f",
+        peers.size(), retryAllowance.perRouter());
   }
 
   @Override
--- a/gateway/src/test/java/org/almondslip/gateway/GatewayHarness.java
+++ b/gateway/src/test/java/org/almondslip/gateway/GatewayHarness.java
@@ -36,6 +36,9 @@
 
   static final int MAX_DESCRIPTORS = 1_000;
 
+  /** Retries per window of the fleet, of which a router of an unknown fleet uses 10. */
+  private static final double FLEET_RETRY_ALLOWANCE = 800;
+
   private final Closer closer = new Closer();
 
   private long idleTimeoutMillis = 15_000;
@@ -162,7 +165,7 @@
             "127.0.0.1:1",
             10_000,
             0.2,
-            10,
+            FLEET_RETRY_ALLOWANCE,
             30_000,
             6_000,
             MAX_DELAY_MILLIS,
