Read the pages of the bench tool without a race and with a timeout

Cause, suspected: the body of a response was requested by the thread that chained the futures, which may run after the response has ended on the event loop; and a page had no timeout.

Change: the body is subscribed before the request is sent, and a page fails after 10 s.

--- a/bench/src/main/java/org/almondslip/bench/measure/Fetcher.java
+++ b/bench/src/main/java/org/almondslip/bench/measure/Fetcher.java
@@ -4,8 +4,12 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import io.vertx.core.Future;
+import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClient;
+import io.vertx.core.http.HttpClientRequest;
+import io.vertx.core.http.HttpClientResponse;
 import io.vertx.core.http.HttpMethod;
+import java.util.concurrent.TimeUnit;
 
 /** Reads pages of the fleet and of the stand-ins. */
 public final class Fetcher {
@@ -13,6 +17,9 @@
   /** Reader of JSON. */
   private static final ObjectMapper MAPPER = new ObjectMapper();
 
+  /** Time within which a page must be read, in milliseconds. */
+  private static final long TIMEOUT_MILLIS = 10_000;
+
   /** HTTP client. */
   private final HttpClient client;
 
@@ -37,9 +44,18 @@
     int port = Integer.parseInt(address.substring(colon + 1));
     return client
         .request(HttpMethod.GET, port, address.substring(0, colon), path)
-        .compose(request -> request.send())
-        .compose(response -> response.body())
-        .map(body -> body.toString());
+        .compose(Fetcher::sendAndReadBody)
+        .map(body -> body.toString())
+        .timeout(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
+  }
+
+  /**
+   * Sends a request and reads the body of its response. The body is subscribed before the request
+   * is sent: a response that ends while another thread still subscribes would lose its body.
+   */
+  private static Future<Buffer> sendAndReadBody(HttpClientRequest request) {
+    Future<Buffer> body = request.response().compose(HttpClientResponse::body);
+    return request.end().compose(ignored -> body);
   }
 
   /**
