Ignore numbers of load reports that are not plausible

Cause: reports of other routers are not authenticated, and a count above 2,147,483,647 was read as a negative one: a target then looked less loaded than an idle one, its cache model lost count, and a total near 2^63 changed the shares of all organisations for about a minute, until it had decayed.

Change: entries with negative or implausibly large numbers are ignored.

--- a/core/src/main/java/org/almondslip/report/PeerTotals.java
+++ b/core/src/main/java/org/almondslip/report/PeerTotals.java
@@ -18,6 +18,12 @@
   /** Time after a gap during which totals only update the baseline, in milliseconds. */
   static final long BASELINE_MILLIS = 500;
 
+  /**
+   * Maximum increase of a total between two reports, in tokens. A larger one is not plausible and
+   * would take a minute to decay.
+   */
+  static final long MAX_INCREASE_TOKENS = 100_000_000;
+
   /** Latest totals by service and organisation. */
   private final Map<DispatchStatistics.Owner, Totals> totals = new HashMap<>();
 
@@ -54,6 +60,11 @@
           Math.max(0, sentTokens - earlier.sentTokens));
     }
 
+    /** Returns whether both increases are small enough for the time between two reports. */
+    boolean isPlausible() {
+      return requestedTokens <= MAX_INCREASE_TOKENS && sentTokens <= MAX_INCREASE_TOKENS;
+    }
+
     /**
      * Returns the larger value of each total. Reports may arrive out of order, so the latest report
      * may contain smaller totals.
@@ -96,6 +107,7 @@
   Totals update(DispatchStatistics.Owner owner, Totals next, long now) {
     Totals last = totals.getOrDefault(owner, Totals.NONE);
     totals.put(owner, next.max(last));
-    return now < countedFromMillis ? Totals.NONE : next.since(last);
+    Totals increase = next.since(last);
+    return now < countedFromMillis || !increase.isPlausible() ? Totals.NONE : increase;
   }
 }
--- a/core/src/main/java/org/almondslip/report/ReportReader.java
+++ b/core/src/main/java/org/almondslip/report/ReportReader.java
@@ -18,6 +18,15 @@
 /** Applies the load and service reports of other routers to the state of this router. */
 public final class ReportReader {
 
+  /**
+   * Maximum number of tokens of a prompt and of the pending prefill of a target. Larger numbers are
+   * not plausible, and their sums would overflow.
+   */
+  private static final int MAX_TOKENS = 100_000_000;
+
+  /** Maximum number of running requests that a router reports for one target. */
+  private static final int MAX_REQUESTS = 100_000;
+
   private final Dispatcher dispatcher;
 
   private final CrashQuarantine quarantine;
@@ -41,26 +50,30 @@
   }
 
   /**
-   * Applies a report. Entries about unknown targets and malformed prompts are ignored.
+   * Applies a report. Entries about unknown targets, malformed prompts and numbers that are not
+   * plausible are ignored: reports are not authenticated.
    *
    * @param report the report
    */
   public void read(LoadReport report) {
     long now = clock.millis();
     for (TargetReport load : report.getTargetsList()) {
-      dispatcher
-          .target(load.getTarget())
-          .ifPresent(
-              target ->
-                  target.onPeerReport(
-                      report.getRouter(), load.getUnreadTokens(), load.getRequests(), now));
+      if (isWithin(load.getUnreadTokens(), MAX_TOKENS)
+          && isWithin(load.getRequests(), MAX_REQUESTS)) {
+        dispatcher
+            .target(load.getTarget())
+            .ifPresent(
+                target ->
+                    target.onPeerReport(
+                        report.getRouter(), load.getUnreadTokens(), load.getRequests(), now));
+      }
     }
     for (SuspectNotice notice : report.getSuspectsList()) {
       quarantine.onCrash(notice.getFingerprint(), notice.getCrashId().hashCode());
     }
     applyTotals(report, now);
     for (SentPrompt sent : report.getPromptsList()) {
-      if (sent.getPartsCount() == sent.getTokensCount()) {
+      if (isPlausible(sent)) {
         dispatcher
             .target(sent.getTarget())
             .ifPresent(target -> target.onPeerSent(decodePrompt(sent)));
@@ -85,6 +98,18 @@
     }
   }
 
+  /** Returns whether each segment has a plausible number of tokens, and the whole prompt too. */
+  private static boolean isPlausible(SentPrompt sent) {
+    return sent.getPartsCount() == sent.getTokensCount()
+        && sent.getTokensList().stream().allMatch(tokens -> isWithin(tokens, MAX_TOKENS))
+        && sent.getTokensList().stream().mapToLong(Integer::longValue).sum() <= MAX_TOKENS;
+  }
+
+  /** Returns whether an unsigned number of a report, which may appear negative, is in bounds. */
+  private static boolean isWithin(int number, int max) {
+    return number >= 0 && number <= max;
+  }
+
   private static Prompt decodePrompt(SentPrompt sent) {
     List<Prompt.Segment> segments = new ArrayList<>();
     int promptTokens = 0;
