Report loads that change, and to other regions less often

Each of 33 routers reported the loads of all targets with requests to each other router every 60 ms.

Change: a report contains the loads that changed (twice, since a datagram may be lost) and refreshes an unchanged load after 360 ms; receivers keep a load for a second, as before. Routers in other regions receive reports every 180 ms. The changes of the directory are applied in a class of their own.

Test: ReportWriterTest.unchangedLoadIsOmittedAndRefreshed fails when loads are always included; FleetFairnessTest and the other tests of reports pass unchanged but for the new constructor argument.

--- a/bench/src/main/java/org/almondslip/bench/slopes/ReportSlopes.java
+++ b/bench/src/main/java/org/almondslip/bench/slopes/ReportSlopes.java
@@ -99,7 +99,7 @@
     Clock.Manual clock = new Clock.Manual(1_000_000);
     Dispatcher sender = dispatcher(clock, load.targets());
     Dispatcher receiver = dispatcher(clock, load.targets());
-    ReportWriter writer = new ReportWriter("edge-region-a-1", 1, sender);
+    ReportWriter writer = new ReportWriter("edge-region-a-1", 1, sender, 5);
     ReportReader reader = new ReportReader(receiver, new CrashQuarantine(clock), clock);
     sender.targets().forEach(target -> target.onSent(PROMPT));
     ProcessorTime writing = new ProcessorTime();
--- a/core/src/main/java/org/almondslip/report/ReportWriter.java
+++ b/core/src/main/java/org/almondslip/report/ReportWriter.java
@@ -27,6 +27,9 @@
   /** Number of reports that include a change, since each of them may be lost. */
   private static final int REPEATS = 3;
 
+  /** Number of reports that include a change of a load, which is also refreshed periodically. */
+  private static final int LOAD_REPEATS = 2;
+
   /**
    * Maximum number of prompts per call of {@link #next()}. Omitting further ones is safe, since
    * prompts only help other routers to avoid processing the same prompt segments at several
@@ -40,19 +43,56 @@
 
   private final Dispatcher dispatcher;
 
+  /** Number of reports after which an unchanged load is included again. */
+  private final int refreshReports;
+
   /** Prompts sent to targets since the last report. */
   private final List<SentPrompt> prompts = new ArrayList<>();
 
   /** Crashes to report, with the number of remaining reports that include them. */
   private final Map<SuspectNotice, Integer> crashes = new HashMap<>();
 
-  /** Targets that recently had load, with the number of remaining reports that include them. */
-  private final Map<Long, Integer> activeTargets = new HashMap<>();
+  /** Loads of the targets that recently had requests, by incarnation key, as last reported. */
+  private final Map<Long, ReportedLoad> reportedLoads = new HashMap<>();
 
   /** Totals in the last report that included them. */
   private final Map<DispatchStatistics.Owner, ReportedTotals> reportedTotals =
       new LinkedHashMap<>();
 
+  /** Load of a target as last reported. */
+  private static final class ReportedLoad {
+    private long pendingPrefillTokens;
+
+    private int requests;
+
+    /** Number of remaining reports that include this change. */
+    private int remainingReports;
+
+    /** Number of reports since the last one that included this load. */
+    private int omittedReports;
+
+    /** Records the current load and returns whether the next report includes it. */
+    private boolean update(TargetLoad target, int refreshReports) {
+      if (pendingPrefillTokens != target.ownPendingPrefillTokens()
+          || requests != target.ownRequests()) {
+        pendingPrefillTokens = target.ownPendingPrefillTokens();
+        requests = target.ownRequests();
+        remainingReports = LOAD_REPEATS;
+      }
+      omittedReports++;
+      if (remainingReports <= 0 && omittedReports < refreshReports) {
+        return false;
+      }
+      remainingReports--;
+      omittedReports = 0;
+      return true;
+    }
+
+    private boolean isIdle() {
+      return requests == 0 && remainingReports <= 0;
+    }
+  }
+
   /** Service totals of an organisation as last reported. */
   private static final class ReportedTotals {
     /** Tokens of all requests. */
@@ -71,11 +111,15 @@
    * @param routerName the name of the router
    * @param incarnation the incarnation of the router, different after each restart
    * @param dispatcher the dispatcher whose load and service are reported
+   * @param refreshReports the number of reports after which an unchanged load is included again;
+   *     their time must be well below the time after which receivers ignore a load
    */
-  public ReportWriter(String routerName, long incarnation, Dispatcher dispatcher) {
+  public ReportWriter(
+      String routerName, long incarnation, Dispatcher dispatcher, int refreshReports) {
     this.routerName = routerName;
     this.incarnation = incarnation;
     this.dispatcher = dispatcher;
+    this.refreshReports = refreshReports;
   }
 
   /**
@@ -156,23 +200,30 @@
   }
 
   /**
-   * Adds the load of the targets. A target whose load has ended is included in {@link #REPEATS}
-   * further reports.
+   * Adds the loads of the targets that changed recently or are due for a refresh. A load that has
+   * ended is included a few times and then forgotten.
    */
   private void addTargets(ReportPacker packer) {
     for (TargetLoad target : dispatcher.targets()) {
-      if (target.ownRequests() > 0) {
-        activeTargets.put(target.incarnationKey(), REPEATS);
+      long key = target.incarnationKey();
+      ReportedLoad load = reportedLoads.get(key);
+      if (load == null && target.ownRequests() == 0) {
+        continue;
+      }
+      if (load == null) {
+        load = new ReportedLoad();
+        reportedLoads.put(key, load);
+      }
+      if (load.update(target, refreshReports)) {
         packer.add(
             TargetReport.newBuilder()
-                .setTarget(target.incarnationKey())
-                .setUnreadTokens((int) target.ownPendingPrefillTokens())
-                .setRequests(target.ownRequests())
+                .setTarget(key)
+                .setUnreadTokens((int) Math.min(load.pendingPrefillTokens, Integer.MAX_VALUE))
+                .setRequests(load.requests)
                 .build());
-      } else if (activeTargets.containsKey(target.incarnationKey())) {
-        activeTargets.computeIfPresent(
-            target.incarnationKey(), (key, remaining) -> remaining > 1 ? remaining - 1 : null);
-        packer.add(TargetReport.newBuilder().setTarget(target.incarnationKey()).build());
+      }
+      if (load.isIdle()) {
+        reportedLoads.remove(key);
       }
     }
   }
--- a/core/src/test/java/org/almondslip/report/FleetSimulation.java
+++ b/core/src/test/java/org/almondslip/report/FleetSimulation.java
@@ -186,7 +186,7 @@
               new Placement("dc", EngineModel.DEFAULT),
               EngineModel.DEFAULT,
               DispatchLimits.DEFAULT);
-      this.writer = new ReportWriter(name, 1, dispatcher);
+      this.writer = new ReportWriter(name, 1, dispatcher, 5);
       this.reader = new ReportReader(dispatcher, new CrashQuarantine(clock), clock);
       engines.forEach(engine -> dispatcher.add(new TargetLoad(engine.entry, 1_000_000)));
     }
--- a/core/src/test/java/org/almondslip/report/ReportWriterTest.java
+++ b/core/src/test/java/org/almondslip/report/ReportWriterTest.java
@@ -23,6 +23,12 @@
   /** Prompt tokens of each request. */
   private static final int TOKENS = 5_000;
 
+  /** Number of reports after which an unchanged load is reported again. */
+  private static final int REFRESH_REPORTS = 5;
+
+  /** Interval of the reports in milliseconds. */
+  private static final int REPORT_INTERVAL_MILLIS = 60;
+
   private final Clock.Manual clock = new Clock.Manual(1_000);
 
   /** Dispatcher of the router that sends reports. */
@@ -33,7 +39,7 @@
 
   private final ReportReader reader = new ReportReader(receiver, new CrashQuarantine(clock), clock);
 
-  private ReportWriter writer = new ReportWriter("router-1", 1, sender);
+  private ReportWriter writer = new ReportWriter("router-1", 1, sender, REFRESH_REPORTS);
 
   /** The report of a busy router must not exceed the datagram size that receivers accept. */
   @Test
@@ -89,7 +95,7 @@
     send("org");
     deliverReports();
     Dispatcher restarted = createDispatcher();
-    writer = new ReportWriter("router-1", 2, restarted);
+    writer = new ReportWriter("router-1", 2, restarted, REFRESH_REPORTS);
     restarted.submit(job("org"));
     deliverReports();
     assertThat(receiver.servedTokens("s", "org")).isEqualTo(2 * cost());
@@ -108,6 +114,22 @@
     assertThat(receiver.targets().get(0).requests(clock.millis())).isZero();
   }
 
+  /** Reports must not repeat loads that receivers know, nor let them expire at the receivers. */
+  @Test
+  void unchangedLoadIsOmittedAndRefreshed() {
+    sender.targets().get(0).onSent(job("org").prompt());
+    deliverReports();
+    int included = 0;
+    for (int report = 0; report < 100; report++) {
+      clock.advance(REPORT_INTERVAL_MILLIS);
+      List<LoadReport> reports = writer.next();
+      included += reports.stream().mapToInt(LoadReport::getTargetsCount).sum();
+      reports.forEach(reader::read);
+      assertThat(receiver.targets().get(0).requests(clock.millis())).isEqualTo(1);
+    }
+    assertThat(included).isLessThanOrEqualTo(100 / REFRESH_REPORTS + 1);
+  }
+
   /** Exchanges the first reports, so that the receiver has a baseline for the sender. */
   private void establishBaseline() {
     deliverReports();
--- a/gateway/src/main/java/org/almondslip/gateway/Gateway.java
+++ b/gateway/src/main/java/org/almondslip/gateway/Gateway.java
@@ -14,15 +14,11 @@
 import org.almondslip.budget.FleetAllowance;
 import org.almondslip.directory.Address;
 import org.almondslip.directory.Directory;
-import org.almondslip.directory.RoutingTable;
-import org.almondslip.directory.ServicePolicy;
-import org.almondslip.directory.TargetRecord;
 import org.almondslip.dispatch.DispatchLimits;
 import org.almondslip.dispatch.Dispatcher;
 import org.almondslip.metrics.OperationsServer;
 import org.almondslip.placement.EngineModel;
 import org.almondslip.placement.Placement;
-import org.almondslip.placement.TargetLoad;
 import org.almondslip.process.Program;
 import org.almondslip.quarantine.CrashQuarantine;
 import org.almondslip.report.ReportReader;
@@ -152,12 +148,14 @@
     Placement placement = new Placement(settings.dataCentre(), EngineModel.DEFAULT);
     this.dispatcher = new Dispatcher(clock, placement, EngineModel.DEFAULT, DispatchLimits.DEFAULT);
     CrashQuarantine crashQuarantine = new CrashQuarantine(clock);
+    final long incarnation = clock.wallMillis();
     FleetAllowance retryAllowance = new FleetAllowance(settings.fleetRetryAllowance());
     this.peerExchange =
         new PeerExchange(
             vertx,
             settings.instance(),
-            new ReportWriter(settings.instance(), clock.wallMillis(), dispatcher),
+            settings.region(),
+            refresh -> new ReportWriter(settings.instance(), incarnation, dispatcher, refresh),
             new ReportReader(dispatcher, crashQuarantine, clock),
             crashQuarantine,
             retryAllowance);
@@ -165,7 +163,7 @@
     this.callerConnections =
         new CallerConnections(
             clock, (int) (settings.maxDescriptors() * CALLER_DESCRIPTOR_FRACTION));
-    this.directory = new Directory(clock, new DirectoryChanges());
+    this.directory = new Directory(clock, new DirectoryChanges(dispatcher, targetConnections));
     this.eventLoopDelay = new EventLoopDelay(clock, TICK_MILLIS);
     this.overloadDetector = new OverloadDetector(clock, settings.maxEventLoopDelayMillis());
     this.source = sourceFactory.create(vertx, clock);
@@ -356,46 +354,4 @@
         });
     result.join();
   }
-
-  /** Applies changes of the directory to the dispatcher and the connections. */
-  private final class DirectoryChanges implements Directory.Listener {
-
-    @Override
-    public void onTable(RoutingTable table) {
-      logger.atInfo().log(
-          "applied routing table version %d with %d routes", table.version(), table.routeCount());
-    }
-
-    @Override
-    public void onTarget(TargetRecord target) {
-      logger.atInfo().log(
-          "target %s of service %s at %s:%d is %s",
-          target.id(), target.service(), target.host(), target.port(), target.state());
-      Optional<TargetLoad> known =
-          dispatcher.targets(target.service()).stream()
-              .filter(load -> load.record().id().equals(target.id()))
-              .findFirst();
-      if (known.isPresent()) {
-        known.get().update(target);
-      } else {
-        dispatcher.add(new TargetLoad(target, kvCapacityTokens(target.service())));
-      }
-    }
-
-    @Override
-    public void onRemoved(TargetRecord target) {
-      logger.atInfo().log("target %s of service %s was removed", target.id(), target.service());
-      dispatcher.remove(target.service(), target.id());
-      targetConnections.closeIdle(target);
-    }
-
-    /** Returns the KV cache capacity of an engine of a service in tokens, 0 when it is unknown. */
-    private long kvCapacityTokens(String service) {
-      return directory
-          .table()
-          .flatMap(table -> table.service(service))
-          .map(ServicePolicy::kvCapacityTokens)
-          .orElse(0L);
-    }
-  }
 }
--- a/gateway/src/main/java/org/almondslip/gateway/PeerAddressListener.java
+++ b/gateway/src/main/java/org/almondslip/gateway/PeerAddressListener.java
@@ -10,8 +10,9 @@
    *
    * @param name the name of the router's instance
    * @param address the UDP address as {@code ip:port}, empty when the router was removed
+   * @param region the region of the router, empty when it is unknown
    */
-  void onPeerAddress(String name, Optional<String> address);
+  void onPeerAddress(String name, Optional<String> address, String region);
 
   /** Called when the addresses of all registered routers have been reported. */
   void onPeersListed();
--- a/gateway/src/main/java/org/almondslip/gateway/PeerExchange.java
+++ b/gateway/src/main/java/org/almondslip/gateway/PeerExchange.java
@@ -4,10 +4,10 @@
 import com.google.protobuf.InvalidProtocolBufferException;
 import io.vertx.core.Vertx;
 import java.net.InetSocketAddress;
-import java.util.HashMap;
-import java.util.Map;
+import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import java.util.function.IntFunction;
 import org.almondslip.budget.FleetAllowance;
 import org.almondslip.directory.Address;
 import org.almondslip.placement.Prompt;
@@ -28,17 +28,36 @@
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
   /**
-   * Interval of reports in milliseconds. It is a few times the delay between regions: a shorter
-   * interval would add traffic but hardly make the received loads more current.
+   * Interval of reports to routers in the same region, in milliseconds. A shorter interval would
+   * add traffic but hardly make the received loads more current.
    */
-  static final long REPORT_INTERVAL_MILLIS = 60;
+  static final long NEARBY_INTERVAL_MILLIS = 60;
+
+  /**
+   * Interval of reports to routers in other regions, in milliseconds. Traffic between regions is
+   * billed, and it grows with the square of the number of routers.
+   */
+  static final long DISTANT_INTERVAL_MILLIS = 180;
+
+  /**
+   * Time after which an unchanged load is reported again, in milliseconds. Receivers ignore a load
+   * after a second, so two reports in a row may be lost.
+   */
+  private static final long REFRESH_MILLIS = 360;
 
   private final Vertx vertx;
 
   /** Name of the instance of this router. */
   private final String name;
 
-  private final ReportWriter writer;
+  /** Region of this router. */
+  private final String region;
+
+  /** Routers in the region of this router. */
+  private final PeerGroup nearby;
+
+  /** Routers in other regions. */
+  private final PeerGroup distant;
 
   private final ReportReader reader;
 
@@ -46,9 +65,6 @@
 
   private final FleetAllowance retryAllowance;
 
-  /** Addresses of the other routers by the names of their instances. */
-  private final Map<String, InetSocketAddress> peers = new HashMap<>();
-
   private final ReportCounts counts = new ReportCounts();
 
   /** Whether the complete list of routers has been received. */
@@ -62,7 +78,8 @@
    *
    * @param vertx the event loop
    * @param name the name of the instance of this router
-   * @param writer writes the reports of this router
+   * @param region the region of this router
+   * @param writers creates the writer of the reports to a group of routers
    * @param reader applies the reports of other routers
    * @param crashes the quarantine of requests that crash targets
    * @param retryAllowance the retries that all routers share
@@ -70,18 +87,26 @@
   PeerExchange(
       Vertx vertx,
       String name,
-      ReportWriter writer,
+      String region,
+      IntFunction<ReportWriter> writers,
       ReportReader reader,
       CrashQuarantine crashes,
       FleetAllowance retryAllowance) {
     this.vertx = vertx;
     this.name = name;
-    this.writer = writer;
+    this.region = region;
+    this.nearby = newGroup(writers, NEARBY_INTERVAL_MILLIS);
+    this.distant = newGroup(writers, DISTANT_INTERVAL_MILLIS);
     this.reader = reader;
     this.crashes = crashes;
     this.retryAllowance = retryAllowance;
   }
 
+  private static PeerGroup newGroup(IntFunction<ReportWriter> writers, long intervalMillis) {
+    int refreshReports = (int) (REFRESH_MILLIS / intervalMillis);
+    return new PeerGroup(writers.apply(refreshReports), intervalMillis);
+  }
+
   /**
    * Binds the socket and starts to send reports. Must be called on the event loop.
    *
@@ -89,16 +114,19 @@
    */
   void start(String address) {
     socket = Optional.of(new PeerSocket(vertx, Address.of(address), this::onDatagram));
-    vertx.setPeriodic(REPORT_INTERVAL_MILLIS, id -> sendReports());
+    for (PeerGroup group : List.of(nearby, distant)) {
+      vertx.setPeriodic(group.intervalMillis(), id -> sendReports(group));
+    }
   }
 
   @Override
-  public void onPeerAddress(String peer, Optional<String> address) {
+  public void onPeerAddress(String peer, Optional<String> address, String peerRegion) {
     Optional<Address> parsed = address.flatMap(Address::parse).filter(to -> to.port() > 0);
-    if (peer.equals(name) || parsed.isEmpty()) {
-      peers.remove(peer);
-    } else {
-      peers.put(peer, new InetSocketAddress(parsed.get().host(), parsed.get().port()));
+    nearby.remove(peer);
+    distant.remove(peer);
+    if (!peer.equals(name) && parsed.isPresent()) {
+      PeerGroup group = peerRegion.equals(region) ? nearby : distant;
+      group.put(peer, new InetSocketAddress(parsed.get().host(), parsed.get().port()));
     }
     if (listed) {
       onPeersListed();
@@ -108,21 +136,23 @@
   @Override
   public void onPeersListed() {
     listed = true;
-    retryAllowance.setRouters(peers.size() + 1);
+    int peers = nearby.addresses().size() + distant.addresses().size();
+    retryAllowance.setRouters(peers + 1);
     logger.atInfo().atMostEvery(1, TimeUnit.SECONDS).log(
-        "sending reports to %d routers, retry allowance %.2f",
-        peers.size(), retryAllowance.perRouter());
+        "sending reports to %d routers, retry allowance %.2f", peers, retryAllowance.perRouter());
   }
 
   @Override
   public void onSent(TargetLoad target, Prompt prompt) {
-    writer.onSent(target, prompt);
+    nearby.writer().onSent(target, prompt);
+    distant.writer().onSent(target, prompt);
   }
 
   @Override
   public void onCrash(long fingerprint, TargetLoad target) {
     crashes.onCrash(fingerprint, Long.toString(target.incarnationKey()).hashCode());
-    writer.onCrash(fingerprint, target);
+    nearby.writer().onCrash(fingerprint, target);
+    distant.writer().onCrash(fingerprint, target);
   }
 
   ReportCounts counts() {
@@ -134,12 +164,12 @@
     socket.ifPresent(PeerSocket::close);
   }
 
-  /** Sends the next reports to all other routers. */
-  private void sendReports() {
-    for (LoadReport report : writer.next()) {
+  /** Sends the next reports to a group of routers. */
+  private void sendReports(PeerGroup group) {
+    for (LoadReport report : group.writer().next()) {
       byte[] data = report.toByteArray();
-      counts.onSent(data.length, peers.size());
-      socket.ifPresent(open -> open.send(data, peers.values()));
+      counts.onSent(data.length, group.addresses().size());
+      socket.ifPresent(open -> open.send(data, group.addresses()));
     }
   }
 
--- /dev/null
+++ b/gateway/src/main/java/org/almondslip/gateway/PeerGroup.java
@@ -0,0 +1,50 @@
+package org.almondslip.gateway;
+
+import java.net.InetSocketAddress;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.Map;
+import org.almondslip.report.ReportWriter;
+
+/** Routers that receive the same load reports at the same interval. */
+final class PeerGroup {
+
+  private final ReportWriter writer;
+
+  private final long intervalMillis;
+
+  /** Addresses by the names of the instances. */
+  private final Map<String, InetSocketAddress> addresses = new HashMap<>();
+
+  /**
+   * Creates an empty group.
+   *
+   * @param writer writes the reports to this group, and to no other one
+   * @param intervalMillis the interval of the reports in milliseconds
+   */
+  PeerGroup(ReportWriter writer, long intervalMillis) {
+    this.writer = writer;
+    this.intervalMillis = intervalMillis;
+  }
+
+  ReportWriter writer() {
+    return writer;
+  }
+
+  long intervalMillis() {
+    return intervalMillis;
+  }
+
+  /** Returns the addresses of the routers. */
+  Collection<InetSocketAddress> addresses() {
+    return addresses.values();
+  }
+
+  void put(String name, InetSocketAddress address) {
+    addresses.put(name, address);
+  }
+
+  void remove(String name) {
+    addresses.remove(name);
+  }
+}
