--- a/gateway/src/main/java/org/almondslip/gateway/PeerExchange.java
+++ b/gateway/src/main/java/org/almondslip/gateway/PeerExchange.java
@@ -41,7 +41,7 @@
 
   /**
    * Time after which an unchanged load is reported again, in milliseconds. Receivers ignore a load
-   * after a second, so two reports in a row may be lost.
+   * after a second, so one refresh may be lost.
    */
   private static final long REFRESH_MILLIS = 360;
 
