Ask another router for the cached segments after a start

Cause: a router that has just started knows nothing of what the engines cache. It places prompts at engines that have to prefill segments which others hold, until the reports of new requests have told it about each of them.

Change: after its start a router asks one router after the other, those of its region first; the first one that is not itself asking answers with the cached segments of all targets, in datagrams that are spread over time.

--- a/core/src/main/java/org/almondslip/placement/PrefixCache.java
+++ b/core/src/main/java/org/almondslip/placement/PrefixCache.java
@@ -2,6 +2,7 @@
 
 import java.util.Iterator;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 
 /**
@@ -68,6 +69,13 @@
     }
   }
 
+  /** Returns the cached segments, the least recently used first. */
+  List<Prompt.Segment> segments() {
+    return segments.entrySet().stream()
+        .map(entry -> new Prompt.Segment(entry.getKey(), entry.getValue()))
+        .toList();
+  }
+
   /** Removes all segments, for an engine that has restarted. */
   void clear() {
     segments.clear();
--- a/core/src/main/java/org/almondslip/placement/TargetLoad.java
+++ b/core/src/main/java/org/almondslip/placement/TargetLoad.java
@@ -2,6 +2,7 @@
 
 import java.util.HashMap;
 import java.util.Iterator;
+import java.util.List;
 import java.util.Map;
 import org.almondslip.directory.TargetRecord;
 
@@ -145,6 +146,15 @@
     return cache.uncachedTokens(prompt);
   }
 
+  /**
+   * Returns the prompt segments that the target is assumed to cache.
+   *
+   * @return a new list of the segments, the least recently used first
+   */
+  public List<Prompt.Segment> cachedSegments() {
+    return cache.segments();
+  }
+
   /**
    * Records that this router sent a request to the target.
    *
--- a/gateway/src/main/java/org/almondslip/gateway/Gateway.java
+++ b/gateway/src/main/java/org/almondslip/gateway/Gateway.java
@@ -21,6 +21,7 @@
 import org.almondslip.placement.Placement;
 import org.almondslip.process.Program;
 import org.almondslip.quarantine.CrashQuarantine;
+import org.almondslip.report.CacheExchange;
 import org.almondslip.report.ReportReader;
 import org.almondslip.report.ReportWriter;
 import org.almondslip.resource.Closer;
@@ -157,6 +158,7 @@
             settings.region(),
             refresh -> new ReportWriter(settings.instance(), incarnation, dispatcher, refresh),
             new ReportReader(dispatcher, crashQuarantine, clock),
+            new CacheExchange(clock, settings.instance(), incarnation, dispatcher),
             crashQuarantine,
             retryAllowance);
     this.targetConnections = new TargetConnectionPool(vertx, clock);
--- a/gateway/src/main/java/org/almondslip/gateway/PeerExchange.java
+++ b/gateway/src/main/java/org/almondslip/gateway/PeerExchange.java
@@ -4,6 +4,7 @@
 import com.google.protobuf.InvalidProtocolBufferException;
 import io.vertx.core.Vertx;
 import java.net.InetSocketAddress;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
@@ -14,6 +15,7 @@
 import org.almondslip.placement.TargetLoad;
 import org.almondslip.protocol.wire.LoadReport;
 import org.almondslip.quarantine.CrashQuarantine;
+import org.almondslip.report.CacheExchange;
 import org.almondslip.report.ReportReader;
 import org.almondslip.report.ReportWriter;
 
@@ -61,6 +63,8 @@
 
   private final ReportReader reader;
 
+  private final CacheExchange cacheExchange;
+
   private final CrashQuarantine crashes;
 
   private final FleetAllowance retryAllowance;
@@ -81,6 +85,7 @@
    * @param region the region of this router
    * @param writers creates the writer of the reports to a group of routers
    * @param reader applies the reports of other routers
+   * @param cacheExchange transfers the knowledge of the engines' caches
    * @param crashes the quarantine of requests that crash targets
    * @param retryAllowance the retries that all routers share
    */
@@ -90,6 +95,7 @@
       String region,
       IntFunction<ReportWriter> writers,
       ReportReader reader,
+      CacheExchange cacheExchange,
       CrashQuarantine crashes,
       FleetAllowance retryAllowance) {
     this.vertx = vertx;
@@ -98,6 +104,7 @@
     this.nearby = newGroup(writers, NEARBY_INTERVAL_MILLIS);
     this.distant = newGroup(writers, DISTANT_INTERVAL_MILLIS);
     this.reader = reader;
+    this.cacheExchange = cacheExchange;
     this.crashes = crashes;
     this.retryAllowance = retryAllowance;
   }
@@ -117,6 +124,7 @@
     for (PeerGroup group : List.of(nearby, distant)) {
       vertx.setPeriodic(group.intervalMillis(), id -> sendReports(group));
     }
+    vertx.setPeriodic(NEARBY_INTERVAL_MILLIS, id -> sendCacheMessages());
   }
 
   @Override
@@ -173,9 +181,27 @@
     }
   }
 
+  /** Sends the messages of the cache exchange, each to a single router. */
+  private void sendCacheMessages() {
+    if (!listed) {
+      return;
+    }
+    List<String> routers = new ArrayList<>(nearby.names());
+    routers.addAll(distant.names());
+    for (CacheExchange.Message message : cacheExchange.next(routers)) {
+      byte[] data = message.report().toByteArray();
+      Optional<InetSocketAddress> address =
+          nearby.address(message.router()).or(() -> distant.address(message.router()));
+      counts.onSent(data.length, 1);
+      socket.ifPresent(open -> address.ifPresent(to -> open.send(data, List.of(to))));
+    }
+  }
+
   private void onDatagram(byte[] data, String sender) {
     try {
-      reader.read(LoadReport.parseFrom(data));
+      LoadReport report = LoadReport.parseFrom(data);
+      reader.read(report);
+      cacheExchange.read(report);
       counts.onReceived();
     } catch (InvalidProtocolBufferException e) {
       counts.onUnreadable();
--- a/gateway/src/main/java/org/almondslip/gateway/PeerGroup.java
+++ b/gateway/src/main/java/org/almondslip/gateway/PeerGroup.java
@@ -4,6 +4,7 @@
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Optional;
 import org.almondslip.report.ReportWriter;
 
 /** Routers that receive the same load reports at the same interval. */
@@ -40,6 +41,16 @@
     return addresses.values();
   }
 
+  /** Returns the names of the instances. */
+  Collection<String> names() {
+    return addresses.keySet();
+  }
+
+  /** Returns the address of a router, empty if it is not in this group. */
+  Optional<InetSocketAddress> address(String name) {
+    return Optional.ofNullable(addresses.get(name));
+  }
+
   void put(String name, InetSocketAddress address) {
     addresses.put(name, address);
   }
--- a/wire/src/main/java/org/almondslip/protocol/wire/LoadReport.java
+++ b/wire/src/main/java/org/almondslip/protocol/wire/LoadReport.java
@@ -320,6 +320,44 @@
     return totals_.get(index);
   }
 
+  public static final int CACHE_REQUEST_FIELD_NUMBER = 9;
+  private boolean cacheRequest_ = false;
+
+  /**
+   *
+   *
+   * <pre>
+   * Whether the sender has just started and asks the receiver what the engines cache.
+   * </pre>
+   *
+   * <code>bool cache_request = 9;</code>
+   *
+   * @return The cacheRequest.
+   */
+  @java.lang.Override
+  public boolean getCacheRequest() {
+    return cacheRequest_;
+  }
+
+  public static final int CACHE_SNAPSHOT_FIELD_NUMBER = 10;
+  private boolean cacheSnapshot_ = false;
+
+  /**
+   *
+   *
+   * <pre>
+   * Whether the prompts are a part of the answer to such a request.
+   * </pre>
+   *
+   * <code>bool cache_snapshot = 10;</code>
+   *
+   * @return The cacheSnapshot.
+   */
+  @java.lang.Override
+  public boolean getCacheSnapshot() {
+    return cacheSnapshot_;
+  }
+
   private byte memoizedIsInitialized = -1;
 
   @java.lang.Override
@@ -352,6 +390,12 @@
     for (int i = 0; i < totals_.size(); i++) {
       output.writeMessage(8, totals_.get(i));
     }
+    if (cacheRequest_ != false) {
+      output.writeBool(9, cacheRequest_);
+    }
+    if (cacheSnapshot_ != false) {
+      output.writeBool(10, cacheSnapshot_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -395,6 +439,12 @@
       }
       size += 1 * count;
     }
+    if (cacheRequest_ != false) {
+      size += com.google.protobuf.CodedOutputStream.computeBoolSize(9, cacheRequest_);
+    }
+    if (cacheSnapshot_ != false) {
+      size += com.google.protobuf.CodedOutputStream.computeBoolSize(10, cacheSnapshot_);
+    }
     return size;
   }
 
@@ -426,6 +476,8 @@
     if (!getSuspectsList().equals(other.getSuspectsList())) return false;
     if (getIncarnation() != other.getIncarnation()) return false;
     if (!getTotalsList().equals(other.getTotalsList())) return false;
+    if (getCacheRequest() != other.getCacheRequest()) return false;
+    if (getCacheSnapshot() != other.getCacheSnapshot()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -457,6 +509,10 @@
       hash = (37 * hash) + TOTALS_FIELD_NUMBER;
       hash = (53 * hash) + getTotalsList().hashCode();
     }
+    hash = (37 * hash) + CACHE_REQUEST_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(getCacheRequest());
+    hash = (37 * hash) + CACHE_SNAPSHOT_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(getCacheSnapshot());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -628,6 +684,8 @@
         totalsBuilder_.clear();
       }
       bitField0_ = (bitField0_ & ~0x00000020);
+      cacheRequest_ = false;
+      cacheSnapshot_ = false;
       return this;
     }
 
@@ -710,6 +768,12 @@
       if (((from_bitField0_ & 0x00000010) != 0)) {
         result.incarnation_ = incarnation_;
       }
+      if (((from_bitField0_ & 0x00000040) != 0)) {
+        result.cacheRequest_ = cacheRequest_;
+      }
+      if (((from_bitField0_ & 0x00000080) != 0)) {
+        result.cacheSnapshot_ = cacheSnapshot_;
+      }
     }
 
     @java.lang.Override
@@ -840,6 +904,12 @@
           }
         }
       }
+      if (other.getCacheRequest() != false) {
+        setCacheRequest(other.getCacheRequest());
+      }
+      if (other.getCacheSnapshot() != false) {
+        setCacheSnapshot(other.getCacheSnapshot());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -930,6 +1000,18 @@
                 }
                 break;
               } // case 66
+            case 72:
+              {
+                cacheRequest_ = input.readBool();
+                bitField0_ |= 0x00000040;
+                break;
+              } // case 72
+            case 80:
+              {
+                cacheSnapshot_ = input.readBool();
+                bitField0_ |= 0x00000080;
+                break;
+              } // case 80
             default:
               {
                 if (!super.parseUnknownField(input, extensionRegistry, tag)) {
@@ -2147,6 +2229,118 @@
       return totalsBuilder_;
     }
 
+    private boolean cacheRequest_;
+
+    /**
+     *
+     *
+     * <pre>
+     * Whether the sender has just started and asks the receiver what the engines cache.
+     * </pre>
+     *
+     * <code>bool cache_request = 9;</code>
+     *
+     * @return The cacheRequest.
+     */
+    @java.lang.Override
+    public boolean getCacheRequest() {
+      return cacheRequest_;
+    }
+
+    /**
+     *
+     *
+     * <pre>
+     * Whether the sender has just started and asks the receiver what the engines cache.
+     * </pre>
+     *
+     * <code>bool cache_request = 9;</code>
+     *
+     * @param value The cacheRequest to set.
+     * @return This builder for chaining.
+     */
+    public Builder setCacheRequest(boolean value) {
+
+      cacheRequest_ = value;
+      bitField0_ |= 0x00000040;
+      onChanged();
+      return this;
+    }
+
+    /**
+     *
+     *
+     * <pre>
+     * Whether the sender has just started and asks the receiver what the engines cache.
+     * </pre>
+     *
+     * <code>bool cache_request = 9;</code>
+     *
+     * @return This builder for chaining.
+     */
+    public Builder clearCacheRequest() {
+      bitField0_ = (bitField0_ & ~0x00000040);
+      cacheRequest_ = false;
+      onChanged();
+      return this;
+    }
+
+    private boolean cacheSnapshot_;
+
+    /**
+     *
+     *
+     * <pre>
+     * Whether the prompts are a part of the answer to such a request.
+     * </pre>
+     *
+     * <code>bool cache_snapshot = 10;</code>
+     *
+     * @return The cacheSnapshot.
+     */
+    @java.lang.Override
+    public boolean getCacheSnapshot() {
+      return cacheSnapshot_;
+    }
+
+    /**
+     *
+     *
+     * <pre>
+     * Whether the prompts are a part of the answer to such a request.
+     * </pre>
+     *
+     * <code>bool cache_snapshot = 10;</code>
+     *
+     * @param value The cacheSnapshot to set.
+     * @return This builder for chaining.
+     */
+    public Builder setCacheSnapshot(boolean value) {
+
+      cacheSnapshot_ = value;
+      bitField0_ |= 0x00000080;
+      onChanged();
+      return this;
+    }
+
+    /**
+     *
+     *
+     * <pre>
+     * Whether the prompts are a part of the answer to such a request.
+     * </pre>
+     *
+     * <code>bool cache_snapshot = 10;</code>
+     *
+     * @return This builder for chaining.
+     */
+    public Builder clearCacheSnapshot() {
+      bitField0_ = (bitField0_ & ~0x00000080);
+      cacheSnapshot_ = false;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:almondslip.LoadReport)
   }
 
--- a/wire/src/main/java/org/almondslip/protocol/wire/LoadReportOrBuilder.java
+++ b/wire/src/main/java/org/almondslip/protocol/wire/LoadReportOrBuilder.java
@@ -153,4 +153,30 @@
 
   /** <code>repeated .almondslip.ServiceTotal totals = 8;</code> */
   org.almondslip.protocol.wire.ServiceTotalOrBuilder getTotalsOrBuilder(int index);
+
+  /**
+   *
+   *
+   * <pre>
+   * Whether the sender has just started and asks the receiver what the engines cache.
+   * </pre>
+   *
+   * <code>bool cache_request = 9;</code>
+   *
+   * @return The cacheRequest.
+   */
+  boolean getCacheRequest();
+
+  /**
+   *
+   *
+   * <pre>
+   * Whether the prompts are a part of the answer to such a request.
+   * </pre>
+   *
+   * <code>bool cache_snapshot = 10;</code>
+   *
+   * @return The cacheSnapshot.
+   */
+  boolean getCacheSnapshot();
 }
