Notice that a caller has disconnected before its unread request is sent

Cause, shown by the test: while the event loop is late, a request and the end of its connection wait together. The loop reads the request first and the end an iteration later, and by then the request has been sent to a target.

Change: within a second of a late tick, a request is started only after the loop has read from its connections once more, and is dropped when its caller has disconnected.

Test: GatewayTest.dropsUnreadRequestOfDisconnectedCaller fails before (five requests of callers that had left reached the target) and passes. A single timer was not enough: it can be due in the iteration that sets it.

--- a/gateway/src/main/java/org/almondslip/gateway/CallerRequestHandler.java
+++ b/gateway/src/main/java/org/almondslip/gateway/CallerRequestHandler.java
@@ -30,6 +30,9 @@
    */
   private static final double KEY_AGE_FRACTION = 0.95;
 
+  /** Shortest delay of a timer in milliseconds. */
+  private static final long READ_DELAY_MILLIS = 1;
+
   /** Time that a caller has to read the response to an invalid request, in milliseconds. */
   private static final long LINGER_MILLIS = 500;
 
@@ -264,7 +267,36 @@
             arrival.earliest(),
             Arrays.hashCode(body.getBytes()) * 31L
                 + Objects.hash(request.method(), request.uri(), decoded.apiKey()));
-    context.retryLimiter(service).onRequest(arrival.earliest());
+    if (eventLoopDelay.hasBacklog()) {
+      afterNextRead(() -> startUnlessDisconnected(request, response, inbound));
+    } else {
+      start(request, response, inbound);
+    }
+  }
+
+  /**
+   * Runs a task after the event loop has read from its connections again. A single timer may be due
+   * before that, in the iteration that sets it.
+   */
+  private void afterNextRead(Runnable task) {
+    vertx.setTimer(READ_DELAY_MILLIS, first -> vertx.setTimer(READ_DELAY_MILLIS, id -> task.run()));
+  }
+
+  /**
+   * Starts a request that may have waited unread, unless its caller has disconnected meanwhile. The
+   * event loop reads the end of a connection one iteration after the request that precedes it.
+   */
+  private void startUnlessDisconnected(
+      HttpServerRequest request, CallerResponse response, InboundRequest inbound) {
+    if (request.response().closed()) {
+      context.decisionLog().logEnd(inbound, "caller gone", 0, 0, "disconnected while unread");
+    } else {
+      start(request, response, inbound);
+    }
+  }
+
+  private void start(HttpServerRequest request, CallerResponse response, InboundRequest inbound) {
+    context.retryLimiter(inbound.service()).onRequest(inbound.arrivedAt());
     openRequests++;
     new ForwardedRequest(
             context,
--- a/gateway/src/main/java/org/almondslip/gateway/EventLoopDelay.java
+++ b/gateway/src/main/java/org/almondslip/gateway/EventLoopDelay.java
@@ -11,6 +11,12 @@
  */
 final class EventLoopDelay {
 
+  /**
+   * Time after a late tick during which requests are still read that arrived before it, in
+   * milliseconds.
+   */
+  private static final long BACKLOG_MILLIS = 1_000;
+
   private final Clock clock;
 
   private final long tickIntervalMillis;
@@ -20,6 +26,9 @@
   /** Time between the last two ticks in milliseconds. */
   private long lastGapMillis;
 
+  /** Time of the last late tick in milliseconds. */
+  private long lastLateTickAt;
+
   /**
    * Creates an estimate for an idle event loop.
    *
@@ -30,6 +39,7 @@
     this.clock = clock;
     this.tickIntervalMillis = tickIntervalMillis;
     this.lastTickAt = clock.millis();
+    this.lastLateTickAt = lastTickAt - BACKLOG_MILLIS;
   }
 
   /**
@@ -44,9 +54,15 @@
     if (gap * 2 >= tickIntervalMillis) {
       lastGapMillis = gap;
       lastTickAt = now;
+      lastLateTickAt = gap < tickIntervalMillis * 2 ? lastLateTickAt : now;
     }
   }
 
+  /** Returns whether a request that is read now may have waited since before a late tick. */
+  boolean hasBacklog() {
+    return millis() > 0 || clock.millis() - lastLateTickAt < BACKLOG_MILLIS;
+  }
+
   /**
    * Returns the maximum time for which a request that is read now may have waited unread.
    *
--- a/gateway/src/test/java/org/almondslip/gateway/GatewayTest.java
+++ b/gateway/src/test/java/org/almondslip/gateway/GatewayTest.java
@@ -255,6 +255,27 @@
                 assertThat(counts.refusedTokens()).containsKey(RefusalReason.EVENT_LOOP_DELAY));
   }
 
+  /**
+   * Guards against a request that reaches a target although its caller disconnected while it waited
+   * unread.
+   */
+  @Test
+  void dropsUnreadRequestOfDisconnectedCaller() throws IOException {
+    ScriptedTarget target =
+        harness.target(
+            (number, socket) -> ScriptedTarget.write(socket, COMPLETE.replace("r1", "r2")));
+    Gateway gateway = harness.gateway(RouteKind.IDEMPOTENT, 1, target);
+    harness.clock().blockEventLoop(1_000);
+    for (int i = 0; i < 5; i++) {
+      try (Socket socket = new Socket("127.0.0.1", gateway.port())) {
+        ScriptedTarget.write(socket, GatewayHarness.request(""));
+      }
+    }
+    String request = GatewayHarness.request("").replace("id: r1", "id: r2");
+    assertThat(GatewayHarness.send(gateway, request)).startsWith("HTTP/1.1 200");
+    assertThat(target.requests()).hasSize(1);
+  }
+
   /** Guards against a planned stop that aborts an open request. */
   @Test
   void drainsOpenRequests() throws Exception {
