Check for disconnected callers for five seconds after a late tick

Cause, supposed: connections also wait in the accept queue of the socket, so that their requests are read later than a second after the last late tick.

Change: the check applies for five seconds after a late tick.

--- a/gateway/src/main/java/org/almondslip/gateway/EventLoopDelay.java
+++ b/gateway/src/main/java/org/almondslip/gateway/EventLoopDelay.java
@@ -13,9 +13,10 @@
 
   /**
    * Time after a late tick during which requests are still read that arrived before it, in
-   * milliseconds.
+   * milliseconds. Connections wait in the accept queue of the socket too, which takes seconds to
+   * drain while callers repeat their requests on new connections.
    */
-  private static final long BACKLOG_MILLIS = 1_000;
+  private static final long BACKLOG_MILLIS = 5_000;
 
   private final Clock clock;
 
