Let the interval of reports to other regions grow with the fleet

Change: the interval is 60 ms for fleets of fewer than 20 routers, 120 ms below 30 and 180 ms from there on.

--- a/gateway/src/main/java/org/almondslip/gateway/PeerExchange.java
+++ b/gateway/src/main/java/org/almondslip/gateway/PeerExchange.java
@@ -36,10 +36,16 @@
   static final long NEARBY_INTERVAL_MILLIS = 60;
 
   /**
-   * Interval of reports to routers in other regions, in milliseconds. Traffic between regions is
-   * billed, and it grows with the square of the number of routers.
+   * Maximum interval of reports to routers in other regions, in milliseconds. Traffic between
+   * regions is billed, and it grows with the square of the number of routers.
    */
-  static final long DISTANT_INTERVAL_MILLIS = 180;
+  static final long MAX_DISTANT_INTERVAL_MILLIS = 180;
+
+  /**
+   * Number of routers for each {@link #NEARBY_INTERVAL_MILLIS} of the interval of reports to other
+   * regions. Small fleets send little, and their routers need current loads.
+   */
+  private static final int ROUTERS_PER_INTERVAL = 10;
 
   /**
    * Time after which an unchanged load is reported again, in milliseconds. Receivers ignore a load
@@ -71,6 +77,8 @@
 
   private final ReportCounts counts = new ReportCounts();
 
+  private long ticksSinceDistantReport;
+
   /** Whether the complete list of routers has been received. */
   private boolean listed;
 
@@ -102,7 +110,7 @@
     this.name = name;
     this.region = region;
     this.nearby = newGroup(writers, NEARBY_INTERVAL_MILLIS);
-    this.distant = newGroup(writers, DISTANT_INTERVAL_MILLIS);
+    this.distant = newGroup(writers, MAX_DISTANT_INTERVAL_MILLIS);
     this.reader = reader;
     this.cacheExchange = cacheExchange;
     this.crashes = crashes;
@@ -111,7 +119,7 @@
 
   private static PeerGroup newGroup(IntFunction<ReportWriter> writers, long intervalMillis) {
     int refreshReports = (int) (REFRESH_MILLIS / intervalMillis);
-    return new PeerGroup(writers.apply(refreshReports), intervalMillis);
+    return new PeerGroup(writers.apply(refreshReports));
   }
 
   /**
@@ -121,10 +129,28 @@
    */
   void start(String address) {
     socket = Optional.of(new PeerSocket(vertx, Address.of(address), this::onDatagram));
-    for (PeerGroup group : List.of(nearby, distant)) {
-      vertx.setPeriodic(group.intervalMillis(), id -> sendReports(group));
+    vertx.setPeriodic(NEARBY_INTERVAL_MILLIS, id -> tick());
+  }
+
+  /** Sends the reports and messages that are due. */
+  private void tick() {
+    sendReports(nearby);
+    ticksSinceDistantReport++;
+    if (ticksSinceDistantReport >= distantIntervalTicks(peerCount() + 1)) {
+      ticksSinceDistantReport = 0;
+      sendReports(distant);
     }
-    vertx.setPeriodic(NEARBY_INTERVAL_MILLIS, id -> sendCacheMessages());
+    sendCacheMessages();
+  }
+
+  /** Returns the interval of reports to other regions, in nearby intervals. */
+  static long distantIntervalTicks(int routers) {
+    long max = MAX_DISTANT_INTERVAL_MILLIS / NEARBY_INTERVAL_MILLIS;
+    return Math.max(1, Math.min(max, routers / ROUTERS_PER_INTERVAL));
+  }
+
+  private int peerCount() {
+    return nearby.addresses().size() + distant.addresses().size();
   }
 
   @Override
@@ -144,10 +170,10 @@
   @Override
   public void onPeersListed() {
     listed = true;
-    int peers = nearby.addresses().size() + distant.addresses().size();
-    retryAllowance.setRouters(peers + 1);
+    retryAllowance.setRouters(peerCount() + 1);
     logger.atInfo().atMostEvery(1, TimeUnit.SECONDS).log(
-        "sending reports to %d routers, retry allowance %.2f", peers, retryAllowance.perRouter());
+        "sending reports to %d routers, retry allowance %.2f",
+        peerCount(), retryAllowance.perRouter());
   }
 
   @Override
--- a/gateway/src/main/java/org/almondslip/gateway/PeerGroup.java
+++ b/gateway/src/main/java/org/almondslip/gateway/PeerGroup.java
@@ -12,8 +12,6 @@
 
   private final ReportWriter writer;
 
-  private final long intervalMillis;
-
   /** Addresses by the names of the instances. */
   private final Map<String, InetSocketAddress> addresses = new HashMap<>();
 
@@ -21,21 +19,15 @@
    * Creates an empty group.
    *
    * @param writer writes the reports to this group, and to no other one
-   * @param intervalMillis the interval of the reports in milliseconds
    */
-  PeerGroup(ReportWriter writer, long intervalMillis) {
+  PeerGroup(ReportWriter writer) {
     this.writer = writer;
-    this.intervalMillis = intervalMillis;
   }
 
   ReportWriter writer() {
     return writer;
   }
 
-  long intervalMillis() {
-    return intervalMillis;
-  }
-
   /** Returns the addresses of the routers. */
   Collection<InetSocketAddress> addresses() {
     return addresses.values();
