Log and count lost attempts by how far their response had come

Cause of the gap: every interrupted stream was logged as "the stream was cut off", so that a crash at the start of a response could not be told from its neighbours, and no line named the prompt segments.

Change: a lost attempt is logged with its target, its phase, its age and the shared segments of its prompt, and counted in almondslip_gateway_lost_attempts_total.

--- a/core/src/main/java/org/almondslip/placement/Prompt.java
+++ b/core/src/main/java/org/almondslip/placement/Prompt.java
@@ -47,6 +47,15 @@
     this(segments, promptTokens, maxOutputTokens, OptionalInt.empty());
   }
 
+  /**
+   * Returns the segments that other requests may share.
+   *
+   * @return all segments but the last one, which belongs to the request or its session
+   */
+  public List<Segment> sharedSegments() {
+    return segments.subList(0, Math.max(0, segments.size() - 1));
+  }
+
   /**
    * Returns the number of tokens that are expected to be generated.
    *
--- a/gateway/src/main/java/org/almondslip/gateway/DecisionLog.java
+++ b/gateway/src/main/java/org/almondslip/gateway/DecisionLog.java
@@ -3,6 +3,7 @@
 import com.google.common.flogger.FluentLogger;
 import io.prometheus.metrics.core.metrics.Histogram;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import java.util.EnumMap;
 import java.util.Map;
 import java.util.TreeMap;
 import org.almondslip.error.ErrorCode;
@@ -27,6 +28,8 @@
   /** Number of requests by outcome. */
   private final Map<String, Long> outcomes = new TreeMap<>();
 
+  private final Map<AttemptPhase, Long> lostAttempts = new EnumMap<>(AttemptPhase.class);
+
   /**
    * Creates a log and registers its histogram.
    *
@@ -69,6 +72,37 @@
             inbound.decoded().prompt().promptTokens());
   }
 
+  /**
+   * Logs that an attempt was lost after its request was sent, and counts it by its phase.
+   *
+   * @param inbound the request
+   * @param target the target
+   * @param phase how far the response had come
+   * @param elapsedMillis the time since the start of the attempt, in milliseconds
+   * @param reason what happened
+   */
+  void logLost(
+      InboundRequest inbound,
+      TargetLoad target,
+      AttemptPhase phase,
+      long elapsedMillis,
+      String reason) {
+    lostAttempts.merge(phase, 1L, Long::sum);
+    logger
+        .atInfo()
+        .with(JsonLines.REQUEST_ID, inbound.decoded().requestId())
+        .with(JsonLines.ORGANISATION, inbound.organisationName())
+        .log(
+            "lost at target %s in phase %s after %d ms: %s; shared segments %s",
+            target.record().id(),
+            phase.label(),
+            elapsedMillis,
+            reason,
+            inbound.decoded().prompt().sharedSegments().stream()
+                .map(segment -> Long.toHexString(segment.id()))
+                .toList());
+  }
+
   /**
    * Logs the end of a request and counts its outcome.
    *
@@ -122,6 +156,11 @@
         .log("%s: %s", code.label(), detail);
   }
 
+  /** Returns the number of lost attempts by phase. */
+  Map<AttemptPhase, Long> lostAttempts() {
+    return lostAttempts;
+  }
+
   /** Returns the number of requests by outcome. */
   Map<String, Long> outcomes() {
     return outcomes;
--- a/gateway/src/main/java/org/almondslip/gateway/GatewayMetrics.java
+++ b/gateway/src/main/java/org/almondslip/gateway/GatewayMetrics.java
@@ -47,6 +47,14 @@
         .labelNames("outcome")
         .callback(values -> decisions.outcomes().forEach((label, n) -> values.call(n, label)))
         .register(registry);
+    CounterWithCallback.builder()
+        .name("almondslip_gateway_lost_attempts_total")
+        .help(
+            "Attempts that were lost after the request was sent, by how far the response had come")
+        .labelNames("phase")
+        .callback(
+            values -> decisions.lostAttempts().forEach((phase, n) -> values.call(n, phase.label())))
+        .register(registry);
     CounterWithCallback.builder()
         .name("almondslip_gateway_job_tokens_total")
         .help("Tokens that organisations asked for, by service and what became of them")
--- a/gateway/src/main/java/org/almondslip/gateway/TargetAttempt.java
+++ b/gateway/src/main/java/org/almondslip/gateway/TargetAttempt.java
@@ -56,6 +56,8 @@
   /** Memory of a response that is forwarded when it is complete. */
   private final BodyMemory.Reservation memory;
 
+  private AttemptPhase phase = AttemptPhase.SENT;
+
   private boolean ended;
 
   /**
@@ -161,6 +163,7 @@
       return;
     }
     response = Optional.of(received);
+    phase = AttemptPhase.HEAD_RECEIVED;
     context.crashQuarantine().onAnswer(inbound.fingerprint());
     HeaderCodec.ResponseHeaders headers = context.codec().readResponse(received.headers());
     if (!headers.requestId().orElse("").equals(inbound.decoded().requestId())) {
@@ -308,6 +311,7 @@
     if (events.isEmpty()) {
       return;
     }
+    phase = AttemptPhase.STREAMING;
     if (load.onPrefilled()) {
       target.onFirstEvent(context.clock().millis() - startedAt, expectedMillis);
     }
@@ -357,8 +361,10 @@
 
   private void onResponseLost(String reason) {
     if (!ended) {
+      long now = context.clock().millis();
+      context.decisionLog().logLost(inbound, target, phase, now - startedAt, reason);
       memory.release();
-      target.onFailure(context.clock().millis());
+      target.onFailure(now);
       end();
       lease.ifPresent(TargetConnectionPool.Lease::discard);
       listener.onResponseLost(target, reason);
