--- a/bench/src/main/java/org/almondslip/bench/slopes/ReportSlopes.java
+++ b/bench/src/main/java/org/almondslip/bench/slopes/ReportSlopes.java
@@ -15,6 +15,7 @@
 import org.almondslip.placement.TargetLoad;
 import org.almondslip.protocol.wire.LoadReport;
 import org.almondslip.quarantine.CrashQuarantine;
+import org.almondslip.quarantine.SegmentQuarantine;
 import org.almondslip.report.ReportReader;
 import org.almondslip.report.ReportWriter;
 import org.almondslip.time.Clock;
@@ -99,8 +100,10 @@
     Clock.Manual clock = new Clock.Manual(1_000_000);
     Dispatcher sender = dispatcher(clock, load.targets());
     Dispatcher receiver = dispatcher(clock, load.targets());
-    ReportWriter writer = new ReportWriter("edge-region-a-1", 1, sender, 5);
-    ReportReader reader = new ReportReader(receiver, new CrashQuarantine(clock), clock);
+    SegmentQuarantine segments =
+        new SegmentQuarantine(clock, "edge-region-a-1", SegmentQuarantine.Listener.NoOp.INSTANCE);
+    ReportWriter writer = new ReportWriter("edge-region-a-1", 1, sender, segments, clock, 5);
+    ReportReader reader = new ReportReader(receiver, new CrashQuarantine(clock), segments, clock);
     sender.targets().forEach(target -> target.onSent(PROMPT));
     ProcessorTime writing = new ProcessorTime();
     ProcessorTime reading = new ProcessorTime();
--- a/core/src/main/java/org/almondslip/dispatch/Dispatcher.java
+++ b/core/src/main/java/org/almondslip/dispatch/Dispatcher.java
@@ -182,6 +182,10 @@
    */
   public void submit(Job job) {
     FairQueue queue = queue(job.service());
+    if (job.isQuarantined()) {
+      refuse(job, queue, RefusalReason.QUARANTINED);
+      return;
+    }
     AvailableTargets available =
         new AvailableTargets(targets(job.service()), availability, clock.millis());
     if (!job.isRetry()) {
@@ -270,6 +274,9 @@
    * @return whether the job was sent
    */
   private boolean trySend(Job job, FairQueue queue, AvailableTargets available) {
+    if (job.isQuarantined()) {
+      return false;
+    }
     Optional<Placement.Choice> choice = choose(job, available);
     if (choice.isEmpty() || !queue.remove(job)) {
       return false;
@@ -284,6 +291,9 @@
     for (Map.Entry<String, FairQueue> entry : queues.entrySet()) {
       FairQueue queue = entry.getValue();
       if (queue.size() > 0) {
+        for (Job job : queue.removeIf(Job::isQuarantined)) {
+          refuse(job, queue, RefusalReason.QUARANTINED);
+        }
         dispatchWaiting(entry.getKey());
         expire(entry.getKey(), queue);
       }
--- a/core/src/main/java/org/almondslip/dispatch/Job.java
+++ b/core/src/main/java/org/almondslip/dispatch/Job.java
@@ -63,6 +63,13 @@
    */
   boolean isRetry();
 
+  /**
+   * Returns whether the request must not be sent since similar requests have crashed targets.
+   *
+   * @return true while it is quarantined
+   */
+  boolean isQuarantined();
+
   /**
    * Sends the request to a target.
    *
--- a/core/src/main/java/org/almondslip/error/ErrorCode.java
+++ b/core/src/main/java/org/almondslip/error/ErrorCode.java
@@ -57,6 +57,8 @@
   STREAM_INTERRUPTED("stream-interrupted", 502, "The stream was interrupted"),
   /** The queue of the router is full. */
   ROUTER_OVERLOADED("router-overloaded", 503, "The router is overloaded"),
+  /** The prompt contains a segment that has crashed targets, and is refused for some time. */
+  PROMPT_QUARANTINED("prompt-quarantined", 503, "A segment of the prompt has crashed targets"),
   /** The expected waiting time exceeds the deadline. */
   DEADLINE_TOO_SHORT("deadline-too-short", 503, "The expected wait exceeds the deadline"),
   /** The process is shutting down. */
--- /dev/null
+++ b/core/src/main/java/org/almondslip/quarantine/SegmentQuarantine.java
@@ -0,0 +1,331 @@
+package org.almondslip.quarantine;
+
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Set;
+import org.almondslip.placement.Prompt;
+import org.almondslip.time.Clock;
+
+/**
+ * Blocks requests whose prompt shares a segment that crashes targets.
+ *
+ * <p>A crash blames all shared segments of the requests that it hit before their first event. A
+ * segment is quarantined when {@link #CRASH_THRESHOLD} targets crashed one after the other with
+ * fewer than {@link #ACQUITTING_ANSWERS} answers in between. If this holds for several segments of
+ * a prompt, the one with the fewest answers is quarantined, and the last one of these, which is in
+ * the fewest requests.
+ *
+ * <p>After the quarantine, each router sends one request with the segment at a time until one is
+ * answered, which releases the segment, or crashes its target, which doubles the quarantine. The
+ * routers begin at different times, so that the first one usually decides for all.
+ */
+public final class SegmentQuarantine {
+
+  /** Number of targets that must crash one after the other. */
+  public static final int CRASH_THRESHOLD = 3;
+
+  /**
+   * Number of answers that acquit a segment. A target may send a first event before it crashes, so
+   * a single answer is not enough.
+   */
+  static final int ACQUITTING_ANSWERS = 3;
+
+  /** Duration of the first quarantine in milliseconds. */
+  public static final long QUARANTINE_MILLIS = 30_000;
+
+  /** Maximum number of times that the duration is doubled. */
+  static final int MAX_DOUBLINGS = 3;
+
+  /** Period over which the first probes of the routers are spread, in milliseconds. */
+  static final long PROBE_SPREAD_MILLIS = 10_000;
+
+  /** Time for which the outcome of a probe is awaited, in milliseconds. */
+  static final long PROBE_MILLIS = 5_000;
+
+  /**
+   * Time after which all routers know of a quarantine, in milliseconds. A crash of a request that
+   * was sent earlier does not extend the quarantine.
+   */
+  static final long PROPAGATION_MILLIS = 5_000;
+
+  /** Time for which a crash counts, in milliseconds. */
+  static final long EVIDENCE_MILLIS = 60_000;
+
+  /** Time for which a quarantine that was not released is remembered, in milliseconds. */
+  static final long RETENTION_MILLIS = 300_000;
+
+  /** Maximum number of tracked segments; the oldest one without quarantine is evicted first. */
+  static final int MAX_SEGMENTS = 1_000;
+
+  private final Clock clock;
+
+  private final String routerName;
+
+  private final Listener listener;
+
+  /** Tracked segments in the order of their first crash. */
+  private final Map<Long, SegmentRecord> records = new LinkedHashMap<>();
+
+  /** Segments that are quarantined or probed, which are checked for each request. */
+  private final Map<Long, SegmentRecord> restricted = new HashMap<>();
+
+  /** Receives changes of quarantines. */
+  public interface Listener {
+
+    /**
+     * Called when a quarantine of a segment starts or is extended.
+     *
+     * @param segment the id of the segment
+     * @param number the number of quarantines of the segment so far
+     * @param millis the duration in milliseconds
+     * @param cause what led to it, for logs
+     */
+    void onQuarantined(long segment, int number, long millis, String cause);
+
+    /**
+     * Called when a segment is released since requests with it were answered.
+     *
+     * @param segment the id of the segment
+     */
+    void onReleased(long segment);
+
+    /** Listener that ignores all changes. */
+    enum NoOp implements Listener {
+      INSTANCE;
+
+      @Override
+      public void onQuarantined(long segment, int number, long millis, String cause) {}
+
+      @Override
+      public void onReleased(long segment) {}
+    }
+  }
+
+  /**
+   * Creates a quarantine without tracked segments.
+   *
+   * @param clock the source of time
+   * @param routerName the name of this router
+   * @param listener the listener to notify of changes
+   */
+  public SegmentQuarantine(Clock clock, String routerName, Listener listener) {
+    this.clock = clock;
+    this.routerName = routerName;
+    this.listener = listener;
+  }
+
+  /**
+   * Records that a request of this or another router was lost with its target before the first
+   * event.
+   *
+   * @param crash the prompt of the request
+   */
+  public void onCrash(CrashedPrompt crash) {
+    long now = clock.millis();
+    boolean explained = false;
+    for (long segment : crash.segments()) {
+      SegmentRecord record = restricted.get(segment);
+      if (record != null) {
+        explained = true;
+        if (crash.startedAt() >= record.quarantinedAt() + PROPAGATION_MILLIS) {
+          quarantine(segment, record.quarantines() + 1, "a probe crashed its target");
+        }
+      }
+    }
+    if (explained) {
+      return;
+    }
+    for (long segment : crash.segments()) {
+      track(segment).onCrash(crash.target(), crash.startedAt(), now);
+    }
+    findCulprit(crash.segments())
+        .ifPresent(
+            segment -> {
+              SegmentRecord record = records.get(segment);
+              String cause = "it crashed targets " + record.crashedTargets();
+              quarantine(segment, record.quarantines() + 1, cause);
+            });
+  }
+
+  /** Returns the suspect with the fewest answers, the last one of several. */
+  private Optional<Long> findCulprit(List<Long> segments) {
+    return segments.stream()
+        .filter(segment -> records.containsKey(segment) && records.get(segment).isSuspect())
+        .min(
+            Comparator.<Long>comparingLong(segment -> records.get(segment).answersBetweenCrashes())
+                .thenComparing(segments::indexOf, Comparator.reverseOrder()));
+  }
+
+  /**
+   * Records that a request of this router was answered.
+   *
+   * @param prompt the prompt of the request
+   */
+  public void onAnswer(Prompt prompt) {
+    if (records.isEmpty()) {
+      return;
+    }
+    for (Prompt.Segment segment : prompt.sharedSegments()) {
+      SegmentRecord record = records.get(segment.id());
+      if (record != null) {
+        record.onAnswer();
+        releaseIfAcquitted(segment.id(), record);
+      }
+    }
+  }
+
+  /**
+   * Records that a request is sent to a target. If it contains a segment whose quarantine has
+   * ended, it is the probe of this router.
+   *
+   * @param prompt the prompt of the request
+   */
+  public void onSent(Prompt prompt) {
+    if (restricted.isEmpty()) {
+      return;
+    }
+    for (Prompt.Segment segment : prompt.sharedSegments()) {
+      SegmentRecord record = restricted.get(segment.id());
+      if (record != null) {
+        record.onProbe(PROBE_MILLIS, clock.millis());
+      }
+    }
+  }
+
+  /**
+   * Returns how long a request must not be sent.
+   *
+   * @param prompt the prompt of the request
+   * @return the time in milliseconds, empty if the request may be sent now
+   */
+  public OptionalLong blockedMillis(Prompt prompt) {
+    if (restricted.isEmpty()) {
+      return OptionalLong.empty();
+    }
+    long now = clock.millis();
+    return prompt.sharedSegments().stream()
+        .filter(segment -> restricted.containsKey(segment.id()))
+        .mapToLong(
+            segment -> restricted.get(segment.id()).blockedMillis(probeDelay(segment.id()), now))
+        .filter(millis -> millis > 0)
+        .max();
+  }
+
+  /**
+   * Applies the status of a segment at another router. Of two statuses the one with more
+   * quarantines and releases is newer; an equal one changes nothing, so that delayed reports do not
+   * extend a quarantine.
+   *
+   * @param router the name of the other router
+   * @param segment the id of the segment
+   * @param status the status
+   */
+  public void onPeerStatus(String router, long segment, SegmentStatus status) {
+    SegmentRecord known = records.get(segment);
+    int version = known == null ? 0 : known.status(clock.millis()).version();
+    if (status.quarantines() > 0 && status.version() > version) {
+      if (status.released()) {
+        release(segment, status.quarantines());
+      } else {
+        long millis = Math.min(status.remainingMillis(), duration(status.quarantines()));
+        start(segment, status.quarantines(), millis, "reported by router " + router);
+      }
+    }
+    if (known != null) {
+      known.onPeerAnswers(router, status, clock.millis());
+      releaseIfAcquitted(segment, known);
+    }
+  }
+
+  /**
+   * Returns the status of each tracked segment, to be reported to other routers.
+   *
+   * @return the statuses by segment
+   */
+  public Map<Long, SegmentStatus> statuses() {
+    Map<Long, SegmentStatus> statuses = new LinkedHashMap<>();
+    records.forEach((segment, record) -> statuses.put(segment, record.status(clock.millis())));
+    return statuses;
+  }
+
+  /**
+   * Returns the number of segments that are quarantined or probed.
+   *
+   * @return the number of segments
+   */
+  public int restrictedSegments() {
+    return restricted.size();
+  }
+
+  /** Forgets segments that have not been suspected for a long time; to be called periodically. */
+  public void prune() {
+    long now = clock.millis();
+    records.values().removeIf(record -> now >= record.usefulUntil());
+    restricted.keySet().retainAll(records.keySet());
+  }
+
+  private void quarantine(long segment, int number, String cause) {
+    start(segment, number, duration(number), cause);
+  }
+
+  /** Starts a quarantine and removes the crashes that it explains from the other segments. */
+  private void start(long segment, int number, long millis, String cause) {
+    SegmentRecord record = track(segment);
+    Set<Long> targets = record.crashedTargets();
+    records.values().forEach(other -> other.removeCrashes(targets));
+    record.quarantine(number, millis, clock.millis());
+    restricted.put(segment, record);
+    listener.onQuarantined(segment, number, millis, cause);
+  }
+
+  private void releaseIfAcquitted(long segment, SegmentRecord record) {
+    if (record.isAcquitted()) {
+      release(segment, record.quarantines());
+    }
+  }
+
+  private void release(long segment, int number) {
+    track(segment).release(number, clock.millis());
+    restricted.remove(segment);
+    listener.onReleased(segment);
+  }
+
+  private SegmentRecord track(long segment) {
+    SegmentRecord record = records.computeIfAbsent(segment, id -> new SegmentRecord());
+    if (records.size() > MAX_SEGMENTS) {
+      evictOldest(segment);
+    }
+    return record;
+  }
+
+  /** Evicts the oldest segment without quarantine, or the oldest one if all have a quarantine. */
+  private void evictOldest(long kept) {
+    long oldest = records.keySet().iterator().next();
+    for (Iterator<Long> all = records.keySet().iterator(); all.hasNext(); ) {
+      long segment = all.next();
+      if (segment != kept && !restricted.containsKey(segment)) {
+        oldest = segment;
+        break;
+      }
+    }
+    records.remove(oldest);
+    restricted.remove(oldest);
+  }
+
+  private static long duration(int number) {
+    return QUARANTINE_MILLIS << Math.min(number - 1, MAX_DOUBLINGS);
+  }
+
+  /** Returns the delay of the first probe of this router after a quarantine, in milliseconds. */
+  private long probeDelay(long segment) {
+    int hash = 31 * routerName.hashCode() + Long.hashCode(segment);
+    // The multiplier (the golden ratio) spreads the hashes of routers with similar names.
+    return Integer.toUnsignedLong(hash * 0x9e3779b9) * PROBE_SPREAD_MILLIS >>> Integer.SIZE;
+  }
+}
--- a/core/src/main/java/org/almondslip/report/ReportPacker.java
+++ b/core/src/main/java/org/almondslip/report/ReportPacker.java
@@ -5,6 +5,8 @@
 import java.util.ArrayList;
 import java.util.List;
 import org.almondslip.protocol.wire.LoadReport;
+import org.almondslip.protocol.wire.PromptCrash;
+import org.almondslip.protocol.wire.SegmentReport;
 import org.almondslip.protocol.wire.SentPrompt;
 import org.almondslip.protocol.wire.ServiceTotal;
 import org.almondslip.protocol.wire.SuspectNotice;
@@ -74,6 +76,24 @@
     reportFor(entry).addSuspects(entry);
   }
 
+  /**
+   * Adds a prompt that was lost with its target.
+   *
+   * @param entry the entry
+   */
+  void add(PromptCrash entry) {
+    reportFor(entry).addCrashes(entry);
+  }
+
+  /**
+   * Adds the status of a suspected segment.
+   *
+   * @param entry the entry
+   */
+  void add(SegmentReport entry) {
+    reportFor(entry).addSegments(entry);
+  }
+
   /**
    * Adds a prompt that was sent to a target.
    *
--- a/core/src/main/java/org/almondslip/report/ReportReader.java
+++ b/core/src/main/java/org/almondslip/report/ReportReader.java
@@ -8,11 +8,16 @@
 import org.almondslip.dispatch.Dispatcher;
 import org.almondslip.placement.Prompt;
 import org.almondslip.protocol.wire.LoadReport;
+import org.almondslip.protocol.wire.PromptCrash;
+import org.almondslip.protocol.wire.SegmentReport;
 import org.almondslip.protocol.wire.SentPrompt;
 import org.almondslip.protocol.wire.ServiceTotal;
 import org.almondslip.protocol.wire.SuspectNotice;
 import org.almondslip.protocol.wire.TargetReport;
 import org.almondslip.quarantine.CrashQuarantine;
+import org.almondslip.quarantine.CrashedPrompt;
+import org.almondslip.quarantine.SegmentQuarantine;
+import org.almondslip.quarantine.SegmentStatus;
 import org.almondslip.time.Clock;
 
 /** Applies the load and service reports of other routers to the state of this router. */
@@ -24,6 +29,15 @@
    */
   private static final int MAX_TOKENS = 100_000_000;
 
+  /** Maximum number of quarantines of a segment. */
+  private static final int MAX_QUARANTINES = 10_000;
+
+  /** Maximum number of shared segments of a prompt. */
+  private static final int MAX_SEGMENTS = 200;
+
+  /** Maximum age of a crashed request in milliseconds, above the timeout of any route. */
+  private static final int MAX_AGE_MILLIS = 3_600_000;
+
   /** Maximum number of running requests that a router reports for one target. */
   private static final int MAX_REQUESTS = 100_000;
 
@@ -31,6 +45,8 @@
 
   private final CrashQuarantine quarantine;
 
+  private final SegmentQuarantine segmentQuarantine;
+
   private final Clock clock;
 
   /** Totals of the other routers by router name. */
@@ -41,11 +57,17 @@
    *
    * @param dispatcher the dispatcher of this router, which receives load and service
    * @param quarantine the quarantine of this router, which receives crashes
+   * @param segmentQuarantine the quarantine of prompt segments, which receives crashes and statuses
    * @param clock the source of time
    */
-  public ReportReader(Dispatcher dispatcher, CrashQuarantine quarantine, Clock clock) {
+  public ReportReader(
+      Dispatcher dispatcher,
+      CrashQuarantine quarantine,
+      SegmentQuarantine segmentQuarantine,
+      Clock clock) {
     this.dispatcher = dispatcher;
     this.quarantine = quarantine;
+    this.segmentQuarantine = segmentQuarantine;
     this.clock = clock;
   }
 
@@ -71,6 +93,7 @@
     for (SuspectNotice notice : report.getSuspectsList()) {
       quarantine.onCrash(notice.getFingerprint(), notice.getCrashId().hashCode());
     }
+    readSegments(report, now);
     applyTotals(report, now);
     for (SentPrompt sent : report.getPromptsList()) {
       if (isPlausible(sent)) {
@@ -81,6 +104,31 @@
     }
   }
 
+  private void readSegments(LoadReport report, long now) {
+    for (PromptCrash crash : report.getCrashesList()) {
+      if (isWithin(crash.getAgeMillis(), MAX_AGE_MILLIS)
+          && isWithin(crash.getSegmentsCount(), MAX_SEGMENTS)) {
+        segmentQuarantine.onCrash(
+            new CrashedPrompt(
+                crash.getSegmentsList(), crash.getTarget(), now - crash.getAgeMillis()));
+      }
+    }
+    for (SegmentReport segment : report.getSegmentsList()) {
+      if (isWithin(segment.getQuarantines(), MAX_QUARANTINES)
+          && isWithin(segment.getAnswers(), Integer.MAX_VALUE)
+          && isWithin(segment.getRemainingMillis(), Integer.MAX_VALUE)) {
+        segmentQuarantine.onPeerStatus(
+            report.getRouter(),
+            segment.getSegment(),
+            new SegmentStatus(
+                segment.getAnswers(),
+                segment.getQuarantines(),
+                segment.getReleased(),
+                segment.getRemainingMillis()));
+      }
+    }
+  }
+
   private void applyTotals(LoadReport report, long now) {
     PeerTotals peer = peers.computeIfAbsent(report.getRouter(), name -> new PeerTotals());
     peer.onReport(report.getIncarnation(), now);
--- a/core/src/main/java/org/almondslip/report/ReportWriter.java
+++ b/core/src/main/java/org/almondslip/report/ReportWriter.java
@@ -14,6 +14,9 @@
 import org.almondslip.protocol.wire.ServiceTotal;
 import org.almondslip.protocol.wire.SuspectNotice;
 import org.almondslip.protocol.wire.TargetReport;
+import org.almondslip.quarantine.CrashedPrompt;
+import org.almondslip.quarantine.SegmentQuarantine;
+import org.almondslip.time.Clock;
 
 /**
  * Creates the reports on load and service that a router sends to the other routers.
@@ -52,6 +55,8 @@
   /** Crashes to report, with the number of remaining reports that include them. */
   private final Map<SuspectNotice, Integer> crashes = new HashMap<>();
 
+  private final SegmentReporter segments;
+
   /** Loads of the targets that recently had requests, by incarnation key, as last reported. */
   private final Map<Long, ReportedLoad> reportedLoads = new HashMap<>();
 
@@ -111,14 +116,22 @@
    * @param routerName the name of the router
    * @param incarnation the incarnation of the router, different after each restart
    * @param dispatcher the dispatcher whose load and service are reported
+   * @param segmentQuarantine the quarantine whose segments are reported
+   * @param clock the source of time
    * @param refreshReports the number of reports after which an unchanged load is included again;
    *     their time must be well below the time after which receivers ignore a load
    */
   public ReportWriter(
-      String routerName, long incarnation, Dispatcher dispatcher, int refreshReports) {
+      String routerName,
+      long incarnation,
+      Dispatcher dispatcher,
+      SegmentQuarantine segmentQuarantine,
+      Clock clock,
+      int refreshReports) {
     this.routerName = routerName;
     this.incarnation = incarnation;
     this.dispatcher = dispatcher;
+    this.segments = new SegmentReporter(clock, segmentQuarantine);
     this.refreshReports = refreshReports;
   }
 
@@ -154,6 +167,15 @@
         REPEATS);
   }
 
+  /**
+   * Records that a request was lost with its target before the first event.
+   *
+   * @param crash the prompt of the request
+   */
+  public void onCrash(CrashedPrompt crash) {
+    segments.onCrash(crash);
+  }
+
   /**
    * Creates the next reports.
    *
@@ -166,6 +188,7 @@
     crashes.keySet().forEach(packer::add);
     crashes.replaceAll((notice, remaining) -> remaining - 1);
     crashes.values().removeIf(remaining -> remaining <= 0);
+    segments.addTo(packer);
     prompts.forEach(packer::add);
     prompts.clear();
     return packer.reports();
--- a/core/src/test/java/org/almondslip/dispatch/TestJob.java
+++ b/core/src/test/java/org/almondslip/dispatch/TestJob.java
@@ -42,6 +42,8 @@
 
   private boolean retry;
 
+  private boolean quarantined;
+
   /**
    * Creates a job.
    *
@@ -106,6 +108,11 @@
     target.orElseThrow().onEnded();
   }
 
+  /** Quarantines the job. */
+  void quarantine() {
+    quarantined = true;
+  }
+
   @Override
   public String organisation() {
     return organisation;
@@ -142,6 +149,11 @@
     return arrivedAt + objectiveMillis / 2;
   }
 
+  @Override
+  public boolean isQuarantined() {
+    return quarantined;
+  }
+
   @Override
   public boolean isRetry() {
     return retry;
--- a/core/src/test/java/org/almondslip/report/CacheExchangeTest.java
+++ b/core/src/test/java/org/almondslip/report/CacheExchangeTest.java
@@ -12,6 +12,7 @@
 import org.almondslip.placement.Prompt;
 import org.almondslip.placement.TargetLoad;
 import org.almondslip.quarantine.CrashQuarantine;
+import org.almondslip.quarantine.SegmentQuarantine;
 import org.almondslip.time.Clock;
 import org.junit.jupiter.api.Test;
 
@@ -44,7 +45,11 @@
             DispatchLimits.DEFAULT);
 
     private final ReportReader reader =
-        new ReportReader(dispatcher, new CrashQuarantine(clock), clock);
+        new ReportReader(
+            dispatcher,
+            new CrashQuarantine(clock),
+            new SegmentQuarantine(clock, "router", SegmentQuarantine.Listener.NoOp.INSTANCE),
+            clock);
 
     private final CacheExchange exchange;
 
--- a/core/src/test/java/org/almondslip/report/FleetSimulation.java
+++ b/core/src/test/java/org/almondslip/report/FleetSimulation.java
@@ -19,6 +19,7 @@
 import org.almondslip.placement.TargetLoad;
 import org.almondslip.protocol.wire.LoadReport;
 import org.almondslip.quarantine.CrashQuarantine;
+import org.almondslip.quarantine.SegmentQuarantine;
 import org.almondslip.time.Clock;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.apache.commons.rng.simple.RandomSource;
@@ -186,8 +187,10 @@
               new Placement("dc", EngineModel.DEFAULT),
               EngineModel.DEFAULT,
               DispatchLimits.DEFAULT);
-      this.writer = new ReportWriter(name, 1, dispatcher, 5);
-      this.reader = new ReportReader(dispatcher, new CrashQuarantine(clock), clock);
+      SegmentQuarantine segments =
+          new SegmentQuarantine(clock, name, SegmentQuarantine.Listener.NoOp.INSTANCE);
+      this.writer = new ReportWriter(name, 1, dispatcher, segments, clock, 5);
+      this.reader = new ReportReader(dispatcher, new CrashQuarantine(clock), segments, clock);
       engines.forEach(engine -> dispatcher.add(new TargetLoad(engine.entry, 1_000_000)));
     }
 
@@ -391,6 +394,11 @@
       return sentAtMillis + OBJECTIVE_MILLIS * 70 / 100;
     }
 
+    @Override
+    public boolean isQuarantined() {
+      return false;
+    }
+
     @Override
     public boolean isRetry() {
       return false;
--- /dev/null
+++ b/core/src/test/java/org/almondslip/report/QuarantineFleetTest.java
@@ -0,0 +1,297 @@
+package org.almondslip.report;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.PriorityQueue;
+import java.util.Random;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import org.almondslip.dispatch.DispatchLimits;
+import org.almondslip.dispatch.Dispatcher;
+import org.almondslip.placement.EngineModel;
+import org.almondslip.placement.Placement;
+import org.almondslip.placement.Prompt;
+import org.almondslip.protocol.wire.LoadReport;
+import org.almondslip.quarantine.CrashQuarantine;
+import org.almondslip.quarantine.CrashedPrompt;
+import org.almondslip.quarantine.SegmentQuarantine;
+import org.almondslip.time.Clock;
+
+/**
+ * Plays routers that learn of a crashing segment from each other, without a network: reports are
+ * lost and delayed, routers freeze and restart.
+ */
+class QuarantineFleetTest {
+
+  private static final long SEED = 20261205;
+
+  private static final long STEP_MILLIS = 20;
+
+  private static final long REPORT_MILLIS = 60;
+
+  /** Time between a request and the start of its response, in milliseconds. */
+  private static final long RUN_MILLIS = 300;
+
+  /** Time between two requests with the crashing segment, in milliseconds. */
+  private static final long CRASHING_INTERVAL_MILLIS = 400;
+
+  private static final long SOUND_INTERVAL_MILLIS = 40;
+
+  /** Shortest bound of the platform for the time in which routers learn of a change. */
+  private static final long CONTACT_MILLIS = 3_000;
+
+  /** Crashes after which the bound begins. */
+  private static final int CRASHES = 5;
+
+  private static final int MAX_LATE_RUNS = 3;
+
+  private static final long COMMON = 1;
+
+  private static final long SHARED = 2;
+
+  private static final long CRASHING = 3;
+
+  private final Clock.Manual clock = new Clock.Manual(1_000_000);
+
+  private final PriorityQueue<Event> events =
+      new PriorityQueue<>((a, b) -> Long.compare(a.at(), b.at()));
+
+  private final List<Router> routers = new ArrayList<>();
+
+  private Random random = new Random(SEED);
+
+  /** Fraction of lost reports. */
+  private double loss;
+
+  private long targets;
+
+  private int requests;
+
+  private int crashes;
+
+  /** Time of the fifth crash in milliseconds. */
+  private Optional<Long> boundFrom = Optional.empty();
+
+  private int lateRuns;
+
+  private int soundSent;
+
+  private int soundRefused;
+
+  private record Event(long at, Runnable action) {}
+
+  /** Router with its own knowledge, which a restart replaces. */
+  private final class Router {
+
+    private final String name;
+
+    private SegmentQuarantine quarantine;
+
+    private ReportWriter writer;
+
+    private ReportReader reader;
+
+    private int incarnation;
+
+    /** Time until which the router is frozen, in milliseconds. */
+    private long frozenUntil;
+
+    Router(String name) {
+      this.name = name;
+      restart();
+    }
+
+    void restart() {
+      Dispatcher dispatcher =
+          new Dispatcher(
+              clock,
+              new Placement("dc", EngineModel.DEFAULT),
+              EngineModel.DEFAULT,
+              DispatchLimits.DEFAULT);
+      quarantine = new SegmentQuarantine(clock, name, SegmentQuarantine.Listener.NoOp.INSTANCE);
+      writer = new ReportWriter(name, ++incarnation, dispatcher, quarantine, clock, 5);
+      reader = new ReportReader(dispatcher, new CrashQuarantine(clock), quarantine, clock);
+    }
+
+    boolean isFrozen() {
+      return clock.millis() < frozenUntil;
+    }
+
+    /** Runs an action now, or as soon as the router wakes up. */
+    void whenAwake(Runnable action) {
+      if (isFrozen()) {
+        events.add(new Event(frozenUntil, () -> whenAwake(action)));
+      } else {
+        action.run();
+      }
+    }
+
+    void report() {
+      if (isFrozen()) {
+        return;
+      }
+      for (LoadReport report : writer.next()) {
+        for (Router other : routers) {
+          if (other != this && random.nextDouble() >= loss) {
+            long delay = 1 + random.nextInt(30);
+            after(delay, () -> other.whenAwake(() -> other.reader.read(report)));
+          }
+        }
+      }
+    }
+
+    /** Sends a request with the crashing segment, and with segments of sound requests. */
+    void sendCrashing() {
+      Prompt prompt = prompt(COMMON, SHARED, CRASHING);
+      if (isFrozen() || quarantine.blockedMillis(prompt).isPresent()) {
+        return;
+      }
+      if (boundFrom.isPresent() && clock.millis() > boundFrom.get() + CONTACT_MILLIS) {
+        lateRuns++;
+      }
+      quarantine.onSent(prompt);
+      CrashedPrompt crash = CrashedPrompt.of(prompt, targets++, clock.millis());
+      after(
+          RUN_MILLIS,
+          () -> {
+            if (++crashes == CRASHES) {
+              boundFrom = Optional.of(clock.millis());
+            }
+            whenAwake(
+                () -> {
+                  quarantine.onCrash(crash);
+                  writer.onCrash(crash);
+                });
+          });
+    }
+
+    void sendSound() {
+      Prompt prompt = random.nextInt(10) == 0 ? prompt(COMMON, SHARED) : prompt(COMMON, 100);
+      if (isFrozen()) {
+        return;
+      }
+      soundSent++;
+      if (quarantine.blockedMillis(prompt).isPresent()) {
+        soundRefused++;
+      } else {
+        after(RUN_MILLIS, () -> whenAwake(() -> quarantine.onAnswer(prompt)));
+      }
+    }
+  }
+
+  /** Guards against routers that learn of a crashing segment too late, or block sound requests. */
+  @Property(seed = "20261205", tries = 100)
+  void routersQuarantineSegmentInTime(
+      @ForAll @IntRange(min = 1, max = 33) int count,
+      @ForAll @IntRange(max = 50) int lossPercent,
+      @ForAll long seed) {
+    start(count, lossPercent / 100.0, seed);
+    play(60_000);
+    assertThat(lateRuns).isLessThanOrEqualTo(MAX_LATE_RUNS);
+    assertThat(crashes).isGreaterThanOrEqualTo(SegmentQuarantine.CRASH_THRESHOLD);
+    assertThat(soundRefused).isLessThan(soundSent / 20);
+  }
+
+  /** Guards against a router that wakes up or restarts and no longer knows of the segment. */
+  @Property(seed = "20261205", tries = 100)
+  void routersThatWakeOrRestartLearnOfSegment(
+      @ForAll @IntRange(min = 2, max = 12) int count,
+      @ForAll @IntRange(max = 30) int lossPercent,
+      @ForAll long seed) {
+    start(count, lossPercent / 100.0, seed);
+    routers.get(0).frozenUntil = clock.millis() + 12_000;
+    after(8_000, routers.get(1)::restart);
+    play(16_000);
+    long known = routers.stream().filter(r -> r.quarantine.restrictedSegments() == 1).count();
+    assertThat(known).isEqualTo(count);
+    // A restarted router may send one request with the segment before the first report arrives.
+    assertThat(lateRuns).isLessThanOrEqualTo(MAX_LATE_RUNS);
+  }
+
+  /** Guards against a segment that stays blocked at some routers after one of them released it. */
+  @Property(seed = "20261205", tries = 50)
+  void allRoutersReleaseHarmlessSegment(
+      @ForAll @IntRange(min = 2, max = 12) int count, @ForAll long seed) {
+    start(count, 0.1, seed);
+    // Targets crash for another reason while they run requests with the segment.
+    for (int i = 0; i < SegmentQuarantine.CRASH_THRESHOLD; i++) {
+      CrashedPrompt crash = CrashedPrompt.of(prompt(9), targets++, clock.millis());
+      clock.advance(RUN_MILLIS);
+      routers.get(0).quarantine.onCrash(crash);
+      routers.get(0).writer.onCrash(crash);
+    }
+    long end =
+        clock.millis()
+            + SegmentQuarantine.QUARANTINE_MILLIS
+            + 2 * SegmentQuarantine.QUARANTINE_MILLIS;
+    boolean blocked = routers.get(0).quarantine.blockedMillis(prompt(9)).isPresent();
+    assertThat(blocked).isTrue();
+    while (clock.millis() < end) {
+      Router router = routers.get(random.nextInt(count));
+      if (router.quarantine.blockedMillis(prompt(9)).isEmpty()) {
+        router.quarantine.onSent(prompt(9));
+        after(RUN_MILLIS, () -> router.quarantine.onAnswer(prompt(9)));
+      }
+      step();
+    }
+    assertThat(routers).allMatch(router -> router.quarantine.restrictedSegments() == 0);
+  }
+
+  private void start(int count, double lossFraction, long seed) {
+    random = new Random(seed);
+    loss = lossFraction;
+    routers.clear();
+    events.clear();
+    targets = 0;
+    crashes = 0;
+    lateRuns = 0;
+    soundSent = 0;
+    soundRefused = 0;
+    boundFrom = Optional.empty();
+    for (int i = 0; i < count; i++) {
+      routers.add(new Router("router-" + i));
+    }
+  }
+
+  /** Plays requests with and without the crashing segment. */
+  private void play(long millis) {
+    long end = clock.millis() + millis;
+    while (clock.millis() < end) {
+      if (clock.millis() % CRASHING_INTERVAL_MILLIS < STEP_MILLIS) {
+        routers.get(random.nextInt(routers.size())).sendCrashing();
+      }
+      if (clock.millis() % SOUND_INTERVAL_MILLIS < STEP_MILLIS) {
+        routers.get(random.nextInt(routers.size())).sendSound();
+      }
+      step();
+    }
+  }
+
+  private void step() {
+    clock.advance(STEP_MILLIS);
+    while (!events.isEmpty() && events.peek().at() <= clock.millis()) {
+      events.poll().action().run();
+    }
+    if (clock.millis() % REPORT_MILLIS < STEP_MILLIS) {
+      routers.forEach(Router::report);
+    }
+  }
+
+  private void after(long millis, Runnable action) {
+    events.add(new Event(clock.millis() + millis, action));
+  }
+
+  /** Returns a prompt with the given shared segments and a last one of its own. */
+  private Prompt prompt(long... segments) {
+    List<Prompt.Segment> all = new ArrayList<>();
+    for (long segment : segments) {
+      all.add(new Prompt.Segment(segment, 100));
+    }
+    all.add(new Prompt.Segment(1_000_000 + requests++, 10));
+    return new Prompt(all, 1_000, 10);
+  }
+}
--- a/core/src/test/java/org/almondslip/report/ReportReaderTest.java
+++ b/core/src/test/java/org/almondslip/report/ReportReaderTest.java
@@ -19,6 +19,7 @@
 import org.almondslip.protocol.wire.ServiceTotal;
 import org.almondslip.protocol.wire.TargetReport;
 import org.almondslip.quarantine.CrashQuarantine;
+import org.almondslip.quarantine.SegmentQuarantine;
 import org.almondslip.time.Clock;
 
 /** Tests of {@link ReportReader} with reports that no router would send. */
@@ -37,7 +38,11 @@
       new Dispatcher(clock, placement, EngineModel.DEFAULT, DispatchLimits.DEFAULT);
 
   private final ReportReader reader =
-      new ReportReader(dispatcher, new CrashQuarantine(clock), clock);
+      new ReportReader(
+          dispatcher,
+          new CrashQuarantine(clock),
+          new SegmentQuarantine(clock, "router", SegmentQuarantine.Listener.NoOp.INSTANCE),
+          clock);
 
   private final TargetLoad target =
       new TargetLoad(
--- a/core/src/test/java/org/almondslip/report/ReportWriterTest.java
+++ b/core/src/test/java/org/almondslip/report/ReportWriterTest.java
@@ -14,6 +14,7 @@
 import org.almondslip.placement.TargetLoad;
 import org.almondslip.protocol.wire.LoadReport;
 import org.almondslip.quarantine.CrashQuarantine;
+import org.almondslip.quarantine.SegmentQuarantine;
 import org.almondslip.time.Clock;
 import org.junit.jupiter.api.Test;
 
@@ -37,9 +38,14 @@
   /** Dispatcher of the router that receives the reports. */
   private final Dispatcher receiver = createDispatcher();
 
-  private final ReportReader reader = new ReportReader(receiver, new CrashQuarantine(clock), clock);
+  private final SegmentQuarantine segments =
+      new SegmentQuarantine(clock, "router-1", SegmentQuarantine.Listener.NoOp.INSTANCE);
 
-  private ReportWriter writer = new ReportWriter("router-1", 1, sender, REFRESH_REPORTS);
+  private final ReportReader reader =
+      new ReportReader(receiver, new CrashQuarantine(clock), segments, clock);
+
+  private ReportWriter writer =
+      new ReportWriter("router-1", 1, sender, segments, clock, REFRESH_REPORTS);
 
   /** The report of a busy router must not exceed the datagram size that receivers accept. */
   @Test
@@ -95,7 +101,7 @@
     send("org");
     deliverReports();
     Dispatcher restarted = createDispatcher();
-    writer = new ReportWriter("router-1", 2, restarted, REFRESH_REPORTS);
+    writer = new ReportWriter("router-1", 2, restarted, segments, clock, REFRESH_REPORTS);
     restarted.submit(job("org"));
     deliverReports();
     assertThat(receiver.servedTokens("s", "org")).isEqualTo(2 * cost());
--- a/gateway/src/main/java/org/almondslip/gateway/ForwardedRequest.java
+++ b/gateway/src/main/java/org/almondslip/gateway/ForwardedRequest.java
@@ -163,12 +163,18 @@
     return attempts > 0;
   }
 
+  @Override
+  public boolean isQuarantined() {
+    return context.segmentQuarantine().blockedMillis(prompt()).isPresent();
+  }
+
   @Override
   public void send(TargetLoad target, double expectedDelayMillis) {
     if (ended) {
       return;
     }
     attempts++;
+    context.segmentQuarantine().onSent(prompt());
     triedTargets.add(target.record().id());
     context.decisionLog().logAttempt(inbound, target, attempts, expectedDelayMillis);
     TargetAttempt next =
@@ -183,6 +189,13 @@
       fail(ErrorCode.TARGET_FAILED, lastFailure, OptionalLong.empty());
       return;
     }
+    if (reason == RefusalReason.QUARANTINED) {
+      fail(
+          ErrorCode.PROMPT_QUARANTINED,
+          ErrorCode.PROMPT_QUARANTINED.title(),
+          context.segmentQuarantine().blockedMillis(prompt()));
+      return;
+    }
     ErrorCode code =
         reason == RefusalReason.NO_TARGET ? ErrorCode.NO_TARGET : ErrorCode.ROUTER_OVERLOADED;
     String detail =
@@ -280,6 +293,7 @@
   private boolean canRetry() {
     return !ended
         && !context.crashQuarantine().isQuarantined(inbound.fingerprint())
+        && !isQuarantined()
         && attempts < inbound.route().maxAttempts()
         && context.clock().millis() < inbound.deadlineAt()
         && context.dispatcher().targets(inbound.service()).stream()
--- a/gateway/src/main/java/org/almondslip/gateway/ForwardingContext.java
+++ b/gateway/src/main/java/org/almondslip/gateway/ForwardingContext.java
@@ -10,6 +10,7 @@
 import org.almondslip.placement.Prompt;
 import org.almondslip.placement.TargetLoad;
 import org.almondslip.quarantine.CrashQuarantine;
+import org.almondslip.quarantine.SegmentQuarantine;
 import org.almondslip.time.Clock;
 
 /** Components of a router that all forwarded requests share. */
@@ -33,6 +34,8 @@
 
   private final CrashQuarantine crashQuarantine;
 
+  private final SegmentQuarantine segmentQuarantine;
+
   private final BodyMemory bodyMemory;
 
   private final FleetAllowance retryAllowance;
@@ -52,6 +55,7 @@
    * @param decisionLog logs decisions about requests
    * @param peerReporter reports to other routers
    * @param crashQuarantine the quarantine of requests that crash targets
+   * @param segmentQuarantine the quarantine of prompt segments that crash targets
    * @param bodyMemory the memory of the bodies of requests and responses
    * @param retryAllowance the retries of the fleet beyond the ratio
    */
@@ -65,6 +69,7 @@
       DecisionLog decisionLog,
       PeerReporter peerReporter,
       CrashQuarantine crashQuarantine,
+      SegmentQuarantine segmentQuarantine,
       BodyMemory bodyMemory,
       FleetAllowance retryAllowance) {
     this.clock = clock;
@@ -76,6 +81,7 @@
     this.decisionLog = decisionLog;
     this.peerReporter = peerReporter;
     this.crashQuarantine = crashQuarantine;
+    this.segmentQuarantine = segmentQuarantine;
     this.bodyMemory = bodyMemory;
     this.retryAllowance = retryAllowance;
   }
@@ -108,6 +114,10 @@
     return crashQuarantine;
   }
 
+  SegmentQuarantine segmentQuarantine() {
+    return segmentQuarantine;
+  }
+
   BodyMemory bodyMemory() {
     return bodyMemory;
   }
--- a/gateway/src/main/java/org/almondslip/gateway/Gateway.java
+++ b/gateway/src/main/java/org/almondslip/gateway/Gateway.java
@@ -21,6 +21,7 @@
 import org.almondslip.placement.Placement;
 import org.almondslip.process.Program;
 import org.almondslip.quarantine.CrashQuarantine;
+import org.almondslip.quarantine.SegmentQuarantine;
 import org.almondslip.report.CacheExchange;
 import org.almondslip.report.ReportReader;
 import org.almondslip.report.ReportWriter;
@@ -41,8 +42,8 @@
   /** Interval of the event loop delay samples and the queue checks in milliseconds. */
   private static final long TICK_MILLIS = 20;
 
-  /** Interval of the checks for idle connections in milliseconds. */
-  private static final long IDLE_CHECK_MILLIS = 500;
+  /** Interval of the checks for idle connections and other expired state in milliseconds. */
+  private static final long EXPIRY_CHECK_MILLIS = 500;
 
   /** Interval of the {@link StatusLog} in milliseconds. */
   private static final long STATUS_LOG_MILLIS = 1_000;
@@ -96,6 +97,10 @@
 
   private final BodyMemory bodyMemory = BodyMemory.ofHeap();
 
+  private final QuarantineLog quarantineLog = new QuarantineLog();
+
+  private final SegmentQuarantine segmentQuarantine;
+
   private final EventLoopDelay eventLoopDelay;
 
   private final OverloadDetector overloadDetector;
@@ -149,6 +154,7 @@
     Placement placement = new Placement(settings.dataCentre(), EngineModel.DEFAULT);
     this.dispatcher = new Dispatcher(clock, placement, EngineModel.DEFAULT, DispatchLimits.DEFAULT);
     CrashQuarantine crashQuarantine = new CrashQuarantine(clock);
+    this.segmentQuarantine = new SegmentQuarantine(clock, settings.instance(), quarantineLog);
     final long incarnation = clock.wallMillis();
     FleetAllowance retryAllowance = new FleetAllowance(settings.fleetRetryAllowance());
     this.peerExchange =
@@ -156,10 +162,18 @@
             vertx,
             settings.instance(),
             settings.region(),
-            refresh -> new ReportWriter(settings.instance(), incarnation, dispatcher, refresh),
-            new ReportReader(dispatcher, crashQuarantine, clock),
+            refresh ->
+                new ReportWriter(
+                    settings.instance(),
+                    incarnation,
+                    dispatcher,
+                    segmentQuarantine,
+                    clock,
+                    refresh),
+            new ReportReader(dispatcher, crashQuarantine, segmentQuarantine, clock),
             new CacheExchange(clock, settings.instance(), incarnation, dispatcher),
             crashQuarantine,
+            segmentQuarantine,
             retryAllowance);
     this.targetConnections = new TargetConnectionPool(vertx, clock);
     this.callerConnections =
@@ -180,6 +194,7 @@
             decisionLog,
             peerExchange,
             crashQuarantine,
+            segmentQuarantine,
             bodyMemory,
             retryAllowance);
     this.requestHandler =
@@ -209,13 +224,15 @@
             eventLoopDelay,
             overloadDetector,
             peerExchange.counts(),
+            segmentQuarantine,
+            quarantineLog,
             bodyMemory);
     runOnEventLoop(
         () -> {
           source.start(directory, peerExchange);
           peerExchange.start(settings.peerListen());
           vertx.setPeriodic(TICK_MILLIS, id -> tick());
-          vertx.setPeriodic(IDLE_CHECK_MILLIS, id -> closeIdleConnections());
+          vertx.setPeriodic(EXPIRY_CHECK_MILLIS, id -> removeExpired());
           StatusLog status =
               new StatusLog(dispatcher, peerExchange.counts(), eventLoopDelay, callerConnections);
           vertx.setPeriodic(STATUS_LOG_MILLIS, id -> status.log());
@@ -333,9 +350,13 @@
     dispatcher.tick();
   }
 
-  /** Closes idle connections to targets, and idle or stalled connections of callers. */
-  private void closeIdleConnections() {
+  /**
+   * Closes idle connections to targets, and idle or stalled connections of callers, and forgets
+   * outdated suspicions.
+   */
+  private void removeExpired() {
     targetConnections.closeExpired();
+    segmentQuarantine.prune();
     directory
         .table()
         .ifPresent(
--- a/gateway/src/main/java/org/almondslip/gateway/GatewayMetrics.java
+++ b/gateway/src/main/java/org/almondslip/gateway/GatewayMetrics.java
@@ -6,6 +6,7 @@
 import java.util.function.DoubleSupplier;
 import org.almondslip.directory.Directory;
 import org.almondslip.dispatch.Dispatcher;
+import org.almondslip.quarantine.SegmentQuarantine;
 
 /** Registers the metrics of a router that calls targets itself. A scrape reads their values. */
 final class GatewayMetrics {
@@ -29,6 +30,8 @@
    * @param eventLoopDelay the delay of the event loop
    * @param overloadDetector whether the router is overloaded
    * @param reports the counts of reports between routers
+   * @param segmentQuarantine the quarantined prompt segments
+   * @param quarantines the counts of quarantines
    * @param bodyMemory the memory of the bodies of requests and responses
    */
   void register(
@@ -40,6 +43,8 @@
       EventLoopDelay eventLoopDelay,
       OverloadDetector overloadDetector,
       ReportCounts reports,
+      SegmentQuarantine segmentQuarantine,
+      QuarantineLog quarantines,
       BodyMemory bodyMemory) {
     CounterWithCallback.builder()
         .name("almondslip_gateway_requests_total")
@@ -83,6 +88,20 @@
         .help("Bytes of the datagrams that were sent to other routers")
         .callback(values -> values.call(reports.sentBytes()))
         .register(registry);
+    gauge(
+        "almondslip_gateway_quarantined_segments",
+        "Prompt segments that are quarantined or probed",
+        () -> segmentQuarantine.restrictedSegments());
+    CounterWithCallback.builder()
+        .name("almondslip_gateway_segment_quarantines_total")
+        .help("Quarantines of prompt segments, by what became of them")
+        .labelNames("event")
+        .callback(
+            values -> {
+              values.call(quarantines.quarantines(), "started");
+              values.call(quarantines.releases(), "released");
+            })
+        .register(registry);
     gauge(
         "almondslip_gateway_largest_report_bytes",
         "Size of the largest datagram that was sent to other routers",
--- a/gateway/src/main/java/org/almondslip/gateway/PeerExchange.java
+++ b/gateway/src/main/java/org/almondslip/gateway/PeerExchange.java
@@ -15,6 +15,8 @@
 import org.almondslip.placement.TargetLoad;
 import org.almondslip.protocol.wire.LoadReport;
 import org.almondslip.quarantine.CrashQuarantine;
+import org.almondslip.quarantine.CrashedPrompt;
+import org.almondslip.quarantine.SegmentQuarantine;
 import org.almondslip.report.CacheExchange;
 import org.almondslip.report.ReportReader;
 import org.almondslip.report.ReportWriter;
@@ -73,6 +75,8 @@
 
   private final CrashQuarantine crashes;
 
+  private final SegmentQuarantine segmentQuarantine;
+
   private final FleetAllowance retryAllowance;
 
   private final ReportCounts counts = new ReportCounts();
@@ -95,6 +99,7 @@
    * @param reader applies the reports of other routers
    * @param cacheExchange transfers the knowledge of the engines' caches
    * @param crashes the quarantine of requests that crash targets
+   * @param segmentQuarantine the quarantine of prompt segments that crash targets
    * @param retryAllowance the retries that all routers share
    */
   PeerExchange(
@@ -105,6 +110,7 @@
       ReportReader reader,
       CacheExchange cacheExchange,
       CrashQuarantine crashes,
+      SegmentQuarantine segmentQuarantine,
       FleetAllowance retryAllowance) {
     this.vertx = vertx;
     this.name = name;
@@ -114,6 +120,7 @@
     this.reader = reader;
     this.cacheExchange = cacheExchange;
     this.crashes = crashes;
+    this.segmentQuarantine = segmentQuarantine;
     this.retryAllowance = retryAllowance;
   }
 
@@ -189,6 +196,13 @@
     distant.writer().onCrash(fingerprint, target);
   }
 
+  @Override
+  public void onCrash(CrashedPrompt crash) {
+    segmentQuarantine.onCrash(crash);
+    nearby.writer().onCrash(crash);
+    distant.writer().onCrash(crash);
+  }
+
   ReportCounts counts() {
     return counts;
   }
--- a/gateway/src/main/java/org/almondslip/gateway/PeerReporter.java
+++ b/gateway/src/main/java/org/almondslip/gateway/PeerReporter.java
@@ -2,6 +2,7 @@
 
 import org.almondslip.placement.Prompt;
 import org.almondslip.placement.TargetLoad;
+import org.almondslip.quarantine.CrashedPrompt;
 
 /** Reports the requests that this router sends, and their crashes, to the other routers. */
 public interface PeerReporter {
@@ -21,4 +22,11 @@
    * @param target the target
    */
   void onCrash(long fingerprint, TargetLoad target);
+
+  /**
+   * Records that a request was lost with its target before the first event of the response.
+   *
+   * @param crash the prompt of the request
+   */
+  void onCrash(CrashedPrompt crash);
 }
--- a/gateway/src/main/java/org/almondslip/gateway/TargetAttempt.java
+++ b/gateway/src/main/java/org/almondslip/gateway/TargetAttempt.java
@@ -9,6 +9,7 @@
 import io.vertx.core.http.RequestOptions;
 import java.util.Optional;
 import org.almondslip.placement.TargetLoad;
+import org.almondslip.quarantine.CrashedPrompt;
 import org.almondslip.routing.EventSplitter;
 
 /** Sends a request to a target once and forwards the response. */
@@ -58,6 +59,11 @@
 
   private AttemptPhase phase = AttemptPhase.SENT;
 
+  /**
+   * Whether so much of the response has arrived that the request cannot have crashed the target.
+   */
+  private boolean answered;
+
   private boolean ended;
 
   /**
@@ -153,8 +159,11 @@
   }
 
   private void sendBody(HttpClientRequest request) {
-    request.response().onFailure(failure -> onCrash()).onSuccess(this::onResponse);
-    request.exceptionHandler(failure -> onResponseLost("the connection failed"));
+    request
+        .response()
+        .onFailure(failure -> onConnectionLost("the connection ended before an answer"))
+        .onSuccess(this::onResponse);
+    request.exceptionHandler(failure -> onConnectionLost("the connection failed"));
     request.end(inbound.body());
   }
 
@@ -164,7 +173,6 @@
     }
     response = Optional.of(received);
     phase = AttemptPhase.HEAD_RECEIVED;
-    context.crashQuarantine().onAnswer(inbound.fingerprint());
     HeaderCodec.ResponseHeaders headers = context.codec().readResponse(received.headers());
     if (!headers.requestId().orElse("").equals(inbound.decoded().requestId())) {
       // Also applies to a response without an id, which may be a late copy of an earlier one.
@@ -261,7 +269,7 @@
    */
   private void collectBody(HttpClientResponse received, java.util.function.Consumer<Buffer> next) {
     Buffer body = Buffer.buffer();
-    received.exceptionHandler(failure -> onResponseLost("the answer was cut off"));
+    received.exceptionHandler(failure -> onConnectionLost("the answer was cut off"));
     received.handler(
         data -> {
           if (ended) {
@@ -280,10 +288,11 @@
           }
           if (lease.map(TargetConnectionPool.Lease::closed).orElse(true)
               && HopByHopHeaders.isCloseDelimited(received.headers())) {
-            onResponseLost("the connection was reset before the end of the answer");
+            onConnectionLost("the connection was reset before the end of the answer");
             return;
           }
           load.onPrefilled();
+          onAnswered();
           end();
           lease.ifPresent(used -> used.release(received, true));
           next.accept(body);
@@ -291,7 +300,7 @@
   }
 
   private void forwardStream(HttpClientResponse received) {
-    received.exceptionHandler(failure -> onResponseLost("the stream was cut off"));
+    received.exceptionHandler(failure -> onConnectionLost("the stream was cut off"));
     received.handler(
         data -> {
           if (!ended) {
@@ -311,6 +320,9 @@
     if (events.isEmpty()) {
       return;
     }
+    if (phase == AttemptPhase.STREAMING) {
+      onAnswered();
+    }
     phase = AttemptPhase.STREAMING;
     if (load.onPrefilled()) {
       target.onFirstEvent(context.clock().millis() - startedAt, expectedMillis);
@@ -330,10 +342,11 @@
         lease.map(TargetConnectionPool.Lease::closed).orElse(true)
             && HopByHopHeaders.isCloseDelimited(received.headers());
     if (reset || !splitter.finish().isEmpty() || (!load.isPrefilled() && !continuesStream)) {
-      onResponseLost("the stream ended within an event");
+      onConnectionLost("the stream ended within an event");
       return;
     }
     load.onPrefilled();
+    onAnswered();
     target.onSuccess();
     end();
     lease.ifPresent(used -> used.release(received, true));
@@ -351,11 +364,40 @@
     }
   }
 
-  /** Ends an attempt whose connection closed before the response head arrived. */
-  private void onCrash() {
-    if (!ended) {
+  /**
+   * Records that the target survived the start of the response. A first event is not enough, since
+   * the target may send it and crash at the same time.
+   */
+  private void onAnswered() {
+    if (!answered) {
+      answered = true;
+      context.crashQuarantine().onAnswer(inbound.fingerprint());
+      context.segmentQuarantine().onAnswer(inbound.decoded().prompt());
+    }
+  }
+
+  /**
+   * Ends an attempt whose connection ended within the response, as it does when a target crashes.
+   */
+  private void onConnectionLost(String reason) {
+    if (ended) {
+      return;
+    }
+    if (!answered) {
       context.peerReporter().onCrash(inbound.fingerprint(), target);
-      onResponseLost("the connection ended before an answer");
+      reportCrashedPrompt();
+    }
+    onResponseLost(reason);
+  }
+
+  /** Reports the prompt, unless the target may have closed an idle connection. */
+  private void reportCrashedPrompt() {
+    boolean staleConnection =
+        phase == AttemptPhase.SENT && lease.map(TargetConnectionPool.Lease::reused).orElse(false);
+    CrashedPrompt crash =
+        CrashedPrompt.of(inbound.decoded().prompt(), target.incarnationKey(), startedAt);
+    if (!staleConnection && !crash.segments().isEmpty()) {
+      context.peerReporter().onCrash(crash);
     }
   }
 
--- a/wire/src/main/java/org/almondslip/protocol/wire/Almondslip.java
+++ b/wire/src/main/java/org/almondslip/protocol/wire/Almondslip.java
@@ -145,6 +145,14 @@
       internal_static_almondslip_LoadReport_descriptor;
   static final com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_almondslip_LoadReport_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+      internal_static_almondslip_PromptCrash_descriptor;
+  static final com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_almondslip_PromptCrash_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+      internal_static_almondslip_SegmentReport_descriptor;
+  static final com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_almondslip_SegmentReport_fieldAccessorTable;
   static final com.google.protobuf.Descriptors.Descriptor
       internal_static_almondslip_ServiceTotal_descriptor;
   static final com.google.protobuf.GeneratedMessage.FieldAccessorTable
@@ -259,24 +267,31 @@
           + "ogObject\022\014\n\004kind\030\001 \001(\t\022\014\n\004name\030\002 \001(\t\022\016\n\006"
           + "number\030\003 \001(\004\022\020\n\010revision\030\004 \001(\004\022\014\n\004json\030\005"
           + " \001(\t\"G\n\rSuspectNotice\022\023\n\013fingerprint\030\001 \001"
-          + "(\006\022\020\n\010crash_id\030\002 \001(\t\022\017\n\007cleared\030\003 \001(\010\"\227\002"
+          + "(\006\022\020\n\010crash_id\030\002 \001(\t\022\017\n\007cleared\030\003 \001(\010\"\356\002"
           + "\n\nLoadReport\022\016\n\006router\030\001 \001(\t\022)\n\007targets\030"
           + "\002 \003(\0132\030.almondslip.TargetReport\022\'\n\007promp"
           + "ts\030\003 \003(\0132\026.almondslip.SentPrompt\022+\n\010susp"
           + "ects\030\004 \003(\0132\031.almondslip.SuspectNotice\022\023\n"
           + "\013incarnation\030\007 \001(\006\022(\n\006totals\030\010 \003(\0132\030.alm"
           + "ondslip.ServiceTotal\022\025\n\rcache_request\030\t "
-          + "\001(\010\022\026\n\016cache_snapshot\030\n \001(\010J\004\010\005\020\006J\004\010\006\020\007\""
-          + "S\n\014ServiceTotal\022\017\n\007service\030\001 \001(\t\022\024\n\014orga"
-          + "nisation\030\002 \001(\t\022\r\n\005asked\030\003 \001(\004\022\r\n\005given\030\004"
-          + " \001(\004\"G\n\014TargetReport\022\016\n\006target\030\001 \001(\006\022\025\n\r"
-          + "unread_tokens\030\002 \001(\r\022\020\n\010requests\030\003 \001(\r\";\n"
-          + "\nSentPrompt\022\016\n\006target\030\001 \001(\006\022\r\n\005parts\030\002 \003"
-          + "(\006\022\016\n\006tokens\030\003 \003(\r*3\n\004Role\022\024\n\020ROLE_UNSPE"
-          + "CIFIED\020\000\022\n\n\006ROUTER\020\001\022\t\n\005AGENT\020\002*8\n\003Ran\022\023"
-          + "\n\017RAN_UNSPECIFIED\020\000\022\006\n\002NO\020\001\022\013\n\007UNKNOWN\020\002"
-          + "\022\007\n\003YES\020\003B\"\n\034org.almondslip.protocol.wir"
-          + "eH\003P\001b\006proto3"
+          + "\001(\010\022\026\n\016cache_snapshot\030\n \001(\010\022(\n\007crashes\030\013"
+          + " \003(\0132\027.almondslip.PromptCrash\022+\n\010segment"
+          + "s\030\014 \003(\0132\031.almondslip.SegmentReportJ\004\010\005\020\006"
+          + "J\004\010\006\020\007\"C\n\013PromptCrash\022\016\n\006target\030\001 \001(\006\022\020\n"
+          + "\010segments\030\002 \003(\006\022\022\n\nage_millis\030\003 \001(\r\"r\n\rS"
+          + "egmentReport\022\017\n\007segment\030\001 \001(\006\022\017\n\007answers"
+          + "\030\002 \001(\r\022\023\n\013quarantines\030\003 \001(\r\022\020\n\010released\030"
+          + "\004 \001(\010\022\030\n\020remaining_millis\030\005 \001(\r\"S\n\014Servi"
+          + "ceTotal\022\017\n\007service\030\001 \001(\t\022\024\n\014organisation"
+          + "\030\002 \001(\t\022\r\n\005asked\030\003 \001(\004\022\r\n\005given\030\004 \001(\004\"G\n\014"
+          + "TargetReport\022\016\n\006target\030\001 \001(\006\022\025\n\runread_t"
+          + "okens\030\002 \001(\r\022\020\n\010requests\030\003 \001(\r\";\n\nSentPro"
+          + "mpt\022\016\n\006target\030\001 \001(\006\022\r\n\005parts\030\002 \003(\006\022\016\n\006to"
+          + "kens\030\003 \003(\r*3\n\004Role\022\024\n\020ROLE_UNSPECIFIED\020\000"
+          + "\022\n\n\006ROUTER\020\001\022\t\n\005AGENT\020\002*8\n\003Ran\022\023\n\017RAN_UN"
+          + "SPECIFIED\020\000\022\006\n\002NO\020\001\022\013\n\007UNKNOWN\020\002\022\007\n\003YES\020"
+          + "\003B\"\n\034org.almondslip.protocol.wireH\003P\001b\006p"
+          + "roto3"
     };
     descriptor =
         com.google.protobuf.Descriptors.FileDescriptor.internalBuildGeneratedFileFrom(
@@ -549,22 +564,38 @@
               "Totals",
               "CacheRequest",
               "CacheSnapshot",
+              "Crashes",
+              "Segments",
+            });
+    internal_static_almondslip_PromptCrash_descriptor = getDescriptor().getMessageType(30);
+    internal_static_almondslip_PromptCrash_fieldAccessorTable =
+        new com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+            internal_static_almondslip_PromptCrash_descriptor,
+            new java.lang.String[] {
+              "Target", "Segments", "AgeMillis",
+            });
+    internal_static_almondslip_SegmentReport_descriptor = getDescriptor().getMessageType(31);
+    internal_static_almondslip_SegmentReport_fieldAccessorTable =
+        new com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+            internal_static_almondslip_SegmentReport_descriptor,
+            new java.lang.String[] {
+              "Segment", "Answers", "Quarantines", "Released", "RemainingMillis",
             });
-    internal_static_almondslip_ServiceTotal_descriptor = getDescriptor().getMessageType(30);
+    internal_static_almondslip_ServiceTotal_descriptor = getDescriptor().getMessageType(32);
     internal_static_almondslip_ServiceTotal_fieldAccessorTable =
         new com.google.protobuf.GeneratedMessage.FieldAccessorTable(
             internal_static_almondslip_ServiceTotal_descriptor,
             new java.lang.String[] {
               "Service", "Organisation", "Asked", "Given",
             });
-    internal_static_almondslip_TargetReport_descriptor = getDescriptor().getMessageType(31);
+    internal_static_almondslip_TargetReport_descriptor = getDescriptor().getMessageType(33);
     internal_static_almondslip_TargetReport_fieldAccessorTable =
         new com.google.protobuf.GeneratedMessage.FieldAccessorTable(
             internal_static_almondslip_TargetReport_descriptor,
             new java.lang.String[] {
               "Target", "UnreadTokens", "Requests",
             });
-    internal_static_almondslip_SentPrompt_descriptor = getDescriptor().getMessageType(32);
+    internal_static_almondslip_SentPrompt_descriptor = getDescriptor().getMessageType(34);
     internal_static_almondslip_SentPrompt_fieldAccessorTable =
         new com.google.protobuf.GeneratedMessage.FieldAccessorTable(
             internal_static_almondslip_SentPrompt_descriptor,
--- a/wire/src/main/java/org/almondslip/protocol/wire/LoadReport.java
+++ b/wire/src/main/java/org/almondslip/protocol/wire/LoadReport.java
@@ -43,6 +43,8 @@
     prompts_ = java.util.Collections.emptyList();
     suspects_ = java.util.Collections.emptyList();
     totals_ = java.util.Collections.emptyList();
+    crashes_ = java.util.Collections.emptyList();
+    segments_ = java.util.Collections.emptyList();
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor getDescriptor() {
@@ -358,6 +360,158 @@
     return cacheSnapshot_;
   }
 
+  public static final int CRASHES_FIELD_NUMBER = 11;
+
+  @SuppressWarnings("serial")
+  private java.util.List<org.almondslip.protocol.wire.PromptCrash> crashes_;
+
+  /**
+   *
+   *
+   * <pre>
+   * Prompts that were lost with their target before the first event of the response.
+   * </pre>
+   *
+   * <code>repeated .almondslip.PromptCrash crashes = 11;</code>
+   */
+  @java.lang.Override
+  public java.util.List<org.almondslip.protocol.wire.PromptCrash> getCrashesList() {
+    return crashes_;
+  }
+
+  /**
+   *
+   *
+   * <pre>
+   * Prompts that were lost with their target before the first event of the response.
+   * </pre>
+   *
+   * <code>repeated .almondslip.PromptCrash crashes = 11;</code>
+   */
+  @java.lang.Override
+  public java.util.List<? extends org.almondslip.protocol.wire.PromptCrashOrBuilder>
+      getCrashesOrBuilderList() {
+    return crashes_;
+  }
+
+  /**
+   *
+   *
+   * <pre>
+   * Prompts that were lost with their target before the first event of the response.
+   * </pre>
+   *
+   * <code>repeated .almondslip.PromptCrash crashes = 11;</code>
+   */
+  @java.lang.Override
+  public int getCrashesCount() {
+    return crashes_.size();
+  }
+
+  /**
+   *
+   *
+   * <pre>
+   * Prompts that were lost with their target before the first event of the response.
+   * </pre>
+   *
+   * <code>repeated .almondslip.PromptCrash crashes = 11;</code>
+   */
+  @java.lang.Override
+  public org.almondslip.protocol.wire.PromptCrash getCrashes(int index) {
+    return crashes_.get(index);
+  }
+
+  /**
+   *
+   *
+   * <pre>
+   * Prompts that were lost with their target before the first event of the response.
+   * </pre>
+   *
+   * <code>repeated .almondslip.PromptCrash crashes = 11;</code>
+   */
+  @java.lang.Override
+  public org.almondslip.protocol.wire.PromptCrashOrBuilder getCrashesOrBuilder(int index) {
+    return crashes_.get(index);
+  }
+
+  public static final int SEGMENTS_FIELD_NUMBER = 12;
+
+  @SuppressWarnings("serial")
+  private java.util.List<org.almondslip.protocol.wire.SegmentReport> segments_;
+
+  /**
+   *
+   *
+   * <pre>
+   * Segments that are suspected of crashing targets.
+   * </pre>
+   *
+   * <code>repeated .almondslip.SegmentReport segments = 12;</code>
+   */
+  @java.lang.Override
+  public java.util.List<org.almondslip.protocol.wire.SegmentReport> getSegmentsList() {
+    return segments_;
+  }
+
+  /**
+   *
+   *
+   * <pre>
+   * Segments that are suspected of crashing targets.
+   * </pre>
+   *
+   * <code>repeated .almondslip.SegmentReport segments = 12;</code>
+   */
+  @java.lang.Override
+  public java.util.List<? extends org.almondslip.protocol.wire.SegmentReportOrBuilder>
+      getSegmentsOrBuilderList() {
+    return segments_;
+  }
+
+  /**
+   *
+   *
+   * <pre>
+   * Segments that are suspected of crashing targets.
+   * </pre>
+   *
+   * <code>repeated .almondslip.SegmentReport segments = 12;</code>
+   */
+  @java.lang.Override
+  public int getSegmentsCount() {
+    return segments_.size();
+  }
+
+  /**
+   *
+   *
+   * <pre>
+   * Segments that are suspected of crashing targets.
+   * </pre>
+   *
+   * <code>repeated .almondslip.SegmentReport segments = 12;</code>
+   */
+  @java.lang.Override
+  public org.almondslip.protocol.wire.SegmentReport getSegments(int index) {
+    return segments_.get(index);
+  }
+
+  /**
+   *
+   *
+   * <pre>
+   * Segments that are suspected of crashing targets.
+   * </pre>
+   *
+   * <code>repeated .almondslip.SegmentReport segments = 12;</code>
+   */
+  @java.lang.Override
+  public org.almondslip.protocol.wire.SegmentReportOrBuilder getSegmentsOrBuilder(int index) {
+    return segments_.get(index);
+  }
+
   private byte memoizedIsInitialized = -1;
 
   @java.lang.Override
@@ -396,6 +550,12 @@
     if (cacheSnapshot_ != false) {
       output.writeBool(10, cacheSnapshot_);
     }
+    for (int i = 0; i < crashes_.size(); i++) {
+      output.writeMessage(11, crashes_.get(i));
+    }
+    for (int i = 0; i < segments_.size(); i++) {
+      output.writeMessage(12, segments_.get(i));
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -445,6 +605,22 @@
     if (cacheSnapshot_ != false) {
       size += com.google.protobuf.CodedOutputStream.computeBoolSize(10, cacheSnapshot_);
     }
+
+    {
+      final int count = crashes_.size();
+      for (int i = 0; i < count; i++) {
+        size += com.google.protobuf.CodedOutputStream.computeMessageSizeNoTag(crashes_.get(i));
+      }
+      size += 1 * count;
+    }
+
+    {
+      final int count = segments_.size();
+      for (int i = 0; i < count; i++) {
+        size += com.google.protobuf.CodedOutputStream.computeMessageSizeNoTag(segments_.get(i));
+      }
+      size += 1 * count;
+    }
     return size;
   }
 
@@ -478,6 +654,8 @@
     if (!getTotalsList().equals(other.getTotalsList())) return false;
     if (getCacheRequest() != other.getCacheRequest()) return false;
     if (getCacheSnapshot() != other.getCacheSnapshot()) return false;
+    if (!getCrashesList().equals(other.getCrashesList())) return false;
+    if (!getSegmentsList().equals(other.getSegmentsList())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -513,6 +691,14 @@
     hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(getCacheRequest());
     hash = (37 * hash) + CACHE_SNAPSHOT_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(getCacheSnapshot());
+    if (getCrashesCount() > 0) {
+      hash = (37 * hash) + CRASHES_FIELD_NUMBER;
+      hash = (53 * hash) + getCrashesList().hashCode();
+    }
+    if (getSegmentsCount() > 0) {
+      hash = (37 * hash) + SEGMENTS_FIELD_NUMBER;
+      hash = (53 * hash) + getSegmentsList().hashCode();
+    }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -686,6 +872,20 @@
       bitField0_ = (bitField0_ & ~0x00000020);
       cacheRequest_ = false;
       cacheSnapshot_ = false;
+      if (crashesBuilder_ == null) {
+        crashes_ = java.util.Collections.emptyList();
+      } else {
+        crashes_ = null;
+        crashesBuilder_.clear();
+      }
+      bitField0_ = (bitField0_ & ~0x00000100);
+      if (segmentsBuilder_ == null) {
+        segments_ = java.util.Collections.emptyList();
+      } else {
+        segments_ = null;
+        segmentsBuilder_.clear();
+      }
+      bitField0_ = (bitField0_ & ~0x00000200);
       return this;
     }
 
@@ -758,6 +958,24 @@
       } else {
         result.totals_ = totalsBuilder_.build();
       }
+      if (crashesBuilder_ == null) {
+        if (((bitField0_ & 0x00000100) != 0)) {
+          crashes_ = java.util.Collections.unmodifiableList(crashes_);
+          bitField0_ = (bitField0_ & ~0x00000100);
+        }
+        result.crashes_ = crashes_;
+      } else {
+        result.crashes_ = crashesBuilder_.build();
+      }
+      if (segmentsBuilder_ == null) {
+        if (((bitField0_ & 0x00000200) != 0)) {
+          segments_ = java.util.Collections.unmodifiableList(segments_);
+          bitField0_ = (bitField0_ & ~0x00000200);
+        }
+        result.segments_ = segments_;
+      } else {
+        result.segments_ = segmentsBuilder_.build();
+      }
     }
 
     private void buildPartial0(org.almondslip.protocol.wire.LoadReport result) {
@@ -910,6 +1128,60 @@
       if (other.getCacheSnapshot() != false) {
         setCacheSnapshot(other.getCacheSnapshot());
       }
+      if (crashesBuilder_ == null) {
+        if (!other.crashes_.isEmpty()) {
+          if (crashes_.isEmpty()) {
+            crashes_ = other.crashes_;
+            bitField0_ = (bitField0_ & ~0x00000100);
+          } else {
+            ensureCrashesIsMutable();
+            crashes_.addAll(other.crashes_);
+          }
+          onChanged();
+        }
+      } else {
+        if (!other.crashes_.isEmpty()) {
+          if (crashesBuilder_.isEmpty()) {
+            crashesBuilder_.dispose();
+            crashesBuilder_ = null;
+            crashes_ = other.crashes_;
+            bitField0_ = (bitField0_ & ~0x00000100);
+            crashesBuilder_ =
+                com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders
+                    ? internalGetCrashesFieldBuilder()
+                    : null;
+          } else {
+            crashesBuilder_.addAllMessages(other.crashes_);
+          }
+        }
+      }
+      if (segmentsBuilder_ == null) {
+        if (!other.segments_.isEmpty()) {
+          if (segments_.isEmpty()) {
+            segments_ = other.segments_;
+            bitField0_ = (bitField0_ & ~0x00000200);
+          } else {
+            ensureSegmentsIsMutable();
+            segments_.addAll(other.segments_);
+          }
+          onChanged();
+        }
+      } else {
+        if (!other.segments_.isEmpty()) {
+          if (segmentsBuilder_.isEmpty()) {
+            segmentsBuilder_.dispose();
+            segmentsBuilder_ = null;
+            segments_ = other.segments_;
+            bitField0_ = (bitField0_ & ~0x00000200);
+            segmentsBuilder_ =
+                com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders
+                    ? internalGetSegmentsFieldBuilder()
+                    : null;
+          } else {
+            segmentsBuilder_.addAllMessages(other.segments_);
+          }
+        }
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -1012,6 +1284,32 @@
                 bitField0_ |= 0x00000080;
                 break;
               } // case 80
+            case 90:
+              {
+                org.almondslip.protocol.wire.PromptCrash m =
+                    input.readMessage(
+                        org.almondslip.protocol.wire.PromptCrash.parser(), extensionRegistry);
+                if (crashesBuilder_ == null) {
+                  ensureCrashesIsMutable();
+                  crashes_.add(m);
+                } else {
+                  crashesBuilder_.addMessage(m);
+                }
+                break;
+              } // case 90
+            case 98:
+              {
+                org.almondslip.protocol.wire.SegmentReport m =
+                    input.readMessage(
+                        org.almondslip.protocol.wire.SegmentReport.parser(), extensionRegistry);
+                if (segmentsBuilder_ == null) {
+                  ensureSegmentsIsMutable();
+                  segments_.add(m);
+                } else {
+                  segmentsBuilder_.addMessage(m);
+                }
+                break;
+              } // case 98
             default:
               {
                 if (!super.parseUnknownField(input, extensionRegistry, tag)) {
@@ -2341,6 +2639,738 @@
       return this;
     }
 
+    private java.util.List<org.almondslip.protocol.wire.PromptCrash> crashes_ =
+        java.util.Collections.emptyList();
+
+    private void ensureCrashesIsMutable() {
+      if (!((bitField0_ & 0x00000100) != 0)) {
+        crashes_ = new java.util.ArrayList<org.almondslip.protocol.wire.PromptCrash>(crashes_);
+        bitField0_ |= 0x00000100;
+      }
+    }
+
+    private com.google.protobuf.RepeatedFieldBuilder<
+            org.almondslip.protocol.wire.PromptCrash,
+            org.almondslip.protocol.wire.PromptCrash.Builder,
+            org.almondslip.protocol.wire.PromptCrashOrBuilder>
+        crashesBuilder_;
+
+    /**
+     *
+     *
+     * <pre>
+     * Prompts that were lost with their target before the first event of the response.
+     * </pre>
+     *
+     * <code>repeated .almondslip.PromptCrash crashes = 11;</code>
+     */
+    public java.util.List<org.almondslip.protocol.wire.PromptCrash> getCrashesList() {
+      if (crashesBuilder_ == null) {
+        return java.util.Collections.unmodifiableList(crashes_);
+      } else {
+        return crashesBuilder_.getMessageList();
+      }
+    }
+
+    /**
+     *
+     *
+     * <pre>
+     * Prompts that were lost with their target before the first event of the response.
+     * </pre>
+     *
+     * <code>repeated .almondslip.PromptCrash crashes = 11;</code>
+     */
+    public int getCrashesCount() {
+      if (crashesBuilder_ == null) {
+        return crashes_.size();
+      } else {
+        return crashesBuilder_.getCount();
+      }
+    }
+
+    /**
+     *
+     *
+     * <pre>
+     * Prompts that were lost with their target before the first event of the response.
+     * </pre>
+     *
+     * <code>repeated .almondslip.PromptCrash crashes = 11;</code>
+     */
+    public org.almondslip.protocol.wire.PromptCrash getCrashes(int index) {
+      if (crashesBuilder_ == null) {
+        return crashes_.get(index);
+      } else {
+        return crashesBuilder_.getMessage(index);
+      }
+    }
+
+    /**
+     *
+     *
+     * <pre>
+     * Prompts that were lost with their target before the first event of the response.
+     * </pre>
+     *
+     * <code>repeated .almondslip.PromptCrash crashes = 11;</code>
+     */
+    public Builder setCrashes(int index, org.almondslip.protocol.wire.PromptCrash value) {
+      if (crashesBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        ensureCrashesIsMutable();
+        crashes_.set(index, value);
+        onChanged();
+      } else {
+        crashesBuilder_.setMessage(index, value);
+      }
+      return this;
+    }
+
+    /**
+     *
+     *
+     * <pre>
+     * Prompts that were lost with their target before the first event of the response.
+     * </pre>
+     *
+     * <code>repeated .almondslip.PromptCrash crashes = 11;</code>
+     */
+    public Builder setCrashes(
+        int index, org.almondslip.protocol.wire.PromptCrash.Builder builderForValue) {
+      if (crashesBuilder_ == null) {
+        ensureCrashesIsMutable();
+        crashes_.set(index, builderForValue.build());
+        onChanged();
+      } else {
+        crashesBuilder_.setMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+
+    /**
+     *
+     *
+     * <pre>
+     * Prompts that were lost with their target before the first event of the response.
+     * </pre>
+     *
+     * <code>repeated .almondslip.PromptCrash crashes = 11;</code>
+     */
+    public Builder addCrashes(org.almondslip.protocol.wire.PromptCrash value) {
+      if (crashesBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        ensureCrashesIsMutable();
+        crashes_.add(value);
+        onChanged();
+      } else {
+        crashesBuilder_.addMessage(value);
+      }
+      return this;
+    }
+
+    /**
+     *
+     *
+     * <pre>
+     * Prompts that were lost with their target before the first event of the response.
+     * </pre>
+     *
+     * <code>repeated .almondslip.PromptCrash crashes = 11;</code>
+     */
+    public Builder addCrashes(int index, org.almondslip.protocol.wire.PromptCrash value) {
+      if (crashesBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        ensureCrashesIsMutable();
+        crashes_.add(index, value);
+        onChanged();
+      } else {
+        crashesBuilder_.addMessage(index, value);
+      }
+      return this;
+    }
+
+    /**
+     *
+     *
+     * <pre>
+     * Prompts that were lost with their target before the first event of the response.
+     * </pre>
+     *
+     * <code>repeated .almondslip.PromptCrash crashes = 11;</code>
+     */
+    public Builder addCrashes(org.almondslip.protocol.wire.PromptCrash.Builder builderForValue) {
+      if (crashesBuilder_ == null) {
+        ensureCrashesIsMutable();
+        crashes_.add(builderForValue.build());
+        onChanged();
+      } else {
+        crashesBuilder_.addMessage(builderForValue.build());
+      }
+      return this;
+    }
+
+    /**
+     *
+     *
+     * <pre>
+     * Prompts that were lost with their target before the first event of the response.
+     * </pre>
+     *
+     * <code>repeated .almondslip.PromptCrash crashes = 11;</code>
+     */
+    public Builder addCrashes(
+        int index, org.almondslip.protocol.wire.PromptCrash.Builder builderForValue) {
+      if (crashesBuilder_ == null) {
+        ensureCrashesIsMutable();
+        crashes_.add(index, builderForValue.build());
+        onChanged();
+      } else {
+        crashesBuilder_.addMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+
+    /**
+     *
+     *
+     * <pre>
+     * Prompts that were lost with their target before the first event of the response.
+     * </pre>
+     *
+     * <code>repeated .almondslip.PromptCrash crashes = 11;</code>
+     */
+    public Builder addAllCrashes(
+        java.lang.Iterable<? extends org.almondslip.protocol.wire.PromptCrash> values) {
+      if (crashesBuilder_ == null) {
+        ensureCrashesIsMutable();
+        com.google.protobuf.AbstractMessageLite.Builder.addAll(values, crashes_);
+        onChanged();
+      } else {
+        crashesBuilder_.addAllMessages(values);
+      }
+      return this;
+    }
+
+    /**
+     *
+     *
+     * <pre>
+     * Prompts that were lost with their target before the first event of the response.
+     * </pre>
+     *
+     * <code>repeated .almondslip.PromptCrash crashes = 11;</code>
+     */
+    public Builder clearCrashes() {
+      if (crashesBuilder_ == null) {
+        crashes_ = java.util.Collections.emptyList();
+        bitField0_ = (bitField0_ & ~0x00000100);
+        onChanged();
+      } else {
+        crashesBuilder_.clear();
+      }
+      return this;
+    }
+
+    /**
+     *
+     *
+     * <pre>
+     * Prompts that were lost with their target before the first event of the response.
+     * </pre>
+     *
+     * <code>repeated .almondslip.PromptCrash crashes = 11;</code>
+     */
+    public Builder removeCrashes(int index) {
+      if (crashesBuilder_ == null) {
+        ensureCrashesIsMutable();
+        crashes_.remove(index);
+        onChanged();
+      } else {
+        crashesBuilder_.remove(index);
+      }
+      return this;
+    }
+
+    /**
+     *
+     *
+     * <pre>
+     * Prompts that were lost with their target before the first event of the response.
+     * </pre>
+     *
+     * <code>repeated .almondslip.PromptCrash crashes = 11;</code>
+     */
+    public org.almondslip.protocol.wire.PromptCrash.Builder getCrashesBuilder(int index) {
+      return internalGetCrashesFieldBuilder().getBuilder(index);
+    }
+
+    /**
+     *
+     *
+     * <pre>
+     * Prompts that were lost with their target before the first event of the response.
+     * </pre>
+     *
+     * <code>repeated .almondslip.PromptCrash crashes = 11;</code>
+     */
+    public org.almondslip.protocol.wire.PromptCrashOrBuilder getCrashesOrBuilder(int index) {
+      if (crashesBuilder_ == null) {
+        return crashes_.get(index);
+      } else {
+        return crashesBuilder_.getMessageOrBuilder(index);
+      }
+    }
+
+    /**
+     *
+     *
+     * <pre>
+     * Prompts that were lost with their target before the first event of the response.
+     * </pre>
+     *
+     * <code>repeated .almondslip.PromptCrash crashes = 11;</code>
+     */
+    public java.util.List<? extends org.almondslip.protocol.wire.PromptCrashOrBuilder>
+        getCrashesOrBuilderList() {
+      if (crashesBuilder_ != null) {
+        return crashesBuilder_.getMessageOrBuilderList();
+      } else {
+        return java.util.Collections.unmodifiableList(crashes_);
+      }
+    }
+
+    /**
+     *
+     *
+     * <pre>
+     * Prompts that were lost with their target before the first event of the response.
+     * </pre>
+     *
+     * <code>repeated .almondslip.PromptCrash crashes = 11;</code>
+     */
+    public org.almondslip.protocol.wire.PromptCrash.Builder addCrashesBuilder() {
+      return internalGetCrashesFieldBuilder()
+          .addBuilder(org.almondslip.protocol.wire.PromptCrash.getDefaultInstance());
+    }
+
+    /**
+     *
+     *
+     * <pre>
+     * Prompts that were lost with their target before the first event of the response.
+     * </pre>
+     *
+     * <code>repeated .almondslip.PromptCrash crashes = 11;</code>
+     */
+    public org.almondslip.protocol.wire.PromptCrash.Builder addCrashesBuilder(int index) {
+      return internalGetCrashesFieldBuilder()
+          .addBuilder(index, org.almondslip.protocol.wire.PromptCrash.getDefaultInstance());
+    }
+
+    /**
+     *
+     *
+     * <pre>
+     * Prompts that were lost with their target before the first event of the response.
+     * </pre>
+     *
+     * <code>repeated .almondslip.PromptCrash crashes = 11;</code>
+     */
+    public java.util.List<org.almondslip.protocol.wire.PromptCrash.Builder>
+        getCrashesBuilderList() {
+      return internalGetCrashesFieldBuilder().getBuilderList();
+    }
+
+    private com.google.protobuf.RepeatedFieldBuilder<
+            org.almondslip.protocol.wire.PromptCrash,
+            org.almondslip.protocol.wire.PromptCrash.Builder,
+            org.almondslip.protocol.wire.PromptCrashOrBuilder>
+        internalGetCrashesFieldBuilder() {
+      if (crashesBuilder_ == null) {
+        crashesBuilder_ =
+            new com.google.protobuf.RepeatedFieldBuilder<
+                org.almondslip.protocol.wire.PromptCrash,
+                org.almondslip.protocol.wire.PromptCrash.Builder,
+                org.almondslip.protocol.wire.PromptCrashOrBuilder>(
+                crashes_, ((bitField0_ & 0x00000100) != 0), getParentForChildren(), isClean());
+        crashes_ = null;
+      }
+      return crashesBuilder_;
+    }
+
+    private java.util.List<org.almondslip.protocol.wire.SegmentReport> segments_ =
+        java.util.Collections.emptyList();
+
+    private void ensureSegmentsIsMutable() {
+      if (!((bitField0_ & 0x00000200) != 0)) {
+        segments_ = new java.util.ArrayList<org.almondslip.protocol.wire.SegmentReport>(segments_);
+        bitField0_ |= 0x00000200;
+      }
+    }
+
+    private com.google.protobuf.RepeatedFieldBuilder<
+            org.almondslip.protocol.wire.SegmentReport,
+            org.almondslip.protocol.wire.SegmentReport.Builder,
+            org.almondslip.protocol.wire.SegmentReportOrBuilder>
+        segmentsBuilder_;
+
+    /**
+     *
+     *
+     * <pre>
+     * Segments that are suspected of crashing targets.
+     * </pre>
+     *
+     * <code>repeated .almondslip.SegmentReport segments = 12;</code>
+     */
+    public java.util.List<org.almondslip.protocol.wire.SegmentReport> getSegmentsList() {
+      if (segmentsBuilder_ == null) {
+        return java.util.Collections.unmodifiableList(segments_);
+      } else {
+        return segmentsBuilder_.getMessageList();
+      }
+    }
+
+    /**
+     *
+     *
+     * <pre>
+     * Segments that are suspected of crashing targets.
+     * </pre>
+     *
+     * <code>repeated .almondslip.SegmentReport segments = 12;</code>
+     */
+    public int getSegmentsCount() {
+      if (segmentsBuilder_ == null) {
+        return segments_.size();
+      } else {
+        return segmentsBuilder_.getCount();
+      }
+    }
+
+    /**
+     *
+     *
+     * <pre>
+     * Segments that are suspected of crashing targets.
+     * </pre>
+     *
+     * <code>repeated .almondslip.SegmentReport segments = 12;</code>
+     */
+    public org.almondslip.protocol.wire.SegmentReport getSegments(int index) {
+      if (segmentsBuilder_ == null) {
+        return segments_.get(index);
+      } else {
+        return segmentsBuilder_.getMessage(index);
+      }
+    }
+
+    /**
+     *
+     *
+     * <pre>
+     * Segments that are suspected of crashing targets.
+     * </pre>
+     *
+     * <code>repeated .almondslip.SegmentReport segments = 12;</code>
+     */
+    public Builder setSegments(int index, org.almondslip.protocol.wire.SegmentReport value) {
+      if (segmentsBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        ensureSegmentsIsMutable();
+        segments_.set(index, value);
+        onChanged();
+      } else {
+        segmentsBuilder_.setMessage(index, value);
+      }
+      return this;
+    }
+
+    /**
+     *
+     *
+     * <pre>
+     * Segments that are suspected of crashing targets.
+     * </pre>
+     *
+     * <code>repeated .almondslip.SegmentReport segments = 12;</code>
+     */
+    public Builder setSegments(
+        int index, org.almondslip.protocol.wire.SegmentReport.Builder builderForValue) {
+      if (segmentsBuilder_ == null) {
+        ensureSegmentsIsMutable();
+        segments_.set(index, builderForValue.build());
+        onChanged();
+      } else {
+        segmentsBuilder_.setMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+
+    /**
+     *
+     *
+     * <pre>
+     * Segments that are suspected of crashing targets.
+     * </pre>
+     *
+     * <code>repeated .almondslip.SegmentReport segments = 12;</code>
+     */
+    public Builder addSegments(org.almondslip.protocol.wire.SegmentReport value) {
+      if (segmentsBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        ensureSegmentsIsMutable();
+        segments_.add(value);
+        onChanged();
+      } else {
+        segmentsBuilder_.addMessage(value);
+      }
+      return this;
+    }
+
+    /**
+     *
+     *
+     * <pre>
+     * Segments that are suspected of crashing targets.
+     * </pre>
+     *
+     * <code>repeated .almondslip.SegmentReport segments = 12;</code>
+     */
+    public Builder addSegments(int index, org.almondslip.protocol.wire.SegmentReport value) {
+      if (segmentsBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        ensureSegmentsIsMutable();
+        segments_.add(index, value);
+        onChanged();
+      } else {
+        segmentsBuilder_.addMessage(index, value);
+      }
+      return this;
+    }
+
+    /**
+     *
+     *
+     * <pre>
+     * Segments that are suspected of crashing targets.
+     * </pre>
+     *
+     * <code>repeated .almondslip.SegmentReport segments = 12;</code>
+     */
+    public Builder addSegments(org.almondslip.protocol.wire.SegmentReport.Builder builderForValue) {
+      if (segmentsBuilder_ == null) {
+        ensureSegmentsIsMutable();
+        segments_.add(builderForValue.build());
+        onChanged();
+      } else {
+        segmentsBuilder_.addMessage(builderForValue.build());
+      }
+      return this;
+    }
+
+    /**
+     *
+     *
+     * <pre>
+     * Segments that are suspected of crashing targets.
+     * </pre>
+     *
+     * <code>repeated .almondslip.SegmentReport segments = 12;</code>
+     */
+    public Builder addSegments(
+        int index, org.almondslip.protocol.wire.SegmentReport.Builder builderForValue) {
+      if (segmentsBuilder_ == null) {
+        ensureSegmentsIsMutable();
+        segments_.add(index, builderForValue.build());
+        onChanged();
+      } else {
+        segmentsBuilder_.addMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+
+    /**
+     *
+     *
+     * <pre>
+     * Segments that are suspected of crashing targets.
+     * </pre>
+     *
+     * <code>repeated .almondslip.SegmentReport segments = 12;</code>
+     */
+    public Builder addAllSegments(
+        java.lang.Iterable<? extends org.almondslip.protocol.wire.SegmentReport> values) {
+      if (segmentsBuilder_ == null) {
+        ensureSegmentsIsMutable();
+        com.google.protobuf.AbstractMessageLite.Builder.addAll(values, segments_);
+        onChanged();
+      } else {
+        segmentsBuilder_.addAllMessages(values);
+      }
+      return this;
+    }
+
+    /**
+     *
+     *
+     * <pre>
+     * Segments that are suspected of crashing targets.
+     * </pre>
+     *
+     * <code>repeated .almondslip.SegmentReport segments = 12;</code>
+     */
+    public Builder clearSegments() {
+      if (segmentsBuilder_ == null) {
+        segments_ = java.util.Collections.emptyList();
+        bitField0_ = (bitField0_ & ~0x00000200);
+        onChanged();
+      } else {
+        segmentsBuilder_.clear();
+      }
+      return this;
+    }
+
+    /**
+     *
+     *
+     * <pre>
+     * Segments that are suspected of crashing targets.
+     * </pre>
+     *
+     * <code>repeated .almondslip.SegmentReport segments = 12;</code>
+     */
+    public Builder removeSegments(int index) {
+      if (segmentsBuilder_ == null) {
+        ensureSegmentsIsMutable();
+        segments_.remove(index);
+        onChanged();
+      } else {
+        segmentsBuilder_.remove(index);
+      }
+      return this;
+    }
+
+    /**
+     *
+     *
+     * <pre>
+     * Segments that are suspected of crashing targets.
+     * </pre>
+     *
+     * <code>repeated .almondslip.SegmentReport segments = 12;</code>
+     */
+    public org.almondslip.protocol.wire.SegmentReport.Builder getSegmentsBuilder(int index) {
+      return internalGetSegmentsFieldBuilder().getBuilder(index);
+    }
+
+    /**
+     *
+     *
+     * <pre>
+     * Segments that are suspected of crashing targets.
+     * </pre>
+     *
+     * <code>repeated .almondslip.SegmentReport segments = 12;</code>
+     */
+    public org.almondslip.protocol.wire.SegmentReportOrBuilder getSegmentsOrBuilder(int index) {
+      if (segmentsBuilder_ == null) {
+        return segments_.get(index);
+      } else {
+        return segmentsBuilder_.getMessageOrBuilder(index);
+      }
+    }
+
+    /**
+     *
+     *
+     * <pre>
+     * Segments that are suspected of crashing targets.
+     * </pre>
+     *
+     * <code>repeated .almondslip.SegmentReport segments = 12;</code>
+     */
+    public java.util.List<? extends org.almondslip.protocol.wire.SegmentReportOrBuilder>
+        getSegmentsOrBuilderList() {
+      if (segmentsBuilder_ != null) {
+        return segmentsBuilder_.getMessageOrBuilderList();
+      } else {
+        return java.util.Collections.unmodifiableList(segments_);
+      }
+    }
+
+    /**
+     *
+     *
+     * <pre>
+     * Segments that are suspected of crashing targets.
+     * </pre>
+     *
+     * <code>repeated .almondslip.SegmentReport segments = 12;</code>
+     */
+    public org.almondslip.protocol.wire.SegmentReport.Builder addSegmentsBuilder() {
+      return internalGetSegmentsFieldBuilder()
+          .addBuilder(org.almondslip.protocol.wire.SegmentReport.getDefaultInstance());
+    }
+
+    /**
+     *
+     *
+     * <pre>
+     * Segments that are suspected of crashing targets.
+     * </pre>
+     *
+     * <code>repeated .almondslip.SegmentReport segments = 12;</code>
+     */
+    public org.almondslip.protocol.wire.SegmentReport.Builder addSegmentsBuilder(int index) {
+      return internalGetSegmentsFieldBuilder()
+          .addBuilder(index, org.almondslip.protocol.wire.SegmentReport.getDefaultInstance());
+    }
+
+    /**
+     *
+     *
+     * <pre>
+     * Segments that are suspected of crashing targets.
+     * </pre>
+     *
+     * <code>repeated .almondslip.SegmentReport segments = 12;</code>
+     */
+    public java.util.List<org.almondslip.protocol.wire.SegmentReport.Builder>
+        getSegmentsBuilderList() {
+      return internalGetSegmentsFieldBuilder().getBuilderList();
+    }
+
+    private com.google.protobuf.RepeatedFieldBuilder<
+            org.almondslip.protocol.wire.SegmentReport,
+            org.almondslip.protocol.wire.SegmentReport.Builder,
+            org.almondslip.protocol.wire.SegmentReportOrBuilder>
+        internalGetSegmentsFieldBuilder() {
+      if (segmentsBuilder_ == null) {
+        segmentsBuilder_ =
+            new com.google.protobuf.RepeatedFieldBuilder<
+                org.almondslip.protocol.wire.SegmentReport,
+                org.almondslip.protocol.wire.SegmentReport.Builder,
+                org.almondslip.protocol.wire.SegmentReportOrBuilder>(
+                segments_, ((bitField0_ & 0x00000200) != 0), getParentForChildren(), isClean());
+        segments_ = null;
+      }
+      return segmentsBuilder_;
+    }
+
     // @@protoc_insertion_point(builder_scope:almondslip.LoadReport)
   }
 
--- a/wire/src/main/java/org/almondslip/protocol/wire/LoadReportOrBuilder.java
+++ b/wire/src/main/java/org/almondslip/protocol/wire/LoadReportOrBuilder.java
@@ -179,4 +179,116 @@
    * @return The cacheSnapshot.
    */
   boolean getCacheSnapshot();
+
+  /**
+   *
+   *
+   * <pre>
+   * Prompts that were lost with their target before the first event of the response.
+   * </pre>
+   *
+   * <code>repeated .almondslip.PromptCrash crashes = 11;</code>
+   */
+  java.util.List<org.almondslip.protocol.wire.PromptCrash> getCrashesList();
+
+  /**
+   *
+   *
+   * <pre>
+   * Prompts that were lost with their target before the first event of the response.
+   * </pre>
+   *
+   * <code>repeated .almondslip.PromptCrash crashes = 11;</code>
+   */
+  org.almondslip.protocol.wire.PromptCrash getCrashes(int index);
+
+  /**
+   *
+   *
+   * <pre>
+   * Prompts that were lost with their target before the first event of the response.
+   * </pre>
+   *
+   * <code>repeated .almondslip.PromptCrash crashes = 11;</code>
+   */
+  int getCrashesCount();
+
+  /**
+   *
+   *
+   * <pre>
+   * Prompts that were lost with their target before the first event of the response.
+   * </pre>
+   *
+   * <code>repeated .almondslip.PromptCrash crashes = 11;</code>
+   */
+  java.util.List<? extends org.almondslip.protocol.wire.PromptCrashOrBuilder>
+      getCrashesOrBuilderList();
+
+  /**
+   *
+   *
+   * <pre>
+   * Prompts that were lost with their target before the first event of the response.
+   * </pre>
+   *
+   * <code>repeated .almondslip.PromptCrash crashes = 11;</code>
+   */
+  org.almondslip.protocol.wire.PromptCrashOrBuilder getCrashesOrBuilder(int index);
+
+  /**
+   *
+   *
+   * <pre>
+   * Segments that are suspected of crashing targets.
+   * </pre>
+   *
+   * <code>repeated .almondslip.SegmentReport segments = 12;</code>
+   */
+  java.util.List<org.almondslip.protocol.wire.SegmentReport> getSegmentsList();
+
+  /**
+   *
+   *
+   * <pre>
+   * Segments that are suspected of crashing targets.
+   * </pre>
+   *
+   * <code>repeated .almondslip.SegmentReport segments = 12;</code>
+   */
+  org.almondslip.protocol.wire.SegmentReport getSegments(int index);
+
+  /**
+   *
+   *
+   * <pre>
+   * Segments that are suspected of crashing targets.
+   * </pre>
+   *
+   * <code>repeated .almondslip.SegmentReport segments = 12;</code>
+   */
+  int getSegmentsCount();
+
+  /**
+   *
+   *
+   * <pre>
+   * Segments that are suspected of crashing targets.
+   * </pre>
+   *
+   * <code>repeated .almondslip.SegmentReport segments = 12;</code>
+   */
+  java.util.List<? extends org.almondslip.protocol.wire.SegmentReportOrBuilder>
+      getSegmentsOrBuilderList();
+
+  /**
+   *
+   *
+   * <pre>
+   * Segments that are suspected of crashing targets.
+   * </pre>
+   *
+   * <code>repeated .almondslip.SegmentReport segments = 12;</code>
+   */
+  org.almondslip.protocol.wire.SegmentReportOrBuilder getSegmentsOrBuilder(int index);
 }
