Send nothing to targets that say they are leaving or ask for a pause

What callers saw: requests were sent to targets that had said in an answer that they end, and to targets that had answered 503 with Retry-After; such requests were refused again, or lost with the target.

Cause: only the list of targets told the router that a target leaves, and a refusal told it nothing about the next request. Both headers (Server-Leaving, Retry-After) were passed on to callers and read nowhere.

Change: any response may say that its target is leaving; the target then gets nothing more until another incarnation replaces it, in touch with the store or not. A 503 with Retry-After keeps requests away for that time. Both are checked when a target is chosen and again when the connection is there. The expected delay of a target includes its pause, so that a job whose targets all pause beyond its objective is refused at once, and the Retry-After that callers get is not shorter than the pause of all targets. Targets that drain no longer count as targets with room.

--- a/core/src/main/java/org/almondslip/dispatch/Dispatcher.java
+++ b/core/src/main/java/org/almondslip/dispatch/Dispatcher.java
@@ -305,7 +305,9 @@
   /** Refuses the jobs that no target can prefill in time any more. */
   private void expire(String service, FairQueue queue) {
     RefusalReason reason =
-        targets(service).isEmpty() ? RefusalReason.NO_TARGET : RefusalReason.EXPIRED;
+        targets(service).stream().noneMatch(TargetLoad::isInService)
+            ? RefusalReason.NO_TARGET
+            : RefusalReason.EXPIRED;
     for (Job job : queue.removeIf(admission.isLate(targets(service)))) {
       refuse(job, queue, reason);
     }
@@ -313,7 +315,7 @@
 
   private void refuse(Job job, FairQueue queue, RefusalReason reason) {
     statistics.onRefused(job.service(), job.organisation(), reason, FairQueue.cost(job));
-    job.refuse(reason, retryAfterMillis(queue));
+    job.refuse(reason, retryAfterMillis(job.service()));
   }
 
   /**
@@ -360,13 +362,24 @@
   }
 
   /**
-   * Returns the delay after which a refused caller may retry, in milliseconds. It grows with the
-   * queue to at most twice the configured minimum.
+   * Returns the delay after which a refused caller may retry. It grows with the queue to at most
+   * twice the configured minimum, and is not shorter than a pause that all targets have asked for.
+   *
+   * @param service the name of the service
+   * @return the delay in milliseconds
    */
-  private long retryAfterMillis(FairQueue queue) {
-    int waiting = Math.min(queue.size(), limits.maxWaitingJobs());
-    return limits.retryAfterMillis()
-        + limits.retryAfterMillis() * waiting / limits.maxWaitingJobs();
+  public long retryAfterMillis(String service) {
+    long now = clock.millis();
+    int waiting = Math.min(queue(service).size(), limits.maxWaitingJobs());
+    long pauseMillis =
+        targets(service).stream()
+            .filter(TargetLoad::isInService)
+            .mapToLong(target -> target.remainingPauseMillis(now))
+            .min()
+            .orElse(0);
+    return Math.max(
+        pauseMillis,
+        limits.retryAfterMillis() + limits.retryAfterMillis() * waiting / limits.maxWaitingJobs());
   }
 
   private FairQueue queue(String service) {
--- a/core/src/main/java/org/almondslip/dispatch/TargetAvailability.java
+++ b/core/src/main/java/org/almondslip/dispatch/TargetAvailability.java
@@ -38,10 +38,12 @@
    * @param prompt the prompt of the job
    * @param status the share status of the organisation
    * @param now the current time in milliseconds
-   * @return true if the target is not ejected and has capacity
+   * @return true if the target accepts new requests, is not ejected and has capacity
    */
   boolean isAvailable(TargetLoad target, Prompt prompt, ShareStatus status, long now) {
-    return !target.isEjected(now) && hasCapacity(target, prompt, status, now);
+    return target.acceptsRequests(now)
+        && !target.isEjected(now)
+        && hasCapacity(target, prompt, status, now);
   }
 
   /**
@@ -49,7 +51,7 @@
    *
    * @param target the target
    * @param now the current time in milliseconds
-   * @return true if the target is not ejected and has capacity
+   * @return true if the target accepts new requests, is not ejected and has capacity
    */
   boolean isAvailable(TargetLoad target, long now) {
     return isAvailable(
--- a/core/src/main/java/org/almondslip/placement/Placement.java
+++ b/core/src/main/java/org/almondslip/placement/Placement.java
@@ -5,7 +5,6 @@
 import java.util.Optional;
 import java.util.OptionalDouble;
 import java.util.Set;
-import org.almondslip.directory.TargetRecord;
 
 /**
  * Selects the target with the least cost, which is the expected time until prefill completes plus
@@ -73,7 +72,7 @@
     TargetLoad best = null;
     double bestCost = Double.MAX_VALUE;
     for (TargetLoad target : targets) {
-      if (!isEligible(target, tried)) {
+      if (!target.acceptsRequests(now) || isTried(target, tried)) {
         continue;
       }
       double cost = cost(target, prompt, now);
@@ -88,7 +87,8 @@
   }
 
   /**
-   * Estimates the time until a target completes the prefill of a prompt.
+   * Estimates the time until a target completes the prefill of a prompt, including a pause that the
+   * target has asked for.
    *
    * @param target the target
    * @param prompt the prompt
@@ -100,7 +100,8 @@
         model.prefillMillis(target.pendingPrefillTokens(now) + target.uncachedTokens(prompt));
     int requests = target.requests(now);
     int excess = Math.max(0, requests - target.record().slots());
-    return prefillMillis * target.slowdown()
+    return target.remainingPauseMillis(now)
+        + prefillMillis * target.slowdown()
         + model.delayPerRequestMillis() * requests
         + EXCESS_REQUEST_MILLIS * excess;
   }
@@ -111,12 +112,12 @@
    * @param targets the targets of the service
    * @param prompt the prompt
    * @param now the current time in milliseconds
-   * @return the time in milliseconds, or empty if no target accepts new requests
+   * @return the time in milliseconds, or empty if no target is in service
    */
   public OptionalDouble leastExpectedDelayMillis(
       Collection<TargetLoad> targets, Prompt prompt, long now) {
     return targets.stream()
-        .filter(target -> isEligible(target, Set.of()))
+        .filter(TargetLoad::isInService)
         .mapToDouble(target -> expectedDelayMillis(target, prompt, now))
         .min();
   }
@@ -126,17 +127,17 @@
    *
    * @param targets the targets of the service
    * @param now the current time in milliseconds
-   * @return the target, or empty if no target accepts new requests
+   * @return the target, or empty if no target is in service
    */
   public Optional<TargetLoad> leastLoaded(Collection<TargetLoad> targets, long now) {
     return targets.stream()
-        .filter(target -> isEligible(target, Set.of()))
+        .filter(TargetLoad::isInService)
         .min(Comparator.comparingDouble(target -> expectedDelayMillis(target, Prompt.NONE, now)));
   }
 
   /**
-   * Returns the least number of uncached prompt tokens among the eligible targets that are not
-   * ejected.
+   * Returns the least number of uncached prompt tokens among the targets that accept new requests
+   * and are not ejected.
    *
    * @param targets the targets of the service
    * @param prompt the prompt
@@ -147,16 +148,15 @@
   public int leastUncachedTokens(
       Collection<TargetLoad> targets, Prompt prompt, Set<String> tried, long now) {
     return targets.stream()
-        .filter(target -> isEligible(target, tried) && !target.isEjected(now))
+        .filter(target -> target.acceptsRequests(now) && !isTried(target, tried))
+        .filter(target -> !target.isEjected(now))
         .mapToInt(target -> target.uncachedTokens(prompt))
         .min()
         .orElse(prompt.promptTokens());
   }
 
-  /** Returns whether a target accepts new requests and was not tried. */
-  private static boolean isEligible(TargetLoad target, Set<String> tried) {
-    return target.record().state() == TargetRecord.State.READY
-        && !tried.contains(target.record().id());
+  private static boolean isTried(TargetLoad target, Set<String> tried) {
+    return tried.contains(target.record().id());
   }
 
   /** Returns the cost of sending a request to a target, in milliseconds. */
--- a/core/src/main/java/org/almondslip/placement/TargetLoad.java
+++ b/core/src/main/java/org/almondslip/placement/TargetLoad.java
@@ -59,6 +59,12 @@
   /** End of the ejection in milliseconds. */
   private long ejectedUntil = Long.MIN_VALUE;
 
+  /** Whether the target has said that it is about to end. */
+  private boolean leaving;
+
+  /** End of the pause that the target has asked for, in milliseconds. */
+  private long pausedUntil = Long.MIN_VALUE;
+
   /** Moving average of the ratio between measured and expected time to the first event. */
   private double slowdown = 1;
 
@@ -296,6 +302,57 @@
     }
   }
 
+  /**
+   * Records that the target said in a response that it is about to end. It stays so until another
+   * incarnation replaces it, whatever the directory says.
+   *
+   * @return true if this was not known
+   */
+  public boolean onLeaving() {
+    boolean added = !leaving;
+    leaving = true;
+    return added;
+  }
+
+  /**
+   * Records that the target wants no requests of this router for some time.
+   *
+   * @param millis the duration in milliseconds
+   * @param now the current time in milliseconds
+   */
+  public void onPause(long millis, long now) {
+    pausedUntil = Math.max(pausedUntil, now + millis);
+  }
+
+  /**
+   * Returns whether the target accepts new requests, possibly after a pause.
+   *
+   * @return false if it is draining or has said that it is leaving
+   */
+  public boolean isInService() {
+    return record.state() == TargetRecord.State.READY && !leaving;
+  }
+
+  /**
+   * Returns whether the target accepts new requests now.
+   *
+   * @param now the current time in milliseconds
+   * @return false if it is not in service or has asked for a pause
+   */
+  public boolean acceptsRequests(long now) {
+    return isInService() && remainingPauseMillis(now) == 0;
+  }
+
+  /**
+   * Returns the rest of the pause that the target has asked for.
+   *
+   * @param now the current time in milliseconds
+   * @return the time in milliseconds, 0 without a pause
+   */
+  public long remainingPauseMillis(long now) {
+    return now >= pausedUntil ? 0 : pausedUntil - now;
+  }
+
   /**
    * Returns whether the target is avoided because of recent failures.
    *
--- a/gateway/src/main/java/org/almondslip/gateway/DecisionLog.java
+++ b/gateway/src/main/java/org/almondslip/gateway/DecisionLog.java
@@ -103,6 +103,26 @@
                 .toList());
   }
 
+  /** Logs that a target is about to end and receives no further requests. */
+  void logLeaving(TargetLoad target) {
+    logger.atInfo().log("target %s says that it is leaving", target.record().id());
+  }
+
+  /**
+   * Logs that a target refused a request and wants no further ones for some time.
+   *
+   * @param inbound the request
+   * @param target the target
+   * @param millis the duration in milliseconds
+   */
+  void logPause(InboundRequest inbound, TargetLoad target, long millis) {
+    logger
+        .atInfo()
+        .with(JsonLines.REQUEST_ID, inbound.decoded().requestId())
+        .with(JsonLines.ORGANISATION, inbound.organisationName())
+        .log("target %s asks for a pause of %d ms", target.record().id(), millis);
+  }
+
   /**
    * Logs the end of a request and counts its outcome.
    *
--- a/gateway/src/main/java/org/almondslip/gateway/ForwardedRequest.java
+++ b/gateway/src/main/java/org/almondslip/gateway/ForwardedRequest.java
@@ -210,10 +210,10 @@
   }
 
   @Override
-  public void onNotSent(TargetLoad target) {
+  public void onNotSent(TargetLoad target, String reason) {
     attempts--;
     mayHaveRun |= response.started();
-    retryOrFail("the target could not be connected", ErrorCode.TARGET_UNREACHABLE, false);
+    retryOrFail(reason, ErrorCode.TARGET_UNREACHABLE, false);
   }
 
   @Override
@@ -285,11 +285,11 @@
       fail(
           ErrorCode.ROUTER_OVERLOADED,
           reason,
-          OptionalLong.of(context.dispatchLimits().retryAfterMillis()));
+          OptionalLong.of(context.dispatcher().retryAfterMillis(inbound.service())));
     }
   }
 
-  /** Returns whether attempts and time are left and a target exists that was not tried. */
+  /** Returns whether attempts and time are left and a target in service was not tried. */
   private boolean canRetry() {
     return !ended
         && !context.crashQuarantine().isQuarantined(inbound.fingerprint())
@@ -297,7 +297,8 @@
         && attempts < inbound.route().maxAttempts()
         && context.clock().millis() < inbound.deadlineAt()
         && context.dispatcher().targets(inbound.service()).stream()
-            .anyMatch(target -> !triedTargets.contains(target.record().id()));
+            .anyMatch(
+                target -> target.isInService() && !triedTargets.contains(target.record().id()));
   }
 
   private void onDeadline() {
--- a/gateway/src/main/java/org/almondslip/gateway/HeaderCodec.java
+++ b/gateway/src/main/java/org/almondslip/gateway/HeaderCodec.java
@@ -76,6 +76,14 @@
    * @param requestId the id of the request that the target responds to
    * @param notExecuted whether the target states that it did not run the request
    * @param signed whether the target signed its response
+   * @param leaving whether the target is about to end and accepts no new requests
+   * @param retryAfterMillis the time for which a target that refused the request wants no further
+   *     ones of this router, in milliseconds
    */
-  record ResponseHeaders(Optional<String> requestId, boolean notExecuted, boolean signed) {}
+  record ResponseHeaders(
+      Optional<String> requestId,
+      boolean notExecuted,
+      boolean signed,
+      boolean leaving,
+      OptionalLong retryAfterMillis) {}
 }
--- a/gateway/src/main/java/org/almondslip/gateway/TargetAttempt.java
+++ b/gateway/src/main/java/org/almondslip/gateway/TargetAttempt.java
@@ -20,6 +20,9 @@
 
   private static final int MIN_SERVER_ERROR_STATUS = 500;
 
+  /** Status of a target that refuses a request for now. */
+  private static final int UNAVAILABLE_STATUS = 503;
+
   /**
    * Maximum idle time of a connection for a request that must not be repeated, in milliseconds. A
    * target may close an idle connection without notice, and such a request could not be retried.
@@ -103,9 +106,12 @@
     connection.onComplete(
         acquired -> {
           if (acquired.failed()) {
-            onNotSent();
+            onNotConnected();
           } else if (ended) {
             acquired.result().discard();
+          } else if (!target.acceptsRequests(context.clock().millis())) {
+            lease = Optional.of(acquired.result());
+            onNotSent("the target has asked for no further requests");
           } else {
             lease = Optional.of(acquired.result());
             send(acquired.result());
@@ -147,7 +153,7 @@
     acquired
         .connection()
         .request(options)
-        .onFailure(failure -> onNotSent())
+        .onFailure(failure -> onNotConnected())
         .onSuccess(
             request -> {
               if (ended) {
@@ -174,6 +180,7 @@
     response = Optional.of(received);
     phase = AttemptPhase.HEAD_RECEIVED;
     HeaderCodec.ResponseHeaders headers = context.codec().readResponse(received.headers());
+    readNotices(received.statusCode(), headers);
     if (!headers.requestId().orElse("").equals(inbound.decoded().requestId())) {
       // Also applies to a response without an id, which may be a late copy of an earlier one.
       onResponseLost("the target answered another request");
@@ -196,6 +203,21 @@
     }
   }
 
+  /**
+   * Applies what a response says about the target itself. It holds whichever request the response
+   * belongs to.
+   */
+  private void readNotices(int status, HeaderCodec.ResponseHeaders headers) {
+    if (headers.leaving() && target.onLeaving()) {
+      context.decisionLog().logLeaving(target);
+    }
+    if (status == UNAVAILABLE_STATUS && headers.retryAfterMillis().isPresent()) {
+      long millis = headers.retryAfterMillis().getAsLong();
+      target.onPause(millis, context.clock().millis());
+      context.decisionLog().logPause(inbound, target, millis);
+    }
+  }
+
   /**
    * Reads and discards the body of a response, so that the connection can be reused.
    *
@@ -355,12 +377,18 @@
   }
 
   /** Ends an attempt that did not reach the target. */
-  private void onNotSent() {
+  private void onNotConnected() {
     if (!ended) {
       target.onFailure(context.clock().millis());
+      onNotSent("the target could not be connected");
+    }
+  }
+
+  private void onNotSent(String reason) {
+    if (!ended) {
       end();
       lease.ifPresent(TargetConnectionPool.Lease::discard);
-      listener.onNotSent(target);
+      listener.onNotSent(target, reason);
     }
   }
 
--- a/gateway/src/main/java/org/almondslip/gateway/TargetAttemptListener.java
+++ b/gateway/src/main/java/org/almondslip/gateway/TargetAttemptListener.java
@@ -9,11 +9,12 @@
   CallerResponse response();
 
   /**
-   * Called when the request was not sent, since no connection to the target was available.
+   * Called when the request was not sent.
    *
    * @param target the target
+   * @param reason what happened
    */
-  void onNotSent(TargetLoad target);
+  void onNotSent(TargetLoad target, String reason);
 
   /**
    * Called when the target states that it did not run the request.
--- a/gateway/src/test/java/org/almondslip/gateway/TestHeaderCodec.java
+++ b/gateway/src/test/java/org/almondslip/gateway/TestHeaderCodec.java
@@ -39,6 +39,10 @@
     return new ResponseHeaders(
         Optional.ofNullable(headers.get("id")),
         headers.contains("not-run"),
-        headers.contains("signed"));
+        headers.contains("signed"),
+        headers.contains("leaving"),
+        headers.contains("retry-after")
+            ? OptionalLong.of(Long.parseLong(headers.get("retry-after")) * 1_000)
+            : OptionalLong.empty());
   }
 }
