Refuse requests that would outlast a planned stop

What callers may see (reported by operators of similar systems, found here by tests): a request whose body was complete late in a planned stop was forwarded and cut off at its end without an answer; so was a request that still waited for a target.

Cause: whether the router refuses requests was checked when the head arrived only, and the end of a stop closed the connections of waiting requests.

Change: it is checked again when the body is complete. Requests that wait after 60% of the drain time are refused, while their callers have time for another router. Requests that outlast the stop are answered (502, they may have run) before the connections are closed.

Evidence: PlannedStopTest.requestWhoseBodyEndsLateIsRefused and waitingRequestIsRefused failed before; four further cases passed before and after.

--- a/gateway/src/main/java/org/almondslip/gateway/CallerRequestHandler.java
+++ b/gateway/src/main/java/org/almondslip/gateway/CallerRequestHandler.java
@@ -4,9 +4,12 @@
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpServerRequest;
 import java.util.Arrays;
+import java.util.HashSet;
+import java.util.List;
 import java.util.Objects;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 import org.almondslip.directory.Directory;
@@ -82,7 +85,8 @@
   /** Whether the router refuses new requests, since it is shutting down. */
   private final BooleanSupplier refuseRequests;
 
-  private int openRequests;
+  /** Forwarded requests that have not ended. */
+  private final Set<ForwardedRequest> openRequests = new HashSet<>();
 
   /**
    * Creates a handler.
@@ -120,7 +124,20 @@
 
   /** Returns the number of forwarded requests that have not ended. */
   int openRequests() {
-    return openRequests;
+    return openRequests.size();
+  }
+
+  /**
+   * Refuses the requests that wait for a target, so that callers can send them to another router in
+   * time.
+   */
+  void refuseWaiting() {
+    List.copyOf(openRequests).forEach(ForwardedRequest::refuseIfWaiting);
+  }
+
+  /** Ends all requests, since the router stops. */
+  void endAll() {
+    List.copyOf(openRequests).forEach(ForwardedRequest::endForStop);
   }
 
   /** Returns whether the known API keys are recent enough to serve requests that need a key. */
@@ -207,6 +224,11 @@
   /** Routes, authorises and forwards a request whose body has been read. */
   private void onBodyRead(
       HttpServerRequest request, CallerResponse response, Buffer body, Arrival arrival) {
+    if (refuseRequests.getAsBoolean()) {
+      // The body has arrived during a planned stop, which would cut off the response.
+      refuse(request, response, ErrorCode.DRAINING, ErrorCode.DRAINING.title());
+      return;
+    }
     RoutingTable table = directory.table().orElseThrow();
     Optional<Route> route =
         table.route(
@@ -297,18 +319,19 @@
 
   private void start(HttpServerRequest request, CallerResponse response, InboundRequest inbound) {
     context.retryLimiter(inbound.service()).onRequest(inbound.arrivedAt());
-    openRequests++;
-    new ForwardedRequest(
+    ForwardedRequest forwarded =
+        new ForwardedRequest(
             context,
             vertx,
             request,
             inbound,
             response,
-            () -> {
-              openRequests--;
+            ended -> {
+              openRequests.remove(ended);
               connections.onRequestEnd(request.connection());
-            })
-        .start();
+            });
+    openRequests.add(forwarded);
+    forwarded.start();
   }
 
   /**
--- a/gateway/src/main/java/org/almondslip/gateway/ForwardedRequest.java
+++ b/gateway/src/main/java/org/almondslip/gateway/ForwardedRequest.java
@@ -7,6 +7,7 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
+import java.util.function.Consumer;
 import org.almondslip.dispatch.Job;
 import org.almondslip.dispatch.RefusalReason;
 import org.almondslip.error.ErrorCode;
@@ -43,7 +44,7 @@
 
   private final CallerResponse response;
 
-  private final Runnable onEnd;
+  private final Consumer<ForwardedRequest> onEnd;
 
   /** Ids of the targets of all attempts. */
   private final Set<String> triedTargets = new HashSet<>();
@@ -83,7 +84,7 @@
       HttpServerRequest request,
       InboundRequest inbound,
       CallerResponse response,
-      Runnable onEnd) {
+      Consumer<ForwardedRequest> onEnd) {
     this.context = context;
     this.vertx = vertx;
     this.inbound = inbound;
@@ -309,6 +310,25 @@
     }
   }
 
+  /** Refuses the request if it waits for a target, since the router stops. */
+  void refuseIfWaiting() {
+    if (currentAttempt.isEmpty()) {
+      endForStop();
+    }
+  }
+
+  /** Ends the request, since the router stops before its target has answered. */
+  void endForStop() {
+    if (mayHaveRun || currentAttempt.isPresent()) {
+      fail(ErrorCode.TARGET_FAILED, "the router stops before the target", OptionalLong.empty());
+    } else {
+      fail(
+          ErrorCode.DRAINING,
+          ErrorCode.DRAINING.title(),
+          OptionalLong.of(context.dispatchLimits().retryAfterMillis()));
+    }
+  }
+
   private void onCallerDisconnected() {
     if (!ended) {
       context.decisionLog().logEnd(inbound, "caller gone", 0, attempts, lastFailure);
@@ -342,6 +362,6 @@
     context.dispatcher().cancel(this);
     currentAttempt.ifPresent(TargetAttempt::cancel);
     currentAttempt = Optional.empty();
-    onEnd.run();
+    onEnd.accept(this);
   }
 }
--- a/gateway/src/main/java/org/almondslip/gateway/Gateway.java
+++ b/gateway/src/main/java/org/almondslip/gateway/Gateway.java
@@ -57,6 +57,12 @@
    */
   private static final long BALANCER_REMOVAL_MILLIS = 2_600;
 
+  /**
+   * Fraction of the drain time after which waiting requests are refused. The rest is left for the
+   * requests that targets run.
+   */
+  private static final double WAITING_FRACTION = 0.6;
+
   /** Fraction of the drain time after which open requests are aborted. */
   private static final double DRAIN_FRACTION = 0.94;
 
@@ -270,6 +276,7 @@
     draining = true;
     CountDownLatch drained = new CountDownLatch(1);
     long startedAt = clock.millis();
+    long refuseWaitingAt = startedAt + (long) (settings.drainMillis() * WAITING_FRACTION);
     long abortAt = startedAt + (long) (settings.drainMillis() * DRAIN_FRACTION);
     vertx.runOnContext(
         ignored ->
@@ -281,8 +288,14 @@
                     refusingRequests = true;
                     callerConnections.closeIdle(0);
                   }
-                  if (refusingRequests && !callerConnections.hasRequests() || now >= abortAt) {
+                  if (now >= refuseWaitingAt) {
+                    requestHandler.refuseWaiting();
+                  }
+                  if (refusingRequests && !callerConnections.hasRequests()
+                      || now >= abortAt + DRAIN_CHECK_MILLIS) {
                     drained.countDown();
+                  } else if (now >= abortAt) {
+                    requestHandler.endAll();
                   }
                 }));
     try {
