--- a/core/src/main/java/org/almondslip/quarantine/SegmentQuarantine.java
+++ b/core/src/main/java/org/almondslip/quarantine/SegmentQuarantine.java
@@ -209,12 +209,15 @@
       return OptionalLong.empty();
     }
     long now = clock.millis();
-    return prompt.sharedSegments().stream()
-        .filter(segment -> restricted.containsKey(segment.id()))
-        .mapToLong(
-            segment -> restricted.get(segment.id()).blockedMillis(probeDelay(segment.id()), now))
-        .filter(millis -> millis > 0)
-        .max();
+    long longest = 0;
+    // A loop, since waiting requests are checked every few milliseconds during a quarantine.
+    for (Prompt.Segment segment : prompt.sharedSegments()) {
+      SegmentRecord record = restricted.get(segment.id());
+      if (record != null) {
+        longest = Math.max(longest, record.blockedMillis(probeDelay(segment.id()), now));
+      }
+    }
+    return longest > 0 ? OptionalLong.of(longest) : OptionalLong.empty();
   }
 
   /**
