Count a crash by the last progress of its request

Cause: a crash counted only if its request had been sent after the previous crash became known, so that crashes of runs that overlap counted once, although each followed another.

Change: the arrival of the response head counts as progress, too. Targets that fail at the same moment still count once.

Evidence: QuarantineFleetTest plays intervals of 20 to 600 ms between such requests; the tests for common causes pass.

--- a/core/src/main/java/org/almondslip/quarantine/CrashedPrompt.java
+++ b/core/src/main/java/org/almondslip/quarantine/CrashedPrompt.java
@@ -8,16 +8,17 @@
  *
  * @param segments the ids of the shared segments in order
  * @param target the incarnation of the target
- * @param startedAt the time at which the request was sent, in milliseconds
+ * @param progressAt the time at which the request was sent or the head of its response arrived, in
+ *     milliseconds
  */
-public record CrashedPrompt(List<Long> segments, long target, long startedAt) {
+public record CrashedPrompt(List<Long> segments, long target, long progressAt) {
 
   /**
    * Creates a crashed prompt with a copy of the segments.
    *
    * @param segments the ids of the shared segments in order
    * @param target the incarnation of the target
-   * @param startedAt the time at which the request was sent, in milliseconds
+   * @param progressAt the time of the last progress of the request, in milliseconds
    */
   public CrashedPrompt {
     segments = List.copyOf(segments);
@@ -28,11 +29,11 @@
    *
    * @param prompt the prompt of the request
    * @param target the incarnation of the target
-   * @param startedAt the time at which the request was sent, in milliseconds
+   * @param progressAt the time of the last progress of the request, in milliseconds
    * @return the crashed prompt
    */
-  public static CrashedPrompt of(Prompt prompt, long target, long startedAt) {
+  public static CrashedPrompt of(Prompt prompt, long target, long progressAt) {
     return new CrashedPrompt(
-        prompt.sharedSegments().stream().map(Prompt.Segment::id).toList(), target, startedAt);
+        prompt.sharedSegments().stream().map(Prompt.Segment::id).toList(), target, progressAt);
   }
 }
--- a/core/src/main/java/org/almondslip/quarantine/SegmentQuarantine.java
+++ b/core/src/main/java/org/almondslip/quarantine/SegmentQuarantine.java
@@ -49,8 +49,8 @@
   static final long PROBE_MILLIS = 5_000;
 
   /**
-   * Time after which all routers know of a quarantine, in milliseconds. A crash of a request that
-   * was sent earlier does not extend the quarantine.
+   * Time after which all routers know of a quarantine, in milliseconds. A crash of a request whose
+   * last progress was earlier does not extend the quarantine.
    */
   static final long PROPAGATION_MILLIS = 5_000;
 
@@ -133,7 +133,7 @@
       SegmentRecord record = restricted.get(segment);
       if (record != null) {
         explained = true;
-        if (crash.startedAt() >= record.quarantinedAt() + PROPAGATION_MILLIS) {
+        if (crash.progressAt() >= record.quarantinedAt() + PROPAGATION_MILLIS) {
           quarantine(segment, record.quarantines() + 1, "a probe crashed its target");
         }
       }
@@ -142,7 +142,7 @@
       return;
     }
     for (long segment : crash.segments()) {
-      track(segment).onCrash(crash.target(), crash.startedAt(), now);
+      track(segment).onCrash(crash.target(), crash.progressAt(), now);
     }
     findCulprit(crash.segments())
         .ifPresent(
--- a/core/src/main/java/org/almondslip/quarantine/SegmentRecord.java
+++ b/core/src/main/java/org/almondslip/quarantine/SegmentRecord.java
@@ -45,12 +45,12 @@
   private record Crash(long target, long at, long answers) {}
 
   /**
-   * Records a crash. It counts only if the request was sent after the previous crash became known:
-   * targets that fail at the same time have a common cause outside the requests.
+   * Records a crash. It counts only if the request made progress after the previous crash became
+   * known: targets that fail at the same time have a common cause outside the requests.
    */
-  void onCrash(long target, long startedAt, long now) {
+  void onCrash(long target, long progressAt, long now) {
     boolean known = crashes.stream().anyMatch(crash -> crash.target() == target);
-    if (known || !crashes.isEmpty() && startedAt < crashes.peekLast().at()) {
+    if (known || !crashes.isEmpty() && progressAt < crashes.peekLast().at()) {
       return;
     }
     crashes.addLast(new Crash(target, now, answers()));
--- a/core/src/main/java/org/almondslip/report/SegmentReporter.java
+++ b/core/src/main/java/org/almondslip/report/SegmentReporter.java
@@ -105,7 +105,7 @@
           PromptCrash.newBuilder()
               .setTarget(crash.target())
               .addAllSegments(crash.segments())
-              .setAgeMillis((int) Math.min(Integer.MAX_VALUE, now - crash.startedAt()))
+              .setAgeMillis((int) Math.min(Integer.MAX_VALUE, now - crash.progressAt()))
               .build());
       if (entry.setValue(entry.getValue() - 1) <= 1) {
         all.remove();
--- a/core/src/test/java/org/almondslip/quarantine/SegmentQuarantineTest.java
+++ b/core/src/test/java/org/almondslip/quarantine/SegmentQuarantineTest.java
@@ -56,10 +56,10 @@
   /** Guards against blame for requests on targets that fail together. */
   @Test
   void targetsThatCrashAtTheSameTimeCountOnce() {
-    long startedAt = clock.millis();
+    long progressAt = clock.millis();
     clock.advance(RUN_MILLIS);
     for (int i = 0; i < 10; i++) {
-      quarantine.onCrash(new CrashedPrompt(List.of(1L, 2L), targets++, startedAt));
+      quarantine.onCrash(new CrashedPrompt(List.of(1L, 2L), targets++, progressAt));
       clock.advance(1);
     }
     assertThat(isBlocked(1, 2)).isFalse();
@@ -69,9 +69,9 @@
   @Test
   void countsEachTargetOnce() {
     for (int i = 0; i < 10; i++) {
-      long startedAt = clock.millis();
+      long progressAt = clock.millis();
       clock.advance(RUN_MILLIS);
-      quarantine.onCrash(new CrashedPrompt(List.of(1L, 2L), 7, startedAt));
+      quarantine.onCrash(new CrashedPrompt(List.of(1L, 2L), 7, progressAt));
     }
     assertThat(isBlocked(1, 2)).isFalse();
   }
@@ -185,9 +185,9 @@
   /** Lets a request with the given shared segments crash a new target. */
   private void crash(long... segments) {
     Prompt prompt = prompt(segments);
-    long startedAt = clock.millis();
+    long progressAt = clock.millis();
     clock.advance(RUN_MILLIS);
-    quarantine.onCrash(CrashedPrompt.of(prompt, targets++, startedAt));
+    quarantine.onCrash(CrashedPrompt.of(prompt, targets++, progressAt));
   }
 
   private void answer(long... segments) {
--- a/core/src/test/java/org/almondslip/report/QuarantineFleetTest.java
+++ b/core/src/test/java/org/almondslip/report/QuarantineFleetTest.java
@@ -36,8 +36,8 @@
   /** Time between a request and the start of its response, in milliseconds. */
   private static final long RUN_MILLIS = 300;
 
-  /** Time between two requests with the crashing segment, in milliseconds. */
-  private static final long CRASHING_INTERVAL_MILLIS = 400;
+  /** Time between the start of a response and the crash of its target, in milliseconds. */
+  private static final long CRASH_MILLIS = 40;
 
   private static final long SOUND_INTERVAL_MILLIS = 40;
 
@@ -82,6 +82,9 @@
 
   private int soundRefused;
 
+  /** Time between two requests with the crashing segment, in milliseconds. */
+  private int crashingIntervalMillis;
+
   private record Event(long at, Runnable action) {}
 
   /** Router with its own knowledge, which a restart replaces. */
@@ -154,9 +157,9 @@
         lateRuns++;
       }
       quarantine.onSent(prompt);
-      CrashedPrompt crash = CrashedPrompt.of(prompt, targets++, clock.millis());
+      CrashedPrompt crash = CrashedPrompt.of(prompt, targets++, clock.millis() + RUN_MILLIS);
       after(
-          RUN_MILLIS,
+          RUN_MILLIS + CRASH_MILLIS,
           () -> {
             if (++crashes == CRASHES) {
               boundFrom = Optional.of(clock.millis());
@@ -188,8 +191,10 @@
   void routersQuarantineSegmentInTime(
       @ForAll @IntRange(min = 1, max = 33) int count,
       @ForAll @IntRange(max = 50) int lossPercent,
+      @ForAll @IntRange(min = 20, max = 600) int intervalMillis,
       @ForAll long seed) {
     start(count, lossPercent / 100.0, seed);
+    crashingIntervalMillis = intervalMillis;
     play(60_000);
     assertThat(lateRuns).isLessThanOrEqualTo(MAX_LATE_RUNS);
     assertThat(crashes).isGreaterThanOrEqualTo(SegmentQuarantine.CRASH_THRESHOLD);
@@ -248,6 +253,7 @@
     events.clear();
     targets = 0;
     crashes = 0;
+    crashingIntervalMillis = 400;
     lateRuns = 0;
     soundSent = 0;
     soundRefused = 0;
@@ -261,7 +267,7 @@
   private void play(long millis) {
     long end = clock.millis() + millis;
     while (clock.millis() < end) {
-      if (clock.millis() % CRASHING_INTERVAL_MILLIS < STEP_MILLIS) {
+      if (clock.millis() % crashingIntervalMillis < STEP_MILLIS) {
         routers.get(random.nextInt(routers.size())).sendCrashing();
       }
       if (clock.millis() % SOUND_INTERVAL_MILLIS < STEP_MILLIS) {
--- a/gateway/src/main/java/org/almondslip/gateway/TargetAttempt.java
+++ b/gateway/src/main/java/org/almondslip/gateway/TargetAttempt.java
@@ -64,6 +64,9 @@
 
   private AttemptPhase phase = AttemptPhase.SENT;
 
+  /** Time at which the request was sent or the response head arrived, in milliseconds. */
+  private long progressAt;
+
   /**
    * Whether so much of the response has arrived that the request cannot have crashed the target.
    */
@@ -171,6 +174,7 @@
         .response()
         .onFailure(failure -> onConnectionLost("the connection ended before an answer"))
         .onSuccess(this::onResponse);
+    progressAt = context.clock().millis();
     request.exceptionHandler(failure -> onConnectionLost("the connection failed"));
     request.end(inbound.body());
   }
@@ -181,6 +185,7 @@
     }
     response = Optional.of(received);
     phase = AttemptPhase.HEAD_RECEIVED;
+    progressAt = context.clock().millis();
     HeaderCodec.ResponseHeaders headers = context.codec().readResponse(received.headers());
     readNotices(received.statusCode(), headers);
     if (!headers.requestId().orElse("").equals(inbound.decoded().requestId())) {
@@ -431,7 +436,7 @@
     boolean staleConnection =
         phase == AttemptPhase.SENT && lease.map(TargetConnectionPool.Lease::reused).orElse(false);
     CrashedPrompt crash =
-        CrashedPrompt.of(inbound.decoded().prompt(), target.incarnationKey(), startedAt);
+        CrashedPrompt.of(inbound.decoded().prompt(), target.incarnationKey(), progressAt);
     if (!staleConnection && !crash.segments().isEmpty()) {
       context.peerReporter().onCrash(crash);
     }
