Split the progress of an attempt and the notices of targets from TargetAttempt

AttemptProgress knows how far a response has come and whom its loss blames, TargetNotices applies what a response says about its target, and the idle time of connections follows from the request.

Measured: nothing; InterruptedResponseTest, TargetNoticeTest, GatewayTest, TargetFaultTest and PromptCrashTest pass.

--- /dev/null
+++ b/gateway/src/main/java/org/almondslip/gateway/AttemptProgress.java
@@ -0,0 +1,89 @@
+package org.almondslip.gateway;
+
+import org.almondslip.placement.TargetLoad;
+import org.almondslip.quarantine.CrashedPrompt;
+
+/** How far an attempt has come, which decides whether its request is blamed for a crash. */
+final class AttemptProgress {
+
+  private final ForwardingContext context;
+
+  private final InboundRequest inbound;
+
+  private final TargetLoad target;
+
+  private AttemptPhase phase = AttemptPhase.SENT;
+
+  /** Time at which the request was sent or the response head arrived, in milliseconds. */
+  private long progressAt;
+
+  /** Whether the request was sent on a connection that had carried an earlier one. */
+  private boolean reusedConnection;
+
+  /**
+   * Whether so much of the response has arrived that the request cannot have crashed the target.
+   */
+  private boolean answered;
+
+  /**
+   * Creates the progress of an attempt whose request is not sent yet.
+   *
+   * @param context the shared components of the router
+   * @param inbound the request
+   * @param target the target
+   */
+  AttemptProgress(ForwardingContext context, InboundRequest inbound, TargetLoad target) {
+    this.context = context;
+    this.inbound = inbound;
+    this.target = target;
+  }
+
+  AttemptPhase phase() {
+    return phase;
+  }
+
+  void onSent(boolean onReusedConnection) {
+    progressAt = context.clock().millis();
+    reusedConnection = onReusedConnection;
+  }
+
+  void onHead() {
+    phase = AttemptPhase.HEAD_RECEIVED;
+    progressAt = context.clock().millis();
+  }
+
+  /**
+   * Records that complete events have arrived. The first ones are not enough to acquit the request,
+   * since the target may send them and crash at the same time.
+   */
+  void onEvents() {
+    if (phase == AttemptPhase.STREAMING) {
+      onAnswered();
+    }
+    phase = AttemptPhase.STREAMING;
+  }
+
+  /** Records that the response is complete, or that the target survived its start. */
+  void onAnswered() {
+    if (!answered) {
+      answered = true;
+      context.crashQuarantine().onAnswer(inbound.fingerprint());
+      context.segmentQuarantine().onAnswer(inbound.decoded().prompt());
+    }
+  }
+
+  /** Blames the request if the connection ended at the start of the response, as in a crash. */
+  void onConnectionLost() {
+    if (answered) {
+      return;
+    }
+    context.peerReporter().onCrash(inbound.fingerprint(), target);
+    CrashedPrompt crash =
+        CrashedPrompt.of(inbound.decoded().prompt(), target.incarnationKey(), progressAt);
+    // The target may have closed the idle connection before the request reached it.
+    boolean staleConnection = reusedConnection && phase == AttemptPhase.SENT;
+    if (!staleConnection && !crash.segments().isEmpty()) {
+      context.peerReporter().onCrash(crash);
+    }
+  }
+}
--- a/gateway/src/main/java/org/almondslip/gateway/ForwardingContext.java
+++ b/gateway/src/main/java/org/almondslip/gateway/ForwardingContext.java
@@ -40,6 +40,8 @@
 
   private final FleetAllowance retryAllowance;
 
+  private final TargetNotices targetNotices;
+
   /** Retry limiters by service. */
   private final Map<String, RetryLimiter> retryLimiters = new HashMap<>();
 
@@ -84,6 +86,7 @@
     this.segmentQuarantine = segmentQuarantine;
     this.bodyMemory = bodyMemory;
     this.retryAllowance = retryAllowance;
+    this.targetNotices = new TargetNotices(this);
   }
 
   Clock clock() {
@@ -118,6 +121,10 @@
     return segmentQuarantine;
   }
 
+  TargetNotices targetNotices() {
+    return targetNotices;
+  }
+
   BodyMemory bodyMemory() {
     return bodyMemory;
   }
--- a/gateway/src/main/java/org/almondslip/gateway/InboundRequest.java
+++ b/gateway/src/main/java/org/almondslip/gateway/InboundRequest.java
@@ -33,6 +33,12 @@
     long arrivedAt,
     long fingerprint) {
 
+  /**
+   * Maximum idle time of a connection for a request that must not be repeated, in milliseconds. A
+   * target may close an idle connection without notice, and such a request could not be retried.
+   */
+  private static final long NON_REPEATABLE_IDLE_MILLIS = 1_000;
+
   /** Returns the name of the organisation, empty when the route needs no key. */
   String organisationName() {
     return organisation.map(Organisation::name).orElse("");
@@ -47,4 +53,16 @@
     return arrivedAt
         + Math.min(route.timeoutMillis(), decoded.deadlineMillis().orElse(Long.MAX_VALUE >> 1));
   }
+
+  /**
+   * Returns the maximum idle time of a connection for this request in milliseconds, 0 for a new
+   * one.
+   */
+  long maxIdleMillis() {
+    if (decoded.requestId().isEmpty()) {
+      // A late response to an earlier request could not be told from the response to this one.
+      return 0;
+    }
+    return route.kind().repeatable() ? Long.MAX_VALUE : NON_REPEATABLE_IDLE_MILLIS;
+  }
 }
--- a/gateway/src/main/java/org/almondslip/gateway/TargetAttempt.java
+++ b/gateway/src/main/java/org/almondslip/gateway/TargetAttempt.java
@@ -9,7 +9,6 @@
 import io.vertx.core.http.RequestOptions;
 import java.util.Optional;
 import org.almondslip.placement.TargetLoad;
-import org.almondslip.quarantine.CrashedPrompt;
 import org.almondslip.routing.EventSplitter;
 
 /** Sends a request to a target once and forwards the response. */
@@ -22,15 +21,6 @@
 
   private static final int MIN_SERVER_ERROR_STATUS = 500;
 
-  /** Status of a target that refuses a request for now. */
-  private static final int UNAVAILABLE_STATUS = 503;
-
-  /**
-   * Maximum idle time of a connection for a request that must not be repeated, in milliseconds. A
-   * target may close an idle connection without notice, and such a request could not be retried.
-   */
-  private static final long NON_REPEATABLE_IDLE_MILLIS = 1_000;
-
   private final ForwardingContext context;
 
   private final InboundRequest inbound;
@@ -62,15 +52,7 @@
   /** Memory of a response that is forwarded when it is complete. */
   private final BodyMemory.Reservation memory;
 
-  private AttemptPhase phase = AttemptPhase.SENT;
-
-  /** Time at which the request was sent or the response head arrived, in milliseconds. */
-  private long progressAt;
-
-  /**
-   * Whether so much of the response has arrived that the request cannot have crashed the target.
-   */
-  private boolean answered;
+  private final AttemptProgress progress;
 
   private boolean ended;
 
@@ -102,12 +84,13 @@
     this.load = new AttemptLoad(context.dispatcher(), target, inbound.decoded().prompt());
     context.peerReporter().onSent(target, inbound.decoded().prompt());
     this.memory = context.bodyMemory().reserve();
+    this.progress = new AttemptProgress(context, inbound, target);
   }
 
   /** Acquires a connection and sends the request. */
   void start() {
     Future<TargetConnectionPool.Lease> connection =
-        context.connections().acquire(target.record(), maxIdleMillis());
+        context.connections().acquire(target.record(), inbound.maxIdleMillis());
     connection.onComplete(
         acquired -> {
           if (acquired.failed()) {
@@ -124,15 +107,6 @@
         });
   }
 
-  /** Returns the maximum idle time of the connection in milliseconds, 0 for a new connection. */
-  private long maxIdleMillis() {
-    if (inbound.decoded().requestId().isEmpty()) {
-      // A late response to an earlier request could not be told from the response to this one.
-      return 0;
-    }
-    return inbound.route().kind().repeatable() ? Long.MAX_VALUE : NON_REPEATABLE_IDLE_MILLIS;
-  }
-
   /** Resumes a response that was paused since the caller reads too slowly. */
   void resume() {
     response.ifPresent(HttpClientResponse::resume);
@@ -174,7 +148,7 @@
         .response()
         .onFailure(failure -> onConnectionLost("the connection ended before an answer"))
         .onSuccess(this::onResponse);
-    progressAt = context.clock().millis();
+    progress.onSent(lease.map(TargetConnectionPool.Lease::reused).orElse(false));
     request.exceptionHandler(failure -> onConnectionLost("the connection failed"));
     request.end(inbound.body());
   }
@@ -184,10 +158,9 @@
       return;
     }
     response = Optional.of(received);
-    phase = AttemptPhase.HEAD_RECEIVED;
-    progressAt = context.clock().millis();
+    progress.onHead();
     HeaderCodec.ResponseHeaders headers = context.codec().readResponse(received.headers());
-    readNotices(received.statusCode(), headers);
+    context.targetNotices().read(inbound, target, received.statusCode(), headers);
     if (!headers.requestId().orElse("").equals(inbound.decoded().requestId())) {
       // Also applies to a response without an id, which may be a late copy of an earlier one.
       onResponseLost("the target answered another request");
@@ -214,21 +187,6 @@
     }
   }
 
-  /**
-   * Applies what a response says about the target itself. It holds whichever request the response
-   * belongs to.
-   */
-  private void readNotices(int status, HeaderCodec.ResponseHeaders headers) {
-    if (headers.leaving() && target.onLeaving()) {
-      context.decisionLog().logLeaving(target);
-    }
-    if (status == UNAVAILABLE_STATUS && headers.retryAfterMillis().isPresent()) {
-      long millis = headers.retryAfterMillis().getAsLong();
-      target.onPause(millis, context.clock().millis());
-      context.decisionLog().logPause(inbound, target, millis);
-    }
-  }
-
   /**
    * Reads and discards the body of a response, so that the connection can be reused.
    *
@@ -325,7 +283,7 @@
             return;
           }
           load.onPrefilled();
-          onAnswered();
+          progress.onAnswered();
           end();
           lease.ifPresent(used -> used.release(received, true));
           next.accept(body);
@@ -353,10 +311,7 @@
     if (events.isEmpty()) {
       return;
     }
-    if (phase == AttemptPhase.STREAMING) {
-      onAnswered();
-    }
-    phase = AttemptPhase.STREAMING;
+    progress.onEvents();
     if (load.onPrefilled()) {
       target.onFirstEvent(context.clock().millis() - startedAt, expectedMillis);
     }
@@ -381,7 +336,7 @@
       return;
     }
     load.onPrefilled();
-    onAnswered();
+    progress.onAnswered();
     target.onSuccess();
     end();
     lease.ifPresent(used -> used.release(received, true));
@@ -405,18 +360,6 @@
     }
   }
 
-  /**
-   * Records that the target survived the start of the response. A first event is not enough, since
-   * the target may send it and crash at the same time.
-   */
-  private void onAnswered() {
-    if (!answered) {
-      answered = true;
-      context.crashQuarantine().onAnswer(inbound.fingerprint());
-      context.segmentQuarantine().onAnswer(inbound.decoded().prompt());
-    }
-  }
-
   /**
    * Ends an attempt whose connection ended within the response, as it does when a target crashes.
    */
@@ -424,28 +367,14 @@
     if (ended) {
       return;
     }
-    if (!answered) {
-      context.peerReporter().onCrash(inbound.fingerprint(), target);
-      reportCrashedPrompt();
-    }
+    progress.onConnectionLost();
     onResponseLost(reason);
   }
 
-  /** Reports the prompt, unless the target may have closed an idle connection. */
-  private void reportCrashedPrompt() {
-    boolean staleConnection =
-        phase == AttemptPhase.SENT && lease.map(TargetConnectionPool.Lease::reused).orElse(false);
-    CrashedPrompt crash =
-        CrashedPrompt.of(inbound.decoded().prompt(), target.incarnationKey(), progressAt);
-    if (!staleConnection && !crash.segments().isEmpty()) {
-      context.peerReporter().onCrash(crash);
-    }
-  }
-
   private void onResponseLost(String reason) {
     if (!ended) {
       long now = context.clock().millis();
-      context.decisionLog().logLost(inbound, target, phase, now - startedAt, reason);
+      context.decisionLog().logLost(inbound, target, progress.phase(), now - startedAt, reason);
       memory.release();
       target.onFailure(now);
       end();
