--- a/core/src/main/java/org/almondslip/dispatch/Dispatcher.java
+++ b/core/src/main/java/org/almondslip/dispatch/Dispatcher.java
@@ -77,9 +77,10 @@
    *
    * @param service the service of the target
    * @param id the id of the target
+   * @return the target, empty if it is unknown
    */
-  public void remove(String service, String id) {
-    targets.remove(service, id);
+  public Optional<TargetLoad> remove(String service, String id) {
+    return targets.remove(service, id);
   }
 
   /**
--- a/core/src/main/java/org/almondslip/dispatch/TargetTable.java
+++ b/core/src/main/java/org/almondslip/dispatch/TargetTable.java
@@ -35,10 +35,13 @@
    *
    * @param service the service of the target
    * @param id the id of the target
+   * @return the target, empty if it is unknown
    */
-  void remove(String service, String id) {
-    Optional.ofNullable(byService.getOrDefault(service, new HashMap<>()).remove(id))
-        .ifPresent(target -> byKey.remove(target.incarnationKey()));
+  Optional<TargetLoad> remove(String service, String id) {
+    Optional<TargetLoad> removed =
+        Optional.ofNullable(byService.getOrDefault(service, new HashMap<>()).remove(id));
+    removed.ifPresent(target -> byKey.remove(target.incarnationKey()));
+    return removed;
   }
 
   /**
