Describe when a request is blamed for a crash, and drop an unused parameter

A request is blamed until its second event, not its first; the comments said otherwise. Dispatcher.refuse no longer used the queue. No behaviour changes.

--- a/core/src/main/java/org/almondslip/dispatch/Dispatcher.java
+++ b/core/src/main/java/org/almondslip/dispatch/Dispatcher.java
@@ -184,7 +184,7 @@
   public void submit(Job job) {
     FairQueue queue = queue(job.service());
     if (job.isQuarantined()) {
-      refuse(job, queue, RefusalReason.QUARANTINED);
+      refuse(job, RefusalReason.QUARANTINED);
       return;
     }
     AvailableTargets available =
@@ -205,7 +205,7 @@
             ? Optional.empty()
             : admission.refusalReason(job, queue, share(job.service()), available);
     if (refusal.isPresent()) {
-      refuse(job, queue, refusal.get());
+      refuse(job, refusal.get());
       return;
     }
     queue.add(job);
@@ -293,7 +293,7 @@
       FairQueue queue = entry.getValue();
       if (queue.size() > 0) {
         for (Job job : queue.removeIf(Job::isQuarantined)) {
-          refuse(job, queue, RefusalReason.QUARANTINED);
+          refuse(job, RefusalReason.QUARANTINED);
         }
         dispatchWaiting(entry.getKey());
         expire(entry.getKey(), queue);
@@ -310,11 +310,11 @@
             ? RefusalReason.NO_TARGET
             : RefusalReason.EXPIRED;
     for (Job job : queue.removeIf(admission.isLate(targets(service)))) {
-      refuse(job, queue, reason);
+      refuse(job, reason);
     }
   }
 
-  private void refuse(Job job, FairQueue queue, RefusalReason reason) {
+  private void refuse(Job job, RefusalReason reason) {
     statistics.onRefused(job.service(), job.organisation(), reason, FairQueue.cost(job));
     job.refuse(reason, retryAfterMillis(job.service()));
   }
--- a/core/src/main/java/org/almondslip/quarantine/CrashedPrompt.java
+++ b/core/src/main/java/org/almondslip/quarantine/CrashedPrompt.java
@@ -4,7 +4,7 @@
 import org.almondslip.placement.Prompt;
 
 /**
- * Prompt of a request that was lost with its target before the first event of the response.
+ * Prompt of a request that was lost with its target at the start of the response.
  *
  * @param segments the ids of the shared segments in order
  * @param target the incarnation of the target
--- a/core/src/main/java/org/almondslip/quarantine/SegmentQuarantine.java
+++ b/core/src/main/java/org/almondslip/quarantine/SegmentQuarantine.java
@@ -15,7 +15,7 @@
 /**
  * Blocks requests whose prompt shares a segment that crashes targets.
  *
- * <p>A crash blames all shared segments of the requests that it hit before their first event. A
+ * <p>A crash blames all shared segments of the requests whose responses it hit at the start. A
  * segment is quarantined when {@link #CRASH_THRESHOLD} targets crashed one after the other with
  * fewer than {@link #ACQUITTING_ANSWERS} answers in between. If this holds for several segments of
  * a prompt, the one with the fewest answers is quarantined, and the last one of these, which is in
@@ -31,8 +31,8 @@
   public static final int CRASH_THRESHOLD = 3;
 
   /**
-   * Number of answers that acquit a segment. A target may send a first event before it crashes, so
-   * a single answer is not enough.
+   * Number of answers that acquit a segment. Answers may still arrive of requests that were sent
+   * before the segment began to crash targets.
    */
   static final int ACQUITTING_ANSWERS = 3;
 
@@ -121,8 +121,8 @@
   }
 
   /**
-   * Records that a request of this or another router was lost with its target before the first
-   * event.
+   * Records that a request of this or another router was lost with its target at the start of the
+   * response.
    *
    * @param crash the prompt of the request
    */
--- a/core/src/main/java/org/almondslip/report/ReportWriter.java
+++ b/core/src/main/java/org/almondslip/report/ReportWriter.java
@@ -168,7 +168,7 @@
   }
 
   /**
-   * Records that a request was lost with its target before the first event.
+   * Records that a request was lost with its target at the start of the response.
    *
    * @param crash the prompt of the request
    */
--- a/gateway/src/main/java/org/almondslip/gateway/PeerReporter.java
+++ b/gateway/src/main/java/org/almondslip/gateway/PeerReporter.java
@@ -24,7 +24,7 @@
   void onCrash(long fingerprint, TargetLoad target);
 
   /**
-   * Records that a request was lost with its target before the first event of the response.
+   * Records that a request was lost with its target at the start of the response.
    *
    * @param crash the prompt of the request
    */
--- a/wire/src/main/java/org/almondslip/protocol/wire/LoadReport.java
+++ b/wire/src/main/java/org/almondslip/protocol/wire/LoadReport.java
@@ -369,7 +369,7 @@
    *
    *
    * <pre>
-   * Prompts that were lost with their target before the first event of the response.
+   * Prompts that were lost with their target at the start of the response.
    * </pre>
    *
    * <code>repeated .almondslip.PromptCrash crashes = 11;</code>
@@ -383,7 +383,7 @@
    *
    *
    * <pre>
-   * Prompts that were lost with their target before the first event of the response.
+   * Prompts that were lost with their target at the start of the response.
    * </pre>
    *
    * <code>repeated .almondslip.PromptCrash crashes = 11;</code>
@@ -398,7 +398,7 @@
    *
    *
    * <pre>
-   * Prompts that were lost with their target before the first event of the response.
+   * Prompts that were lost with their target at the start of the response.
    * </pre>
    *
    * <code>repeated .almondslip.PromptCrash crashes = 11;</code>
@@ -412,7 +412,7 @@
    *
    *
    * <pre>
-   * Prompts that were lost with their target before the first event of the response.
+   * Prompts that were lost with their target at the start of the response.
    * </pre>
    *
    * <code>repeated .almondslip.PromptCrash crashes = 11;</code>
@@ -426,7 +426,7 @@
    *
    *
    * <pre>
-   * Prompts that were lost with their target before the first event of the response.
+   * Prompts that were lost with their target at the start of the response.
    * </pre>
    *
    * <code>repeated .almondslip.PromptCrash crashes = 11;</code>
@@ -2659,7 +2659,7 @@
      *
      *
      * <pre>
-     * Prompts that were lost with their target before the first event of the response.
+     * Prompts that were lost with their target at the start of the response.
      * </pre>
      *
      * <code>repeated .almondslip.PromptCrash crashes = 11;</code>
@@ -2676,7 +2676,7 @@
      *
      *
      * <pre>
-     * Prompts that were lost with their target before the first event of the response.
+     * Prompts that were lost with their target at the start of the response.
      * </pre>
      *
      * <code>repeated .almondslip.PromptCrash crashes = 11;</code>
@@ -2693,7 +2693,7 @@
      *
      *
      * <pre>
-     * Prompts that were lost with their target before the first event of the response.
+     * Prompts that were lost with their target at the start of the response.
      * </pre>
      *
      * <code>repeated .almondslip.PromptCrash crashes = 11;</code>
@@ -2710,7 +2710,7 @@
      *
      *
      * <pre>
-     * Prompts that were lost with their target before the first event of the response.
+     * Prompts that were lost with their target at the start of the response.
      * </pre>
      *
      * <code>repeated .almondslip.PromptCrash crashes = 11;</code>
@@ -2733,7 +2733,7 @@
      *
      *
      * <pre>
-     * Prompts that were lost with their target before the first event of the response.
+     * Prompts that were lost with their target at the start of the response.
      * </pre>
      *
      * <code>repeated .almondslip.PromptCrash crashes = 11;</code>
@@ -2754,7 +2754,7 @@
      *
      *
      * <pre>
-     * Prompts that were lost with their target before the first event of the response.
+     * Prompts that were lost with their target at the start of the response.
      * </pre>
      *
      * <code>repeated .almondslip.PromptCrash crashes = 11;</code>
@@ -2777,7 +2777,7 @@
      *
      *
      * <pre>
-     * Prompts that were lost with their target before the first event of the response.
+     * Prompts that were lost with their target at the start of the response.
      * </pre>
      *
      * <code>repeated .almondslip.PromptCrash crashes = 11;</code>
@@ -2800,7 +2800,7 @@
      *
      *
      * <pre>
-     * Prompts that were lost with their target before the first event of the response.
+     * Prompts that were lost with their target at the start of the response.
      * </pre>
      *
      * <code>repeated .almondslip.PromptCrash crashes = 11;</code>
@@ -2820,7 +2820,7 @@
      *
      *
      * <pre>
-     * Prompts that were lost with their target before the first event of the response.
+     * Prompts that were lost with their target at the start of the response.
      * </pre>
      *
      * <code>repeated .almondslip.PromptCrash crashes = 11;</code>
@@ -2841,7 +2841,7 @@
      *
      *
      * <pre>
-     * Prompts that were lost with their target before the first event of the response.
+     * Prompts that were lost with their target at the start of the response.
      * </pre>
      *
      * <code>repeated .almondslip.PromptCrash crashes = 11;</code>
@@ -2862,7 +2862,7 @@
      *
      *
      * <pre>
-     * Prompts that were lost with their target before the first event of the response.
+     * Prompts that were lost with their target at the start of the response.
      * </pre>
      *
      * <code>repeated .almondslip.PromptCrash crashes = 11;</code>
@@ -2882,7 +2882,7 @@
      *
      *
      * <pre>
-     * Prompts that were lost with their target before the first event of the response.
+     * Prompts that were lost with their target at the start of the response.
      * </pre>
      *
      * <code>repeated .almondslip.PromptCrash crashes = 11;</code>
@@ -2902,7 +2902,7 @@
      *
      *
      * <pre>
-     * Prompts that were lost with their target before the first event of the response.
+     * Prompts that were lost with their target at the start of the response.
      * </pre>
      *
      * <code>repeated .almondslip.PromptCrash crashes = 11;</code>
@@ -2915,7 +2915,7 @@
      *
      *
      * <pre>
-     * Prompts that were lost with their target before the first event of the response.
+     * Prompts that were lost with their target at the start of the response.
      * </pre>
      *
      * <code>repeated .almondslip.PromptCrash crashes = 11;</code>
@@ -2932,7 +2932,7 @@
      *
      *
      * <pre>
-     * Prompts that were lost with their target before the first event of the response.
+     * Prompts that were lost with their target at the start of the response.
      * </pre>
      *
      * <code>repeated .almondslip.PromptCrash crashes = 11;</code>
@@ -2950,7 +2950,7 @@
      *
      *
      * <pre>
-     * Prompts that were lost with their target before the first event of the response.
+     * Prompts that were lost with their target at the start of the response.
      * </pre>
      *
      * <code>repeated .almondslip.PromptCrash crashes = 11;</code>
@@ -2964,7 +2964,7 @@
      *
      *
      * <pre>
-     * Prompts that were lost with their target before the first event of the response.
+     * Prompts that were lost with their target at the start of the response.
      * </pre>
      *
      * <code>repeated .almondslip.PromptCrash crashes = 11;</code>
@@ -2978,7 +2978,7 @@
      *
      *
      * <pre>
-     * Prompts that were lost with their target before the first event of the response.
+     * Prompts that were lost with their target at the start of the response.
      * </pre>
      *
      * <code>repeated .almondslip.PromptCrash crashes = 11;</code>
--- a/wire/src/main/java/org/almondslip/protocol/wire/LoadReportOrBuilder.java
+++ b/wire/src/main/java/org/almondslip/protocol/wire/LoadReportOrBuilder.java
@@ -184,7 +184,7 @@
    *
    *
    * <pre>
-   * Prompts that were lost with their target before the first event of the response.
+   * Prompts that were lost with their target at the start of the response.
    * </pre>
    *
    * <code>repeated .almondslip.PromptCrash crashes = 11;</code>
@@ -195,7 +195,7 @@
    *
    *
    * <pre>
-   * Prompts that were lost with their target before the first event of the response.
+   * Prompts that were lost with their target at the start of the response.
    * </pre>
    *
    * <code>repeated .almondslip.PromptCrash crashes = 11;</code>
@@ -206,7 +206,7 @@
    *
    *
    * <pre>
-   * Prompts that were lost with their target before the first event of the response.
+   * Prompts that were lost with their target at the start of the response.
    * </pre>
    *
    * <code>repeated .almondslip.PromptCrash crashes = 11;</code>
@@ -217,7 +217,7 @@
    *
    *
    * <pre>
-   * Prompts that were lost with their target before the first event of the response.
+   * Prompts that were lost with their target at the start of the response.
    * </pre>
    *
    * <code>repeated .almondslip.PromptCrash crashes = 11;</code>
@@ -229,7 +229,7 @@
    *
    *
    * <pre>
-   * Prompts that were lost with their target before the first event of the response.
+   * Prompts that were lost with their target at the start of the response.
    * </pre>
    *
    * <code>repeated .almondslip.PromptCrash crashes = 11;</code>
