Blame prompt segments only for losses after the response head

Cause: connections that targets reset before the head of a response counted as crashes. At 20 such losses a second, three targets lost a response between three answers to the common segment of a route.

Change: only a loss after the head and before the second event blames the segments. The reuse of the connection no longer matters.

Evidence: PromptCrashTest.lostResponsesDoNotQuarantineSegment failed before (503, Retry-After 31.71) and passes now, as does the test with the crashing segment.

--- a/core/src/main/java/org/almondslip/quarantine/CrashedPrompt.java
+++ b/core/src/main/java/org/almondslip/quarantine/CrashedPrompt.java
@@ -8,8 +8,7 @@
  *
  * @param segments the ids of the shared segments in order
  * @param target the incarnation of the target
- * @param progressAt the time at which the request was sent or the head of its response arrived, in
- *     milliseconds
+ * @param progressAt the time at which the head of its response arrived, in milliseconds
  */
 public record CrashedPrompt(List<Long> segments, long target, long progressAt) {
 
--- a/gateway/src/main/java/org/almondslip/gateway/AttemptProgress.java
+++ b/gateway/src/main/java/org/almondslip/gateway/AttemptProgress.java
@@ -14,11 +14,8 @@
 
   private AttemptPhase phase = AttemptPhase.SENT;
 
-  /** Time at which the request was sent or the response head arrived, in milliseconds. */
-  private long progressAt;
-
-  /** Whether the request was sent on a connection that had carried an earlier one. */
-  private boolean reusedConnection;
+  /** Time at which the response head arrived, in milliseconds. */
+  private long headAt;
 
   /**
    * Whether so much of the response has arrived that the request cannot have crashed the target.
@@ -42,14 +39,9 @@
     return phase;
   }
 
-  void onSent(boolean onReusedConnection) {
-    progressAt = context.clock().millis();
-    reusedConnection = onReusedConnection;
-  }
-
   void onHead() {
     phase = AttemptPhase.HEAD_RECEIVED;
-    progressAt = context.clock().millis();
+    headAt = context.clock().millis();
   }
 
   /**
@@ -72,17 +64,19 @@
     }
   }
 
-  /** Blames the request if the connection ended at the start of the response, as in a crash. */
+  /**
+   * Blames the request if the connection ended at the start of the response, as in a crash. The
+   * segments of its prompt are blamed only after the head: targets, networks and idle timeouts
+   * close connections before it far more often than crashes do.
+   */
   void onConnectionLost() {
     if (answered) {
       return;
     }
     context.peerReporter().onCrash(inbound.fingerprint(), target);
     CrashedPrompt crash =
-        CrashedPrompt.of(inbound.decoded().prompt(), target.incarnationKey(), progressAt);
-    // The target may have closed the idle connection before the request reached it.
-    boolean staleConnection = reusedConnection && phase == AttemptPhase.SENT;
-    if (!staleConnection && !crash.segments().isEmpty()) {
+        CrashedPrompt.of(inbound.decoded().prompt(), target.incarnationKey(), headAt);
+    if (phase != AttemptPhase.SENT && !crash.segments().isEmpty()) {
       context.peerReporter().onCrash(crash);
     }
   }
--- a/gateway/src/main/java/org/almondslip/gateway/TargetAttempt.java
+++ b/gateway/src/main/java/org/almondslip/gateway/TargetAttempt.java
@@ -148,7 +148,6 @@
         .response()
         .onFailure(failure -> onConnectionLost("the connection ended before an answer"))
         .onSuccess(this::onResponse);
-    progress.onSent(lease.map(TargetConnectionPool.Lease::reused).orElse(false));
     request.exceptionHandler(failure -> onConnectionLost("the connection failed"));
     request.end(inbound.body());
   }
--- a/gateway/src/main/java/org/almondslip/gateway/TargetConnectionPool.java
+++ b/gateway/src/main/java/org/almondslip/gateway/TargetConnectionPool.java
@@ -57,9 +57,6 @@
 
     private long idleSince;
 
-    /** Whether the connection has carried an earlier request. */
-    private boolean reused;
-
     /** Whether the connection is closed or has failed. */
     private boolean closed;
 
@@ -74,11 +71,6 @@
       return connection;
     }
 
-    /** Returns whether the connection has carried an earlier request. */
-    boolean reused() {
-      return reused;
-    }
-
     /** Returns whether the connection is closed or has failed. */
     boolean closed() {
       return closed;
@@ -97,7 +89,6 @@
         discard();
         return;
       }
-      reused = true;
       idleSince = clock.millis();
       usableUntil = idleSince + reuseMillis(response.getHeader("Keep-Alive"));
       idle.computeIfAbsent(address, key -> new ArrayDeque<>()).addFirst(this);
--- a/wire/src/main/java/org/almondslip/protocol/wire/PromptCrash.java
+++ b/wire/src/main/java/org/almondslip/protocol/wire/PromptCrash.java
@@ -141,7 +141,7 @@
    *
    *
    * <pre>
-   * Time since the request was sent or the head of its response arrived, in milliseconds.
+   * Time since the head of the response arrived, in milliseconds.
    * </pre>
    *
    * <code>uint32 age_millis = 3;</code>
@@ -751,7 +751,7 @@
      *
      *
      * <pre>
-     * Time since the request was sent or the head of its response arrived, in milliseconds.
+     * Time since the head of the response arrived, in milliseconds.
      * </pre>
      *
      * <code>uint32 age_millis = 3;</code>
@@ -767,7 +767,7 @@
      *
      *
      * <pre>
-     * Time since the request was sent or the head of its response arrived, in milliseconds.
+     * Time since the head of the response arrived, in milliseconds.
      * </pre>
      *
      * <code>uint32 age_millis = 3;</code>
@@ -787,7 +787,7 @@
      *
      *
      * <pre>
-     * Time since the request was sent or the head of its response arrived, in milliseconds.
+     * Time since the head of the response arrived, in milliseconds.
      * </pre>
      *
      * <code>uint32 age_millis = 3;</code>
--- a/wire/src/main/java/org/almondslip/protocol/wire/PromptCrashOrBuilder.java
+++ b/wire/src/main/java/org/almondslip/protocol/wire/PromptCrashOrBuilder.java
@@ -68,7 +68,7 @@
    *
    *
    * <pre>
-   * Time since the request was sent or the head of its response arrived, in milliseconds.
+   * Time since the head of the response arrived, in milliseconds.
    * </pre>
    *
    * <code>uint32 age_millis = 3;</code>
