Review case 3: a sound prompt segment is quarantined instead of the one that crashes targets

Cause: of several segments without an answer between the crashes, the last one is blamed, also one that was answered before.

--- a/review/3/Case3.java
+++ b/review/3/Case3.java
@@ -1,29 +1,49 @@
 package org.almondslip.adapter;
 
-import java.io.IOException;
-import java.io.InputStream;
-import java.net.InetAddress;
-import java.net.InetSocketAddress;
-import java.net.Socket;
-import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
 
 /**
- * Rule LOST: a router that is stopped as planned cuts off an answer that its worker has completed
- * and that is still on its way to the client.
+ * Rule LOST: after three crashes by one part of a prompt, the routers refuse another, sound part that
+ * stands behind it, and with it the sound requests of the same caller.
  */
 final class Case3 {
 
-  private static final int ANSWER_BYTES = 13_000_000;
+  private static final long CONTACT_MILLIS = 3_000;
 
-  /** Bandwidth of the link to the client: 18 Mbit/s, at which the answer takes 5.8 s. */
-  private static final int BYTES_PER_SECOND = 2_250_000;
+  private static final int WORKERS = 8;
 
-  private static final int RECEIVE_BUFFER_BYTES = 64 << 10;
+  /** Time after which a worker that has crashed is back. */
+  private static final long RESTART_MILLIS = 3_000;
 
-  /** Time from the request to SIGTERM. */
-  private static final long STOP_DELAY_MILLIS = 300;
+  /** Time for which a worker reads a prompt. */
+  private static final long PREFILL_MILLIS = 30;
 
-  private static final int ROUTE_TIMEOUT_MILLIS = 12_000;
+  private static final int EVENTS = 12;
+
+  /** The part that crashes workers. */
+  private static final String CRASHING_PART = "bad5bad5";
+
+  /** Time between two sound requests. */
+  private static final long SOUND_INTERVAL_MILLIS = 500;
+
+  /** Time between two requests with the crashing part. */
+  private static final long TAINTED_INTERVAL_MILLIS = 150;
+
+  /** Number of sound requests before the first one with the crashing part. */
+  private static final int SOUND_BEFORE = 30;
+
+  private static final int TAINTED_IN_A_ROW = 3;
+
+  private static final long DISRUPTION_MILLIS = 32_000;
+
+  /** Fewest sound requests of each kind for which the rule holds. */
+  private static final int MIN_COUNTED = 20;
+
+  private static final java.util.Set<String> begun = java.util.concurrent.ConcurrentHashMap.newKeySet();
+
+  private static final List<Long> crashes = new CopyOnWriteArrayList<>();
 
   private Case3() {}
 
@@ -34,78 +54,109 @@
   private static boolean run(Lab lab) throws Exception {
     lab.manifest(
         1,
-        Lab.route("stock", "pedidos", "idempotent", 2, ROUTE_TIMEOUT_MILLIS, ""),
-        "{\"name\":\"pedidos\"}",
+        Lab.route("log", "ovens", "streaming", 1, 12_000, ",\"sticky\":true,\"target_gap_ms\":600"),
+        "{\"name\":\"ovens\",\"engine\":{\"batch_slots\":64,\"kv_capacity\":373092}}",
         Lab.tenant("bakery", "\"" + Lab.KEY + "\""));
-    lab.worker(
-        "pedidos-1",
-        "pedidos",
-        6,
-        (worker, request) -> {
-          lab.log("%s runs %s", worker.id, request.id());
-          request.answer(200, "OK", "s".repeat(ANSWER_BYTES));
-          lab.log("%s has sent its whole answer to %s", worker.id, request.id());
-        });
-    Lab.Router router = lab.router("edge-1");
-    Lab.sleep(500);
-    try (Socket socket = new Socket()) {
-      socket.setReceiveBufferSize(RECEIVE_BUFFER_BYTES);
-      socket.connect(new InetSocketAddress(InetAddress.getLoopbackAddress(), router.port));
-      long sentAt = lab.millis();
-      socket
-          .getOutputStream()
-          .write(
-              Lab.request(
-                      "GET", "/stock/list", "a1", Lab.key() + "Almondslip-Deadline-Ms: 12000\r\n", "")
-                  .getBytes(StandardCharsets.ISO_8859_1));
-      lab.log("client sends a1");
-      if (lab.trouble) {
-        Thread stop =
-            new Thread(
-                () -> {
-                  Lab.sleep(STOP_DELAY_MILLIS);
-                  try {
-                    router.signal("TERM");
-                  } catch (Exception e) {
-                    lab.log("%s", e.getMessage());
-                  }
-                });
-        stop.start();
-      }
-      InputStream in = socket.getInputStream();
-      String head = Lab.readHead(in);
-      lab.log("client gets the head: %s", head.split("\r\n")[0]);
-      if (!head.startsWith("HTTP/1.1 200")) {
-        throw new IllegalStateException(head);
+    for (int i = 1; i <= WORKERS; i++) {
+      lab.worker("oven-" + i, "ovens", 64, (worker, request) -> serve(lab, worker, request));
+    }
+    List<Lab.Router> routers = new ArrayList<>();
+    routers.add(lab.router("edge-1"));
+    routers.add(lab.router("edge-2"));
+    Lab.sleep(CONTACT_MILLIS);
+    int number = 0;
+    for (; number < SOUND_BEFORE; number++) {
+      sendSound(lab, routers, number);
+      Lab.sleep(SOUND_INTERVAL_MILLIS);
+    }
+    long before = begunBetween(0, SOUND_BEFORE);
+    int first = -1;
+    int tainted = 0;
+    long end = lab.millis() + DISRUPTION_MILLIS;
+    while (lab.millis() < end) {
+      int row = tainted == 0 ? TAINTED_IN_A_ROW : 1;
+      for (int i = 0; i < row; i++) {
+        sendTainted(lab, routers, tainted++);
+        Lab.sleep(TAINTED_INTERVAL_MILLIS);
       }
-      long read = readAtBandwidth(in, lab);
-      long elapsed = lab.millis() - sentAt;
-      lab.log("client has read %d of %d bytes of a1 after %d ms", read, ANSWER_BYTES, elapsed);
-      if (read < ANSWER_BYTES) {
-        lab.log("LOST: the channel ended without the whole answer to a1");
+      boolean counted =
+          !lab.trouble
+              || !crashes.isEmpty()
+                  && lab.millis() > crashes.get(Math.min(crashes.size(), 5) - 1) + 2 * CONTACT_MILLIS;
+      if (first < 0 && counted) {
+        first = number;
       }
-      return read == ANSWER_BYTES;
+      sendSound(lab, routers, number++);
+      Lab.sleep(SOUND_INTERVAL_MILLIS);
     }
+    int counted = first < 0 ? 0 : number - first;
+    long during = counted == 0 ? 0 : begunBetween(first, number);
+    lab.log(
+        "%d crashes; before them %d of %d sound requests began, from 6 s after them %d of %d",
+        crashes.size(), before, SOUND_BEFORE, during, counted);
+    if (counted < MIN_COUNTED) {
+      throw new IllegalStateException("only " + counted + " sound requests");
+    }
+    return during * SOUND_BEFORE * 2 >= before * counted;
   }
 
-  private static long readAtBandwidth(InputStream in, Lab lab) {
-    long startedAt = lab.millis();
-    long read = 0;
-    byte[] buffer = new byte[32 << 10];
-    try {
-      while (read < ANSWER_BYTES) {
-        int count = in.read(buffer);
-        if (count < 0) {
-          lab.log("the channel has ended");
-          return read;
-        }
-        read += count;
-        long dueAt = startedAt + read * 1_000 / BYTES_PER_SECOND;
-        Lab.sleep(Math.max(0, dueAt - lab.millis()));
-      }
-    } catch (IOException e) {
-      lab.log("the channel has ended: %s", e.getMessage());
+  private static long begunBetween(int from, int to) {
+    return java.util.stream.IntStream.range(from, to).filter(i -> begun.contains("sound-" + i)).count();
+  }
+
+  private static void sendSound(Lab lab, List<Lab.Router> routers, int number) {
+    String last = ",b2:4870," + Integer.toHexString(4096 + number) + ":1200";
+    send(lab, routers.get(number % 2), "/log/s" + number, "sound-" + number, "a1:512" + last, "log " + number);
+  }
+
+  private static void sendTainted(Lab lab, List<Lab.Router> routers, int number) {
+    String last = ",b2:4870," + Integer.toHexString(65536 + number) + ":1200";
+    send(lab, routers.get(number % 2), "/log/t" + number, "tainted-" + number, CRASHING_PART + ":512" + last, "tainted log " + number);
+  }
+
+  private static void serve(Lab lab, Lab.Worker worker, Lab.Request request) throws Exception {
+    boolean crashing = lab.trouble && request.header("Almondslip-Prefix-Hash").contains(CRASHING_PART);
+    lab.log("%s runs %s", worker.id, request.id());
+    begun.add(request.id());
+    Lab.sleep(PREFILL_MILLIS);
+    String head =
+        request.head(200, "OK").replace("text/plain", "text/event-stream")
+            + "Transfer-Encoding: chunked\r\n\r\n";
+    if (crashing) {
+      request.write(head);
+      request.chunk("id: 1\ndata: " + request.id() + "/1\n\n");
+      Lab.sleep(20);
+      worker.crash(RESTART_MILLIS);
+      crashes.add(lab.millis());
+      return;
+    }
+    request.write(head);
+    for (int i = 1; i <= EVENTS; i++) {
+      request.chunk("id: " + i + "\ndata: " + request.id() + "/" + i + "\n\n");
+      Lab.sleep(20);
+    }
+    request.write("0\r\n\r\n");
+  }
+
+  private static void send(
+      Lab lab, Lab.Router router, String path, String id, String prefix, String body) {
+    try (Lab.Client client = lab.client(router)) {
+      lab.log("client sends %s to %s", id, router.name);
+      client.send(
+          Lab.request(
+              "POST",
+              path,
+              id,
+              Lab.key()
+                  + "Connection: close\r\nAlmondslip-Deadline-Ms: 12000\r\nAlmondslip-Model: m\r\n"
+                  + "Almondslip-Token-Count: 6582,55\r\nAlmondslip-Prefix-Hash: " + prefix + "\r\n",
+              body));
+      Lab.Answer answer = client.receive();
+      lab.log(
+          "client gets %d for %s, %s, %d bytes",
+          answer.status(), id, answer.complete() ? "complete" : "broken off", answer.body().length());
+    } catch (java.io.IOException e) {
+      lab.log("client: %s", e.getMessage());
     }
-    return read;
   }
 }
--- a/review/5/Case5.java
+++ b/review/5/Case5.java
@@ -5,24 +5,15 @@
 import java.util.concurrent.CopyOnWriteArrayList;
 
 /**
- * Rule BUDGET: requests with a part of a prompt that crashes each worker that begins to write an
- * answer on it are sent to one worker after the other without end, if the head of the answer is
- * not complete when the worker crashes.
+ * Rule BUDGET: a request that crashes each worker after its third event is sent to one worker after
+ * the other without end.
  */
 final class Case5 {
 
   private static final long CONTACT_MILLIS = 3_000;
 
-  /** Number of requests that the rule allows after the fifth crash and the contact time. */
-  private static final int ALLOWED_REQUESTS = 3;
-
-  private static final int COUNTED_CRASHES = 5;
-
-  /** The part that crashes workers. */
-  private static final String CRASHING_PART = "bad5bad5";
-
-  /** Time for which a worker reads a prompt. */
-  private static final long PREFILL_MILLIS = 30;
+  /** Number of retries that the rule allows after the third crash and the contact time. */
+  private static final int ALLOWED_RETRIES = 3;
 
   private static final long SENDING_MILLIS = 30_000;
 
@@ -33,6 +24,9 @@
 
   private static final int EVENTS = 12;
 
+  /** Event after which the worker crashes. */
+  private static final int LAST_EVENT = 3;
+
   private static final List<Long> arrivals = new CopyOnWriteArrayList<>();
 
   private static final List<Long> crashes = new CopyOnWriteArrayList<>();
@@ -59,45 +53,41 @@
     long end = lab.millis() + SENDING_MILLIS;
     for (int number = 0; lab.millis() < end; number++) {
       Lab.Router router = routers.get(number % 2);
-      String last = "," + Integer.toHexString(4096 + number) + ":1200";
-      send(lab, router, "/log/" + number, "tainted-" + number, "a1:512," + CRASHING_PART + ":4870" + last, "log " + number);
-      send(lab, router, "/log/s" + number, "sound-" + number, "a1:512,b2:4870" + last, "another " + number);
+      send(lab, router, "/log/same", "same-" + number, "a1:512,b2:4870,c3:1200", "why did my starter go sour");
+      send(lab, router, "/log/" + number, "sound-" + number, "a1:512,b2:4870," + Integer.toHexString(4096 + number) + ":1200", "log " + number);
       Lab.sleep(700);
     }
     if (!lab.trouble) {
       return true;
     }
-    if (crashes.size() < COUNTED_CRASHES) {
+    if (crashes.size() < 3) {
       throw new IllegalStateException("only " + crashes.size() + " crashes");
     }
-    long from = crashes.get(COUNTED_CRASHES - 1) + CONTACT_MILLIS;
-    long requests = arrivals.stream().filter(at -> at > from).count();
+    long from = crashes.get(2) + CONTACT_MILLIS;
+    long retries = arrivals.stream().filter(at -> at > from).count();
     lab.log(
-        "the fifth crash was at %d; from %d on, %d requests with the part reached workers, %d are allowed",
-        crashes.get(COUNTED_CRASHES - 1), from, requests, ALLOWED_REQUESTS);
-    return requests <= ALLOWED_REQUESTS;
+        "the third crash was at %d; from %d on, %d retries reached workers, %d are allowed",
+        crashes.get(2), from, retries, ALLOWED_RETRIES);
+    return retries <= ALLOWED_RETRIES;
   }
 
   private static void serve(Lab lab, Lab.Worker worker, Lab.Request request) throws Exception {
-    boolean crashing = lab.trouble && request.header("Almondslip-Prefix-Hash").contains(CRASHING_PART);
+    boolean crashing = lab.trouble && request.line().contains("/log/same");
     lab.log("%s runs %s", worker.id, request.id());
     if (crashing) {
       arrivals.add(lab.millis());
     }
-    Lab.sleep(PREFILL_MILLIS);
-    String head =
+    request.write(
         request.head(200, "OK").replace("text/plain", "text/event-stream")
-            + "Transfer-Encoding: chunked\r\n\r\n";
-    if (crashing) {
-      request.write(head.substring(0, head.length() / 2));
-      worker.crash(RESTART_MILLIS);
-      crashes.add(lab.millis());
-      return;
-    }
-    request.write(head);
+            + "Transfer-Encoding: chunked\r\n\r\n");
     for (int i = 1; i <= EVENTS; i++) {
       request.chunk("id: " + i + "\ndata: " + request.id() + "/" + i + "\n\n");
       Lab.sleep(20);
+      if (crashing && i == LAST_EVENT) {
+        worker.crash(RESTART_MILLIS);
+        crashes.add(lab.millis());
+        return;
+      }
     }
     request.write("0\r\n\r\n");
   }
