--- a/review/2/Case2.java
+++ b/review/2/Case2.java
@@ -1,5 +1,6 @@
 package org.almondslip.adapter;
 
+import java.io.IOException;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CopyOnWriteArrayList;
@@ -36,7 +37,13 @@
   private static boolean run(Lab lab) throws Exception {
     lab.manifest(
         1,
-        Lab.route("note", "ovens", "streaming", 2, 10_000, ",\"resumable\":true,\"sticky\":true,\"target_gap_ms\":600"),
+        Lab.route(
+            "note",
+            "ovens",
+            "streaming",
+            2,
+            10_000,
+            ",\"resumable\":true,\"sticky\":true,\"target_gap_ms\":600"),
         "{\"name\":\"ovens\",\"engine\":{\"batch_slots\":64,\"kv_capacity\":373092}}",
         Lab.tenant("bakery", "\"" + Lab.KEY + "\""));
     for (int i = 1; i <= 3; i++) {
@@ -47,7 +54,11 @@
           "ovens",
           64,
           (worker, request) ->
-              serve(lab, worker, request, faulty && arrivals.incrementAndGet() % SPOILED_INTERVAL == 0));
+              serve(
+                  lab,
+                  worker,
+                  request,
+                  faulty && arrivals.incrementAndGet() % SPOILED_INTERVAL == 0));
     }
     Lab.Router router = lab.router("edge-1");
     Lab.sleep(500);
@@ -86,7 +97,9 @@
       request.chunk(event(request.id(), i));
       Lab.sleep(5);
       if (spoiled && i == LAST_GOOD_EVENT) {
-        lab.log("%s sends %d other bytes in %s and breaks off", worker.id, CHUNKS * CHUNK_BYTES, request.id());
+        lab.log(
+            "%s sends %d other bytes in %s and breaks off",
+            worker.id, CHUNKS * CHUNK_BYTES, request.id());
         for (int j = 0; j < CHUNKS; j++) {
           request.chunk("#".repeat(CHUNK_BYTES));
         }
@@ -113,13 +126,18 @@
                 Lab.key()
                     + "Connection: close\r\nAlmondslip-Deadline-Ms: 10000\r\nAlmondslip-Model: m\r\n"
                     + "Almondslip-Token-Count: 600,40\r\nAlmondslip-Prefix-Hash: a1:119,b2:79,"
-                    + Integer.toHexString(id.hashCode()) + ":402\r\n",
+                    + Integer.toHexString(id.hashCode())
+                    + ":402\r\n",
                 "how do I feed my starter"));
         Lab.Answer answer = client.receive();
         List<String> ids = eventIds(answer.body(), id);
         lab.log(
             "client gets %d for %s, %s, pieces %s, %d bytes",
-            answer.status(), id, answer.complete() ? "complete" : "broken off", ids, answer.body().length());
+            answer.status(),
+            id,
+            answer.complete() ? "complete" : "broken off",
+            ids,
+            answer.body().length());
         if (answer.status() == 200 && answer.complete()) {
           complete.incrementAndGet();
           if (!ids.equals(List.of("1", "2", "3", "4", "5", "6"))) {
@@ -127,7 +145,7 @@
             broken.add(id);
           }
         }
-      } catch (java.io.IOException e) {
+      } catch (IOException e) {
         lab.log("client %s: %s", name, e.getMessage());
       }
     }
--- a/review/3/Case3.java
+++ b/review/3/Case3.java
@@ -1,12 +1,16 @@
 package org.almondslip.adapter;
 
+import java.io.IOException;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.stream.IntStream;
 
 /**
- * Rule LOST: after three crashes by one part of a prompt, the routers refuse another, sound part that
- * stands behind it, and with it the sound requests of the same caller.
+ * Rule LOST: after three crashes by one part of a prompt, the routers refuse another, sound part
+ * that stands behind it, and with it the sound requests of the same caller.
  */
 final class Case3 {
 
@@ -41,7 +45,7 @@
   /** Fewest sound requests of each kind for which the rule holds. */
   private static final int MIN_COUNTED = 20;
 
-  private static final java.util.Set<String> begun = java.util.concurrent.ConcurrentHashMap.newKeySet();
+  private static final Set<String> begun = ConcurrentHashMap.newKeySet();
 
   private static final List<Long> crashes = new CopyOnWriteArrayList<>();
 
@@ -82,7 +86,8 @@
       boolean counted =
           !lab.trouble
               || !crashes.isEmpty()
-                  && lab.millis() > crashes.get(Math.min(crashes.size(), 5) - 1) + 2 * CONTACT_MILLIS;
+                  && lab.millis()
+                      > crashes.get(Math.min(crashes.size(), 5) - 1) + 2 * CONTACT_MILLIS;
       if (first < 0 && counted) {
         first = number;
       }
@@ -101,21 +106,35 @@
   }
 
   private static long begunBetween(int from, int to) {
-    return java.util.stream.IntStream.range(from, to).filter(i -> begun.contains("sound-" + i)).count();
+    return IntStream.range(from, to).filter(i -> begun.contains("sound-" + i)).count();
   }
 
   private static void sendSound(Lab lab, List<Lab.Router> routers, int number) {
     String last = ",b2:4870," + Integer.toHexString(4096 + number) + ":1200";
-    send(lab, routers.get(number % 2), "/log/s" + number, "sound-" + number, "a1:512" + last, "log " + number);
+    send(
+        lab,
+        routers.get(number % 2),
+        "/log/s" + number,
+        "sound-" + number,
+        "a1:512" + last,
+        "log " + number);
   }
 
   private static void sendTainted(Lab lab, List<Lab.Router> routers, int number) {
     String last = ",b2:4870," + Integer.toHexString(65536 + number) + ":1200";
-    send(lab, routers.get(number % 2), "/log/t" + number, "tainted-" + number, CRASHING_PART + ":512" + last, "tainted log " + number);
+    Lab.Router router = routers.get(number < TAINTED_IN_A_ROW ? 0 : number % 2);
+    send(
+        lab,
+        router,
+        "/log/t" + number,
+        "tainted-" + number,
+        CRASHING_PART + ":512" + last,
+        "tainted log " + number);
   }
 
   private static void serve(Lab lab, Lab.Worker worker, Lab.Request request) throws Exception {
-    boolean crashing = lab.trouble && request.header("Almondslip-Prefix-Hash").contains(CRASHING_PART);
+    boolean crashing =
+        lab.trouble && request.header("Almondslip-Prefix-Hash").contains(CRASHING_PART);
     lab.log("%s runs %s", worker.id, request.id());
     begun.add(request.id());
     Lab.sleep(PREFILL_MILLIS);
@@ -149,13 +168,18 @@
               id,
               Lab.key()
                   + "Connection: close\r\nAlmondslip-Deadline-Ms: 12000\r\nAlmondslip-Model: m\r\n"
-                  + "Almondslip-Token-Count: 6582,55\r\nAlmondslip-Prefix-Hash: " + prefix + "\r\n",
+                  + "Almondslip-Token-Count: 6582,55\r\nAlmondslip-Prefix-Hash: "
+                  + prefix
+                  + "\r\n",
               body));
       Lab.Answer answer = client.receive();
       lab.log(
           "client gets %d for %s, %s, %d bytes",
-          answer.status(), id, answer.complete() ? "complete" : "broken off", answer.body().length());
-    } catch (java.io.IOException e) {
+          answer.status(),
+          id,
+          answer.complete() ? "complete" : "broken off",
+          answer.body().length());
+    } catch (IOException e) {
       lab.log("client: %s", e.getMessage());
     }
   }
--- a/review/5/Case5.java
+++ b/review/5/Case5.java
@@ -1,5 +1,6 @@
 package org.almondslip.adapter;
 
+import java.io.IOException;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CopyOnWriteArrayList;
@@ -53,8 +54,20 @@
     long end = lab.millis() + SENDING_MILLIS;
     for (int number = 0; lab.millis() < end; number++) {
       Lab.Router router = routers.get(number % 2);
-      send(lab, router, "/log/same", "same-" + number, "a1:512,b2:4870,c3:1200", "why did my starter go sour");
-      send(lab, router, "/log/" + number, "sound-" + number, "a1:512,b2:4870," + Integer.toHexString(4096 + number) + ":1200", "log " + number);
+      send(
+          lab,
+          router,
+          "/log/same",
+          "same-" + number,
+          "a1:512,b2:4870,c3:1200",
+          "why did my starter go sour");
+      send(
+          lab,
+          router,
+          "/log/" + number,
+          "sound-" + number,
+          "a1:512,b2:4870," + Integer.toHexString(4096 + number) + ":1200",
+          "log " + number);
       Lab.sleep(700);
     }
     if (!lab.trouble) {
@@ -103,13 +116,18 @@
               id,
               Lab.key()
                   + "Connection: close\r\nAlmondslip-Deadline-Ms: 12000\r\nAlmondslip-Model: m\r\n"
-                  + "Almondslip-Token-Count: 6582,55\r\nAlmondslip-Prefix-Hash: " + prefix + "\r\n",
+                  + "Almondslip-Token-Count: 6582,55\r\nAlmondslip-Prefix-Hash: "
+                  + prefix
+                  + "\r\n",
               body));
       Lab.Answer answer = client.receive();
       lab.log(
           "client gets %d for %s, %s, %d bytes",
-          answer.status(), id, answer.complete() ? "complete" : "broken off", answer.body().length());
-    } catch (java.io.IOException e) {
+          answer.status(),
+          id,
+          answer.complete() ? "complete" : "broken off",
+          answer.body().length());
+    } catch (IOException e) {
       lab.log("client: %s", e.getMessage());
     }
   }
--- a/review/standins/Lab.java
+++ b/review/standins/Lab.java
@@ -3,10 +3,12 @@
 import io.vertx.core.Vertx;
 import java.io.BufferedInputStream;
 import java.io.ByteArrayOutputStream;
+import java.io.File;
 import java.io.IOException;
 import java.io.InputStream;
 import java.io.OutputStream;
 import java.io.PrintWriter;
+import java.net.BindException;
 import java.net.DatagramSocket;
 import java.net.HttpURLConnection;
 import java.net.InetAddress;
@@ -18,11 +20,14 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 import java.util.regex.Matcher;
@@ -39,8 +44,15 @@
 
   private static final long START_TIMEOUT_MILLIS = 40_000;
 
+  private static final int MIN_PORT = 18_000;
+
+  private static final int MAX_PORT = 30_000;
+
   private static final Pattern PLACEHOLDER = Pattern.compile("\\{\\{([a-z_.0-9]+)\\}\\}");
 
+  /** Ports that were given to routers. */
+  private static final Set<Integer> usedPorts = new HashSet<>();
+
   final Vertx vertx = Vertx.vertx();
 
   final FakeStore store = new FakeStore(vertx);
@@ -122,14 +134,18 @@
     store.put(
         "op",
         "config",
-        "{\"version\":%d,\"routes\":[%s],\"services\":[%s],\"tenants\":[%s],\"limits\":{\"max_header_bytes\":16384,\"max_body_bytes\":4194304,\"header_timeout_ms\":3000,\"idle_timeout_ms\":15000}}"
+        ("{\"version\":%d,\"routes\":[%s],\"services\":[%s],\"tenants\":[%s],"
+                + "\"limits\":{\"max_header_bytes\":16384,\"max_body_bytes\":4194304,"
+                + "\"header_timeout_ms\":3000,\"idle_timeout_ms\":15000}}")
             .formatted(version, routes, services, tenants));
     log("the operator wrote manifest %d", version);
   }
 
   /** Returns a route of the host {@code shop.example} as JSON. */
-  static String route(String name, String service, String type, int attempts, int timeoutMillis, String more) {
-    return "{\"name\":\"%s\",\"host\":\"shop.example\",\"prefix\":\"/%s/\",\"service\":\"%s\",\"type\":\"%s\",\"max_attempts\":%d,\"timeout_ms\":%d,\"target_latency_ms\":600%s}"
+  static String route(
+      String name, String service, String type, int attempts, int timeoutMillis, String more) {
+    return ("{\"name\":\"%s\",\"host\":\"shop.example\",\"prefix\":\"/%s/\",\"service\":\"%s\","
+            + "\"type\":\"%s\",\"max_attempts\":%d,\"timeout_ms\":%d,\"target_latency_ms\":600%s}")
         .formatted(name, name, service, type, attempts, timeoutMillis, more);
   }
 
@@ -169,7 +185,7 @@
     }
     resources.clear();
     if (folder.toFile().exists()) {
-      for (java.io.File file : folder.toFile().listFiles()) {
+      for (File file : folder.toFile().listFiles()) {
         file.delete();
       }
       folder.toFile().delete();
@@ -201,7 +217,7 @@
       values.put("listen.frontend", "127.0.0.1:" + port);
       values.put("listen.ready_address", "127.0.0.1:" + readyPort);
       values.put("port_range.0", Integer.toString(freePort()));
-      values.put("port_range.1", Integer.toString(freeDatagramPort()));
+      values.put("port_range.1", Integer.toString(freePort()));
       values.put("provider.address", storeAddress);
       values.put("bounds.budget_window_s", "10");
       values.put("bounds.budget_ratio", "0.2");
@@ -265,8 +281,7 @@
   }
 
   /** Request that a worker has received. */
-  record Request(
-      int number, String line, Map<String, String> headers, byte[] body, Socket socket) {
+  record Request(int number, String line, Map<String, String> headers, byte[] body, Socket socket) {
     String id() {
       return headers.getOrDefault("almondslip-attempt-id", "");
     }
@@ -286,16 +301,28 @@
 
     /** Returns a head of an answer without its length. */
     String head(int status, String reason) {
-      return "HTTP/1.1 " + status + " " + reason + "\r\n"
+      return "HTTP/1.1 "
+          + status
+          + " "
+          + reason
+          + "\r\n"
           + "Content-Type: text/plain\r\n"
-          + "Almondslip-Attempt-Id: " + id() + "\r\n"
-          + "Almondslip-Response-Signature: signed-" + id() + "\r\n";
+          + "Almondslip-Attempt-Id: "
+          + id()
+          + "\r\n"
+          + "Almondslip-Response-Signature: signed-"
+          + id()
+          + "\r\n";
     }
 
     /** Sends a complete answer with a length. */
     void answer(int status, String reason, String body) throws IOException {
-      write(head(status, reason) + "Keep-Alive: timeout=10\r\nContent-Length: " + body.length()
-          + "\r\n\r\n" + body);
+      write(
+          head(status, reason)
+              + "Keep-Alive: timeout=10\r\nContent-Length: "
+              + body.length()
+              + "\r\n\r\n"
+              + body);
     }
 
     void chunk(String data) throws IOException {
@@ -351,7 +378,9 @@
       store.put(
           "servers",
           id,
-          "{\"service\":\"%s\",\"address\":\"127.0.0.1:%d\",\"zone\":\"oviedo-a\",\"version\":1,\"batch_slots\":%d,\"state\":\"%s\",\"cold_remaining_ms\":0,\"sequence\":%d,\"born\":%d}"
+          ("{\"service\":\"%s\",\"address\":\"127.0.0.1:%d\",\"zone\":\"oviedo-a\","
+                  + "\"version\":\"v1\",\"batch_slots\":%d,\"state\":\"%s\","
+                  + "\"cold_remaining_ms\":0,\"sequence\":%d,\"born\":%d}")
               .formatted(service, port, slots, state, System.nanoTime() / 1_000_000, born));
       log("worker %s is %s at port %d", id, state, port);
     }
@@ -425,8 +454,11 @@
           String expected = request.header("Almondslip-Expect-Instance");
           if (!expected.isEmpty() && !expected.equals(id)) {
             log("worker %s rejects %s with 421", id, request.id());
-            request.write("HTTP/1.1 421 Misdirected Request\r\nAlmondslip-Not-Executed: 1\r\n"
-                + "Almondslip-Attempt-Id: " + request.id() + "\r\nContent-Length: 0\r\n\r\n");
+            request.write(
+                "HTTP/1.1 421 Misdirected Request\r\nAlmondslip-Not-Executed: 1\r\n"
+                    + "Almondslip-Attempt-Id: "
+                    + request.id()
+                    + "\r\nContent-Length: 0\r\n\r\n");
             continue;
           }
           handler.handle(this, request);
@@ -576,26 +608,39 @@
 
   /** Returns a request with the key of the tenant. */
   static String request(String method, String path, String id, String headers, String body) {
-    return method + " " + path + " HTTP/1.1\r\nHost: shop.example\r\n"
-        + "Almondslip-Attempt-Id: " + id + "\r\n"
+    return method
+        + " "
+        + path
+        + " HTTP/1.1\r\nHost: shop.example\r\n"
+        + "Almondslip-Attempt-Id: "
+        + id
+        + "\r\n"
         + headers
         + (body.isEmpty() ? "" : "Content-Length: " + body.length() + "\r\n")
-        + "\r\n" + body;
+        + "\r\n"
+        + body;
   }
 
   static String key() {
     return "Authorization: Token " + KEY + "\r\n";
   }
 
-  static int freePort() throws IOException {
-    try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-      return socket.getLocalPort();
-    }
-  }
-
-  private static int freeDatagramPort() throws IOException {
-    try (DatagramSocket socket = new DatagramSocket(0, InetAddress.getLoopbackAddress())) {
-      return socket.getLocalPort();
+  /**
+   * Returns a free port below the range from which the operating system takes the ports of outgoing
+   * connections, so that none of them takes it before its process listens.
+   */
+  private static synchronized int freePort() throws IOException {
+    while (true) {
+      int port = ThreadLocalRandom.current().nextInt(MIN_PORT, MAX_PORT);
+      if (!usedPorts.add(port)) {
+        continue;
+      }
+      try (ServerSocket socket = new ServerSocket(port, 1, InetAddress.getLoopbackAddress());
+          DatagramSocket datagrams = new DatagramSocket(port, InetAddress.getLoopbackAddress())) {
+        return socket.getLocalPort();
+      } catch (BindException e) {
+        // Another process uses the port.
+      }
     }
   }
 }
