--- a/review/build.sh
+++ b/review/build.sh
@@ -6,4 +6,4 @@
 mkdir -p target/review
 javac -nowarn -encoding UTF-8 -proc:none -d target/review -cp target/almondslip-gateway.jar \
   platform/src/test/java/org/almondslip/adapter/FakeStore.java \
-  review/standins/*.java review/[1-9]/*.java
+  review/standins/*.java review/tried/*.java review/[1-9]/*.java
