Forward only whole events of a stream

A stream that ended with its connection within a large event looked complete.

Cause: EventSplitter gives out an incomplete event of more than 96 KiB in parts, after which a stream cannot be resumed. TargetAttempt did not ask for that, neither when it lost a response nor at the end of the stream.

The gateway now holds an event until it is complete. An event of more than 256 KiB ends the attempt as a lost response before any of it is forwarded, so that a resumable stream goes on at the next target. The bytes of incomplete events count as memory for bodies. The path of the agents already asks before it resumes.

--- a/core/src/main/java/org/almondslip/routing/EventSplitter.java
+++ b/core/src/main/java/org/almondslip/routing/EventSplitter.java
@@ -18,6 +18,9 @@
    */
   static final int MAX_HELD_BYTES = 96 << 10;
 
+  /** Size of an incomplete event above which it is forwarded in parts, in bytes. */
+  private final int maxHeldBytes;
+
   /** Bytes after the last complete event. */
   private ByteString tail = ByteString.EMPTY;
 
@@ -44,6 +47,20 @@
   /** Whether the forwarded bytes end at an event boundary. */
   private boolean resumable = true;
 
+  /** Creates a splitter that buffers incomplete events of up to {@link #MAX_HELD_BYTES}. */
+  public EventSplitter() {
+    this(MAX_HELD_BYTES);
+  }
+
+  /**
+   * Creates a splitter.
+   *
+   * @param maxHeldBytes the maximum size of an incomplete event that is buffered, in bytes
+   */
+  public EventSplitter(int maxHeldBytes) {
+    this.maxHeldBytes = maxHeldBytes;
+  }
+
   /**
    * Adds bytes of the stream.
    *
@@ -59,7 +76,7 @@
       }
     }
     scanned = tail.size();
-    if (tail.size() - end > MAX_HELD_BYTES) {
+    if (tail.size() - end > maxHeldBytes) {
       resumable = false;
       end = tail.size();
     }
@@ -85,6 +102,15 @@
     hasField = false;
   }
 
+  /**
+   * Returns the size of the buffered incomplete event.
+   *
+   * @return the size in bytes
+   */
+  public int heldBytes() {
+    return tail.size();
+  }
+
   /**
    * Returns the number of complete events forwarded.
    *
--- a/gateway/src/main/java/org/almondslip/gateway/BodyMemory.java
+++ b/gateway/src/main/java/org/almondslip/gateway/BodyMemory.java
@@ -68,11 +68,27 @@
       return true;
     }
 
+    /**
+     * Changes the size of the reservation.
+     *
+     * @param size the new size in bytes
+     * @return whether the memory is available; the reservation is unchanged when it is not
+     */
+    boolean tryResize(int size) {
+      if (size > bytes) {
+        return tryExtend((int) (size - bytes));
+      }
+      used -= bytes - size;
+      bytes = size;
+      return true;
+    }
+
     /** Releases the memory. Has no effect after the first call. */
     void release() {
       if (!released) {
         released = true;
         used -= bytes;
+        bytes = 0;
       }
     }
   }
--- a/gateway/src/main/java/org/almondslip/gateway/TargetAttempt.java
+++ b/gateway/src/main/java/org/almondslip/gateway/TargetAttempt.java
@@ -21,6 +21,12 @@
 
   private static final int MIN_SERVER_ERROR_STATUS = 500;
 
+  /**
+   * Maximum size of an event in bytes. A larger one ends the attempt before any of it is forwarded:
+   * a caller that has a part of an event would join the next event to it.
+   */
+  private static final int MAX_EVENT_BYTES = 256 << 10;
+
   private final ForwardingContext context;
 
   private final InboundRequest inbound;
@@ -47,9 +53,9 @@
   private Optional<HttpClientResponse> response = Optional.empty();
 
   /** Splits the stream at event boundaries, so that only complete events are forwarded. */
-  private final EventSplitter splitter = new EventSplitter();
+  private final EventSplitter splitter = new EventSplitter(MAX_EVENT_BYTES);
 
-  /** Memory of a response that is forwarded when it is complete. */
+  /** Memory of a response that is forwarded when it is complete, or of an incomplete event. */
   private final BodyMemory.Reservation memory;
 
   private final AttemptProgress progress;
@@ -293,8 +299,16 @@
     received.exceptionHandler(failure -> onConnectionLost("the stream was cut off"));
     received.handler(
         data -> {
-          if (!ended) {
-            forwardEvents(received, splitter.add(UnsafeByteOperations.unsafeWrap(data.getBytes())));
+          if (ended) {
+            return;
+          }
+          ByteString events = splitter.add(UnsafeByteOperations.unsafeWrap(data.getBytes()));
+          if (!splitter.resumable()) {
+            onResponseLost("an event of the stream is larger than 256 KiB");
+          } else if (!memory.tryResize(splitter.heldBytes())) {
+            onResponseLost("an event of the stream is larger than the memory for it");
+          } else {
+            forwardEvents(received, events);
           }
         });
     received.endHandler(
@@ -337,6 +351,7 @@
     load.onPrefilled();
     progress.onAnswered();
     target.onSuccess();
+    memory.release();
     end();
     lease.ifPresent(used -> used.release(received, true));
     listener.response().endStream();
--- a/gateway/src/test/java/org/almondslip/gateway/InterruptedResponseTest.java
+++ b/gateway/src/test/java/org/almondslip/gateway/InterruptedResponseTest.java
@@ -31,6 +31,9 @@
 
   private static final String END_OF_CHUNKS = "0\r\n\r\n";
 
+  /** Size at which the splitter of events used to give out an incomplete event, in bytes. */
+  private static final int SPLIT_BYTES = 96 << 10;
+
   private final GatewayHarness harness = new GatewayHarness();
 
   @AfterEach
@@ -114,6 +117,60 @@
     assertThat(send(gateway)).contains(FIRST_EVENT).doesNotContain("id: 2", END_OF_CHUNKS);
   }
 
+  /**
+   * Guards against a stream that is resumed behind a part of an event, which hides the next one.
+   */
+  @ParameterizedTest
+  @ValueSource(ints = {SPLIT_BYTES - 1, SPLIT_BYTES + 1, 4 * SPLIT_BYTES, 40 * SPLIT_BYTES})
+  void partOfLargeEventIsNotForwarded(int bytes) throws IOException {
+    AtomicInteger attempts = new AtomicInteger();
+    ScriptedTarget.Script script =
+        (number, socket) -> {
+          if (attempts.getAndIncrement() == 0) {
+            ScriptedTarget.write(
+                socket,
+                CHUNKED
+                    + GatewayHarness.chunk(FIRST_EVENT)
+                    + GatewayHarness.chunk("#".repeat(bytes)));
+            reset(socket);
+          } else {
+            ScriptedTarget.write(
+                socket, CHUNKED + GatewayHarness.chunk(SECOND_EVENT) + END_OF_CHUNKS);
+          }
+        };
+    Gateway gateway =
+        harness.gateway(
+            RouteKind.RESUMABLE_STREAMING, 2, harness.target(script), harness.target(script));
+    assertThat(send(gateway))
+        .contains(GatewayHarness.chunk(FIRST_EVENT) + GatewayHarness.chunk(SECOND_EVENT))
+        .endsWith(END_OF_CHUNKS)
+        .doesNotContain("#");
+    assertThat(attempts).hasValue(2);
+  }
+
+  /** Guards against a stream that looks complete although it ends within a large event. */
+  @ParameterizedTest
+  @ValueSource(ints = {SPLIT_BYTES - 1, SPLIT_BYTES + 1, 4 * SPLIT_BYTES})
+  void streamThatEndsWithinLargeEventIsBrokenOff(int bytes) throws IOException {
+    String part = "id: 2\ndata: ";
+    Gateway gateway =
+        closing(
+            RouteKind.STREAMING,
+            CLOSE_DELIMITED + FIRST_EVENT + part + "#".repeat(bytes - part.length()));
+    assertThat(send(gateway))
+        .contains(FIRST_EVENT)
+        .doesNotContain("#")
+        .doesNotContain(END_OF_CHUNKS);
+  }
+
+  /** Guards against a sound stream that is broken off since one of its events is large. */
+  @Test
+  void largeEventIsForwarded() throws IOException {
+    String event = "id: 2\ndata: " + "#".repeat(2 * SPLIT_BYTES) + "\n\n";
+    Gateway gateway = closing(RouteKind.STREAMING, CLOSE_DELIMITED + FIRST_EVENT + event);
+    assertThat(send(gateway)).contains(event).endsWith(END_OF_CHUNKS);
+  }
+
   /** Guards against a body that is taken for broken since it ends with its connection. */
   @Test
   void bodyMayEndWithItsConnection() throws IOException {
