Blame prompt segments for crashes before the response head

Cause: AttemptProgress blamed segments only for losses after the head.

TargetProbe tells both apart: after a loss before the head it connects to the target once more, one time for all requests that are lost together. If the connection is refused, no process listens, and the segments are blamed, unless the target was leaving or gone from the directory. An accepted connection goes to the pool; a connection without reply blames nobody. The last progress of such a request is taken to be at most a second before its loss.

--- a/gateway/src/main/java/org/almondslip/gateway/AttemptProgress.java
+++ b/gateway/src/main/java/org/almondslip/gateway/AttemptProgress.java
@@ -12,6 +12,14 @@
 
   private final TargetLoad target;
 
+  /**
+   * Maximum time between the start of a response and the loss of its connection before the head, in
+   * milliseconds. A target may have waited or read the prompt before.
+   */
+  private static final long MAX_HEAD_MILLIS = 1_000;
+
+  private final long startedAt;
+
   private AttemptPhase phase = AttemptPhase.SENT;
 
   /** Time at which the response head arrived, in milliseconds. */
@@ -33,6 +41,7 @@
     this.context = context;
     this.inbound = inbound;
     this.target = target;
+    this.startedAt = context.clock().millis();
   }
 
   AttemptPhase phase() {
@@ -66,18 +75,34 @@
 
   /**
    * Blames the request if the connection ended at the start of the response, as in a crash. The
-   * segments of its prompt are blamed only after the head: targets, networks and idle timeouts
-   * close connections before it far more often than crashes do.
+   * segments of its prompt are blamed before the head only if the target has ended and was not
+   * about to leave.
    */
   void onConnectionLost() {
     if (answered) {
       return;
     }
     context.peerReporter().onCrash(inbound.fingerprint(), target);
+    long now = context.clock().millis();
+    boolean hasHead = phase != AttemptPhase.SENT;
+    long progressAt = hasHead ? headAt : Math.max(startedAt, now - MAX_HEAD_MILLIS);
     CrashedPrompt crash =
-        CrashedPrompt.of(inbound.decoded().prompt(), target.incarnationKey(), headAt);
-    if (phase != AttemptPhase.SENT && !crash.segments().isEmpty()) {
+        CrashedPrompt.of(inbound.decoded().prompt(), target.incarnationKey(), progressAt);
+    if (crash.segments().isEmpty()) {
+      return;
+    }
+    if (hasHead) {
       context.peerReporter().onCrash(crash);
+    } else if (target.isInService()) {
+      context
+          .targetProbe()
+          .hasEnded(target)
+          .onSuccess(
+              ended -> {
+                if (ended) {
+                  context.peerReporter().onCrash(crash);
+                }
+              });
     }
   }
 }
--- a/gateway/src/main/java/org/almondslip/gateway/ForwardingContext.java
+++ b/gateway/src/main/java/org/almondslip/gateway/ForwardingContext.java
@@ -28,6 +28,8 @@
 
   private final TargetConnectionPool connections;
 
+  private final TargetProbe targetProbe;
+
   private final DecisionLog decisionLog;
 
   private final PeerReporter peerReporter;
@@ -54,6 +56,7 @@
    * @param placement chooses targets
    * @param dispatcher queues and dispatches requests
    * @param connections the connections to targets
+   * @param targetProbe tells targets that have ended from others
    * @param decisionLog logs decisions about requests
    * @param peerReporter reports to other routers
    * @param crashQuarantine the quarantine of requests that crash targets
@@ -68,6 +71,7 @@
       Placement placement,
       Dispatcher dispatcher,
       TargetConnectionPool connections,
+      TargetProbe targetProbe,
       DecisionLog decisionLog,
       PeerReporter peerReporter,
       CrashQuarantine crashQuarantine,
@@ -80,6 +84,7 @@
     this.placement = placement;
     this.dispatcher = dispatcher;
     this.connections = connections;
+    this.targetProbe = targetProbe;
     this.decisionLog = decisionLog;
     this.peerReporter = peerReporter;
     this.crashQuarantine = crashQuarantine;
@@ -105,6 +110,10 @@
     return connections;
   }
 
+  TargetProbe targetProbe() {
+    return targetProbe;
+  }
+
   DecisionLog decisionLog() {
     return decisionLog;
   }
--- a/gateway/src/main/java/org/almondslip/gateway/Gateway.java
+++ b/gateway/src/main/java/org/almondslip/gateway/Gateway.java
@@ -197,6 +197,7 @@
             placement,
             dispatcher,
             targetConnections,
+            new TargetProbe(vertx, targetConnections),
             decisionLog,
             peerExchange,
             crashQuarantine,
--- a/gateway/src/main/java/org/almondslip/gateway/TargetConnectionPool.java
+++ b/gateway/src/main/java/org/almondslip/gateway/TargetConnectionPool.java
@@ -1,5 +1,6 @@
 package org.almondslip.gateway;
 
+import io.netty.channel.ConnectTimeoutException;
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
 import io.vertx.core.http.HttpClientAgent;
@@ -7,6 +8,7 @@
 import io.vertx.core.http.HttpClientOptions;
 import io.vertx.core.http.HttpClientResponse;
 import io.vertx.core.http.HttpConnectOptions;
+import java.net.ConnectException;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.HashMap;
@@ -89,8 +91,13 @@
         discard();
         return;
       }
+      keep(reuseMillis(response.getHeader("Keep-Alive")));
+    }
+
+    /** Returns the connection to the pool for a time in milliseconds. */
+    private void keep(long millis) {
       idleSince = clock.millis();
-      usableUntil = idleSince + reuseMillis(response.getHeader("Keep-Alive"));
+      usableUntil = idleSince + millis;
       idle.computeIfAbsent(address, key -> new ArrayDeque<>()).addFirst(this);
     }
 
@@ -129,9 +136,34 @@
       }
       lease.discard();
     }
+    return connect(target);
+  }
+
+  /**
+   * Opens a connection to find out whether a process listens at the address of a target. An open
+   * connection is kept for the next request.
+   *
+   * @param target the target
+   * @return true if the connection was refused, false if it was accepted or there was no reply
+   */
+  Future<Boolean> refusesConnections(TargetRecord target) {
+    return connect(target)
+        .map(
+            lease -> {
+              lease.keep(DEFAULT_IDLE_TIMEOUT_MILLIS);
+              return false;
+            })
+        .otherwise(TargetConnectionPool::isRefusal);
+  }
+
+  private static boolean isRefusal(Throwable failure) {
+    return failure instanceof ConnectException && !(failure instanceof ConnectTimeoutException);
+  }
+
+  private Future<Lease> connect(TargetRecord target) {
     return client
         .connect(new HttpConnectOptions().setHost(target.host()).setPort(target.port()))
-        .map(connection -> new Lease(address, connection));
+        .map(connection -> new Lease(target.host() + ":" + target.port(), connection));
   }
 
   /** Closes the idle connections to a removed target. */
--- a/gateway/src/test/java/org/almondslip/gateway/TestHeaderCodec.java
+++ b/gateway/src/test/java/org/almondslip/gateway/TestHeaderCodec.java
@@ -1,6 +1,8 @@
 package org.almondslip.gateway;
 
 import io.vertx.core.MultiMap;
+import java.util.Arrays;
+import java.util.List;
 import java.util.Locale;
 import java.util.Optional;
 import java.util.OptionalLong;
@@ -17,10 +19,19 @@
         Optional.ofNullable(headers.get("id")).orElse(""),
         deadline == null ? OptionalLong.empty() : OptionalLong.of(Long.parseLong(deadline)),
         Optional.ofNullable(headers.get("key")),
-        Prompt.NONE,
+        headers.contains("segments") ? readPrompt(headers.get("segments")) : Prompt.NONE,
         Optional.ofNullable(headers.get("last-event-id")));
   }
 
+  /** Returns a prompt whose segments have the given ids and 100 tokens each. */
+  private static Prompt readPrompt(String ids) {
+    List<Prompt.Segment> segments =
+        Arrays.stream(ids.split(","))
+            .map(id -> new Prompt.Segment(Long.parseLong(id), 100))
+            .toList();
+    return new Prompt(segments, 100 * segments.size(), 10);
+  }
+
   @Override
   public boolean isForwarded(String name) {
     String lower = name.toLowerCase(Locale.ROOT);
