Reject bytes of targets that belong to no response

Cause: the decoder of a kept connection joins the beginning of a repeated response to the next one. The head that results has the status of the first and the id and signature of the second, so that the comparison of ids passes. The bytes come with the end of the earlier response, while the connection is idle, or after the next request was sent; a check of idle connections alone would miss the last.

ResponseFraming follows the length of each response. ResponseGuard, in front of the decoder, closes a connection on bytes after the end of a response, or on a head that does not begin with a status line or has a second one. The response counts as lost, without blame for the prompt. Interim responses, heads, trailers and tiny chunks without end are bounded by the same class.

--- a/gateway/src/main/java/org/almondslip/gateway/TargetAttempt.java
+++ b/gateway/src/main/java/org/almondslip/gateway/TargetAttempt.java
@@ -136,7 +136,6 @@
             .setPort(target.record().port())
             .setHeaders(TargetHeaders.of(inbound, context, target.record().id(), lastEventId));
     acquired
-        .connection()
         .request(options)
         .onFailure(failure -> onNotConnected())
         .onSuccess(
@@ -381,8 +380,11 @@
     if (ended) {
       return;
     }
-    progress.onConnectionLost();
-    onResponseLost(reason);
+    Optional<String> violation = lease.flatMap(TargetConnectionPool.Lease::violation);
+    if (violation.isEmpty()) {
+      progress.onConnectionLost();
+    }
+    onResponseLost(violation.orElse(reason));
   }
 
   private void onResponseLost(String reason) {
--- a/gateway/src/main/java/org/almondslip/gateway/TargetConnectionPool.java
+++ b/gateway/src/main/java/org/almondslip/gateway/TargetConnectionPool.java
@@ -6,13 +6,17 @@
 import io.vertx.core.http.HttpClientAgent;
 import io.vertx.core.http.HttpClientConnection;
 import io.vertx.core.http.HttpClientOptions;
+import io.vertx.core.http.HttpClientRequest;
 import io.vertx.core.http.HttpClientResponse;
 import io.vertx.core.http.HttpConnectOptions;
+import io.vertx.core.http.HttpMethod;
+import io.vertx.core.http.RequestOptions;
 import java.net.ConnectException;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Optional;
 import org.almondslip.directory.TargetRecord;
 import org.almondslip.time.Clock;
 
@@ -62,20 +66,36 @@
     /** Whether the connection is closed or has failed. */
     private boolean closed;
 
+    private final ResponseGuard guard;
+
     Lease(String address, HttpClientConnection connection) {
       this.address = address;
       this.connection = connection;
+      this.guard = ResponseGuard.install(connection);
       connection.closeHandler(ignored -> onClosed());
       connection.exceptionHandler(failure -> closed = true);
     }
 
-    HttpClientConnection connection() {
-      return connection;
+    /**
+     * Creates the next request of the connection.
+     *
+     * @param options the request
+     * @return the request; the future fails only before anything was sent
+     */
+    Future<HttpClientRequest> request(RequestOptions options) {
+      return connection
+          .request(options)
+          .onSuccess(request -> guard.onRequest(options.getMethod() == HttpMethod.HEAD));
     }
 
     /** Returns whether the connection is closed or has failed. */
     boolean closed() {
-      return closed;
+      return closed || violation().isPresent();
+    }
+
+    /** Returns which bytes of the target belong to no response, empty if there were none. */
+    Optional<String> violation() {
+      return guard.violation();
     }
 
     /**
@@ -86,7 +106,8 @@
      */
     void release(HttpClientResponse response, boolean complete) {
       String connectionHeader = response.getHeader("Connection");
-      boolean usable = complete && !closed && !HopByHopHeaders.isCloseDelimited(response.headers());
+      boolean usable =
+          complete && !closed() && !HopByHopHeaders.isCloseDelimited(response.headers());
       if (!usable || "close".equalsIgnoreCase(connectionHeader)) {
         discard();
         return;
@@ -131,7 +152,7 @@
     while (!deque.isEmpty()) {
       Lease lease = deque.pollFirst();
       boolean fresh = now - lease.idleSince < maxIdleMillis;
-      if (!lease.closed && fresh && now < lease.usableUntil) {
+      if (!lease.closed() && fresh && now < lease.usableUntil) {
         return Future.succeededFuture(lease);
       }
       lease.discard();
--- /dev/null
+++ b/gateway/src/test/java/org/almondslip/gateway/ResponseFramingTest.java
@@ -0,0 +1,137 @@
+package org.almondslip.gateway;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import net.jqwik.api.constraints.Size;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Tests {@link ResponseFraming}. */
+class ResponseFramingTest {
+
+  private static final String CHUNKED = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+
+  private final ResponseFraming framing = new ResponseFraming();
+
+  /** Guards against a sound response whose end is not found, however it is split. */
+  @Property(tries = 300, seed = "34")
+  void findsEndOfResponse(@ForAll @Size(30) List<@IntRange(min = 1, max = 20) Integer> cuts) {
+    for (String response :
+        List.of(
+            "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello",
+            "HTTP/1.0 200\r\nContent-Length: 5\r\nContent-Length: 5\r\n\r\nhello",
+            "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n",
+            "HTTP/1.1 304 Same\r\nContent-Length: 9\r\n\r\n",
+            "HTTP/1.1 200 OK\nContent-Length: 1\n\nx",
+            CHUNKED + "3\r\nabc\r\nA;x=y\r\n0123456789\r\n0\r\nt: 1\r\n\r\n")) {
+      ResponseFraming own = new ResponseFraming();
+      own.onRequest(false);
+      int from = 0;
+      for (int i = 0; from < response.length(); i++) {
+        int size = i < cuts.size() ? cuts.get(i) : response.length();
+        int to = Math.min(response.length(), from + size);
+        assertThat(read(own, response.substring(from, to))).isEqualTo(to - from);
+        assertThat(own.violation()).as(response).isEmpty();
+        from = to;
+      }
+      assertThat(read(own, "H")).isZero();
+      assertThat(own.violation()).as(response).isPresent();
+    }
+  }
+
+  /** Guards against bytes after a response that become part of the next one. */
+  @Test
+  void separatesBytesAfterResponse() {
+    String response = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+    framing.onRequest(false);
+    assertThat(read(framing, response + "HTTP")).isEqualTo(response.length());
+    assertThat(framing.violation()).isPresent();
+  }
+
+  /** Guards against bytes that are taken for a response. */
+  @ParameterizedTest
+  @ValueSource(
+      strings = {
+        "\r\n",
+        "ok\r\n",
+        "HTTP/1.1 20\r\n",
+        "HTTP/2 200 OK\r\n",
+        "HHTTP/1.1 200 OK\r\n",
+        "HTTP/1.1 200 HTTP/1.1 500 Error\r\n",
+        "HTTP/1.1 200 OK\r\na: HTTP/1.1 500 Error\r\n",
+        "HTTP/1.1 200 OK\r\nHTTP/1.0 500 Error\r\n",
+        "HTTP/1.1 200 OK\r\nContent-Length: -1\r\n",
+        "HTTP/1.1 200 OK\r\nContent-Length: 1, 2\r\n",
+        "HTTP/1.1 200 OK\r\nContent-Length: 1\r\nContent-Length: 2\r\n",
+        CHUNKED + "x\r\n",
+        CHUNKED + "\r\n",
+        CHUNKED + "fffffffff\r\n"
+      })
+  void rejectsInvalidBytes(String bytes) {
+    framing.onRequest(false);
+    assertThat(read(framing, bytes)).isZero();
+    assertThat(framing.violation()).isPresent();
+  }
+
+  /** Guards against a response to a HEAD request whose length is taken for that of its body. */
+  @Test
+  void responseToHeadRequestHasNoBody() {
+    String head = "HTTP/1.1 200 OK\r\nContent-Length: 20\r\n\r\n";
+    framing.onRequest(true);
+    assertThat(read(framing, head)).isEqualTo(head.length());
+    framing.onRequest(true);
+    assertThat(read(framing, head)).isEqualTo(head.length());
+    assertThat(framing.violation()).isEmpty();
+  }
+
+  /** Guards against bytes without end at each place that has no length. */
+  @ParameterizedTest
+  @ValueSource(
+      strings = {
+        "|x",
+        "HTTP/1.1 200 OK\r\n|a",
+        "HTTP/1.1 200 OK\r\n|a: b\r\n",
+        "|HTTP/1.1 103 Hints\r\nLink: a\r\n\r\n",
+        CHUNKED + "1;|a",
+        CHUNKED + "|1\r\nx\r\n",
+        CHUNKED + "0\r\n|a: b\r\n",
+        CHUNKED + "1\r\nx|y"
+      })
+  void endsBytesWithoutEnd(String text) {
+    int bar = text.indexOf('|');
+    String repeated = text.substring(bar + 1).repeat(1_000);
+    framing.onRequest(false);
+    read(framing, text.substring(0, bar));
+    long bytes = 0;
+    while (framing.violation().isEmpty() && bytes < 10 * ResponseFraming.MAX_CHUNK_OVERHEAD_BYTES) {
+      read(framing, repeated);
+      bytes += repeated.length();
+    }
+    assertThat(framing.violation()).isPresent();
+  }
+
+  /** Guards against a body with chunks of a usual size that is rejected. */
+  @Test
+  void acceptsBodyOfManyChunks() {
+    String chunk = "10\r\nid: 1\ndata: ab\n\n\r\n";
+    framing.onRequest(false);
+    read(framing, CHUNKED);
+    for (int i = 0; i < 300; i++) {
+      read(framing, chunk.repeat(1_000));
+    }
+    assertThat(framing.violation()).isEmpty();
+  }
+
+  private static int read(ResponseFraming framing, String text) {
+    ByteBuf data = Unpooled.copiedBuffer(text, StandardCharsets.ISO_8859_1);
+    return framing.read(data);
+  }
+}
