End responses without end before they delay other requests

With chunks of one byte without end from four targets, requests to a sound service got 503. Interim responses, comments of a stream and the body of a refusal were read for as long as they came. No process ended: sizes are bounded where bytes are kept.

Cause: bytes that are discarded or forwarded at once had no bound, but take processor time and connections until the deadline.

Now each part without a length of its own has one: the lines around chunks may not exceed 64 KiB and the size of the chunks, an event and the comments before it 256 KiB (EventBuffer), the body of a refusal 64 KiB and a second (RefusalBody); the refusal holds all the same.

--- a/gateway/src/main/java/org/almondslip/gateway/ResponseFraming.java
+++ b/gateway/src/main/java/org/almondslip/gateway/ResponseFraming.java
@@ -29,7 +29,7 @@
    * Size of the lines around chunks from which on they must not be larger than the chunks, in
    * bytes. Very small chunks without end would take the processor from other requests.
    */
-  static final int MAX_CHUNK_OVERHEAD_BYTES = 1 << 20;
+  static final int MAX_CHUNK_OVERHEAD_BYTES = 64 << 10;
 
   private static final int SWITCHING_PROTOCOLS = 101;
 
--- a/gateway/src/main/java/org/almondslip/gateway/TargetAttempt.java
+++ b/gateway/src/main/java/org/almondslip/gateway/TargetAttempt.java
@@ -1,7 +1,6 @@
 package org.almondslip.gateway;
 
 import com.google.protobuf.ByteString;
-import com.google.protobuf.UnsafeByteOperations;
 import io.vertx.core.Future;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClientRequest;
@@ -9,7 +8,6 @@
 import io.vertx.core.http.RequestOptions;
 import java.util.Optional;
 import org.almondslip.placement.TargetLoad;
-import org.almondslip.routing.EventSplitter;
 
 /** Sends a request to a target once and forwards the response. */
 final class TargetAttempt {
@@ -21,12 +19,6 @@
 
   private static final int MIN_SERVER_ERROR_STATUS = 500;
 
-  /**
-   * Maximum size of an event in bytes. A larger one ends the attempt before any of it is forwarded:
-   * a caller that has a part of an event would join the next event to it.
-   */
-  private static final int MAX_EVENT_BYTES = 256 << 10;
-
   private final ForwardingContext context;
 
   private final InboundRequest inbound;
@@ -52,12 +44,11 @@
 
   private Optional<HttpClientResponse> response = Optional.empty();
 
-  /** Splits the stream at event boundaries, so that only complete events are forwarded. */
-  private final EventSplitter splitter = new EventSplitter(MAX_EVENT_BYTES);
-
   /** Memory of a response that is forwarded when it is complete, or of an incomplete event. */
   private final BodyMemory.Reservation memory;
 
+  private final EventBuffer events;
+
   private final AttemptProgress progress;
 
   private boolean ended;
@@ -90,6 +81,7 @@
     this.load = new AttemptLoad(context.dispatcher(), target, inbound.decoded().prompt());
     context.peerReporter().onSent(target, inbound.decoded().prompt());
     this.memory = context.bodyMemory().reserve();
+    this.events = new EventBuffer(memory);
     this.progress = new AttemptProgress(context, inbound, target);
   }
 
@@ -171,7 +163,7 @@
       return;
     }
     if (headers.notExecuted()) {
-      discardBody(received, () -> listener.onNotExecuted(target));
+      onRefusal(received);
       return;
     }
     if (!headers.signed()) {
@@ -192,26 +184,20 @@
   }
 
   /**
-   * Reads and discards the body of a response, so that the connection can be reused.
+   * Ends the attempt with a refusal of the target.
    *
    * @param received the response
-   * @param next called when the response has ended
    */
-  private void discardBody(HttpClientResponse received, Runnable next) {
-    received.exceptionHandler(ignored -> {});
-    received.endHandler(ignored -> {});
-    received
-        .end()
+  private void onRefusal(HttpClientResponse received) {
+    RefusalBody.discard(received)
         .onComplete(
             result -> {
-              if (ended) {
-                return;
+              if (!ended) {
+                end();
+                lease.ifPresent(used -> used.release(received, result.succeeded()));
+                listener.onNotExecuted(target);
               }
-              end();
-              lease.ifPresent(used -> used.release(received, result.succeeded()));
-              next.run();
             });
-    received.resume();
   }
 
   /** Forwards an error response, unless it is a server error and the request is retried. */
@@ -301,14 +287,9 @@
           if (ended) {
             return;
           }
-          ByteString events = splitter.add(UnsafeByteOperations.unsafeWrap(data.getBytes()));
-          if (!splitter.resumable()) {
-            onResponseLost("an event of the stream is larger than 256 KiB");
-          } else if (!memory.tryResize(splitter.heldBytes())) {
-            onResponseLost("an event of the stream is larger than the memory for it");
-          } else {
-            forwardEvents(received, events);
-          }
+          ByteString complete = events.add(data);
+          events.violation().ifPresent(this::onResponseLost);
+          forwardEvents(received, complete);
         });
     received.endHandler(
         ignored -> {
@@ -319,8 +300,8 @@
   }
 
   /** Forwards complete events, and pauses the response while the caller reads too slowly. */
-  private void forwardEvents(HttpClientResponse received, ByteString events) {
-    if (events.isEmpty()) {
+  private void forwardEvents(HttpClientResponse received, ByteString complete) {
+    if (complete.isEmpty()) {
       return;
     }
     progress.onEvents();
@@ -331,8 +312,8 @@
       context.decisionLog().recordFirstEvent(inbound);
       listener.response().startStream(received.statusCode(), received.headers());
     }
-    EventIds.last(events).ifPresent(listener::onEventForwarded);
-    if (listener.response().write(events)) {
+    EventIds.last(complete).ifPresent(listener::onEventForwarded);
+    if (listener.response().write(complete)) {
       received.pause();
     }
   }
@@ -343,7 +324,7 @@
             && HopByHopHeaders.isCloseDelimited(received.headers());
     // The rest of a stream may be empty, but only an explicit end tells that from a crash.
     boolean mayBeEmpty = continuesStream && HopByHopHeaders.isChunked(received.headers());
-    if (reset || !splitter.finish().isEmpty() || (!load.isPrefilled() && !mayBeEmpty)) {
+    if (reset || events.endsWithinEvent() || (!load.isPrefilled() && !mayBeEmpty)) {
       onConnectionLost("the stream ended within an event");
       return;
     }
