Let several events at once not acquit a crashing request

Cause: the second piece of data with events counted as proof that the target had survived the request. A target may send several events and crash.

An event acquits now if it arrives 250 ms after the head or later, and so does a complete response.

Evidence: SegmentBlameTest.quarantinesSegmentThatCrashesTargets failed for AFTER_THIRD_EVENT before and passes now.

--- a/gateway/src/main/java/org/almondslip/gateway/AttemptProgress.java
+++ b/gateway/src/main/java/org/almondslip/gateway/AttemptProgress.java
@@ -18,6 +18,12 @@
    */
   private static final long MAX_HEAD_MILLIS = 1_000;
 
+  /**
+   * Time after the head of a stream from which on further events show that the target has survived
+   * the request, in milliseconds.
+   */
+  private static final long SURVIVAL_MILLIS = 250;
+
   private final long startedAt;
 
   private AttemptPhase phase = AttemptPhase.SENT;
@@ -54,14 +60,14 @@
   }
 
   /**
-   * Records that complete events have arrived. The first ones are not enough to acquit the request,
-   * since the target may send them and crash at the same time.
+   * Records that complete events have arrived. Those at the start of the response do not acquit the
+   * request, since a target may send several and crash.
    */
   void onEvents() {
-    if (phase == AttemptPhase.STREAMING) {
+    phase = AttemptPhase.STREAMING;
+    if (context.clock().millis() - headAt >= SURVIVAL_MILLIS) {
       onAnswered();
     }
-    phase = AttemptPhase.STREAMING;
   }
 
   /** Records that the response is complete, or that the target survived its start. */
--- a/gateway/src/test/java/org/almondslip/gateway/SegmentBlameTest.java
+++ b/gateway/src/test/java/org/almondslip/gateway/SegmentBlameTest.java
@@ -35,7 +35,8 @@
     BEFORE_FIRST_BYTE,
     WITHIN_HEAD(HEAD.substring(0, 25)),
     AFTER_HEAD(HEAD),
-    AFTER_FIRST_EVENT(HEAD, event(1));
+    AFTER_FIRST_EVENT(HEAD, event(1)),
+    AFTER_THIRD_EVENT(HEAD, event(1), event(2), event(3));
 
     private final String[] parts;
 
