Recognize the end of an event only at a blank line

Cause: the line feed after a carriage return was taken for the end of an event if no field had been seen, whatever the line before it was. It now ends an event if that line was blank.

EventSplitterTest.commentLineIsNoEventBoundary failed before and passes now.

--- a/core/src/main/java/org/almondslip/routing/EventSplitter.java
+++ b/core/src/main/java/org/almondslip/routing/EventSplitter.java
@@ -35,6 +35,9 @@
    */
   private boolean afterCarriageReturn;
 
+  /** Whether the last line that ended was blank. */
+  private boolean afterBlankLine;
+
   /** Whether the current line is a comment. */
   private boolean comment;
 
@@ -151,7 +154,7 @@
   private boolean scan(byte value) {
     if (value == '\n' && afterCarriageReturn) {
       afterCarriageReturn = false;
-      return lineEmpty && !hasField;
+      return afterBlankLine;
     }
     afterCarriageReturn = value == '\r';
     if (value != '\n' && value != '\r') {
@@ -160,12 +163,12 @@
       lineEmpty = false;
       return false;
     }
-    boolean blank = lineEmpty;
+    afterBlankLine = lineEmpty;
     lineEmpty = true;
-    if (blank && hasField) {
+    if (afterBlankLine && hasField) {
       hasField = false;
       events++;
     }
-    return blank;
+    return afterBlankLine;
   }
 }
--- a/core/src/test/java/org/almondslip/routing/EventSplitterTest.java
+++ b/core/src/test/java/org/almondslip/routing/EventSplitterTest.java
@@ -35,6 +35,13 @@
     assertThat(splitter.events()).isEqualTo(3);
   }
 
+  /** Guards against a comment that is forwarded twice when the stream is resumed after it. */
+  @Test
+  void commentLineIsNoEventBoundary() {
+    assertThat(add(": ping\r\n")).isEmpty();
+    assertThat(add("data: a\r\n\r\n")).isEqualTo(": ping\r\ndata: a\r\n\r\n");
+  }
+
   /** Guards against an agent that blocks because a very large event is never acknowledged. */
   @Test
   void passesHugeEventInParts() {
