Complete a stream that is resumed behind its last event

Cause: a resumed stream without events was taken for a crash unless this router had resumed it. A stream with an explicit end and no event is now complete if it was resumed by the caller, and otherwise a lost response that blames nobody, since the target has not closed the connection.

InterruptedResponseTest.streamResumedBehindLastEventIsEmpty and SegmentBlameTest.emptyStreamsBlameNoSegment failed before and pass now.

--- a/gateway/src/main/java/org/almondslip/gateway/TargetAttempt.java
+++ b/gateway/src/main/java/org/almondslip/gateway/TargetAttempt.java
@@ -319,15 +319,22 @@
   }
 
   private void endStream(HttpClientResponse received) {
-    boolean reset =
-        lease.map(TargetConnectionPool.Lease::closed).orElse(true)
-            && HopByHopHeaders.isCloseDelimited(received.headers());
+    boolean closeDelimited = HopByHopHeaders.isCloseDelimited(received.headers());
+    boolean reset = closeDelimited && lease.map(TargetConnectionPool.Lease::closed).orElse(true);
     // The rest of a stream may be empty, but only an explicit end tells that from a crash.
-    boolean mayBeEmpty = continuesStream && HopByHopHeaders.isChunked(received.headers());
+    boolean resumed = continuesStream || lastEventId.isPresent();
+    boolean mayBeEmpty = resumed && HopByHopHeaders.isChunked(received.headers());
     if (reset || events.endsWithinEvent() || (!load.isPrefilled() && !mayBeEmpty)) {
-      onConnectionLost("the stream ended within an event");
+      if (closeDelimited) {
+        onConnectionLost("the stream ended within an event");
+      } else {
+        onResponseLost("the stream was ended within an event");
+      }
       return;
     }
+    if (!listener.response().started()) {
+      listener.response().startStream(received.statusCode(), received.headers());
+    }
     load.onPrefilled();
     progress.onAnswered();
     target.onSuccess();
--- a/gateway/src/test/java/org/almondslip/gateway/InterruptedResponseTest.java
+++ b/gateway/src/test/java/org/almondslip/gateway/InterruptedResponseTest.java
@@ -163,6 +163,17 @@
         .doesNotContain(END_OF_CHUNKS);
   }
 
+  /** Guards against a stream that fails since its caller resumes it behind its last event. */
+  @Test
+  void streamResumedBehindLastEventIsEmpty() throws IOException {
+    ScriptedTarget target =
+        harness.target((number, socket) -> ScriptedTarget.write(socket, CHUNKED + END_OF_CHUNKS));
+    Gateway gateway = harness.gateway(RouteKind.RESUMABLE_STREAMING, 2, target);
+    assertThat(GatewayHarness.send(gateway, GatewayHarness.request("last-event-id: 2\r\n")))
+        .startsWith("HTTP/1.1 200")
+        .endsWith(END_OF_CHUNKS);
+  }
+
   /** Guards against a sound stream that is broken off since one of its events is large. */
   @Test
   void largeEventIsForwarded() throws IOException {
--- a/gateway/src/test/java/org/almondslip/gateway/SegmentBlameTest.java
+++ b/gateway/src/test/java/org/almondslip/gateway/SegmentBlameTest.java
@@ -8,6 +8,7 @@
 import org.almondslip.directory.RouteKind;
 import org.almondslip.quarantine.SegmentQuarantine;
 import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
@@ -103,6 +104,27 @@
     }
   }
 
+  /** Guards against blame for segments of streams that end at once, as when they are resumed. */
+  @Test
+  void emptyStreamsBlameNoSegment() throws IOException {
+    ScriptedTarget[] targets = new ScriptedTarget[TARGETS];
+    for (int i = 0; i < targets.length; i++) {
+      int index = i;
+      targets[i] =
+          harness.target(
+              (number, socket) -> {
+                ScriptedTarget.write(socket, HEAD + "0\r\n\r\n");
+                // The next request goes to another target.
+                GatewayHarness.sleep(INTERVAL_MILLIS / 2);
+                targets[index].close();
+              });
+    }
+    Gateway gateway = harness.gateway(RouteKind.STREAMING, 1, targets);
+    for (int i = 0; i < TARGETS; i++) {
+      assertThat(send(gateway)).doesNotContain("prompt-quarantined");
+    }
+  }
+
   private static String event(int number) {
     return GatewayHarness.chunk("id: " + number + "\ndata: a\n\n");
   }
