Count answers since an unrelated crash as answers before the next ones

A segment that was tracked since an unrelated crash, and answered often after that, was taken for one that was never answered: three crashes by the first segment of its prompts could quarantine it.

The answers until the third last crash count as answers before the crashes, and those of an earlier suspicion stay counted. The search for the segment to be quarantined is a class of its own, CulpritSearch.

SegmentQuarantineTest.answersAfterUnrelatedCrashCount failed before and passes now.

--- a/core/src/main/java/org/almondslip/quarantine/SegmentQuarantine.java
+++ b/core/src/main/java/org/almondslip/quarantine/SegmentQuarantine.java
@@ -2,10 +2,8 @@
 
 import java.util.Collections;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
-import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
@@ -20,9 +18,8 @@
  * whose responses it hit at the start. A segment is suspect when {@link #CRASH_THRESHOLD} targets
  * crashed one after the other with fewer than {@link #ACQUITTING_ANSWERS} answers in between, or
  * {@link #ANSWERED_CRASH_THRESHOLD} targets if the segment was answered before. {@link #tick}
- * quarantines the suspect that {@link SegmentRecord#BLAME_ORDER} puts first, as soon as the reports
- * of the other routers have arrived, and takes the crashes that it explains from all other
- * segments.
+ * quarantines the one that {@link CulpritSearch} finds, and takes the crashes that it explains from
+ * all other segments.
  *
  * <p>After the quarantine, each router sends one request with the segment at a time until one is
  * answered, which releases the segment, or crashes its target, which doubles the quarantine. The
@@ -79,9 +76,6 @@
   /** Maximum number of tracked segments; the oldest one without quarantine is evicted first. */
   static final int MAX_SEGMENTS = 1_000;
 
-  /** Number of crashes that two segments must have in common for one to explain the other's. */
-  private static final int MIN_COMMON_CRASHES = 2;
-
   /** Maximum number of segments whose answers are counted; the least recently used is evicted. */
   private static final int MAX_ANSWERED_SEGMENTS = 4_000;
 
@@ -211,44 +205,9 @@
     }
   }
 
-  /**
-   * Returns the first suspect in the order of blame, unless the crashes may have another cause that
-   * is not known well enough yet.
-   */
+  /** Returns the segment to be quarantined, empty if the evidence does not suffice. */
   private Optional<Long> findCulprit() {
-    long settledAt = clock.millis() - SETTLING_MILLIS;
-    List<Map.Entry<Long, SegmentRecord>> suspects =
-        records.entrySet().stream()
-            .filter(entry -> !restricted.containsKey(entry.getKey()))
-            .filter(entry -> entry.getValue().isSuspect(settledAt))
-            .sorted(Map.Entry.comparingByValue(SegmentRecord.BLAME_ORDER))
-            .limit(2)
-            .toList();
-    if (suspects.isEmpty() || isExplainedByOthers(suspects.get(0).getValue())) {
-      return Optional.empty();
-    }
-    // Routers that have seen more answers, as after a restart of this one, decide earlier.
-    SegmentRecord first = suspects.get(0).getValue();
-    boolean clear =
-        suspects.size() == 1
-            || SegmentRecord.ANSWER_ORDER.compare(first, suspects.get(1).getValue()) < 0
-            || first.isSuspect(settledAt - SETTLING_MILLIS);
-    return clear ? Optional.of(suspects.get(0).getKey()) : Optional.empty();
-  }
-
-  /** Returns whether segments that are blamed before a suspect are in half of its crashes. */
-  private boolean isExplainedByOthers(SegmentRecord suspect) {
-    Set<Long> targets = new HashSet<>();
-    for (SegmentRecord other : records.values()) {
-      if (SegmentRecord.BLAME_ORDER.compare(other, suspect) < 0) {
-        Set<Long> common = other.crashedTargets();
-        common.retainAll(suspect.crashedTargets());
-        if (common.size() >= MIN_COMMON_CRASHES) {
-          targets.addAll(common);
-        }
-      }
-    }
-    return 2 * targets.size() >= suspect.crashedTargets().size();
+    return new CulpritSearch(records, restricted.keySet(), clock.millis()).find();
   }
 
   /**
--- a/core/src/main/java/org/almondslip/quarantine/SegmentRecord.java
+++ b/core/src/main/java/org/almondslip/quarantine/SegmentRecord.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.stream.Stream;
 
 /** Crashes, answers and quarantine of one segment. */
 final class SegmentRecord {
@@ -40,10 +41,10 @@
    */
   private final Set<Long> targets = new HashSet<>();
 
-  /** Answers at this router before the segment was tracked. */
-  private final long ownEarlierAnswers;
+  /** Answers at this router before the segment was tracked, quarantined or released. */
+  private long ownEarlierAnswers;
 
-  /** Answers that other routers reported from before they tracked the segment, by router name. */
+  /** The same answers as other routers reported them, by router name. */
   private final Map<String, Long> peerEarlierAnswers = new HashMap<>();
 
   /** Answers that other routers reported since the last quarantine or release, by router name. */
@@ -133,9 +134,15 @@
     return ownAnswers + sum(peerAnswers);
   }
 
-  /** Returns the number of answers at all routers before they tracked the segment. */
+  /** Returns the number of answers at all routers before the latest crashes. */
   long earlierAnswers() {
-    return ownEarlierAnswers + sum(peerEarlierAnswers);
+    long sinceTracked =
+        lastCrashes(SegmentQuarantine.CRASH_THRESHOLD).findFirst().map(Crash::answers).orElse(0L);
+    return ownEarlierAnswers + sum(peerEarlierAnswers) + sinceTracked;
+  }
+
+  private Stream<Crash> lastCrashes(int count) {
+    return crashes.stream().skip(Math.max(0, crashes.size() - count));
   }
 
   private static long sum(Map<String, Long> answers) {
@@ -144,7 +151,7 @@
 
   /** Returns the first of the crashes in a row that decide on suspicion. */
   private Optional<Crash> firstInRow() {
-    return crashes.stream().skip(Math.max(0, crashes.size() - crashThreshold())).findFirst();
+    return lastCrashes(crashThreshold()).findFirst();
   }
 
   /** Returns the number of answers since the first of the crashes in a row. */
@@ -200,6 +207,7 @@
   private void reset(long now) {
     crashes.clear();
     targets.clear();
+    ownEarlierAnswers += ownAnswers;
     ownAnswers = 0;
     peerAnswers.clear();
     changedAt = now;
--- a/core/src/test/java/org/almondslip/quarantine/SegmentQuarantineTest.java
+++ b/core/src/test/java/org/almondslip/quarantine/SegmentQuarantineTest.java
@@ -112,6 +112,16 @@
     assertThat(isBlocked(1, 2)).isFalse();
   }
 
+  /** Guards against blame for a sound segment whose answers began after an unrelated crash. */
+  @Test
+  void answersAfterUnrelatedCrashCount() {
+    crash(1, 2);
+    answerOften(1, 2);
+    crashOften(3, 2);
+    assertThat(isBlocked(3, 4)).isTrue();
+    assertThat(isBlocked(1, 2)).isFalse();
+  }
+
   /** Guards against a segment that crashes targets for good since it was sound before. */
   @Test
   void answersBeforeCrashesDoNotAcquit() {
