Find a second response in a body without length

A target that sends a response twice, with neither a length nor chunks, before it closes the connection: callers of a stream got the head of the copy and all events once more, so that numbers went back (ORDER), and callers of a plain route a body with a second response in it (MIXED).

Cause: such a body ends with its connection, so everything after the head counted as body. ResponseFraming now looks for the beginning of a head, a status line and the name of a header, in such bodies; the connection is closed before the bytes are forwarded, and the response counts as lost.

Evidence: StrayBytesTest.secondCopyIsNoPartOfBodyWithoutLength failed before for both kinds of route and passes now.

--- a/gateway/src/main/java/org/almondslip/gateway/AttemptProgress.java
+++ b/gateway/src/main/java/org/almondslip/gateway/AttemptProgress.java
@@ -6,12 +6,6 @@
 /** How far an attempt has come, which decides whether its request is blamed for a crash. */
 final class AttemptProgress {
 
-  private final ForwardingContext context;
-
-  private final InboundRequest inbound;
-
-  private final TargetLoad target;
-
   /**
    * Maximum time between the start of a response and the loss of its connection before the head, in
    * milliseconds. A target may have waited or read the prompt before.
@@ -24,6 +18,12 @@
    */
   private static final long SURVIVAL_MILLIS = 250;
 
+  private final ForwardingContext context;
+
+  private final InboundRequest inbound;
+
+  private final TargetLoad target;
+
   private final long startedAt;
 
   private AttemptPhase phase = AttemptPhase.SENT;
--- a/gateway/src/main/java/org/almondslip/gateway/ResponseFraming.java
+++ b/gateway/src/main/java/org/almondslip/gateway/ResponseFraming.java
@@ -1,6 +1,7 @@
 package org.almondslip.gateway;
 
 import io.netty.buffer.ByteBuf;
+import java.nio.charset.StandardCharsets;
 import java.util.Locale;
 import java.util.Optional;
 import java.util.regex.Matcher;
@@ -42,6 +43,14 @@
   /** Status line within another line. A Via header may name the version, but has no status. */
   private static final Pattern SECOND_STATUS_LINE = Pattern.compile("HTTP/1\\.[01] \\d{3}");
 
+  /** Beginning of a head, which no body has by chance. */
+  private static final Pattern HEAD_START =
+      Pattern.compile(
+          "HTTP/1\\.[01] \\d{3}[^\\r\\n]{0,100}\\r?\\n[!#$%&'*+.^_`|~0-9A-Za-z-]{1,100}:");
+
+  /** Length of the longest match of {@link #HEAD_START}. */
+  private static final int MAX_HEAD_START_CHARS = 220;
+
   private static final Pattern LENGTH = Pattern.compile("\\d{1,18}");
 
   private static final Pattern CHUNK_SIZE = Pattern.compile("([0-9a-fA-F]{1,8})\\s*(?:;.*)?");
@@ -96,6 +105,7 @@
   void onRequest(boolean withoutBody) {
     state = State.HEAD;
     bodiless = withoutBody;
+    line.setLength(0);
     headBytes = 0;
     chunkBytes = 0;
     chunkOverheadBytes = 0;
@@ -124,7 +134,7 @@
           return at - data.readerIndex();
         }
         case BODY, CHUNK_DATA -> at += skip(end - at);
-        case UNTIL_CLOSE -> at = end;
+        case UNTIL_CLOSE -> at += readUntilClose(data, at, end);
         default -> at += readLine(data, at, end);
       }
     }
@@ -141,6 +151,19 @@
     return skipped;
   }
 
+  /**
+   * Reads bytes of a body that ends with the connection and returns their number. A second response
+   * cannot be told from the body by its place, only by its head.
+   */
+  private int readUntilClose(ByteBuf data, int from, int to) {
+    line.append(data.toString(from, to - from, StandardCharsets.ISO_8859_1));
+    if (HEAD_START.matcher(line).find()) {
+      violation = Optional.of("the target sent a response within the body of another one");
+    }
+    line.delete(0, Math.max(0, line.length() - MAX_HEAD_START_CHARS));
+    return to - from;
+  }
+
   /** Reads bytes up to the end of the current line and returns their number. */
   private int readLine(ByteBuf data, int from, int to) {
     int lineFeed = data.indexOf(from, to, (byte) '\n');
--- a/gateway/src/test/java/org/almondslip/gateway/ResponseFramingTest.java
+++ b/gateway/src/test/java/org/almondslip/gateway/ResponseFramingTest.java
@@ -81,6 +81,19 @@
     assertThat(framing.violation()).isPresent();
   }
 
+  /** Guards against a head in a body without length that is missed since it comes in pieces. */
+  @Test
+  void findsHeadInBodyWithoutLength() {
+    framing.onRequest(false);
+    read(framing, "HTTP/1.1 200 OK\r\na: b\r\n\r\n" + "x".repeat(10_000));
+    for (char next : "HTTP/1.1 500 Internal Error\r\nContent-Type".toCharArray()) {
+      assertThat(read(framing, String.valueOf(next))).isEqualTo(1);
+    }
+    assertThat(framing.violation()).isEmpty();
+    assertThat(read(framing, ": a")).isZero();
+    assertThat(framing.violation()).isPresent();
+  }
+
   /** Guards against a response to a HEAD request whose length is taken for that of its body. */
   @Test
   void responseToHeadRequestHasNoBody() {
--- a/gateway/src/test/java/org/almondslip/gateway/StrayBytesTest.java
+++ b/gateway/src/test/java/org/almondslip/gateway/StrayBytesTest.java
@@ -12,6 +12,7 @@
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /**
  * Tests of {@link Gateway} with a target that sends a part of an earlier response once more, before
@@ -112,6 +113,29 @@
     assertThat(send(gateway, "r2")).startsWith("HTTP/1.1 502");
   }
 
+  /** Guards against a second copy that becomes a part of a body which ends with its connection. */
+  @ParameterizedTest
+  @ValueSource(strings = {"ok", "id: 1\ndata: a\n\nid: 2\ndata: b\n\n"})
+  void secondCopyIsNoPartOfBodyWithoutLength(String body) throws IOException {
+    boolean stream = body.startsWith("id");
+    String response = "HTTP/1.1 200 OK\r\nid: r1\r\nsigned: x\r\n\r\n" + body;
+    for (int length : new int[] {22, 40, response.length()}) {
+      ScriptedTarget target =
+          harness.target(
+              (number, socket) -> {
+                ScriptedTarget.write(socket, response);
+                GatewayHarness.sleep(IDLE_MILLIS);
+                ScriptedTarget.write(socket, response.substring(0, length));
+                socket.close();
+              });
+      Gateway gateway =
+          harness.gateway(stream ? RouteKind.STREAMING : RouteKind.NON_IDEMPOTENT, 1, target);
+      String received = send(gateway, "r1");
+      assertThat(received).containsOnlyOnce("HTTP/1.1").doesNotEndWith("0\r\n\r\n");
+      assertThat(received).startsWith(stream ? "HTTP/1.1 200" : "HTTP/1.1 502");
+    }
+  }
+
   /** Guards against a sound connection that is closed after an interim or an empty response. */
   @Test
   void reusesConnectionAfterSoundResponses() throws IOException {
