--- a/core/src/main/java/org/almondslip/directory/Route.java
+++ b/core/src/main/java/org/almondslip/directory/Route.java
@@ -1,6 +1,7 @@
 package org.almondslip.directory;
 
 import java.util.List;
+import org.almondslip.residency.AllowedRegions;
 
 /**
  * Rule that assigns the requests for a host and path prefix to services.
@@ -15,6 +16,7 @@
  * @param shares the services and their weights, not empty
  * @param maxAttempts the maximum number of targets to which one request is sent
  * @param anonymous whether callers do not need an API key
+ * @param allowedRegions the regions in which the requests may be served
  */
 public record Route(
     String name,
@@ -26,7 +28,8 @@
     int priority,
     List<Share> shares,
     int maxAttempts,
-    boolean anonymous) {
+    boolean anonymous,
+    AllowedRegions allowedRegions) {
 
   /**
    * Creates a route with an immutable copy of the shares.
@@ -41,11 +44,51 @@
    * @param shares the services and their weights, not empty
    * @param maxAttempts the maximum number of targets to which one request is sent
    * @param anonymous whether callers do not need an API key
+   * @param allowedRegions the regions in which the requests may be served
    */
   public Route {
     shares = List.copyOf(shares);
   }
 
+  /**
+   * Creates a route whose requests may be served in any region.
+   *
+   * @param name the name of the route
+   * @param host the host in the request, in lower case
+   * @param prefix the path prefix, which starts and ends with a slash
+   * @param kind the kind of requests, which determines whether they may be repeated
+   * @param timeoutMillis the request timeout, in milliseconds
+   * @param objectiveMillis the response-time objective, in milliseconds
+   * @param priority the priority of the requests; 0 is the highest
+   * @param shares the services and their weights, not empty
+   * @param maxAttempts the maximum number of targets to which one request is sent
+   * @param anonymous whether callers do not need an API key
+   */
+  public Route(
+      String name,
+      String host,
+      String prefix,
+      RouteKind kind,
+      long timeoutMillis,
+      long objectiveMillis,
+      int priority,
+      List<Share> shares,
+      int maxAttempts,
+      boolean anonymous) {
+    this(
+        name,
+        host,
+        prefix,
+        kind,
+        timeoutMillis,
+        objectiveMillis,
+        priority,
+        shares,
+        maxAttempts,
+        anonymous,
+        AllowedRegions.ANY);
+  }
+
   /**
    * Selects a service for a request in proportion to the weights.
    *
--- a/core/src/main/java/org/almondslip/directory/TargetRecord.java
+++ b/core/src/main/java/org/almondslip/directory/TargetRecord.java
@@ -8,10 +8,13 @@
  * @param host the IP address
  * @param port the port
  * @param dataCentre the data centre
+ * @param region the region of the data centre, empty if it is unknown
  * @param slots the maximum number of concurrent requests
  * @param state whether the target accepts new requests
  * @param startMillis the start of the incarnation, in milliseconds since the Unix epoch, 0 if
  *     unknown
+ * @param coldMillis the time for which the target stays cold, in milliseconds, as of when the entry
+ *     was written; 0 if it is warm
  * @param revision the revision of the entry in the store
  */
 public record TargetRecord(
@@ -20,11 +23,39 @@
     String host,
     int port,
     String dataCentre,
+    String region,
     int slots,
     State state,
     long startMillis,
+    long coldMillis,
     long revision) {
 
+  /**
+   * Creates the entry of a warm target in an unknown region.
+   *
+   * @param id the id of the target
+   * @param service the name of its service
+   * @param host the IP address
+   * @param port the port
+   * @param dataCentre the data centre
+   * @param slots the maximum number of concurrent requests
+   * @param state whether the target accepts new requests
+   * @param startMillis the start of the incarnation, in milliseconds since the Unix epoch
+   * @param revision the revision of the entry in the store
+   */
+  public TargetRecord(
+      String id,
+      String service,
+      String host,
+      int port,
+      String dataCentre,
+      int slots,
+      State state,
+      long startMillis,
+      long revision) {
+    this(id, service, host, port, dataCentre, "", slots, state, startMillis, 0, revision);
+  }
+
   /** Whether a target accepts new requests. */
   public enum State {
     /** The target accepts new requests. */
--- a/core/src/main/java/org/almondslip/dispatch/Dispatcher.java
+++ b/core/src/main/java/org/almondslip/dispatch/Dispatcher.java
@@ -334,13 +334,13 @@
       statistics.onHeldBack(job.service());
     }
     Optional<Placement.Choice> choice =
-        placement.choose(candidates, job.prompt(), job.triedTargets(), now);
+        placement.choose(candidates, job.prompt(), job::permits, now);
     if (choice.isEmpty() || !waitsForLocality(job, status, now)) {
       return choice;
     }
     int repeatedTokens =
         choice.get().load().uncachedTokens(job.prompt())
-            - placement.leastUncachedTokens(available.all(), job.prompt(), job.triedTargets(), now);
+            - placement.leastUncachedTokens(available.all(), job.prompt(), job::permits, now);
     return repeatedTokens > limits.maxRepeatedPrefillTokens() ? Optional.empty() : choice;
   }
 
--- a/core/src/main/java/org/almondslip/dispatch/Job.java
+++ b/core/src/main/java/org/almondslip/dispatch/Job.java
@@ -42,6 +42,16 @@
    */
   Set<String> triedTargets();
 
+  /**
+   * Returns whether the rules for the request allow a target, whatever the state of the target.
+   *
+   * @param target the target
+   * @return false if the request must not be sent to the target, or was sent to it before
+   */
+  default boolean permits(TargetLoad target) {
+    return !triedTargets().contains(target.record().id());
+  }
+
   /**
    * Returns the time by which a target must complete prefill for the request to be on time.
    *
--- a/core/src/main/java/org/almondslip/dispatch/JobAdmission.java
+++ b/core/src/main/java/org/almondslip/dispatch/JobAdmission.java
@@ -83,15 +83,19 @@
     long now = clock.millis();
     double leastDelayMillis =
         placement
-            .leastExpectedDelayMillis(targets, job.prompt(), now)
+            .leastExpectedDelayMillis(targets, job.prompt(), job::permits, now)
             .orElse(model.prefillMillis(job.prompt().promptTokens()));
     return now + leastDelayMillis >= job.dueAt();
   }
 
-  /** Returns whether a target cannot prefill a job in time any more; true without a target. */
+  /**
+   * Returns whether a target cannot prefill a job in time any more; true without a target or if the
+   * job must not be sent to it.
+   */
   private boolean isLateAt(Job job, Optional<TargetLoad> target) {
     long now = clock.millis();
     return target
+        .filter(job::permits)
         .map(load -> now + placement.expectedDelayMillis(load, job.prompt(), now) >= job.dueAt())
         .orElse(true);
   }
--- a/core/src/main/java/org/almondslip/placement/Placement.java
+++ b/core/src/main/java/org/almondslip/placement/Placement.java
@@ -4,7 +4,7 @@
 import java.util.Comparator;
 import java.util.Optional;
 import java.util.OptionalDouble;
-import java.util.Set;
+import java.util.function.Predicate;
 
 /**
  * Selects the target with the least cost, which is the expected time until prefill completes plus
@@ -63,16 +63,16 @@
    *
    * @param targets the targets of the service
    * @param prompt the prompt of the request
-   * @param tried the ids of targets that the request was already sent to
+   * @param permitted whether the rules for the request allow a target
    * @param now the current time in milliseconds
    * @return the target, or empty if no target is eligible
    */
   public Optional<Choice> choose(
-      Collection<TargetLoad> targets, Prompt prompt, Set<String> tried, long now) {
+      Collection<TargetLoad> targets, Prompt prompt, Predicate<TargetLoad> permitted, long now) {
     TargetLoad best = null;
     double bestCost = Double.MAX_VALUE;
     for (TargetLoad target : targets) {
-      if (!target.acceptsRequests(now) || isTried(target, tried)) {
+      if (!target.acceptsRequests(now) || !permitted.test(target)) {
         continue;
       }
       double cost = cost(target, prompt, now);
@@ -111,13 +111,14 @@
    *
    * @param targets the targets of the service
    * @param prompt the prompt
+   * @param permitted whether the rules for the request allow a target
    * @param now the current time in milliseconds
-   * @return the time in milliseconds, or empty if no target is in service
+   * @return the time in milliseconds, or empty if no permitted target is in service
    */
   public OptionalDouble leastExpectedDelayMillis(
-      Collection<TargetLoad> targets, Prompt prompt, long now) {
+      Collection<TargetLoad> targets, Prompt prompt, Predicate<TargetLoad> permitted, long now) {
     return targets.stream()
-        .filter(TargetLoad::isInService)
+        .filter(target -> target.isInService() && permitted.test(target))
         .mapToDouble(target -> expectedDelayMillis(target, prompt, now))
         .min();
   }
@@ -141,24 +142,20 @@
    *
    * @param targets the targets of the service
    * @param prompt the prompt
-   * @param tried the ids of targets that the request was already sent to
+   * @param permitted whether the rules for the request allow a target
    * @param now the current time in milliseconds
    * @return the number of tokens, all tokens of the prompt if there is no such target
    */
   public int leastUncachedTokens(
-      Collection<TargetLoad> targets, Prompt prompt, Set<String> tried, long now) {
+      Collection<TargetLoad> targets, Prompt prompt, Predicate<TargetLoad> permitted, long now) {
     return targets.stream()
-        .filter(target -> target.acceptsRequests(now) && !isTried(target, tried))
+        .filter(target -> target.acceptsRequests(now) && permitted.test(target))
         .filter(target -> !target.isEjected(now))
         .mapToInt(target -> target.uncachedTokens(prompt))
         .min()
         .orElse(prompt.promptTokens());
   }
 
-  private static boolean isTried(TargetLoad target, Set<String> tried) {
-    return tried.contains(target.record().id());
-  }
-
   /** Returns the cost of sending a request to a target, in milliseconds. */
   private double cost(TargetLoad target, Prompt prompt, long now) {
     double cost = expectedDelayMillis(target, prompt, now);
--- /dev/null
+++ b/core/src/main/java/org/almondslip/residency/package-info.java
@@ -0,0 +1,2 @@
+/** Rules on where requests may be served. */
+package org.almondslip.residency;
--- a/core/src/test/java/org/almondslip/placement/PlacementTest.java
+++ b/core/src/test/java/org/almondslip/placement/PlacementTest.java
@@ -3,13 +3,15 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.util.List;
-import java.util.Set;
+import java.util.function.Predicate;
 import org.almondslip.directory.TargetRecord;
 import org.junit.jupiter.api.Test;
 
 /** Tests {@link Placement}. */
 class PlacementTest {
 
+  private static final Predicate<TargetLoad> ANY = target -> true;
+
   /** Time of all calls in milliseconds. */
   private static final long NOW = 1_000;
 
@@ -47,7 +49,7 @@
   /** Guards against unnecessary traffic between data centres. */
   @Test
   void prefersOwnDataCentre() {
-    assertThat(placement.choose(List.of(far, near), Prompt.NONE, Set.of(), NOW))
+    assertThat(placement.choose(List.of(far, near), Prompt.NONE, ANY, NOW))
         .map(choice -> choice.load().record().id())
         .contains("near-1");
   }
@@ -60,7 +62,7 @@
     TargetLoad draining = load("near-3", "near", TargetRecord.State.DRAINING);
     assertThat(
             placement.choose(
-                List.of(near, draining, other, far), Prompt.NONE, Set.of("near-2"), NOW))
+                List.of(near, draining, other, far), Prompt.NONE, this::isUntried, NOW))
         .map(choice -> choice.load().record().id())
         .contains("far-1");
   }
@@ -85,6 +87,10 @@
     assertThat(small.uncachedTokens(prompt(1, 11))).isEqualTo(6_000);
   }
 
+  private boolean isUntried(TargetLoad target) {
+    return !target.record().id().equals("near-2");
+  }
+
   /**
    * Chooses among all targets.
    *
@@ -93,7 +99,7 @@
    */
   private String chosen(Prompt prompt) {
     return placement
-        .choose(List.of(near, other, far), prompt, Set.of(), NOW)
+        .choose(List.of(near, other, far), prompt, ANY, NOW)
         .orElseThrow()
         .load()
         .record()
--- a/core/src/test/java/org/almondslip/report/ReportReaderTest.java
+++ b/core/src/test/java/org/almondslip/report/ReportReaderTest.java
@@ -4,7 +4,6 @@
 
 import java.util.List;
 import java.util.OptionalInt;
-import java.util.Set;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import org.almondslip.directory.TargetRecord;
@@ -76,7 +75,7 @@
     assertThat(target.pendingPrefillTokens(clock.millis())).isNotNegative();
     assertThat(target.requests(clock.millis())).isNotNegative();
     assertThat(target.uncachedTokens(PROMPT)).isBetween(0, PROMPT.promptTokens());
-    assertThat(placement.choose(List.of(target), PROMPT, Set.of(), clock.millis())).isPresent();
+    assertThat(placement.choose(List.of(target), PROMPT, any -> true, clock.millis())).isPresent();
   }
 
   /** Guards against totals that change the shares of all organisations for a minute. */
--- a/gateway/src/main/java/org/almondslip/gateway/GatewaySettings.java
+++ b/gateway/src/main/java/org/almondslip/gateway/GatewaySettings.java
@@ -2,6 +2,8 @@
 
 import com.sun.management.UnixOperatingSystemMXBean;
 import java.lang.management.ManagementFactory;
+import java.util.HashMap;
+import java.util.Map;
 import org.almondslip.settings.Section;
 
 /**
@@ -25,6 +27,10 @@
  * @param maxEventLoopDelayMillis the delay of the event loop above which new requests are refused,
  *     in milliseconds
  * @param maxDescriptors the maximum number of file descriptors of the process
+ * @param dataCentres the region by data centre
+ * @param coldRequestFactor the factor on the tolerated request rate of a cold target that the fleet
+ *     must not exceed
+ * @param coldRequestAllowance the requests in a second that a cold target may get beyond that rate
  */
 public record GatewaySettings(
     String instance,
@@ -41,7 +47,10 @@
     long revocationMillis,
     long drainMillis,
     long maxEventLoopDelayMillis,
-    int maxDescriptors) {
+    int maxDescriptors,
+    Map<String, String> dataCentres,
+    double coldRequestFactor,
+    double coldRequestAllowance) {
 
   /** Upper bound of settings in milliseconds: one hour. */
   private static final long MAX_MILLIS = 3_600_000;
@@ -70,6 +79,12 @@
   /** Lower bound of the descriptor limit; the process itself needs about half of it. */
   private static final int MIN_DESCRIPTORS = 256;
 
+  /** Upper bound of the factor on the request rate of a cold target. */
+  private static final double MAX_COLD_FACTOR = 100;
+
+  /** Upper bound of the requests beyond that rate. */
+  private static final double MAX_COLD_ALLOWANCE = 100_000;
+
   private static final double MILLIS_PER_SECOND = 1_000;
 
   /**
@@ -81,6 +96,7 @@
   public static GatewaySettings of(Section section) {
     Section retries = section.section("retries");
     Section limits = section.section("limits");
+    Section cold = section.section("cold_targets");
     return new GatewaySettings(
         section.text("instance"),
         section.text("region"),
@@ -99,7 +115,10 @@
             "max_event_loop_delay_millis", DEFAULT_MAX_EVENT_LOOP_DELAY_MILLIS, 1, MAX_MILLIS),
         (int)
             limits.integer(
-                "max_descriptors", systemDescriptors(), MIN_DESCRIPTORS, Integer.MAX_VALUE));
+                "max_descriptors", systemDescriptors(), MIN_DESCRIPTORS, Integer.MAX_VALUE),
+        regions(section.section("data_centres")),
+        cold.decimal("request_factor", 1, 0, MAX_COLD_FACTOR),
+        cold.decimal("request_allowance", 0, 0, MAX_COLD_ALLOWANCE));
   }
 
   /** Returns the descriptor limit that the operating system sets for this process. */
@@ -109,6 +128,15 @@
         : Integer.MAX_VALUE;
   }
 
+  /** Returns the region by data centre. */
+  private static Map<String, String> regions(Section section) {
+    Map<String, String> regions = new HashMap<>();
+    for (String dataCentre : section.keys()) {
+      regions.put(dataCentre, section.text(dataCentre));
+    }
+    return Map.copyOf(regions);
+  }
+
   private static long millis(double seconds) {
     return (long) (seconds * MILLIS_PER_SECOND);
   }
--- a/gateway/src/main/java/org/almondslip/gateway/HeaderCodec.java
+++ b/gateway/src/main/java/org/almondslip/gateway/HeaderCodec.java
@@ -4,6 +4,7 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import org.almondslip.placement.Prompt;
+import org.almondslip.placement.TargetStatus;
 
 /** Reads and writes the headers that callers, targets and this router exchange. */
 public interface HeaderCodec {
@@ -79,11 +80,15 @@
    * @param leaving whether the target is about to end and accepts no new requests
    * @param retryAfterMillis the time for which a target that refused the request wants no further
    *     ones of this router, in milliseconds
+   * @param load what the target says of its load
+   * @param coldMillis the time for which the target stays cold, in milliseconds
    */
   record ResponseHeaders(
       Optional<String> requestId,
       boolean notExecuted,
       boolean signed,
       boolean leaving,
-      OptionalLong retryAfterMillis) {}
+      OptionalLong retryAfterMillis,
+      Optional<TargetStatus> load,
+      OptionalLong coldMillis) {}
 }
--- a/gateway/src/test/java/org/almondslip/gateway/GatewayHarness.java
+++ b/gateway/src/test/java/org/almondslip/gateway/GatewayHarness.java
@@ -169,7 +169,10 @@
             30_000,
             6_000,
             MAX_DELAY_MILLIS,
-            MAX_DESCRIPTORS);
+            MAX_DESCRIPTORS,
+            Map.of(),
+            1,
+            0);
     Gateway gateway =
         new Gateway(settings, clock, TestHeaderCodec.INSTANCE, (vertx, time) -> source);
     gateway.start();
--- a/gateway/src/test/java/org/almondslip/gateway/TestHeaderCodec.java
+++ b/gateway/src/test/java/org/almondslip/gateway/TestHeaderCodec.java
@@ -54,6 +54,8 @@
         headers.contains("leaving"),
         headers.contains("retry-after")
             ? OptionalLong.of(Long.parseLong(headers.get("retry-after")) * 1_000)
-            : OptionalLong.empty());
+            : OptionalLong.empty(),
+        Optional.empty(),
+        OptionalLong.empty());
   }
 }
--- a/wire/src/main/java/org/almondslip/protocol/wire/Almondslip.java
+++ b/wire/src/main/java/org/almondslip/protocol/wire/Almondslip.java
@@ -284,14 +284,19 @@
           + "\030\004 \001(\010\022\030\n\020remaining_millis\030\005 \001(\r\022\027\n\017earl"
           + "ier_answers\030\006 \001(\r\"S\n\014ServiceTotal\022\017\n\007ser"
           + "vice\030\001 \001(\t\022\024\n\014organisation\030\002 \001(\t\022\r\n\005aske"
-          + "d\030\003 \001(\004\022\r\n\005given\030\004 \001(\004\"G\n\014TargetReport\022\016"
-          + "\n\006target\030\001 \001(\006\022\025\n\runread_tokens\030\002 \001(\r\022\020\n"
-          + "\010requests\030\003 \001(\r\";\n\nSentPrompt\022\016\n\006target\030"
-          + "\001 \001(\006\022\r\n\005parts\030\002 \003(\006\022\016\n\006tokens\030\003 \003(\r*3\n\004"
-          + "Role\022\024\n\020ROLE_UNSPECIFIED\020\000\022\n\n\006ROUTER\020\001\022\t"
-          + "\n\005AGENT\020\002*8\n\003Ran\022\023\n\017RAN_UNSPECIFIED\020\000\022\006\n"
-          + "\002NO\020\001\022\013\n\007UNKNOWN\020\002\022\007\n\003YES\020\003B\"\n\034org.almon"
-          + "dslip.protocol.wireH\003P\001b\006proto3"
+          + "d\030\003 \001(\004\022\r\n\005given\030\004 \001(\004\"\371\001\n\014TargetReport\022"
+          + "\016\n\006target\030\001 \001(\006\022\025\n\runread_tokens\030\002 \001(\r\022\020"
+          + "\n\010requests\030\003 \001(\r\022\023\n\013cold_millis\030\004 \001(\r\022\016\n"
+          + "\006window\030\005 \001(\r\022\030\n\020window_decreases\030\006 \001(\r\022"
+          + "\026\n\016speed_permille\030\007 \001(\r\022\025\n\rspeed_samples"
+          + "\030\010 \001(\r\022\024\n\014work_percent\030\t \001(\r\022\027\n\017work_age"
+          + "_millis\030\n \001(\r\022\023\n\013held_tokens\030\013 \001(\r\";\n\nSe"
+          + "ntPrompt\022\016\n\006target\030\001 \001(\006\022\r\n\005parts\030\002 \003(\006\022"
+          + "\016\n\006tokens\030\003 \003(\r*3\n\004Role\022\024\n\020ROLE_UNSPECIF"
+          + "IED\020\000\022\n\n\006ROUTER\020\001\022\t\n\005AGENT\020\002*8\n\003Ran\022\023\n\017R"
+          + "AN_UNSPECIFIED\020\000\022\006\n\002NO\020\001\022\013\n\007UNKNOWN\020\002\022\007\n"
+          + "\003YES\020\003B\"\n\034org.almondslip.protocol.wireH\003"
+          + "P\001b\006proto3"
     };
     descriptor =
         com.google.protobuf.Descriptors.FileDescriptor.internalBuildGeneratedFileFrom(
@@ -593,7 +598,17 @@
         new com.google.protobuf.GeneratedMessage.FieldAccessorTable(
             internal_static_almondslip_TargetReport_descriptor,
             new java.lang.String[] {
-              "Target", "UnreadTokens", "Requests",
+              "Target",
+              "UnreadTokens",
+              "Requests",
+              "ColdMillis",
+              "Window",
+              "WindowDecreases",
+              "SpeedPermille",
+              "SpeedSamples",
+              "WorkPercent",
+              "WorkAgeMillis",
+              "HeldTokens",
             });
     internal_static_almondslip_SentPrompt_descriptor = getDescriptor().getMessageType(34);
     internal_static_almondslip_SentPrompt_fieldAccessorTable =
--- a/wire/src/main/java/org/almondslip/protocol/wire/TargetReport.java
+++ b/wire/src/main/java/org/almondslip/protocol/wire/TargetReport.java
@@ -110,6 +110,158 @@
     return requests_;
   }
 
+  public static final int COLD_MILLIS_FIELD_NUMBER = 4;
+  private int coldMillis_ = 0;
+
+  /**
+   *
+   *
+   * <pre>
+   * Time for which the target stays cold, in milliseconds.
+   * </pre>
+   *
+   * <code>uint32 cold_millis = 4;</code>
+   *
+   * @return The coldMillis.
+   */
+  @java.lang.Override
+  public int getColdMillis() {
+    return coldMillis_;
+  }
+
+  public static final int WINDOW_FIELD_NUMBER = 5;
+  private int window_ = 0;
+
+  /**
+   *
+   *
+   * <pre>
+   * Requests that all routers may have at the target while its load is ramped up; 0 without a limit.
+   * </pre>
+   *
+   * <code>uint32 window = 5;</code>
+   *
+   * @return The window.
+   */
+  @java.lang.Override
+  public int getWindow() {
+    return window_;
+  }
+
+  public static final int WINDOW_DECREASES_FIELD_NUMBER = 6;
+  private int windowDecreases_ = 0;
+
+  /**
+   *
+   *
+   * <pre>
+   * Decreases of the window so far.
+   * </pre>
+   *
+   * <code>uint32 window_decreases = 6;</code>
+   *
+   * @return The windowDecreases.
+   */
+  @java.lang.Override
+  public int getWindowDecreases() {
+    return windowDecreases_;
+  }
+
+  public static final int SPEED_PERMILLE_FIELD_NUMBER = 7;
+  private int speedPermille_ = 0;
+
+  /**
+   *
+   *
+   * <pre>
+   * Measured speed relative to the mean of the service, in thousandths.
+   * </pre>
+   *
+   * <code>uint32 speed_permille = 7;</code>
+   *
+   * @return The speedPermille.
+   */
+  @java.lang.Override
+  public int getSpeedPermille() {
+    return speedPermille_;
+  }
+
+  public static final int SPEED_SAMPLES_FIELD_NUMBER = 8;
+  private int speedSamples_ = 0;
+
+  /**
+   *
+   *
+   * <pre>
+   * Responses that the sender measured.
+   * </pre>
+   *
+   * <code>uint32 speed_samples = 8;</code>
+   *
+   * @return The speedSamples.
+   */
+  @java.lang.Override
+  public int getSpeedSamples() {
+    return speedSamples_;
+  }
+
+  public static final int WORK_PERCENT_FIELD_NUMBER = 9;
+  private int workPercent_ = 0;
+
+  /**
+   *
+   *
+   * <pre>
+   * Present duration of work in percent of the usual one.
+   * </pre>
+   *
+   * <code>uint32 work_percent = 9;</code>
+   *
+   * @return The workPercent.
+   */
+  @java.lang.Override
+  public int getWorkPercent() {
+    return workPercent_;
+  }
+
+  public static final int WORK_AGE_MILLIS_FIELD_NUMBER = 10;
+  private int workAgeMillis_ = 0;
+
+  /**
+   *
+   *
+   * <pre>
+   * Age of that figure in milliseconds.
+   * </pre>
+   *
+   * <code>uint32 work_age_millis = 10;</code>
+   *
+   * @return The workAgeMillis.
+   */
+  @java.lang.Override
+  public int getWorkAgeMillis() {
+    return workAgeMillis_;
+  }
+
+  public static final int HELD_TOKENS_FIELD_NUMBER = 11;
+  private int heldTokens_ = 0;
+
+  /**
+   *
+   *
+   * <pre>
+   * Tokens of the sender's requests in the memory of the target.
+   * </pre>
+   *
+   * <code>uint32 held_tokens = 11;</code>
+   *
+   * @return The heldTokens.
+   */
+  @java.lang.Override
+  public int getHeldTokens() {
+    return heldTokens_;
+  }
+
   private byte memoizedIsInitialized = -1;
 
   @java.lang.Override
@@ -133,6 +285,30 @@
     if (requests_ != 0) {
       output.writeUInt32(3, requests_);
     }
+    if (coldMillis_ != 0) {
+      output.writeUInt32(4, coldMillis_);
+    }
+    if (window_ != 0) {
+      output.writeUInt32(5, window_);
+    }
+    if (windowDecreases_ != 0) {
+      output.writeUInt32(6, windowDecreases_);
+    }
+    if (speedPermille_ != 0) {
+      output.writeUInt32(7, speedPermille_);
+    }
+    if (speedSamples_ != 0) {
+      output.writeUInt32(8, speedSamples_);
+    }
+    if (workPercent_ != 0) {
+      output.writeUInt32(9, workPercent_);
+    }
+    if (workAgeMillis_ != 0) {
+      output.writeUInt32(10, workAgeMillis_);
+    }
+    if (heldTokens_ != 0) {
+      output.writeUInt32(11, heldTokens_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -147,6 +323,30 @@
     if (requests_ != 0) {
       size += com.google.protobuf.CodedOutputStream.computeUInt32Size(3, requests_);
     }
+    if (coldMillis_ != 0) {
+      size += com.google.protobuf.CodedOutputStream.computeUInt32Size(4, coldMillis_);
+    }
+    if (window_ != 0) {
+      size += com.google.protobuf.CodedOutputStream.computeUInt32Size(5, window_);
+    }
+    if (windowDecreases_ != 0) {
+      size += com.google.protobuf.CodedOutputStream.computeUInt32Size(6, windowDecreases_);
+    }
+    if (speedPermille_ != 0) {
+      size += com.google.protobuf.CodedOutputStream.computeUInt32Size(7, speedPermille_);
+    }
+    if (speedSamples_ != 0) {
+      size += com.google.protobuf.CodedOutputStream.computeUInt32Size(8, speedSamples_);
+    }
+    if (workPercent_ != 0) {
+      size += com.google.protobuf.CodedOutputStream.computeUInt32Size(9, workPercent_);
+    }
+    if (workAgeMillis_ != 0) {
+      size += com.google.protobuf.CodedOutputStream.computeUInt32Size(10, workAgeMillis_);
+    }
+    if (heldTokens_ != 0) {
+      size += com.google.protobuf.CodedOutputStream.computeUInt32Size(11, heldTokens_);
+    }
     return size;
   }
 
@@ -176,6 +376,14 @@
     if (getTarget() != other.getTarget()) return false;
     if (getUnreadTokens() != other.getUnreadTokens()) return false;
     if (getRequests() != other.getRequests()) return false;
+    if (getColdMillis() != other.getColdMillis()) return false;
+    if (getWindow() != other.getWindow()) return false;
+    if (getWindowDecreases() != other.getWindowDecreases()) return false;
+    if (getSpeedPermille() != other.getSpeedPermille()) return false;
+    if (getSpeedSamples() != other.getSpeedSamples()) return false;
+    if (getWorkPercent() != other.getWorkPercent()) return false;
+    if (getWorkAgeMillis() != other.getWorkAgeMillis()) return false;
+    if (getHeldTokens() != other.getHeldTokens()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -193,6 +401,22 @@
     hash = (53 * hash) + getUnreadTokens();
     hash = (37 * hash) + REQUESTS_FIELD_NUMBER;
     hash = (53 * hash) + getRequests();
+    hash = (37 * hash) + COLD_MILLIS_FIELD_NUMBER;
+    hash = (53 * hash) + getColdMillis();
+    hash = (37 * hash) + WINDOW_FIELD_NUMBER;
+    hash = (53 * hash) + getWindow();
+    hash = (37 * hash) + WINDOW_DECREASES_FIELD_NUMBER;
+    hash = (53 * hash) + getWindowDecreases();
+    hash = (37 * hash) + SPEED_PERMILLE_FIELD_NUMBER;
+    hash = (53 * hash) + getSpeedPermille();
+    hash = (37 * hash) + SPEED_SAMPLES_FIELD_NUMBER;
+    hash = (53 * hash) + getSpeedSamples();
+    hash = (37 * hash) + WORK_PERCENT_FIELD_NUMBER;
+    hash = (53 * hash) + getWorkPercent();
+    hash = (37 * hash) + WORK_AGE_MILLIS_FIELD_NUMBER;
+    hash = (53 * hash) + getWorkAgeMillis();
+    hash = (37 * hash) + HELD_TOKENS_FIELD_NUMBER;
+    hash = (53 * hash) + getHeldTokens();
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -336,6 +560,14 @@
       target_ = 0L;
       unreadTokens_ = 0;
       requests_ = 0;
+      coldMillis_ = 0;
+      window_ = 0;
+      windowDecreases_ = 0;
+      speedPermille_ = 0;
+      speedSamples_ = 0;
+      workPercent_ = 0;
+      workAgeMillis_ = 0;
+      heldTokens_ = 0;
       return this;
     }
 
@@ -381,6 +613,30 @@
       if (((from_bitField0_ & 0x00000004) != 0)) {
         result.requests_ = requests_;
       }
+      if (((from_bitField0_ & 0x00000008) != 0)) {
+        result.coldMillis_ = coldMillis_;
+      }
+      if (((from_bitField0_ & 0x00000010) != 0)) {
+        result.window_ = window_;
+      }
+      if (((from_bitField0_ & 0x00000020) != 0)) {
+        result.windowDecreases_ = windowDecreases_;
+      }
+      if (((from_bitField0_ & 0x00000040) != 0)) {
+        result.speedPermille_ = speedPermille_;
+      }
+      if (((from_bitField0_ & 0x00000080) != 0)) {
+        result.speedSamples_ = speedSamples_;
+      }
+      if (((from_bitField0_ & 0x00000100) != 0)) {
+        result.workPercent_ = workPercent_;
+      }
+      if (((from_bitField0_ & 0x00000200) != 0)) {
+        result.workAgeMillis_ = workAgeMillis_;
+      }
+      if (((from_bitField0_ & 0x00000400) != 0)) {
+        result.heldTokens_ = heldTokens_;
+      }
     }
 
     @java.lang.Override
@@ -404,6 +660,30 @@
       if (other.getRequests() != 0) {
         setRequests(other.getRequests());
       }
+      if (other.getColdMillis() != 0) {
+        setColdMillis(other.getColdMillis());
+      }
+      if (other.getWindow() != 0) {
+        setWindow(other.getWindow());
+      }
+      if (other.getWindowDecreases() != 0) {
+        setWindowDecreases(other.getWindowDecreases());
+      }
+      if (other.getSpeedPermille() != 0) {
+        setSpeedPermille(other.getSpeedPermille());
+      }
+      if (other.getSpeedSamples() != 0) {
+        setSpeedSamples(other.getSpeedSamples());
+      }
+      if (other.getWorkPercent() != 0) {
+        setWorkPercent(other.getWorkPercent());
+      }
+      if (other.getWorkAgeMillis() != 0) {
+        setWorkAgeMillis(other.getWorkAgeMillis());
+      }
+      if (other.getHeldTokens() != 0) {
+        setHeldTokens(other.getHeldTokens());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -448,6 +728,54 @@
                 bitField0_ |= 0x00000004;
                 break;
               } // case 24
+            case 32:
+              {
+                coldMillis_ = input.readUInt32();
+                bitField0_ |= 0x00000008;
+                break;
+              } // case 32
+            case 40:
+              {
+                window_ = input.readUInt32();
+                bitField0_ |= 0x00000010;
+                break;
+              } // case 40
+            case 48:
+              {
+                windowDecreases_ = input.readUInt32();
+                bitField0_ |= 0x00000020;
+                break;
+              } // case 48
+            case 56:
+              {
+                speedPermille_ = input.readUInt32();
+                bitField0_ |= 0x00000040;
+                break;
+              } // case 56
+            case 64:
+              {
+                speedSamples_ = input.readUInt32();
+                bitField0_ |= 0x00000080;
+                break;
+              } // case 64
+            case 72:
+              {
+                workPercent_ = input.readUInt32();
+                bitField0_ |= 0x00000100;
+                break;
+              } // case 72
+            case 80:
+              {
+                workAgeMillis_ = input.readUInt32();
+                bitField0_ |= 0x00000200;
+                break;
+              } // case 80
+            case 88:
+              {
+                heldTokens_ = input.readUInt32();
+                bitField0_ |= 0x00000400;
+                break;
+              } // case 88
             default:
               {
                 if (!super.parseUnknownField(input, extensionRegistry, tag)) {
@@ -617,6 +945,454 @@
       return this;
     }
 
+    private int coldMillis_;
+
+    /**
+     *
+     *
+     * <pre>
+     * Time for which the target stays cold, in milliseconds.
+     * </pre>
+     *
+     * <code>uint32 cold_millis = 4;</code>
+     *
+     * @return The coldMillis.
+     */
+    @java.lang.Override
+    public int getColdMillis() {
+      return coldMillis_;
+    }
+
+    /**
+     *
+     *
+     * <pre>
+     * Time for which the target stays cold, in milliseconds.
+     * </pre>
+     *
+     * <code>uint32 cold_millis = 4;</code>
+     *
+     * @param value The coldMillis to set.
+     * @return This builder for chaining.
+     */
+    public Builder setColdMillis(int value) {
+
+      coldMillis_ = value;
+      bitField0_ |= 0x00000008;
+      onChanged();
+      return this;
+    }
+
+    /**
+     *
+     *
+     * <pre>
+     * Time for which the target stays cold, in milliseconds.
+     * </pre>
+     *
+     * <code>uint32 cold_millis = 4;</code>
+     *
+     * @return This builder for chaining.
+     */
+    public Builder clearColdMillis() {
+      bitField0_ = (bitField0_ & ~0x00000008);
+      coldMillis_ = 0;
+      onChanged();
+      return this;
+    }
+
+    private int window_;
+
+    /**
+     *
+     *
+     * <pre>
+     * Requests that all routers may have at the target while its load is ramped up; 0 without a limit.
+     * </pre>
+     *
+     * <code>uint32 window = 5;</code>
+     *
+     * @return The window.
+     */
+    @java.lang.Override
+    public int getWindow() {
+      return window_;
+    }
+
+    /**
+     *
+     *
+     * <pre>
+     * Requests that all routers may have at the target while its load is ramped up; 0 without a limit.
+     * </pre>
+     *
+     * <code>uint32 window = 5;</code>
+     *
+     * @param value The window to set.
+     * @return This builder for chaining.
+     */
+    public Builder setWindow(int value) {
+
+      window_ = value;
+      bitField0_ |= 0x00000010;
+      onChanged();
+      return this;
+    }
+
+    /**
+     *
+     *
+     * <pre>
+     * Requests that all routers may have at the target while its load is ramped up; 0 without a limit.
+     * </pre>
+     *
+     * <code>uint32 window = 5;</code>
+     *
+     * @return This builder for chaining.
+     */
+    public Builder clearWindow() {
+      bitField0_ = (bitField0_ & ~0x00000010);
+      window_ = 0;
+      onChanged();
+      return this;
+    }
+
+    private int windowDecreases_;
+
+    /**
+     *
+     *
+     * <pre>
+     * Decreases of the window so far.
+     * </pre>
+     *
+     * <code>uint32 window_decreases = 6;</code>
+     *
+     * @return The windowDecreases.
+     */
+    @java.lang.Override
+    public int getWindowDecreases() {
+      return windowDecreases_;
+    }
+
+    /**
+     *
+     *
+     * <pre>
+     * Decreases of the window so far.
+     * </pre>
+     *
+     * <code>uint32 window_decreases = 6;</code>
+     *
+     * @param value The windowDecreases to set.
+     * @return This builder for chaining.
+     */
+    public Builder setWindowDecreases(int value) {
+
+      windowDecreases_ = value;
+      bitField0_ |= 0x00000020;
+      onChanged();
+      return this;
+    }
+
+    /**
+     *
+     *
+     * <pre>
+     * Decreases of the window so far.
+     * </pre>
+     *
+     * <code>uint32 window_decreases = 6;</code>
+     *
+     * @return This builder for chaining.
+     */
+    public Builder clearWindowDecreases() {
+      bitField0_ = (bitField0_ & ~0x00000020);
+      windowDecreases_ = 0;
+      onChanged();
+      return this;
+    }
+
+    private int speedPermille_;
+
+    /**
+     *
+     *
+     * <pre>
+     * Measured speed relative to the mean of the service, in thousandths.
+     * </pre>
+     *
+     * <code>uint32 speed_permille = 7;</code>
+     *
+     * @return The speedPermille.
+     */
+    @java.lang.Override
+    public int getSpeedPermille() {
+      return speedPermille_;
+    }
+
+    /**
+     *
+     *
+     * <pre>
+     * Measured speed relative to the mean of the service, in thousandths.
+     * </pre>
+     *
+     * <code>uint32 speed_permille = 7;</code>
+     *
+     * @param value The speedPermille to set.
+     * @return This builder for chaining.
+     */
+    public Builder setSpeedPermille(int value) {
+
+      speedPermille_ = value;
+      bitField0_ |= 0x00000040;
+      onChanged();
+      return this;
+    }
+
+    /**
+     *
+     *
+     * <pre>
+     * Measured speed relative to the mean of the service, in thousandths.
+     * </pre>
+     *
+     * <code>uint32 speed_permille = 7;</code>
+     *
+     * @return This builder for chaining.
+     */
+    public Builder clearSpeedPermille() {
+      bitField0_ = (bitField0_ & ~0x00000040);
+      speedPermille_ = 0;
+      onChanged();
+      return this;
+    }
+
+    private int speedSamples_;
+
+    /**
+     *
+     *
+     * <pre>
+     * Responses that the sender measured.
+     * </pre>
+     *
+     * <code>uint32 speed_samples = 8;</code>
+     *
+     * @return The speedSamples.
+     */
+    @java.lang.Override
+    public int getSpeedSamples() {
+      return speedSamples_;
+    }
+
+    /**
+     *
+     *
+     * <pre>
+     * Responses that the sender measured.
+     * </pre>
+     *
+     * <code>uint32 speed_samples = 8;</code>
+     *
+     * @param value The speedSamples to set.
+     * @return This builder for chaining.
+     */
+    public Builder setSpeedSamples(int value) {
+
+      speedSamples_ = value;
+      bitField0_ |= 0x00000080;
+      onChanged();
+      return this;
+    }
+
+    /**
+     *
+     *
+     * <pre>
+     * Responses that the sender measured.
+     * </pre>
+     *
+     * <code>uint32 speed_samples = 8;</code>
+     *
+     * @return This builder for chaining.
+     */
+    public Builder clearSpeedSamples() {
+      bitField0_ = (bitField0_ & ~0x00000080);
+      speedSamples_ = 0;
+      onChanged();
+      return this;
+    }
+
+    private int workPercent_;
+
+    /**
+     *
+     *
+     * <pre>
+     * Present duration of work in percent of the usual one.
+     * </pre>
+     *
+     * <code>uint32 work_percent = 9;</code>
+     *
+     * @return The workPercent.
+     */
+    @java.lang.Override
+    public int getWorkPercent() {
+      return workPercent_;
+    }
+
+    /**
+     *
+     *
+     * <pre>
+     * Present duration of work in percent of the usual one.
+     * </pre>
+     *
+     * <code>uint32 work_percent = 9;</code>
+     *
+     * @param value The workPercent to set.
+     * @return This builder for chaining.
+     */
+    public Builder setWorkPercent(int value) {
+
+      workPercent_ = value;
+      bitField0_ |= 0x00000100;
+      onChanged();
+      return this;
+    }
+
+    /**
+     *
+     *
+     * <pre>
+     * Present duration of work in percent of the usual one.
+     * </pre>
+     *
+     * <code>uint32 work_percent = 9;</code>
+     *
+     * @return This builder for chaining.
+     */
+    public Builder clearWorkPercent() {
+      bitField0_ = (bitField0_ & ~0x00000100);
+      workPercent_ = 0;
+      onChanged();
+      return this;
+    }
+
+    private int workAgeMillis_;
+
+    /**
+     *
+     *
+     * <pre>
+     * Age of that figure in milliseconds.
+     * </pre>
+     *
+     * <code>uint32 work_age_millis = 10;</code>
+     *
+     * @return The workAgeMillis.
+     */
+    @java.lang.Override
+    public int getWorkAgeMillis() {
+      return workAgeMillis_;
+    }
+
+    /**
+     *
+     *
+     * <pre>
+     * Age of that figure in milliseconds.
+     * </pre>
+     *
+     * <code>uint32 work_age_millis = 10;</code>
+     *
+     * @param value The workAgeMillis to set.
+     * @return This builder for chaining.
+     */
+    public Builder setWorkAgeMillis(int value) {
+
+      workAgeMillis_ = value;
+      bitField0_ |= 0x00000200;
+      onChanged();
+      return this;
+    }
+
+    /**
+     *
+     *
+     * <pre>
+     * Age of that figure in milliseconds.
+     * </pre>
+     *
+     * <code>uint32 work_age_millis = 10;</code>
+     *
+     * @return This builder for chaining.
+     */
+    public Builder clearWorkAgeMillis() {
+      bitField0_ = (bitField0_ & ~0x00000200);
+      workAgeMillis_ = 0;
+      onChanged();
+      return this;
+    }
+
+    private int heldTokens_;
+
+    /**
+     *
+     *
+     * <pre>
+     * Tokens of the sender's requests in the memory of the target.
+     * </pre>
+     *
+     * <code>uint32 held_tokens = 11;</code>
+     *
+     * @return The heldTokens.
+     */
+    @java.lang.Override
+    public int getHeldTokens() {
+      return heldTokens_;
+    }
+
+    /**
+     *
+     *
+     * <pre>
+     * Tokens of the sender's requests in the memory of the target.
+     * </pre>
+     *
+     * <code>uint32 held_tokens = 11;</code>
+     *
+     * @param value The heldTokens to set.
+     * @return This builder for chaining.
+     */
+    public Builder setHeldTokens(int value) {
+
+      heldTokens_ = value;
+      bitField0_ |= 0x00000400;
+      onChanged();
+      return this;
+    }
+
+    /**
+     *
+     *
+     * <pre>
+     * Tokens of the sender's requests in the memory of the target.
+     * </pre>
+     *
+     * <code>uint32 held_tokens = 11;</code>
+     *
+     * @return This builder for chaining.
+     */
+    public Builder clearHeldTokens() {
+      bitField0_ = (bitField0_ & ~0x00000400);
+      heldTokens_ = 0;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:almondslip.TargetReport)
   }
 
--- a/wire/src/main/java/org/almondslip/protocol/wire/TargetReportOrBuilder.java
+++ b/wire/src/main/java/org/almondslip/protocol/wire/TargetReportOrBuilder.java
@@ -43,4 +43,108 @@
    * @return The requests.
    */
   int getRequests();
+
+  /**
+   *
+   *
+   * <pre>
+   * Time for which the target stays cold, in milliseconds.
+   * </pre>
+   *
+   * <code>uint32 cold_millis = 4;</code>
+   *
+   * @return The coldMillis.
+   */
+  int getColdMillis();
+
+  /**
+   *
+   *
+   * <pre>
+   * Requests that all routers may have at the target while its load is ramped up; 0 without a limit.
+   * </pre>
+   *
+   * <code>uint32 window = 5;</code>
+   *
+   * @return The window.
+   */
+  int getWindow();
+
+  /**
+   *
+   *
+   * <pre>
+   * Decreases of the window so far.
+   * </pre>
+   *
+   * <code>uint32 window_decreases = 6;</code>
+   *
+   * @return The windowDecreases.
+   */
+  int getWindowDecreases();
+
+  /**
+   *
+   *
+   * <pre>
+   * Measured speed relative to the mean of the service, in thousandths.
+   * </pre>
+   *
+   * <code>uint32 speed_permille = 7;</code>
+   *
+   * @return The speedPermille.
+   */
+  int getSpeedPermille();
+
+  /**
+   *
+   *
+   * <pre>
+   * Responses that the sender measured.
+   * </pre>
+   *
+   * <code>uint32 speed_samples = 8;</code>
+   *
+   * @return The speedSamples.
+   */
+  int getSpeedSamples();
+
+  /**
+   *
+   *
+   * <pre>
+   * Present duration of work in percent of the usual one.
+   * </pre>
+   *
+   * <code>uint32 work_percent = 9;</code>
+   *
+   * @return The workPercent.
+   */
+  int getWorkPercent();
+
+  /**
+   *
+   *
+   * <pre>
+   * Age of that figure in milliseconds.
+   * </pre>
+   *
+   * <code>uint32 work_age_millis = 10;</code>
+   *
+   * @return The workAgeMillis.
+   */
+  int getWorkAgeMillis();
+
+  /**
+   *
+   *
+   * <pre>
+   * Tokens of the sender's requests in the memory of the target.
+   * </pre>
+   *
+   * <code>uint32 held_tokens = 11;</code>
+   *
+   * @return The heldTokens.
+   */
+  int getHeldTokens();
 }
