Add evacuation of data centres and allowed regions

Cause: a router sends requests to targets of a data centre that the operator empties, and to any region. Change: rows evacuate/ZONE and allowed_regions decide which targets a request may be sent to.

--- a/core/src/main/java/org/almondslip/directory/Directory.java
+++ b/core/src/main/java/org/almondslip/directory/Directory.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import org.almondslip.residency.Evacuations;
 import org.almondslip.time.Clock;
 
 /**
@@ -45,6 +46,8 @@
    */
   private final Map<String, Long> expiring = new HashMap<>();
 
+  private final Evacuations evacuations = new Evacuations();
+
   /** Time at which the store was last observed to be unavailable, in milliseconds. */
   private long lastOutageMillis = -EXPIRY_GRACE_MILLIS;
 
@@ -74,6 +77,14 @@
      * @param target the removed target
      */
     void onRemoved(TargetRecord target);
+
+    /**
+     * Called when a data centre was evacuated or its evacuation was taken back.
+     *
+     * @param dataCentre the data centre
+     * @param evacuated whether nothing may be sent to its targets
+     */
+    default void onEvacuation(String dataCentre, boolean evacuated) {}
   }
 
   /**
@@ -206,6 +217,41 @@
     }
   }
 
+  /**
+   * Applies a row about the evacuation of a data centre.
+   *
+   * @param dataCentre the data centre
+   * @param present true if the row exists, false if it was deleted
+   * @param revision the revision of the row
+   */
+  public void onEvacuation(String dataCentre, boolean present, long revision) {
+    if (evacuations.onRow(dataCentre, present, revision)) {
+      listener.onEvacuation(dataCentre, present);
+    }
+  }
+
+  /**
+   * Applies the complete list of evacuated data centres. Known evacuations that are missing from it
+   * and not newer than it have ended.
+   *
+   * @param listed the evacuated data centres
+   * @param revision the revision of the list
+   */
+  public void onEvacuationsListed(Set<String> listed, long revision) {
+    for (String dataCentre : evacuations.onListed(listed, revision)) {
+      listener.onEvacuation(dataCentre, evacuations.contains(dataCentre));
+    }
+  }
+
+  /**
+   * Returns the evacuated data centres.
+   *
+   * @return an immutable copy
+   */
+  public Set<String> evacuatedDataCentres() {
+    return evacuations.dataCentres();
+  }
+
   /** Removes targets whose entries expired and were not registered again in time. */
   public void tick() {
     long now = clock.millis();
--- /dev/null
+++ b/core/src/main/java/org/almondslip/directory/RequestRegions.java
@@ -0,0 +1,84 @@
+package org.almondslip.directory;
+
+import java.util.Optional;
+import java.util.function.Supplier;
+import org.almondslip.residency.AllowedRegions;
+
+/**
+ * Regions in which one request may be served: those that its route and organisation allowed when it
+ * arrived and that they still allow.
+ *
+ * <p>Addresses requests that wait, are retried or are resumed while the operator changes the rules.
+ * The rules are derived once for each routing table, since the regions are checked for each target
+ * whenever a target is selected.
+ */
+public final class RequestRegions {
+
+  private final Supplier<Optional<RoutingTable>> tables;
+
+  private final Route route;
+
+  private final Optional<Organisation> organisation;
+
+  private final Optional<String> apiKey;
+
+  private final AllowedRegions atArrival;
+
+  /** Table from which {@link #allowed} was derived, empty before the first check. */
+  private Optional<RoutingTable> checkedTable = Optional.empty();
+
+  private AllowedRegions allowed;
+
+  /**
+   * Creates the rules of a request that has just arrived.
+   *
+   * @param tables returns the current routing table
+   * @param route the route of the request
+   * @param organisation the organisation of the request, empty without one
+   * @param apiKey the API key of the request, empty without one
+   */
+  public RequestRegions(
+      Supplier<Optional<RoutingTable>> tables,
+      Route route,
+      Optional<Organisation> organisation,
+      Optional<String> apiKey) {
+    this.tables = tables;
+    this.route = route;
+    this.organisation = organisation;
+    this.apiKey = apiKey;
+    this.atArrival =
+        route
+            .allowedRegions()
+            .and(organisation.map(Organisation::allowedRegions).orElse(AllowedRegions.ANY));
+    this.allowed = atArrival;
+  }
+
+  /**
+   * Returns the regions in which the request may be served now.
+   *
+   * @return the regions that the rules at arrival and the current ones both allow
+   */
+  public AllowedRegions allowed() {
+    Optional<RoutingTable> current = tables.get();
+    if (current.isPresent() && (checkedTable.isEmpty() || checkedTable.get() != current.get())) {
+      checkedTable = current;
+      AllowedRegions ofKey =
+          apiKey
+              .flatMap(current.get()::organisation)
+              .map(Organisation::allowedRegions)
+              .orElse(AllowedRegions.ANY);
+      allowed = atArrival.and(current.get().allowedRegions(route, organisation)).and(ofKey);
+    }
+    return allowed;
+  }
+
+  /**
+   * Returns whether the request may be sent to a target.
+   *
+   * @param target the target
+   * @return true if the region of the target is allowed
+   */
+  public boolean permits(TargetRecord target) {
+    return allowed().permits(target.region());
+  }
+}
--- a/core/src/main/java/org/almondslip/directory/RoutingTable.java
+++ b/core/src/main/java/org/almondslip/directory/RoutingTable.java
@@ -7,6 +7,7 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
+import org.almondslip.residency.AllowedRegions;
 
 /** Immutable snapshot of all routes, services and organisations at one version. */
 public final class RoutingTable {
@@ -20,6 +21,12 @@
 
   private final Map<String, Organisation> organisationsByKey;
 
+  /** Restrictions of routes by their name and by their host and prefix. */
+  private final Map<String, AllowedRegions> regionsByRoute = new HashMap<>();
+
+  /** Restrictions of organisations by name. */
+  private final Map<String, AllowedRegions> regionsByOrganisation = new HashMap<>();
+
   private final boolean apiKeysRequired;
 
   private final IngressLimits limits;
@@ -49,6 +56,29 @@
     this.organisationsByKey = Map.copyOf(organisationsByKey);
     this.apiKeysRequired = apiKeysRequired;
     this.limits = limits;
+    for (Route route : routes) {
+      restrict(regionsByRoute, route.name(), route.allowedRegions());
+      restrict(regionsByRoute, location(route), route.allowedRegions());
+    }
+    organisationsByKey
+        .values()
+        .forEach(
+            organisation ->
+                restrict(
+                    regionsByOrganisation, organisation.name(), organisation.allowedRegions()));
+  }
+
+  /** Adds a restriction to those of the same name, all of which bind. */
+  private static void restrict(
+      Map<String, AllowedRegions> regions, String name, AllowedRegions allowed) {
+    if (!name.isEmpty() && allowed.isRestricted()) {
+      regions.merge(name, allowed, AllowedRegions::and);
+    }
+  }
+
+  /** Returns the host and prefix of a route, which differ from any name by the space. */
+  private static String location(Route route) {
+    return route.host() + " " + route.prefix();
   }
 
   /**
@@ -116,6 +146,24 @@
     return Optional.ofNullable(organisationsByKey.get(key));
   }
 
+  /**
+   * Returns the regions that this table allows for a request that arrived under an earlier table.
+   *
+   * @param route the route of the request in the earlier table
+   * @param organisation the organisation of the request in the earlier table, empty without one
+   * @return the regions that the route and the organisation allow; a route is found by its name and
+   *     by its host and prefix, so that a restriction also binds a route that is renamed with it
+   */
+  public AllowedRegions allowedRegions(Route route, Optional<Organisation> organisation) {
+    return regionsByRoute
+        .getOrDefault(route.name(), AllowedRegions.ANY)
+        .and(regionsByRoute.getOrDefault(location(route), AllowedRegions.ANY))
+        .and(
+            organisation
+                .map(known -> regionsByOrganisation.get(known.name()))
+                .orElse(AllowedRegions.ANY));
+  }
+
   /**
    * Returns whether requests on a route require an API key.
    *
--- a/core/src/main/java/org/almondslip/dispatch/Dispatcher.java
+++ b/core/src/main/java/org/almondslip/dispatch/Dispatcher.java
@@ -193,6 +193,10 @@
       share(job.service()).onRequested(job.organisation(), FairQueue.cost(job), clock.millis());
       statistics.onRequested(job.service(), job.organisation(), FairQueue.cost(job));
     }
+    if (Exclusion.of(job, targets(job.service())).isPresent()) {
+      refuse(job, RefusalReason.NO_TARGET);
+      return;
+    }
     if (queue.size() == 0 || job.isRetry()) {
       Optional<Placement.Choice> choice = choose(job, available);
       if (choice.isPresent()) {
@@ -303,8 +307,11 @@
     shares.values().forEach(share -> share.prune(clock.millis()));
   }
 
-  /** Refuses the jobs that no target can prefill in time any more. */
+  /** Refuses the jobs that no target may serve or can prefill in time any more. */
   private void expire(String service, FairQueue queue) {
+    for (Job job : queue.removeIf(job -> Exclusion.of(job, targets(service)).isPresent())) {
+      refuse(job, RefusalReason.NO_TARGET);
+    }
     RefusalReason reason =
         targets(service).stream().noneMatch(TargetLoad::isInService)
             ? RefusalReason.NO_TARGET
--- a/core/src/main/java/org/almondslip/dispatch/Job.java
+++ b/core/src/main/java/org/almondslip/dispatch/Job.java
@@ -52,6 +52,15 @@
     return !triedTargets().contains(target.record().id());
   }
 
+  /**
+   * Returns whether the request may be served in some regions only.
+   *
+   * @return true if it must not wait for targets of any region to appear
+   */
+  default boolean isRestricted() {
+    return false;
+  }
+
   /**
    * Returns the time by which a target must complete prefill for the request to be on time.
    *
--- a/core/src/main/java/org/almondslip/dispatch/JobAdmission.java
+++ b/core/src/main/java/org/almondslip/dispatch/JobAdmission.java
@@ -56,7 +56,7 @@
     }
     long now = clock.millis();
     ShareStatus status = share.status(job.organisation(), now);
-    if (!available.forPrompt(job.prompt(), status).isEmpty()) {
+    if (available.forPrompt(job.prompt(), status).stream().anyMatch(job::permits)) {
       // The queued jobs wait for targets that cache their segments; this job can use another one.
       return Optional.empty();
     }
--- a/core/src/main/java/org/almondslip/placement/TargetLoad.java
+++ b/core/src/main/java/org/almondslip/placement/TargetLoad.java
@@ -4,6 +4,7 @@
 import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalLong;
 import org.almondslip.directory.TargetRecord;
 
 /**
@@ -62,6 +63,12 @@
   /** Whether the target has said that it is about to end. */
   private boolean leaving;
 
+  /** Whether the data centre of the target is evacuated. */
+  private boolean evacuated;
+
+  /** Time at which the last evacuation was taken back, in milliseconds. */
+  private OptionalLong evacuationEndedAt = OptionalLong.empty();
+
   /** End of the pause that the target has asked for, in milliseconds. */
   private long pausedUntil = Long.MIN_VALUE;
 
@@ -324,13 +331,47 @@
     pausedUntil = Math.max(pausedUntil, now + millis);
   }
 
+  /** Records that the data centre of the target is evacuated. */
+  public void onEvacuated() {
+    evacuated = true;
+  }
+
+  /**
+   * Records that the evacuation of the target's data centre was taken back.
+   *
+   * @param endedAt the time at which this router learned of it, in milliseconds; it lies in the
+   *     past if the target has appeared since
+   */
+  public void onEvacuationEnded(long endedAt) {
+    evacuated = false;
+    evacuationEndedAt = OptionalLong.of(endedAt);
+  }
+
+  /**
+   * Returns whether the data centre of the target is evacuated.
+   *
+   * @return true while nothing may be sent to the target
+   */
+  public boolean isEvacuated() {
+    return evacuated;
+  }
+
+  /**
+   * Returns when the last evacuation of the target's data centre was taken back.
+   *
+   * @return the time in milliseconds, empty if there was none
+   */
+  public OptionalLong evacuationEndedAt() {
+    return evacuationEndedAt;
+  }
+
   /**
    * Returns whether the target accepts new requests, possibly after a pause.
    *
-   * @return false if it is draining or has said that it is leaving
+   * @return false if it is draining, has said that it is leaving or is evacuated
    */
   public boolean isInService() {
-    return record.state() == TargetRecord.State.READY && !leaving;
+    return record.state() == TargetRecord.State.READY && !leaving && !evacuated;
   }
 
   /**
--- a/gateway/src/main/java/org/almondslip/gateway/CallerRequestHandler.java
+++ b/gateway/src/main/java/org/almondslip/gateway/CallerRequestHandler.java
@@ -15,6 +15,7 @@
 import org.almondslip.directory.Directory;
 import org.almondslip.directory.IngressLimits;
 import org.almondslip.directory.Organisation;
+import org.almondslip.directory.RequestRegions;
 import org.almondslip.directory.Route;
 import org.almondslip.directory.RoutingTable;
 import org.almondslip.dispatch.RefusalReason;
@@ -289,10 +290,12 @@
             arrival.earliest(),
             Arrays.hashCode(body.getBytes()) * 31L
                 + Objects.hash(request.method(), request.uri(), decoded.apiKey()));
+    RequestRegions regions =
+        new RequestRegions(directory::table, route, organisation, decoded.apiKey());
     if (eventLoopDelay.hasBacklog()) {
-      afterNextRead(() -> startUnlessDisconnected(request, response, inbound));
+      afterNextRead(() -> startUnlessDisconnected(request, response, inbound, regions));
     } else {
-      start(request, response, inbound);
+      start(request, response, inbound, regions);
     }
   }
 
@@ -309,15 +312,22 @@
    * event loop reads the end of a connection one iteration after the request that precedes it.
    */
   private void startUnlessDisconnected(
-      HttpServerRequest request, CallerResponse response, InboundRequest inbound) {
+      HttpServerRequest request,
+      CallerResponse response,
+      InboundRequest inbound,
+      RequestRegions regions) {
     if (request.response().closed()) {
       context.decisionLog().logEnd(inbound, "caller gone", 0, 0, "disconnected while unread");
     } else {
-      start(request, response, inbound);
+      start(request, response, inbound, regions);
     }
   }
 
-  private void start(HttpServerRequest request, CallerResponse response, InboundRequest inbound) {
+  private void start(
+      HttpServerRequest request,
+      CallerResponse response,
+      InboundRequest inbound,
+      RequestRegions regions) {
     context.retryLimiter(inbound.service()).onRequest(inbound.arrivedAt());
     ForwardedRequest forwarded =
         new ForwardedRequest(
@@ -326,6 +336,7 @@
             request,
             inbound,
             response,
+            regions,
             ended -> {
               openRequests.remove(ended);
               connections.onRequestEnd(request.connection());
--- a/gateway/src/main/java/org/almondslip/gateway/DecisionLog.java
+++ b/gateway/src/main/java/org/almondslip/gateway/DecisionLog.java
@@ -28,6 +28,8 @@
   /** Number of requests by outcome. */
   private final Map<String, Long> outcomes = new TreeMap<>();
 
+  private final ResidencyLog residency = new ResidencyLog();
+
   private final Map<AttemptPhase, Long> lostAttempts = new EnumMap<>(AttemptPhase.class);
 
   /**
@@ -176,6 +178,11 @@
         .log("%s: %s", code.label(), detail);
   }
 
+  /** Returns the log of requests that were kept from targets by region rules and evacuations. */
+  ResidencyLog residency() {
+    return residency;
+  }
+
   /** Returns the number of lost attempts by phase. */
   Map<AttemptPhase, Long> lostAttempts() {
     return lostAttempts;
--- a/gateway/src/main/java/org/almondslip/gateway/DirectoryChanges.java
+++ b/gateway/src/main/java/org/almondslip/gateway/DirectoryChanges.java
@@ -1,21 +1,30 @@
 package org.almondslip.gateway;
 
 import com.google.common.flogger.FluentLogger;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Set;
 import org.almondslip.directory.Directory;
 import org.almondslip.directory.RoutingTable;
 import org.almondslip.directory.ServicePolicy;
 import org.almondslip.directory.TargetRecord;
 import org.almondslip.dispatch.Dispatcher;
 import org.almondslip.placement.TargetLoad;
+import org.almondslip.time.Clock;
 
 /** Applies changes of the directory to the dispatcher and to the connections to targets. */
 final class DirectoryChanges implements Directory.Listener {
 
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
+  private final Clock clock;
+
   private final Dispatcher dispatcher;
 
   private final TargetConnectionPool connections;
@@ -32,7 +41,13 @@
   /** Latest table, empty before the first one. */
   private Optional<RoutingTable> table = Optional.empty();
 
-  DirectoryChanges(Dispatcher dispatcher, TargetConnectionPool connections) {
+  private final Set<String> evacuatedDataCentres = new HashSet<>();
+
+  /** Time at which the last evacuation was taken back, in milliseconds, by data centre. */
+  private final Map<String, Long> evacuationEnds = new HashMap<>();
+
+  DirectoryChanges(Clock clock, Dispatcher dispatcher, TargetConnectionPool connections) {
+    this.clock = clock;
     this.dispatcher = dispatcher;
     this.connections = connections;
   }
@@ -55,8 +70,11 @@
             .findFirst();
     if (known.isPresent()) {
       known.get().update(target);
+      applyEvacuation(known.get());
     } else {
-      dispatcher.add(recallOrCreate(target));
+      TargetLoad added = recallOrCreate(target);
+      applyEvacuation(added);
+      dispatcher.add(added);
     }
   }
 
@@ -67,6 +85,49 @@
     connections.closeIdle(target);
   }
 
+  @Override
+  public void onEvacuation(String dataCentre, boolean evacuated) {
+    if (evacuated) {
+      evacuatedDataCentres.add(dataCentre);
+      evacuationEnds.remove(dataCentre);
+    } else {
+      evacuatedDataCentres.remove(dataCentre);
+      evacuationEnds.put(dataCentre, clock.millis());
+    }
+    List<TargetLoad> affected = new ArrayList<>(dispatcher.targets());
+    affected.addAll(removed.values());
+    affected.removeIf(target -> !target.record().dataCentre().equals(dataCentre));
+    affected.forEach(this::applyEvacuation);
+    logger.atInfo().log(
+        evacuated
+            ? "data centre %s is evacuated: nothing is sent to its %d targets"
+            : "evacuation of data centre %s was taken back: its %d targets may be used",
+        dataCentre,
+        affected.size());
+    if (!evacuated) {
+      affected.stream()
+          .map(target -> target.record().service())
+          .distinct()
+          .forEach(dispatcher::dispatchWaiting);
+    }
+  }
+
+  /** Applies the evacuation of its data centre to a target, also to one that has just appeared. */
+  private void applyEvacuation(TargetLoad target) {
+    String dataCentre = target.record().dataCentre();
+    if (evacuatedDataCentres.contains(dataCentre)) {
+      target.onEvacuated();
+      return;
+    }
+    Long endedAt = evacuationEnds.get(dataCentre);
+    boolean unknownEnd =
+        endedAt != null && !target.evacuationEndedAt().equals(OptionalLong.of(endedAt));
+    if (target.isEvacuated() || unknownEnd) {
+      // A target that is still marked without an end has moved to another data centre.
+      target.onEvacuationEnded(endedAt == null ? clock.millis() : endedAt);
+    }
+  }
+
   /** Returns the load of a target whose entry has returned, or of a new target. */
   private TargetLoad recallOrCreate(TargetRecord target) {
     TargetLoad created = new TargetLoad(target, kvCapacityTokens(target.service()));
--- a/gateway/src/main/java/org/almondslip/gateway/ForwardedRequest.java
+++ b/gateway/src/main/java/org/almondslip/gateway/ForwardedRequest.java
@@ -8,6 +8,8 @@
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.function.Consumer;
+import org.almondslip.directory.RequestRegions;
+import org.almondslip.dispatch.Exclusion;
 import org.almondslip.dispatch.Job;
 import org.almondslip.dispatch.RefusalReason;
 import org.almondslip.error.ErrorCode;
@@ -44,6 +46,8 @@
 
   private final CallerResponse response;
 
+  private final RequestRegions regions;
+
   private final Consumer<ForwardedRequest> onEnd;
 
   /** Ids of the targets of all attempts. */
@@ -76,6 +80,7 @@
    * @param request the request on its connection
    * @param inbound the decoded request
    * @param response the response
+   * @param regions the regions in which the request may be served
    * @param onEnd called once when the request has ended
    */
   ForwardedRequest(
@@ -84,11 +89,13 @@
       HttpServerRequest request,
       InboundRequest inbound,
       CallerResponse response,
+      RequestRegions regions,
       Consumer<ForwardedRequest> onEnd) {
     this.context = context;
     this.vertx = vertx;
     this.inbound = inbound;
     this.response = response;
+    this.regions = regions;
     this.onEnd = onEnd;
     this.lastEventId = inbound.decoded().lastEventId();
     long remainingMillis = inbound.deadlineAt() - context.clock().millis();
@@ -142,6 +149,16 @@
     return triedTargets;
   }
 
+  @Override
+  public boolean permits(TargetLoad target) {
+    return Job.super.permits(target) && regions.permits(target.record());
+  }
+
+  @Override
+  public boolean isRestricted() {
+    return regions.allowed().isRestricted();
+  }
+
   @Override
   public long dueAt() {
     if (attempts > 0) {
@@ -197,19 +214,38 @@
           context.segmentQuarantine().blockedMillis(prompt()));
       return;
     }
+    Optional<Exclusion> exclusion =
+        reason == RefusalReason.NO_TARGET ? exclusion() : Optional.empty();
+    exclusion.ifPresent(context.decisionLog().residency()::onRefused);
     ErrorCode code =
         reason == RefusalReason.NO_TARGET ? ErrorCode.NO_TARGET : ErrorCode.ROUTER_OVERLOADED;
     String detail =
         String.format(
             Locale.ROOT,
-            "%s; %s, %d requests wait, the deadline is %d ms ahead",
+            "%s; %s%s, %d requests wait, the deadline is %d ms ahead",
             code.title(),
             reason.label(),
+            exclusion.map(why -> " (" + why.label() + ")").orElse(""),
             context.dispatcher().waiting(),
             inbound.deadlineAt() - context.clock().millis());
     fail(code, detail, OptionalLong.of(retryAfterMillis));
   }
 
+  @Override
+  public Optional<String> withholdReason(TargetLoad target) {
+    if (!regions.permits(target.record())) {
+      context.decisionLog().residency().onWithheld(inbound, target, Exclusion.REGION);
+      return Optional.of("the region of the target is not allowed");
+    }
+    if (target.isEvacuated()) {
+      context.decisionLog().residency().onWithheld(inbound, target, Exclusion.EVACUATION);
+      return Optional.of("the data centre of the target is evacuated");
+    }
+    return target.acceptsRequests(context.clock().millis())
+        ? Optional.empty()
+        : Optional.of("the target has asked for no further requests");
+  }
+
   @Override
   public void onNotSent(TargetLoad target, String reason) {
     attempts--;
@@ -282,6 +318,8 @@
       context.dispatcher().submit(this);
     } else if (mayHaveRun || code == ErrorCode.TARGET_FAILED) {
       fail(ErrorCode.TARGET_FAILED, reason, OptionalLong.empty());
+    } else if (exclusion().isPresent()) {
+      refuse(RefusalReason.NO_TARGET, context.dispatcher().retryAfterMillis(inbound.service()));
     } else {
       fail(
           ErrorCode.ROUTER_OVERLOADED,
@@ -290,7 +328,12 @@
     }
   }
 
-  /** Returns whether attempts and time are left and a target in service was not tried. */
+  /** Returns why the request can be sent to no target, empty if it may wait for one. */
+  private Optional<Exclusion> exclusion() {
+    return Exclusion.of(this, context.dispatcher().targets(inbound.service()));
+  }
+
+  /** Returns whether attempts and time are left and a target in service is permitted. */
   private boolean canRetry() {
     return !ended
         && !context.crashQuarantine().isQuarantined(inbound.fingerprint())
@@ -298,8 +341,7 @@
         && attempts < inbound.route().maxAttempts()
         && context.clock().millis() < inbound.deadlineAt()
         && context.dispatcher().targets(inbound.service()).stream()
-            .anyMatch(
-                target -> target.isInService() && !triedTargets.contains(target.record().id()));
+            .anyMatch(target -> target.isInService() && permits(target));
   }
 
   private void onDeadline() {
--- a/gateway/src/main/java/org/almondslip/gateway/Gateway.java
+++ b/gateway/src/main/java/org/almondslip/gateway/Gateway.java
@@ -185,7 +185,8 @@
     this.callerConnections =
         new CallerConnections(
             clock, (int) (settings.maxDescriptors() * CALLER_DESCRIPTOR_FRACTION));
-    this.directory = new Directory(clock, new DirectoryChanges(dispatcher, targetConnections));
+    this.directory =
+        new Directory(clock, new DirectoryChanges(clock, dispatcher, targetConnections));
     this.eventLoopDelay = new EventLoopDelay(clock, TICK_MILLIS);
     this.overloadDetector = new OverloadDetector(clock, settings.maxEventLoopDelayMillis());
     this.source = sourceFactory.create(vertx, clock);
--- a/gateway/src/main/java/org/almondslip/gateway/GatewayMetrics.java
+++ b/gateway/src/main/java/org/almondslip/gateway/GatewayMetrics.java
@@ -52,6 +52,7 @@
         .labelNames("outcome")
         .callback(values -> decisions.outcomes().forEach((label, n) -> values.call(n, label)))
         .register(registry);
+    registerResidency(decisions.residency(), directory);
     CounterWithCallback.builder()
         .name("almondslip_gateway_lost_attempts_total")
         .help(
@@ -161,6 +162,26 @@
         .register(registry);
   }
 
+  /** Registers the metrics of region rules and evacuations. */
+  private void registerResidency(ResidencyLog residency, Directory directory) {
+    gauge(
+        "almondslip_gateway_evacuated_data_centres",
+        "Data centres whose targets receive nothing, since the operator has evacuated them",
+        () -> directory.evacuatedDataCentres().size());
+    CounterWithCallback.builder()
+        .name("almondslip_gateway_excluded_requests_total")
+        .help("Requests that were refused since region rules or evacuations left no target")
+        .labelNames("reason")
+        .callback(values -> residency.refused().forEach((why, n) -> values.call(n, why.label())))
+        .register(registry);
+    CounterWithCallback.builder()
+        .name("almondslip_gateway_withheld_sends_total")
+        .help("Requests that were withheld from a target after the connection was established")
+        .labelNames("reason")
+        .callback(values -> residency.withheld().forEach((why, n) -> values.call(n, why.label())))
+        .register(registry);
+  }
+
   /** Collects the tokens of all organisations by what became of them. */
   private static void collectTokens(Dispatcher dispatcher, CounterWithCallback.Callback values) {
     dispatcher
--- a/gateway/src/main/java/org/almondslip/gateway/TargetAttempt.java
+++ b/gateway/src/main/java/org/almondslip/gateway/TargetAttempt.java
@@ -95,12 +95,9 @@
             onNotConnected();
           } else if (ended) {
             acquired.result().discard();
-          } else if (!target.acceptsRequests(context.clock().millis())) {
-            lease = Optional.of(acquired.result());
-            onNotSent("the target has asked for no further requests");
           } else {
             lease = Optional.of(acquired.result());
-            send(acquired.result());
+            unlessWithheld(() -> send(acquired.result()));
           }
         });
   }
@@ -119,6 +116,11 @@
     }
   }
 
+  /** Continues with the next step, unless the target must not get the request any more. */
+  private void unlessWithheld(Runnable next) {
+    listener.withholdReason(target).ifPresentOrElse(this::onNotSent, next);
+  }
+
   private void send(TargetConnectionPool.Lease acquired) {
     RequestOptions options =
         new RequestOptions()
@@ -135,7 +137,7 @@
               if (ended) {
                 acquired.discard();
               } else {
-                sendBody(request);
+                unlessWithheld(() -> sendBody(request));
               }
             });
   }
--- a/gateway/src/main/java/org/almondslip/gateway/TargetAttemptListener.java
+++ b/gateway/src/main/java/org/almondslip/gateway/TargetAttemptListener.java
@@ -1,5 +1,6 @@
 package org.almondslip.gateway;
 
+import java.util.Optional;
 import org.almondslip.placement.TargetLoad;
 
 /** Receives the outcome of an attempt to forward a request to a target. */
@@ -8,6 +9,14 @@
   /** Returns the response to the caller. */
   CallerResponse response();
 
+  /**
+   * Returns why the request must not be sent to a target to which a connection was established.
+   *
+   * @param target the target
+   * @return the reason, empty if the request may be sent now
+   */
+  Optional<String> withholdReason(TargetLoad target);
+
   /**
    * Called when the request was not sent.
    *
