Test evacuation and allowed regions

Change: tests of the decisions, of the decoders and of a router with real connections; the check right before the body is sent follows the handlers of the connection.

--- a/core/src/main/java/org/almondslip/directory/RoutingTable.java
+++ b/core/src/main/java/org/almondslip/directory/RoutingTable.java
@@ -21,9 +21,12 @@
 
   private final Map<String, Organisation> organisationsByKey;
 
-  /** Restrictions of routes by their name and by their host and prefix. */
+  /** Restrictions of routes by name. */
   private final Map<String, AllowedRegions> regionsByRoute = new HashMap<>();
 
+  /** Restrictions of routes by host and prefix. */
+  private final Map<String, AllowedRegions> regionsByLocation = new HashMap<>();
+
   /** Restrictions of organisations by name. */
   private final Map<String, AllowedRegions> regionsByOrganisation = new HashMap<>();
 
@@ -58,7 +61,7 @@
     this.limits = limits;
     for (Route route : routes) {
       restrict(regionsByRoute, route.name(), route.allowedRegions());
-      restrict(regionsByRoute, location(route), route.allowedRegions());
+      restrict(regionsByLocation, location(route), route.allowedRegions());
     }
     organisationsByKey
         .values()
@@ -76,7 +79,7 @@
     }
   }
 
-  /** Returns the host and prefix of a route, which differ from any name by the space. */
+  /** Returns the host and prefix of a route, separated by a space, which hosts do not contain. */
   private static String location(Route route) {
     return route.host() + " " + route.prefix();
   }
@@ -157,7 +160,7 @@
   public AllowedRegions allowedRegions(Route route, Optional<Organisation> organisation) {
     return regionsByRoute
         .getOrDefault(route.name(), AllowedRegions.ANY)
-        .and(regionsByRoute.getOrDefault(location(route), AllowedRegions.ANY))
+        .and(regionsByLocation.getOrDefault(location(route), AllowedRegions.ANY))
         .and(
             organisation
                 .map(known -> regionsByOrganisation.get(known.name()))
--- a/core/src/test/java/org/almondslip/directory/DirectoryTest.java
+++ b/core/src/test/java/org/almondslip/directory/DirectoryTest.java
@@ -36,6 +36,11 @@
             public void onRemoved(TargetRecord target) {
               notifications.add("removed " + target.id());
             }
+
+            @Override
+            public void onEvacuation(String dataCentre, boolean evacuated) {
+              notifications.add((evacuated ? "evacuated " : "usable ") + dataCentre);
+            }
           });
 
   /** A delayed response of the store must not restore older routes. */
@@ -136,6 +141,33 @@
     assertThat(directory.isComplete()).isTrue();
   }
 
+  /** An evacuation must be known before the first table, and survive an outage of the store. */
+  @Test
+  void keepsEvacuationWithoutTableAndDuringOutage() {
+    directory.onEvacuation("dc", true, 3);
+    directory.onEvacuationsListed(Set.of("dc"), 4);
+    for (int i = 0; i < 100; i++) {
+      directory.onOutage();
+      clock.advance(1_000);
+      directory.tick();
+    }
+    assertThat(directory.evacuatedDataCentres()).containsExactly("dc");
+    assertThat(notifications).containsExactly("evacuated dc");
+  }
+
+  /** The listener must learn of each change once, whether a row or a snapshot brings it. */
+  @Test
+  void notifiesOfEvacuationsOnce() {
+    directory.onEvacuation("a", true, 3);
+    directory.onEvacuation("a", true, 3);
+    directory.onEvacuation("b", true, 4);
+    directory.onEvacuation("b", false, 6);
+    directory.onEvacuation("b", true, 5);
+    directory.onEvacuationsListed(Set.of(), 7);
+    directory.onEvacuationsListed(Set.of(), 8);
+    assertThat(notifications).containsExactly("evacuated a", "evacuated b", "usable b", "usable a");
+  }
+
   private static RoutingTable table(long version) {
     return new RoutingTable(version, List.of(), List.of(), Map.of(), false, LIMITS);
   }
--- a/core/src/test/java/org/almondslip/dispatch/TestJob.java
+++ b/core/src/test/java/org/almondslip/dispatch/TestJob.java
@@ -7,6 +7,7 @@
 import java.util.function.Consumer;
 import org.almondslip.placement.Prompt;
 import org.almondslip.placement.TargetLoad;
+import org.almondslip.residency.AllowedRegions;
 
 /** Job that records its outcome. */
 final class TestJob implements Job {
@@ -44,6 +45,9 @@
 
   private boolean quarantined;
 
+  /** Regions in which the job may run. */
+  private AllowedRegions regions = AllowedRegions.ANY;
+
   /**
    * Creates a job.
    *
@@ -87,6 +91,23 @@
     return this;
   }
 
+  /**
+   * Marks the job as sent to a target before, which must not get it again.
+   *
+   * @param id the id of the target
+   * @return this job
+   */
+  TestJob markTried(String id) {
+    tried.add(id);
+    return markRetry();
+  }
+
+  /** Sets the regions in which the job may run from now on. */
+  TestJob allow(AllowedRegions allowed) {
+    regions = allowed;
+    return this;
+  }
+
   /** Returns the target that the job was sent to, empty if it was not sent. */
   Optional<TargetLoad> target() {
     return target;
@@ -139,6 +160,16 @@
     return tried;
   }
 
+  @Override
+  public boolean permits(TargetLoad load) {
+    return Job.super.permits(load) && regions.permits(load.record().region());
+  }
+
+  @Override
+  public boolean isRestricted() {
+    return regions.isRestricted();
+  }
+
   @Override
   public long dueAt() {
     return arrivedAt + objectiveMillis;
--- a/gateway/src/main/java/org/almondslip/gateway/TargetAttempt.java
+++ b/gateway/src/main/java/org/almondslip/gateway/TargetAttempt.java
@@ -137,7 +137,7 @@
               if (ended) {
                 acquired.discard();
               } else {
-                unlessWithheld(() -> sendBody(request));
+                sendBody(request);
               }
             });
   }
@@ -148,7 +148,7 @@
         .onFailure(failure -> onConnectionLost("the connection ended before an answer"))
         .onSuccess(this::onResponse);
     request.exceptionHandler(failure -> onConnectionLost("the connection failed"));
-    request.end(inbound.body());
+    unlessWithheld(() -> request.end(inbound.body()));
   }
 
   private void onResponse(HttpClientResponse received) {
--- a/gateway/src/test/java/org/almondslip/gateway/GatewayHarness.java
+++ b/gateway/src/test/java/org/almondslip/gateway/GatewayHarness.java
@@ -2,15 +2,19 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import io.vertx.core.Vertx;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.OptionalInt;
 import java.util.Set;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import org.almondslip.directory.Directory;
 import org.almondslip.directory.IngressLimits;
 import org.almondslip.directory.Organisation;
@@ -19,6 +23,7 @@
 import org.almondslip.directory.RoutingTable;
 import org.almondslip.directory.ServicePolicy;
 import org.almondslip.directory.TargetRecord;
+import org.almondslip.residency.AllowedRegions;
 import org.almondslip.resource.Closer;
 import org.almondslip.time.Clock;
 
@@ -45,6 +50,12 @@
 
   private final TestClock clock = new TestClock();
 
+  /** Event loop of the latest router. */
+  private volatile Vertx eventLoop;
+
+  /** Directory of the latest router. */
+  private volatile Directory latestDirectory;
+
   /** System clock whose wall time a test can advance, and that can block its reader once. */
   static final class TestClock implements Clock {
 
@@ -117,6 +128,32 @@
    * @return the router
    */
   Gateway gateway(RouteKind kind, int attempts, ScriptedTarget... targets) {
+    List<TargetRecord> records = new ArrayList<>();
+    for (int i = 0; i < targets.length; i++) {
+      records.add(targets[i].record("t" + i));
+    }
+    return gateway(
+        table(1, kind, attempts, AllowedRegions.ANY, AllowedRegions.ANY),
+        TestHeaderCodec.INSTANCE,
+        records);
+  }
+
+  /**
+   * Returns a table with one route, whose API key is {@code secret}.
+   *
+   * @param version the version
+   * @param kind the kind of the route
+   * @param attempts the maximum number of attempts per request
+   * @param ofRoute the regions that the route allows
+   * @param ofOrganisation the regions that the organisation of the key allows
+   * @return the table
+   */
+  RoutingTable table(
+      long version,
+      RouteKind kind,
+      int attempts,
+      AllowedRegions ofRoute,
+      AllowedRegions ofOrganisation) {
     Route route =
         new Route(
             "r",
@@ -128,24 +165,44 @@
             1,
             List.of(new Route.Share("s", 1)),
             attempts,
-            false);
-    RoutingTable table =
-        new RoutingTable(
-            1,
-            List.of(route),
-            List.of(new ServicePolicy("s", 0)),
-            Map.of("secret", new Organisation("org", OptionalInt.empty())),
-            true,
-            new IngressLimits(8_192, 65_536, 3_000, idleTimeoutMillis));
+            false,
+            ofRoute);
+    return new RoutingTable(
+        version,
+        List.of(route),
+        List.of(new ServicePolicy("s", 0)),
+        Map.of("secret", new Organisation("org", OptionalInt.empty(), ofOrganisation)),
+        true,
+        new IngressLimits(8_192, 65_536, 3_000, idleTimeoutMillis));
+  }
+
+  /** Runs a task with the directory of the latest router on its event loop. */
+  void updateDirectory(Consumer<Directory> task) {
+    CompletableFuture<Void> done = new CompletableFuture<>();
+    eventLoop.runOnContext(
+        ignored -> {
+          task.accept(latestDirectory);
+          done.complete(null);
+        });
+    done.join();
+  }
+
+  /**
+   * Starts a router.
+   *
+   * @param table the routing table
+   * @param codec reads and writes headers
+   * @param records the targets
+   * @return the router
+   */
+  Gateway gateway(RoutingTable table, HeaderCodec codec, List<TargetRecord> records) {
     DirectorySource source =
         new DirectorySource() {
           @Override
           public void start(Directory directory, PeerAddressListener peers) {
+            latestDirectory = directory;
             directory.onTable(table);
-            for (int i = 0; i < targets.length; i++) {
-              TargetRecord record = targets[i].record("t" + i);
-              directory.onTarget(record);
-            }
+            records.forEach(directory::onTarget);
             directory.onListed(Set.of(), 0);
             directory.routesFreshness().confirm(directory.routesFreshness().timestamp());
           }
@@ -174,7 +231,14 @@
             1,
             0);
     Gateway gateway =
-        new Gateway(settings, clock, TestHeaderCodec.INSTANCE, (vertx, time) -> source);
+        new Gateway(
+            settings,
+            clock,
+            codec,
+            (vertx, time) -> {
+              eventLoop = vertx;
+              return source;
+            });
     gateway.start();
     return gateway;
   }
--- a/gateway/src/test/java/org/almondslip/gateway/ScriptedTarget.java
+++ b/gateway/src/test/java/org/almondslip/gateway/ScriptedTarget.java
@@ -56,6 +56,22 @@
         id, "s", "127.0.0.1", server.getLocalPort(), "dc", 4, TargetRecord.State.READY, 0, 1);
   }
 
+  /** Returns the directory entry of the target in a data centre of a region. */
+  TargetRecord record(String id, String dataCentre, String region) {
+    return new TargetRecord(
+        id,
+        "s",
+        "127.0.0.1",
+        server.getLocalPort(),
+        dataCentre,
+        region,
+        4,
+        TargetRecord.State.READY,
+        0,
+        0,
+        1);
+  }
+
   /** Returns the request heads in lower case, in the order of their arrival. */
   List<String> requests() {
     return requests;
