Apply the region rules in force when the headers of a request arrived

Cause: a rule that ended while the body arrived did not bind the request, and a misspelt region stayed unnoticed.

--- a/core/src/main/java/org/almondslip/directory/RequestRegions.java
+++ b/core/src/main/java/org/almondslip/directory/RequestRegions.java
@@ -30,15 +30,18 @@
   private AllowedRegions allowed;
 
   /**
-   * Creates the rules of a request that has just arrived.
+   * Creates the rules of a request.
    *
    * @param tables returns the current routing table
+   * @param arrivalTable the routing table when the headers of the request arrived; that of its
+   *     route may be later, since a body may take seconds to arrive
    * @param route the route of the request
    * @param organisation the organisation of the request, empty without one
    * @param apiKey the API key of the request, empty without one
    */
   public RequestRegions(
       Supplier<Optional<RoutingTable>> tables,
+      Optional<RoutingTable> arrivalTable,
       Route route,
       Optional<Organisation> organisation,
       Optional<String> apiKey) {
@@ -49,7 +52,8 @@
     this.atArrival =
         route
             .allowedRegions()
-            .and(organisation.map(Organisation::allowedRegions).orElse(AllowedRegions.ANY));
+            .and(organisation.map(Organisation::allowedRegions).orElse(AllowedRegions.ANY))
+            .and(arrivalTable.map(this::allowedBy).orElse(AllowedRegions.ANY));
     this.allowed = atArrival;
   }
 
@@ -62,16 +66,22 @@
     Optional<RoutingTable> current = tables.get();
     if (current.isPresent() && (checkedTable.isEmpty() || checkedTable.get() != current.get())) {
       checkedTable = current;
-      AllowedRegions ofKey =
-          apiKey
-              .flatMap(current.get()::organisation)
-              .map(Organisation::allowedRegions)
-              .orElse(AllowedRegions.ANY);
-      allowed = atArrival.and(current.get().allowedRegions(route, organisation)).and(ofKey);
+      allowed = atArrival.and(allowedBy(current.get()));
     }
     return allowed;
   }
 
+  /** Returns the regions that a table allows; a renamed organisation is found by its key. */
+  private AllowedRegions allowedBy(RoutingTable table) {
+    return table
+        .allowedRegions(route, organisation)
+        .and(
+            apiKey
+                .flatMap(table::organisation)
+                .map(Organisation::allowedRegions)
+                .orElse(AllowedRegions.ANY));
+  }
+
   /**
    * Returns whether the request may be sent to a target.
    *
--- a/core/src/main/java/org/almondslip/directory/RoutingTable.java
+++ b/core/src/main/java/org/almondslip/directory/RoutingTable.java
@@ -7,6 +7,9 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.TreeSet;
 import org.almondslip.residency.AllowedRegions;
 
 /** Immutable snapshot of all routes, services and organisations at one version. */
@@ -167,6 +170,29 @@
                 .orElse(AllowedRegions.ANY));
   }
 
+  /**
+   * Returns the regions that restrictions name but no data centre is in. They allow no target.
+   *
+   * @param known the regions of all data centres
+   * @return the other regions by the route or organisation that names them
+   */
+  public Map<String, Set<String>> unknownRegions(Set<String> known) {
+    Map<String, Set<String>> unknown = new TreeMap<>();
+    regionsByRoute.forEach((name, regions) -> addUnknown(unknown, "route " + name, regions, known));
+    regionsByOrganisation.forEach(
+        (name, regions) -> addUnknown(unknown, "organisation " + name, regions, known));
+    return unknown;
+  }
+
+  private static void addUnknown(
+      Map<String, Set<String>> unknown, String owner, AllowedRegions regions, Set<String> known) {
+    Set<String> names = new TreeSet<>(regions.names());
+    names.removeAll(known);
+    if (!names.isEmpty()) {
+      unknown.put(owner, names);
+    }
+  }
+
   /**
    * Returns whether requests on a route require an API key.
    *
--- a/core/src/main/java/org/almondslip/residency/AllowedRegions.java
+++ b/core/src/main/java/org/almondslip/residency/AllowedRegions.java
@@ -47,6 +47,15 @@
     return regions.isPresent();
   }
 
+  /**
+   * Returns the listed regions.
+   *
+   * @return the names of the allowed regions, empty without a restriction
+   */
+  public Set<String> names() {
+    return regions.orElse(Set.of());
+  }
+
   /**
    * Combines two restrictions, both of which bind.
    *
--- a/core/src/test/java/org/almondslip/directory/RequestRegionsTest.java
+++ b/core/src/test/java/org/almondslip/directory/RequestRegionsTest.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalInt;
+import java.util.Set;
 import org.almondslip.residency.AllowedRegions;
 import org.junit.jupiter.api.Test;
 
@@ -21,6 +22,8 @@
 
   private Optional<RoutingTable> table = Optional.empty();
 
+  private Optional<RoutingTable> arrivalTable = Optional.empty();
+
   /** Guards against a request that leaves the region of its route or of its organisation. */
   @Test
   void routeAndOrganisationBothBind() {
@@ -63,6 +66,28 @@
     assertThat(regions.allowed()).isEqualTo(NORTH);
   }
 
+  /** Guards against a rule that a request escapes since it ends while the body arrives. */
+  @Test
+  void rulesAtArrivalOfHeadersBind() {
+    Route restricted = route("r", BOTH);
+    arrivalTable = Optional.of(table(1, List.of(restricted), Map.of("key", known("o", SOUTH))));
+    setTable(2, route("r", AllowedRegions.ANY), "key", organisation("o", AllowedRegions.ANY));
+    assertThat(
+            regions(route("r", AllowedRegions.ANY), organisation("o", AllowedRegions.ANY))
+                .allowed())
+        .isEqualTo(SOUTH);
+  }
+
+  /** Guards against a restriction to an unknown region that nobody notices. */
+  @Test
+  void namesUnknownRegions() {
+    RoutingTable misspelt =
+        table(1, List.of(route("r", BOTH)), Map.of("key", known("o", AllowedRegions.ANY)));
+    assertThat(misspelt.unknownRegions(Set.of("north", "south"))).isEmpty();
+    assertThat(misspelt.unknownRegions(Set.of("north")))
+        .isEqualTo(Map.of("route r", Set.of("south")));
+  }
+
   /** Guards against a restriction that a request escapes since its route is renamed with it. */
   @Test
   void findsRenamedRouteByItsLocation() {
@@ -93,7 +118,7 @@
   }
 
   private RequestRegions regions(Route route, Optional<Organisation> organisation) {
-    return new RequestRegions(() -> table, route, organisation, Optional.of("key"));
+    return new RequestRegions(() -> table, arrivalTable, route, organisation, Optional.of("key"));
   }
 
   private void setTable(
@@ -125,7 +150,11 @@
   }
 
   private static Optional<Organisation> organisation(String name, AllowedRegions regions) {
-    return Optional.of(new Organisation(name, OptionalInt.empty(), regions));
+    return Optional.of(known(name, regions));
+  }
+
+  private static Organisation known(String name, AllowedRegions regions) {
+    return new Organisation(name, OptionalInt.empty(), regions);
   }
 
   private static TargetRecord target(String region) {
--- a/gateway/src/main/java/org/almondslip/gateway/CallerRequestHandler.java
+++ b/gateway/src/main/java/org/almondslip/gateway/CallerRequestHandler.java
@@ -51,18 +51,20 @@
    *
    * @param earliest the earliest time at which they may have arrived, in milliseconds
    * @param maxUnreadMillis the maximum time for which they may have waited unread, in milliseconds
+   * @param table the routing table in force, empty if none is known
    */
-  private record Arrival(long earliest, long maxUnreadMillis) {
+  private record Arrival(long earliest, long maxUnreadMillis, Optional<RoutingTable> table) {
 
     /**
      * Estimates the arrival of headers that are read now.
      *
      * @param now the current time in milliseconds
      * @param delayMillis the delay of the event loop in milliseconds
+     * @param table the routing table in force, empty if none is known
      * @return the arrival
      */
-    private static Arrival of(long now, long delayMillis) {
-      return new Arrival(now - delayMillis, delayMillis);
+    private static Arrival of(long now, long delayMillis, Optional<RoutingTable> table) {
+      return new Arrival(now - delayMillis, delayMillis, table);
     }
   }
 
@@ -148,7 +150,8 @@
 
   /** Handles a request whose headers have arrived. */
   void onRequest(HttpServerRequest request) {
-    final Arrival arrival = Arrival.of(context.clock().millis(), eventLoopDelay.millis());
+    final Arrival arrival =
+        Arrival.of(context.clock().millis(), eventLoopDelay.millis(), directory.table());
     if (connections.isRejected(request.connection())) {
       return;
     }
@@ -166,7 +169,7 @@
       refuse(request, response, ErrorCode.DRAINING, ErrorCode.DRAINING.title());
       return;
     }
-    Optional<RoutingTable> table = directory.table();
+    Optional<RoutingTable> table = arrival.table();
     if (table.isEmpty()) {
       refuse(request, response, ErrorCode.NOT_READY, "no routes are known yet");
       return;
@@ -291,7 +294,8 @@
             Arrays.hashCode(body.getBytes()) * 31L
                 + Objects.hash(request.method(), request.uri(), decoded.apiKey()));
     RequestRegions regions =
-        new RequestRegions(directory::table, route, organisation, decoded.apiKey());
+        new RequestRegions(
+            directory::table, arrival.table(), route, organisation, decoded.apiKey());
     if (eventLoopDelay.hasBacklog()) {
       afterNextRead(() -> startUnlessDisconnected(request, response, inbound, regions));
     } else {
--- a/gateway/src/test/java/org/almondslip/gateway/ResidencyTest.java
+++ b/gateway/src/test/java/org/almondslip/gateway/ResidencyTest.java
@@ -4,6 +4,8 @@
 
 import io.vertx.core.MultiMap;
 import java.io.IOException;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Set;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -185,6 +187,27 @@
     assertThat(near.requests()).isEmpty();
   }
 
+  /** Guards against a body that leaves the region which was allowed when its headers arrived. */
+  @Test
+  void ruleThatEndsWhileTheBodyArrivesBinds() throws IOException {
+    ScriptedTarget south = target(COMPLETE);
+    Gateway gateway =
+        harness.gateway(
+            table(1, NORTH), TestHeaderCodec.INSTANCE, List.of(south.record("s", "dc", "south")));
+    String request = GatewayHarness.request("Expect: 100-continue\r\n");
+    try (Socket socket = new Socket("127.0.0.1", gateway.port())) {
+      int head = request.length() - 2;
+      ScriptedTarget.write(socket, request.substring(0, head));
+      // The router has read the headers once it asks for the body.
+      assertThat(socket.getInputStream().read()).isEqualTo('H');
+      harness.updateDirectory(directory -> directory.onTable(table(2, AllowedRegions.ANY)));
+      ScriptedTarget.write(socket, request.substring(head));
+      assertThat(new String(socket.getInputStream().readAllBytes(), StandardCharsets.ISO_8859_1))
+          .contains("503", "no_target (region)");
+    }
+    assertThat(south.connections()).isZero();
+  }
+
   /** Guards against a retry in a data centre that is evacuated, or in another region. */
   @Test
   void retryObeysEvacuationAndRegions() throws IOException {
