Limit the requests to cold targets by permits of few routers

Cause: a target that has just started or recovered fails under the full load of all routers, and an equal share for each of 410 routers would be far below one request.

Change: new package pace. Evidence (entry, start during traffic, health response, report of another router, consecutive connection failures, evacuation that was taken back) decides whether a target is cold. Rendezvous hashing selects up to four routers, each of which takes permits at a fixed interval; new requests and retries need one. A dispatched request is held back if its target has become cold or its permit is older than 500 ms. Admission counts the permits that the jobs ahead will take.

Missing: health probes, ramp-up window, metrics, docs.

--- a/core/src/main/java/org/almondslip/directory/TargetRecord.java
+++ b/core/src/main/java/org/almondslip/directory/TargetRecord.java
@@ -64,6 +64,15 @@
     DRAINING
   }
 
+  /**
+   * Returns a key of this incarnation that is the same on all routers.
+   *
+   * @return a hash of the id and the start time of the target
+   */
+  public long incarnationKey() {
+    return (long) id.hashCode() << Integer.SIZE ^ Long.hashCode(startMillis);
+  }
+
   /**
    * Returns whether another record describes the same incarnation.
    *
--- a/core/src/main/java/org/almondslip/dispatch/Dispatcher.java
+++ b/core/src/main/java/org/almondslip/dispatch/Dispatcher.java
@@ -359,6 +359,7 @@
     share(job.service()).onServed(job.organisation(), cost, now);
     queue(job.service()).charge(job, now);
     statistics.onSent(job.service(), job.organisation(), cost);
+    choice.load().pace().takePermit(now);
     job.send(choice.load(), choice.expectedDelayMillis());
   }
 
--- a/core/src/main/java/org/almondslip/dispatch/JobAdmission.java
+++ b/core/src/main/java/org/almondslip/dispatch/JobAdmission.java
@@ -55,6 +55,9 @@
       return Optional.of(RefusalReason.EXPECTED_WAIT);
     }
     long now = clock.millis();
+    if (now + PermitWait.millis(available.all(), job::permits, queue.size(), now) >= job.dueAt()) {
+      return Optional.of(RefusalReason.EXPECTED_WAIT);
+    }
     ShareStatus status = share.status(job.organisation(), now);
     if (!available.forPrompt(job.prompt(), status).isEmpty()) {
       // The queued jobs wait for targets that cache their segments; this job can use another one.
--- a/core/src/main/java/org/almondslip/placement/TargetLoad.java
+++ b/core/src/main/java/org/almondslip/placement/TargetLoad.java
@@ -5,6 +5,8 @@
 import java.util.List;
 import java.util.Map;
 import org.almondslip.directory.TargetRecord;
+import org.almondslip.pace.ColdPermit;
+import org.almondslip.pace.TargetPace;
 
 /**
  * Load of one target as known to this router. Requests of this router count immediately, those of
@@ -35,6 +37,8 @@
   /** Prompt segments that the target caches. */
   private final PrefixCache cache;
 
+  private final TargetPace pace;
+
   /** Pending prefill tokens of this router. */
   private long ownPendingPrefillTokens;
 
@@ -84,8 +88,29 @@
    * @param cacheTokens the capacity of its prefix cache in tokens, 0 if it is not an engine
    */
   public TargetLoad(TargetRecord record, long cacheTokens) {
+    this(record, cacheTokens, TargetPace.unlimited(record));
+  }
+
+  /**
+   * Creates the load of an idle target with a pace.
+   *
+   * @param record the directory entry of the target
+   * @param cacheTokens the capacity of its prefix cache in tokens, 0 if it is not an engine
+   * @param pace the pace of its requests
+   */
+  public TargetLoad(TargetRecord record, long cacheTokens, TargetPace pace) {
     this.record = record;
     this.cache = new PrefixCache(cacheTokens);
+    this.pace = pace;
+  }
+
+  /**
+   * Returns the pace of the requests to the target.
+   *
+   * @return the pace, which this router shares between all requests
+   */
+  public TargetPace pace() {
+    return pace;
   }
 
   /**
@@ -112,7 +137,7 @@
    * @return a hash of the id and the start time of the target
    */
   public long incarnationKey() {
-    return (long) record.id().hashCode() << Integer.SIZE ^ Long.hashCode(record.startMillis());
+    return record.incarnationKey();
   }
 
   /**
@@ -287,6 +312,7 @@
   /** Records that the target served a request. */
   public void onSuccess() {
     failures = 0;
+    pace.onResponse();
   }
 
   /**
@@ -337,20 +363,31 @@
    * Returns whether the target accepts new requests now.
    *
    * @param now the current time in milliseconds
-   * @return false if it is not in service or has asked for a pause
+   * @return false if it is not in service, has asked for a pause or is cold without a permit
    */
   public boolean acceptsRequests(long now) {
     return isInService() && remainingPauseMillis(now) == 0;
   }
 
   /**
-   * Returns the rest of the pause that the target has asked for.
+   * Returns whether a request that was dispatched to the target may still be sent.
+   *
+   * @param permit the permit that was taken for the request
+   * @param now the current time in milliseconds
+   * @return false if the target no longer accepts requests for which no permit was taken
+   */
+  public boolean acceptsDispatched(ColdPermit permit, long now) {
+    return isInService() && now >= pausedUntil && pace.allows(permit, now);
+  }
+
+  /**
+   * Returns the rest of the pause that the target has asked for or that its pace requires.
    *
    * @param now the current time in milliseconds
    * @return the time in milliseconds, 0 without a pause
    */
   public long remainingPauseMillis(long now) {
-    return now >= pausedUntil ? 0 : pausedUntil - now;
+    return Math.max(now >= pausedUntil ? 0 : pausedUntil - now, pace.waitMillis(now));
   }
 
   /**
--- a/core/src/main/java/org/almondslip/report/ReportReader.java
+++ b/core/src/main/java/org/almondslip/report/ReportReader.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import org.almondslip.dispatch.DispatchStatistics;
 import org.almondslip.dispatch.Dispatcher;
+import org.almondslip.pace.PaceStatus;
 import org.almondslip.placement.Prompt;
 import org.almondslip.protocol.wire.LoadReport;
 import org.almondslip.protocol.wire.PromptCrash;
@@ -41,6 +42,9 @@
   /** Maximum number of running requests that a router reports for one target. */
   private static final int MAX_REQUESTS = 100_000;
 
+  /** Maximum number of decreases of a window, which a target that decreases it for days reaches. */
+  private static final int MAX_DECREASES = 1_000_000;
+
   private final Dispatcher dispatcher;
 
   private final CrashQuarantine quarantine;
@@ -89,6 +93,7 @@
                     target.onPeerReport(
                         report.getRouter(), load.getUnreadTokens(), load.getRequests(), now));
       }
+      readPace(report.getRouter(), load, now);
     }
     for (SuspectNotice notice : report.getSuspectsList()) {
       quarantine.onCrash(notice.getFingerprint(), notice.getCrashId().hashCode());
@@ -104,6 +109,19 @@
     }
   }
 
+  /** Applies what a report says about the pace of a target. */
+  private void readPace(String router, TargetReport report, long now) {
+    if (isWithin(report.getColdMillis(), Integer.MAX_VALUE)
+        && isWithin(report.getWindow(), MAX_REQUESTS)
+        && isWithin(report.getWindowDecreases(), MAX_DECREASES)) {
+      PaceStatus status =
+          new PaceStatus(report.getColdMillis(), report.getWindow(), report.getWindowDecreases());
+      dispatcher
+          .target(report.getTarget())
+          .ifPresent(target -> target.pace().onPeerReport(router, status, now));
+    }
+  }
+
   private void readSegments(LoadReport report, long now) {
     for (PromptCrash crash : report.getCrashesList()) {
       if (isWithin(crash.getAgeMillis(), MAX_AGE_MILLIS)
--- a/core/src/main/java/org/almondslip/report/ReportWriter.java
+++ b/core/src/main/java/org/almondslip/report/ReportWriter.java
@@ -7,6 +7,8 @@
 import java.util.Map;
 import org.almondslip.dispatch.DispatchStatistics;
 import org.almondslip.dispatch.Dispatcher;
+import org.almondslip.pace.PaceStatus;
+import org.almondslip.pace.ReportedPace;
 import org.almondslip.placement.Prompt;
 import org.almondslip.placement.TargetLoad;
 import org.almondslip.protocol.wire.LoadReport;
@@ -46,6 +48,8 @@
 
   private final Dispatcher dispatcher;
 
+  private final Clock clock;
+
   /** Number of reports after which an unchanged load is included again. */
   private final int refreshReports;
 
@@ -70,6 +74,8 @@
 
     private int requests;
 
+    private final ReportedPace pace = new ReportedPace();
+
     /** Number of remaining reports that include this change. */
     private int remainingReports;
 
@@ -77,8 +83,10 @@
     private int omittedReports;
 
     /** Records the current load and returns whether the next report includes it. */
-    private boolean update(TargetLoad target, int refreshReports) {
-      if (pendingPrefillTokens != target.ownPendingPrefillTokens()
+    private boolean update(TargetLoad target, int refreshReports, long now) {
+      boolean paceChanged = pace.update(target.pace().status(now), now);
+      if (paceChanged
+          || pendingPrefillTokens != target.ownPendingPrefillTokens()
           || requests != target.ownRequests()) {
         pendingPrefillTokens = target.ownPendingPrefillTokens();
         requests = target.ownRequests();
@@ -94,7 +102,7 @@
     }
 
     private boolean isIdle() {
-      return requests == 0 && remainingReports <= 0;
+      return requests == 0 && remainingReports <= 0 && pace.last().equals(PaceStatus.NONE);
     }
   }
 
@@ -131,6 +139,7 @@
     this.routerName = routerName;
     this.incarnation = incarnation;
     this.dispatcher = dispatcher;
+    this.clock = clock;
     this.segments = new SegmentReporter(clock, segmentQuarantine);
     this.refreshReports = refreshReports;
   }
@@ -227,22 +236,28 @@
    * ended is included a few times and then forgotten.
    */
   private void addTargets(ReportPacker packer) {
+    long now = clock.millis();
     for (TargetLoad target : dispatcher.targets()) {
       long key = target.incarnationKey();
       ReportedLoad load = reportedLoads.get(key);
-      if (load == null && target.ownRequests() == 0) {
+      if (load == null
+          && target.ownRequests() == 0
+          && target.pace().status(now).equals(PaceStatus.NONE)) {
         continue;
       }
       if (load == null) {
         load = new ReportedLoad();
         reportedLoads.put(key, load);
       }
-      if (load.update(target, refreshReports)) {
+      if (load.update(target, refreshReports, now)) {
         packer.add(
             TargetReport.newBuilder()
                 .setTarget(key)
                 .setUnreadTokens((int) Math.min(load.pendingPrefillTokens, Integer.MAX_VALUE))
                 .setRequests(load.requests)
+                .setColdMillis((int) load.pace.last().coldMillis())
+                .setWindow(load.pace.last().window())
+                .setWindowDecreases(load.pace.last().decreases())
                 .build());
       }
       if (load.isIdle()) {
--- a/gateway/src/main/java/org/almondslip/gateway/DirectoryChanges.java
+++ b/gateway/src/main/java/org/almondslip/gateway/DirectoryChanges.java
@@ -4,12 +4,15 @@
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.BooleanSupplier;
 import org.almondslip.directory.Directory;
 import org.almondslip.directory.RoutingTable;
 import org.almondslip.directory.ServicePolicy;
 import org.almondslip.directory.TargetRecord;
 import org.almondslip.dispatch.Dispatcher;
+import org.almondslip.pace.FleetPace;
 import org.almondslip.placement.TargetLoad;
+import org.almondslip.time.Clock;
 
 /** Applies changes of the directory to the dispatcher and to the connections to targets. */
 final class DirectoryChanges implements Directory.Listener {
@@ -20,6 +23,13 @@
 
   private final TargetConnectionPool connections;
 
+  private final FleetPace fleetPace;
+
+  private final Clock clock;
+
+  /** Whether the directory is complete. */
+  private final BooleanSupplier complete;
+
   /** Maximum number of removed targets that are remembered, each with its cached segments. */
   private static final int MAX_REMOVED = 100;
 
@@ -32,14 +42,32 @@
   /** Latest table, empty before the first one. */
   private Optional<RoutingTable> table = Optional.empty();
 
-  DirectoryChanges(Dispatcher dispatcher, TargetConnectionPool connections) {
+  /**
+   * Creates a receiver of changes.
+   *
+   * @param dispatcher the dispatcher
+   * @param connections the connections to targets
+   * @param fleetPace the pace of targets
+   * @param clock the source of time
+   * @param complete whether the directory is complete; a target that appears then has just started
+   */
+  DirectoryChanges(
+      Dispatcher dispatcher,
+      TargetConnectionPool connections,
+      FleetPace fleetPace,
+      Clock clock,
+      BooleanSupplier complete) {
     this.dispatcher = dispatcher;
     this.connections = connections;
+    this.fleetPace = fleetPace;
+    this.clock = clock;
+    this.complete = complete;
   }
 
   @Override
   public void onTable(RoutingTable next) {
     table = Optional.of(next);
+    fleetPace.onTable(next);
     logger.atInfo().log(
         "applied routing table version %d with %d routes", next.version(), next.routeCount());
   }
@@ -55,6 +83,7 @@
             .findFirst();
     if (known.isPresent()) {
       known.get().update(target);
+      known.get().pace().onEntry(target.coldMillis(), clock.millis());
     } else {
       dispatcher.add(recallOrCreate(target));
     }
@@ -69,12 +98,15 @@
 
   /** Returns the load of a target whose entry has returned, or of a new target. */
   private TargetLoad recallOrCreate(TargetRecord target) {
-    TargetLoad created = new TargetLoad(target, kvCapacityTokens(target.service()));
-    TargetLoad known = removed.remove(created.incarnationKey());
+    TargetLoad known = removed.remove(target.incarnationKey());
     if (known == null || !known.record().isSameIncarnation(target)) {
-      return created;
+      return new TargetLoad(
+          target,
+          kvCapacityTokens(target.service()),
+          fleetPace.create(target, complete.getAsBoolean(), clock.millis()));
     }
     known.update(target);
+    known.pace().onEntry(target.coldMillis(), clock.millis());
     return known;
   }
 
--- a/gateway/src/main/java/org/almondslip/gateway/Gateway.java
+++ b/gateway/src/main/java/org/almondslip/gateway/Gateway.java
@@ -17,6 +17,7 @@
 import org.almondslip.dispatch.DispatchLimits;
 import org.almondslip.dispatch.Dispatcher;
 import org.almondslip.metrics.OperationsServer;
+import org.almondslip.pace.FleetPace;
 import org.almondslip.placement.EngineModel;
 import org.almondslip.placement.Placement;
 import org.almondslip.process.Program;
@@ -87,6 +88,8 @@
 
   private final Dispatcher dispatcher;
 
+  private final FleetPace fleetPace;
+
   private final PeerExchange peerExchange;
 
   private final TargetConnectionPool targetConnections;
@@ -105,6 +108,8 @@
 
   private final QuarantineLog quarantineLog = new QuarantineLog();
 
+  private final PaceLog paceLog = new PaceLog();
+
   private final SegmentQuarantine segmentQuarantine;
 
   private final EventLoopDelay eventLoopDelay;
@@ -163,6 +168,12 @@
     this.segmentQuarantine = new SegmentQuarantine(clock, settings.instance(), quarantineLog);
     final long incarnation = clock.wallMillis();
     FleetAllowance retryAllowance = new FleetAllowance(settings.fleetRetryAllowance());
+    this.fleetPace =
+        new FleetPace(
+            settings.instance(),
+            settings.coldRequestFactor(),
+            settings.coldRequestAllowance(),
+            paceLog);
     this.peerExchange =
         new PeerExchange(
             vertx,
@@ -180,12 +191,18 @@
             new CacheExchange(clock, settings.instance(), incarnation, dispatcher),
             crashQuarantine,
             segmentQuarantine,
-            retryAllowance);
+            retryAllowance,
+            fleetPace,
+            clock);
     this.targetConnections = new TargetConnectionPool(vertx, clock);
     this.callerConnections =
         new CallerConnections(
             clock, (int) (settings.maxDescriptors() * CALLER_DESCRIPTOR_FRACTION));
-    this.directory = new Directory(clock, new DirectoryChanges(dispatcher, targetConnections));
+    this.directory =
+        new Directory(
+            clock,
+            new DirectoryChanges(
+                dispatcher, targetConnections, fleetPace, clock, this::isDirectoryComplete));
     this.eventLoopDelay = new EventLoopDelay(clock, TICK_MILLIS);
     this.overloadDetector = new OverloadDetector(clock, settings.maxEventLoopDelayMillis());
     this.source = sourceFactory.create(vertx, clock);
@@ -310,6 +327,10 @@
     closer.close();
   }
 
+  private boolean isDirectoryComplete() {
+    return directory.isComplete();
+  }
+
   /** Returns why the router is not ready, empty when it is ready. */
   private Optional<String> unreadyReason() {
     if (draining) {
@@ -362,6 +383,7 @@
     overloadDetector.addSample(eventLoopDelay.millis());
     directory.tick();
     segmentQuarantine.tick();
+    fleetPace.tick(clock.millis());
     dispatcher.tick();
   }
 
--- a/gateway/src/main/java/org/almondslip/gateway/PeerExchange.java
+++ b/gateway/src/main/java/org/almondslip/gateway/PeerExchange.java
@@ -5,12 +5,15 @@
 import io.vertx.core.Vertx;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.IntFunction;
 import org.almondslip.budget.FleetAllowance;
 import org.almondslip.directory.Address;
+import org.almondslip.pace.FleetPace;
 import org.almondslip.placement.Prompt;
 import org.almondslip.placement.TargetLoad;
 import org.almondslip.protocol.wire.LoadReport;
@@ -20,6 +23,7 @@
 import org.almondslip.report.CacheExchange;
 import org.almondslip.report.ReportReader;
 import org.almondslip.report.ReportWriter;
+import org.almondslip.time.Clock;
 
 /**
  * Exchanges load reports with the other routers, so that each places requests by the load of all.
@@ -83,6 +87,13 @@
 
   private long ticksSinceDistantReport;
 
+  private final FleetPace fleetPace;
+
+  private final Clock clock;
+
+  /** Names of the routers that are in the list, possibly including this one. */
+  private final Set<String> listedRouters = new HashSet<>();
+
   /** Whether the complete list of routers has been received. */
   private boolean listed;
 
@@ -101,6 +112,8 @@
    * @param crashes the quarantine of requests that crash targets
    * @param segmentQuarantine the quarantine of prompt segments that crash targets
    * @param retryAllowance the retries that all routers share
+   * @param fleetPace the pace of targets, which depends on the list of routers
+   * @param clock the source of time
    */
   PeerExchange(
       Vertx vertx,
@@ -111,7 +124,9 @@
       CacheExchange cacheExchange,
       CrashQuarantine crashes,
       SegmentQuarantine segmentQuarantine,
-      FleetAllowance retryAllowance) {
+      FleetAllowance retryAllowance,
+      FleetPace fleetPace,
+      Clock clock) {
     this.vertx = vertx;
     this.name = name;
     this.region = region;
@@ -122,6 +137,8 @@
     this.crashes = crashes;
     this.segmentQuarantine = segmentQuarantine;
     this.retryAllowance = retryAllowance;
+    this.fleetPace = fleetPace;
+    this.clock = clock;
   }
 
   private static PeerGroup newGroup(IntFunction<ReportWriter> writers, long intervalMillis) {
@@ -165,6 +182,8 @@
     Optional<Address> parsed = address.flatMap(Address::parse).filter(to -> to.port() > 0);
     nearby.remove(peer);
     distant.remove(peer);
+    listedRouters.remove(peer);
+    parsed.ifPresent(to -> listedRouters.add(peer));
     if (!peer.equals(name) && parsed.isPresent()) {
       PeerGroup group = peerRegion.equals(region) ? nearby : distant;
       group.put(peer, new InetSocketAddress(parsed.get().host(), parsed.get().port()));
@@ -178,6 +197,7 @@
   public void onPeersListed() {
     listed = true;
     retryAllowance.setRouters(peerCount() + 1);
+    fleetPace.onRouters(listedRouters, clock.millis());
     logger.atInfo().atMostEvery(1, TimeUnit.SECONDS).log(
         "sending reports to %d routers, retry allowance %.2f",
         peerCount(), retryAllowance.perRouter());
--- a/gateway/src/main/java/org/almondslip/gateway/TargetAttempt.java
+++ b/gateway/src/main/java/org/almondslip/gateway/TargetAttempt.java
@@ -7,6 +7,7 @@
 import io.vertx.core.http.HttpClientResponse;
 import io.vertx.core.http.RequestOptions;
 import java.util.Optional;
+import org.almondslip.pace.ColdPermit;
 import org.almondslip.placement.TargetLoad;
 
 /** Sends a request to a target once and forwards the response. */
@@ -40,6 +41,9 @@
   /** Expected time to the first event in milliseconds. */
   private final double expectedMillis;
 
+  /** Permit that was taken when the request was dispatched. */
+  private final ColdPermit permit;
+
   private Optional<TargetConnectionPool.Lease> lease = Optional.empty();
 
   private Optional<HttpClientResponse> response = Optional.empty();
@@ -77,6 +81,7 @@
     this.continuesStream = continuesStream;
     this.listener = listener;
     this.startedAt = context.clock().millis();
+    this.permit = target.pace().permit(startedAt);
     this.expectedMillis = context.expectedMillis(target, inbound.decoded().prompt());
     this.load = new AttemptLoad(context.dispatcher(), target, inbound.decoded().prompt());
     context.peerReporter().onSent(target, inbound.decoded().prompt());
@@ -95,9 +100,9 @@
             onNotConnected();
           } else if (ended) {
             acquired.result().discard();
-          } else if (!target.acceptsRequests(context.clock().millis())) {
+          } else if (!target.acceptsDispatched(permit, context.clock().millis())) {
             lease = Optional.of(acquired.result());
-            onNotSent("the target has asked for no further requests");
+            onNotSent("the target accepts no further requests");
           } else {
             lease = Optional.of(acquired.result());
             send(acquired.result());
@@ -349,6 +354,7 @@
   private void onNotConnected() {
     if (!ended) {
       target.onFailure(context.clock().millis());
+      target.pace().onConnectionFailure(context.clock().millis());
       onNotSent("the target could not be connected");
     }
   }
@@ -370,6 +376,7 @@
     }
     Optional<String> violation = lease.flatMap(TargetConnectionPool.Lease::violation);
     if (violation.isEmpty()) {
+      target.pace().onConnectionFailure(context.clock().millis());
       progress.onConnectionLost();
     }
     onResponseLost(violation.orElse(reason));
