--- a/gateway/src/main/java/org/almondslip/gateway/DirectoryChanges.java
+++ b/gateway/src/main/java/org/almondslip/gateway/DirectoryChanges.java
@@ -10,11 +10,13 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
+import java.util.function.BooleanSupplier;
 import org.almondslip.directory.Directory;
 import org.almondslip.directory.RoutingTable;
 import org.almondslip.directory.ServicePolicy;
 import org.almondslip.directory.TargetRecord;
 import org.almondslip.dispatch.Dispatcher;
+import org.almondslip.pace.FleetPace;
 import org.almondslip.placement.TargetLoad;
 import org.almondslip.time.Clock;
 
@@ -23,12 +25,17 @@
 
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
-  private final Clock clock;
-
   private final Dispatcher dispatcher;
 
   private final TargetConnectionPool connections;
 
+  private final FleetPace fleetPace;
+
+  private final Clock clock;
+
+  /** Whether the directory is complete. */
+  private final BooleanSupplier complete;
+
   /** Maximum number of removed targets that are remembered, each with its cached segments. */
   private static final int MAX_REMOVED = 100;
 
@@ -46,15 +53,32 @@
   /** Time at which the last evacuation was taken back, in milliseconds, by data centre. */
   private final Map<String, Long> evacuationEnds = new HashMap<>();
 
-  DirectoryChanges(Clock clock, Dispatcher dispatcher, TargetConnectionPool connections) {
-    this.clock = clock;
+  /**
+   * Creates a receiver of changes.
+   *
+   * @param clock the source of time
+   * @param dispatcher the dispatcher
+   * @param connections the connections to targets
+   * @param fleetPace the pace of targets
+   * @param complete whether the directory is complete; a target that appears then has just started
+   */
+  DirectoryChanges(
+      Clock clock,
+      Dispatcher dispatcher,
+      TargetConnectionPool connections,
+      FleetPace fleetPace,
+      BooleanSupplier complete) {
     this.dispatcher = dispatcher;
     this.connections = connections;
+    this.fleetPace = fleetPace;
+    this.clock = clock;
+    this.complete = complete;
   }
 
   @Override
   public void onTable(RoutingTable next) {
     table = Optional.of(next);
+    fleetPace.onTable(next);
     logger.atInfo().log(
         "applied routing table version %d with %d routes", next.version(), next.routeCount());
   }
@@ -71,6 +95,7 @@
     if (known.isPresent()) {
       known.get().update(target);
       applyEvacuation(known.get());
+      known.get().pace().onEntry(target.coldMillis(), clock.millis());
     } else {
       TargetLoad added = recallOrCreate(target);
       applyEvacuation(added);
@@ -130,12 +155,15 @@
 
   /** Returns the load of a target whose entry has returned, or of a new target. */
   private TargetLoad recallOrCreate(TargetRecord target) {
-    TargetLoad created = new TargetLoad(target, kvCapacityTokens(target.service()));
-    TargetLoad known = removed.remove(created.incarnationKey());
+    TargetLoad known = removed.remove(target.incarnationKey());
     if (known == null || !known.record().isSameIncarnation(target)) {
-      return created;
+      return new TargetLoad(
+          target,
+          kvCapacityTokens(target.service()),
+          fleetPace.create(target, complete.getAsBoolean(), clock.millis()));
     }
     known.update(target);
+    known.pace().onEntry(target.coldMillis(), clock.millis());
     return known;
   }
 
--- a/gateway/src/main/java/org/almondslip/gateway/ForwardedRequest.java
+++ b/gateway/src/main/java/org/almondslip/gateway/ForwardedRequest.java
@@ -13,6 +13,7 @@
 import org.almondslip.dispatch.Job;
 import org.almondslip.dispatch.RefusalReason;
 import org.almondslip.error.ErrorCode;
+import org.almondslip.pace.ColdPermit;
 import org.almondslip.placement.EngineModel;
 import org.almondslip.placement.Prompt;
 import org.almondslip.placement.TargetLoad;
@@ -232,7 +233,7 @@
   }
 
   @Override
-  public Optional<String> withholdReason(TargetLoad target) {
+  public Optional<String> withholdReason(TargetLoad target, ColdPermit permit) {
     if (!regions.permits(target.record())) {
       context.decisionLog().residency().onWithheld(inbound, target, Exclusion.REGION);
       return Optional.of("the region of the target is not allowed");
@@ -241,7 +242,7 @@
       context.decisionLog().residency().onWithheld(inbound, target, Exclusion.EVACUATION);
       return Optional.of("the data centre of the target is evacuated");
     }
-    return target.acceptsRequests(context.clock().millis())
+    return target.acceptsDispatched(permit, context.clock().millis())
         ? Optional.empty()
         : Optional.of("the target has asked for no further requests");
   }
--- a/gateway/src/main/java/org/almondslip/gateway/TargetAttempt.java
+++ b/gateway/src/main/java/org/almondslip/gateway/TargetAttempt.java
@@ -7,6 +7,7 @@
 import io.vertx.core.http.HttpClientResponse;
 import io.vertx.core.http.RequestOptions;
 import java.util.Optional;
+import org.almondslip.pace.ColdPermit;
 import org.almondslip.placement.TargetLoad;
 
 /** Sends a request to a target once and forwards the response. */
@@ -40,6 +41,9 @@
   /** Expected time to the first event in milliseconds. */
   private final double expectedMillis;
 
+  /** Permit that was taken when the request was dispatched. */
+  private final ColdPermit permit;
+
   private Optional<TargetConnectionPool.Lease> lease = Optional.empty();
 
   private Optional<HttpClientResponse> response = Optional.empty();
@@ -77,6 +81,7 @@
     this.continuesStream = continuesStream;
     this.listener = listener;
     this.startedAt = context.clock().millis();
+    this.permit = target.pace().permit(startedAt);
     this.expectedMillis = context.expectedMillis(target, inbound.decoded().prompt());
     this.load = new AttemptLoad(context.dispatcher(), target, inbound.decoded().prompt());
     context.peerReporter().onSent(target, inbound.decoded().prompt());
@@ -118,7 +123,7 @@
 
   /** Continues with the next step, unless the target must not get the request any more. */
   private void unlessWithheld(Runnable next) {
-    listener.withholdReason(target).ifPresentOrElse(this::onNotSent, next);
+    listener.withholdReason(target, permit).ifPresentOrElse(this::onNotSent, next);
   }
 
   private void send(TargetConnectionPool.Lease acquired) {
@@ -351,6 +356,7 @@
   private void onNotConnected() {
     if (!ended) {
       target.onFailure(context.clock().millis());
+      target.pace().onConnectionFailure(context.clock().millis());
       onNotSent("the target could not be connected");
     }
   }
@@ -372,6 +378,7 @@
     }
     Optional<String> violation = lease.flatMap(TargetConnectionPool.Lease::violation);
     if (violation.isEmpty()) {
+      target.pace().onConnectionFailure(context.clock().millis());
       progress.onConnectionLost();
     }
     onResponseLost(violation.orElse(reason));
--- a/gateway/src/main/java/org/almondslip/gateway/TargetAttemptListener.java
+++ b/gateway/src/main/java/org/almondslip/gateway/TargetAttemptListener.java
@@ -1,6 +1,7 @@
 package org.almondslip.gateway;
 
 import java.util.Optional;
+import org.almondslip.pace.ColdPermit;
 import org.almondslip.placement.TargetLoad;
 
 /** Receives the outcome of an attempt to forward a request to a target. */
@@ -13,9 +14,10 @@
    * Returns why the request must not be sent to a target to which a connection was established.
    *
    * @param target the target
+   * @param permit the permit that was taken for the request when it was dispatched
    * @return the reason, empty if the request may be sent now
    */
-  Optional<String> withholdReason(TargetLoad target);
+  Optional<String> withholdReason(TargetLoad target, ColdPermit permit);
 
   /**
    * Called when the request was not sent.
--- a/gateway/src/test/java/org/almondslip/gateway/DirectoryChangesTest.java
+++ b/gateway/src/test/java/org/almondslip/gateway/DirectoryChangesTest.java
@@ -7,6 +7,7 @@
 import org.almondslip.directory.TargetRecord;
 import org.almondslip.dispatch.DispatchLimits;
 import org.almondslip.dispatch.Dispatcher;
+import org.almondslip.pace.FleetPace;
 import org.almondslip.placement.EngineModel;
 import org.almondslip.placement.Placement;
 import org.almondslip.placement.TargetLoad;
@@ -30,7 +31,13 @@
 
   private final Directory directory =
       new Directory(
-          clock, new DirectoryChanges(clock, dispatcher, new TargetConnectionPool(vertx, clock)));
+          clock,
+          new DirectoryChanges(
+              clock,
+              dispatcher,
+              new TargetConnectionPool(vertx, clock),
+              FleetPace.unlimited(),
+              () -> true));
 
   @AfterEach
   void close() {
