--- a/core/src/test/java/org/almondslip/dispatch/ExclusionTest.java
+++ b/core/src/test/java/org/almondslip/dispatch/ExclusionTest.java
@@ -147,6 +147,22 @@
     assertThat(submit(job(2)).target()).contains(south);
   }
 
+  /** Guards against restricted requests that are queued too long since other regions are idle. */
+  @Test
+  void refusesRestrictedRequestsThatCannotBeOnTimeBehindOthers() {
+    TargetLoad north = add("a", "north");
+    add("b", "south");
+    north.onPeerReport("router-2", 9_000, 1, clock.millis());
+    int refused = 0;
+    for (int i = 0; i < 50; i++) {
+      TestJob job = submit(job(i).allow(NORTH));
+      assertThat(job.target()).isEmpty();
+      refused += job.refusal().isPresent() ? 1 : 0;
+    }
+    // The target prefills about ten of the 50 prompts within the objective.
+    assertThat(refused).isGreaterThan(25);
+  }
+
   /** Guards against a retry that is sent to an evacuated target, or waits until its deadline. */
   @Test
   void retryObeysEvacuation() {
--- a/gateway/src/main/java/org/almondslip/gateway/DirectoryChanges.java
+++ b/gateway/src/main/java/org/almondslip/gateway/DirectoryChanges.java
@@ -94,6 +94,7 @@
       evacuatedDataCentres.remove(dataCentre);
       evacuationEnds.put(dataCentre, clock.millis());
     }
+    // Attempts at removed targets may still be connecting.
     List<TargetLoad> affected = new ArrayList<>(dispatcher.targets());
     affected.addAll(removed.values());
     affected.removeIf(target -> !target.record().dataCentre().equals(dataCentre));
@@ -104,12 +105,6 @@
             : "evacuation of data centre %s was taken back: its %d targets may be used",
         dataCentre,
         affected.size());
-    if (!evacuated) {
-      affected.stream()
-          .map(target -> target.record().service())
-          .distinct()
-          .forEach(dispatcher::dispatchWaiting);
-    }
   }
 
   /** Applies the evacuation of its data centre to a target, also to one that has just appeared. */
--- a/gateway/src/test/java/org/almondslip/gateway/DirectoryChangesTest.java
+++ b/gateway/src/test/java/org/almondslip/gateway/DirectoryChangesTest.java
@@ -85,6 +85,16 @@
     assertThat(load("b").evacuationEndedAt()).hasValue(endedAt);
   }
 
+  /** Guards against an attempt that connects to a target removed before the evacuation. */
+  @Test
+  void marksRemovedTarget() {
+    directory.onTarget(target("a", "dc-a", 1));
+    TargetLoad removed = load("a");
+    directory.onRemoved("a", 2);
+    directory.onEvacuation("dc-a", true, 3);
+    assertThat(removed.acceptsRequests(clock.millis())).isFalse();
+  }
+
   /** Guards against a target whose evacuation ends anew with each change of its entry. */
   @Test
   void laterEntryDoesNotMoveTheEnd() {
--- a/gateway/src/test/java/org/almondslip/gateway/ResidencyTest.java
+++ b/gateway/src/test/java/org/almondslip/gateway/ResidencyTest.java
@@ -232,6 +232,22 @@
     assertThat(evacuated.connections() + south.connections()).isZero();
   }
 
+  /** Guards against a retry that waits for a target of another region until its deadline. */
+  @Test
+  void requestIsNotRetriedWithoutAnotherAllowedTarget() throws IOException {
+    ScriptedTarget north = target(NOT_EXECUTED);
+    ScriptedTarget south = target(COMPLETE);
+    Gateway gateway =
+        harness.gateway(
+            table(1, NORTH),
+            TestHeaderCodec.INSTANCE,
+            List.of(north.record("n", "dc", "north"), south.record("s", "other", "south")));
+    assertThat(send(gateway))
+        .startsWith("HTTP/1.1 503")
+        .contains("the target did not run the request", "Retry-After");
+    assertThat(south.connections()).isZero();
+  }
+
   /** Guards against a stream that continues in a data centre evacuated since it began. */
   @Test
   void resumedStreamObeysEvacuationAndRegions() throws IOException {
