--- a/gateway/src/test/java/org/almondslip/gateway/ResidencyTest.java
+++ b/gateway/src/test/java/org/almondslip/gateway/ResidencyTest.java
@@ -167,7 +167,8 @@
             List.of(near.record("a", "dc", "south"), other.record("b", "other", "north")));
     harness.updateDirectory(directory -> latest[0] = directory);
     assertThat(send(gateway)).startsWith("HTTP/1.1 200");
-    assertThat(near.connections()).isEqualTo(1);
+    // The target has then read all that the router wrote.
+    GatewayHarness.await(() -> near.closedConnections() == 1);
     assertThat(near.requests()).isEmpty();
     assertThat(other.requests()).hasSize(1);
   }
@@ -184,6 +185,7 @@
             List.of(near.record("a", "dc", "south")));
     harness.updateDirectory(directory -> latest[0] = directory);
     assertThat(send(gateway)).startsWith("HTTP/1.1 503").contains("no_target", "Retry-After");
+    GatewayHarness.await(() -> near.closedConnections() == 1);
     assertThat(near.requests()).isEmpty();
   }
 
@@ -232,6 +234,22 @@
     assertThat(evacuated.connections() + south.connections()).isZero();
   }
 
+  /** Guards against a retry that waits for a target of another region until its deadline. */
+  @Test
+  void requestIsNotRetriedWithoutAnotherAllowedTarget() throws IOException {
+    ScriptedTarget north = target(NOT_EXECUTED);
+    ScriptedTarget south = target(COMPLETE);
+    Gateway gateway =
+        harness.gateway(
+            table(1, NORTH),
+            TestHeaderCodec.INSTANCE,
+            List.of(north.record("n", "dc", "north"), south.record("s", "other", "south")));
+    assertThat(send(gateway))
+        .startsWith("HTTP/1.1 503")
+        .contains("the target did not run the request", "Retry-After");
+    assertThat(south.connections()).isZero();
+  }
+
   /** Guards against a stream that continues in a data centre evacuated since it began. */
   @Test
   void resumedStreamObeysEvacuationAndRegions() throws IOException {
