Probe cold targets and ramp up started and recovered ones by a window

Cause: a target that is warm again was idle for the configured time, and one that has stopped being cold got the full load of all routers at once.

Change: the selected routers check the health path of a cold target at most once a second; the response replaces older evidence, and is announced to the other routers. A window of concurrent requests per target (slow start, additive increase, multiplicative decrease, equal shares) limits targets that have started, were ejected or have stopped being cold; reports carry it. Logs and metrics for cold periods, permits, checks and windows.

--- a/core/src/main/java/org/almondslip/dispatch/TargetAvailability.java
+++ b/core/src/main/java/org/almondslip/dispatch/TargetAvailability.java
@@ -63,6 +63,12 @@
    * requests count for a job without prompt tokens.
    */
   private boolean hasCapacity(TargetLoad target, Prompt prompt, ShareStatus status, long now) {
+    double limit =
+        target.record().slots() * (target.isEngine() ? limits.maxEngineSlotFraction() : 1);
+    int others = target.requests(now) - target.ownRequests();
+    if (!target.pace().hasRoom(target.ownRequests(), others, limit, now)) {
+      return false;
+    }
     double slots = target.record().slots() * status.slotFraction();
     if (prompt.promptTokens() == 0) {
       return target.requests(now) < slots;
--- a/core/src/main/java/org/almondslip/pace/FleetPace.java
+++ b/core/src/main/java/org/almondslip/pace/FleetPace.java
@@ -47,6 +47,15 @@
   /** Time from which on a router that was selected by the latest change counts, in milliseconds. */
   private long selectedFrom;
 
+  /** Services whose targets state the current duration of their work. */
+  private final Set<String> workServices = new HashSet<>();
+
+  /** Routers that have reported recently. */
+  private final HeardRouters heard = new HeardRouters();
+
+  /** Targets that are paced by a window. */
+  private final Set<TargetPace> ramping = new HashSet<>();
+
   /** Targets that are taken to be cold. */
   private final Set<TargetPace> cold = new HashSet<>();
 
@@ -117,7 +126,7 @@
   }
 
   /**
-   * Notifies the listener of targets that are no longer cold.
+   * Notifies the listener of targets that are no longer cold, and increases windows without load.
    *
    * @param now the current time in milliseconds
    */
@@ -125,6 +134,30 @@
     if (!cold.isEmpty()) {
       List.copyOf(cold).forEach(target -> target.tick(now));
     }
+    if (!ramping.isEmpty()) {
+      List.copyOf(ramping).forEach(target -> target.tickWindow(now));
+    }
+  }
+
+  /**
+   * Records the report of another router.
+   *
+   * @param name the name of the router
+   * @param now the current time in milliseconds
+   */
+  public void onHeard(String name, long now) {
+    if (routers.contains(name) && !name.equals(router)) {
+      heard.onReport(name, now);
+    }
+  }
+
+  /**
+   * Returns the number of targets that are paced by a window.
+   *
+   * @return the number as of the last tick
+   */
+  public int rampingTargets() {
+    return ramping.size();
   }
 
   /**
@@ -158,6 +191,39 @@
     return cold;
   }
 
+  /** Returns the targets that are paced by a window, to be changed by these targets only. */
+  Set<TargetPace> ramping() {
+    return ramping;
+  }
+
+  /** Records that targets of a service state the current duration of their work. */
+  void onWorkStated(String service) {
+    workServices.add(service);
+  }
+
+  /** Returns whether targets of a service that have started or recovered are paced by a window. */
+  boolean hasWindows(String service) {
+    return policy(service).coldRequestsPerSecond() > 0 || workServices.contains(service);
+  }
+
+  /**
+   * Returns the number of routers that share what others leave unused.
+   *
+   * @param now the current time in milliseconds
+   * @return the number of this router and those it hears, 0 if it hears less than half of the
+   *     others
+   */
+  int hearing(long now) {
+    int others = routers.size() - (routers.contains(router) ? 1 : 0);
+    int count = heard.count(now);
+    return 2 * count >= others ? count + 1 : 0;
+  }
+
+  /** Returns the number of routers that share a window, including this one. */
+  int sharing() {
+    return routers.size() + (routers.contains(router) ? 0 : 1);
+  }
+
   /** Returns the policy of a service, one without limits if it is unknown. */
   ServicePolicy policy(String service) {
     return table.flatMap(known -> known.service(service)).orElse(NO_POLICY);
--- a/core/src/main/java/org/almondslip/pace/PaceListener.java
+++ b/core/src/main/java/org/almondslip/pace/PaceListener.java
@@ -30,6 +30,15 @@
    */
   void onPermitWithheld(WithholdReason reason);
 
+  /**
+   * Called when the window of a target has started, was decreased or has ended.
+   *
+   * @param target the id of the target
+   * @param change why
+   * @param window the concurrent requests that all routers together may have
+   */
+  void onWindow(String target, WindowChange change, int window);
+
   /** Listener that does nothing. */
   enum NoOp implements PaceListener {
     INSTANCE;
@@ -40,6 +49,9 @@
     @Override
     public void onWarm(String target, ColdReason reason) {}
 
+    @Override
+    public void onWindow(String target, WindowChange change, int window) {}
+
     @Override
     public void onPermitGranted() {}
 
--- a/core/src/main/java/org/almondslip/pace/TargetPace.java
+++ b/core/src/main/java/org/almondslip/pace/TargetPace.java
@@ -2,6 +2,7 @@
 
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Optional;
 import org.almondslip.directory.TargetRecord;
 
 /**
@@ -13,9 +14,24 @@
  */
 public final class TargetPace {
 
+  /** Factor on the expected time above which a response is late. */
+  private static final double LATE_FACTOR = 2;
+
+  /**
+   * Time that a response may take beyond that, in milliseconds: a round trip between regions and a
+   * decoding step, which the expected time of prefill does not include.
+   */
+  private static final double LATE_ALLOWANCE_MILLIS = 100;
+
   /** Consecutive connections that a target refuses or loses before it is taken to be cold. */
   static final int COLD_FAILURES = 2;
 
+  /**
+   * Interval of the health checks of a router, in milliseconds. The platform charges for each of
+   * them, and a cold period lasts for seconds.
+   */
+  static final long PROBE_INTERVAL_MILLIS = 1_000;
+
   /**
    * Time for which this router reports that a health check has found the target to be warm, in
    * milliseconds. It covers three reports between regions.
@@ -51,6 +67,8 @@
 
   private final long key;
 
+  private final int slots;
+
   /** Evidence by its source. */
   private final Map<Source, Evidence> evidence = new HashMap<>();
 
@@ -66,6 +84,9 @@
   /** Time of the next permit in milliseconds. */
   private long nextPermitAt = Long.MIN_VALUE;
 
+  /** Time of the next health check in milliseconds. */
+  private long nextProbeAt = Long.MIN_VALUE;
+
   /** Consecutive connections that the target refused or lost. */
   private int failures;
 
@@ -77,6 +98,14 @@
 
   private ColdPlan plan = ColdPlan.UNLIMITED;
 
+  /** Number of routers with smaller hashes for the target than this router. */
+  private int rank;
+
+  private final RampWindow window = new RampWindow();
+
+  /** Part of the window that this router may use, as of its latest check. */
+  private int allowance = 1;
+
   /** Whether this router may send to the target while it is cold. */
   private boolean selected;
 
@@ -101,6 +130,7 @@
     this.target = record.id();
     this.service = record.service();
     this.key = record.incarnationKey();
+    this.slots = record.slots();
   }
 
   /**
@@ -120,6 +150,9 @@
    */
   public void onStarted(long now) {
     assume(ColdReason.STARTED, now);
+    if (!isCold(now)) {
+      startWindow(now);
+    }
   }
 
   /**
@@ -161,10 +194,78 @@
   }
 
   /** Records that the target completed a response. */
-  public void onResponse() {
+  public void onSuccess() {
     failures = 0;
   }
 
+  /**
+   * Applies the time that the target took to respond to its window.
+   *
+   * @param measuredMillis the time to the first event or to a complete response, in milliseconds
+   * @param expectedMillis the expected time in milliseconds, infinite if it is not known
+   * @param now the current time in milliseconds
+   */
+  public void onResponse(double measuredMillis, double expectedMillis, long now) {
+    window.onResponseTime(measuredMillis);
+    if (measuredMillis > LATE_FACTOR * expectedMillis + LATE_ALLOWANCE_MILLIS) {
+      decrease(WindowChange.LATE, now);
+    } else if (window.isActive()) {
+      window.onTime(allowance, now - measuredMillis, now);
+      afterWindowChange();
+    }
+  }
+
+  /**
+   * Records that the target refused a request.
+   *
+   * @param now the current time in milliseconds
+   */
+  public void onRefused(long now) {
+    decrease(WindowChange.REFUSED, now);
+  }
+
+  /**
+   * Records a failure of the target.
+   *
+   * @param now the current time in milliseconds
+   */
+  public void onFailure(long now) {
+    decrease(WindowChange.FAILED, now);
+  }
+
+  /**
+   * Records that the target is ejected after failures.
+   *
+   * @param until the end of the ejection in milliseconds
+   */
+  public void onEjected(long until) {
+    startWindow(until);
+  }
+
+  /** Records that the target states the current duration of its work. */
+  public void onWorkStated() {
+    fleet.onWorkStated(service);
+  }
+
+  /**
+   * Returns whether the window of the target leaves room for a request of this router.
+   *
+   * @param own the running requests of this router
+   * @param others the running requests of other routers
+   * @param limit the number of requests from which on the target is not paced
+   * @param now the current time in milliseconds
+   * @return true if there is room or no window
+   */
+  public boolean hasRoom(int own, int others, double limit, long now) {
+    if (!window.isActive()) {
+      return true;
+    }
+    window.setLimit(limit, now);
+    afterWindowChange();
+    allowance = WindowShare.of(window.size(), others, fleet.sharing(), rank(), fleet.hearing(now));
+    return !window.isActive() || own < allowance;
+  }
+
   /**
    * Applies a response to a health check, which replaces all older evidence.
    *
@@ -173,7 +274,7 @@
    * @param now the current time in milliseconds
    */
   public void onHealth(long coldMillis, long sentAt, long now) {
-    boolean wasCold = isCold(now);
+    final boolean wasCold = isCold(now);
     voidUntil = Math.max(voidUntil, sentAt);
     failures = 0;
     if (coldMillis > 0) {
@@ -207,6 +308,14 @@
               && now - known.at() < RENEWAL_MILLIS;
       add(source, same ? known.at() : now, now + coldMillis, now);
     }
+    if (fleet.hasWindows(service) && status.decreases() > 0) {
+      boolean newer = status.decreases() > window.decreases() && status.window() > 0;
+      window.merge(status.window(), status.decreases(), slots, now);
+      afterWindowChange();
+      if (newer) {
+        fleet.listener().onWindow(target, WindowChange.PEER, window.size());
+      }
+    }
   }
 
   /**
@@ -240,7 +349,10 @@
    */
   public PaceStatus status(long now) {
     long coldMillis = reportedColdMillis(now);
-    return coldMillis == 0 ? PaceStatus.NONE : new PaceStatus(coldMillis, 0, 0);
+    int decreases = window.reportedDecreases(now);
+    return coldMillis == 0 && decreases == 0
+        ? PaceStatus.NONE
+        : new PaceStatus(coldMillis, window.reportedWindow(), decreases);
   }
 
   /**
@@ -338,13 +450,27 @@
   }
 
   /**
-   * Returns whether this router checks the health of the target.
+   * Returns whether this router must check the health of the target now. The next check is due
+   * after {@link #PROBE_INTERVAL_MILLIS}.
    *
    * @param now the current time in milliseconds
-   * @return true while the target is cold and this router may send to it
+   * @return true if the target is cold, this router may send to it and a check is due
    */
-  public boolean isProbed(long now) {
-    return isCold(now) && selected;
+  public boolean startProbe(long now) {
+    if (!isCold(now) || !selected || now < nextProbeAt) {
+      return false;
+    }
+    nextProbeAt = now + PROBE_INTERVAL_MILLIS;
+    return true;
+  }
+
+  /**
+   * Returns the path of the health check of the target.
+   *
+   * @return the path, empty if the service has none
+   */
+  public Optional<String> healthPath() {
+    return Optional.of(fleet.policy(service).healthPath()).filter(path -> path.startsWith("/"));
   }
 
   /** Notifies the listener when the cold period has ended. */
@@ -362,6 +488,40 @@
     };
   }
 
+  /** Increases a window without load. */
+  void tickWindow(long now) {
+    window.tick(now);
+    afterWindowChange();
+  }
+
+  private void startWindow(long now) {
+    if (fleet.hasWindows(service) && window.start(slots, now)) {
+      fleet.listener().onWindow(target, WindowChange.STARTED, window.size());
+      afterWindowChange();
+    }
+  }
+
+  private void decrease(WindowChange change, long now) {
+    if (window.decrease(now)) {
+      fleet.listener().onWindow(target, change, window.size());
+    }
+  }
+
+  /** Updates the set of paced targets and notifies the listener of the end of pacing. */
+  private void afterWindowChange() {
+    if (window.isActive()) {
+      fleet.ramping().add(this);
+    } else if (fleet.ramping().remove(this)) {
+      fleet.listener().onWindow(target, WindowChange.ENDED, window.size());
+    }
+  }
+
+  /** Returns the number of routers with smaller hashes for the target than this router. */
+  private int rank() {
+    currentPlan();
+    return rank;
+  }
+
   /** Takes the target to be cold for the time after a start. */
   private void assume(ColdReason reason, long now) {
     add(new Source(reason, ""), now, fleet.policy(service).coldStartMillis());
@@ -381,7 +541,7 @@
 
   /** Determines whether the target is cold after a change. */
   private void update(ColdReason reason, long now) {
-    boolean known = fleet.cold().contains(this);
+    final boolean known = fleet.cold().contains(this);
     evidence.values().removeIf(entry -> entry.until() <= now);
     coldUntil = Long.MIN_VALUE;
     for (Evidence entry : evidence.values()) {
@@ -397,6 +557,7 @@
     } else if (!isCold(now) && known) {
       fleet.cold().remove(this);
       fleet.listener().onWarm(target, reason);
+      startWindow(now);
     }
   }
 
@@ -405,6 +566,7 @@
     if (version != fleet.version()) {
       version = fleet.version();
       plan = fleet.plan(service);
+      rank = fleet.rank(key);
       boolean before = selected;
       selected = plan.routers() > 0 && fleet.isSelected(key, plan.routers());
       if (selected && !before) {
--- a/core/src/main/java/org/almondslip/placement/TargetLoad.java
+++ b/core/src/main/java/org/almondslip/placement/TargetLoad.java
@@ -312,7 +312,7 @@
   /** Records that the target served a request. */
   public void onSuccess() {
     failures = 0;
-    pace.onResponse();
+    pace.onSuccess();
   }
 
   /**
@@ -322,9 +322,11 @@
    */
   public void onFailure(long now) {
     failures++;
+    pace.onFailure(now);
     if (failures >= EJECTION_FAILURES) {
       int doublings = Math.min(failures - EJECTION_FAILURES, MAX_EJECTION_DOUBLINGS);
       ejectedUntil = now + (EJECTION_MILLIS << doublings);
+      pace.onEjected(ejectedUntil);
     }
   }
 
--- a/core/src/test/java/org/almondslip/dispatch/PacedDispatchTest.java
+++ b/core/src/test/java/org/almondslip/dispatch/PacedDispatchTest.java
@@ -108,7 +108,7 @@
   @Test
   void oneOfThreeTargetsStaysCold() {
     list("b", "c", "d", "e");
-    TargetLoad cold = add("cold", true);
+    final TargetLoad cold = add("cold", true);
     add("warm-1", false);
     add("warm-2", false);
     for (int i = 0; i < 20; i++) {
@@ -128,6 +128,67 @@
     assertThat(submit().target()).isPresent();
   }
 
+  /** Guards against a pause that a cold or recovering target asked for and that is forgotten. */
+  @Test
+  void pauseStaysInForceBesideTheWindow() {
+    list("a");
+    TargetLoad target = add("t", true);
+    advance(COLD_MILLIS);
+    target.onPause(2_000, clock.millis());
+    target.pace().onRefused(clock.millis());
+    assertThat(target.remainingPauseMillis(clock.millis())).isEqualTo(2_000);
+    assertThat(submit().refusal()).contains(RefusalReason.EXPECTED_WAIT);
+    advance(2_000);
+    assertThat(submit().target()).contains(target);
+  }
+
+  /** Guards against a replacement of all targets after which none gets its full share. */
+  @Test
+  void rollingReplacementReachesFullShareOfAllTargets() {
+    list("a", "b", "c", "d");
+    for (int i = 0; i < 3; i++) {
+      add("old-" + i, false);
+    }
+    for (int i = 0; i < 3; i++) {
+      dispatcher.remove("s", "old-" + i);
+      TargetLoad started = add("new-" + i, true);
+      for (int step = 0; step < 50; step++) {
+        TestJob job = submit();
+        assertThat(job.target().isPresent() || i == 2).isTrue();
+        job.target().ifPresent(target -> job.end());
+        advance(TICK_MILLIS);
+      }
+      assertThat(started.pace().isCold(clock.millis())).isTrue();
+    }
+    advance(COLD_MILLIS + 6_000);
+    assertThat(pace.coldTargets()).isZero();
+    assertThat(pace.rampingTargets()).isZero();
+  }
+
+  /** Guards against the full load on a data centre whose targets come back cold together. */
+  @Test
+  void dataCentreThatComesBackColdGetsNoMoreThanItTolerates() {
+    list("a", "b", "c", "d");
+    List<TargetLoad> targets = new ArrayList<>();
+    for (int i = 0; i < 6; i++) {
+      TargetLoad target = add("t-" + i, false);
+      target.pace().onEvacuationEnded(clock.millis());
+      targets.add(target);
+    }
+    int[] requests = new int[targets.size()];
+    for (int step = 0; step < 100; step++) {
+      for (int i = 0; i < 10; i++) {
+        submit();
+      }
+      advance(TICK_MILLIS);
+      for (int i = 0; i < requests.length; i++) {
+        requests[i] = targets.get(i).ownRequests();
+        targets.get(i).onPrefilled(1_000_000);
+      }
+    }
+    assertThat(requests).containsOnly(5);
+  }
+
   private void list(String... routers) {
     pace.onRouters(Set.of(routers), 0);
   }
--- a/core/src/test/java/org/almondslip/pace/TargetPaceTest.java
+++ b/core/src/test/java/org/almondslip/pace/TargetPaceTest.java
@@ -63,7 +63,7 @@
   @Test
   void consecutiveConnectionFailuresMakeTheTargetCold() {
     target.onConnectionFailure(START);
-    target.onResponse();
+    target.onSuccess();
     target.onConnectionFailure(START);
     assertThat(target.isCold(START)).isFalse();
     target.onConnectionFailure(START);
--- a/core/src/test/java/org/almondslip/report/ReportWriterTest.java
+++ b/core/src/test/java/org/almondslip/report/ReportWriterTest.java
@@ -3,11 +3,19 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.util.List;
+import java.util.Map;
+import org.almondslip.directory.IngressLimits;
+import org.almondslip.directory.RoutingTable;
+import org.almondslip.directory.ServicePolicy;
 import org.almondslip.directory.TargetRecord;
 import org.almondslip.dispatch.DispatchLimits;
 import org.almondslip.dispatch.Dispatcher;
 import org.almondslip.dispatch.Job;
 import org.almondslip.dispatch.TestJobs;
+import org.almondslip.pace.FleetPace;
+import org.almondslip.pace.PaceListener;
+import org.almondslip.pace.PaceStatus;
+import org.almondslip.pace.TargetPace;
 import org.almondslip.placement.EngineModel;
 import org.almondslip.placement.Placement;
 import org.almondslip.placement.Prompt;
@@ -62,6 +70,70 @@
     assertThat(receiver.targets().get(0).requests(clock.millis())).isEqualTo(60);
   }
 
+  /** Guards against a router that learns late, or never, that a target without load is cold. */
+  @Test
+  void coldTargetIsInTheNextReportAndRefreshed() {
+    final TargetPace received = paced(receiver);
+    paced(sender).onConnectionFailure(clock.millis());
+    paced(sender).onConnectionFailure(clock.millis());
+    writer.next();
+    for (int i = 0; i <= REFRESH_REPORTS; i++) {
+      clock.advance(REPORT_INTERVAL_MILLIS);
+      writer.next().forEach(reader::read);
+    }
+    assertThat(received.isCold(clock.millis())).isTrue();
+    clock.advance(8_000);
+    writer.next();
+    writer.next();
+    writer.next();
+    assertThat(writer.next()).isEmpty();
+  }
+
+  /** Guards against a window that other routers do not follow. */
+  @Test
+  void windowOfARecoveredTargetIsReported() {
+    final TargetPace received = paced(receiver);
+    paced(sender).onEjected(clock.millis());
+    writer.next().forEach(reader::read);
+    assertThat(received.status(clock.millis())).isEqualTo(new PaceStatus(0, 8, 1));
+  }
+
+  /** Guards against numbers that no router sends and that would limit a target for good. */
+  @Test
+  void absurdPaceIsIgnored() {
+    TargetPace target = paced(receiver);
+    LoadReport.Builder report = LoadReport.newBuilder().setRouter("router-2").setIncarnation(1);
+    report
+        .addTargetsBuilder()
+        .setTarget(receiver.targets().get(0).incarnationKey())
+        .setColdMillis(-1)
+        .setWindow(-1)
+        .setWindowDecreases(-1);
+    reader.read(report.build());
+    assertThat(target.isCold(clock.millis())).isFalse();
+    assertThat(target.hasRoom(60, 0, 64, clock.millis())).isTrue();
+  }
+
+  /** Replaces the targets of a router by one whose service needs a warm-up. */
+  private TargetPace paced(Dispatcher dispatcher) {
+    if (dispatcher.targets("paced").isEmpty()) {
+      dispatcher.targets().forEach(old -> dispatcher.remove("s", old.record().id()));
+      FleetPace fleet = new FleetPace("a", 1.5, 5, PaceListener.NoOp.INSTANCE);
+      fleet.onTable(
+          new RoutingTable(
+              1,
+              List.of(),
+              List.of(new ServicePolicy("paced", 0, 8_000, 10, "/health")),
+              Map.of(),
+              false,
+              new IngressLimits(8_192, 65_536, 3_000, 15_000)));
+      TargetRecord record =
+          new TargetRecord("p", "paced", "127.0.0.1", 80, "dc", 64, TargetRecord.State.READY, 0, 1);
+      dispatcher.add(new TargetLoad(record, 0, fleet.create(record, false, clock.millis())));
+    }
+    return dispatcher.targets().get(0).pace();
+  }
+
   /** Other routers must learn of all service even if a report is lost. */
   @Test
   void lostReportLosesNoService() {
--- a/gateway/src/main/java/org/almondslip/gateway/Gateway.java
+++ b/gateway/src/main/java/org/almondslip/gateway/Gateway.java
@@ -94,6 +94,8 @@
 
   private final TargetConnectionPool targetConnections;
 
+  private final ColdTargetProbe coldTargetProbe;
+
   private final CallerConnections callerConnections;
 
   private final CallerRequestHandler requestHandler;
@@ -195,6 +197,7 @@
             fleetPace,
             clock);
     this.targetConnections = new TargetConnectionPool(vertx, clock);
+    this.coldTargetProbe = new ColdTargetProbe(vertx, clock, dispatcher, targetConnections, codec);
     this.callerConnections =
         new CallerConnections(
             clock, (int) (settings.maxDescriptors() * CALLER_DESCRIPTOR_FRACTION));
@@ -238,6 +241,7 @@
   public void start() {
     closer.register(vertx::close);
     Address readyListen = Address.of(settings.readyListen());
+    PaceMetrics.register(registry, fleetPace, paceLog, coldTargetProbe);
     new GatewayMetrics(registry)
         .register(
             decisionLog,
@@ -384,6 +388,7 @@
     directory.tick();
     segmentQuarantine.tick();
     fleetPace.tick(clock.millis());
+    coldTargetProbe.tick();
     dispatcher.tick();
   }
 
--- a/gateway/src/main/java/org/almondslip/gateway/HeaderCodec.java
+++ b/gateway/src/main/java/org/almondslip/gateway/HeaderCodec.java
@@ -41,6 +41,16 @@
    */
   ResponseHeaders readResponse(MultiMap headers);
 
+  /**
+   * Reads the id of the target that responds to a health check.
+   *
+   * @param headers the headers as the target sent them
+   * @return the id, empty if the response does not state it
+   */
+  default Optional<String> readTargetId(MultiMap headers) {
+    return Optional.empty();
+  }
+
   /**
    * Decoded headers of a caller's request.
    *
--- a/gateway/src/main/java/org/almondslip/gateway/PaceLog.java
+++ b/gateway/src/main/java/org/almondslip/gateway/PaceLog.java
@@ -5,6 +5,7 @@
 import java.util.Map;
 import org.almondslip.pace.ColdReason;
 import org.almondslip.pace.PaceListener;
+import org.almondslip.pace.WindowChange;
 import org.almondslip.pace.WithholdReason;
 
 /** Logs and counts changes of the pace of targets. */
@@ -18,6 +19,9 @@
   /** Number of dispatched requests that were not sent, by reason. */
   private final Map<WithholdReason, Long> withheld = new EnumMap<>(WithholdReason.class);
 
+  /** Number of changes of windows by reason, without increases. */
+  private final Map<WindowChange, Long> windowChanges = new EnumMap<>(WindowChange.class);
+
   private long granted;
 
   @Override
@@ -31,6 +35,12 @@
     logger.atInfo().log("target %s is no longer cold (%s)", target, reason.label());
   }
 
+  @Override
+  public void onWindow(String target, WindowChange change, int window) {
+    windowChanges.merge(change, 1L, Long::sum);
+    logger.atInfo().log("window of target %s is %d requests (%s)", target, window, change.label());
+  }
+
   @Override
   public void onPermitGranted() {
     granted++;
@@ -46,6 +56,11 @@
     return coldPeriods;
   }
 
+  /** Returns the number of changes of windows by reason, without increases. */
+  Map<WindowChange, Long> windowChanges() {
+    return windowChanges;
+  }
+
   /** Returns the number of requests that were sent to cold targets. */
   long granted() {
     return granted;
--- a/gateway/src/main/java/org/almondslip/gateway/PeerExchange.java
+++ b/gateway/src/main/java/org/almondslip/gateway/PeerExchange.java
@@ -260,6 +260,7 @@
   private void onDatagram(byte[] data, String sender) {
     try {
       LoadReport report = LoadReport.parseFrom(data);
+      fleetPace.onHeard(report.getRouter(), clock.millis());
       reader.read(report);
       cacheExchange.read(report);
       counts.onReceived();
--- a/gateway/src/main/java/org/almondslip/gateway/TargetAttempt.java
+++ b/gateway/src/main/java/org/almondslip/gateway/TargetAttempt.java
@@ -15,6 +15,9 @@
 
   private static final int OK_STATUS = 200;
 
+  /** Status of a target that is not the one the request was meant for. */
+  private static final int MISDIRECTED_STATUS = 421;
+
   /** Lowest status code that is not a success. */
   private static final int MIN_ERROR_STATUS = 300;
 
@@ -194,6 +197,9 @@
    * @param received the response
    */
   private void onRefusal(HttpClientResponse received) {
+    if (received.statusCode() != MISDIRECTED_STATUS) {
+      target.pace().onRefused(context.clock().millis());
+    }
     RefusalBody.discard(received)
         .onComplete(
             result -> {
@@ -229,6 +235,7 @@
         received,
         body -> {
           target.onSuccess();
+          onPaceResponse(Double.POSITIVE_INFINITY);
           sendResponse(received, body);
         });
   }
@@ -312,6 +319,7 @@
     progress.onEvents();
     if (load.onPrefilled()) {
       target.onFirstEvent(context.clock().millis() - startedAt, expectedMillis);
+      onPaceResponse(target.isEngine() ? expectedMillis : Double.POSITIVE_INFINITY);
     }
     if (!listener.response().started()) {
       context.decisionLog().recordFirstEvent(inbound);
@@ -323,6 +331,12 @@
     }
   }
 
+  /** Applies the response time to the pace of the target. */
+  private void onPaceResponse(double expectedResponseMillis) {
+    long now = context.clock().millis();
+    target.pace().onResponse(now - startedAt, expectedResponseMillis, now);
+  }
+
   private void endStream(HttpClientResponse received) {
     boolean closeDelimited = HopByHopHeaders.isCloseDelimited(received.headers());
     boolean reset = closeDelimited && lease.map(TargetConnectionPool.Lease::closed).orElse(true);
--- a/gateway/src/main/java/org/almondslip/gateway/TargetConnectionPool.java
+++ b/gateway/src/main/java/org/almondslip/gateway/TargetConnectionPool.java
@@ -181,7 +181,13 @@
     return failure instanceof ConnectException && !(failure instanceof ConnectTimeoutException);
   }
 
-  private Future<Lease> connect(TargetRecord target) {
+  /**
+   * Opens a connection.
+   *
+   * @param target the target
+   * @return the connection, which is not in the pool
+   */
+  Future<Lease> connect(TargetRecord target) {
     return client
         .connect(new HttpConnectOptions().setHost(target.host()).setPort(target.port()))
         .map(connection -> new Lease(target.host() + ":" + target.port(), connection));
--- a/gateway/src/main/java/org/almondslip/gateway/TargetNotices.java
+++ b/gateway/src/main/java/org/almondslip/gateway/TargetNotices.java
@@ -29,6 +29,9 @@
    */
   void read(
       InboundRequest inbound, TargetLoad target, int status, HeaderCodec.ResponseHeaders headers) {
+    if (headers.load().map(load -> load.workPercent().isPresent()).orElse(false)) {
+      target.pace().onWorkStated();
+    }
     if (headers.leaving() && target.onLeaving()) {
       context.decisionLog().logLeaving(target);
     }
--- a/gateway/src/test/java/org/almondslip/gateway/TestHeaderCodec.java
+++ b/gateway/src/test/java/org/almondslip/gateway/TestHeaderCodec.java
@@ -56,6 +56,13 @@
             ? OptionalLong.of(Long.parseLong(headers.get("retry-after")) * 1_000)
             : OptionalLong.empty(),
         Optional.empty(),
-        OptionalLong.empty());
+        headers.contains("cold")
+            ? OptionalLong.of(Long.parseLong(headers.get("cold")))
+            : OptionalLong.empty());
+  }
+
+  @Override
+  public Optional<String> readTargetId(MultiMap headers) {
+    return Optional.ofNullable(headers.get("target"));
   }
 }
