Keep failures of one router's links from slowing down the fleet

Cause: a single router with broken links reported healthy targets as cold, and every router limited its requests until the cold time had passed.

Change: connection failures limit only the router that sees them; its report makes the selected routers check the target, and their report counts for all. The checks of the selected routers are spread over a second. A window that another router starts is not adopted while the target responds here. Evidence has its own class.

--- a/core/src/main/java/org/almondslip/pace/ColdReason.java
+++ b/core/src/main/java/org/almondslip/pace/ColdReason.java
@@ -8,8 +8,13 @@
   STARTED("started"),
   /** A response to a health check says so. */
   HEALTH("health"),
-  /** Another router says so. */
+  /** A selected router says so, which knows it from the target or from its entry. */
   PEER("peer"),
+  /**
+   * Another router had connection failures. The cause may be its own links, so this only makes the
+   * selected routers check the target.
+   */
+  SUSPECTED("suspected"),
   /** The target refused or lost consecutive connections and may have restarted. */
   CONNECTIONS("connections"),
   /** The evacuation of its data centre was taken back. */
--- a/core/src/main/java/org/almondslip/pace/FleetPace.java
+++ b/core/src/main/java/org/almondslip/pace/FleetPace.java
@@ -236,18 +236,28 @@
   }
 
   /**
-   * Returns whether this router is one of those with the smallest hashes for a target.
+   * Returns the routers that may send to a cold target: those with the smallest hashes.
    *
    * @param key the incarnation key of the target
    * @param count the number of routers to select
+   * @return the names in the order of their hashes
    */
-  boolean isSelected(long key, int count) {
-    return routers.contains(router) && rank(key) < count;
+  List<String> selection(long key, int count) {
+    return routers.stream().sorted(order(key)).limit(count).toList();
   }
 
   /** Returns the number of routers with smaller hashes for a target than this router. */
   int rank(long key) {
-    RendezvousOrder order = new RendezvousOrder("pace/" + Long.toHexString(key));
+    RendezvousOrder order = order(key);
     return (int) routers.stream().filter(name -> order.compare(name, router) < 0).count();
   }
+
+  private static RendezvousOrder order(long key) {
+    return new RendezvousOrder("pace/" + Long.toHexString(key));
+  }
+
+  /** Returns the name of this router. */
+  String router() {
+    return router;
+  }
 }
--- a/core/src/main/java/org/almondslip/pace/RampWindow.java
+++ b/core/src/main/java/org/almondslip/pace/RampWindow.java
@@ -211,7 +211,7 @@
 
   /** Returns the number of decreases to report, 0 some time after the end. */
   int reportedDecreases(long now) {
-    return active || now - endedAt < REPORT_END_MILLIS ? decreases : 0;
+    return active || now - REPORT_END_MILLIS < endedAt ? decreases : 0;
   }
 
   private void setWindow(double next, long now) {
--- a/core/src/main/java/org/almondslip/pace/ReportedPace.java
+++ b/core/src/main/java/org/almondslip/pace/ReportedPace.java
@@ -22,11 +22,10 @@
    * @return true if it differs from the one that was reported last
    */
   public boolean update(PaceStatus status, long now) {
-    long end = status.coldMillis() > PaceStatus.WARM_MILLIS ? now + status.coldMillis() : 0;
-    boolean warm = status.coldMillis() == PaceStatus.WARM_MILLIS;
+    long end = status.isCold() ? now + status.coldMillis() : 0;
     boolean changed =
         Math.abs(end - lastEnd) > END_TOLERANCE_MILLIS
-            || warm != (last.coldMillis() == PaceStatus.WARM_MILLIS)
+            || status.isWarm() != last.isWarm()
             || status.window() != last.window()
             || status.decreases() != last.decreases();
     if (changed) {
--- a/core/src/main/java/org/almondslip/pace/TargetPace.java
+++ b/core/src/main/java/org/almondslip/pace/TargetPace.java
@@ -1,7 +1,6 @@
 package org.almondslip.pace;
 
-import java.util.HashMap;
-import java.util.Map;
+import java.util.List;
 import java.util.Optional;
 import org.almondslip.directory.TargetRecord;
 
@@ -33,31 +32,10 @@
   static final long PROBE_INTERVAL_MILLIS = 1_000;
 
   /**
-   * Time for which this router reports that a health check has found the target to be warm, in
-   * milliseconds. It covers three reports between regions.
+   * Time after a response for which this router does not adopt a window that another router starts,
+   * in milliseconds. The cause may be the links of that router; a restart takes longer.
    */
-  static final long WARM_REPORT_DURATION_MILLIS = 600;
-
-  /**
-   * Age of the oldest health check that another router reports, in milliseconds: the time for which
-   * it is reported, the timeout of the check and the transfer.
-   */
-  static final long MAX_WARM_REPORT_AGE_MILLIS = 1_500;
-
-  /**
-   * Difference below which two reports of a router refer to the same end of a cold period, in
-   * milliseconds. It covers the variation of transfer times.
-   */
-  private static final long SAME_END_MILLIS = 500;
-
-  /**
-   * Time after which a repeated report counts as new evidence, in milliseconds. Its sender has
-   * evidence that is younger than the latest health check, so another check is due.
-   */
-  private static final long RENEWAL_MILLIS = 2_000;
-
-  /** Maximum time for which a target is taken to be cold, in milliseconds. */
-  private static final long MAX_COLD_MILLIS = 600_000;
+  private static final long RESPONSIVE_MILLIS = 1_000;
 
   private final FleetPace fleet;
 
@@ -69,15 +47,14 @@
 
   private final int slots;
 
-  /** Evidence by its source. */
-  private final Map<Source, Evidence> evidence = new HashMap<>();
-
-  /** Time up to which evidence is void, in milliseconds: that of the latest health check. */
-  private long voidUntil = Long.MIN_VALUE;
+  private final ColdEvidence evidence = new ColdEvidence();
 
   /** End of the time for which the target is cold, in milliseconds. */
   private long coldUntil = Long.MIN_VALUE;
 
+  /** End of the time for which the target may be cold, in milliseconds. */
+  private long suspectedUntil = Long.MIN_VALUE;
+
   /** Number of cold periods so far. */
   private long period;
 
@@ -90,8 +67,11 @@
   /** Consecutive connections that the target refused or lost. */
   private int failures;
 
-  /** End of the time for which the target is reported to be warm, in milliseconds. */
-  private long reportWarmUntil = Long.MIN_VALUE;
+  /** Time at which the latest check was sent that found the target to be warm, in milliseconds. */
+  private long warmAt = Long.MIN_VALUE;
+
+  /** Time of the latest response in milliseconds. */
+  private long respondedAt = Long.MIN_VALUE;
 
   /** Version of the fleet for which plan and selection were computed. */
   private long version;
@@ -106,24 +86,11 @@
   /** Part of the window that this router may use, as of its latest check. */
   private int allowance = 1;
 
-  /** Whether this router may send to the target while it is cold. */
-  private boolean selected;
+  /** Names of the routers that may send to the target while it is cold. */
+  private List<String> selection = List.of();
 
-  /**
-   * Source of evidence.
-   *
-   * @param reason the kind of the source
-   * @param router the name of the router that reported it, empty for this router
-   */
-  private record Source(ColdReason reason, String router) {}
-
-  /**
-   * Evidence that the target is cold.
-   *
-   * @param at the time at which it was received, in milliseconds
-   * @param until the end of the time for which the target is cold, in milliseconds
-   */
-  private record Evidence(long at, long until) {}
+  /** Whether this router is one of them. */
+  private boolean selected;
 
   TargetPace(FleetPace fleet, TargetRecord record) {
     this.fleet = fleet;
@@ -164,10 +131,10 @@
    */
   public void onEntry(long coldMillis, long now) {
     if (coldMillis > 0) {
-      add(new Source(ColdReason.ENTRY, ""), now, coldMillis);
+      add(ColdReason.ENTRY, coldMillis, now);
     } else {
-      evidence.remove(new Source(ColdReason.ENTRY, ""));
-      evidence.remove(new Source(ColdReason.EVACUATION, ""));
+      evidence.remove(ColdReason.ENTRY);
+      evidence.remove(ColdReason.EVACUATION);
       update(ColdReason.ENTRY, now);
     }
   }
@@ -206,6 +173,7 @@
    * @param now the current time in milliseconds
    */
   public void onResponse(double measuredMillis, double expectedMillis, long now) {
+    respondedAt = now;
     window.onResponseTime(measuredMillis);
     if (measuredMillis > LATE_FACTOR * expectedMillis + LATE_ALLOWANCE_MILLIS) {
       decrease(WindowChange.LATE, now);
@@ -274,16 +242,16 @@
    * @param now the current time in milliseconds
    */
   public void onHealth(long coldMillis, long sentAt, long now) {
-    final boolean wasCold = isCold(now);
-    voidUntil = Math.max(voidUntil, sentAt);
+    final boolean suspected = isCold(now) || now < suspectedUntil;
+    evidence.voidUntil(sentAt);
     failures = 0;
     if (coldMillis > 0) {
-      add(new Source(ColdReason.HEALTH, ""), Math.max(now, sentAt + 1), coldMillis);
+      add(ColdReason.HEALTH, coldMillis, Math.max(now, sentAt + 1));
       return;
     }
     update(ColdReason.HEALTH, now);
-    if (wasCold && !isCold(now)) {
-      reportWarmUntil = now + WARM_REPORT_DURATION_MILLIS;
+    if (suspected) {
+      warmAt = sentAt;
     }
   }
 
@@ -295,50 +263,49 @@
    * @param now the current time in milliseconds
    */
   public void onPeerReport(String router, PaceStatus status, long now) {
-    long coldMillis = status.coldMillis();
-    if (coldMillis == PaceStatus.WARM_MILLIS) {
-      voidUntil = Math.max(voidUntil, now - MAX_WARM_REPORT_AGE_MILLIS);
+    if (status.coldMillis() > 0 && currentPlan().routers() > 0) {
+      applyCold(router, status, now);
+    }
+    if (status.decreases() > 0 && fleet.hasWindows(service)) {
+      applyWindow(status, now);
+    }
+  }
+
+  private void applyCold(String router, PaceStatus status, long now) {
+    boolean fact = selection.contains(router);
+    if (status.isCold()) {
+      ColdReason reason = fact ? ColdReason.PEER : ColdReason.SUSPECTED;
+      evidence.addReport(reason, router, status.coldMillis(), now);
+      update(reason, now);
+    } else if (fact) {
+      evidence.voidUntil(now - status.coldMillis());
       update(ColdReason.PEER, now);
-    } else if (coldMillis > 0) {
-      Source source = new Source(ColdReason.PEER, router);
-      Evidence known = evidence.get(source);
-      boolean same =
-          known != null
-              && now + coldMillis <= known.until() + SAME_END_MILLIS
-              && now - known.at() < RENEWAL_MILLIS;
-      add(source, same ? known.at() : now, now + coldMillis, now);
     }
-    if (fleet.hasWindows(service) && status.decreases() > 0) {
-      boolean newer = status.decreases() > window.decreases() && status.window() > 0;
-      window.merge(status.window(), status.decreases(), slots, now);
-      afterWindowChange();
-      if (newer) {
-        fleet.listener().onWindow(target, WindowChange.PEER, window.size());
-      }
+  }
+
+  private void applyWindow(PaceStatus status, long now) {
+    boolean newer = status.decreases() > window.decreases() && status.window() > 0;
+    if (newer && !window.isActive() && now - RESPONSIVE_MILLIS < respondedAt) {
+      return;
+    }
+    window.merge(status.window(), status.decreases(), slots, now);
+    afterWindowChange();
+    if (newer) {
+      fleet.listener().onWindow(target, WindowChange.PEER, window.size());
     }
   }
 
   /**
-   * Returns what this router reports to others. Reports of others are not passed on, since each
-   * transfer would prolong the time. What all routers learn at the same time is reported by the
-   * selected routers only, for routers that have just started.
-   *
-   * @param now the current time in milliseconds
-   * @return the remaining time for which the target is cold, in milliseconds; {@link
-   *     PaceStatus#WARM_MILLIS} if a health check has just found it to be warm, 0 if nothing is
-   *     known
+   * Returns what this router reports to others of a cold period. Reports of others are not passed
+   * on, since each transfer would prolong the time.
    */
-  long reportedColdMillis(long now) {
-    if (!isCold(now)) {
-      return now < reportWarmUntil ? PaceStatus.WARM_MILLIS : 0;
+  private long reportedColdMillis(long now) {
+    long until = isCold(now) ? evidence.until(this::isReported, now) : Long.MIN_VALUE;
+    if (until > now + PaceStatus.MAX_WARM_MILLIS) {
+      return until - now;
     }
-    long until = Long.MIN_VALUE;
-    for (Map.Entry<Source, Evidence> entry : evidence.entrySet()) {
-      if (isReported(entry.getKey().reason()) && entry.getValue().at() > voidUntil) {
-        until = Math.max(until, entry.getValue().until());
-      }
-    }
-    return until <= now ? 0 : Math.max(PaceStatus.WARM_MILLIS + 1, until - now);
+    boolean warm = !isCold(now) && now - PaceStatus.MAX_WARM_MILLIS < warmAt;
+    return warm ? Math.max(1, now - warmAt) : 0;
   }
 
   /**
@@ -454,10 +421,11 @@
    * after {@link #PROBE_INTERVAL_MILLIS}.
    *
    * @param now the current time in milliseconds
-   * @return true if the target is cold, this router may send to it and a check is due
+   * @return true if the target may be cold, this router may send to it and a check is due
    */
   public boolean startProbe(long now) {
-    if (!isCold(now) || !selected || now < nextProbeAt) {
+    boolean suspected = now < suspectedUntil || now < coldUntil;
+    if (!suspected || now < nextProbeAt || !isSelected()) {
       return false;
     }
     nextProbeAt = now + PROBE_INTERVAL_MILLIS;
@@ -480,11 +448,16 @@
     }
   }
 
+  /**
+   * Returns whether evidence is reported. The selected routers report what they know from the
+   * target or its entry, for routers that have just started; the others report their failures.
+   */
   private boolean isReported(ColdReason reason) {
     return switch (reason) {
-      case HEALTH, CONNECTIONS -> true;
+      case HEALTH -> true;
       case ENTRY, STARTED, EVACUATION -> selected;
-      case PEER, ELAPSED -> false;
+      case CONNECTIONS -> !selected;
+      case PEER, SUSPECTED, ELAPSED -> false;
     };
   }
 
@@ -524,30 +497,25 @@
 
   /** Takes the target to be cold for the time after a start. */
   private void assume(ColdReason reason, long now) {
-    add(new Source(reason, ""), now, fleet.policy(service).coldStartMillis());
-  }
-
-  private void add(Source source, long at, long millis) {
-    add(source, at, at + Math.min(MAX_COLD_MILLIS, millis), at);
+    add(reason, fleet.policy(service).coldStartMillis(), now);
   }
 
-  private void add(Source source, long at, long until, long now) {
-    if (currentPlan().routers() == 0) {
-      return;
+  private void add(ColdReason reason, long coldMillis, long now) {
+    if (currentPlan().routers() > 0) {
+      evidence.add(reason, coldMillis, now);
+      update(reason, now);
     }
-    evidence.put(source, new Evidence(at, Math.min(until, now + MAX_COLD_MILLIS)));
-    update(source.reason(), now);
   }
 
   /** Determines whether the target is cold after a change. */
   private void update(ColdReason reason, long now) {
     final boolean known = fleet.cold().contains(this);
-    evidence.values().removeIf(entry -> entry.until() <= now);
-    coldUntil = Long.MIN_VALUE;
-    for (Evidence entry : evidence.values()) {
-      if (entry.at() > voidUntil) {
-        coldUntil = Math.max(coldUntil, entry.until());
-      }
+    final boolean checked = now < coldUntil || now < suspectedUntil;
+    coldUntil = evidence.until(kind -> kind != ColdReason.SUSPECTED, now);
+    suspectedUntil = evidence.until(kind -> kind == ColdReason.SUSPECTED, now);
+    if (!checked && isSelected()) {
+      long offset = selection.indexOf(fleet.router()) * PROBE_INTERVAL_MILLIS / selection.size();
+      nextProbeAt = Math.max(nextProbeAt, now + offset);
     }
     if (isCold(now) && !known) {
       period++;
@@ -568,7 +536,8 @@
       plan = fleet.plan(service);
       rank = fleet.rank(key);
       boolean before = selected;
-      selected = plan.routers() > 0 && fleet.isSelected(key, plan.routers());
+      selection = fleet.selection(key, plan.routers());
+      selected = selection.contains(fleet.router());
       if (selected && !before) {
         // The router that was selected before may just have sent a request.
         nextPermitAt = Math.max(nextPermitAt, fleet.selectedFrom() + plan.intervalMillis());
--- a/gateway/src/main/java/org/almondslip/gateway/ColdTargetProbe.java
+++ b/gateway/src/main/java/org/almondslip/gateway/ColdTargetProbe.java
@@ -69,12 +69,8 @@
   void tick() {
     long now = clock.millis();
     for (TargetLoad target : dispatcher.targets()) {
-      if (target.pace().isCold(now) && target.isInService()) {
-        target
-            .pace()
-            .healthPath()
-            .filter(path -> target.pace().startProbe(now))
-            .ifPresent(path -> probe(target, path));
+      if (target.isInService() && target.pace().startProbe(now)) {
+        target.pace().healthPath().ifPresent(path -> probe(target, path));
       }
     }
   }
--- a/gateway/src/main/java/org/almondslip/gateway/ForwardingContext.java
+++ b/gateway/src/main/java/org/almondslip/gateway/ForwardingContext.java
@@ -160,6 +160,9 @@
    * @return the time in milliseconds, at least 1
    */
   double expectedMillis(TargetLoad target, Prompt prompt) {
-    return Math.max(1, placement.expectedDelayMillis(target, prompt, clock.millis()));
+    long now = clock.millis();
+    // The request is sent now; the pause is the time until the next permit of a cold target.
+    return Math.max(
+        1, placement.expectedDelayMillis(target, prompt, now) - target.remainingPauseMillis(now));
   }
 }
--- a/gateway/src/main/java/org/almondslip/gateway/PeerExchange.java
+++ b/gateway/src/main/java/org/almondslip/gateway/PeerExchange.java
@@ -179,7 +179,7 @@
 
   @Override
   public void onPeerAddress(String peer, Optional<String> address, String peerRegion) {
-    Optional<Address> parsed = address.flatMap(Address::parse).filter(to -> to.port() > 0);
+    final Optional<Address> parsed = address.flatMap(Address::parse).filter(to -> to.port() > 0);
     nearby.remove(peer);
     distant.remove(peer);
     listedRouters.remove(peer);
