--- a/core/src/main/java/org/almondslip/pace/TargetPace.java
+++ b/core/src/main/java/org/almondslip/pace/TargetPace.java
@@ -1,7 +1,7 @@
 package org.almondslip.pace;
 
-import java.util.HashMap;
-import java.util.Map;
+import java.util.List;
+import java.util.Optional;
 import org.almondslip.directory.TargetRecord;
 
 /**
@@ -13,35 +13,29 @@
  */
 public final class TargetPace {
 
-  /** Consecutive connections that a target refuses or loses before it is taken to be cold. */
-  static final int COLD_FAILURES = 2;
+  /** Factor on the expected time above which a response is late. */
+  private static final double LATE_FACTOR = 2;
 
   /**
-   * Time for which this router reports that a health check has found the target to be warm, in
-   * milliseconds. It covers three reports between regions.
+   * Time that a response may take beyond that, in milliseconds: a round trip between regions and a
+   * decoding step, which the expected time of prefill does not include.
    */
-  static final long WARM_REPORT_DURATION_MILLIS = 600;
+  private static final double LATE_ALLOWANCE_MILLIS = 100;
 
-  /**
-   * Age of the oldest health check that another router reports, in milliseconds: the time for which
-   * it is reported, the timeout of the check and the transfer.
-   */
-  static final long MAX_WARM_REPORT_AGE_MILLIS = 1_500;
+  /** Consecutive connections that a target refuses or loses before it is taken to be cold. */
+  static final int COLD_FAILURES = 2;
 
   /**
-   * Difference below which two reports of a router refer to the same end of a cold period, in
-   * milliseconds. It covers the variation of transfer times.
+   * Interval of the health checks of a router, in milliseconds. The platform charges for each of
+   * them, and a cold period lasts for seconds.
    */
-  private static final long SAME_END_MILLIS = 500;
+  static final long PROBE_INTERVAL_MILLIS = 1_000;
 
   /**
-   * Time after which a repeated report counts as new evidence, in milliseconds. Its sender has
-   * evidence that is younger than the latest health check, so another check is due.
+   * Time after a response for which this router does not adopt a window that another router starts,
+   * in milliseconds. The cause may be the links of that router; a restart takes longer.
    */
-  private static final long RENEWAL_MILLIS = 2_000;
-
-  /** Maximum time for which a target is taken to be cold, in milliseconds. */
-  private static final long MAX_COLD_MILLIS = 600_000;
+  private static final long RESPONSIVE_MILLIS = 1_000;
 
   private final FleetPace fleet;
 
@@ -51,56 +45,59 @@
 
   private final long key;
 
-  /** Evidence by its source. */
-  private final Map<Source, Evidence> evidence = new HashMap<>();
+  private final int slots;
 
-  /** Time up to which evidence is void, in milliseconds: that of the latest health check. */
-  private long voidUntil = Long.MIN_VALUE;
+  private final ColdEvidence evidence = new ColdEvidence();
 
   /** End of the time for which the target is cold, in milliseconds. */
   private long coldUntil = Long.MIN_VALUE;
 
+  /** End of the time for which the target may be cold, in milliseconds. */
+  private long suspectedUntil = Long.MIN_VALUE;
+
   /** Number of cold periods so far. */
   private long period;
 
   /** Time of the next permit in milliseconds. */
   private long nextPermitAt = Long.MIN_VALUE;
 
+  /** Time of the next health check in milliseconds. */
+  private long nextProbeAt = Long.MIN_VALUE;
+
   /** Consecutive connections that the target refused or lost. */
   private int failures;
 
-  /** End of the time for which the target is reported to be warm, in milliseconds. */
-  private long reportWarmUntil = Long.MIN_VALUE;
+  /** Time at which the latest check was sent that found the target to be warm, in milliseconds. */
+  private long warmAt = Long.MIN_VALUE;
+
+  /** Time of the latest response in milliseconds. */
+  private long respondedAt = Long.MIN_VALUE;
 
   /** Version of the fleet for which plan and selection were computed. */
   private long version;
 
   private ColdPlan plan = ColdPlan.UNLIMITED;
 
-  /** Whether this router may send to the target while it is cold. */
-  private boolean selected;
+  /** Number of routers with smaller hashes for the target than this router. */
+  private int rank;
 
-  /**
-   * Source of evidence.
-   *
-   * @param reason the kind of the source
-   * @param router the name of the router that reported it, empty for this router
-   */
-  private record Source(ColdReason reason, String router) {}
+  private final RampWindow window = new RampWindow();
 
-  /**
-   * Evidence that the target is cold.
-   *
-   * @param at the time at which it was received, in milliseconds
-   * @param until the end of the time for which the target is cold, in milliseconds
-   */
-  private record Evidence(long at, long until) {}
+  /** Part of the window that this router may use, as of its latest check. */
+  private int allowance = 1;
+
+  /** Names of the routers that may send to the target while it is cold. */
+  private List<String> selection = List.of();
+
+  /** Whether this router is one of them. */
+  private boolean selected;
 
   TargetPace(FleetPace fleet, TargetRecord record) {
     this.fleet = fleet;
     this.target = record.id();
     this.service = record.service();
     this.key = record.incarnationKey();
+    this.slots = record.slots();
   }
 
   /**
@@ -120,6 +117,9 @@
    */
   public void onStarted(long now) {
     assume(ColdReason.STARTED, now);
+    if (!isCold(now)) {
+      startWindow(now);
+    }
   }
 
   /**
@@ -131,10 +131,10 @@
    */
   public void onEntry(long coldMillis, long now) {
     if (coldMillis > 0) {
-      add(new Source(ColdReason.ENTRY, ""), now, coldMillis);
+      add(ColdReason.ENTRY, coldMillis, now);
     } else {
-      evidence.remove(new Source(ColdReason.ENTRY, ""));
-      evidence.remove(new Source(ColdReason.EVACUATION, ""));
+      evidence.remove(ColdReason.ENTRY);
+      evidence.remove(ColdReason.EVACUATION);
       update(ColdReason.ENTRY, now);
     }
   }
@@ -161,10 +161,79 @@
   }
 
   /** Records that the target completed a response. */
-  public void onResponse() {
+  public void onSuccess() {
     failures = 0;
   }
 
+  /**
+   * Applies the time that the target took to respond to its window.
+   *
+   * @param measuredMillis the time to the first event or to a complete response, in milliseconds
+   * @param expectedMillis the expected time in milliseconds, infinite if it is not known
+   * @param now the current time in milliseconds
+   */
+  public void onResponse(double measuredMillis, double expectedMillis, long now) {
+    respondedAt = now;
+    window.onResponseTime(measuredMillis);
+    if (measuredMillis > LATE_FACTOR * expectedMillis + LATE_ALLOWANCE_MILLIS) {
+      decrease(WindowChange.LATE, now);
+    } else if (window.isActive()) {
+      window.onTime(allowance, now - measuredMillis, now);
+      afterWindowChange();
+    }
+  }
+
+  /**
+   * Records that the target refused a request.
+   *
+   * @param now the current time in milliseconds
+   */
+  public void onRefused(long now) {
+    decrease(WindowChange.REFUSED, now);
+  }
+
+  /**
+   * Records a failure of the target.
+   *
+   * @param now the current time in milliseconds
+   */
+  public void onFailure(long now) {
+    decrease(WindowChange.FAILED, now);
+  }
+
+  /**
+   * Records that the target is ejected after failures.
+   *
+   * @param until the end of the ejection in milliseconds
+   */
+  public void onEjected(long until) {
+    startWindow(until);
+  }
+
+  /** Records that the target states the current duration of its work. */
+  public void onWorkStated() {
+    fleet.onWorkStated(service);
+  }
+
+  /**
+   * Returns whether the window of the target leaves room for a request of this router.
+   *
+   * @param own the running requests of this router
+   * @param others the running requests of other routers
+   * @param limit the number of requests from which on the target is not paced
+   * @param now the current time in milliseconds
+   * @return true if there is room or no window
+   */
+  public boolean hasRoom(int own, int others, double limit, long now) {
+    if (!window.isActive()) {
+      return true;
+    }
+    window.setLimit(limit, now);
+    afterWindowChange();
+    allowance = WindowShare.of(window.size(), others, fleet.sharing(), rank(), fleet.hearing(now));
+    return !window.isActive() || own < allowance;
+  }
+
   /**
    * Applies a response to a health check, which replaces all older evidence.
    *
@@ -173,16 +242,16 @@
    * @param now the current time in milliseconds
    */
   public void onHealth(long coldMillis, long sentAt, long now) {
-    boolean wasCold = isCold(now);
-    voidUntil = Math.max(voidUntil, sentAt);
+    final boolean suspected = isCold(now) || now < suspectedUntil;
+    evidence.voidUntil(sentAt);
     failures = 0;
     if (coldMillis > 0) {
-      add(new Source(ColdReason.HEALTH, ""), Math.max(now, sentAt + 1), coldMillis);
+      add(ColdReason.HEALTH, coldMillis, Math.max(now, sentAt + 1));
       return;
     }
     update(ColdReason.HEALTH, now);
-    if (wasCold && !isCold(now)) {
-      reportWarmUntil = now + WARM_REPORT_DURATION_MILLIS;
+    if (suspected) {
+      warmAt = sentAt;
     }
   }
 
@@ -194,42 +263,49 @@
    * @param now the current time in milliseconds
    */
   public void onPeerReport(String router, PaceStatus status, long now) {
-    long coldMillis = status.coldMillis();
-    if (coldMillis == PaceStatus.WARM_MILLIS) {
-      voidUntil = Math.max(voidUntil, now - MAX_WARM_REPORT_AGE_MILLIS);
+    if (status.coldMillis() > 0 && currentPlan().routers() > 0) {
+      applyCold(router, status, now);
+    }
+    if (status.decreases() > 0 && fleet.hasWindows(service)) {
+      applyWindow(status, now);
+    }
+  }
+
+  private void applyCold(String router, PaceStatus status, long now) {
+    boolean fact = selection.contains(router);
+    if (status.isCold()) {
+      ColdReason reason = fact ? ColdReason.PEER : ColdReason.SUSPECTED;
+      evidence.addReport(reason, router, status.coldMillis(), now);
+      update(reason, now);
+    } else if (fact) {
+      evidence.voidUntil(now - status.coldMillis());
       update(ColdReason.PEER, now);
-    } else if (coldMillis > 0) {
-      Source source = new Source(ColdReason.PEER, router);
-      Evidence known = evidence.get(source);
-      boolean same =
-          known != null
-              && now + coldMillis <= known.until() + SAME_END_MILLIS
-              && now - known.at() < RENEWAL_MILLIS;
-      add(source, same ? known.at() : now, now + coldMillis, now);
+    }
+  }
+
+  private void applyWindow(PaceStatus status, long now) {
+    boolean newer = status.decreases() > window.decreases() && status.window() > 0;
+    if (newer && !window.isActive() && now - RESPONSIVE_MILLIS < respondedAt) {
+      return;
+    }
+    window.merge(status.window(), status.decreases(), slots, now);
+    afterWindowChange();
+    if (newer) {
+      fleet.listener().onWindow(target, WindowChange.PEER, window.size());
     }
   }
 
   /**
-   * Returns what this router reports to others. Reports of others are not passed on, since each
-   * transfer would prolong the time. What all routers learn at the same time is reported by the
-   * selected routers only, for routers that have just started.
-   *
-   * @param now the current time in milliseconds
-   * @return the remaining time for which the target is cold, in milliseconds; {@link
-   *     PaceStatus#WARM_MILLIS} if a health check has just found it to be warm, 0 if nothing is
-   *     known
+   * Returns what this router reports to others of a cold period. Reports of others are not passed
+   * on, since each transfer would prolong the time.
    */
-  long reportedColdMillis(long now) {
-    if (!isCold(now)) {
-      return now < reportWarmUntil ? PaceStatus.WARM_MILLIS : 0;
-    }
-    long until = Long.MIN_VALUE;
-    for (Map.Entry<Source, Evidence> entry : evidence.entrySet()) {
-      if (isReported(entry.getKey().reason()) && entry.getValue().at() > voidUntil) {
-        until = Math.max(until, entry.getValue().until());
-      }
+  private long reportedColdMillis(long now) {
+    long until = isCold(now) ? evidence.until(this::isReported, now) : Long.MIN_VALUE;
+    if (until > now + PaceStatus.MAX_WARM_MILLIS) {
+      return until - now;
     }
-    return until <= now ? 0 : Math.max(PaceStatus.WARM_MILLIS + 1, until - now);
+    boolean warm = !isCold(now) && now - PaceStatus.MAX_WARM_MILLIS < warmAt;
+    return warm ? Math.max(1, now - warmAt) : 0;
   }
 
   /**
@@ -240,7 +316,10 @@
    */
   public PaceStatus status(long now) {
     long coldMillis = reportedColdMillis(now);
-    return coldMillis == 0 ? PaceStatus.NONE : new PaceStatus(coldMillis, 0, 0);
+    int decreases = window.reportedDecreases(now);
+    return coldMillis == 0 && decreases == 0
+        ? PaceStatus.NONE
+        : new PaceStatus(coldMillis, window.reportedWindow(), decreases);
   }
 
   /**
@@ -338,13 +417,28 @@
   }
 
   /**
-   * Returns whether this router checks the health of the target.
+   * Returns whether this router must check the health of the target now. The next check is due
+   * after {@link #PROBE_INTERVAL_MILLIS}.
    *
    * @param now the current time in milliseconds
-   * @return true while the target is cold and this router may send to it
+   * @return true if the target may be cold, this router may send to it and a check is due
+   */
+  public boolean startProbe(long now) {
+    boolean suspected = now < suspectedUntil || now < coldUntil;
+    if (!suspected || now < nextProbeAt || !isSelected()) {
+      return false;
+    }
+    nextProbeAt = now + PROBE_INTERVAL_MILLIS;
+    return true;
+  }
+
+  /**
+   * Returns the path of the health check of the target.
+   *
+   * @return the path, empty if the service has none
    */
-  public boolean isProbed(long now) {
-    return isCold(now) && selected;
+  public Optional<String> healthPath() {
+    return Optional.of(fleet.policy(service).healthPath()).filter(path -> path.startsWith("/"));
   }
 
   /** Notifies the listener when the cold period has ended. */
@@ -354,40 +448,74 @@
     }
   }
 
+  /**
+   * Returns whether evidence is reported. The selected routers report what they know from the
+   * target or its entry, for routers that have just started; the others report their failures.
+   */
   private boolean isReported(ColdReason reason) {
     return switch (reason) {
-      case HEALTH, CONNECTIONS -> true;
+      case HEALTH -> true;
       case ENTRY, STARTED, EVACUATION -> selected;
-      case PEER, ELAPSED -> false;
+      case CONNECTIONS -> !selected;
+      case PEER, SUSPECTED, ELAPSED -> false;
     };
   }
 
-  /** Takes the target to be cold for the time after a start. */
-  private void assume(ColdReason reason, long now) {
-    add(new Source(reason, ""), now, fleet.policy(service).coldStartMillis());
+  /** Increases a window without load. */
+  void tickWindow(long now) {
+    window.tick(now);
+    afterWindowChange();
   }
 
-  private void add(Source source, long at, long millis) {
-    add(source, at, at + Math.min(MAX_COLD_MILLIS, millis), at);
+  private void startWindow(long now) {
+    if (fleet.hasWindows(service) && window.start(slots, now)) {
+      fleet.listener().onWindow(target, WindowChange.STARTED, window.size());
+      afterWindowChange();
+    }
   }
 
-  private void add(Source source, long at, long until, long now) {
-    if (currentPlan().routers() == 0) {
-      return;
+  private void decrease(WindowChange change, long now) {
+    if (window.decrease(now)) {
+      fleet.listener().onWindow(target, change, window.size());
+    }
+  }
+
+  /** Updates the set of paced targets and notifies the listener of the end of pacing. */
+  private void afterWindowChange() {
+    if (window.isActive()) {
+      fleet.ramping().add(this);
+    } else if (fleet.ramping().remove(this)) {
+      fleet.listener().onWindow(target, WindowChange.ENDED, window.size());
+    }
+  }
+
+  /** Returns the number of routers with smaller hashes for the target than this router. */
+  private int rank() {
+    currentPlan();
+    return rank;
+  }
+
+  /** Takes the target to be cold for the time after a start. */
+  private void assume(ColdReason reason, long now) {
+    add(reason, fleet.policy(service).coldStartMillis(), now);
+  }
+
+  private void add(ColdReason reason, long coldMillis, long now) {
+    if (currentPlan().routers() > 0) {
+      evidence.add(reason, coldMillis, now);
+      update(reason, now);
     }
-    evidence.put(source, new Evidence(at, Math.min(until, now + MAX_COLD_MILLIS)));
-    update(source.reason(), now);
   }
 
   /** Determines whether the target is cold after a change. */
   private void update(ColdReason reason, long now) {
-    boolean known = fleet.cold().contains(this);
-    evidence.values().removeIf(entry -> entry.until() <= now);
-    coldUntil = Long.MIN_VALUE;
-    for (Evidence entry : evidence.values()) {
-      if (entry.at() > voidUntil) {
-        coldUntil = Math.max(coldUntil, entry.until());
-      }
+    final boolean known = fleet.cold().contains(this);
+    final boolean checked = now < coldUntil || now < suspectedUntil;
+    coldUntil = evidence.until(kind -> kind != ColdReason.SUSPECTED, now);
+    suspectedUntil = evidence.until(kind -> kind == ColdReason.SUSPECTED, now);
+    if (!checked && isSelected()) {
+      long offset = selection.indexOf(fleet.router()) * PROBE_INTERVAL_MILLIS / selection.size();
+      nextProbeAt = Math.max(nextProbeAt, now + offset);
     }
     if (isCold(now) && !known) {
       period++;
@@ -397,6 +525,7 @@
     } else if (!isCold(now) && known) {
       fleet.cold().remove(this);
       fleet.listener().onWarm(target, reason);
+      startWindow(now);
     }
   }
 
@@ -405,8 +534,10 @@
     if (version != fleet.version()) {
       version = fleet.version();
       plan = fleet.plan(service);
+      rank = fleet.rank(key);
       boolean before = selected;
-      selected = plan.routers() > 0 && fleet.isSelected(key, plan.routers());
+      selection = fleet.selection(key, plan.routers());
+      selected = selection.contains(fleet.router());
       if (selected && !before) {
         // The router that was selected before may just have sent a request.
         nextPermitAt = Math.max(nextPermitAt, fleet.selectedFrom() + plan.intervalMillis());
