Buffer responses to slow callers up to one bound for all connections

The router paused a target as soon as the write queue of the caller was full, and handed complete bodies to the connection. A target cuts off a response that stays unread for some seconds, and the write queues of slow callers had no common bound.

OutboundBuffer keeps the unsent data of a response and accounts for it in BodyMemory, including what the connection has not sent yet. Their connections are reset, so that the response does not look complete, and the requests at the targets are cancelled. Large bodies are written in parts in both directions. The body of a request is released when the request ends, not when the caller has read the response.

--- a/gateway/src/main/java/org/almondslip/gateway/BodyMemory.java
+++ b/gateway/src/main/java/org/almondslip/gateway/BodyMemory.java
@@ -1,5 +1,7 @@
 package org.almondslip.gateway;
 
+import java.util.function.LongConsumer;
+
 /**
  * Bounds the memory of all bodies that a router holds at the same time.
  *
@@ -27,6 +29,9 @@
 
   private long refused;
 
+  /** Makes room for a number of bytes if it can. */
+  private LongConsumer makeRoom = bytes -> {};
+
   /**
    * Creates an unused memory.
    *
@@ -59,6 +64,9 @@
     boolean tryExtend(int more) {
       boolean large = bytes + more > LARGE_BODY_BYTES;
       double limit = large ? capacity * LARGE_BODY_FRACTION : capacity;
+      if (!released && used + more > limit) {
+        makeRoom.accept((long) Math.ceil(used + more - limit));
+      }
       if (released || used + more > limit) {
         refused++;
         return false;
@@ -93,6 +101,15 @@
     }
   }
 
+  /**
+   * Sets what makes room before a body is refused.
+   *
+   * @param room receives the number of missing bytes
+   */
+  void onShortage(LongConsumer room) {
+    makeRoom = room;
+  }
+
   /** Returns an empty reservation. */
   Reservation reserve() {
     return new Reservation();
--- a/gateway/src/main/java/org/almondslip/gateway/CallerRequestHandler.java
+++ b/gateway/src/main/java/org/almondslip/gateway/CallerRequestHandler.java
@@ -1,7 +1,6 @@
 package org.almondslip.gateway;
 
 import io.vertx.core.Vertx;
-import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpServerRequest;
 import java.util.Arrays;
 import java.util.HashSet;
@@ -77,6 +76,8 @@
 
   private final EventLoopDelay eventLoopDelay;
 
+  private final UploadGate uploads;
+
   private final UniformRandomProvider random;
 
   /** Whether responses ask callers to close their connections. */
@@ -97,6 +98,7 @@
    * @param directory the state of the fleet
    * @param connections the connections of callers
    * @param eventLoopDelay the delay of the event loop
+   * @param uploads pauses the reading of bodies
    * @param random selects services by their weights
    * @param closeConnections whether responses ask callers to close their connections
    * @param refuseRequests whether the router refuses new requests, since it is shutting down
@@ -108,6 +110,7 @@
       Directory directory,
       CallerConnections connections,
       EventLoopDelay eventLoopDelay,
+      UploadGate uploads,
       UniformRandomProvider random,
       BooleanSupplier closeConnections,
       BooleanSupplier refuseRequests) {
@@ -117,6 +120,7 @@
     this.directory = directory;
     this.connections = connections;
     this.eventLoopDelay = eventLoopDelay;
+    this.uploads = uploads;
     this.random = random;
     this.closeConnections = closeConnections;
     this.refuseRequests = refuseRequests;
@@ -152,7 +156,8 @@
       return;
     }
     connections.onData(request.connection());
-    CallerResponse response = new CallerResponse(request, closeConnections.getAsBoolean());
+    CallerResponse response =
+        new CallerResponse(request, closeConnections.getAsBoolean(), context.responseMemory());
     if (request.headers().contains(StrictRequestDecoder.AMBIGUOUS_LENGTH)) {
       reject(
           request,
@@ -184,9 +189,9 @@
 
   private void readBody(
       HttpServerRequest request, CallerResponse response, long maxBytes, Arrival arrival) {
-    Buffer body = Buffer.buffer();
-    BodyMemory.Reservation memory = context.bodyMemory().reserve();
-    request.response().endHandler(ignored -> memory.release());
+    RequestBody body =
+        new RequestBody(context.bodyMemory().reserve(), request.getHeader("Content-Length"));
+    request.response().endHandler(ignored -> body.release());
     request.handler(
         data -> {
           if (response.ended()) {
@@ -200,7 +205,7 @@
                 ErrorCode.BODY_TOO_LARGE,
                 OptionalLong.empty(),
                 ErrorCode.BODY_TOO_LARGE.title());
-          } else if (!memory.tryExtend(data.length())) {
+          } else if (!body.tryAppend(data)) {
             response.abandon();
             reject(
                 request,
@@ -208,10 +213,14 @@
                 OptionalLong.of(NOT_READY_RETRY_MILLIS),
                 "the bodies of other requests use the memory");
           } else {
-            body.appendBuffer(data);
+            uploads.onData(body, request::pause, request::resume);
           }
         });
-    request.exceptionHandler(failure -> response.abandon());
+    request.exceptionHandler(
+        failure -> {
+          response.abandon();
+          body.release();
+        });
     request.endHandler(
         ignored -> {
           if (!response.ended()) {
@@ -223,7 +232,7 @@
 
   /** Routes, authorises and forwards a request whose body has been read. */
   private void onBodyRead(
-      HttpServerRequest request, CallerResponse response, Buffer body, Arrival arrival) {
+      HttpServerRequest request, CallerResponse response, RequestBody body, Arrival arrival) {
     if (refuseRequests.getAsBoolean()) {
       // The body has arrived during a planned stop, which would cut off the response.
       refuse(request, response, ErrorCode.DRAINING, ErrorCode.DRAINING.title());
@@ -258,7 +267,7 @@
   private void forward(
       HttpServerRequest request,
       CallerResponse response,
-      Buffer body,
+      RequestBody body,
       Arrival arrival,
       Route route,
       HeaderCodec.RequestHeaders decoded,
@@ -281,18 +290,18 @@
             request.method(),
             request.uri(),
             request.headers(),
-            body,
+            body.data(),
             decoded,
             route,
             service,
             organisation,
             arrival.earliest(),
-            Arrays.hashCode(body.getBytes()) * 31L
+            Arrays.hashCode(body.data().getBytes()) * 31L
                 + Objects.hash(request.method(), request.uri(), decoded.apiKey()));
     if (eventLoopDelay.hasBacklog()) {
-      afterNextRead(() -> startUnlessDisconnected(request, response, inbound));
+      afterNextRead(() -> startUnlessDisconnected(request, response, inbound, body));
     } else {
-      start(request, response, inbound);
+      start(request, response, inbound, body);
     }
   }
 
@@ -309,26 +318,33 @@
    * event loop reads the end of a connection one iteration after the request that precedes it.
    */
   private void startUnlessDisconnected(
-      HttpServerRequest request, CallerResponse response, InboundRequest inbound) {
+      HttpServerRequest request,
+      CallerResponse response,
+      InboundRequest inbound,
+      RequestBody body) {
     if (request.response().closed()) {
       context.decisionLog().logEnd(inbound, "caller gone", 0, 0, "disconnected while unread");
     } else {
-      start(request, response, inbound);
+      start(request, response, inbound, body);
     }
   }
 
-  private void start(HttpServerRequest request, CallerResponse response, InboundRequest inbound) {
+  private void start(
+      HttpServerRequest request,
+      CallerResponse response,
+      InboundRequest inbound,
+      RequestBody body) {
     context.retryLimiter(inbound.service()).onRequest(inbound.arrivedAt());
     ForwardedRequest forwarded =
         new ForwardedRequest(
             context,
             vertx,
-            request,
             inbound,
             response,
             ended -> {
               openRequests.remove(ended);
-              connections.onRequestEnd(request.connection());
+              body.release();
+              response.whenPassedOn(() -> connections.onRequestEnd(request.connection()));
             });
     openRequests.add(forwarded);
     forwarded.start();
@@ -378,7 +394,8 @@
       HttpServerRequest request, ErrorCode code, OptionalLong retryAfterMillis, String detail) {
     logRejected(request, code, detail);
     connections.onRejected(request.connection());
-    new CallerResponse(request, true).fail(code, detail, retryAfterMillis);
+    new CallerResponse(request, true, context.responseMemory())
+        .fail(code, detail, retryAfterMillis);
     request.connection().shutdown(LINGER_MILLIS, TimeUnit.MILLISECONDS);
   }
 
--- a/gateway/src/main/java/org/almondslip/gateway/CallerResponse.java
+++ b/gateway/src/main/java/org/almondslip/gateway/CallerResponse.java
@@ -1,7 +1,6 @@
 package org.almondslip.gateway;
 
 import com.google.protobuf.ByteString;
-import io.vertx.core.Future;
 import io.vertx.core.MultiMap;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpServerRequest;
@@ -14,12 +13,36 @@
 /** Response to a request of a caller. */
 final class CallerResponse {
 
+  /** Receives what becomes of the connection of the caller. */
+  interface Listener extends ResponseMemory.Listener {
+
+    /** Listener of a response without a target. */
+    Listener NONE =
+        new Listener() {
+          @Override
+          public void onDisconnected() {}
+
+          @Override
+          public void onResume() {}
+
+          @Override
+          public void onCutOff(ResponseMemory.CutOffReason reason, long bytes) {}
+        };
+
+    /** Handles the end of the connection of the caller. */
+    void onDisconnected();
+  }
+
   private static final double MILLIS_PER_SECOND = 1_000;
 
   private final HttpServerRequest request;
 
   private final boolean closesConnection;
 
+  private final OutboundBuffer outbound;
+
+  private Listener listener = Listener.NONE;
+
   private boolean started;
 
   private boolean ended;
@@ -29,10 +52,38 @@
    *
    * @param request the request
    * @param closesConnection whether the response asks the caller to close the connection
+   * @param memory the memory of unsent data
    */
-  CallerResponse(HttpServerRequest request, boolean closesConnection) {
+  CallerResponse(HttpServerRequest request, boolean closesConnection, ResponseMemory memory) {
     this.request = request;
     this.closesConnection = closesConnection;
+    this.outbound =
+        new OutboundBuffer(
+            request.response(),
+            memory,
+            new ResponseMemory.Listener() {
+              @Override
+              public void onResume() {
+                listener.onResume();
+              }
+
+              @Override
+              public void onCutOff(ResponseMemory.CutOffReason reason, long bytes) {
+                listener.onCutOff(reason, bytes);
+                reset();
+              }
+            });
+    request.response().closeHandler(ignored -> onDisconnected());
+    request.response().exceptionHandler(ignored -> onDisconnected());
+  }
+
+  /**
+   * Replaces the listener.
+   *
+   * @param next the listener
+   */
+  void setListener(Listener next) {
+    listener = next;
   }
 
   /** Returns whether the response head has been sent. */
@@ -51,12 +102,12 @@
    * @param status the status code
    * @param headers the response headers of the target
    * @param body the body
-   * @return completes when the response has been written or the caller has gone
+   * @param memory the memory of the body, which the response releases
    */
-  Future<Void> send(int status, MultiMap headers, Buffer body) {
-    HttpServerResponse response = start(status, headers);
+  void send(int status, MultiMap headers, Buffer body, BodyMemory.Reservation memory) {
+    start(status, headers);
     ended = true;
-    return response.end(body);
+    outbound.end(body, memory);
   }
 
   /**
@@ -73,18 +124,25 @@
    * Sends a part of a streamed body.
    *
    * @param data the data
-   * @return true when the write queue is full and the target has to be paused
+   * @return true when the caller holds so much memory that the target has to be paused
    */
   boolean write(ByteString data) {
-    HttpServerResponse response = request.response();
-    response.write(Buffer.buffer(data.toByteArray()));
-    return response.writeQueueFull();
+    return outbound.write(data);
   }
 
-  /** Ends a streamed response. */
+  /** Ends a streamed response when the caller has read the rest of it. */
   void endStream() {
     ended = true;
-    request.response().end();
+    outbound.end();
+  }
+
+  /**
+   * Runs a task when nothing of the response waits for the caller, now if nothing does.
+   *
+   * @param task the task
+   */
+  void whenPassedOn(Runnable task) {
+    outbound.whenPassedOn(task);
   }
 
   /** Marks the response as ended when another response replaces it or the caller has gone. */
@@ -94,8 +152,24 @@
 
   /** Closes the connection, so that a partly sent response cannot appear complete. */
   void abort() {
+    if (outbound.hasUnsentData()) {
+      reset();
+    } else {
+      ended = true;
+      outbound.close();
+      request.connection().close();
+    }
+  }
+
+  private void reset() {
     ended = true;
-    request.connection().close();
+    outbound.close();
+    Connections.reset(request.connection());
+  }
+
+  private void onDisconnected() {
+    outbound.close();
+    listener.onDisconnected();
   }
 
   /**
@@ -124,6 +198,7 @@
     if (closesConnection) {
       response.putHeader("Connection", "close");
     }
+    outbound.close();
     response
         .putHeader("Content-Type", "application/json")
         .end(new JsonObject().put("code", code.label()).put("detail", detail).toBuffer());
--- a/gateway/src/main/java/org/almondslip/gateway/DecisionLog.java
+++ b/gateway/src/main/java/org/almondslip/gateway/DecisionLog.java
@@ -152,6 +152,33 @@
             detail.isEmpty() ? "" : ": " + detail);
   }
 
+  /**
+   * Creates a listener that logs if the caller of a request that has ended is cut off.
+   *
+   * @param requestId the id of the request
+   * @param organisation the organisation, empty when it is unknown
+   */
+  CallerResponse.Listener cutOffLog(String requestId, String organisation) {
+    return new CallerResponse.Listener() {
+      @Override
+      public void onDisconnected() {}
+
+      @Override
+      public void onResume() {}
+
+      @Override
+      public void onCutOff(ResponseMemory.CutOffReason reason, long bytes) {
+        logger
+            .atInfo()
+            .with(JsonLines.REQUEST_ID, requestId)
+            .with(JsonLines.ORGANISATION, organisation)
+            .log(
+                "%s: cut off after the target had responded, %d bytes unsent",
+                reason.label(), bytes);
+      }
+    };
+  }
+
   /** Records the time to the first event of a stream. */
   void recordFirstEvent(InboundRequest inbound) {
     responseSeconds
--- a/gateway/src/main/java/org/almondslip/gateway/ForwardedRequest.java
+++ b/gateway/src/main/java/org/almondslip/gateway/ForwardedRequest.java
@@ -1,7 +1,6 @@
 package org.almondslip.gateway;
 
 import io.vertx.core.Vertx;
-import io.vertx.core.http.HttpServerRequest;
 import java.util.HashSet;
 import java.util.Locale;
 import java.util.Optional;
@@ -16,7 +15,7 @@
 import org.almondslip.placement.TargetLoad;
 
 /** Forwards a request of a caller to targets, with retries, until its response or error is sent. */
-final class ForwardedRequest implements Job, TargetAttemptListener {
+final class ForwardedRequest implements Job, TargetAttemptListener, CallerResponse.Listener {
 
   /**
    * Fraction of the latency objective within which prefill must end. The rest is left for the first
@@ -73,7 +72,6 @@
    *
    * @param context the shared components of the router
    * @param vertx the event loop
-   * @param request the request on its connection
    * @param inbound the decoded request
    * @param response the response
    * @param onEnd called once when the request has ended
@@ -81,7 +79,6 @@
   ForwardedRequest(
       ForwardingContext context,
       Vertx vertx,
-      HttpServerRequest request,
       InboundRequest inbound,
       CallerResponse response,
       Consumer<ForwardedRequest> onEnd) {
@@ -93,9 +90,7 @@
     this.lastEventId = inbound.decoded().lastEventId();
     long remainingMillis = inbound.deadlineAt() - context.clock().millis();
     this.deadlineTimer = vertx.setTimer(Math.max(1, remainingMillis), id -> onDeadline());
-    request.response().closeHandler(ignored -> onCallerDisconnected());
-    request.response().exceptionHandler(ignored -> onCallerDisconnected());
-    request.response().drainHandler(ignored -> currentAttempt.ifPresent(TargetAttempt::resume));
+    response.setListener(this);
   }
 
   /**
@@ -260,6 +255,10 @@
 
   @Override
   public void onComplete(int status) {
+    if (ended) {
+      // The caller was cut off since there was no memory for the rest of the response.
+      return;
+    }
     context.decisionLog().logEnd(inbound, DecisionLog.SERVED, status, attempts, lastFailure);
     end();
   }
@@ -329,13 +328,28 @@
     }
   }
 
-  private void onCallerDisconnected() {
+  @Override
+  public void onDisconnected() {
     if (!ended) {
       context.decisionLog().logEnd(inbound, "caller gone", 0, attempts, lastFailure);
       end();
     }
   }
 
+  @Override
+  public void onResume() {
+    currentAttempt.ifPresent(TargetAttempt::resume);
+  }
+
+  @Override
+  public void onCutOff(ResponseMemory.CutOffReason reason, long bytes) {
+    if (!ended) {
+      String detail = "the caller reads too slowly, " + bytes + " bytes unsent";
+      context.decisionLog().logEnd(inbound, reason.label(), 0, attempts, detail);
+      end();
+    }
+  }
+
   /**
    * Ends the request with an error of this router.
    *
@@ -362,6 +376,9 @@
     context.dispatcher().cancel(this);
     currentAttempt.ifPresent(TargetAttempt::cancel);
     currentAttempt = Optional.empty();
+    // The body of the request must not stay in memory while the caller reads the response.
+    response.setListener(
+        context.decisionLog().cutOffLog(inbound.decoded().requestId(), inbound.organisationName()));
     onEnd.accept(this);
   }
 }
--- a/gateway/src/main/java/org/almondslip/gateway/ForwardingContext.java
+++ b/gateway/src/main/java/org/almondslip/gateway/ForwardingContext.java
@@ -40,6 +40,8 @@
 
   private final BodyMemory bodyMemory;
 
+  private final ResponseMemory responseMemory;
+
   private final FleetAllowance retryAllowance;
 
   private final TargetNotices targetNotices;
@@ -62,6 +64,7 @@
    * @param crashQuarantine the quarantine of requests that crash targets
    * @param segmentQuarantine the quarantine of prompt segments that crash targets
    * @param bodyMemory the memory of the bodies of requests and responses
+   * @param responseMemory the part of that memory that slow callers use
    * @param retryAllowance the retries of the fleet beyond the ratio
    */
   ForwardingContext(
@@ -77,6 +80,7 @@
       CrashQuarantine crashQuarantine,
       SegmentQuarantine segmentQuarantine,
       BodyMemory bodyMemory,
+      ResponseMemory responseMemory,
       FleetAllowance retryAllowance) {
     this.clock = clock;
     this.settings = settings;
@@ -90,6 +94,7 @@
     this.crashQuarantine = crashQuarantine;
     this.segmentQuarantine = segmentQuarantine;
     this.bodyMemory = bodyMemory;
+    this.responseMemory = responseMemory;
     this.retryAllowance = retryAllowance;
     this.targetNotices = new TargetNotices(this);
   }
@@ -138,6 +143,10 @@
     return bodyMemory;
   }
 
+  ResponseMemory responseMemory() {
+    return responseMemory;
+  }
+
   /** Returns the limits of the request queues. */
   DispatchLimits dispatchLimits() {
     return DispatchLimits.DEFAULT;
--- a/gateway/src/main/java/org/almondslip/gateway/Gateway.java
+++ b/gateway/src/main/java/org/almondslip/gateway/Gateway.java
@@ -101,7 +101,11 @@
 
   private final DecisionLog decisionLog;
 
-  private final BodyMemory bodyMemory = BodyMemory.ofHeap();
+  private final BodyMemory bodyMemory;
+
+  private final ResponseMemory responseMemory;
+
+  private final UploadGate uploads;
 
   private final QuarantineLog quarantineLog = new QuarantineLog();
 
@@ -146,8 +150,29 @@
       Clock clock,
       HeaderCodec codec,
       DirectorySourceFactory sourceFactory) {
+    this(settings, clock, codec, sourceFactory, BodyMemory.ofHeap());
+  }
+
+  /**
+   * Creates a router with a given memory of bodies.
+   *
+   * @param settings the settings
+   * @param clock the source of time
+   * @param codec reads and writes headers
+   * @param sourceFactory creates the reader of the state of the fleet
+   * @param bodyMemory the memory of the bodies of requests and responses
+   */
+  Gateway(
+      GatewaySettings settings,
+      Clock clock,
+      HeaderCodec codec,
+      DirectorySourceFactory sourceFactory,
+      BodyMemory bodyMemory) {
     this.settings = settings;
     this.clock = clock;
+    this.bodyMemory = bodyMemory;
+    this.responseMemory = new ResponseMemory(clock, bodyMemory);
+    this.uploads = new UploadGate(clock, bodyMemory);
     this.decisionLog = new DecisionLog(clock, registry);
     this.vertx =
         Vertx.vertx(
@@ -203,6 +228,7 @@
             crashQuarantine,
             segmentQuarantine,
             bodyMemory,
+            responseMemory,
             retryAllowance);
     this.requestHandler =
         new CallerRequestHandler(
@@ -212,6 +238,7 @@
             directory,
             callerConnections,
             eventLoopDelay,
+            uploads,
             RandomSource.XO_RO_SHI_RO_128_PP.create(),
             () -> draining || overloadDetector.overloaded() || callerConnections.aboveSoftLimit(),
             () -> refusingRequests);
@@ -233,7 +260,9 @@
             peerExchange.counts(),
             segmentQuarantine,
             quarantineLog,
-            bodyMemory);
+            bodyMemory,
+            responseMemory,
+            uploads);
     runOnEventLoop(
         () -> {
           source.start(directory, peerExchange);
@@ -272,6 +301,10 @@
     return bodyMemory;
   }
 
+  ResponseMemory responseMemory() {
+    return responseMemory;
+  }
+
   @Override
   public void drain() {
     draining = true;
@@ -363,6 +396,8 @@
     directory.tick();
     segmentQuarantine.tick();
     dispatcher.tick();
+    responseMemory.tick();
+    uploads.tick();
   }
 
   /**
@@ -375,7 +410,10 @@
     directory
         .table()
         .ifPresent(
-            table -> callerConnections.closeIdleAndStalled(table.limits().idleTimeoutMillis()));
+            table -> {
+              callerConnections.closeIdleAndStalled(table.limits().idleTimeoutMillis());
+              responseMemory.cutOffStalled(table.limits().idleTimeoutMillis());
+            });
   }
 
   /** Runs a task on the event loop and waits until it ends. */
--- a/gateway/src/main/java/org/almondslip/gateway/GatewayMetrics.java
+++ b/gateway/src/main/java/org/almondslip/gateway/GatewayMetrics.java
@@ -33,6 +33,8 @@
    * @param segmentQuarantine the quarantined prompt segments
    * @param quarantines the counts of quarantines
    * @param bodyMemory the memory of the bodies of requests and responses
+   * @param responseMemory the unsent data of slow callers
+   * @param uploads the request bodies that wait for memory
    */
   void register(
       DecisionLog decisions,
@@ -45,7 +47,9 @@
       ReportCounts reports,
       SegmentQuarantine segmentQuarantine,
       QuarantineLog quarantines,
-      BodyMemory bodyMemory) {
+      BodyMemory bodyMemory,
+      ResponseMemory responseMemory,
+      UploadGate uploads) {
     CounterWithCallback.builder()
         .name("almondslip_gateway_requests_total")
         .help("Requests that have ended, by outcome")
@@ -159,6 +163,24 @@
         .help("Requests and responses that were given up for want of memory")
         .callback(values -> values.call(bodyMemory.refused()))
         .register(registry);
+    gauge(
+        "almondslip_gateway_unsent_bytes",
+        "Data of responses that callers have not read yet, including write queues",
+        () -> responseMemory.heldBytes());
+    gauge(
+        "almondslip_gateway_paused_targets",
+        "Responses that are not read since their callers hold much memory",
+        () -> responseMemory.pausedTargets());
+    gauge(
+        "almondslip_gateway_paused_uploads",
+        "Request bodies that are not read since memory is short",
+        () -> uploads.waiting());
+    CounterWithCallback.builder()
+        .name("almondslip_gateway_callers_cut_off_total")
+        .help("Callers whose responses were aborted since they read too slowly")
+        .labelNames("reason")
+        .callback(values -> responseMemory.cutOffs().forEach((r, n) -> values.call(n, r.label())))
+        .register(registry);
   }
 
   /** Collects the tokens of all organisations by what became of them. */
--- a/gateway/src/main/java/org/almondslip/gateway/TargetAttempt.java
+++ b/gateway/src/main/java/org/almondslip/gateway/TargetAttempt.java
@@ -146,7 +146,7 @@
         .onFailure(failure -> onConnectionLost("the connection ended before an answer"))
         .onSuccess(this::onResponse);
     request.exceptionHandler(failure -> onConnectionLost("the connection failed"));
-    request.end(inbound.body());
+    RequestBodyWriter.write(request, inbound.body());
   }
 
   private void onResponse(HttpClientResponse received) {
@@ -235,10 +235,7 @@
       listener.onResponseLost(target, "the stream could not be continued");
       return;
     }
-    listener
-        .response()
-        .send(received.statusCode(), received.headers(), body)
-        .onComplete(ignored -> memory.release());
+    listener.response().send(received.statusCode(), received.headers(), body, memory);
     listener.onComplete(received.statusCode());
   }
 
@@ -299,7 +296,7 @@
         });
   }
 
-  /** Forwards complete events, and pauses the response while the caller reads too slowly. */
+  /** Forwards complete events, and pauses the response while the caller holds too much memory. */
   private void forwardEvents(HttpClientResponse received, ByteString complete) {
     if (complete.isEmpty()) {
       return;
--- a/gateway/src/main/java/org/almondslip/gateway/TargetConnectionPool.java
+++ b/gateway/src/main/java/org/almondslip/gateway/TargetConnectionPool.java
@@ -125,7 +125,7 @@
     /** Closes the connection, which makes the target cancel the request that it carries. */
     void discard() {
       closed = true;
-      connection.close();
+      Connections.close(connection);
     }
 
     private void onClosed() {
--- a/gateway/src/test/java/org/almondslip/gateway/GatewayHarness.java
+++ b/gateway/src/test/java/org/almondslip/gateway/GatewayHarness.java
@@ -43,6 +43,11 @@
 
   private long idleTimeoutMillis = 15_000;
 
+  private int maxBodyBytes = 65_536;
+
+  /** Memory of the bodies of all connections in bytes, 0 for a fraction of the heap. */
+  private long bodyMemoryBytes;
+
   private final TestClock clock = new TestClock();
 
   /** System clock whose wall time a test can advance, and that can block its reader once. */
@@ -108,6 +113,17 @@
     idleTimeoutMillis = millis;
   }
 
+  /**
+   * Sets the memory of bodies for routers that are started later.
+   *
+   * @param bytes the memory of all bodies in bytes
+   * @param maxBody the largest request body in bytes
+   */
+  void setBodyMemory(long bytes, int maxBody) {
+    bodyMemoryBytes = bytes;
+    maxBodyBytes = maxBody;
+  }
+
   /**
    * Starts a router with one route, whose API key is {@code secret}.
    *
@@ -136,7 +152,7 @@
             List.of(new ServicePolicy("s", 0)),
             Map.of("secret", new Organisation("org", OptionalInt.empty())),
             true,
-            new IngressLimits(8_192, 65_536, 3_000, idleTimeoutMillis));
+            new IngressLimits(8_192, maxBodyBytes, 3_000, idleTimeoutMillis));
     DirectorySource source =
         new DirectorySource() {
           @Override
@@ -174,7 +190,12 @@
             1,
             0);
     Gateway gateway =
-        new Gateway(settings, clock, TestHeaderCodec.INSTANCE, (vertx, time) -> source);
+        new Gateway(
+            settings,
+            clock,
+            TestHeaderCodec.INSTANCE,
+            (vertx, time) -> source,
+            bodyMemoryBytes > 0 ? new BodyMemory(bodyMemoryBytes) : BodyMemory.ofHeap());
     gateway.start();
     return gateway;
   }
--- a/gateway/src/test/java/org/almondslip/gateway/GatewayMetricsTest.java
+++ b/gateway/src/test/java/org/almondslip/gateway/GatewayMetricsTest.java
@@ -29,7 +29,8 @@
     PrometheusRegistry registry = new PrometheusRegistry();
     DecisionLog decisions = new DecisionLog(Clock.Standard.SYSTEM, registry);
     new GatewayMetrics(registry)
-        .register(decisions, null, null, null, null, null, null, null, null, null, null);
+        .register(
+            decisions, null, null, null, null, null, null, null, null, null, null, null, null);
     Set<String> documented = new TreeSet<>();
     Matcher matcher = METRIC_ROW.matcher(Files.readString(METRICS_DOCUMENT));
     while (matcher.find()) {
--- a/gateway/src/test/java/org/almondslip/gateway/ScriptedTarget.java
+++ b/gateway/src/test/java/org/almondslip/gateway/ScriptedTarget.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.io.InputStream;
 import java.net.InetAddress;
+import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
@@ -13,6 +14,9 @@
 /** Target that reads requests and writes the raw bytes of a scripted response. */
 final class ScriptedTarget implements AutoCloseable {
 
+  /** Receive buffer of a target that reads nothing, so that the kernel holds little. */
+  private static final int DEAF_RECEIVE_BYTES = 4_096;
+
   private final ServerSocket server;
 
   private final Script script;
@@ -50,6 +54,23 @@
     start(this::accept);
   }
 
+  /** Creates a target that accepts connections and reads nothing. */
+  private ScriptedTarget() throws IOException {
+    this.script = (number, socket) -> {};
+    this.server = new ServerSocket();
+    server.setReceiveBufferSize(DEAF_RECEIVE_BYTES);
+    server.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 50);
+  }
+
+  /**
+   * Starts a target whose connections are established and that reads nothing.
+   *
+   * @throws IOException if no port can be bound
+   */
+  static ScriptedTarget deaf() throws IOException {
+    return new ScriptedTarget();
+  }
+
   /** Returns the directory entry of the target. */
   TargetRecord record(String id) {
     return new TargetRecord(
