Keep the prompts of running requests below the memory of an engine

An engine crashes when the requests that it runs exceed its memory, and nothing bounded them. HeldTokens counts the prompt and expected output of the running requests of this router and those that others report in held_tokens, which is sent when it changed or is due for a refresh. Large prompts take turns (SendTurns), since routers hear of each other only when reports arrive.

--- a/core/src/main/java/org/almondslip/dispatch/AvailableTargets.java
+++ b/core/src/main/java/org/almondslip/dispatch/AvailableTargets.java
@@ -70,6 +70,25 @@
     return found;
   }
 
+  /**
+   * Returns the targets that have memory for a job, including those that accept no job otherwise.
+   *
+   * @param prompt the prompt of the job
+   * @return the targets
+   */
+  Collection<TargetLoad> withMemory(Prompt prompt) {
+    return all.stream().filter(target -> availability.hasMemory(target, prompt, now)).toList();
+  }
+
+  /**
+   * Returns whether a target that accepts a small job has no memory for a job.
+   *
+   * @param prompt the prompt of the job
+   */
+  boolean lacksMemory(Prompt prompt) {
+    return available.stream().anyMatch(target -> !availability.hasMemory(target, prompt, now));
+  }
+
   /**
    * Removes a target if a job that was sent to it has made it unavailable.
    *
--- a/core/src/main/java/org/almondslip/dispatch/DispatchStatistics.java
+++ b/core/src/main/java/org/almondslip/dispatch/DispatchStatistics.java
@@ -13,6 +13,9 @@
   /** Sends that were held back for other organisations, by service. */
   private final Map<String, Long> heldBack = new HashMap<>();
 
+  /** Sends that were withheld since targets lacked memory, by service. */
+  private final Map<String, Long> withheldForMemory = new HashMap<>();
+
   /**
    * Service and organisation that jobs belong to.
    *
@@ -75,6 +78,24 @@
     return heldBack;
   }
 
+  /**
+   * Returns how often a send was withheld since the available targets lacked memory for it.
+   *
+   * @return the number of times by service
+   */
+  public Map<String, Long> withheldForMemory() {
+    return withheldForMemory;
+  }
+
+  /**
+   * Counts a send that is withheld since the available targets lack memory for it.
+   *
+   * @param service the name of the service
+   */
+  void onWithheldForMemory(String service) {
+    withheldForMemory.merge(service, 1L, Long::sum);
+  }
+
   /**
    * Counts a submitted job.
    *
--- a/core/src/main/java/org/almondslip/dispatch/Dispatcher.java
+++ b/core/src/main/java/org/almondslip/dispatch/Dispatcher.java
@@ -29,6 +29,8 @@
 
   private final DispatchLimits limits;
 
+  private final TargetMemory memory;
+
   private final TargetAvailability availability;
 
   private final JobAdmission admission;
@@ -58,10 +60,21 @@
     this.clock = clock;
     this.placement = placement;
     this.limits = limits;
-    this.availability = new TargetAvailability(model, limits);
+    this.memory = new TargetMemory(clock);
+    this.availability = new TargetAvailability(model, limits, memory);
     this.admission = new JobAdmission(clock, placement, model, limits);
   }
 
+  /**
+   * Sets the routers of the fleet, which take turns with large prompts.
+   *
+   * @param self the name of this router
+   * @param all the names of all routers
+   */
+  public void setRouters(String self, Collection<String> all) {
+    memory.setRouters(self, all);
+  }
+
   /**
    * Adds a target and dispatches waiting jobs of its service.
    *
@@ -310,7 +323,11 @@
             ? RefusalReason.NO_TARGET
             : RefusalReason.EXPIRED;
     for (Job job : queue.removeIf(admission.isLate(targets(service)))) {
-      refuse(job, reason);
+      boolean memoryShort =
+          reason == RefusalReason.EXPIRED
+              && targets(service).stream()
+                  .noneMatch(target -> memory.permits(target, job.prompt(), clock.millis()));
+      refuse(job, memoryShort ? RefusalReason.TARGET_MEMORY : reason);
     }
   }
 
@@ -329,7 +346,12 @@
     long now = clock.millis();
     ShareStatus status = share(job.service()).status(job.organisation(), now);
     Collection<TargetLoad> candidates =
-        job.isRetry() ? available.all() : available.forPrompt(job.prompt(), status);
+        job.isRetry()
+            ? available.withMemory(job.prompt())
+            : available.forPrompt(job.prompt(), status);
+    if (candidates.isEmpty() && available.lacksMemory(job.prompt())) {
+      statistics.onWithheldForMemory(job.service());
+    }
     if (candidates.isEmpty() && status == ShareStatus.OVERSERVED && !available.isEmpty()) {
       statistics.onHeldBack(job.service());
     }
@@ -359,6 +381,7 @@
     share(job.service()).onServed(job.organisation(), cost, now);
     queue(job.service()).charge(job, now);
     statistics.onSent(job.service(), job.organisation(), cost);
+    memory.onSent(choice.load(), job.prompt());
     job.send(choice.load(), choice.expectedDelayMillis());
   }
 
--- a/core/src/main/java/org/almondslip/dispatch/RefusalReason.java
+++ b/core/src/main/java/org/almondslip/dispatch/RefusalReason.java
@@ -10,6 +10,8 @@
   QUEUE_FULL("queue_full"),
   /** No target of the service accepts requests. */
   NO_TARGET("no_target"),
+  /** The request waited until it was late, and no target has memory for its prompt. */
+  TARGET_MEMORY("target_memory"),
   /** The prompt contains a segment that has crashed targets. */
   QUARANTINED("quarantined"),
   /** The event loop of the router lags so far that the request may have waited too long already. */
--- a/core/src/main/java/org/almondslip/dispatch/TargetAvailability.java
+++ b/core/src/main/java/org/almondslip/dispatch/TargetAvailability.java
@@ -20,15 +20,19 @@
 
   private final DispatchLimits limits;
 
+  private final TargetMemory memory;
+
   /**
    * Creates a check.
    *
    * @param model the performance model of the engines
    * @param limits the limits of the targets
+   * @param memory the check of the memory of the engines
    */
-  TargetAvailability(EngineModel model, DispatchLimits limits) {
+  TargetAvailability(EngineModel model, DispatchLimits limits, TargetMemory memory) {
     this.model = model;
     this.limits = limits;
+    this.memory = memory;
   }
 
   /**
@@ -43,7 +47,20 @@
   boolean isAvailable(TargetLoad target, Prompt prompt, ShareStatus status, long now) {
     return target.acceptsRequests(now)
         && !target.isEjected(now)
-        && hasCapacity(target, prompt, status, now);
+        && hasCapacity(target, prompt, status, now)
+        && memory.permits(target, prompt, now);
+  }
+
+  /**
+   * Returns whether a target has memory for a job, whatever else it lacks.
+   *
+   * @param target the target
+   * @param prompt the prompt of the job
+   * @param now the current time in milliseconds
+   * @return true if the job can be sent without exceeding the memory of the target
+   */
+  boolean hasMemory(TargetLoad target, Prompt prompt, long now) {
+    return memory.permits(target, prompt, now);
   }
 
   /**
--- a/core/src/main/java/org/almondslip/placement/TargetLoad.java
+++ b/core/src/main/java/org/almondslip/placement/TargetLoad.java
@@ -35,6 +35,9 @@
   /** Prompt segments that the target caches. */
   private final PrefixCache cache;
 
+  /** Tokens that running requests hold. */
+  private final HeldTokens heldTokens;
+
   /** Pending prefill tokens of this router. */
   private long ownPendingPrefillTokens;
 
@@ -86,6 +89,7 @@
   public TargetLoad(TargetRecord record, long cacheTokens) {
     this.record = record;
     this.cache = new PrefixCache(cacheTokens);
+    this.heldTokens = new HeldTokens(cacheTokens);
   }
 
   /**
@@ -172,6 +176,7 @@
     cache.add(prompt);
     ownPendingPrefillTokens += uncached;
     ownRequests++;
+    heldTokens.onSent(prompt);
     return uncached;
   }
 
@@ -196,6 +201,28 @@
   /** Records that a request of this router has ended. */
   public void onEnded() {
     ownRequests = Math.max(0, ownRequests - 1);
+    if (ownRequests == 0) {
+      heldTokens.clearOwn();
+    }
+  }
+
+  /**
+   * Records that a request of this router has ended and no longer holds memory.
+   *
+   * @param prompt the prompt of the request
+   */
+  public void onEnded(Prompt prompt) {
+    heldTokens.onEnded(prompt);
+    onEnded();
+  }
+
+  /**
+   * Returns the tokens that running requests hold.
+   *
+   * @return the tokens of all routers
+   */
+  public HeldTokens heldTokens() {
+    return heldTokens;
   }
 
   /**
--- a/core/src/main/java/org/almondslip/report/ReportReader.java
+++ b/core/src/main/java/org/almondslip/report/ReportReader.java
@@ -88,6 +88,7 @@
                 target ->
                     target.onPeerReport(
                         report.getRouter(), load.getUnreadTokens(), load.getRequests(), now));
+        readHeldTokens(report.getRouter(), load, now);
       }
     }
     for (SuspectNotice notice : report.getSuspectsList()) {
@@ -104,6 +105,19 @@
     }
   }
 
+  /**
+   * Reads the tokens that requests of a router hold at a target. The field is absent when it has
+   * not changed, and when the router has no request there.
+   */
+  private void readHeldTokens(String router, TargetReport load, long now) {
+    int tokens = load.getHeldTokens();
+    if (isWithin(tokens, MAX_TOKENS) && (tokens > 0 || load.getRequests() == 0)) {
+      dispatcher
+          .target(load.getTarget())
+          .ifPresent(target -> target.heldTokens().onPeerReport(router, tokens, now));
+    }
+  }
+
   private void readSegments(LoadReport report, long now) {
     for (PromptCrash crash : report.getCrashesList()) {
       if (isWithin(crash.getAgeMillis(), MAX_AGE_MILLIS)
--- a/core/src/main/java/org/almondslip/report/ReportWriter.java
+++ b/core/src/main/java/org/almondslip/report/ReportWriter.java
@@ -70,6 +70,8 @@
 
     private int requests;
 
+    private final ReportedTokens heldTokens = new ReportedTokens(LOAD_REPEATS);
+
     /** Number of remaining reports that include this change. */
     private int remainingReports;
 
@@ -85,7 +87,8 @@
         remainingReports = LOAD_REPEATS;
       }
       omittedReports++;
-      if (remainingReports <= 0 && omittedReports < refreshReports) {
+      heldTokens.update(target.heldTokens().own(), refreshReports);
+      if (remainingReports <= 0 && omittedReports < refreshReports && !heldTokens.isDue()) {
         return false;
       }
       remainingReports--;
@@ -243,6 +246,7 @@
                 .setTarget(key)
                 .setUnreadTokens((int) Math.min(load.pendingPrefillTokens, Integer.MAX_VALUE))
                 .setRequests(load.requests)
+                .setHeldTokens(load.heldTokens.take())
                 .build());
       }
       if (load.isIdle()) {
--- a/core/src/test/java/org/almondslip/dispatch/TestJob.java
+++ b/core/src/test/java/org/almondslip/dispatch/TestJob.java
@@ -105,7 +105,7 @@
   /** Records that the target has prefilled and finished the job. */
   void end() {
     target.orElseThrow().onPrefilled(uncachedTokens);
-    target.orElseThrow().onEnded();
+    target.orElseThrow().onEnded(prompt);
   }
 
   /** Quarantines the job. */
--- a/core/src/test/java/org/almondslip/report/FleetSimulation.java
+++ b/core/src/test/java/org/almondslip/report/FleetSimulation.java
@@ -432,7 +432,7 @@
           readAt + GENERATION_TIME + NETWORK_DELAY,
           router.eventMicros,
           () -> {
-            target.onEnded();
+            target.onEnded(prompt);
             router.dispatcher.dispatchWaiting(SERVICE);
           });
     }
--- a/gateway/src/main/java/org/almondslip/gateway/AttemptLoad.java
+++ b/gateway/src/main/java/org/almondslip/gateway/AttemptLoad.java
@@ -14,6 +14,8 @@
 
   private final TargetLoad target;
 
+  private final Prompt prompt;
+
   private final int prefillTokens;
 
   private boolean prefilled;
@@ -28,6 +30,7 @@
   AttemptLoad(Dispatcher dispatcher, TargetLoad target, Prompt prompt) {
     this.dispatcher = dispatcher;
     this.target = target;
+    this.prompt = prompt;
     this.prefillTokens = target.onSent(prompt);
   }
 
@@ -56,7 +59,7 @@
       prefilled = true;
       target.onPrefilled(prefillTokens);
     }
-    target.onEnded();
+    target.onEnded(prompt);
     dispatcher.dispatchWaiting(target.record().service());
   }
 }
--- a/gateway/src/main/java/org/almondslip/gateway/Gateway.java
+++ b/gateway/src/main/java/org/almondslip/gateway/Gateway.java
@@ -265,7 +265,12 @@
             uploads);
     runOnEventLoop(
         () -> {
-          source.start(directory, peerExchange);
+          source.start(
+              directory,
+              new RouterNames(
+                  settings.instance(),
+                  peerExchange,
+                  names -> dispatcher.setRouters(settings.instance(), names)));
           peerExchange.start(settings.peerListen());
           vertx.setPeriodic(TICK_MILLIS, id -> tick());
           vertx.setPeriodic(EXPIRY_CHECK_MILLIS, id -> removeExpired());
--- a/gateway/src/main/java/org/almondslip/gateway/GatewayMetrics.java
+++ b/gateway/src/main/java/org/almondslip/gateway/GatewayMetrics.java
@@ -76,6 +76,14 @@
         .labelNames("service")
         .callback(values -> dispatcher.statistics().heldBack().forEach((s, n) -> values.call(n, s)))
         .register(registry);
+    CounterWithCallback.builder()
+        .name("almondslip_gateway_memory_withheld_total")
+        .help("Sends that were withheld since the available targets lack memory for the prompt")
+        .labelNames("service")
+        .callback(
+            values ->
+                dispatcher.statistics().withheldForMemory().forEach((s, n) -> values.call(n, s)))
+        .register(registry);
     CounterWithCallback.builder()
         .name("almondslip_gateway_reports_total")
         .help("Datagrams between routers, by what became of them")
--- /dev/null
+++ b/gateway/src/test/java/org/almondslip/gateway/ResponseMemoryTest.java
@@ -0,0 +1,186 @@
+package org.almondslip.gateway;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import org.almondslip.gateway.ResponseMemory.CutOffReason;
+import org.almondslip.time.Clock;
+import org.junit.jupiter.api.Test;
+
+/** Tests of the decisions of {@link ResponseMemory} and {@link UploadGate} without connections. */
+class ResponseMemoryTest {
+
+  private static final int CAPACITY = 1_000_000;
+
+  private final Clock.Manual clock = new Clock.Manual(1_000);
+
+  private final BodyMemory memory = new BodyMemory(CAPACITY);
+
+  private final ResponseMemory responses = new ResponseMemory(clock, memory);
+
+  /** Response that records the decisions about it. */
+  private final class Response implements ResponseMemory.Listener {
+
+    private final ResponseMemory.Account account = responses.open(this);
+
+    private final List<CutOffReason> cutOffs = new ArrayList<>();
+
+    private int resumes;
+
+    @Override
+    public void onResume() {
+      resumes++;
+    }
+
+    @Override
+    public void onCutOff(CutOffReason reason, long bytes) {
+      cutOffs.add(reason);
+    }
+
+    Response add(int bytes) {
+      account.add(bytes);
+      return this;
+    }
+  }
+
+  /** Guards against memory beyond the bound, and against memory that stays after the end. */
+  @Property(seed = "20261206", tries = 200)
+  void neverExceedsCapacity(@ForAll long seed) {
+    Random random = new Random(seed);
+    BodyMemory bound = new BodyMemory(CAPACITY);
+    ResponseMemory held = new ResponseMemory(clock, bound);
+    List<ResponseMemory.Account> accounts = new ArrayList<>();
+    List<Integer> sizes = new ArrayList<>();
+    for (int i = 0; i < 300; i++) {
+      clock.advance(random.nextInt(100));
+      int size = random.nextInt(60_000);
+      ResponseMemory.Account account =
+          held.open(
+              new ResponseMemory.Listener() {
+                @Override
+                public void onResume() {}
+
+                @Override
+                public void onCutOff(CutOffReason reason, long bytes) {}
+              });
+      account.add(size);
+      accounts.add(account);
+      sizes.add(size);
+      int other = random.nextInt(accounts.size());
+      if (random.nextBoolean()) {
+        accounts.get(other).remove(sizes.get(other), sizes.set(other, 0));
+      }
+      held.tick();
+      assertThat(bound.used()).isBetween(0L, (long) CAPACITY);
+      assertThat(held.heldBytes()).isEqualTo(bound.used());
+    }
+    accounts.forEach(ResponseMemory.Account::release);
+    assertThat(bound.used()).isZero();
+    assertThat(held.heldBytes()).isZero();
+    assertThat(held.pausedTargets()).isZero();
+  }
+
+  /** Guards against cutting off a caller that reads before those that do not. */
+  @Test
+  void callerThatReadsOutlivesThoseThatDoNot() {
+    List<Response> slow = new ArrayList<>();
+    for (int i = 0; i < 20; i++) {
+      slow.add(new Response().add(30_000));
+    }
+    Response reader = new Response();
+    for (int i = 0; i < 100; i++) {
+      clock.advance(50);
+      reader.add(100_000);
+      reader.account.remove(90_000, 90_000);
+      reader.account.remove(10_000, 10_000);
+      slow.forEach(response -> response.add(1_000));
+    }
+    assertThat(reader.cutOffs).isEmpty();
+    assertThat(slow).anyMatch(response -> !response.cutOffs.isEmpty());
+    assertThat(memory.used()).isLessThanOrEqualTo(CAPACITY);
+  }
+
+  /** Guards against cutting off the caller with little data before the one with most. */
+  @Test
+  void callerWithMostBytesIsCutOffFirst() {
+    Response small = new Response().add(10_000);
+    Response large = new Response().add(400_000);
+    clock.advance(5_000);
+    new Response().add(300_000);
+    assertThat(large.cutOffs).containsExactly(CutOffReason.MEMORY);
+    assertThat(small.cutOffs).isEmpty();
+  }
+
+  /** Guards against a target that is paused while there is memory, or that is not read again. */
+  @Test
+  void targetsOfLargeHoldersArePausedAboveSoftLimit() {
+    Response small = new Response().add(10_000);
+    Response large = new Response().add(480_000);
+    assertThat(responses.pausedTargets()).isZero();
+    large.add(50_000);
+    small.add(1_000);
+    assertThat(large.account.isPaused()).isTrue();
+    assertThat(small.account.isPaused()).isFalse();
+    large.account.remove(500_000, 500_000);
+    assertThat(large.resumes).isEqualTo(1);
+    assertThat(responses.pausedTargets()).isZero();
+  }
+
+  /** Guards against a target that gives up since it stays paused for seconds. */
+  @Test
+  void longPauseEndsWithCutOff() {
+    Response slowest = new Response().add(300_000);
+    clock.advance(3_000);
+    Response next = new Response().add(260_000);
+    assertThat(next.account.isPaused()).isTrue();
+    responses.tick();
+    assertThat(slowest.cutOffs).isEmpty();
+    next.account.remove(1, 0);
+    clock.advance(ResponseMemory.MAX_PAUSE_MILLIS);
+    responses.tick();
+    assertThat(slowest.cutOffs).containsExactly(CutOffReason.TARGET_PAUSED);
+    assertThat(next.resumes).isEqualTo(1);
+    assertThat(next.cutOffs).isEmpty();
+  }
+
+  /** Guards against a body that is refused although slow callers hold the memory. */
+  @Test
+  void slowCallersMakeRoomForBodies() {
+    Response slow = new Response().add(650_000);
+    clock.advance(1_000);
+    assertThat(memory.reserve().tryExtend(200_000)).isTrue();
+    assertThat(slow.cutOffs).containsExactly(CutOffReason.MEMORY);
+    assertThat(memory.refused()).isZero();
+  }
+
+  /** Guards against bodies that wait for each other for ever. */
+  @Test
+  void bodyWaitsOnceUntilMemoryIsFreeOrPauseEnds() {
+    UploadGate gate = new UploadGate(clock, memory);
+    List<String> events = new ArrayList<>();
+    BodyMemory.Reservation used = memory.reserve();
+    used.tryExtend(650_000);
+    RequestBody first = new RequestBody(memory.reserve(), "200000");
+    first.tryAppend(io.vertx.core.buffer.Buffer.buffer(new byte[70_000]));
+    gate.onData(first, () -> events.add("pause"), () -> events.add("resume"));
+    gate.tick();
+    assertThat(events).containsExactly("pause");
+    clock.advance(UploadGate.MAX_PAUSE_MILLIS);
+    gate.tick();
+    assertThat(events).containsExactly("pause", "resume");
+    gate.onData(first, () -> events.add("pause"), () -> events.add("resume"));
+    assertThat(events).hasSize(2);
+    RequestBody second = new RequestBody(memory.reserve(), null);
+    second.tryAppend(io.vertx.core.buffer.Buffer.buffer(new byte[10]));
+    gate.onData(second, () -> events.add("pause"), () -> events.add("resume"));
+    assertThat(gate.waiting()).isEqualTo(1);
+    used.release();
+    gate.tick();
+    assertThat(gate.waiting()).isZero();
+    assertThat(events).hasSize(4);
+  }
+}
