--- a/core/src/main/java/org/almondslip/report/ReportWriter.java
+++ b/core/src/main/java/org/almondslip/report/ReportWriter.java
@@ -75,6 +75,7 @@
     private int requests;
 
     private final ReportedPace pace = new ReportedPace();
+    private final ReportedTokens heldTokens = new ReportedTokens(LOAD_REPEATS);
 
     /** Number of remaining reports that include this change. */
     private int remainingReports;
@@ -93,7 +94,8 @@
         remainingReports = LOAD_REPEATS;
       }
       omittedReports++;
-      if (remainingReports <= 0 && omittedReports < refreshReports) {
+      heldTokens.update(target.heldTokens().own(), refreshReports);
+      if (remainingReports <= 0 && omittedReports < refreshReports && !heldTokens.isDue()) {
         return false;
       }
       remainingReports--;
@@ -258,6 +260,7 @@
                 .setColdMillis((int) load.pace.last().coldMillis())
                 .setWindow(load.pace.last().window())
                 .setWindowDecreases(load.pace.last().decreases())
+                .setHeldTokens(load.heldTokens.take())
                 .build());
       }
       if (load.isIdle()) {
--- a/gateway/src/main/java/org/almondslip/gateway/Gateway.java
+++ b/gateway/src/main/java/org/almondslip/gateway/Gateway.java
@@ -106,7 +106,11 @@
 
   private final DecisionLog decisionLog;
 
-  private final BodyMemory bodyMemory = BodyMemory.ofHeap();
+  private final BodyMemory bodyMemory;
+
+  private final ResponseMemory responseMemory;
+
+  private final UploadGate uploads;
 
   private final QuarantineLog quarantineLog = new QuarantineLog();
 
@@ -153,8 +157,29 @@
       Clock clock,
       HeaderCodec codec,
       DirectorySourceFactory sourceFactory) {
+    this(settings, clock, codec, sourceFactory, BodyMemory.ofHeap());
+  }
+
+  /**
+   * Creates a router with a given memory of bodies.
+   *
+   * @param settings the settings
+   * @param clock the source of time
+   * @param codec reads and writes headers
+   * @param sourceFactory creates the reader of the state of the fleet
+   * @param bodyMemory the memory of the bodies of requests and responses
+   */
+  Gateway(
+      GatewaySettings settings,
+      Clock clock,
+      HeaderCodec codec,
+      DirectorySourceFactory sourceFactory,
+      BodyMemory bodyMemory) {
     this.settings = settings;
     this.clock = clock;
+    this.bodyMemory = bodyMemory;
+    this.responseMemory = new ResponseMemory(clock, bodyMemory);
+    this.uploads = new UploadGate(clock, bodyMemory);
     this.decisionLog = new DecisionLog(clock, registry);
     this.vertx =
         Vertx.vertx(
@@ -223,6 +248,7 @@
             crashQuarantine,
             segmentQuarantine,
             bodyMemory,
+            responseMemory,
             retryAllowance);
     this.requestHandler =
         new CallerRequestHandler(
@@ -232,6 +258,7 @@
             directory,
             callerConnections,
             eventLoopDelay,
+            uploads,
             RandomSource.XO_RO_SHI_RO_128_PP.create(),
             () -> draining || overloadDetector.overloaded() || callerConnections.aboveSoftLimit(),
             () -> refusingRequests);
@@ -254,10 +281,17 @@
             peerExchange.counts(),
             segmentQuarantine,
             quarantineLog,
-            bodyMemory);
+            bodyMemory,
+            responseMemory,
+            uploads);
     runOnEventLoop(
         () -> {
-          source.start(directory, peerExchange);
+          source.start(
+              directory,
+              new RouterNames(
+                  settings.instance(),
+                  peerExchange,
+                  names -> dispatcher.setRouters(settings.instance(), names)));
           peerExchange.start(settings.peerListen());
           vertx.setPeriodic(TICK_MILLIS, id -> tick());
           vertx.setPeriodic(EXPIRY_CHECK_MILLIS, id -> removeExpired());
@@ -293,6 +327,10 @@
     return bodyMemory;
   }
 
+  ResponseMemory responseMemory() {
+    return responseMemory;
+  }
+
   @Override
   public void drain() {
     draining = true;
@@ -390,6 +428,8 @@
     fleetPace.tick(clock.millis());
     coldTargetProbe.tick();
     dispatcher.tick();
+    responseMemory.tick();
+    uploads.tick();
   }
 
   /**
@@ -402,7 +442,10 @@
     directory
         .table()
         .ifPresent(
-            table -> callerConnections.closeIdleAndStalled(table.limits().idleTimeoutMillis()));
+            table -> {
+              callerConnections.closeIdleAndStalled(table.limits().idleTimeoutMillis());
+              responseMemory.cutOffStalled(table.limits().idleTimeoutMillis());
+            });
   }
 
   /** Runs a task on the event loop and waits until it ends. */
--- a/gateway/src/test/java/org/almondslip/gateway/GatewayHarness.java
+++ b/gateway/src/test/java/org/almondslip/gateway/GatewayHarness.java
@@ -48,6 +48,11 @@
 
   private long idleTimeoutMillis = 15_000;
 
+  private int maxBodyBytes = 65_536;
+
+  /** Memory of the bodies of all connections in bytes, 0 for a fraction of the heap. */
+  private long bodyMemoryBytes;
+
   private final TestClock clock = new TestClock();
 
   /** Event loop of the latest router. */
@@ -119,6 +124,17 @@
     idleTimeoutMillis = millis;
   }
 
+  /**
+   * Sets the memory of bodies for routers that are started later.
+   *
+   * @param bytes the memory of all bodies in bytes
+   * @param maxBody the largest request body in bytes
+   */
+  void setBodyMemory(long bytes, int maxBody) {
+    bodyMemoryBytes = bytes;
+    maxBodyBytes = maxBody;
+  }
+
   /**
    * Starts a router with one route, whose API key is {@code secret}.
    *
@@ -173,7 +189,7 @@
         List.of(new ServicePolicy("s", 0)),
         Map.of("secret", new Organisation("org", OptionalInt.empty(), ofOrganisation)),
         true,
-        new IngressLimits(8_192, 65_536, 3_000, idleTimeoutMillis));
+        new IngressLimits(8_192, maxBodyBytes, 3_000, idleTimeoutMillis));
   }
 
   /** Runs a task with the directory of the latest router on its event loop. */
@@ -238,7 +254,8 @@
             (vertx, time) -> {
               eventLoop = vertx;
               return source;
-            });
+            },
+            bodyMemoryBytes > 0 ? new BodyMemory(bodyMemoryBytes) : BodyMemory.ofHeap());
     gateway.start();
     return gateway;
   }
