Order declarations as the linter asks

Cause: the linter refused the distance of a declaration in Dispatcher.submit and the order of overloads in GatewayHarness. Change: both moved; no change of behaviour.

--- a/core/src/main/java/org/almondslip/dispatch/Dispatcher.java
+++ b/core/src/main/java/org/almondslip/dispatch/Dispatcher.java
@@ -182,7 +182,6 @@
    * @param job the job
    */
   public void submit(Job job) {
-    FairQueue queue = queue(job.service());
     if (job.isQuarantined()) {
       refuse(job, RefusalReason.QUARANTINED);
       return;
@@ -197,6 +196,7 @@
       refuse(job, RefusalReason.NO_TARGET);
       return;
     }
+    FairQueue queue = queue(job.service());
     if (queue.size() == 0 || job.isRetry()) {
       Optional<Placement.Choice> choice = choose(job, available);
       if (choice.isPresent()) {
--- a/gateway/src/test/java/org/almondslip/gateway/GatewayHarness.java
+++ b/gateway/src/test/java/org/almondslip/gateway/GatewayHarness.java
@@ -138,55 +138,6 @@
         records);
   }
 
-  /**
-   * Returns a table with one route, whose API key is {@code secret}.
-   *
-   * @param version the version
-   * @param kind the kind of the route
-   * @param attempts the maximum number of attempts per request
-   * @param ofRoute the regions that the route allows
-   * @param ofOrganisation the regions that the organisation of the key allows
-   * @return the table
-   */
-  RoutingTable table(
-      long version,
-      RouteKind kind,
-      int attempts,
-      AllowedRegions ofRoute,
-      AllowedRegions ofOrganisation) {
-    Route route =
-        new Route(
-            "r",
-            "h",
-            "/a/",
-            kind,
-            15_000,
-            10_000,
-            1,
-            List.of(new Route.Share("s", 1)),
-            attempts,
-            false,
-            ofRoute);
-    return new RoutingTable(
-        version,
-        List.of(route),
-        List.of(new ServicePolicy("s", 0)),
-        Map.of("secret", new Organisation("org", OptionalInt.empty(), ofOrganisation)),
-        true,
-        new IngressLimits(8_192, 65_536, 3_000, idleTimeoutMillis));
-  }
-
-  /** Runs a task with the directory of the latest router on its event loop. */
-  void updateDirectory(Consumer<Directory> task) {
-    CompletableFuture<Void> done = new CompletableFuture<>();
-    eventLoop.runOnContext(
-        ignored -> {
-          task.accept(latestDirectory);
-          done.complete(null);
-        });
-    done.join();
-  }
-
   /**
    * Starts a router.
    *
@@ -243,6 +194,55 @@
     return gateway;
   }
 
+  /**
+   * Returns a table with one route, whose API key is {@code secret}.
+   *
+   * @param version the version
+   * @param kind the kind of the route
+   * @param attempts the maximum number of attempts per request
+   * @param ofRoute the regions that the route allows
+   * @param ofOrganisation the regions that the organisation of the key allows
+   * @return the table
+   */
+  RoutingTable table(
+      long version,
+      RouteKind kind,
+      int attempts,
+      AllowedRegions ofRoute,
+      AllowedRegions ofOrganisation) {
+    Route route =
+        new Route(
+            "r",
+            "h",
+            "/a/",
+            kind,
+            15_000,
+            10_000,
+            1,
+            List.of(new Route.Share("s", 1)),
+            attempts,
+            false,
+            ofRoute);
+    return new RoutingTable(
+        version,
+        List.of(route),
+        List.of(new ServicePolicy("s", 0)),
+        Map.of("secret", new Organisation("org", OptionalInt.empty(), ofOrganisation)),
+        true,
+        new IngressLimits(8_192, 65_536, 3_000, idleTimeoutMillis));
+  }
+
+  /** Runs a task with the directory of the latest router on its event loop. */
+  void updateDirectory(Consumer<Directory> task) {
+    CompletableFuture<Void> done = new CompletableFuture<>();
+    eventLoop.runOnContext(
+        ignored -> {
+          task.accept(latestDirectory);
+          done.complete(null);
+        });
+    done.join();
+  }
+
   /**
    * Returns a request that asks the router to close the connection after the response.
    *
