--- a/cli/src/main/java/org/almondslip/cli/AlmondslipMain.java
+++ b/cli/src/main/java/org/almondslip/cli/AlmondslipMain.java
@@ -18,6 +18,9 @@
   /** Command that reads log files and sends no request. */
   private final Explain explain = new Explain();
 
+  /** Command that reads configuration files and sends no request. */
+  private final Check check = new Check();
+
   private final JCommander parser =
       JCommander.newBuilder().programName("almondslip").addObject(options).build();
 
@@ -41,6 +44,7 @@
     commands.put("audit", new Command.Audit());
     commands.forEach(parser::addCommand);
     parser.addCommand("explain", explain);
+    parser.addCommand("check", check);
   }
 
   /**
@@ -69,6 +73,9 @@
       if (parser.getParsedCommand().equals("explain")) {
         return explain.run(new Printer(out));
       }
+      if (parser.getParsedCommand().equals("check")) {
+        return check.run(new Printer(out));
+      }
       return execute(commands.get(parser.getParsedCommand()), environment);
     } catch (ParameterException e) {
       err.println(e.getMessage());
--- a/cli/src/main/java/org/almondslip/cli/ExitCode.java
+++ b/cli/src/main/java/org/almondslip/cli/ExitCode.java
@@ -10,8 +10,8 @@
   FAILED(1, "any other error"),
   /** The arguments are invalid or a file cannot be read. */
   USAGE(2, "wrong arguments, unreadable file or missing operator key"),
-  /** The ticket has findings. */
-  INVALID(3, "the ticket has findings; nothing changed", "ticket-invalid"),
+  /** The ticket or the configuration has findings. */
+  INVALID(3, "the ticket or configuration has findings; nothing changed", "ticket-invalid"),
   /** An equal or higher ticket number is stored. */
   CONFLICT(4, "an equal or higher ticket number is stored; nothing changed", "ticket-conflict"),
   /** The object does not exist. */
