Estimate the speed of targets and their current duration of work

Targets of a service may differ in speed by a factor of two, and hosts that are shared are slow in periods of about 600 ms. Placement assumed one prefill rate for all targets and only ever corrected it to slower ones.

A long-term speed per target is now measured against the mean of its service and merged from the reports of all routers, and the duration of work that a target states in its responses counts for 600 ms. Both are in force only for services whose targets state that figure. Among targets of similar cost, one is chosen at random in proportion to the work that it takes up to the level to which unreported requests of other routers fill the targets.

--- a/core/src/main/java/org/almondslip/dispatch/Dispatcher.java
+++ b/core/src/main/java/org/almondslip/dispatch/Dispatcher.java
@@ -11,6 +11,7 @@
 import org.almondslip.placement.EngineModel;
 import org.almondslip.placement.Placement;
 import org.almondslip.placement.Prompt;
+import org.almondslip.placement.SpeedStatus;
 import org.almondslip.placement.TargetLoad;
 import org.almondslip.time.Clock;
 
@@ -112,6 +113,15 @@
     return targets.all();
   }
 
+  /**
+   * Returns the speeds of the targets for whose service they are in force.
+   *
+   * @return the speed of each target
+   */
+  public List<SpeedStatus> speeds() {
+    return SpeedStatus.of(targets.all(), clock.millis());
+  }
+
   /**
    * Returns the number of waiting jobs of all services.
    *
--- a/core/src/main/java/org/almondslip/dispatch/TargetAvailability.java
+++ b/core/src/main/java/org/almondslip/dispatch/TargetAvailability.java
@@ -68,7 +68,7 @@
       return target.requests(now) < slots;
     }
     double pendingMillis =
-        model.prefillMillis(target.pendingPrefillTokens(now)) * target.slowdown();
+        model.prefillMillis(target.pendingPrefillTokens(now)) * target.prefillFactor(now);
     return pendingMillis < limits.maxPendingPrefillMillis() * status.prefillFraction()
         && target.requests(now) < slots * limits.maxEngineSlotFraction();
   }
--- a/core/src/main/java/org/almondslip/dispatch/TargetTable.java
+++ b/core/src/main/java/org/almondslip/dispatch/TargetTable.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import org.almondslip.placement.ServiceSpeed;
 import org.almondslip.placement.TargetLoad;
 
 /** Targets indexed by service and id, and by incarnation key. */
@@ -18,15 +19,24 @@
   /** Targets by incarnation key. */
   private final Map<Long, TargetLoad> byKey = new HashMap<>();
 
+  /** Speeds of the targets by service. */
+  private final Map<String, ServiceSpeed> speeds = new HashMap<>();
+
   /**
    * Adds a target.
    *
    * @param target the target
    */
   void add(TargetLoad target) {
-    byService
-        .computeIfAbsent(target.record().service(), service -> new HashMap<>())
-        .put(target.record().id(), target);
+    String service = target.record().service();
+    TargetLoad replaced =
+        byService
+            .computeIfAbsent(service, key -> new HashMap<>())
+            .put(target.record().id(), target);
+    if (replaced != null) {
+      replaced.speed().leave();
+    }
+    target.speed().join(speeds.computeIfAbsent(service, key -> new ServiceSpeed()));
     byKey.put(target.incarnationKey(), target);
   }
 
@@ -41,6 +51,7 @@
     Optional<TargetLoad> removed =
         Optional.ofNullable(byService.getOrDefault(service, new HashMap<>()).remove(id));
     removed.ifPresent(target -> byKey.remove(target.incarnationKey()));
+    removed.ifPresent(target -> target.speed().leave());
     return removed;
   }
 
--- a/core/src/main/java/org/almondslip/placement/Placement.java
+++ b/core/src/main/java/org/almondslip/placement/Placement.java
@@ -5,6 +5,8 @@
 import java.util.Optional;
 import java.util.OptionalDouble;
 import java.util.function.Predicate;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.apache.commons.rng.simple.RandomSource;
 
 /**
  * Selects the target with the least cost, which is the expected time until prefill completes plus
@@ -38,6 +40,8 @@
 
   private final EngineModel model;
 
+  private final UniformRandomProvider random;
+
   /**
    * Target selected for a request.
    *
@@ -54,12 +58,25 @@
    * @param model the performance model of the engines
    */
   public Placement(String dataCentre, EngineModel model) {
+    this(dataCentre, model, RandomSource.XO_RO_SHI_RO_128_PP.create());
+  }
+
+  /**
+   * Creates a placement with a source of randomness.
+   *
+   * @param dataCentre the data centre of this router
+   * @param model the performance model of the engines
+   * @param random decides between targets of nearly the same cost
+   */
+  public Placement(String dataCentre, EngineModel model, UniformRandomProvider random) {
     this.dataCentre = dataCentre;
     this.model = model;
+    this.random = random;
   }
 
   /**
-   * Selects the target with the least cost.
+   * Selects the target with the least cost, or one of nearly the same cost if the speeds of the
+   * service are in force.
    *
    * @param targets the targets of the service
    * @param prompt the prompt of the request
@@ -71,16 +88,23 @@
       Collection<TargetLoad> targets, Prompt prompt, Predicate<TargetLoad> permitted, long now) {
     TargetLoad best = null;
     double bestCost = Double.MAX_VALUE;
+    NearEqualTargets nearEqual = new NearEqualTargets();
     for (TargetLoad target : targets) {
       if (!target.acceptsRequests(now) || !permitted.test(target)) {
         continue;
       }
       double cost = cost(target, prompt, now);
+      if (target.speed().isInForce(now)) {
+        nearEqual.add(target, cost, now);
+      }
       if (cost < bestCost) {
         best = target;
         bestCost = cost;
       }
     }
+    if (best != null && best.speed().isInForce(now)) {
+      best = nearEqual.choose(model, random);
+    }
     return best == null
         ? Optional.empty()
         : Optional.of(new Choice(best, expectedDelayMillis(best, prompt, now)));
@@ -101,9 +125,28 @@
     int requests = target.requests(now);
     int excess = Math.max(0, requests - target.record().slots());
     return target.remainingPauseMillis(now)
-        + prefillMillis * target.slowdown()
+        + prefillMillis * target.prefillFactor(now)
         + model.delayPerRequestMillis() * requests
-        + EXCESS_REQUEST_MILLIS * excess;
+        + excessRequestMillis(target, now) * excess;
+  }
+
+  /** Returns the expected delay for each request that exceeds the slots of a target. */
+  private static double excessRequestMillis(TargetLoad target, long now) {
+    return target.isEngine() || !target.speed().isInForce(now)
+        ? EXCESS_REQUEST_MILLIS
+        : target.speed().requestMillis(now) / target.record().slots();
+  }
+
+  /**
+   * Starts to measure the response time of a request, before it counts towards the load.
+   *
+   * @param target the target
+   * @param prompt the prompt
+   * @param now the current time in milliseconds
+   * @return the measurement
+   */
+  public SpeedMeasurement measure(TargetLoad target, Prompt prompt, long now) {
+    return new SpeedMeasurement(target, model, prompt, now);
   }
 
   /**
@@ -159,9 +202,24 @@
   /** Returns the cost of sending a request to a target, in milliseconds. */
   private double cost(TargetLoad target, Prompt prompt, long now) {
     double cost = expectedDelayMillis(target, prompt, now);
-    cost += UNCACHED_PREFILL_WEIGHT * model.prefillMillis(target.uncachedTokens(prompt));
+    cost += workMillis(target, prompt, now);
     cost += target.record().dataCentre().equals(dataCentre) ? 0 : REMOTE_PENALTY_MILLIS;
     cost += target.isEjected(now) ? EJECTED_PENALTY_MILLIS : 0;
     return cost;
   }
+
+  /** Returns the cost of the work that a request causes at a target, in milliseconds. */
+  private double workMillis(TargetLoad target, Prompt prompt, long now) {
+    double prefillMillis =
+        UNCACHED_PREFILL_WEIGHT * model.prefillMillis(target.uncachedTokens(prompt));
+    TargetSpeed speed = target.speed();
+    if (!speed.isInForce(now)) {
+      return prefillMillis;
+    }
+    if (target.isEngine()) {
+      return prefillMillis * speed.prefillFactor(now);
+    }
+    // Requests at a plain service share its host, so that a busy target serves each one later.
+    return speed.requestMillis(now) * (1 + target.requests(now) / (double) target.record().slots());
+  }
 }
--- /dev/null
+++ b/core/src/main/java/org/almondslip/placement/PrefillSamples.java
@@ -0,0 +1,67 @@
+package org.almondslip.placement;
+
+/**
+ * Ratio between measured and expected times to the first event at one engine, in which older
+ * responses weigh less.
+ */
+final class PrefillSamples implements SpeedSamples {
+
+  /** Number of responses after which the weight of a response has decreased to 1/e. */
+  private static final double WINDOW_SAMPLES = 200;
+
+  /**
+   * Time after which the measurements are discarded, in milliseconds. A target that gets no
+   * requests is then tried again.
+   */
+  private static final long EXPIRY_MILLIS = 60_000;
+
+  /**
+   * Time for the network and the decoding steps before the first event, in milliseconds: eight
+   * steps of 4 ms. An error is the same for all targets.
+   */
+  private static final double STEPS_MILLIS = 32;
+
+  private double count;
+
+  private double measuredMillis;
+
+  private double expectedMillis;
+
+  private long latestAt;
+
+  /**
+   * Adds a response.
+   *
+   * @param prefillMillis the expected prefill time of the request and of those before it
+   * @param millis the measured time in milliseconds
+   * @param now the current time in milliseconds
+   */
+  void add(double prefillMillis, double millis, long now) {
+    double kept = 1 - 1 / WINDOW_SAMPLES;
+    double expected = STEPS_MILLIS + prefillMillis;
+    double ratio = SpeedEstimate.bound(millis / expected);
+    count = count * kept + 1;
+    measuredMillis = measuredMillis * kept + ratio * expected;
+    expectedMillis = expectedMillis * kept + expected;
+    latestAt = now;
+  }
+
+  @Override
+  public void expire(long now) {
+    if (now - latestAt >= EXPIRY_MILLIS) {
+      count = 0;
+      measuredMillis = 0;
+      expectedMillis = 0;
+    }
+  }
+
+  @Override
+  public double count() {
+    return count;
+  }
+
+  @Override
+  public double duration() {
+    return count > 0 ? measuredMillis / expectedMillis : 1;
+  }
+}
--- a/core/src/main/java/org/almondslip/placement/TargetLoad.java
+++ b/core/src/main/java/org/almondslip/placement/TargetLoad.java
@@ -68,6 +68,8 @@
   /** Moving average of the ratio between measured and expected time to the first event. */
   private double slowdown = 1;
 
+  private final TargetSpeed speed;
+
   /**
    * Load that another router puts on the target.
    *
@@ -86,6 +88,7 @@
   public TargetLoad(TargetRecord record, long cacheTokens) {
     this.record = record;
     this.cache = new PrefixCache(cacheTokens);
+    this.speed = new TargetSpeed(isEngine());
   }
 
   /**
@@ -172,6 +175,7 @@
     cache.add(prompt);
     ownPendingPrefillTokens += uncached;
     ownRequests++;
+    speed.onSent();
     return uncached;
   }
 
@@ -181,6 +185,7 @@
    * @param prompt the prompt
    */
   public void onPeerSent(Prompt prompt) {
+    speed.service().onPeerSent(cache.uncachedTokens(prompt));
     cache.add(prompt);
   }
 
@@ -196,6 +201,7 @@
   /** Records that a request of this router has ended. */
   public void onEnded() {
     ownRequests = Math.max(0, ownRequests - 1);
+    speed.onEnded();
   }
 
   /**
@@ -210,6 +216,7 @@
     addToTotals(reports.put(router, new Report(tokens, count, now)), -1);
     addToTotals(reports.get(router), 1);
     reportsExpireAt = Math.min(reportsExpireAt, now + REPORT_EXPIRY_MILLIS);
+    speed.onPeerPending(peerPendingPrefillTokens, now);
   }
 
   /**
@@ -261,7 +268,7 @@
    */
   public int requests(long now) {
     expireReports(now);
-    return ownRequests + peerRequests;
+    return speed.requests(ownRequests + peerRequests, now);
   }
 
   /**
@@ -273,6 +280,25 @@
     return slowdown;
   }
 
+  /**
+   * Returns the estimated speed of the target.
+   *
+   * @return the speed, which is in force only for some services
+   */
+  public TargetSpeed speed() {
+    return speed;
+  }
+
+  /**
+   * Returns the expected duration of prefill relative to the performance model.
+   *
+   * @param now the current time in milliseconds
+   * @return the factor, the slowdown unless the estimated speed is in force
+   */
+  public double prefillFactor(long now) {
+    return speed.isInForce(now) ? speed.prefillFactor(now) : slowdown;
+  }
+
   /**
    * Updates the slowdown with a measured time to the first event.
    *
--- a/core/src/main/java/org/almondslip/report/ReportReader.java
+++ b/core/src/main/java/org/almondslip/report/ReportReader.java
@@ -85,9 +85,19 @@
         dispatcher
             .target(load.getTarget())
             .ifPresent(
-                target ->
-                    target.onPeerReport(
-                        report.getRouter(), load.getUnreadTokens(), load.getRequests(), now));
+                target -> {
+                  target.onPeerReport(
+                      report.getRouter(), load.getUnreadTokens(), load.getRequests(), now);
+                  target
+                      .speed()
+                      .onPeerReport(
+                          report.getRouter(),
+                          load.getSpeedPermille(),
+                          load.getSpeedSamples(),
+                          load.getWorkPercent(),
+                          load.getWorkAgeMillis(),
+                          now);
+                });
       }
     }
     for (SuspectNotice notice : report.getSuspectsList()) {
--- a/core/src/main/java/org/almondslip/report/ReportWriter.java
+++ b/core/src/main/java/org/almondslip/report/ReportWriter.java
@@ -57,6 +57,10 @@
 
   private final SegmentReporter segments;
 
+  private final SpeedReporter speeds = new SpeedReporter();
+
+  private final Clock clock;
+
   /** Loads of the targets that recently had requests, by incarnation key, as last reported. */
   private final Map<Long, ReportedLoad> reportedLoads = new HashMap<>();
 
@@ -131,6 +135,7 @@
     this.routerName = routerName;
     this.incarnation = incarnation;
     this.dispatcher = dispatcher;
+    this.clock = clock;
     this.segments = new SegmentReporter(clock, segmentQuarantine);
     this.refreshReports = refreshReports;
   }
@@ -227,23 +232,27 @@
    * ended is included a few times and then forgotten.
    */
   private void addTargets(ReportPacker packer) {
+    long now = clock.millis();
+    speeds.retain(key -> dispatcher.target(key).isPresent());
     for (TargetLoad target : dispatcher.targets()) {
       long key = target.incarnationKey();
+      boolean speedDue = speeds.isDue(target, now);
       ReportedLoad load = reportedLoads.get(key);
-      if (load == null && target.ownRequests() == 0) {
+      if (load == null && target.ownRequests() == 0 && !speedDue) {
         continue;
       }
       if (load == null) {
         load = new ReportedLoad();
         reportedLoads.put(key, load);
       }
-      if (load.update(target, refreshReports)) {
-        packer.add(
+      if (load.update(target, refreshReports) || speedDue) {
+        TargetReport.Builder entry =
             TargetReport.newBuilder()
                 .setTarget(key)
                 .setUnreadTokens((int) Math.min(load.pendingPrefillTokens, Integer.MAX_VALUE))
-                .setRequests(load.requests)
-                .build());
+                .setRequests(load.requests);
+        speeds.addTo(entry, target, now);
+        packer.add(entry.build());
       }
       if (load.isIdle()) {
         reportedLoads.remove(key);
--- a/core/src/test/java/org/almondslip/report/ReportWriterTest.java
+++ b/core/src/test/java/org/almondslip/report/ReportWriterTest.java
@@ -3,6 +3,8 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.util.List;
+import java.util.Optional;
+import java.util.OptionalInt;
 import org.almondslip.directory.TargetRecord;
 import org.almondslip.dispatch.DispatchLimits;
 import org.almondslip.dispatch.Dispatcher;
@@ -11,8 +13,11 @@
 import org.almondslip.placement.EngineModel;
 import org.almondslip.placement.Placement;
 import org.almondslip.placement.Prompt;
+import org.almondslip.placement.SpeedMeasurement;
 import org.almondslip.placement.TargetLoad;
+import org.almondslip.placement.TargetStatus;
 import org.almondslip.protocol.wire.LoadReport;
+import org.almondslip.protocol.wire.TargetReport;
 import org.almondslip.quarantine.CrashQuarantine;
 import org.almondslip.quarantine.SegmentQuarantine;
 import org.almondslip.time.Clock;
@@ -168,6 +173,72 @@
     return TestJobs.job(organisation, TOKENS, clock.millis());
   }
 
+  /** Guards against speeds in reports of services whose targets do not state their work. */
+  @Test
+  void speedIsReportedOnlyWhileItIsInForce() {
+    send("org");
+    measure(20);
+    assertThat(reportedTargets()).allMatch(target -> target.getSpeedPermille() == 0);
+    state(100);
+    measure(20);
+    clock.advance(1_000);
+    assertThat(reportedTargets())
+        .anyMatch(target -> target.getSpeedPermille() > 0 && target.getSpeedSamples() > 0);
+  }
+
+  /** Guards against figures in each datagram, and against a new router that never learns them. */
+  @Test
+  void speedAndWorkAreReportedWhenChangedOrDue() {
+    state(100);
+    measure(20);
+    int speeds = 0;
+    int works = 0;
+    for (int millis = 0; millis < 3_000; millis += REPORT_INTERVAL_MILLIS) {
+      state(millis < 1_500 ? 100 : 250);
+      for (TargetReport target : reportedTargets()) {
+        speeds += target.getSpeedPermille() > 0 ? 1 : 0;
+        works += target.getWorkPercent() > 0 ? 1 : 0;
+      }
+      clock.advance(REPORT_INTERVAL_MILLIS);
+    }
+    assertThat(speeds).isBetween(2, 4);
+    assertThat(works).isBetween(6, 14);
+  }
+
+  /** Guards against an age that is not transmitted, which would extend the effect of a figure. */
+  @Test
+  void receiverKnowsTheAgeOfTheWork() {
+    state(300);
+    clock.advance(150);
+    writer.next().forEach(reader::read);
+    assertThat(receiver.targets().get(0).speed().workPercent(clock.millis())).isEqualTo(250);
+  }
+
+  private List<TargetReport> reportedTargets() {
+    return writer.next().stream().flatMap(report -> report.getTargetsList().stream()).toList();
+  }
+
+  /** Records a response in which the target states the duration of its work. */
+  private void state(int percent) {
+    sender
+        .targets()
+        .get(0)
+        .speed()
+        .onStatus(
+            Optional.of(new TargetStatus(1, 0, 640, OptionalInt.of(percent))), clock.millis());
+  }
+
+  /** Measures a number of responses. */
+  private void measure(int count) {
+    Placement placement = new Placement("dc", EngineModel.DEFAULT);
+    for (int i = 0; i < count; i++) {
+      SpeedMeasurement measurement =
+          placement.measure(sender.targets().get(0), job("org").prompt(), clock.millis());
+      measurement.onFirstEvent(clock.millis() + 100);
+      measurement.onComplete(clock.millis() + 100);
+    }
+  }
+
   /** Returns the cost of one request, in tokens. */
   private double cost() {
     Prompt prompt = job("org").prompt();
--- a/gateway/src/main/java/org/almondslip/gateway/DecisionLog.java
+++ b/gateway/src/main/java/org/almondslip/gateway/DecisionLog.java
@@ -6,6 +6,7 @@
 import java.util.EnumMap;
 import java.util.Map;
 import java.util.TreeMap;
+import java.util.concurrent.TimeUnit;
 import org.almondslip.error.ErrorCode;
 import org.almondslip.logging.JsonLines;
 import org.almondslip.placement.TargetLoad;
@@ -21,6 +22,9 @@
 
   private static final double MILLIS_PER_SECOND = 1_000;
 
+  /** Minimum interval of log lines about ignored loads, which may come with every response. */
+  private static final int IGNORED_LOAD_LOG_SECONDS = 1;
+
   private final Clock clock;
 
   private final Histogram responseSeconds;
@@ -72,6 +76,17 @@
             inbound.decoded().prompt().promptTokens());
   }
 
+  /**
+   * Logs that the load which a target states in its responses was missing or not plausible.
+   *
+   * @param target the target
+   */
+  void logIgnoredLoad(TargetLoad target) {
+    logger.atWarning().atMostEvery(IGNORED_LOAD_LOG_SECONDS, TimeUnit.SECONDS).log(
+        "load of target %s ignored (ignored_load), it is missing or not plausible",
+        target.record().id());
+  }
+
   /**
    * Logs that an attempt was lost after its request was sent, and counts it by its phase.
    *
--- a/gateway/src/main/java/org/almondslip/gateway/ForwardingContext.java
+++ b/gateway/src/main/java/org/almondslip/gateway/ForwardingContext.java
@@ -8,6 +8,7 @@
 import org.almondslip.dispatch.Dispatcher;
 import org.almondslip.placement.Placement;
 import org.almondslip.placement.Prompt;
+import org.almondslip.placement.SpeedMeasurement;
 import org.almondslip.placement.TargetLoad;
 import org.almondslip.quarantine.CrashQuarantine;
 import org.almondslip.quarantine.SegmentQuarantine;
@@ -162,4 +163,15 @@
   double expectedMillis(TargetLoad target, Prompt prompt) {
     return Math.max(1, placement.expectedDelayMillis(target, prompt, clock.millis()));
   }
+
+  /**
+   * Starts to measure the response time of a request that is not sent yet.
+   *
+   * @param target the target
+   * @param prompt the prompt
+   * @return the measurement
+   */
+  SpeedMeasurement measure(TargetLoad target, Prompt prompt) {
+    return placement.measure(target, prompt, clock.millis());
+  }
 }
--- a/gateway/src/main/java/org/almondslip/gateway/GatewayMetrics.java
+++ b/gateway/src/main/java/org/almondslip/gateway/GatewayMetrics.java
@@ -159,6 +159,7 @@
         .help("Requests and responses that were given up for want of memory")
         .callback(values -> values.call(bodyMemory.refused()))
         .register(registry);
+    TargetSpeedMetrics.register(registry, dispatcher);
   }
 
   /** Collects the tokens of all organisations by what became of them. */
--- a/gateway/src/main/java/org/almondslip/gateway/TargetAttempt.java
+++ b/gateway/src/main/java/org/almondslip/gateway/TargetAttempt.java
@@ -7,6 +7,7 @@
 import io.vertx.core.http.HttpClientResponse;
 import io.vertx.core.http.RequestOptions;
 import java.util.Optional;
+import org.almondslip.placement.SpeedMeasurement;
 import org.almondslip.placement.TargetLoad;
 
 /** Sends a request to a target once and forwards the response. */
@@ -40,6 +41,8 @@
   /** Expected time to the first event in milliseconds. */
   private final double expectedMillis;
 
+  private final SpeedMeasurement measurement;
+
   private Optional<TargetConnectionPool.Lease> lease = Optional.empty();
 
   private Optional<HttpClientResponse> response = Optional.empty();
@@ -78,6 +81,7 @@
     this.listener = listener;
     this.startedAt = context.clock().millis();
     this.expectedMillis = context.expectedMillis(target, inbound.decoded().prompt());
+    this.measurement = context.measure(target, inbound.decoded().prompt());
     this.load = new AttemptLoad(context.dispatcher(), target, inbound.decoded().prompt());
     context.peerReporter().onSent(target, inbound.decoded().prompt());
     this.memory = context.bodyMemory().reserve();
@@ -224,6 +228,7 @@
         received,
         body -> {
           target.onSuccess();
+          measurement.onComplete(context.clock().millis());
           sendResponse(received, body);
         });
   }
@@ -306,6 +311,7 @@
     }
     progress.onEvents();
     if (load.onPrefilled()) {
+      measurement.onFirstEvent(context.clock().millis());
       target.onFirstEvent(context.clock().millis() - startedAt, expectedMillis);
     }
     if (!listener.response().started()) {
@@ -338,6 +344,9 @@
     load.onPrefilled();
     progress.onAnswered();
     target.onSuccess();
+    if (!resumed) {
+      measurement.onComplete(context.clock().millis());
+    }
     memory.release();
     end();
     lease.ifPresent(used -> used.release(received, true));
--- a/gateway/src/main/java/org/almondslip/gateway/TargetNotices.java
+++ b/gateway/src/main/java/org/almondslip/gateway/TargetNotices.java
@@ -20,7 +20,8 @@
   }
 
   /**
-   * Applies the notices of a response. They hold whichever request the response belongs to.
+   * Applies the notices of a response. They hold whichever request the response belongs to, apart
+   * from the load.
    *
    * @param inbound the request that the target responded to, for logs
    * @param target the target
@@ -32,6 +33,11 @@
     if (headers.leaving() && target.onLeaving()) {
       context.decisionLog().logLeaving(target);
     }
+    // A late copy of an earlier response states an old load.
+    boolean current = headers.requestId().orElse("").equals(inbound.decoded().requestId());
+    if (current && !target.speed().onStatus(headers.load(), context.clock().millis())) {
+      context.decisionLog().logIgnoredLoad(target);
+    }
     if (status == UNAVAILABLE_STATUS && headers.retryAfterMillis().isPresent()) {
       long millis = headers.retryAfterMillis().getAsLong();
       target.onPause(millis, context.clock().millis());
