Separate the prefill rate of a service from constant delays

With one ratio for all times, network, decoding steps and delays of a busy router would have made the whole service look slow and reduced the pending prefill that its targets may have. The rate of the service is now the increase of the response time between small and large requests. Requests are spread only among targets that prefill about as many tokens, so shared segments stay in few caches.

--- a/core/src/main/java/org/almondslip/placement/NearEqualTargets.java
+++ b/core/src/main/java/org/almondslip/placement/NearEqualTargets.java
@@ -19,18 +19,36 @@
   /** Smallest distance of the level from the least cost, above the noise of idle targets. */
   private static final double MIN_TOLERANCE_MILLIS = 10;
 
+  /**
+   * Tokens that a target may prefill in addition to those of the target of the least cost. Above
+   * it, requests would be spread to targets that do not cache their shared segments.
+   */
+  private static final int MAX_REPEATED_TOKENS = 128;
+
   private final List<Candidate> candidates = new ArrayList<>();
 
   /** Running requests divided by the slots, summed over all targets. */
   private double runningFraction;
 
-  /** Target with its cost in milliseconds and its speed. */
-  private record Candidate(TargetLoad target, double cost, double speed) {}
+  /** Sum of the speeds of all targets. */
+  private double totalSpeed;
+
+  /** Target with its cost in milliseconds, its speed and the tokens that it would prefill. */
+  private record Candidate(TargetLoad target, double cost, double speed, int uncachedTokens) {}
 
-  /** Adds a target with its cost in milliseconds. */
-  void add(TargetLoad target, double cost, long now) {
+  /**
+   * Adds a target.
+   *
+   * @param target the target
+   * @param cost its cost in milliseconds
+   * @param prompt the prompt of the request
+   * @param now the current time in milliseconds
+   */
+  void add(TargetLoad target, double cost, Prompt prompt, long now) {
+    double speed = target.speed().currentSpeed(now);
+    totalSpeed += speed;
     runningFraction += target.requests(now) / (double) Math.max(1, target.record().slots());
-    candidates.add(new Candidate(target, cost, target.speed().currentSpeed(now)));
+    candidates.add(new Candidate(target, cost, speed, target.uncachedTokens(prompt)));
   }
 
   /**
@@ -41,11 +59,15 @@
    * @return the target
    */
   TargetLoad choose(EngineModel model, UniformRandomProvider random) {
-    ServiceSpeed service = candidates.get(0).target().speed().service();
-    double unreportedMillis = service.unreportedMillis(model, runningFraction);
     candidates.sort(Comparator.comparingDouble(Candidate::cost));
+    Candidate best = candidates.get(0);
+    candidates.removeIf(
+        candidate -> candidate.uncachedTokens() > best.uncachedTokens() + MAX_REPEATED_TOKENS);
+    double speed = candidates.stream().mapToDouble(Candidate::speed).sum();
+    double unreportedMillis =
+        best.target().speed().service().unreportedMillis(model, runningFraction);
     double level =
-        Math.max(level(unreportedMillis), candidates.get(0).cost() + MIN_TOLERANCE_MILLIS);
+        Math.max(level(unreportedMillis * speed / totalSpeed), best.cost() + MIN_TOLERANCE_MILLIS);
     double total = 0;
     for (Candidate candidate : candidates) {
       total += room(candidate, level);
@@ -57,7 +79,7 @@
         return candidate.target();
       }
     }
-    return candidates.get(0).target();
+    return best.target();
   }
 
   /** Returns the cost up to which the work fills the targets. */
--- a/core/src/main/java/org/almondslip/placement/NetworkDistance.java
+++ b/core/src/main/java/org/almondslip/placement/NetworkDistance.java
@@ -12,6 +12,9 @@
  */
 final class NetworkDistance {
 
+  /** Expected prefill up to which a response is a measure of the network, in milliseconds. */
+  static final double SMALL_MILLIS = 25;
+
   /** Duration of a window of minima, so that a change of the network is followed. */
   private static final long WINDOW_MILLIS = 30_000;
 
--- a/core/src/main/java/org/almondslip/placement/Placement.java
+++ b/core/src/main/java/org/almondslip/placement/Placement.java
@@ -95,7 +95,7 @@
       }
       double cost = cost(target, prompt, now);
       if (target.speed().isInForce(now)) {
-        nearEqual.add(target, cost, now);
+        nearEqual.add(target, cost, prompt, now);
       }
       if (cost < bestCost) {
         best = target;
--- a/core/src/main/java/org/almondslip/placement/PrefillSamples.java
+++ b/core/src/main/java/org/almondslip/placement/PrefillSamples.java
@@ -16,8 +16,8 @@
   private static final long EXPIRY_MILLIS = 60_000;
 
   /**
-   * Time for the network and the decoding steps before the first event, in milliseconds: eight
-   * steps of 4 ms. An error is the same for all targets.
+   * Time for the decoding steps before the first event, in milliseconds: eight steps of 4 ms. They
+   * take longer on a slow target, as does prefill; the rest of the constant part does not.
    */
   private static final double STEPS_MILLIS = 32;
 
@@ -32,14 +32,16 @@
   /**
    * Adds a response.
    *
-   * @param prefillMillis the expected prefill time of the request and of those before it
+   * @param prefillMillis the prefill time of the request and of those before it at mean speed
    * @param millis the measured time in milliseconds
+   * @param constantMillis the part of measured times that is no prefill
    * @param now the current time in milliseconds
    */
-  void add(double prefillMillis, double millis, long now) {
+  void add(double prefillMillis, double millis, double constantMillis, long now) {
     double kept = 1 - 1 / WINDOW_SAMPLES;
     double expected = STEPS_MILLIS + prefillMillis;
-    double ratio = SpeedEstimate.bound(millis / expected);
+    double measured = millis - Math.max(0, constantMillis - STEPS_MILLIS);
+    double ratio = SpeedEstimate.bound(measured / expected);
     count = count * kept + 1;
     measuredMillis = measuredMillis * kept + ratio * expected;
     expectedMillis = expectedMillis * kept + expected;
--- a/core/src/main/java/org/almondslip/placement/ServiceSpeed.java
+++ b/core/src/main/java/org/almondslip/placement/ServiceSpeed.java
@@ -22,12 +22,6 @@
    */
   static final long MERGE_INTERVAL_MILLIS = 500;
 
-  /** Weight of a new estimate in the mean duration of prefill, which follows within 10 s. */
-  private static final double PREFILL_WEIGHT = 0.05;
-
-  /** Number of samples from which on the mean duration of prefill is followed. */
-  private static final double MIN_PREFILL_SAMPLES = 20;
-
   /**
    * Time for which the requests of other routers are not known, in milliseconds: the longest
    * interval of their reports and the time on the network.
@@ -44,8 +38,7 @@
 
   private final NetworkDistance distance = new NetworkDistance();
 
-  /** Duration of prefill at mean speed relative to {@link EngineModel}. */
-  private double prefillDuration = 1;
+  private final PrefillModel prefill = new PrefillModel();
 
   /** Duration of a request without a prompt at mean speed in milliseconds, 0 if unknown. */
   private double requestMillis;
@@ -85,9 +78,8 @@
     return distance;
   }
 
-  /** Returns the duration of prefill at mean speed relative to {@link EngineModel}. */
-  double prefillDuration() {
-    return prefillDuration;
+  PrefillModel prefill() {
+    return prefill;
   }
 
   /** Returns the duration of a request without a prompt at mean speed, 0 if it is unknown. */
@@ -134,7 +126,7 @@
    */
   double unreportedMillis(EngineModel model, double runningFraction) {
     return engines
-        ? model.prefillMillis(peerTokensPerMilli * REPORT_AGE_MILLIS) * prefillDuration
+        ? model.prefillMillis(peerTokensPerMilli * REPORT_AGE_MILLIS) * prefill.duration()
         : runningFraction * REPORT_AGE_MILLIS;
   }
 
@@ -150,8 +142,9 @@
     }
     merged = true;
     mergedAt = now;
-    double prefillScale = updateMean(true, now);
-    double requestScale = updateMean(false, now);
+    double prefillScale = scale(true, now);
+    double requestScale = scale(false, now);
+    requestMillis = requestScale;
     double sum = 0;
     for (TargetSpeed target : targets) {
       sum += target.estimate().merge(target.isEngine() ? prefillScale : requestScale, now);
@@ -162,33 +155,21 @@
   }
 
   /**
-   * Updates the duration at mean speed of engines or of other targets.
-   *
-   * @return the ratio between what this router measures and the merged estimates of the same
-   *     targets. It cancels a choice of targets that are faster or slower than the mean.
+   * Returns the ratio between what this router measures at engines, or at other targets, and the
+   * merged estimates of the same targets: the measure of a target of mean speed. It cancels a
+   * choice of targets that are faster or slower than the mean.
    */
-  private double updateMean(boolean ofEngines, long now) {
-    double samples = 0;
+  private double scale(boolean ofEngines, long now) {
     double measured = 0;
     double estimated = 0;
     for (TargetSpeed target : targets) {
       if (target.isEngine() == ofEngines) {
         SpeedSamples own = target.estimate().samples();
         own.expire(now);
-        samples += own.count();
         measured += own.count() * own.duration();
         estimated += own.count() * target.estimate().duration();
       }
     }
-    if (samples == 0) {
-      return 1;
-    }
-    double scale = measured / estimated;
-    if (!ofEngines) {
-      requestMillis = scale;
-    } else if (samples >= MIN_PREFILL_SAMPLES) {
-      prefillDuration += PREFILL_WEIGHT * (SpeedEstimate.bound(scale) - prefillDuration);
-    }
-    return scale;
+    return estimated > 0 ? measured / estimated : 0;
   }
 }
--- a/core/src/main/java/org/almondslip/placement/SpeedEstimate.java
+++ b/core/src/main/java/org/almondslip/placement/SpeedEstimate.java
@@ -71,13 +71,13 @@
   /**
    * Merges the estimates of all routers. The result is not normalised.
    *
-   * @param scale the measured duration of a target of mean speed
+   * @param scale the measured duration of a target of mean speed, 0 if it is unknown
    * @param now the current time in milliseconds
    * @return the merged duration
    */
   double merge(double scale, long now) {
     double own = Math.min(samples.count(), MAX_SAMPLES);
-    ownDuration = own > 0 ? bound(samples.duration() / scale) : 1;
+    ownDuration = own > 0 && scale > 0 ? bound(samples.duration() / scale) : 1;
     double weight = PRIOR_SAMPLES + own;
     double sum = PRIOR_SAMPLES + own * ownDuration;
     peers.values().removeIf(peer -> now - peer.receivedAt() >= PEER_EXPIRY_MILLIS);
--- a/core/src/main/java/org/almondslip/placement/SpeedMeasurement.java
+++ b/core/src/main/java/org/almondslip/placement/SpeedMeasurement.java
@@ -22,6 +22,9 @@
   /** Tokens of this router that the target has to prefill, including those of the request. */
   private final long ownTokens;
 
+  /** Prefill time that the model expects of the request itself, in milliseconds. */
+  private final double ownMillis;
+
   /** Prefill time that the model expects, known at the first event, in milliseconds. */
   private double prefillMillis;
 
@@ -53,7 +56,9 @@
     this.whole = !target.isEngine() && prompt.promptTokens() == 0;
     this.prompted = target.isEngine() && prompt.promptTokens() > 0;
     this.model = model;
-    this.ownTokens = target.ownPendingPrefillTokens() + target.uncachedTokens(prompt);
+    int uncached = target.uncachedTokens(prompt);
+    this.ownMillis = model.prefillMillis(uncached);
+    this.ownTokens = target.ownPendingPrefillTokens() + uncached;
     this.startedAt = now;
     this.startWorkFactor = target.speed().workFactor(now);
   }
@@ -82,7 +87,10 @@
       double millis = (now - startedAt) / workFactor(now);
       target.speed().onRequest(target.record().dataCentre(), millis, now);
     } else if (prompted && hasFirstEvent) {
-      target.speed().onFirstEvent(prefillMillis, firstEventMillis, now);
+      target
+          .speed()
+          .onFirstEvent(
+              target.record().dataCentre(), ownMillis, prefillMillis, firstEventMillis, now);
     }
   }
 
--- a/core/src/main/java/org/almondslip/placement/TargetLoad.java
+++ b/core/src/main/java/org/almondslip/placement/TargetLoad.java
@@ -185,7 +185,6 @@
    * @param prompt the prompt
    */
   public void onPeerSent(Prompt prompt) {
-    speed.service().onPeerSent(cache.uncachedTokens(prompt));
     cache.add(prompt);
   }
 
--- a/core/src/main/java/org/almondslip/placement/TargetSpeed.java
+++ b/core/src/main/java/org/almondslip/placement/TargetSpeed.java
@@ -27,6 +27,9 @@
   /** Largest plausible age of a figure in a report, in milliseconds. */
   static final int MAX_AGE_MILLIS = 60_000;
 
+  /** Maximum number of tokens of a prompt that count, above the longest prompts of any route. */
+  private static final int MAX_PEER_TOKENS = 100_000;
+
   private static final double PERMILLE = 1_000;
 
   private final boolean engine;
@@ -166,6 +169,15 @@
     }
   }
 
+  /**
+   * Records that another router sent a prompt to the target.
+   *
+   * @param uncachedTokens the tokens that the target has to prefill
+   */
+  public void onPeerSent(int uncachedTokens) {
+    service.onPeerSent(Math.min(uncachedTokens, MAX_PEER_TOKENS));
+  }
+
   /** Records that this router sent a request to the target. */
   void onSent() {
     statedRequests.onChange(1);
@@ -196,14 +208,24 @@
   /**
    * Records the time to the first event of a request with a prompt.
    *
-   * @param prefillMillis the prefill time that the model expects
+   * @param dataCentre the data centre of the target
+   * @param ownMillis the prefill time that the model expects of the request itself
+   * @param prefillMillis the same including the requests before it
    * @param millis the measured time, converted to the usual duration of work, in milliseconds
    * @param now the current time in milliseconds
    */
-  void onFirstEvent(double prefillMillis, double millis, long now) {
-    if (isInForce(now)) {
-      prefills.add(prefillMillis, millis, now);
+  void onFirstEvent(
+      String dataCentre, double ownMillis, double prefillMillis, double millis, long now) {
+    if (!isInForce(now)) {
+      return;
+    }
+    if (prefillMillis < NetworkDistance.SMALL_MILLIS) {
+      service.distance().add(dataCentre, millis, now);
     }
+    PrefillModel model = service.prefill();
+    double local = Math.max(1, millis - service.distance().millis(dataCentre));
+    model.add(ownMillis, prefillMillis, local / estimate.duration());
+    prefills.add(prefillMillis * model.duration(), local, model.constantMillis(), now);
   }
 
   /**
@@ -228,7 +250,7 @@
    */
   double prefillFactor(long now) {
     service.merge(now);
-    double usual = SpeedEstimate.bound(service.prefillDuration() * estimate.duration());
+    double usual = SpeedEstimate.bound(service.prefill().duration() * estimate.duration());
     return usual * work.factor(now);
   }
 
@@ -293,7 +315,7 @@
    * @return the number, less those that are too old
    */
   public int reportedSamples() {
-    return (int) estimate.samples().count();
+    return (int) Math.round(estimate.samples().count());
   }
 
   /**
--- a/core/src/main/java/org/almondslip/report/ReportReader.java
+++ b/core/src/main/java/org/almondslip/report/ReportReader.java
@@ -7,6 +7,7 @@
 import org.almondslip.dispatch.DispatchStatistics;
 import org.almondslip.dispatch.Dispatcher;
 import org.almondslip.placement.Prompt;
+import org.almondslip.placement.TargetLoad;
 import org.almondslip.protocol.wire.LoadReport;
 import org.almondslip.protocol.wire.PromptCrash;
 import org.almondslip.protocol.wire.SegmentReport;
@@ -109,11 +110,19 @@
       if (isPlausible(sent)) {
         dispatcher
             .target(sent.getTarget())
-            .ifPresent(target -> target.onPeerSent(decodePrompt(sent)));
+            .ifPresent(target -> applyPrompt(target, decodePrompt(sent), report));
       }
     }
   }
 
+  private static void applyPrompt(TargetLoad target, Prompt prompt, LoadReport report) {
+    if (!report.getCacheSnapshot()) {
+      // A snapshot contains prompts of the last minutes, which are no current work.
+      target.speed().onPeerSent(target.uncachedTokens(prompt));
+    }
+    target.onPeerSent(prompt);
+  }
+
   private void readSegments(LoadReport report, long now) {
     for (PromptCrash crash : report.getCrashesList()) {
       if (isWithin(crash.getAgeMillis(), MAX_AGE_MILLIS)
--- a/gateway/src/test/java/org/almondslip/gateway/TargetNoticeTest.java
+++ b/gateway/src/test/java/org/almondslip/gateway/TargetNoticeTest.java
@@ -4,6 +4,7 @@
 
 import java.io.IOException;
 import org.almondslip.directory.RouteKind;
+import org.almondslip.placement.TargetSpeed;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
@@ -97,6 +98,55 @@
     assertThat(target.requests()).hasSize(2);
   }
 
+  /** Guards against loads and response times that do not reach the speed of the target. */
+  @Test
+  void completeResponsesCountForTheSpeed() throws IOException {
+    ScriptedTarget target = target(with(COMPLETE, "load: 1,0,8,250"));
+    Gateway gateway = harness.gateway(RouteKind.NON_IDEMPOTENT, 1, target);
+    send(gateway);
+    send(gateway);
+    assertThat(speed(gateway).reportedSamples()).isEqualTo(2);
+    assertThat(gateway.dispatcher().speeds())
+        .singleElement()
+        .satisfies(speed -> assertThat(speed.workPercent()).isBetween(101, 250));
+  }
+
+  /** Guards against a target that cuts off its responses early and is preferred as fast. */
+  @Test
+  void abortedResponsesDoNotCountForTheSpeed() throws IOException {
+    ScriptedTarget target =
+        harness.target(
+            (number, socket) -> {
+              String head = with(COMPLETE, "load: 1,0,8,100");
+              ScriptedTarget.write(socket, head.replace("Length: 2", "Length: 9"));
+              socket.close();
+            });
+    Gateway gateway = harness.gateway(RouteKind.NON_IDEMPOTENT, 1, target);
+    assertThat(send(gateway)).startsWith("HTTP/1.1 502");
+    assertThat(gateway.dispatcher().speeds()).hasSize(1);
+    assertThat(speed(gateway).reportedSamples()).isZero();
+  }
+
+  /** Guards against the load of a late copy of an earlier response, and against absurd loads. */
+  @Test
+  void loadOfAnotherResponseAndAbsurdLoadAreIgnored() throws IOException {
+    String other = with(COMPLETE, "load: 1,0,8,900").replace("id: r1", "id: r0");
+    ScriptedTarget target =
+        harness.target(
+            (number, socket) ->
+                ScriptedTarget.write(
+                    socket, number == 0 ? with(COMPLETE, "load: 1,0,8,20000") : other));
+    Gateway gateway = harness.gateway(RouteKind.NON_IDEMPOTENT, 1, target);
+    send(gateway);
+    send(gateway);
+    assertThat(gateway.dispatcher().speeds()).isEmpty();
+    assertThat(speed(gateway).service().ignoredFigures()).isEqualTo(1);
+  }
+
+  private static TargetSpeed speed(Gateway gateway) {
+    return gateway.dispatcher().targets().get(0).speed();
+  }
+
   private ScriptedTarget target(String response) throws IOException {
     return harness.target((number, socket) -> ScriptedTarget.write(socket, response));
   }
