--- a/core/src/main/java/org/almondslip/placement/TargetLoad.java
+++ b/core/src/main/java/org/almondslip/placement/TargetLoad.java
@@ -82,6 +82,8 @@
   /** Moving average of the ratio between measured and expected time to the first event. */
   private double slowdown = 1;
 
+  private final TargetSpeed speed;
+
   /**
    * Load that another router puts on the target.
    *
@@ -111,6 +113,7 @@
   public TargetLoad(TargetRecord record, long cacheTokens, TargetPace pace) {
     this.record = record;
     this.cache = new PrefixCache(cacheTokens);
+    this.speed = new TargetSpeed(isEngine());
     this.heldTokens = new HeldTokens(cacheTokens);
     this.pace = pace;
   }
@@ -209,6 +212,7 @@
     ownPendingPrefillTokens += uncached;
     ownRequests++;
     heldTokens.onSent(prompt);
+    speed.onSent();
     return uncached;
   }
 
@@ -233,6 +237,7 @@
   /** Records that a request of this router has ended. */
   public void onEnded() {
     ownRequests = Math.max(0, ownRequests - 1);
+    speed.onEnded();
     if (ownRequests == 0) {
       heldTokens.clearOwn();
     }
@@ -269,6 +274,7 @@
     addToTotals(reports.put(router, new Report(tokens, count, now)), -1);
     addToTotals(reports.get(router), 1);
     reportsExpireAt = Math.min(reportsExpireAt, now + REPORT_EXPIRY_MILLIS);
+    speed.onPeerPending(peerPendingPrefillTokens, now);
   }
 
   /**
@@ -320,7 +326,7 @@
    */
   public int requests(long now) {
     expireReports(now);
-    return ownRequests + peerRequests;
+    return speed.requests(ownRequests + peerRequests, now);
   }
 
   /**
@@ -332,6 +338,25 @@
     return slowdown;
   }
 
+  /**
+   * Returns the estimated speed of the target.
+   *
+   * @return the speed, which is in force only for some services
+   */
+  public TargetSpeed speed() {
+    return speed;
+  }
+
+  /**
+   * Returns the expected duration of prefill relative to the performance model.
+   *
+   * @param now the current time in milliseconds
+   * @return the factor, the slowdown unless the estimated speed is in force
+   */
+  public double prefillFactor(long now) {
+    return speed.isInForce(now) ? speed.prefillFactor(now) : slowdown;
+  }
+
   /**
    * Updates the slowdown with a measured time to the first event.
    *
--- a/core/src/main/java/org/almondslip/report/ReportReader.java
+++ b/core/src/main/java/org/almondslip/report/ReportReader.java
@@ -8,6 +8,7 @@
 import org.almondslip.dispatch.Dispatcher;
 import org.almondslip.pace.PaceStatus;
 import org.almondslip.placement.Prompt;
+import org.almondslip.placement.TargetLoad;
 import org.almondslip.protocol.wire.LoadReport;
 import org.almondslip.protocol.wire.PromptCrash;
 import org.almondslip.protocol.wire.SegmentReport;
@@ -89,9 +90,19 @@
         dispatcher
             .target(load.getTarget())
             .ifPresent(
-                target ->
-                    target.onPeerReport(
-                        report.getRouter(), load.getUnreadTokens(), load.getRequests(), now));
+                target -> {
+                  target.onPeerReport(
+                      report.getRouter(), load.getUnreadTokens(), load.getRequests(), now);
+                  target
+                      .speed()
+                      .onPeerReport(
+                          report.getRouter(),
+                          load.getSpeedPermille(),
+                          load.getSpeedSamples(),
+                          load.getWorkPercent(),
+                          load.getWorkAgeMillis(),
+                          now);
+                });
         readHeldTokens(report.getRouter(), load, now);
       }
       readPace(report.getRouter(), load, now);
@@ -105,7 +116,7 @@
       if (isPlausible(sent)) {
         dispatcher
             .target(sent.getTarget())
-            .ifPresent(target -> target.onPeerSent(decodePrompt(sent)));
+            .ifPresent(target -> applyPrompt(target, decodePrompt(sent), report));
       }
     }
   }
@@ -136,6 +147,14 @@
     }
   }
 
+  private static void applyPrompt(TargetLoad target, Prompt prompt, LoadReport report) {
+    if (!report.getCacheSnapshot()) {
+      // A snapshot contains prompts of the last minutes, which are no current work.
+      target.speed().onPeerSent(target.uncachedTokens(prompt));
+    }
+    target.onPeerSent(prompt);
+  }
+
   private void readSegments(LoadReport report, long now) {
     for (PromptCrash crash : report.getCrashesList()) {
       if (isWithin(crash.getAgeMillis(), MAX_AGE_MILLIS)
--- a/core/src/main/java/org/almondslip/report/ReportWriter.java
+++ b/core/src/main/java/org/almondslip/report/ReportWriter.java
@@ -61,6 +61,8 @@
 
   private final SegmentReporter segments;
 
+  private final SpeedReporter speeds = new SpeedReporter();
+
   /** Loads of the targets that recently had requests, by incarnation key, as last reported. */
   private final Map<Long, ReportedLoad> reportedLoads = new HashMap<>();
 
@@ -239,11 +241,14 @@
    */
   private void addTargets(ReportPacker packer) {
     long now = clock.millis();
+    speeds.retain(key -> dispatcher.target(key).isPresent());
     for (TargetLoad target : dispatcher.targets()) {
       long key = target.incarnationKey();
+      boolean speedDue = speeds.isDue(target, now);
       ReportedLoad load = reportedLoads.get(key);
       if (load == null
           && target.ownRequests() == 0
+          && !speedDue
           && target.pace().status(now).equals(PaceStatus.NONE)) {
         continue;
       }
@@ -251,8 +256,8 @@
         load = new ReportedLoad();
         reportedLoads.put(key, load);
       }
-      if (load.update(target, refreshReports, now)) {
-        packer.add(
+      if (load.update(target, refreshReports, now) || speedDue) {
+        TargetReport.Builder entry =
             TargetReport.newBuilder()
                 .setTarget(key)
                 .setUnreadTokens((int) Math.min(load.pendingPrefillTokens, Integer.MAX_VALUE))
@@ -260,8 +265,9 @@
                 .setColdMillis((int) load.pace.last().coldMillis())
                 .setWindow(load.pace.last().window())
                 .setWindowDecreases(load.pace.last().decreases())
-                .setHeldTokens(load.heldTokens.take())
-                .build());
+                .setHeldTokens(load.heldTokens.take());
+        speeds.addTo(entry, target, now);
+        packer.add(entry.build());
       }
       if (load.isIdle()) {
         reportedLoads.remove(key);
--- a/gateway/src/main/java/org/almondslip/gateway/GatewayMetrics.java
+++ b/gateway/src/main/java/org/almondslip/gateway/GatewayMetrics.java
@@ -172,6 +172,7 @@
         .help("Requests and responses that were given up for want of memory")
         .callback(values -> values.call(bodyMemory.refused()))
         .register(registry);
+    TargetSpeedMetrics.register(registry, dispatcher);
     gauge(
         "almondslip_gateway_unsent_bytes",
         "Data of responses that callers have not read yet, including write queues",
--- a/gateway/src/main/java/org/almondslip/gateway/TargetAttempt.java
+++ b/gateway/src/main/java/org/almondslip/gateway/TargetAttempt.java
@@ -8,6 +8,7 @@
 import io.vertx.core.http.RequestOptions;
 import java.util.Optional;
 import org.almondslip.pace.ColdPermit;
+import org.almondslip.placement.SpeedMeasurement;
 import org.almondslip.placement.TargetLoad;
 
 /** Sends a request to a target once and forwards the response. */
@@ -47,6 +48,8 @@
   /** Permit that was taken when the request was dispatched. */
   private final ColdPermit permit;
 
+  private final SpeedMeasurement measurement;
+
   private Optional<TargetConnectionPool.Lease> lease = Optional.empty();
 
   private Optional<HttpClientResponse> response = Optional.empty();
@@ -86,6 +89,7 @@
     this.startedAt = context.clock().millis();
     this.permit = target.pace().permit(startedAt);
     this.expectedMillis = context.expectedMillis(target, inbound.decoded().prompt());
+    this.measurement = context.measure(target, inbound.decoded().prompt());
     this.load = new AttemptLoad(context.dispatcher(), target, inbound.decoded().prompt());
     context.peerReporter().onSent(target, inbound.decoded().prompt());
     this.memory = context.bodyMemory().reserve();
@@ -238,6 +242,7 @@
         body -> {
           target.onSuccess();
           onPaceResponse(Double.POSITIVE_INFINITY);
+          measurement.onComplete(context.clock().millis());
           sendResponse(received, body);
         });
   }
@@ -317,6 +322,7 @@
     }
     progress.onEvents();
     if (load.onPrefilled()) {
+      measurement.onFirstEvent(context.clock().millis());
       target.onFirstEvent(context.clock().millis() - startedAt, expectedMillis);
       onPaceResponse(target.isEngine() ? expectedMillis : Double.POSITIVE_INFINITY);
     }
@@ -356,6 +362,9 @@
     load.onPrefilled();
     progress.onAnswered();
     target.onSuccess();
+    if (!resumed) {
+      measurement.onComplete(context.clock().millis());
+    }
     memory.release();
     end();
     lease.ifPresent(used -> used.release(received, true));
