Serve routes of equal rank the same fraction of their demand

Cause: each route of an organisation got the same tokens, so under overload the route with the long prompts bore the whole shortage. The priority of routes and organisations had no effect.

Change: an organisation offers the route with the smallest ratio of served to requested tokens first (both decay in 4 s), and the order is updated after each job that was sent. Higher ranks (Job.priority) go first; a route below a tenth of its demand precedes them. The estimate of the wait counts what precedes a job in this order.

--- a/core/src/main/java/org/almondslip/dispatch/Dispatcher.java
+++ b/core/src/main/java/org/almondslip/dispatch/Dispatcher.java
@@ -191,6 +191,7 @@
         new AvailableTargets(targets(job.service()), availability, clock.millis());
     if (!job.isRetry()) {
       share(job.service()).onRequested(job.organisation(), FairQueue.cost(job), clock.millis());
+      queue.onRequested(job, clock.millis());
       statistics.onRequested(job.service(), job.organisation(), FairQueue.cost(job));
     }
     if (queue.size() == 0 || job.isRetry()) {
--- a/core/src/main/java/org/almondslip/dispatch/FairQueue.java
+++ b/core/src/main/java/org/almondslip/dispatch/FairQueue.java
@@ -82,8 +82,7 @@
     organisations.forEach(
         (name, queue) -> {
           if (!queue.isEmpty()) {
-            cursors.add(
-                new Cursor(name, queue.ordered(now).iterator(), share.servedTokens(name, now)));
+            cursors.add(new Cursor(name, queue.ordered(now), share.servedTokens(name, now)));
           }
         });
     while (!cursors.isEmpty() && hasCapacity.getAsBoolean()) {
@@ -138,15 +137,25 @@
   }
 
   /**
-   * Estimates the tokens that the organisation of a new job is served before it, as the waiting
-   * tokens of its route times the number of waiting routes, which share the service evenly.
+   * Records a new request, whether it is sent, queued or refused.
    *
    * @param job the job
+   * @param now the current time in milliseconds
+   */
+  void onRequested(Job job, long now) {
+    queue(job.organisation()).onRequested(job, now);
+  }
+
+  /**
+   * Estimates the tokens that the organisation of a new job is served before it, in the order in
+   * which its routes are served.
+   *
+   * @param job the job, which has been recorded as requested
+   * @param now the current time in milliseconds
    * @return the number of tokens
    */
-  long tokensAhead(Job job) {
-    OrganisationQueue queue = queue(job.organisation());
-    return queue.waitingTokens(job.route()) * Math.max(1, queue.waitingRoutes());
+  long tokensAhead(Job job, long now) {
+    return Math.round(queue(job.organisation()).tokensAhead(job, now));
   }
 
   /** Returns the number of waiting jobs. */
--- a/core/src/main/java/org/almondslip/dispatch/OrganisationQueue.java
+++ b/core/src/main/java/org/almondslip/dispatch/OrganisationQueue.java
@@ -1,9 +1,6 @@
 package org.almondslip.dispatch;
 
-import java.util.ArrayDeque;
 import java.util.ArrayList;
-import java.util.Comparator;
-import java.util.Deque;
 import java.util.HashMap;
 import java.util.Iterator;
 import java.util.List;
@@ -11,28 +8,26 @@
 import java.util.function.Predicate;
 
 /**
- * Queue of the jobs of one organisation. Its routes share its service evenly, so that short
- * requests are not delayed by the long prompts of another route; each route is first in, first out.
+ * Queue of the jobs of one organisation. Its routes of equal rank are served the same fraction of
+ * their demand, so that a shortage is not borne by the route with the longest prompts alone. Higher
+ * ranks go first; lower ranks keep a floor. Each route is first in, first out.
  */
 final class OrganisationQueue {
 
-  /** Time constant of the decay of a route's service, in milliseconds. */
-  private static final double DECAY_MILLIS = 4_000;
+  /** Routes by name. */
+  private final Map<String, RouteDemand> routes = new HashMap<>();
 
-  /** Service in tokens below which an empty route is idle. */
-  private static final double IDLE_TOKENS = 1;
+  /** Number of jobs that were sent so far. */
+  private long sentJobs;
 
-  /** Queues by route. */
-  private final Map<String, RouteQueue> routes = new HashMap<>();
-
-  /** Jobs and recent service of one route. */
-  private static final class RouteQueue {
-    private final Deque<Job> jobs = new ArrayDeque<>();
-
-    /** Tokens of the route that this router sent to targets. */
-    private final DecayingSum served = new DecayingSum(DECAY_MILLIS);
-
-    private long waitingTokens;
+  /**
+   * Records a new request, whether it is sent, queued or refused.
+   *
+   * @param job the job
+   * @param now the current time in milliseconds
+   */
+  void onRequested(Job job, long now) {
+    route(job.route()).onRequested(job.priority(), FairQueue.cost(job), now);
   }
 
   /**
@@ -41,9 +36,7 @@
    * @param job the job
    */
   void add(Job job) {
-    RouteQueue queue = routes.computeIfAbsent(job.route(), route -> new RouteQueue());
-    queue.jobs.addLast(job);
-    queue.waitingTokens += FairQueue.cost(job);
+    route(job.route()).add(job);
   }
 
   /**
@@ -53,12 +46,8 @@
    * @return whether it was waiting
    */
   boolean remove(Job job) {
-    RouteQueue queue = routes.get(job.route());
-    boolean removed = queue != null && queue.jobs.remove(job);
-    if (removed) {
-      queue.waitingTokens -= FairQueue.cost(job);
-    }
-    return removed;
+    RouteDemand route = routes.get(job.route());
+    return route != null && route.remove(job);
   }
 
   /**
@@ -69,12 +58,12 @@
    */
   List<Job> removeIf(Predicate<Job> predicate) {
     List<Job> removed = new ArrayList<>();
-    for (RouteQueue queue : routes.values()) {
-      for (Iterator<Job> jobs = queue.jobs.iterator(); jobs.hasNext(); ) {
+    for (RouteDemand route : routes.values()) {
+      for (Iterator<Job> jobs = route.jobs().iterator(); jobs.hasNext(); ) {
         Job job = jobs.next();
         if (predicate.test(job)) {
           jobs.remove();
-          queue.waitingTokens -= FairQueue.cost(job);
+          route.onRemoved(job);
           removed.add(job);
         }
       }
@@ -83,17 +72,13 @@
   }
 
   /**
-   * Returns all waiting jobs.
+   * Returns all waiting jobs in the order in which they are offered.
    *
    * @param now the current time in milliseconds
-   * @return a new list of the jobs, starting with those of the route with the least recent service
+   * @return the jobs that wait now
    */
-  List<Job> ordered(long now) {
-    List<RouteQueue> queues = new ArrayList<>(routes.values());
-    queues.sort(Comparator.comparingDouble(queue -> queue.served.at(now)));
-    List<Job> ordered = new ArrayList<>();
-    queues.forEach(queue -> ordered.addAll(queue.jobs));
-    return ordered;
+  Iterator<Job> ordered(long now) {
+    return new RouteOrder(routes.values(), () -> sentJobs, now);
   }
 
   /**
@@ -104,38 +89,65 @@
    * @param now the current time in milliseconds
    */
   void charge(String route, long tokens, long now) {
-    routes.computeIfAbsent(route, name -> new RouteQueue()).served.add(tokens, now);
+    sentJobs++;
+    route(route).onServed(tokens, now);
   }
 
   /**
-   * Returns the cost of the waiting jobs of a route.
+   * Estimates the tokens that are served before a new job, which has been recorded as requested.
    *
-   * @param route the name of the route
-   * @return the cost in tokens, 0 if the route is unknown
+   * @param job the job
+   * @param now the current time in milliseconds
+   * @return the tokens of its route and of the routes that precede it until the job is due
    */
-  long waitingTokens(String route) {
-    RouteQueue queue = routes.get(route);
-    return queue == null ? 0 : queue.waitingTokens;
+  double tokensAhead(Job job, long now) {
+    RouteDemand own = route(job.route());
+    long millis = job.dueAt() - now;
+    double level = own.servedFractionWithWaiting(now);
+    double tokens = own.waitingTokens();
+    for (RouteDemand other : routes.values()) {
+      if (other != own) {
+        tokens += tokensAhead(other, own.priority(), level, millis, now);
+      }
+    }
+    return tokens;
   }
 
-  /** Returns the number of routes with waiting jobs. */
-  int waitingRoutes() {
-    return (int) routes.values().stream().filter(queue -> !queue.jobs.isEmpty()).count();
+  /**
+   * Estimates the tokens that another route is served until a route reaches a served fraction.
+   *
+   * @param other the other route
+   * @param priority the rank of the route
+   * @param level its served fraction
+   * @param millis the time within which further requests arrive, in milliseconds
+   * @param now the current time in milliseconds
+   */
+  private static double tokensAhead(
+      RouteDemand other, int priority, double level, long millis, long now) {
+    boolean belowFloor = level < RouteDemand.FLOOR_FRACTION;
+    if (!belowFloor && other.priority() < priority) {
+      return other.tokensWithin(millis, now);
+    }
+    boolean lower = !belowFloor && other.priority() > priority;
+    return other.tokensUpTo(lower ? RouteDemand.FLOOR_FRACTION : level, millis, now);
   }
 
   /** Returns whether no job waits. */
   boolean isEmpty() {
-    return routes.values().stream().allMatch(queue -> queue.jobs.isEmpty());
+    return routes.values().stream().allMatch(route -> route.jobs().isEmpty());
   }
 
   /**
-   * Returns whether no job waits and the recent service of all routes is negligible.
+   * Returns whether no job waits, and demand and service of all routes are negligible.
    *
    * @param now the current time in milliseconds
    * @return true if the queue can be discarded
    */
   boolean isIdle(long now) {
-    return routes.values().stream()
-        .allMatch(queue -> queue.jobs.isEmpty() && queue.served.at(now) < IDLE_TOKENS);
+    return routes.values().stream().allMatch(route -> route.isIdle(now));
+  }
+
+  private RouteDemand route(String name) {
+    return routes.computeIfAbsent(name, key -> new RouteDemand());
   }
 }
--- /dev/null
+++ b/core/src/test/java/org/almondslip/dispatch/OverloadTest.java
@@ -0,0 +1,56 @@
+package org.almondslip.dispatch;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/** Tests what the callers of a router get while demand exceeds the capacity of its targets. */
+class OverloadTest {
+
+  /** Duration of a load in milliseconds. */
+  private static final long DURATION_MILLIS = 14_000;
+
+  /**
+   * Guards against a shortage that one kind of request bears alone, whether it is the one with the
+   * long prompts or the one with the short ones.
+   */
+  @Test
+  void routesOfEqualRankAreServedTheSameFraction() {
+    OverloadLoad load =
+        new OverloadLoad(2)
+            .add("org", "long", 0, 11_992, 30)
+            .add("org", "chat", 0, 826, 90)
+            .add("org", "tags", 0, 2_368, 48)
+            .add("org", "rare", 0, 500, 1);
+    load.run(DURATION_MILLIS);
+    double fraction = load.servedFraction("org");
+    assertThat(fraction).isBetween(0.3, 0.5);
+    for (String route : List.of("long", "chat", "tags")) {
+      assertThat(load.servedFraction("org", route))
+          .as("served fraction of %s", route)
+          .isBetween(fraction - 0.05, fraction + 0.05);
+    }
+    assertThat(load.servedFraction("org", "rare")).isGreaterThan(fraction - 0.05);
+  }
+
+  /** Guards against a rank without effect, and against a lower rank that is starved. */
+  @Test
+  void higherRankGoesFirst() {
+    OverloadLoad load =
+        new OverloadLoad(1).add("org", "high", 0, 5_000, 12).add("org", "low", 1, 5_000, 80);
+    load.run(DURATION_MILLIS);
+    assertThat(load.servedFraction("org", "high")).isGreaterThan(0.9);
+    assertThat(load.servedFraction("org", "low")).isBetween(0.1, 0.6);
+  }
+
+  /** Guards against a lower rank that gets nothing beside a higher rank that takes everything. */
+  @Test
+  void lowerRankKeepsItsFloor() {
+    OverloadLoad load =
+        new OverloadLoad(1).add("org", "high", 0, 5_000, 100).add("org", "low", 1, 5_000, 40);
+    load.run(DURATION_MILLIS);
+    assertThat(load.servedFraction("org", "low")).isBetween(0.07, 0.16);
+    assertThat(load.servedFraction("org", "high")).isGreaterThan(0.2);
+  }
+}
--- a/core/src/test/java/org/almondslip/dispatch/TestJob.java
+++ b/core/src/test/java/org/almondslip/dispatch/TestJob.java
@@ -40,6 +40,9 @@
   /** Number of calls to {@link #prompt()}. */
   private int promptCalls;
 
+  /** Rank of the job; 0 is the highest. */
+  private int priority;
+
   private boolean retry;
 
   private boolean quarantined;
@@ -87,6 +90,22 @@
     return this;
   }
 
+  /**
+   * Sets the rank of the job.
+   *
+   * @param rank the rank; 0 is the highest
+   * @return this job
+   */
+  TestJob withPriority(int rank) {
+    priority = rank;
+    return this;
+  }
+
+  /** Returns the tokens that the target has to prefill. */
+  int uncachedTokens() {
+    return uncachedTokens;
+  }
+
   /** Returns the target that the job was sent to, empty if it was not sent. */
   Optional<TargetLoad> target() {
     return target;
@@ -128,6 +147,11 @@
     return route;
   }
 
+  @Override
+  public int priority() {
+    return priority;
+  }
+
   @Override
   public Prompt prompt() {
     promptCalls++;
--- a/gateway/src/main/java/org/almondslip/gateway/ForwardedRequest.java
+++ b/gateway/src/main/java/org/almondslip/gateway/ForwardedRequest.java
@@ -132,6 +132,11 @@
     return inbound.route().name();
   }
 
+  @Override
+  public int priority() {
+    return inbound.priority();
+  }
+
   @Override
   public Prompt prompt() {
     return inbound.decoded().prompt();
