Derive the limits of engines from the routes of their service

Cause: 150 ms of pending prefill and 0.35 of the slots suit objectives and pauses of 500 ms. Routes that tolerate 1,000 ms and pauses of 800 ms are refused beside engines that could take more.

Change: EngineLimits computes pending prefill (0.3 of the shortest objective, 150 to 600 ms) and slots (0.35 x pause / 500 ms, 0.35 to 1) for each service when the routing table changes, if all streaming routes of the service state target_gap_ms. DispatchLimits.engineLimitsFromRoutes switches it off.

OverloadTest: all requests that were sent end their prefill within the objective behind 300 ms of pending prefill. Not measured with real routers.

--- a/core/src/main/java/org/almondslip/directory/RoutingTable.java
+++ b/core/src/main/java/org/almondslip/directory/RoutingTable.java
@@ -69,6 +69,15 @@
     return limits;
   }
 
+  /**
+   * Returns all routes.
+   *
+   * @return a new list of the routes
+   */
+  public List<Route> routes() {
+    return routesByHost.values().stream().flatMap(List::stream).toList();
+  }
+
   /**
    * Returns the number of routes.
    *
--- a/core/src/main/java/org/almondslip/dispatch/DispatchLimits.java
+++ b/core/src/main/java/org/almondslip/dispatch/DispatchLimits.java
@@ -11,13 +11,16 @@
  *     locality wait
  * @param maxWaitingJobs the number of jobs that may wait for one service
  * @param retryAfterMillis the minimum delay after which a refused caller may retry, in milliseconds
+ * @param engineLimitsFromRoutes whether the first two limits grow with the objectives and pauses of
+ *     the routes of a service, see {@link EngineLimits}
  */
 public record DispatchLimits(
     double maxPendingPrefillMillis,
     double maxEngineSlotFraction,
     int maxRepeatedPrefillTokens,
     int maxWaitingJobs,
-    long retryAfterMillis) {
+    long retryAfterMillis,
+    boolean engineLimitsFromRoutes) {
 
   /**
    * Default limits. A pending prefill of 150 ms keeps an engine busy during a round trip between
@@ -25,5 +28,5 @@
    * prefills prompts between the decoding steps of its running jobs, so more running jobs would
    * only finish later.
    */
-  public static final DispatchLimits DEFAULT = new DispatchLimits(150, 0.35, 512, 2_000, 500);
+  public static final DispatchLimits DEFAULT = new DispatchLimits(150, 0.35, 512, 2_000, 500, true);
 }
--- a/core/src/main/java/org/almondslip/dispatch/Dispatcher.java
+++ b/core/src/main/java/org/almondslip/dispatch/Dispatcher.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import org.almondslip.directory.Route;
 import org.almondslip.placement.EngineModel;
 import org.almondslip.placement.Placement;
 import org.almondslip.placement.Prompt;
@@ -33,6 +34,9 @@
 
   private final JobAdmission admission;
 
+  /** Limits of the load of engines, replaced when the routes change. */
+  private EngineLimits engineLimits;
+
   private final TargetTable targets = new TargetTable();
 
   /** Queues by service. */
@@ -58,10 +62,34 @@
     this.clock = clock;
     this.placement = placement;
     this.limits = limits;
+    this.engineLimits = EngineLimits.of(limits);
     this.availability = new TargetAvailability(model, limits);
     this.admission = new JobAdmission(clock, placement, model, limits);
   }
 
+  /**
+   * Derives the limits of engines from the routes, if the configured limits say so.
+   *
+   * @param routes all routes
+   * @return the limits in force
+   */
+  public EngineLimits onRoutes(Collection<Route> routes) {
+    if (limits.engineLimitsFromRoutes()) {
+      engineLimits = EngineLimits.of(limits, routes);
+      availability.setLimits(engineLimits);
+    }
+    return engineLimits;
+  }
+
+  /**
+   * Returns the limits of the load of engines.
+   *
+   * @return the limits in force
+   */
+  public EngineLimits engineLimits() {
+    return engineLimits;
+  }
+
   /**
    * Adds a target and dispatches waiting jobs of its service.
    *
--- a/core/src/main/java/org/almondslip/dispatch/TargetAvailability.java
+++ b/core/src/main/java/org/almondslip/dispatch/TargetAvailability.java
@@ -18,17 +18,27 @@
 
   private final EngineModel model;
 
-  private final DispatchLimits limits;
+  /** Limits of the engines by service, replaced when the routes change. */
+  private EngineLimits limits;
 
   /**
-   * Creates a check.
+   * Creates a check with the default limits of engines.
    *
    * @param model the performance model of the engines
    * @param limits the limits of the targets
    */
   TargetAvailability(EngineModel model, DispatchLimits limits) {
     this.model = model;
-    this.limits = limits;
+    this.limits = EngineLimits.of(limits);
+  }
+
+  /**
+   * Replaces the limits of the engines.
+   *
+   * @param next the limits by service
+   */
+  void setLimits(EngineLimits next) {
+    limits = next;
   }
 
   /**
@@ -69,7 +79,8 @@
     }
     double pendingMillis =
         model.prefillMillis(target.pendingPrefillTokens(now)) * target.slowdown();
-    return pendingMillis < limits.maxPendingPrefillMillis() * status.prefillFraction()
-        && target.requests(now) < slots * limits.maxEngineSlotFraction();
+    EngineLimits.Limit limit = limits.of(target.record().service());
+    return pendingMillis < limit.pendingPrefillMillis() * status.prefillFraction()
+        && target.requests(now) < slots * limit.slotFraction();
   }
 }
--- a/core/src/test/java/org/almondslip/dispatch/DispatcherTest.java
+++ b/core/src/test/java/org/almondslip/dispatch/DispatcherTest.java
@@ -8,10 +8,13 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import org.almondslip.directory.Route;
+import org.almondslip.directory.RouteKind;
 import org.almondslip.directory.TargetRecord;
 import org.almondslip.placement.EngineModel;
 import org.almondslip.placement.Placement;
 import org.almondslip.placement.TargetLoad;
+import org.almondslip.residency.AllowedRegions;
 import org.almondslip.time.Clock;
 import org.junit.jupiter.api.Test;
 
@@ -77,6 +80,26 @@
     assertThat(servedFraction(shorts)).isBetween(longFraction - 0.05, longFraction + 0.05);
   }
 
+  /** Guards against derived limits of engines that are not used, or that cannot be switched off. */
+  @Test
+  void pendingPrefillLimitFollowsTheRoutes() {
+    TargetLoad busy = target("a");
+    dispatcher.add(busy);
+    // 200 ms of pending prefill at another router.
+    busy.onPeerReport("router-2", 9_640, 1, clock.millis());
+    assertThat(submit("org", "r", 1, 500).target()).isEmpty();
+    dispatcher.onRoutes(List.of(streamingRoute()));
+    assertThat(submit("org", "r", 2, 500).target()).contains(busy);
+    Dispatcher fixed =
+        new Dispatcher(
+            clock,
+            new Placement("dc", EngineModel.DEFAULT),
+            EngineModel.DEFAULT,
+            new DispatchLimits(150, 0.35, 512, 2_000, 500, false));
+    fixed.onRoutes(List.of(streamingRoute()));
+    assertThat(fixed.engineLimits().of("s").pendingPrefillMillis()).isEqualTo(150);
+  }
+
   /** Guards against queueing a request until its deadline although it cannot be served in time. */
   @Test
   void refusesLateJobImmediately() {
@@ -248,6 +271,23 @@
     return job;
   }
 
+  /** Creates a route with an objective of 1,000 ms and pauses of 800 ms. */
+  private static Route streamingRoute() {
+    return new Route(
+        "r",
+        "h",
+        "/",
+        RouteKind.STREAMING,
+        15_000,
+        OBJECTIVE_MILLIS,
+        1,
+        List.of(new Route.Share("s", 1)),
+        1,
+        false,
+        AllowedRegions.ANY,
+        800);
+  }
+
   /** Returns the fraction of the jobs that were sent. */
   private static double servedFraction(List<TestJob> jobs) {
     return (double) jobs.stream().filter(job -> job.target().isPresent()).count() / jobs.size();
--- a/core/src/test/java/org/almondslip/dispatch/OverloadLoad.java
+++ b/core/src/test/java/org/almondslip/dispatch/OverloadLoad.java
@@ -20,7 +20,7 @@
 final class OverloadLoad {
 
   /** Objective of the requests in milliseconds. */
-  private static final long OBJECTIVE_MILLIS = 1_000;
+  static final long OBJECTIVE_MILLIS = 1_000;
 
   /** Length of a step of the load, in milliseconds. */
   private static final long STEP_MILLIS = 10;
@@ -76,8 +76,11 @@
     }
   }
 
+  /** Longest time between the arrival of a request and the end of its prefill, in milliseconds. */
+  private long longestDelayMillis;
+
   /** Engine that prefills one prompt after the other. */
-  private static final class Engine {
+  private final class Engine {
     private final Queue<TestJob> jobs = new ArrayDeque<>();
 
     /** Tokens of the first prompt that are prefilled already. */
@@ -87,6 +90,7 @@
       prefilled += millis * EngineModel.DEFAULT.prefillTokensPerMilli();
       while (!jobs.isEmpty() && prefilled >= jobs.peek().uncachedTokens()) {
         prefilled -= jobs.peek().uncachedTokens();
+        longestDelayMillis = Math.max(longestDelayMillis, clock.millis() - jobs.peek().arrivedAt());
         jobs.poll().end();
       }
       prefilled = jobs.isEmpty() ? 0 : prefilled;
@@ -160,6 +164,11 @@
     dispatcher.submit(job);
   }
 
+  /** Returns the longest time between arrival and end of prefill, in milliseconds. */
+  long longestDelayMillis() {
+    return longestDelayMillis;
+  }
+
   /** Returns the fraction of the tokens of an organisation that were sent. */
   double servedFraction(String organisation) {
     return servedFraction(source -> source.organisation.equals(organisation));
--- a/core/src/test/java/org/almondslip/dispatch/OverloadTest.java
+++ b/core/src/test/java/org/almondslip/dispatch/OverloadTest.java
@@ -3,6 +3,9 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.util.List;
+import org.almondslip.directory.Route;
+import org.almondslip.directory.RouteKind;
+import org.almondslip.residency.AllowedRegions;
 import org.junit.jupiter.api.Test;
 
 /** Tests what the callers of a router get while demand exceeds the capacity of its targets. */
@@ -34,6 +37,35 @@
     assertThat(load.servedFraction("org", "rare")).isGreaterThan(fraction - 0.05);
   }
 
+  /** Guards against late requests behind a pending prefill that follows from the objective. */
+  @Test
+  void requestsAreOnTimeBehindDerivedPendingPrefill() {
+    OverloadLoad load =
+        new OverloadLoad(2)
+            .add("org", "long", 0, 11_992, 30)
+            .add("org", "chat", 0, 826, 90)
+            .add("org", "tags", 0, 2_368, 48);
+    Route route =
+        new Route(
+            "long",
+            "h",
+            "/",
+            RouteKind.STREAMING,
+            15_000,
+            OverloadLoad.OBJECTIVE_MILLIS,
+            1,
+            List.of(new Route.Share("s", 1)),
+            1,
+            false,
+            AllowedRegions.ANY,
+            800);
+    load.dispatcher().onRoutes(List.of(route));
+    load.run(DURATION_MILLIS);
+    assertThat(load.dispatcher().engineLimits().of("s").pendingPrefillMillis()).isEqualTo(300);
+    assertThat(load.longestDelayMillis()).isLessThanOrEqualTo(OverloadLoad.OBJECTIVE_MILLIS);
+    assertThat(load.servedFraction("org")).isGreaterThan(0.37);
+  }
+
   /** Guards against a rank without effect, and against a lower rank that is starved. */
   @Test
   void higherRankGoesFirst() {
--- a/core/src/test/java/org/almondslip/dispatch/TestJob.java
+++ b/core/src/test/java/org/almondslip/dispatch/TestJob.java
@@ -101,6 +101,11 @@
     return this;
   }
 
+  /** Returns the time at which the job arrived, in milliseconds. */
+  long arrivedAt() {
+    return arrivedAt;
+  }
+
   /** Returns the tokens that the target has to prefill. */
   int uncachedTokens() {
     return uncachedTokens;
--- a/gateway/src/main/java/org/almondslip/gateway/DirectoryChanges.java
+++ b/gateway/src/main/java/org/almondslip/gateway/DirectoryChanges.java
@@ -9,6 +9,7 @@
 import org.almondslip.directory.ServicePolicy;
 import org.almondslip.directory.TargetRecord;
 import org.almondslip.dispatch.Dispatcher;
+import org.almondslip.dispatch.EngineLimits;
 import org.almondslip.placement.TargetLoad;
 
 /** Applies changes of the directory to the dispatcher and to the connections to targets. */
@@ -40,8 +41,10 @@
   @Override
   public void onTable(RoutingTable next) {
     table = Optional.of(next);
+    EngineLimits limits = dispatcher.onRoutes(next.routes());
     logger.atInfo().log(
-        "applied routing table version %d with %d routes", next.version(), next.routeCount());
+        "applied routing table version %d with %d routes; limits of engines: %s",
+        next.version(), next.routeCount(), limits.byService());
   }
 
   @Override
