Serve organisations of a higher rank first, with floors for lower ranks

Cause: the priority of an organisation had no effect between organisations. One of a higher rank was held back for underserved organisations of lower ranks.

Ranks come from the routing table. With a single rank nothing changes.

--- a/core/src/main/java/org/almondslip/directory/RoutingTable.java
+++ b/core/src/main/java/org/almondslip/directory/RoutingTable.java
@@ -7,6 +7,7 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 
 /** Immutable snapshot of all routes, services and organisations at one version. */
 public final class RoutingTable {
@@ -125,6 +126,15 @@
     return Optional.ofNullable(organisationsByKey.get(key));
   }
 
+  /**
+   * Returns all organisations that have an API key.
+   *
+   * @return a new set of the organisations
+   */
+  public Set<Organisation> organisations() {
+    return Set.copyOf(organisationsByKey.values());
+  }
+
   /**
    * Returns whether requests on a route require an API key.
    *
--- a/core/src/main/java/org/almondslip/dispatch/Dispatcher.java
+++ b/core/src/main/java/org/almondslip/dispatch/Dispatcher.java
@@ -8,7 +8,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
-import org.almondslip.directory.Route;
+import org.almondslip.directory.RoutingTable;
 import org.almondslip.placement.EngineModel;
 import org.almondslip.placement.Placement;
 import org.almondslip.placement.Prompt;
@@ -37,6 +37,9 @@
   /** Limits of the load of engines, replaced when the routes change. */
   private EngineLimits engineLimits;
 
+  /** Ranks of the organisations, replaced when the routing table changes. */
+  private OrganisationRanks ranks = OrganisationRanks.NONE;
+
   private final TargetTable targets = new TargetTable();
 
   /** Queues by service. */
@@ -68,14 +71,16 @@
   }
 
   /**
-   * Derives the limits of engines from the routes, if the configured limits say so.
+   * Applies the ranks of a routing table, and derives the limits of engines from its routes if the
+   * configured limits say so.
    *
-   * @param routes all routes
+   * @param table the routing table
    * @return the limits in force
    */
-  public EngineLimits onRoutes(Collection<Route> routes) {
+  public EngineLimits onTable(RoutingTable table) {
+    ranks = OrganisationRanks.of(table);
     if (limits.engineLimitsFromRoutes()) {
-      engineLimits = EngineLimits.of(limits, routes);
+      engineLimits = EngineLimits.of(limits, table.routes());
       availability.setLimits(engineLimits);
     }
     return engineLimits;
@@ -417,6 +422,7 @@
   }
 
   private FairShare share(String service) {
-    return shares.computeIfAbsent(service, name -> new FairShare());
+    return shares.computeIfAbsent(
+        service, name -> new FairShare(organisation -> ranks.rank(name, organisation)));
   }
 }
--- a/core/src/main/java/org/almondslip/dispatch/FairQueue.java
+++ b/core/src/main/java/org/almondslip/dispatch/FairQueue.java
@@ -12,9 +12,9 @@
 import org.almondslip.placement.Prompt;
 
 /**
- * Queue of the jobs of one service, which prefers the organisation with the least recent service
- * across the fleet. Service decays exponentially with age, so an idle organisation accumulates no
- * credit and none starves.
+ * Queue of the jobs of one service, which prefers the organisation of the highest rank and among
+ * equal ones that with the least recent service across the fleet. Service decays exponentially with
+ * age, so an idle organisation accumulates no credit and none starves.
  */
 final class FairQueue {
 
@@ -32,9 +32,22 @@
    *
    * @param organisation the name of the organisation
    * @param remaining its jobs that were not offered yet
+   * @param rank the place of the organisation in the order of ranks
    * @param servedTokens the recent service of the organisation in tokens
    */
-  private record Cursor(String organisation, Iterator<Job> remaining, double servedTokens) {}
+  private record Cursor(
+      String organisation, Iterator<Job> remaining, int rank, double servedTokens) {
+
+    /** Creates the position for the current order. */
+    private static Cursor of(
+        String organisation, Iterator<Job> remaining, FairShare share, long now) {
+      return new Cursor(
+          organisation,
+          remaining,
+          share.orderRank(organisation, now),
+          share.servedTokens(organisation, now));
+    }
+  }
 
   /**
    * Returns the cost of a job.
@@ -78,11 +91,12 @@
    */
   void offer(FairShare share, long now, Predicate<Job> sender, BooleanSupplier hasCapacity) {
     PriorityQueue<Cursor> cursors =
-        new PriorityQueue<>(Comparator.comparingDouble(Cursor::servedTokens));
+        new PriorityQueue<>(
+            Comparator.comparingInt(Cursor::rank).thenComparingDouble(Cursor::servedTokens));
     organisations.forEach(
         (name, queue) -> {
           if (!queue.isEmpty()) {
-            cursors.add(new Cursor(name, queue.ordered(now), share.servedTokens(name, now)));
+            cursors.add(Cursor.of(name, queue.ordered(now), share, now));
           }
         });
     while (!cursors.isEmpty() && hasCapacity.getAsBoolean()) {
@@ -92,11 +106,7 @@
         sent = sender.test(cursor.remaining().next());
       }
       if (sent && cursor.remaining().hasNext()) {
-        cursors.add(
-            new Cursor(
-                cursor.organisation(),
-                cursor.remaining(),
-                share.servedTokens(cursor.organisation(), now)));
+        cursors.add(Cursor.of(cursor.organisation(), cursor.remaining(), share, now));
       }
     }
   }
--- a/core/src/main/java/org/almondslip/dispatch/RouteOrder.java
+++ b/core/src/main/java/org/almondslip/dispatch/RouteOrder.java
@@ -21,7 +21,7 @@
 final class RouteOrder implements Iterator<Job> {
 
   /** Rank of routes below the floor, which precedes all others. */
-  private static final int FLOOR_RANK = -1;
+  private static final int FLOOR_RANK = Integer.MIN_VALUE;
 
   private final long now;
 
--- a/core/src/test/java/org/almondslip/dispatch/DispatcherTest.java
+++ b/core/src/test/java/org/almondslip/dispatch/DispatcherTest.java
@@ -8,13 +8,12 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import org.almondslip.directory.Route;
 import org.almondslip.directory.RouteKind;
+import org.almondslip.directory.RoutingTable;
 import org.almondslip.directory.TargetRecord;
 import org.almondslip.placement.EngineModel;
 import org.almondslip.placement.Placement;
 import org.almondslip.placement.TargetLoad;
-import org.almondslip.residency.AllowedRegions;
 import org.almondslip.time.Clock;
 import org.junit.jupiter.api.Test;
 
@@ -88,7 +87,7 @@
     // 200 ms of pending prefill at another router.
     busy.onPeerReport("router-2", 9_640, 1, clock.millis());
     assertThat(submit("org", "r", 1, 500).target()).isEmpty();
-    dispatcher.onRoutes(List.of(streamingRoute()));
+    dispatcher.onTable(streamingTable());
     assertThat(submit("org", "r", 2, 500).target()).contains(busy);
     Dispatcher fixed =
         new Dispatcher(
@@ -96,7 +95,7 @@
             new Placement("dc", EngineModel.DEFAULT),
             EngineModel.DEFAULT,
             new DispatchLimits(150, 0.35, 512, 2_000, 500, false));
-    fixed.onRoutes(List.of(streamingRoute()));
+    fixed.onTable(streamingTable());
     assertThat(fixed.engineLimits().of("s").pendingPrefillMillis()).isEqualTo(150);
   }
 
@@ -271,21 +270,9 @@
     return job;
   }
 
-  /** Creates a route with an objective of 1,000 ms and pauses of 800 ms. */
-  private static Route streamingRoute() {
-    return new Route(
-        "r",
-        "h",
-        "/",
-        RouteKind.STREAMING,
-        15_000,
-        OBJECTIVE_MILLIS,
-        1,
-        List.of(new Route.Share("s", 1)),
-        1,
-        false,
-        AllowedRegions.ANY,
-        800);
+  /** Creates a table of a route with an objective of 1,000 ms and pauses of 800 ms. */
+  private static RoutingTable streamingTable() {
+    return TestTables.table(Map.of(), TestTables.route(RouteKind.STREAMING, OBJECTIVE_MILLIS, 800));
   }
 
   /** Returns the fraction of the jobs that were sent. */
--- a/core/src/test/java/org/almondslip/dispatch/OverloadTest.java
+++ b/core/src/test/java/org/almondslip/dispatch/OverloadTest.java
@@ -2,10 +2,11 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import org.almondslip.directory.Route;
 import org.almondslip.directory.RouteKind;
-import org.almondslip.residency.AllowedRegions;
 import org.junit.jupiter.api.Test;
 
 /** Tests what the callers of a router get while demand exceeds the capacity of its targets. */
@@ -45,21 +46,8 @@
             .add("org", "long", 0, 11_992, 30)
             .add("org", "chat", 0, 826, 90)
             .add("org", "tags", 0, 2_368, 48);
-    Route route =
-        new Route(
-            "long",
-            "h",
-            "/",
-            RouteKind.STREAMING,
-            15_000,
-            OverloadLoad.OBJECTIVE_MILLIS,
-            1,
-            List.of(new Route.Share("s", 1)),
-            1,
-            false,
-            AllowedRegions.ANY,
-            800);
-    load.dispatcher().onRoutes(List.of(route));
+    Route route = TestTables.route(RouteKind.STREAMING, OverloadLoad.OBJECTIVE_MILLIS, 800);
+    load.dispatcher().onTable(TestTables.table(Map.of(), route));
     load.run(DURATION_MILLIS);
     assertThat(load.dispatcher().engineLimits().of("s").pendingPrefillMillis()).isEqualTo(300);
     assertThat(load.longestDelayMillis()).isLessThanOrEqualTo(OverloadLoad.OBJECTIVE_MILLIS);
@@ -85,4 +73,36 @@
     assertThat(load.servedFraction("org", "low")).isBetween(0.07, 0.16);
     assertThat(load.servedFraction("org", "high")).isGreaterThan(0.2);
   }
+
+  /** Guards against an organisation of a higher rank that is held back for lower ranks. */
+  @Test
+  void organisationOfHigherRankIsNotHeldBack() {
+    OverloadLoad load = new OverloadLoad(2).add("high", "r", 0, 5_000, 24);
+    Map<String, Integer> ranks = new HashMap<>(Map.of("high", 0));
+    for (int i = 0; i < 5; i++) {
+      load.add("low-" + i, "r", 2, 5_000, 40);
+      ranks.put("low-" + i, 2);
+    }
+    load.dispatcher().onTable(TestTables.table(ranks));
+    load.run(DURATION_MILLIS);
+    assertThat(load.servedFraction("high")).isGreaterThan(0.9);
+    for (int i = 0; i < 5; i++) {
+      assertThat(load.servedFraction("low-" + i)).isBetween(0.2, 0.5);
+    }
+  }
+
+  /** Guards against organisations of a lower rank that get nothing beside a flood. */
+  @Test
+  void organisationOfLowerRankKeepsItsFloor() {
+    OverloadLoad load =
+        new OverloadLoad(2)
+            .add("high", "r", 0, 5_000, 300)
+            .add("low", "r", 2, 5_000, 40)
+            .add("quiet", "r", 2, 5_000, 1);
+    load.dispatcher().onTable(TestTables.table(Map.of("high", 0, "low", 2, "quiet", 2)));
+    load.run(DURATION_MILLIS);
+    assertThat(load.servedFraction("low")).isBetween(0.08, 0.3);
+    assertThat(load.servedFraction("quiet")).isGreaterThan(0.5);
+    assertThat(load.servedFraction("high")).isGreaterThan(0.1);
+  }
 }
--- a/gateway/src/main/java/org/almondslip/gateway/DirectoryChanges.java
+++ b/gateway/src/main/java/org/almondslip/gateway/DirectoryChanges.java
@@ -41,7 +41,7 @@
   @Override
   public void onTable(RoutingTable next) {
     table = Optional.of(next);
-    EngineLimits limits = dispatcher.onRoutes(next.routes());
+    EngineLimits limits = dispatcher.onTable(next);
     logger.atInfo().log(
         "applied routing table version %d with %d routes; limits of engines: %s",
         next.version(), next.routeCount(), limits.byService());
