Let an organisation within its share not wait for its share

Cause: the wait of an organisation was estimated from the rate of its even share, also when it requests less.

Change: FairShare.waitMillis is 0 while the demand of an organisation is within its share (with the tolerance of two requests that the status has).

--- a/core/src/main/java/org/almondslip/dispatch/FairShare.java
+++ b/core/src/main/java/org/almondslip/dispatch/FairShare.java
@@ -165,7 +165,7 @@
    * @param organisation the name of the organisation
    * @param tokens the cost of the waiting jobs in tokens
    * @param now the current time in milliseconds
-   * @return the time in milliseconds, 0 while no organisation of its rank lacks capacity
+   * @return the time in milliseconds, 0 while the organisation requests no more than its share
    */
   double waitMillis(String organisation, long tokens, long now) {
     refresh(now);
@@ -173,7 +173,8 @@
       return 0;
     }
     OrganisationUsage usage = usage(organisation);
-    if (Double.isInfinite(usage.limit())) {
+    if (usage.requested(now) <= usage.limit() + toleranceTokens()) {
+      // All that the organisation requests is within its share, so it goes before the others.
       return 0;
     }
     // After a period without service, the measured share understates what targets can serve.
