--- a/core/src/main/java/org/almondslip/dispatch/TargetAvailability.java
+++ b/core/src/main/java/org/almondslip/dispatch/TargetAvailability.java
@@ -18,12 +18,13 @@
 
   private final EngineModel model;
 
-  private final DispatchLimits limits;
+  /** Limits of the engines by service, replaced when the routes change. */
+  private EngineLimits limits;
 
   private final TargetMemory memory;
 
   /**
-   * Creates a check.
+   * Creates a check with the default limits of engines.
    *
    * @param model the performance model of the engines
    * @param limits the limits of the targets
@@ -31,8 +32,17 @@
    */
   TargetAvailability(EngineModel model, DispatchLimits limits, TargetMemory memory) {
     this.model = model;
-    this.limits = limits;
     this.memory = memory;
+    this.limits = EngineLimits.of(limits);
+  }
+
+  /**
+   * Replaces the limits of the engines.
+   *
+   * @param next the limits by service
+   */
+  void setLimits(EngineLimits next) {
+    limits = next;
   }
 
   /**
@@ -80,10 +90,10 @@
    * requests count for a job without prompt tokens.
    */
   private boolean hasCapacity(TargetLoad target, Prompt prompt, ShareStatus status, long now) {
-    double limit =
-        target.record().slots() * (target.isEngine() ? limits.maxEngineSlotFraction() : 1);
+    EngineLimits.Limit limit = limits.of(target.record().service());
+    double usualRequests = target.record().slots() * (target.isEngine() ? limit.slotFraction() : 1);
     int others = target.requests(now) - target.ownRequests();
-    if (!target.pace().hasRoom(target.ownRequests(), others, limit, now)) {
+    if (!target.pace().hasRoom(target.ownRequests(), others, usualRequests, now)) {
       return false;
     }
     double slots = target.record().slots() * status.slotFraction();
@@ -92,7 +102,7 @@
     }
     double pendingMillis =
         model.prefillMillis(target.pendingPrefillTokens(now)) * target.prefillFactor(now);
-    return pendingMillis < limits.maxPendingPrefillMillis() * status.prefillFraction()
-        && target.requests(now) < slots * limits.maxEngineSlotFraction();
+    return pendingMillis < limit.pendingPrefillMillis() * status.prefillFraction()
+        && target.requests(now) < slots * limit.slotFraction();
   }
 }
--- a/gateway/src/main/java/org/almondslip/gateway/ForwardedRequest.java
+++ b/gateway/src/main/java/org/almondslip/gateway/ForwardedRequest.java
@@ -135,6 +135,11 @@
     return inbound.route().name();
   }
 
+  @Override
+  public int priority() {
+    return inbound.priority();
+  }
+
   @Override
   public Prompt prompt() {
     return inbound.decoded().prompt();
