--- a/core/src/test/java/org/almondslip/dispatch/TargetMemoryTest.java
+++ b/core/src/test/java/org/almondslip/dispatch/TargetMemoryTest.java
@@ -37,7 +37,8 @@
   private static final int LONGEST = 54_600;
 
   /** Limits that leave only the memory to bound the requests. */
-  private static final DispatchLimits MEMORY_ONLY = new DispatchLimits(1e9, 1, 512, 2_000, 500);
+  private static final DispatchLimits MEMORY_ONLY =
+      new DispatchLimits(1e9, 1, 512, 2_000, 500, false);
 
   private static final long OBJECTIVE_MILLIS = 1_000_000;
 
