Let places for large prompts be used again once reports have arrived

Change: turns last 2 s beside a gap of 250 ms, and a place counts the prompts of the last 250 ms only, which reports may not contain yet.

--- a/core/src/main/java/org/almondslip/dispatch/SendTurns.java
+++ b/core/src/main/java/org/almondslip/dispatch/SendTurns.java
@@ -1,7 +1,9 @@
 package org.almondslip.dispatch;
 
+import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Deque;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -13,22 +15,24 @@
  *
  * <p>Routers learn of each other's requests only when reports arrive. Without turns, all of them
  * would use the same free memory. In each turn the free memory is divided into places of the size
- * of a large prompt, which are assigned by rendezvous hash. Between two turns there is a gap in
- * which the reports of the last turn arrive.
+ * of a large prompt, which are assigned by rendezvous hash; a place can be used again when the
+ * reports of its last use have arrived. Between two turns there is a gap in which the reports of
+ * the last turn arrive. Turns are long beside the gap, since a caller waits through it.
  */
 final class SendTurns {
 
   /** Duration of a turn with its gap, in milliseconds. */
-  static final long TURN_MILLIS = 500;
+  static final long TURN_MILLIS = 2_000;
 
   /**
-   * Gap at the start of a turn, in milliseconds. Reports between regions are sent every 180 ms, and
-   * the rest covers their transit and the difference between the clocks of the routers.
+   * Gap at the start of a turn and time after which a place can be used again, in milliseconds.
+   * Reports between regions are sent every 180 ms, and the rest covers their transit and the
+   * difference between the clocks of the routers.
    */
   static final long GAP_MILLIS = 250;
 
   /** One of so many turns is left to a single prompt that needs more than one place. */
-  static final int OVERSIZED_INTERVAL = 4;
+  static final int OVERSIZED_INTERVAL = 8;
 
   /** Number of routers that is assumed before the list has been read. */
   private static final int ASSUMED_ROUTERS = 40;
@@ -43,6 +47,14 @@
   /** Latest turns by target. */
   private final Map<Long, Turn> turns = new HashMap<>();
 
+  /**
+   * Large prompt that was sent.
+   *
+   * @param tokens the tokens that the request holds
+   * @param wallMillis the time since the Unix epoch in milliseconds
+   */
+  private record Sent(long tokens, long wallMillis) {}
+
   /** One turn of a target. */
   private static final class Turn {
     private final long number;
@@ -50,17 +62,22 @@
     /** Number of routers that come before this one. */
     private final int rank;
 
-    /** Number of large prompts that this router has sent. */
-    private int sent;
-
-    /** Tokens of these prompts. */
-    private long sentTokens;
+    /** Large prompts that this router has sent and that reports may not contain yet. */
+    private final Deque<Sent> recent = new ArrayDeque<>();
 
     private Turn(long number, int rank) {
       this.number = number;
       this.rank = rank;
     }
 
+    /** Returns the tokens of recent prompts, after the removal of those in reports. */
+    private long recentTokens(long wallMillis) {
+      while (!recent.isEmpty() && wallMillis - recent.peek().wallMillis() >= GAP_MILLIS) {
+        recent.poll();
+      }
+      return recent.stream().mapToLong(Sent::tokens).sum();
+    }
+
     /** Returns whether the turn is left to a prompt that needs more than one place. */
     private boolean isForOversized() {
       return Math.floorMod(number, OVERSIZED_INTERVAL) == 0;
@@ -96,15 +113,16 @@
       return false;
     }
     Turn turn = turn(target, wallMillis);
+    final long recentTokens = turn.recentTokens(wallMillis);
     boolean oversized = tokens > placeTokens;
     if (oversized || turn.isForOversized()) {
-      return oversized && turn.isForOversized() && turn.rank == 0 && turn.sent == 0;
+      return oversized && turn.isForOversized() && turn.rank == 0 && turn.recent.isEmpty();
     }
-    // The places are those before this router sent its prompts of this turn.
-    long places = (free + turn.sentTokens) / placeTokens;
+    // The places are those before this router sent its recent prompts.
+    long places = (free + recentTokens) / placeTokens;
     int routers = others.size() + 1;
     long own = places / routers + (turn.rank < places % routers ? 1 : 0);
-    return turn.sent < own;
+    return turn.recent.size() < own;
   }
 
   /**
@@ -116,8 +134,7 @@
    */
   void onSent(long target, long tokens, long wallMillis) {
     Turn turn = turn(target, wallMillis);
-    turn.sent++;
-    turn.sentTokens += tokens;
+    turn.recent.add(new Sent(tokens, wallMillis));
   }
 
   private Turn turn(long target, long wallMillis) {
