Bound the memory of targets only where the deployment says that engines crash

Cause: the bound delays large prompts, and engines of other deployments refuse or preempt what does not fit.

--- a/core/src/main/java/org/almondslip/dispatch/DispatchLimits.java
+++ b/core/src/main/java/org/almondslip/dispatch/DispatchLimits.java
@@ -13,6 +13,8 @@
  * @param retryAfterMillis the minimum delay after which a refused caller may retry, in milliseconds
  * @param engineLimitsFromRoutes whether the first two limits grow with the objectives and pauses of
  *     the routes of a service, see {@link EngineLimits}
+ * @param boundsTargetMemory whether requests are sent only to targets that have memory for them;
+ *     needed where engines crash instead of refusing such requests
  */
 public record DispatchLimits(
     double maxPendingPrefillMillis,
@@ -20,7 +22,8 @@
     int maxRepeatedPrefillTokens,
     int maxWaitingJobs,
     long retryAfterMillis,
-    boolean engineLimitsFromRoutes) {
+    boolean engineLimitsFromRoutes,
+    boolean boundsTargetMemory) {
 
   /**
    * Default limits. A pending prefill of 150 ms keeps an engine busy during a round trip between
@@ -28,5 +31,24 @@
    * prefills prompts between the decoding steps of its running jobs, so more running jobs would
    * only finish later.
    */
-  public static final DispatchLimits DEFAULT = new DispatchLimits(150, 0.35, 512, 2_000, 500, true);
+  public static final DispatchLimits DEFAULT =
+      new DispatchLimits(150, 0.35, 512, 2_000, 500, false, true);
+
+  /**
+   * Returns the same limits with other switches.
+   *
+   * @param fromRoutes whether the limits of engines grow with the objectives of the routes
+   * @param memory whether requests are sent only to targets that have memory for them
+   * @return the limits
+   */
+  public DispatchLimits withSwitches(boolean fromRoutes, boolean memory) {
+    return new DispatchLimits(
+        maxPendingPrefillMillis,
+        maxEngineSlotFraction,
+        maxRepeatedPrefillTokens,
+        maxWaitingJobs,
+        retryAfterMillis,
+        fromRoutes,
+        memory);
+  }
 }
--- a/core/src/main/java/org/almondslip/dispatch/Dispatcher.java
+++ b/core/src/main/java/org/almondslip/dispatch/Dispatcher.java
@@ -68,7 +68,7 @@
     this.clock = clock;
     this.placement = placement;
     this.limits = limits;
-    this.memory = new TargetMemory(clock);
+    this.memory = new TargetMemory(clock, limits.boundsTargetMemory());
     this.availability = new TargetAvailability(model, limits, memory);
     this.engineLimits = EngineLimits.of(limits);
     this.admission = new JobAdmission(clock, placement, model, limits);
--- a/core/src/main/java/org/almondslip/dispatch/TargetMemory.java
+++ b/core/src/main/java/org/almondslip/dispatch/TargetMemory.java
@@ -26,15 +26,19 @@
 
   private final Clock clock;
 
+  private final boolean bounded;
+
   private final SendTurns turns = new SendTurns();
 
   /**
    * Creates the check.
    *
    * @param clock the source of time
+   * @param bounded whether requests are sent only to targets that have memory for them
    */
-  TargetMemory(Clock clock) {
+  TargetMemory(Clock clock, boolean bounded) {
     this.clock = clock;
+    this.bounded = bounded;
   }
 
   /**
@@ -58,7 +62,7 @@
   boolean permits(TargetLoad target, Prompt prompt, long now) {
     HeldTokens held = target.heldTokens();
     long tokens = HeldTokens.tokens(prompt);
-    if (held.limit() == 0 || tokens == 0) {
+    if (!bounded || held.limit() == 0 || tokens == 0) {
       return true;
     }
     boolean fits = tokens > held.limit() ? target.requests(now) == 0 : tokens <= held.free(now);
--- a/core/src/test/java/org/almondslip/dispatch/DispatcherTest.java
+++ b/core/src/test/java/org/almondslip/dispatch/DispatcherTest.java
@@ -94,7 +94,7 @@
             clock,
             new Placement("dc", EngineModel.DEFAULT),
             EngineModel.DEFAULT,
-            new DispatchLimits(150, 0.35, 512, 2_000, 500, false));
+            new DispatchLimits(150, 0.35, 512, 2_000, 500, false, true));
     fixed.onTable(streamingTable());
     assertThat(fixed.engineLimits().of("s").pendingPrefillMillis()).isEqualTo(150);
   }
--- a/core/src/test/java/org/almondslip/dispatch/TargetMemoryTest.java
+++ b/core/src/test/java/org/almondslip/dispatch/TargetMemoryTest.java
@@ -38,7 +38,7 @@
 
   /** Limits that leave only the memory to bound the requests. */
   private static final DispatchLimits MEMORY_ONLY =
-      new DispatchLimits(1e9, 1, 512, 2_000, 500, false);
+      new DispatchLimits(1e9, 1, 512, 2_000, 500, false, true);
 
   private static final long OBJECTIVE_MILLIS = 1_000_000;
 
--- a/gateway/src/main/java/org/almondslip/gateway/Gateway.java
+++ b/gateway/src/main/java/org/almondslip/gateway/Gateway.java
@@ -190,7 +190,13 @@
                 .setBlockedThreadCheckInterval(TimeUnit.HOURS.toMillis(1))
                 .setBlockedThreadCheckIntervalUnit(TimeUnit.MILLISECONDS));
     Placement placement = new Placement(settings.dataCentre(), EngineModel.DEFAULT);
-    this.dispatcher = new Dispatcher(clock, placement, EngineModel.DEFAULT, DispatchLimits.DEFAULT);
+    this.dispatcher =
+        new Dispatcher(
+            clock,
+            placement,
+            EngineModel.DEFAULT,
+            DispatchLimits.DEFAULT.withSwitches(
+                settings.engineLimitsFromRoutes(), settings.boundsTargetMemory()));
     CrashQuarantine crashQuarantine = new CrashQuarantine(clock);
     this.segmentQuarantine = new SegmentQuarantine(clock, settings.instance(), quarantineLog);
     final long incarnation = clock.wallMillis();
--- a/gateway/src/main/java/org/almondslip/gateway/GatewaySettings.java
+++ b/gateway/src/main/java/org/almondslip/gateway/GatewaySettings.java
@@ -31,6 +31,9 @@
  * @param coldRequestFactor the factor on the tolerated request rate of a cold target that the fleet
  *     must not exceed
  * @param coldRequestAllowance the requests in a second that a cold target may get beyond that rate
+ * @param boundsTargetMemory whether requests are sent only to engines that have memory for them
+ * @param engineLimitsFromRoutes whether the limits of engines grow with the objectives and pauses
+ *     of the routes of their service
  */
 public record GatewaySettings(
     String instance,
@@ -50,7 +53,9 @@
     int maxDescriptors,
     Map<String, String> dataCentres,
     double coldRequestFactor,
-    double coldRequestAllowance) {
+    double coldRequestAllowance,
+    boolean boundsTargetMemory,
+    boolean engineLimitsFromRoutes) {
 
   /** Upper bound of settings in milliseconds: one hour. */
   private static final long MAX_MILLIS = 3_600_000;
@@ -91,9 +96,10 @@
    * Reads the settings.
    *
    * @param section the top-level section of the settings file
+   * @param boundsTargetMemory the value of {@code limits.target_memory} if it is missing
    * @return the settings, valid only when the section has no findings
    */
-  public static GatewaySettings of(Section section) {
+  public static GatewaySettings of(Section section, boolean boundsTargetMemory) {
     Section retries = section.section("retries");
     Section limits = section.section("limits");
     Section cold = section.section("cold_targets");
@@ -118,7 +124,9 @@
                 "max_descriptors", systemDescriptors(), MIN_DESCRIPTORS, Integer.MAX_VALUE),
         regions(section.section("data_centres")),
         cold.decimal("request_factor", 1, 0, MAX_COLD_FACTOR),
-        cold.decimal("request_allowance", 0, 0, MAX_COLD_ALLOWANCE));
+        cold.decimal("request_allowance", 0, 0, MAX_COLD_ALLOWANCE),
+        limits.flag("target_memory", boundsTargetMemory),
+        limits.flag("engine_limits_from_routes", false));
   }
 
   /** Returns the descriptor limit that the operating system sets for this process. */
--- a/gateway/src/test/java/org/almondslip/gateway/GatewayHarness.java
+++ b/gateway/src/test/java/org/almondslip/gateway/GatewayHarness.java
@@ -196,7 +196,9 @@
             MAX_DESCRIPTORS,
             Map.of(),
             1,
-            0);
+            0,
+            false,
+            false);
     Gateway gateway =
         new Gateway(
             settings,
