Check that the metrics of the pace are documented

Cause: GatewayMetricsTest compared the documented metrics with those of GatewayMetrics only, and failed on the rows of PaceMetrics.

Change: the test registers the metrics of PaceMetrics too.

Result: GatewayMetricsTest passes.

--- a/gateway/src/test/java/org/almondslip/gateway/GatewayMetricsTest.java
+++ b/gateway/src/test/java/org/almondslip/gateway/GatewayMetricsTest.java
@@ -30,6 +30,7 @@
     DecisionLog decisions = new DecisionLog(Clock.Standard.SYSTEM, registry);
     new GatewayMetrics(registry)
         .register(decisions, null, null, null, null, null, null, null, null, null, null);
+    PaceMetrics.register(registry, null, null, null);
     Set<String> documented = new TreeSet<>();
     Matcher matcher = METRIC_ROW.matcher(Files.readString(METRICS_DOCUMENT));
     while (matcher.find()) {
