Spread the retries of refused callers over the time until there is room

Cause: all refused callers got 500 to 1,000 ms by the length of the queue, so they came back together into the same overload.

Change: RetryAdvice draws the delay uniformly between the expected time until there is room and twice that, at least 500 ms and the pause of all targets, at most a third of the time that the caller has left. The time follows from the wait at this router, what the organisation was not served of its recent demand, and the least loaded target. The delay is in the detail of the refusal, and a counter says how many callers cannot use it.

--- a/core/src/main/java/org/almondslip/dispatch/Dispatcher.java
+++ b/core/src/main/java/org/almondslip/dispatch/Dispatcher.java
@@ -14,6 +14,8 @@
 import org.almondslip.placement.Prompt;
 import org.almondslip.placement.TargetLoad;
 import org.almondslip.time.Clock;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.apache.commons.rng.simple.RandomSource;
 
 /**
  * Dispatches jobs to targets with little pending prefill and queues the other jobs in fair order.
@@ -34,6 +36,8 @@
 
   private final JobAdmission admission;
 
+  private final RetryAdvice retryAdvice;
+
   /** Limits of the load of engines, replaced when the routes change. */
   private EngineLimits engineLimits;
 
@@ -54,7 +58,7 @@
   private final DispatchStatistics statistics = new DispatchStatistics();
 
   /**
-   * Creates a dispatcher without targets.
+   * Creates a dispatcher without targets and with a random source of its own.
    *
    * @param clock the time source
    * @param placement the strategy that selects targets
@@ -62,11 +66,30 @@
    * @param limits the limits of queues and targets
    */
   public Dispatcher(Clock clock, Placement placement, EngineModel model, DispatchLimits limits) {
+    this(clock, placement, model, limits, RandomSource.XO_RO_SHI_RO_128_PP.create());
+  }
+
+  /**
+   * Creates a dispatcher without targets.
+   *
+   * @param clock the time source
+   * @param placement the strategy that selects targets
+   * @param model the performance model of the engines
+   * @param limits the limits of queues and targets
+   * @param random the random source of the advice to refused callers
+   */
+  public Dispatcher(
+      Clock clock,
+      Placement placement,
+      EngineModel model,
+      DispatchLimits limits,
+      UniformRandomProvider random) {
     this.clock = clock;
     this.placement = placement;
     this.limits = limits;
     this.engineLimits = EngineLimits.of(limits);
     this.availability = new TargetAvailability(model, limits);
+    this.retryAdvice = new RetryAdvice(random, limits.retryAfterMillis());
     this.admission = new JobAdmission(clock, placement, model, limits);
   }
 
@@ -350,7 +373,7 @@
 
   private void refuse(Job job, RefusalReason reason) {
     statistics.onRefused(job.service(), job.organisation(), reason, FairQueue.cost(job));
-    job.refuse(reason, retryAfterMillis(job.service()));
+    job.refuse(reason, retryAfterMillis(job));
   }
 
   /**
@@ -397,24 +420,34 @@
   }
 
   /**
-   * Returns the delay after which a refused caller may retry. It grows with the queue to at most
-   * twice the configured minimum, and is not shorter than a pause that all targets have asked for.
+   * Returns the delay after which the caller of a refused job may retry. It follows from the queue,
+   * the share of its organisation and the targets, and is not shorter than a pause that all targets
+   * have asked for.
    *
-   * @param service the name of the service
-   * @return the delay in milliseconds
+   * @param job the job
+   * @return the delay in milliseconds, random so that callers do not return together
    */
-  public long retryAfterMillis(String service) {
+  public long retryAfterMillis(Job job) {
     long now = clock.millis();
-    int waiting = Math.min(queue(service).size(), limits.maxWaitingJobs());
+    Collection<TargetLoad> known = targets(job.service());
     long pauseMillis =
-        targets(service).stream()
+        known.stream()
             .filter(TargetLoad::isInService)
             .mapToLong(target -> target.remainingPauseMillis(now))
             .min()
             .orElse(0);
-    return Math.max(
-        pauseMillis,
-        limits.retryAfterMillis() + limits.retryAfterMillis() * waiting / limits.maxWaitingJobs());
+    double expectedMillis =
+        admission.millisUntilRoom(job, queue(job.service()), share(job.service()), known);
+    return retryAdvice.delayMillis(expectedMillis, pauseMillis, job.deadlineAt() - now);
+  }
+
+  /**
+   * Returns the advice to callers of refused jobs.
+   *
+   * @return the advice with its counts
+   */
+  public RetryAdvice retryAdvice() {
+    return retryAdvice;
   }
 
   private FairQueue queue(String service) {
--- a/gateway/src/main/java/org/almondslip/gateway/CallerRequestHandler.java
+++ b/gateway/src/main/java/org/almondslip/gateway/CallerRequestHandler.java
@@ -362,7 +362,9 @@
 
   private void respondRetryLater(
       HttpServerRequest request, CallerResponse response, ErrorCode code, String detail) {
-    response.fail(code, detail, OptionalLong.of(NOT_READY_RETRY_MILLIS));
+    // The delay is random, since a router behind its load refuses many requests at once.
+    long retryAfterMillis = (long) (NOT_READY_RETRY_MILLIS * (1 + random.nextDouble()));
+    response.fail(code, detail, OptionalLong.of(retryAfterMillis));
     connections.onRequestEnd(request.connection());
   }
 
--- a/gateway/src/main/java/org/almondslip/gateway/ForwardedRequest.java
+++ b/gateway/src/main/java/org/almondslip/gateway/ForwardedRequest.java
@@ -158,6 +158,11 @@
     return inbound.arrivedAt() + (long) (objective * DUE_FRACTION + excess);
   }
 
+  @Override
+  public long deadlineAt() {
+    return inbound.deadlineAt();
+  }
+
   @Override
   public long localityWaitUntil() {
     return inbound.arrivedAt()
@@ -207,11 +212,12 @@
     String detail =
         String.format(
             Locale.ROOT,
-            "%s; %s, %d requests wait, the deadline is %d ms ahead",
+            "%s; %s, %d requests wait, the deadline is %d ms ahead, retry after %d ms",
             code.title(),
             reason.label(),
             context.dispatcher().waiting(),
-            inbound.deadlineAt() - context.clock().millis());
+            inbound.deadlineAt() - context.clock().millis(),
+            retryAfterMillis);
     fail(code, detail, OptionalLong.of(retryAfterMillis));
   }
 
@@ -291,7 +297,7 @@
       fail(
           ErrorCode.ROUTER_OVERLOADED,
           reason,
-          OptionalLong.of(context.dispatcher().retryAfterMillis(inbound.service())));
+          OptionalLong.of(context.dispatcher().retryAfterMillis(this)));
     }
   }
 
