--- a/gateway/src/main/java/org/almondslip/gateway/GatewaySettings.java
+++ b/gateway/src/main/java/org/almondslip/gateway/GatewaySettings.java
@@ -34,6 +34,8 @@
  * @param boundsTargetMemory whether requests are sent only to engines that have memory for them
  * @param engineLimitsFromRoutes whether the limits of engines grow with the objectives and pauses
  *     of the routes of their service
+ * @param reconnectMillis the time after which a router that was cut off from the store must follow
+ *     it again, in milliseconds
  */
 public record GatewaySettings(
     String instance,
@@ -55,7 +57,8 @@
     double coldRequestFactor,
     double coldRequestAllowance,
     boolean boundsTargetMemory,
-    boolean engineLimitsFromRoutes) {
+    boolean engineLimitsFromRoutes,
+    long reconnectMillis) {
 
   /** Upper bound of settings in milliseconds: one hour. */
   private static final long MAX_MILLIS = 3_600_000;
@@ -74,6 +77,8 @@
 
   private static final double DEFAULT_DRAIN_SECONDS = 8;
 
+  private static final long DEFAULT_RECONNECT_MILLIS = 3_000;
+
   /**
    * Default limit of the event loop delay in milliseconds. It is half of the shortest latency
    * objectives in use: a router with a longer delay cannot serve further requests in time, while
@@ -126,7 +131,8 @@
         cold.decimal("request_factor", 1, 0, MAX_COLD_FACTOR),
         cold.decimal("request_allowance", 0, 0, MAX_COLD_ALLOWANCE),
         limits.flag("target_memory", boundsTargetMemory),
-        limits.flag("engine_limits_from_routes", false));
+        limits.flag("engine_limits_from_routes", false),
+        limits.integer("reconnect_millis", DEFAULT_RECONNECT_MILLIS, 1, MAX_MILLIS));
   }
 
   /** Returns the descriptor limit that the operating system sets for this process. */
--- a/gateway/src/test/java/org/almondslip/gateway/GatewayHarness.java
+++ b/gateway/src/test/java/org/almondslip/gateway/GatewayHarness.java
@@ -198,7 +198,8 @@
             1,
             0,
             false,
-            false);
+            false,
+            3_000);
     Gateway gateway =
         new Gateway(
             settings,
