--- a/gateway/src/main/java/org/almondslip/gateway/DecisionLog.java
+++ b/gateway/src/main/java/org/almondslip/gateway/DecisionLog.java
@@ -67,13 +67,24 @@
         .with(JsonLines.ORGANISATION, inbound.organisationName())
         .log(
             "sent to target %s (attempt %d) after %d ms; expected delay %.0f ms, %d of %d prompt"
-                + " tokens not cached",
+                + " tokens not cached%s",
             target.record().id(),
             attempt,
             clock.millis() - inbound.arrivedAt(),
             expectedDelayMillis,
             target.uncachedTokens(inbound.decoded().prompt()),
-            inbound.decoded().prompt().promptTokens());
+            inbound.decoded().prompt().promptTokens(),
+            speed(target));
+  }
+
+  /** Returns the estimated speed of a target if it decides about the placement. */
+  private String speed(TargetLoad target) {
+    long now = clock.millis();
+    return target.speed().isInForce(now)
+        ? String.format(
+            "; speed %d permille, work %d %%",
+            target.speed().speedPermille(), target.speed().workPercent(now))
+        : "";
   }
 
   /**
