--- a/core/src/main/java/org/almondslip/dispatch/DispatchLimits.java
+++ b/core/src/main/java/org/almondslip/dispatch/DispatchLimits.java
@@ -32,7 +32,7 @@
    * only finish later.
    */
   public static final DispatchLimits DEFAULT =
-      new DispatchLimits(150, 0.35, 512, 2_000, 500, false, true);
+      new DispatchLimits(150, 0.35, 512, 2_000, 500, false, false);
 
   /**
    * Returns the same limits with other switches.
--- a/core/src/main/java/org/almondslip/dispatch/Dispatcher.java
+++ b/core/src/main/java/org/almondslip/dispatch/Dispatcher.java
@@ -182,6 +182,15 @@
     return targets.all();
   }
 
+  /**
+   * Returns whether requests are sent only to targets that have memory for them.
+   *
+   * @return true if other routers need to know which memory the requests of this router hold
+   */
+  public boolean boundsTargetMemory() {
+    return limits.boundsTargetMemory();
+  }
+
   /**
    * Returns the speeds of the targets for whose service they are in force.
    *
--- a/core/src/main/java/org/almondslip/report/ReportWriter.java
+++ b/core/src/main/java/org/almondslip/report/ReportWriter.java
@@ -265,7 +265,7 @@
                 .setColdMillis((int) load.pace.last().coldMillis())
                 .setWindow(load.pace.last().window())
                 .setWindowDecreases(load.pace.last().decreases())
-                .setHeldTokens(load.heldTokens.take());
+                .setHeldTokens(dispatcher.boundsTargetMemory() ? load.heldTokens.take() : 0);
         speeds.addTo(entry, target, now);
         packer.add(entry.build());
       }
--- a/core/src/test/java/org/almondslip/dispatch/DispatcherTest.java
+++ b/core/src/test/java/org/almondslip/dispatch/DispatcherTest.java
@@ -33,7 +33,7 @@
           clock,
           new Placement("dc", EngineModel.DEFAULT),
           EngineModel.DEFAULT,
-          DispatchLimits.DEFAULT);
+          DispatchLimits.DEFAULT.withSwitches(true, false));
 
   /** Jobs at targets in the order in which they were sent. */
   private final Deque<TestJob> running = new ArrayDeque<>();
--- a/core/src/test/java/org/almondslip/dispatch/OverloadLoad.java
+++ b/core/src/test/java/org/almondslip/dispatch/OverloadLoad.java
@@ -45,7 +45,7 @@
           clock,
           new Placement("dc", EngineModel.DEFAULT),
           EngineModel.DEFAULT,
-          DispatchLimits.DEFAULT,
+          DispatchLimits.DEFAULT.withSwitches(true, false),
           RandomSource.XO_RO_SHI_RO_128_PP.create(7));
 
   private final List<Source> sources = new ArrayList<>();
