--- a/core/src/main/java/org/almondslip/dispatch/Dispatcher.java
+++ b/core/src/main/java/org/almondslip/dispatch/Dispatcher.java
@@ -15,8 +15,6 @@
 import org.almondslip.placement.SpeedStatus;
 import org.almondslip.placement.TargetLoad;
 import org.almondslip.time.Clock;
-import org.apache.commons.rng.UniformRandomProvider;
-import org.apache.commons.rng.simple.RandomSource;
 
 /**
  * Dispatches jobs to targets with little pending prefill and queues the other jobs in fair order.
@@ -39,8 +37,6 @@
 
   private final JobAdmission admission;
 
-  private final RetryAdvice retryAdvice;
-
   /** Limits of the load of engines, replaced when the routes change. */
   private EngineLimits engineLimits;
 
@@ -60,18 +56,6 @@
 
   private final DispatchStatistics statistics = new DispatchStatistics();
 
-  /**
-   * Creates a dispatcher without targets and with a random source of its own.
-   *
-   * @param clock the time source
-   * @param placement the strategy that selects targets
-   * @param model the performance model of the engines
-   * @param limits the limits of queues and targets
-   */
-  public Dispatcher(Clock clock, Placement placement, EngineModel model, DispatchLimits limits) {
-    this(clock, placement, model, limits, RandomSource.XO_RO_SHI_RO_128_PP.create());
-  }
-
   /**
    * Creates a dispatcher without targets.
    *
@@ -79,21 +63,14 @@
    * @param placement the strategy that selects targets
    * @param model the performance model of the engines
    * @param limits the limits of queues and targets
-   * @param random the random source of the advice to refused callers
    */
-  public Dispatcher(
-      Clock clock,
-      Placement placement,
-      EngineModel model,
-      DispatchLimits limits,
-      UniformRandomProvider random) {
+  public Dispatcher(Clock clock, Placement placement, EngineModel model, DispatchLimits limits) {
     this.clock = clock;
     this.placement = placement;
     this.limits = limits;
     this.memory = new TargetMemory(clock, limits.boundsTargetMemory());
     this.availability = new TargetAvailability(model, limits, memory);
     this.engineLimits = EngineLimits.of(limits);
-    this.retryAdvice = new RetryAdvice(random, limits.retryAfterMillis());
     this.admission = new JobAdmission(clock, placement, model, limits);
   }
 
@@ -416,7 +393,7 @@
 
   private void refuse(Job job, RefusalReason reason) {
     statistics.onRefused(job.service(), job.organisation(), reason, FairQueue.cost(job));
-    job.refuse(reason, retryAfterMillis(job));
+    job.refuse(reason, retryAfterMillis(job.service()));
   }
 
   /**
@@ -470,34 +447,24 @@
   }
 
   /**
-   * Returns the delay after which the caller of a refused job may retry. It follows from the queue,
-   * the share of its organisation and the targets, and is not shorter than a pause that all targets
-   * have asked for.
+   * Returns the delay after which a refused caller may retry. It grows with the queue to at most
+   * twice the configured minimum, and is not shorter than a pause that all targets have asked for.
    *
-   * @param job the job
-   * @return the delay in milliseconds, random so that callers do not return together
+   * @param service the name of the service
+   * @return the delay in milliseconds
    */
-  public long retryAfterMillis(Job job) {
+  public long retryAfterMillis(String service) {
     long now = clock.millis();
-    Collection<TargetLoad> known = targets(job.service());
+    int waiting = Math.min(queue(service).size(), limits.maxWaitingJobs());
     long pauseMillis =
-        known.stream()
+        targets(service).stream()
             .filter(TargetLoad::isInService)
             .mapToLong(target -> target.requestedPauseMillis(now))
             .min()
             .orElse(0);
-    double expectedMillis =
-        admission.millisUntilRoom(job, queue(job.service()), share(job.service()), known);
-    return retryAdvice.delayMillis(expectedMillis, pauseMillis, job.deadlineAt() - now);
-  }
-
-  /**
-   * Returns the advice to callers of refused jobs.
-   *
-   * @return the advice with its counts
-   */
-  public RetryAdvice retryAdvice() {
-    return retryAdvice;
+    return Math.max(
+        pauseMillis,
+        limits.retryAfterMillis() + limits.retryAfterMillis() * waiting / limits.maxWaitingJobs());
   }
 
   private FairQueue queue(String service) {
--- a/core/src/main/java/org/almondslip/dispatch/FairShare.java
+++ b/core/src/main/java/org/almondslip/dispatch/FairShare.java
@@ -186,25 +186,6 @@
     return tokens / Math.max(tokensPerMilli, Double.MIN_NORMAL) + excessMillis;
   }
 
-  /**
-   * Estimates how long the share of an organisation takes to cover what it requested recently and
-   * was not served, most of which was refused and is requested again.
-   *
-   * @param organisation the name of the organisation
-   * @param now the current time in milliseconds
-   * @return the time in milliseconds, 0 while the organisation requests no more than its share
-   */
-  double backlogMillis(String organisation, long now) {
-    refresh(now);
-    OrganisationUsage usage = usage(organisation);
-    double requested = usage.requested(now);
-    if (Double.isInfinite(evenShare) || requested <= usage.limit() + toleranceTokens()) {
-      return 0;
-    }
-    double shareTokens = Math.max(usage.limit(), toleranceTokens());
-    return OrganisationUsage.DECAY_MILLIS * (requested - usage.served(now)) / shareTokens;
-  }
-
   /**
    * Returns the even share of an organisation, whatever its rank.
    *
--- a/core/src/main/java/org/almondslip/dispatch/Job.java
+++ b/core/src/main/java/org/almondslip/dispatch/Job.java
@@ -78,15 +78,6 @@
    */
   long dueAt();
 
-  /**
-   * Returns the time by which the caller must have the complete response.
-   *
-   * @return the time in milliseconds
-   */
-  default long deadlineAt() {
-    return Long.MAX_VALUE;
-  }
-
   /**
    * Returns the time until which the request waits for a target that caches its shared segments.
    *
--- a/core/src/main/java/org/almondslip/dispatch/JobAdmission.java
+++ b/core/src/main/java/org/almondslip/dispatch/JobAdmission.java
@@ -63,39 +63,12 @@
       // The queued jobs wait for targets that cache their segments; this job can use another one.
       return Optional.empty();
     }
-    return now + waitMillis(job, queue, share) > job.dueAt()
+    double waitMillis = share.waitMillis(job.organisation(), queue.tokensAhead(job, now), now);
+    return now + waitMillis > job.dueAt()
         ? Optional.of(RefusalReason.EXPECTED_WAIT)
         : Optional.empty();
   }
 
-  /** Estimates how long a job waits for the jobs of its organisation that precede it. */
-  private double waitMillis(Job job, FairQueue queue, FairShare share) {
-    long now = clock.millis();
-    return share.waitMillis(job.organisation(), queue.tokensAhead(job, now), now);
-  }
-
-  /**
-   * Estimates the time until there is room for a job that was refused.
-   *
-   * @param job the job
-   * @param queue the queue of its service
-   * @param share the shares of the organisations
-   * @param targets the targets of the service
-   * @return the time in milliseconds until its share covers what precedes it and a target can
-   *     prefill it, 0 without a target
-   */
-  double millisUntilRoom(
-      Job job, FairQueue queue, FairShare share, Collection<TargetLoad> targets) {
-    double targetMillis =
-        placement
-            .leastExpectedDelayMillis(targets, job.prompt(), job::permits, clock.millis())
-            .orElse(0);
-    double shareMillis =
-        Math.max(
-            waitMillis(job, queue, share), share.backlogMillis(job.organisation(), clock.millis()));
-    return Math.max(shareMillis, targetMillis);
-  }
-
   /**
    * Returns a predicate for jobs that no target can prefill in time any more.
    *
--- a/gateway/src/main/java/org/almondslip/gateway/ForwardedRequest.java
+++ b/gateway/src/main/java/org/almondslip/gateway/ForwardedRequest.java
@@ -171,11 +171,6 @@
     return inbound.arrivedAt() + (long) (objective * DUE_FRACTION + excess);
   }
 
-  @Override
-  public long deadlineAt() {
-    return inbound.deadlineAt();
-  }
-
   @Override
   public long localityWaitUntil() {
     return inbound.arrivedAt()
@@ -228,13 +223,12 @@
     String detail =
         String.format(
             Locale.ROOT,
-            "%s; %s%s, %d requests wait, the deadline is %d ms ahead, retry after %d ms",
+            "%s; %s%s, %d requests wait, the deadline is %d ms ahead",
             code.title(),
             reason.label(),
             exclusion.map(why -> " (" + why.label() + ")").orElse(""),
             context.dispatcher().waiting(),
-            inbound.deadlineAt() - context.clock().millis(),
-            retryAfterMillis);
+            inbound.deadlineAt() - context.clock().millis());
     fail(code, detail, OptionalLong.of(retryAfterMillis));
   }
 
@@ -330,12 +324,12 @@
     } else if (mayHaveRun || code == ErrorCode.TARGET_FAILED) {
       fail(ErrorCode.TARGET_FAILED, reason, OptionalLong.empty());
     } else if (exclusion().isPresent()) {
-      refuse(RefusalReason.NO_TARGET, context.dispatcher().retryAfterMillis(this));
+      refuse(RefusalReason.NO_TARGET, context.dispatcher().retryAfterMillis(inbound.service()));
     } else {
       fail(
           ErrorCode.ROUTER_OVERLOADED,
           reason,
-          OptionalLong.of(context.dispatcher().retryAfterMillis(this)));
+          OptionalLong.of(context.dispatcher().retryAfterMillis(inbound.service())));
     }
   }
 
--- a/gateway/src/main/java/org/almondslip/gateway/GatewayMetrics.java
+++ b/gateway/src/main/java/org/almondslip/gateway/GatewayMetrics.java
@@ -77,16 +77,6 @@
         .labelNames("service")
         .callback(values -> dispatcher.statistics().heldBack().forEach((s, n) -> values.call(n, s)))
         .register(registry);
-    CounterWithCallback.builder()
-        .name("almondslip_gateway_retry_advice_total")
-        .help("Refusals by whether their caller can return when room is expected")
-        .labelNames("advice")
-        .callback(
-            values -> {
-              values.call(dispatcher.retryAdvice().usable(), "usable");
-              values.call(dispatcher.retryAdvice().late(), "late");
-            })
-        .register(registry);
     GaugeWithCallback.builder()
         .name("almondslip_gateway_pending_prefill_limit_seconds")
         .help("Pending prefill of an engine from which on it gets no further request")
