Place by the measured speed of targets only where the settings say so

Change: setting placement.target_speed, off by default. Without it the stated duration of work has no effect on placement.

--- a/gateway/src/main/java/org/almondslip/gateway/ForwardingContext.java
+++ b/gateway/src/main/java/org/almondslip/gateway/ForwardingContext.java
@@ -148,6 +148,11 @@
     return responseMemory;
   }
 
+  /** Returns whether the stated load of targets is used to estimate their speed. */
+  boolean measuresTargetSpeed() {
+    return settings.measuresTargetSpeed();
+  }
+
   /** Returns the limits of the request queues. */
   DispatchLimits dispatchLimits() {
     return DispatchLimits.DEFAULT;
--- a/gateway/src/main/java/org/almondslip/gateway/GatewaySettings.java
+++ b/gateway/src/main/java/org/almondslip/gateway/GatewaySettings.java
@@ -36,6 +36,8 @@
  *     of the routes of their service
  * @param reconnectMillis the time after which a router that was cut off from the store must follow
  *     it again, in milliseconds
+ * @param measuresTargetSpeed whether requests are placed by the measured speed of targets that
+ *     state the duration of their work
  */
 public record GatewaySettings(
     String instance,
@@ -58,7 +60,8 @@
     double coldRequestAllowance,
     boolean boundsTargetMemory,
     boolean engineLimitsFromRoutes,
-    long reconnectMillis) {
+    long reconnectMillis,
+    boolean measuresTargetSpeed) {
 
   /** Upper bound of settings in milliseconds: one hour. */
   private static final long MAX_MILLIS = 3_600_000;
@@ -132,7 +135,8 @@
         cold.decimal("request_allowance", 0, 0, MAX_COLD_ALLOWANCE),
         limits.flag("target_memory", boundsTargetMemory),
         limits.flag("engine_limits_from_routes", false),
-        limits.integer("reconnect_millis", DEFAULT_RECONNECT_MILLIS, 1, MAX_MILLIS));
+        limits.integer("reconnect_millis", DEFAULT_RECONNECT_MILLIS, 1, MAX_MILLIS),
+        section.section("placement").flag("target_speed", false));
   }
 
   /** Returns the descriptor limit that the operating system sets for this process. */
--- a/gateway/src/main/java/org/almondslip/gateway/TargetNotices.java
+++ b/gateway/src/main/java/org/almondslip/gateway/TargetNotices.java
@@ -38,7 +38,9 @@
     }
     // A late copy of an earlier response states an old load.
     boolean current = headers.requestId().orElse("").equals(inbound.decoded().requestId());
-    if (current && !target.speed().onStatus(headers.load(), context.clock().millis())) {
+    if (current
+        && context.measuresTargetSpeed()
+        && !target.speed().onStatus(headers.load(), context.clock().millis())) {
       context.decisionLog().logIgnoredLoad(target);
     }
     if (status == UNAVAILABLE_STATUS && headers.retryAfterMillis().isPresent()) {
--- a/gateway/src/test/java/org/almondslip/gateway/GatewayHarness.java
+++ b/gateway/src/test/java/org/almondslip/gateway/GatewayHarness.java
@@ -199,7 +199,8 @@
             0,
             false,
             false,
-            3_000);
+            3_000,
+            true);
     Gateway gateway =
         new Gateway(
             settings,
