--- a/core/src/main/java/org/almondslip/dispatch/TargetMemory.java
+++ b/core/src/main/java/org/almondslip/dispatch/TargetMemory.java
@@ -19,7 +19,7 @@
    * of other routers. Smaller ones are bounded by the pending prefill and the slots, and turns
    * would delay them.
    */
-  static final double LARGE_FRACTION = 1.0 / 32;
+  static final double LARGE_FRACTION = 1.0 / 24;
 
   /** Fraction of the memory of an engine that a large request gets in a turn. */
   static final double PLACE_FRACTION = 1.0 / 8;
