--- a/core/src/main/java/org/almondslip/directory/Route.java
+++ b/core/src/main/java/org/almondslip/directory/Route.java
@@ -17,8 +17,6 @@
  * @param maxAttempts the maximum number of targets to which one request is sent
  * @param anonymous whether callers do not need an API key
  * @param allowedRegions the regions in which the requests may be served
- * @param maxEventPauseMillis the longest pause between events of a stream that is on time, in
- *     milliseconds, 0 if unknown
  */
 public record Route(
     String name,
@@ -31,8 +29,7 @@
     List<Share> shares,
     int maxAttempts,
     boolean anonymous,
-    AllowedRegions allowedRegions,
-    long maxEventPauseMillis) {
+    AllowedRegions allowedRegions) {
 
   /**
    * Creates a route with an immutable copy of the shares.
@@ -48,55 +45,11 @@
    * @param maxAttempts the maximum number of targets to which one request is sent
    * @param anonymous whether callers do not need an API key
    * @param allowedRegions the regions in which the requests may be served
-   * @param maxEventPauseMillis the longest pause between events of a stream that is on time, in
-   *     milliseconds, 0 if unknown
    */
   public Route {
     shares = List.copyOf(shares);
   }
 
-  /**
-   * Creates a route whose longest pause between events is unknown.
-   *
-   * @param name the name of the route
-   * @param host the host in the request, in lower case
-   * @param prefix the path prefix, which starts and ends with a slash
-   * @param kind the kind of requests, which determines whether they may be repeated
-   * @param timeoutMillis the request timeout, in milliseconds
-   * @param objectiveMillis the response-time objective, in milliseconds
-   * @param priority the priority of the requests; 0 is the highest
-   * @param shares the services and their weights, not empty
-   * @param maxAttempts the maximum number of targets to which one request is sent
-   * @param anonymous whether callers do not need an API key
-   * @param allowedRegions the regions in which the requests may be served
-   */
-  public Route(
-      String name,
-      String host,
-      String prefix,
-      RouteKind kind,
-      long timeoutMillis,
-      long objectiveMillis,
-      int priority,
-      List<Share> shares,
-      int maxAttempts,
-      boolean anonymous,
-      AllowedRegions allowedRegions) {
-    this(
-        name,
-        host,
-        prefix,
-        kind,
-        timeoutMillis,
-        objectiveMillis,
-        priority,
-        shares,
-        maxAttempts,
-        anonymous,
-        allowedRegions,
-        0);
-  }
-
   /**
    * Creates a route whose requests may be served in any region.
    *
--- a/core/src/main/java/org/almondslip/directory/RoutingTable.java
+++ b/core/src/main/java/org/almondslip/directory/RoutingTable.java
@@ -105,15 +105,6 @@
     return limits;
   }
 
-  /**
-   * Returns all routes.
-   *
-   * @return a new list of the routes
-   */
-  public List<Route> routes() {
-    return routesByHost.values().stream().flatMap(List::stream).toList();
-  }
-
   /**
    * Returns the number of routes.
    *
@@ -202,15 +193,6 @@
     }
   }
 
-  /**
-   * Returns all organisations that have an API key.
-   *
-   * @return a new set of the organisations
-   */
-  public Set<Organisation> organisations() {
-    return Set.copyOf(organisationsByKey.values());
-  }
-
   /**
    * Returns whether requests on a route require an API key.
    *
--- a/core/src/main/java/org/almondslip/dispatch/DispatchLimits.java
+++ b/core/src/main/java/org/almondslip/dispatch/DispatchLimits.java
@@ -11,8 +11,6 @@
  *     locality wait
  * @param maxWaitingJobs the number of jobs that may wait for one service
  * @param retryAfterMillis the minimum delay after which a refused caller may retry, in milliseconds
- * @param engineLimitsFromRoutes whether the first two limits grow with the objectives and pauses of
- *     the routes of a service, see {@link EngineLimits}
  * @param boundsTargetMemory whether requests are sent only to targets that have memory for them;
  *     needed where engines crash instead of refusing such requests
  */
@@ -22,7 +20,6 @@
     int maxRepeatedPrefillTokens,
     int maxWaitingJobs,
     long retryAfterMillis,
-    boolean engineLimitsFromRoutes,
     boolean boundsTargetMemory) {
 
   /**
@@ -32,23 +29,21 @@
    * only finish later.
    */
   public static final DispatchLimits DEFAULT =
-      new DispatchLimits(150, 0.35, 512, 2_000, 500, false, false);
+      new DispatchLimits(150, 0.35, 512, 2_000, 500, false);
 
   /**
-   * Returns the same limits with other switches.
+   * Returns the same limits with or without the bound on the memory of targets.
    *
-   * @param fromRoutes whether the limits of engines grow with the objectives of the routes
-   * @param memory whether requests are sent only to targets that have memory for them
+   * @param bounds whether requests are sent only to targets that have memory for them
    * @return the limits
    */
-  public DispatchLimits withSwitches(boolean fromRoutes, boolean memory) {
+  public DispatchLimits withBoundsTargetMemory(boolean bounds) {
     return new DispatchLimits(
         maxPendingPrefillMillis,
         maxEngineSlotFraction,
         maxRepeatedPrefillTokens,
         maxWaitingJobs,
         retryAfterMillis,
-        fromRoutes,
-        memory);
+        bounds);
   }
 }
--- a/core/src/main/java/org/almondslip/dispatch/Dispatcher.java
+++ b/core/src/main/java/org/almondslip/dispatch/Dispatcher.java
@@ -8,7 +8,6 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
-import org.almondslip.directory.RoutingTable;
 import org.almondslip.placement.EngineModel;
 import org.almondslip.placement.Placement;
 import org.almondslip.placement.Prompt;
@@ -37,12 +36,6 @@
 
   private final JobAdmission admission;
 
-  /** Limits of the load of engines, replaced when the routes change. */
-  private EngineLimits engineLimits;
-
-  /** Ranks of the organisations, replaced when the routing table changes. */
-  private OrganisationRanks ranks = OrganisationRanks.NONE;
-
   private final TargetTable targets = new TargetTable();
 
   /** Queues by service. */
@@ -70,7 +63,6 @@
     this.limits = limits;
     this.memory = new TargetMemory(clock, limits.boundsTargetMemory());
     this.availability = new TargetAvailability(model, limits, memory);
-    this.engineLimits = EngineLimits.of(limits);
     this.admission = new JobAdmission(clock, placement, model, limits);
   }
 
@@ -84,31 +76,6 @@
     memory.setRouters(self, all);
   }
 
-  /**
-   * Applies the ranks of a routing table, and derives the limits of engines from its routes if the
-   * configured limits say so.
-   *
-   * @param table the routing table
-   * @return the limits in force
-   */
-  public EngineLimits onTable(RoutingTable table) {
-    ranks = OrganisationRanks.of(table);
-    if (limits.engineLimitsFromRoutes()) {
-      engineLimits = EngineLimits.of(limits, table.routes());
-      availability.setLimits(engineLimits);
-    }
-    return engineLimits;
-  }
-
-  /**
-   * Returns the limits of the load of engines.
-   *
-   * @return the limits in force
-   */
-  public EngineLimits engineLimits() {
-    return engineLimits;
-  }
-
   /**
    * Adds a target and dispatches waiting jobs of its service.
    *
@@ -247,7 +214,6 @@
    * @param job the job
    */
   public void submit(Job job) {
-    FairQueue queue = queue(job.service());
     if (job.isQuarantined()) {
       refuse(job, RefusalReason.QUARANTINED);
       return;
@@ -256,13 +222,13 @@
         new AvailableTargets(targets(job.service()), availability, clock.millis());
     if (!job.isRetry()) {
       share(job.service()).onRequested(job.organisation(), FairQueue.cost(job), clock.millis());
-      queue.onRequested(job, clock.millis());
       statistics.onRequested(job.service(), job.organisation(), FairQueue.cost(job));
     }
     if (Exclusion.of(job, targets(job.service())).isPresent()) {
       refuse(job, RefusalReason.NO_TARGET);
       return;
     }
+    FairQueue queue = queue(job.service());
     if (queue.size() == 0 || job.isRetry()) {
       Optional<Placement.Choice> choice = choose(job, available);
       if (choice.isPresent()) {
@@ -472,7 +438,6 @@
   }
 
   private FairShare share(String service) {
-    return shares.computeIfAbsent(
-        service, name -> new FairShare(organisation -> ranks.rank(name, organisation)));
+    return shares.computeIfAbsent(service, name -> new FairShare());
   }
 }
--- a/core/src/main/java/org/almondslip/dispatch/FairQueue.java
+++ b/core/src/main/java/org/almondslip/dispatch/FairQueue.java
@@ -12,9 +12,9 @@
 import org.almondslip.placement.Prompt;
 
 /**
- * Queue of the jobs of one service, which prefers the organisation of the highest rank and among
- * equal ones that with the least recent service across the fleet. Service decays exponentially with
- * age, so an idle organisation accumulates no credit and none starves.
+ * Queue of the jobs of one service, which prefers the organisation with the least recent service
+ * across the fleet. Service decays exponentially with age, so an idle organisation accumulates no
+ * credit and none starves.
  */
 final class FairQueue {
 
@@ -32,22 +32,9 @@
    *
    * @param organisation the name of the organisation
    * @param remaining its jobs that were not offered yet
-   * @param rank the place of the organisation in the order of ranks
    * @param servedTokens the recent service of the organisation in tokens
    */
-  private record Cursor(
-      String organisation, Iterator<Job> remaining, int rank, double servedTokens) {
-
-    /** Creates the position for the current order. */
-    private static Cursor of(
-        String organisation, Iterator<Job> remaining, FairShare share, long now) {
-      return new Cursor(
-          organisation,
-          remaining,
-          share.orderRank(organisation, now),
-          share.servedTokens(organisation, now));
-    }
-  }
+  private record Cursor(String organisation, Iterator<Job> remaining, double servedTokens) {}
 
   /**
    * Returns the cost of a job.
@@ -91,12 +78,12 @@
    */
   void offer(FairShare share, long now, Predicate<Job> sender, BooleanSupplier hasCapacity) {
     PriorityQueue<Cursor> cursors =
-        new PriorityQueue<>(
-            Comparator.comparingInt(Cursor::rank).thenComparingDouble(Cursor::servedTokens));
+        new PriorityQueue<>(Comparator.comparingDouble(Cursor::servedTokens));
     organisations.forEach(
         (name, queue) -> {
           if (!queue.isEmpty()) {
-            cursors.add(Cursor.of(name, queue.ordered(now), share, now));
+            cursors.add(
+                new Cursor(name, queue.ordered(now).iterator(), share.servedTokens(name, now)));
           }
         });
     while (!cursors.isEmpty() && hasCapacity.getAsBoolean()) {
@@ -106,7 +93,11 @@
         sent = sender.test(cursor.remaining().next());
       }
       if (sent && cursor.remaining().hasNext()) {
-        cursors.add(Cursor.of(cursor.organisation(), cursor.remaining(), share, now));
+        cursors.add(
+            new Cursor(
+                cursor.organisation(),
+                cursor.remaining(),
+                share.servedTokens(cursor.organisation(), now)));
       }
     }
   }
@@ -147,25 +138,15 @@
   }
 
   /**
-   * Records a new request, whether it is sent, queued or refused.
+   * Estimates the tokens that the organisation of a new job is served before it, as the waiting
+   * tokens of its route times the number of waiting routes, which share the service evenly.
    *
    * @param job the job
-   * @param now the current time in milliseconds
-   */
-  void onRequested(Job job, long now) {
-    queue(job.organisation()).onRequested(job, now);
-  }
-
-  /**
-   * Estimates the tokens that the organisation of a new job is served before it, in the order in
-   * which its routes are served.
-   *
-   * @param job the job, which has been recorded as requested
-   * @param now the current time in milliseconds
    * @return the number of tokens
    */
-  long tokensAhead(Job job, long now) {
-    return Math.round(queue(job.organisation()).tokensAhead(job, now));
+  long tokensAhead(Job job) {
+    OrganisationQueue queue = queue(job.organisation());
+    return queue.waitingTokens(job.route()) * Math.max(1, queue.waitingRoutes());
   }
 
   /** Returns the number of waiting jobs. */
--- a/core/src/main/java/org/almondslip/dispatch/FairShare.java
+++ b/core/src/main/java/org/almondslip/dispatch/FairShare.java
@@ -3,17 +3,15 @@
 import java.util.Arrays;
 import java.util.HashMap;
 import java.util.Map;
-import java.util.function.ToIntFunction;
 
 /**
- * Divides the capacity of a service evenly among its organisations of the same rank.
+ * Divides the capacity of a service evenly among its organisations.
  *
  * <p>Each router computes the max-min fair share from the demand and the service of all routers: no
  * organisation gets more than it requests, and all that request more than the even share get the
- * same amount. Organisations of a higher rank go first, see {@link RankedShares}. Overserved
- * organisations leave a fraction of the capacity of each target to the others (trunk reservation).
- * They are never blocked entirely: an organisation may be underserved for reasons that idle targets
- * cannot help with, such as a router that cannot send its requests.
+ * same amount. Overserved organisations leave a fraction of the capacity of each target to the
+ * others (trunk reservation). They are never blocked entirely: an organisation may be underserved
+ * for reasons that idle targets cannot help with, such as a router that cannot send its requests.
  */
 final class FairShare {
 
@@ -38,12 +36,6 @@
   /** Weight of a new request in the mean request size. */
   private static final double MEAN_WEIGHT = 0.05;
 
-  /** Place in the order of an organisation below its floor, which precedes all ranks. */
-  private static final int FLOOR_RANK = Integer.MIN_VALUE;
-
-  /** Returns the rank of an organisation. */
-  private final ToIntFunction<String> ranks;
-
   /** Usage by organisation. */
   private final Map<String, OrganisationUsage> usages = new HashMap<>();
 
@@ -60,20 +52,6 @@
   /** Time of the last computation in milliseconds. */
   private long computedAt;
 
-  /** Creates a division among organisations of one rank. */
-  FairShare() {
-    this(organisation -> 0);
-  }
-
-  /**
-   * Creates a division among organisations.
-   *
-   * @param ranks returns the rank of an organisation; 0 is the highest
-   */
-  FairShare(ToIntFunction<String> ranks) {
-    this.ranks = ranks;
-  }
-
   /**
    * Records a request at this router.
    *
@@ -137,35 +115,18 @@
     if (isUnderserved(usage, now)) {
       return ShareStatus.UNDERSERVED;
     }
-    return anyUnderserved
-            && usage.served(now) > usage.limit() * OVERSERVED_FACTOR + toleranceTokens()
+    return anyUnderserved && usage.served(now) > evenShare * OVERSERVED_FACTOR + toleranceTokens()
         ? ShareStatus.OVERSERVED
         : ShareStatus.EVEN;
   }
 
-  /**
-   * Returns the place of an organisation in the order of service; the least one goes first, and
-   * among equal ones that with the least service.
-   *
-   * @param organisation the name of the organisation
-   * @param now the current time in milliseconds
-   * @return its rank, or less than all ranks while it is below its floor
-   */
-  int orderRank(String organisation, long now) {
-    refresh(now);
-    OrganisationUsage usage = usages.get(organisation);
-    return usage != null && usage.served(now) < usage.floor()
-        ? FLOOR_RANK
-        : ranks.applyAsInt(organisation);
-  }
-
   /**
    * Estimates how long the share of an organisation takes to cover jobs that wait at this router.
    *
    * @param organisation the name of the organisation
    * @param tokens the cost of the waiting jobs in tokens
    * @param now the current time in milliseconds
-   * @return the time in milliseconds, 0 while the organisation requests no more than its share
+   * @return the time in milliseconds, 0 while no organisation lacks capacity
    */
   double waitMillis(String organisation, long tokens, long now) {
     refresh(now);
@@ -173,21 +134,17 @@
       return 0;
     }
     OrganisationUsage usage = usage(organisation);
-    if (usage.requested(now) <= usage.limit() + toleranceTokens()) {
-      // All that the organisation requests is within its share, so it goes before the others.
-      return 0;
-    }
     // After a period without service, the measured share understates what targets can serve.
-    double shareTokens = Math.max(usage.limit(), toleranceTokens());
+    double shareTokens = Math.max(evenShare, toleranceTokens());
     double tokensPerMilli = shareTokens / OrganisationUsage.DECAY_MILLIS * usage.localFraction(now);
     double excessMillis =
         OrganisationUsage.DECAY_MILLIS
-            * Math.log(Math.max(1, usage.served(now) / (usage.limit() + toleranceTokens())));
+            * Math.log(Math.max(1, usage.served(now) / (evenShare + toleranceTokens())));
     return tokens / Math.max(tokensPerMilli, Double.MIN_NORMAL) + excessMillis;
   }
 
   /**
-   * Returns the even share of an organisation, whatever its rank.
+   * Returns the even share of an organisation.
    *
    * @param now the current time in milliseconds
    * @return the share in tokens, infinite while no organisation lacks capacity
@@ -229,13 +186,6 @@
     double[] requested = usages.values().stream().mapToDouble(u -> u.requested(now)).toArray();
     double served = usages.values().stream().mapToDouble(u -> u.served(now)).sum();
     evenShare = maxMinShare(requested, served);
-    int[] ranked = usages.keySet().stream().mapToInt(ranks).toArray();
-    RankedShares shares = new RankedShares(ranked, requested, served, meanRequestTokens);
-    int index = 0;
-    for (OrganisationUsage usage : usages.values()) {
-      usage.setShare(shares.limit(index), shares.floor(index));
-      index++;
-    }
     anyUnderserved =
         !Double.isInfinite(evenShare)
             && usages.values().stream().anyMatch(usage -> isUnderserved(usage, now));
@@ -267,7 +217,7 @@
 
   /** Returns whether an organisation was served clearly less than its share. */
   private boolean isUnderserved(OrganisationUsage usage, long now) {
-    double share = Math.min(usage.requested(now), usage.limit());
+    double share = Math.min(usage.requested(now), evenShare);
     double served = usage.served(now);
     return served < share * UNDERSERVED_FRACTION && share - served > toleranceTokens();
   }
@@ -278,6 +228,6 @@
   }
 
   private OrganisationUsage usage(String organisation) {
-    return usages.computeIfAbsent(organisation, name -> new OrganisationUsage(evenShare));
+    return usages.computeIfAbsent(organisation, name -> new OrganisationUsage());
   }
 }
--- a/core/src/main/java/org/almondslip/dispatch/Job.java
+++ b/core/src/main/java/org/almondslip/dispatch/Job.java
@@ -28,16 +28,6 @@
    */
   String route();
 
-  /**
-   * Returns the rank of the request: that of its organisation if it has one, otherwise that of its
-   * route.
-   *
-   * @return the rank; 0 is the highest
-   */
-  default int priority() {
-    return 0;
-  }
-
   /**
    * Returns the size of the request.
    *
--- a/core/src/main/java/org/almondslip/dispatch/JobAdmission.java
+++ b/core/src/main/java/org/almondslip/dispatch/JobAdmission.java
@@ -63,7 +63,7 @@
       // The queued jobs wait for targets that cache their segments; this job can use another one.
       return Optional.empty();
     }
-    double waitMillis = share.waitMillis(job.organisation(), queue.tokensAhead(job, now), now);
+    double waitMillis = share.waitMillis(job.organisation(), queue.tokensAhead(job), now);
     return now + waitMillis > job.dueAt()
         ? Optional.of(RefusalReason.EXPECTED_WAIT)
         : Optional.empty();
--- a/core/src/main/java/org/almondslip/dispatch/OrganisationQueue.java
+++ b/core/src/main/java/org/almondslip/dispatch/OrganisationQueue.java
@@ -1,6 +1,9 @@
 package org.almondslip.dispatch;
 
+import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.Deque;
 import java.util.HashMap;
 import java.util.Iterator;
 import java.util.List;
@@ -8,26 +11,28 @@
 import java.util.function.Predicate;
 
 /**
- * Queue of the jobs of one organisation. Its routes of equal rank are served the same fraction of
- * their demand, so that a shortage is not borne by the route with the longest prompts alone. Higher
- * ranks go first; lower ranks keep a floor. Each route is first in, first out.
+ * Queue of the jobs of one organisation. Its routes share its service evenly, so that short
+ * requests are not delayed by the long prompts of another route; each route is first in, first out.
  */
 final class OrganisationQueue {
 
-  /** Routes by name. */
-  private final Map<String, RouteDemand> routes = new HashMap<>();
+  /** Time constant of the decay of a route's service, in milliseconds. */
+  private static final double DECAY_MILLIS = 4_000;
 
-  /** Number of jobs that were sent so far. */
-  private long sentJobs;
+  /** Service in tokens below which an empty route is idle. */
+  private static final double IDLE_TOKENS = 1;
 
-  /**
-   * Records a new request, whether it is sent, queued or refused.
-   *
-   * @param job the job
-   * @param now the current time in milliseconds
-   */
-  void onRequested(Job job, long now) {
-    route(job.route()).onRequested(job.priority(), FairQueue.cost(job), now);
+  /** Queues by route. */
+  private final Map<String, RouteQueue> routes = new HashMap<>();
+
+  /** Jobs and recent service of one route. */
+  private static final class RouteQueue {
+    private final Deque<Job> jobs = new ArrayDeque<>();
+
+    /** Tokens of the route that this router sent to targets. */
+    private final DecayingSum served = new DecayingSum(DECAY_MILLIS);
+
+    private long waitingTokens;
   }
 
   /**
@@ -36,7 +41,9 @@
    * @param job the job
    */
   void add(Job job) {
-    route(job.route()).add(job);
+    RouteQueue queue = routes.computeIfAbsent(job.route(), route -> new RouteQueue());
+    queue.jobs.addLast(job);
+    queue.waitingTokens += FairQueue.cost(job);
   }
 
   /**
@@ -46,8 +53,12 @@
    * @return whether it was waiting
    */
   boolean remove(Job job) {
-    RouteDemand route = routes.get(job.route());
-    return route != null && route.remove(job);
+    RouteQueue queue = routes.get(job.route());
+    boolean removed = queue != null && queue.jobs.remove(job);
+    if (removed) {
+      queue.waitingTokens -= FairQueue.cost(job);
+    }
+    return removed;
   }
 
   /**
@@ -58,12 +69,12 @@
    */
   List<Job> removeIf(Predicate<Job> predicate) {
     List<Job> removed = new ArrayList<>();
-    for (RouteDemand route : routes.values()) {
-      for (Iterator<Job> jobs = route.jobs().iterator(); jobs.hasNext(); ) {
+    for (RouteQueue queue : routes.values()) {
+      for (Iterator<Job> jobs = queue.jobs.iterator(); jobs.hasNext(); ) {
         Job job = jobs.next();
         if (predicate.test(job)) {
           jobs.remove();
-          route.onRemoved(job);
+          queue.waitingTokens -= FairQueue.cost(job);
           removed.add(job);
         }
       }
@@ -72,13 +83,17 @@
   }
 
   /**
-   * Returns all waiting jobs in the order in which they are offered.
+   * Returns all waiting jobs.
    *
    * @param now the current time in milliseconds
-   * @return the jobs that wait now
+   * @return a new list of the jobs, starting with those of the route with the least recent service
    */
-  Iterator<Job> ordered(long now) {
-    return new RouteOrder(routes.values(), () -> sentJobs, now);
+  List<Job> ordered(long now) {
+    List<RouteQueue> queues = new ArrayList<>(routes.values());
+    queues.sort(Comparator.comparingDouble(queue -> queue.served.at(now)));
+    List<Job> ordered = new ArrayList<>();
+    queues.forEach(queue -> ordered.addAll(queue.jobs));
+    return ordered;
   }
 
   /**
@@ -89,65 +104,38 @@
    * @param now the current time in milliseconds
    */
   void charge(String route, long tokens, long now) {
-    sentJobs++;
-    route(route).onServed(tokens, now);
+    routes.computeIfAbsent(route, name -> new RouteQueue()).served.add(tokens, now);
   }
 
   /**
-   * Estimates the tokens that are served before a new job, which has been recorded as requested.
+   * Returns the cost of the waiting jobs of a route.
    *
-   * @param job the job
-   * @param now the current time in milliseconds
-   * @return the tokens of its route and of the routes that precede it until the job is due
+   * @param route the name of the route
+   * @return the cost in tokens, 0 if the route is unknown
    */
-  double tokensAhead(Job job, long now) {
-    RouteDemand own = route(job.route());
-    long millis = job.dueAt() - now;
-    double level = own.servedFractionWithWaiting(now);
-    double tokens = own.waitingTokens();
-    for (RouteDemand other : routes.values()) {
-      if (other != own) {
-        tokens += tokensAhead(other, own.priority(), level, millis, now);
-      }
-    }
-    return tokens;
+  long waitingTokens(String route) {
+    RouteQueue queue = routes.get(route);
+    return queue == null ? 0 : queue.waitingTokens;
   }
 
-  /**
-   * Estimates the tokens that another route is served until a route reaches a served fraction.
-   *
-   * @param other the other route
-   * @param priority the rank of the route
-   * @param level its served fraction
-   * @param millis the time within which further requests arrive, in milliseconds
-   * @param now the current time in milliseconds
-   */
-  private static double tokensAhead(
-      RouteDemand other, int priority, double level, long millis, long now) {
-    boolean belowFloor = level < RouteDemand.FLOOR_FRACTION;
-    if (!belowFloor && other.priority() < priority) {
-      return other.tokensWithin(millis, now);
-    }
-    boolean lower = !belowFloor && other.priority() > priority;
-    return other.tokensUpTo(lower ? RouteDemand.FLOOR_FRACTION : level, millis, now);
+  /** Returns the number of routes with waiting jobs. */
+  int waitingRoutes() {
+    return (int) routes.values().stream().filter(queue -> !queue.jobs.isEmpty()).count();
   }
 
   /** Returns whether no job waits. */
   boolean isEmpty() {
-    return routes.values().stream().allMatch(route -> route.jobs().isEmpty());
+    return routes.values().stream().allMatch(queue -> queue.jobs.isEmpty());
   }
 
   /**
-   * Returns whether no job waits, and demand and service of all routes are negligible.
+   * Returns whether no job waits and the recent service of all routes is negligible.
    *
    * @param now the current time in milliseconds
    * @return true if the queue can be discarded
    */
   boolean isIdle(long now) {
-    return routes.values().stream().allMatch(route -> route.isIdle(now));
-  }
-
-  private RouteDemand route(String name) {
-    return routes.computeIfAbsent(name, key -> new RouteDemand());
+    return routes.values().stream()
+        .allMatch(queue -> queue.jobs.isEmpty() && queue.served.at(now) < IDLE_TOKENS);
   }
 }
--- a/core/src/main/java/org/almondslip/dispatch/OrganisationUsage.java
+++ b/core/src/main/java/org/almondslip/dispatch/OrganisationUsage.java
@@ -18,42 +18,6 @@
   /** Tokens requested at this router. */
   private final DecayingSum requestedLocally = new DecayingSum(DECAY_MILLIS);
 
-  /** Maximum service in tokens, infinite while no organisation of its rank lacks capacity. */
-  private double limit;
-
-  /** Service in tokens that precedes organisations of higher rank. */
-  private double floor;
-
-  /**
-   * Creates the usage of an organisation without requests.
-   *
-   * @param limit the maximum service in tokens
-   */
-  OrganisationUsage(double limit) {
-    this.limit = limit;
-  }
-
-  /**
-   * Sets the share of the organisation.
-   *
-   * @param maxTokens the maximum service in tokens
-   * @param floorTokens the service in tokens that precedes organisations of higher rank
-   */
-  void setShare(double maxTokens, double floorTokens) {
-    limit = maxTokens;
-    floor = floorTokens;
-  }
-
-  /** Returns the maximum service in tokens, infinite while its rank lacks no capacity. */
-  double limit() {
-    return limit;
-  }
-
-  /** Returns the service in tokens that precedes organisations of higher rank. */
-  double floor() {
-    return floor;
-  }
-
   /**
    * Records a request at this router.
    *
--- a/core/src/main/java/org/almondslip/dispatch/TargetAvailability.java
+++ b/core/src/main/java/org/almondslip/dispatch/TargetAvailability.java
@@ -18,13 +18,12 @@
 
   private final EngineModel model;
 
-  /** Limits of the engines by service, replaced when the routes change. */
-  private EngineLimits limits;
+  private final DispatchLimits limits;
 
   private final TargetMemory memory;
 
   /**
-   * Creates a check with the default limits of engines.
+   * Creates a check.
    *
    * @param model the performance model of the engines
    * @param limits the limits of the targets
@@ -32,17 +31,8 @@
    */
   TargetAvailability(EngineModel model, DispatchLimits limits, TargetMemory memory) {
     this.model = model;
+    this.limits = limits;
     this.memory = memory;
-    this.limits = EngineLimits.of(limits);
-  }
-
-  /**
-   * Replaces the limits of the engines.
-   *
-   * @param next the limits by service
-   */
-  void setLimits(EngineLimits next) {
-    limits = next;
   }
 
   /**
@@ -90,10 +80,10 @@
    * requests count for a job without prompt tokens.
    */
   private boolean hasCapacity(TargetLoad target, Prompt prompt, ShareStatus status, long now) {
-    EngineLimits.Limit limit = limits.of(target.record().service());
-    double usualRequests = target.record().slots() * (target.isEngine() ? limit.slotFraction() : 1);
+    double limit =
+        target.record().slots() * (target.isEngine() ? limits.maxEngineSlotFraction() : 1);
     int others = target.requests(now) - target.ownRequests();
-    if (!target.pace().hasRoom(target.ownRequests(), others, usualRequests, now)) {
+    if (!target.pace().hasRoom(target.ownRequests(), others, limit, now)) {
       return false;
     }
     double slots = target.record().slots() * status.slotFraction();
@@ -102,7 +92,7 @@
     }
     double pendingMillis =
         model.prefillMillis(target.pendingPrefillTokens(now)) * target.prefillFactor(now);
-    return pendingMillis < limit.pendingPrefillMillis() * status.prefillFraction()
-        && target.requests(now) < slots * limit.slotFraction();
+    return pendingMillis < limits.maxPendingPrefillMillis() * status.prefillFraction()
+        && target.requests(now) < slots * limits.maxEngineSlotFraction();
   }
 }
--- a/core/src/test/java/org/almondslip/dispatch/DispatcherTest.java
+++ b/core/src/test/java/org/almondslip/dispatch/DispatcherTest.java
@@ -8,8 +8,6 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import org.almondslip.directory.RouteKind;
-import org.almondslip.directory.RoutingTable;
 import org.almondslip.directory.TargetRecord;
 import org.almondslip.placement.EngineModel;
 import org.almondslip.placement.Placement;
@@ -33,7 +31,7 @@
           clock,
           new Placement("dc", EngineModel.DEFAULT),
           EngineModel.DEFAULT,
-          DispatchLimits.DEFAULT.withSwitches(true, false));
+          DispatchLimits.DEFAULT);
 
   /** Jobs at targets in the order in which they were sent. */
   private final Deque<TestJob> running = new ArrayDeque<>();
@@ -59,44 +57,19 @@
     assertThat(sent.get("flood")).isGreaterThan(sent.get("small"));
   }
 
-  /**
-   * Guards against long prompts that starve short requests of the same organisation, and against
-   * short requests that starve long prompts: both are served the same fraction.
-   */
+  /** Guards against long prompts that starve short requests of the same organisation. */
   @Test
   void routesShareTheServiceOfTheirOrganisation() {
     dispatcher.add(target("a"));
-    List<TestJob> longs = new ArrayList<>();
     List<TestJob> shorts = new ArrayList<>();
     for (int step = 0; step < 300; step++) {
-      longs.add(submit("org", "long", step % 4, 9_000));
-      longs.add(submit("org", "long", step % 4, 9_000));
+      submit("org", "long", step % 4, 9_000);
+      submit("org", "long", step % 4, 9_000);
       shorts.add(submit("org", "short", 50, 500));
       advance(50);
     }
-    double longFraction = servedFraction(longs);
-    assertThat(longFraction).isGreaterThan(0.4);
-    assertThat(servedFraction(shorts)).isBetween(longFraction - 0.05, longFraction + 0.05);
-  }
-
-  /** Guards against derived limits of engines that are not used, or that cannot be switched off. */
-  @Test
-  void pendingPrefillLimitFollowsTheRoutes() {
-    TargetLoad busy = target("a");
-    dispatcher.add(busy);
-    // 200 ms of pending prefill at another router.
-    busy.onPeerReport("router-2", 9_640, 1, clock.millis());
-    assertThat(submit("org", "r", 1, 500).target()).isEmpty();
-    dispatcher.onTable(streamingTable());
-    assertThat(submit("org", "r", 2, 500).target()).contains(busy);
-    Dispatcher fixed =
-        new Dispatcher(
-            clock,
-            new Placement("dc", EngineModel.DEFAULT),
-            EngineModel.DEFAULT,
-            new DispatchLimits(150, 0.35, 512, 2_000, 500, false, true));
-    fixed.onTable(streamingTable());
-    assertThat(fixed.engineLimits().of("s").pendingPrefillMillis()).isEqualTo(150);
+    long served = shorts.stream().filter(job -> job.target().isPresent()).count();
+    assertThat(served).isGreaterThan(shorts.size() * 9 / 10);
   }
 
   /** Guards against queueing a request until its deadline although it cannot be served in time. */
@@ -270,16 +243,6 @@
     return job;
   }
 
-  /** Creates a table of a route with an objective of 1,000 ms and pauses of 800 ms. */
-  private static RoutingTable streamingTable() {
-    return TestTables.table(Map.of(), TestTables.route(RouteKind.STREAMING, OBJECTIVE_MILLIS, 800));
-  }
-
-  /** Returns the fraction of the jobs that were sent. */
-  private static double servedFraction(List<TestJob> jobs) {
-    return (double) jobs.stream().filter(job -> job.target().isPresent()).count() / jobs.size();
-  }
-
   /** Records a sent job. */
   private void onSent(TestJob job) {
     running.add(job);
--- a/core/src/test/java/org/almondslip/dispatch/FairShareTest.java
+++ b/core/src/test/java/org/almondslip/dispatch/FairShareTest.java
@@ -74,19 +74,6 @@
     assertThat(share.waitMillis("org", 10_000, NOW)).isCloseTo(10_000 / perMilli, within(1.0));
   }
 
-  /**
-   * Guards against refusals of an organisation that requests less than its share, because a long
-   * prompt of it waits at a router with a small part of its demand.
-   */
-  @Test
-  void expectsNoWaitWithinTheShare() {
-    share.onPeerUsage("flood", 2_000_000, 500_000, NOW);
-    share.onPeerUsage("quiet", 100_000, 60_000, NOW);
-    share.onRequested("quiet", 12_000, NOW);
-    assertThat(share.waitMillis("quiet", 12_000, NOW)).isZero();
-    assertThat(share.waitMillis("flood", 12_000, NOW)).isPositive();
-  }
-
   /** Guards against refusals after a period in which no target accepted requests. */
   @Test
   void expectsSomeServiceBeforeAnyWasMeasured() {
--- a/core/src/test/java/org/almondslip/dispatch/TargetMemoryTest.java
+++ b/core/src/test/java/org/almondslip/dispatch/TargetMemoryTest.java
@@ -38,7 +38,7 @@
 
   /** Limits that leave only the memory to bound the requests. */
   private static final DispatchLimits MEMORY_ONLY =
-      new DispatchLimits(1e9, 1, 512, 2_000, 500, false, true);
+      new DispatchLimits(1e9, 1, 512, 2_000, 500, true);
 
   private static final long OBJECTIVE_MILLIS = 1_000_000;
 
@@ -91,7 +91,7 @@
   /** Guards against fewer requests at an engine than its slots allow, at ordinary prompt sizes. */
   @Property(seed = "20261206", tries = 50)
   void ordinaryPromptsAreBoundedBySlotsOnly(@ForAll @IntRange(min = 800, max = 12_000) int tokens) {
-    Router router = new Router("a", DispatchLimits.DEFAULT.withSwitches(false, true));
+    Router router = new Router("a", DispatchLimits.DEFAULT.withBoundsTargetMemory(true));
     router.dispatcher.setRouters("a", names(27));
     int bySlots = (int) Math.ceil(SLOTS * DispatchLimits.DEFAULT.maxEngineSlotFraction());
     for (int i = 0; i < bySlots; i++) {
--- a/core/src/test/java/org/almondslip/dispatch/TestJob.java
+++ b/core/src/test/java/org/almondslip/dispatch/TestJob.java
@@ -41,9 +41,6 @@
   /** Number of calls to {@link #prompt()}. */
   private int promptCalls;
 
-  /** Rank of the job; 0 is the highest. */
-  private int priority;
-
   private boolean retry;
 
   private boolean quarantined;
@@ -111,27 +108,6 @@
     return this;
   }
 
-  /**
-   * Sets the rank of the job.
-   *
-   * @param rank the rank; 0 is the highest
-   * @return this job
-   */
-  TestJob withPriority(int rank) {
-    priority = rank;
-    return this;
-  }
-
-  /** Returns the time at which the job arrived, in milliseconds. */
-  long arrivedAt() {
-    return arrivedAt;
-  }
-
-  /** Returns the tokens that the target has to prefill. */
-  int uncachedTokens() {
-    return uncachedTokens;
-  }
-
   /** Returns the target that the job was sent to, empty if it was not sent. */
   Optional<TargetLoad> target() {
     return target;
@@ -173,11 +149,6 @@
     return route;
   }
 
-  @Override
-  public int priority() {
-    return priority;
-  }
-
   @Override
   public Prompt prompt() {
     promptCalls++;
--- a/core/src/test/java/org/almondslip/report/ReportWriterTest.java
+++ b/core/src/test/java/org/almondslip/report/ReportWriterTest.java
@@ -325,7 +325,7 @@
             clock,
             new Placement("dc", EngineModel.DEFAULT),
             EngineModel.DEFAULT,
-            new DispatchLimits(1_000_000, 1, 512, 2_000, 500, false, true));
+            new DispatchLimits(1_000_000, 1, 512, 2_000, 500, true));
     dispatcher.add(
         new TargetLoad(
             new TargetRecord("t", "s", "127.0.0.1", 80, "dc", 640, TargetRecord.State.READY, 0, 1),
--- a/gateway/src/main/java/org/almondslip/gateway/DirectoryChanges.java
+++ b/gateway/src/main/java/org/almondslip/gateway/DirectoryChanges.java
@@ -16,7 +16,6 @@
 import org.almondslip.directory.ServicePolicy;
 import org.almondslip.directory.TargetRecord;
 import org.almondslip.dispatch.Dispatcher;
-import org.almondslip.dispatch.EngineLimits;
 import org.almondslip.pace.FleetPace;
 import org.almondslip.placement.TargetLoad;
 import org.almondslip.time.Clock;
@@ -80,10 +79,8 @@
   public void onTable(RoutingTable next) {
     table = Optional.of(next);
     fleetPace.onTable(next);
-    EngineLimits limits = dispatcher.onTable(next);
     logger.atInfo().log(
-        "applied routing table version %d with %d routes; limits of engines: %s",
-        next.version(), next.routeCount(), limits.byService());
+        "applied routing table version %d with %d routes", next.version(), next.routeCount());
   }
 
   @Override
--- a/gateway/src/main/java/org/almondslip/gateway/ForwardedRequest.java
+++ b/gateway/src/main/java/org/almondslip/gateway/ForwardedRequest.java
@@ -135,11 +135,6 @@
     return inbound.route().name();
   }
 
-  @Override
-  public int priority() {
-    return inbound.priority();
-  }
-
   @Override
   public Prompt prompt() {
     return inbound.decoded().prompt();
--- a/gateway/src/main/java/org/almondslip/gateway/Gateway.java
+++ b/gateway/src/main/java/org/almondslip/gateway/Gateway.java
@@ -195,8 +195,7 @@
             clock,
             placement,
             EngineModel.DEFAULT,
-            DispatchLimits.DEFAULT.withSwitches(
-                settings.engineLimitsFromRoutes(), settings.boundsTargetMemory()));
+            DispatchLimits.DEFAULT.withBoundsTargetMemory(settings.boundsTargetMemory()));
     CrashQuarantine crashQuarantine = new CrashQuarantine(clock);
     this.segmentQuarantine = new SegmentQuarantine(clock, settings.instance(), quarantineLog);
     final long incarnation = clock.wallMillis();
--- a/gateway/src/main/java/org/almondslip/gateway/GatewayMetrics.java
+++ b/gateway/src/main/java/org/almondslip/gateway/GatewayMetrics.java
@@ -77,30 +77,6 @@
         .labelNames("service")
         .callback(values -> dispatcher.statistics().heldBack().forEach((s, n) -> values.call(n, s)))
         .register(registry);
-    GaugeWithCallback.builder()
-        .name("almondslip_gateway_pending_prefill_limit_seconds")
-        .help("Pending prefill of an engine from which on it gets no further request")
-        .labelNames("service")
-        .callback(
-            values ->
-                dispatcher
-                    .engineLimits()
-                    .byService()
-                    .forEach(
-                        (service, limit) ->
-                            values.call(limit.pendingPrefillMillis() / MILLIS_PER_SECOND, service)))
-        .register(registry);
-    GaugeWithCallback.builder()
-        .name("almondslip_gateway_slot_fraction_limit")
-        .help("Largest fraction of the slots of an engine that requests may occupy")
-        .labelNames("service")
-        .callback(
-            values ->
-                dispatcher
-                    .engineLimits()
-                    .byService()
-                    .forEach((service, limit) -> values.call(limit.slotFraction(), service)))
-        .register(registry);
     CounterWithCallback.builder()
         .name("almondslip_gateway_memory_withheld_total")
         .help("Sends that were withheld since the available targets lack memory for the prompt")
--- a/gateway/src/main/java/org/almondslip/gateway/GatewaySettings.java
+++ b/gateway/src/main/java/org/almondslip/gateway/GatewaySettings.java
@@ -59,7 +59,6 @@
     double coldRequestFactor,
     double coldRequestAllowance,
     boolean boundsTargetMemory,
-    boolean engineLimitsFromRoutes,
     long reconnectMillis,
     boolean measuresTargetSpeed) {
 
@@ -134,7 +133,6 @@
         cold.decimal("request_factor", 1, 0, MAX_COLD_FACTOR),
         cold.decimal("request_allowance", 0, 0, MAX_COLD_ALLOWANCE),
         limits.flag("target_memory", boundsTargetMemory),
-        limits.flag("engine_limits_from_routes", false),
         limits.integer("reconnect_millis", DEFAULT_RECONNECT_MILLIS, 1, MAX_MILLIS),
         section.section("placement").flag("target_speed", false));
   }
--- a/gateway/src/main/java/org/almondslip/gateway/InboundRequest.java
+++ b/gateway/src/main/java/org/almondslip/gateway/InboundRequest.java
@@ -44,13 +44,6 @@
     return organisation.map(Organisation::name).orElse("");
   }
 
-  /** Returns the rank of the request: that of its organisation if set, otherwise of its route. */
-  int priority() {
-    return organisation
-        .map(known -> known.priority().orElse(route.priority()))
-        .orElse(route.priority());
-  }
-
   /**
    * Returns the time by which the caller must have the complete response.
    *
--- a/gateway/src/test/java/org/almondslip/gateway/GatewayHarness.java
+++ b/gateway/src/test/java/org/almondslip/gateway/GatewayHarness.java
@@ -198,7 +198,6 @@
             1,
             0,
             false,
-            false,
             3_000,
             true);
     Gateway gateway =
