--- a/gateway/src/main/java/org/almondslip/gateway/ColdTargetProbe.java
+++ b/gateway/src/main/java/org/almondslip/gateway/ColdTargetProbe.java
@@ -105,8 +105,9 @@
 
   /** Applies a response. */
   private ProbeOutcome read(TargetLoad target, HttpClientResponse response, long sentAt) {
+    // Without an id, the response may be that of another process at an address that is used again.
     boolean named =
-        codec.readTargetId(response.headers()).map(target.record().id()::equals).orElse(true);
+        codec.readTargetId(response.headers()).map(target.record().id()::equals).orElse(false);
     if (!named) {
       return ProbeOutcome.OTHER_INSTANCE;
     }
