--- a/core/src/main/java/org/almondslip/dispatch/TargetMemory.java
+++ b/core/src/main/java/org/almondslip/dispatch/TargetMemory.java
@@ -16,10 +16,11 @@
 
   /**
    * Fraction of the memory of an engine above which a request is large and takes turns with those
-   * of other routers. Smaller ones are bounded by the pending prefill and the slots, and turns
-   * would delay them.
+   * of other routers. Smaller ones are bounded by the pending prefill and the slots: twelve of them
+   * would have to reach the same idle target within one interval of reports. Turns delay requests,
+   * so that the largest tenth of the prompts was served least.
    */
-  static final double LARGE_FRACTION = 1.0 / 24;
+  static final double LARGE_FRACTION = 1.0 / 12;
 
   /** Fraction of the memory of an engine that a large request gets in a turn. */
   static final double PLACE_FRACTION = 1.0 / 8;
