Close target connections with unsent data at once

Cause: a client connection gives no access to its channel, so that the check for unsent data was always false. Also, the close handler of Vert.x writes an empty buffer and closes only when it has been sent, also after a close of the channel itself.

--- a/gateway/src/main/java/org/almondslip/gateway/ResponseGuard.java
+++ b/gateway/src/main/java/org/almondslip/gateway/ResponseGuard.java
@@ -20,6 +20,12 @@
 
   private final ResponseFraming framing = new ResponseFraming();
 
+  private final Channel channel;
+
+  private ResponseGuard(Channel channel) {
+    this.channel = channel;
+  }
+
   /**
    * Adds a guard to a connection on which no request has been sent.
    *
@@ -27,8 +33,8 @@
    * @return the guard
    */
   static ResponseGuard install(HttpClientConnection connection) {
-    ResponseGuard guard = new ResponseGuard();
-    channelOf(connection).pipeline().addFirst(guard);
+    ResponseGuard guard = new ResponseGuard(channelOf(connection));
+    guard.channel.pipeline().addFirst(guard);
     return guard;
   }
 
@@ -60,6 +66,11 @@
     framing.onRequest(withoutBody);
   }
 
+  /** Returns the channel of the connection. */
+  Channel channel() {
+    return channel;
+  }
+
   /** Returns why the connection was closed, empty if this guard has not closed it. */
   Optional<String> violation() {
     return framing.violation();
--- a/gateway/src/main/java/org/almondslip/gateway/TargetConnectionPool.java
+++ b/gateway/src/main/java/org/almondslip/gateway/TargetConnectionPool.java
@@ -125,7 +125,7 @@
     /** Closes the connection, which makes the target cancel the request that it carries. */
     void discard() {
       closed = true;
-      Connections.close(connection);
+      Connections.close(connection, guard.channel());
     }
 
     private void onClosed() {
--- a/gateway/src/test/java/org/almondslip/gateway/SlowReaderTest.java
+++ b/gateway/src/test/java/org/almondslip/gateway/SlowReaderTest.java
@@ -2,6 +2,10 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpMethod;
+import io.vertx.core.http.RequestOptions;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.InputStream;
@@ -10,6 +14,8 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.almondslip.directory.RouteKind;
@@ -273,6 +279,35 @@
     }
   }
 
+  /**
+   * Guards against a discarded connection that stays open, with its unsent data, until a target
+   * that does not read has received everything.
+   */
+  @Test
+  void discardedConnectionWithUnsentDataIsClosedAtOnce() throws Exception {
+    Vertx vertx = Vertx.vertx();
+    try (ScriptedTarget deaf = ScriptedTarget.deaf();
+        TargetConnectionPool pool = new TargetConnectionPool(vertx, harness.clock())) {
+      CountDownLatch closed = new CountDownLatch(1);
+      RequestOptions options =
+          new RequestOptions().setMethod(HttpMethod.POST).setURI("/").setHost("127.0.0.1");
+      pool.connect(deaf.record("t"))
+          .onSuccess(
+              lease ->
+                  lease
+                      .request(options)
+                      .onSuccess(
+                          request -> {
+                            request.response().onFailure(failure -> closed.countDown());
+                            RequestBodyWriter.write(request, Buffer.buffer(new byte[16 << 20]));
+                            vertx.setTimer(300, ignored -> lease.discard());
+                          }));
+      assertThat(closed.await(5, TimeUnit.SECONDS)).isTrue();
+    } finally {
+      vertx.close().toCompletionStage().toCompletableFuture().get(5, TimeUnit.SECONDS);
+    }
+  }
+
   /** Returns the memory that the write queues of all connections of this process use, in bytes. */
   private static long directMemoryBytes() {
     return io.netty.util.internal.PlatformDependent.usedDirectMemory();
