Reuse a target connection only after its whole request was sent

Cause: a connection returned to the pool when the response was complete, also if the target responded before it had read the request body. The next request waited behind the rest of the body, or was taken for a part of it.

Change: the attempt keeps the writer of the request, and the connection is closed unless the writer has sent everything and ended the request.

Measured: in the new test the request after an early response timed out before the change (16.2 s) and is answered within 2 s now. TargetFaultTest and the tests of SlowReaderTest about targets that do not read pass.

--- a/gateway/src/main/java/org/almondslip/gateway/RequestBodyWriter.java
+++ b/gateway/src/main/java/org/almondslip/gateway/RequestBodyWriter.java
@@ -18,6 +18,9 @@
   /** Number of bytes that have been passed to the connection. */
   private int written;
 
+  /** Whether the connection has sent the whole request. */
+  private boolean sent;
+
   private RequestBodyWriter(HttpClientRequest request, Buffer body) {
     this.request = request;
     this.body = body;
@@ -28,16 +31,27 @@
    *
    * @param request the request
    * @param body the body
+   * @return the writer
    */
-  static void write(HttpClientRequest request, Buffer body) {
+  static RequestBodyWriter write(HttpClientRequest request, Buffer body) {
+    RequestBodyWriter writer = new RequestBodyWriter(request, body);
     if (body.length() <= OutboundBuffer.PART_BYTES) {
-      request.end(body);
-      return;
+      writer.end(body);
+      return writer;
     }
     request.putHeader("Content-Length", String.valueOf(body.length()));
-    RequestBodyWriter writer = new RequestBodyWriter(request, body);
     request.drainHandler(ignored -> writer.writeParts());
     writer.writeParts();
+    return writer;
+  }
+
+  /** Returns whether the connection has sent the whole request and can carry another one. */
+  boolean sent() {
+    return sent;
+  }
+
+  private void end(Buffer part) {
+    request.end(part).onSuccess(ignored -> sent = true);
   }
 
   private void writeParts() {
@@ -46,7 +60,7 @@
       Buffer part = body.slice(written, end);
       written = end;
       if (end == body.length()) {
-        request.end(part);
+        end(part);
       } else {
         request.write(part);
       }
--- a/gateway/src/main/java/org/almondslip/gateway/TargetAttempt.java
+++ b/gateway/src/main/java/org/almondslip/gateway/TargetAttempt.java
@@ -52,6 +52,9 @@
 
   private Optional<TargetConnectionPool.Lease> lease = Optional.empty();
 
+  /** Writer of the request, empty until the request is sent. */
+  private Optional<RequestBodyWriter> writer = Optional.empty();
+
   private Optional<HttpClientResponse> response = Optional.empty();
 
   /** Memory of a response that is forwarded when it is complete, or of an incomplete event. */
@@ -160,7 +163,7 @@
         .onFailure(failure -> onConnectionLost("the connection ended before an answer"))
         .onSuccess(this::onResponse);
     request.exceptionHandler(failure -> onConnectionLost("the connection failed"));
-    unlessWithheld(() -> RequestBodyWriter.write(request, inbound.body()));
+    unlessWithheld(() -> writer = Optional.of(RequestBodyWriter.write(request, inbound.body())));
   }
 
   private void onResponse(HttpClientResponse received) {
@@ -211,7 +214,7 @@
             result -> {
               if (!ended) {
                 end();
-                lease.ifPresent(used -> used.release(received, result.succeeded()));
+                releaseConnection(received, result.succeeded());
                 listener.onNotExecuted(target);
               }
             });
@@ -291,7 +294,7 @@
           load.onPrefilled();
           progress.onAnswered();
           end();
-          lease.ifPresent(used -> used.release(received, true));
+          releaseConnection(received, true);
           next.accept(body);
         });
   }
@@ -367,7 +370,7 @@
     }
     memory.release();
     end();
-    lease.ifPresent(used -> used.release(received, true));
+    releaseConnection(received, true);
     listener.response().endStream();
     listener.onComplete(received.statusCode());
   }
@@ -416,6 +419,15 @@
     }
   }
 
+  /**
+   * Returns the connection to the pool, or closes it if the response or the request is incomplete.
+   * The target would take the next request for the rest of an incomplete one.
+   */
+  private void releaseConnection(HttpClientResponse received, boolean complete) {
+    boolean sent = writer.map(RequestBodyWriter::sent).orElse(false);
+    lease.ifPresent(used -> used.release(received, complete && sent));
+  }
+
   private void end() {
     ended = true;
     load.release();
--- a/gateway/src/test/java/org/almondslip/gateway/ScriptedTarget.java
+++ b/gateway/src/test/java/org/almondslip/gateway/ScriptedTarget.java
@@ -27,6 +27,9 @@
   /** All accepted connections. */
   private final List<Socket> sockets = new CopyOnWriteArrayList<>();
 
+  /** Whether the body of a request is read before the response. */
+  private boolean readsBodies = true;
+
   private volatile int closedConnections;
 
   /** Writes the response to a request. */
@@ -54,21 +57,34 @@
     start(this::accept);
   }
 
-  /** Creates a target that accepts connections and reads nothing. */
-  private ScriptedTarget() throws IOException {
-    this.script = (number, socket) -> {};
+  /** Creates a target with a small receive buffer, which accepts no connections yet. */
+  private ScriptedTarget(Script script, int receiveBytes) throws IOException {
+    this.script = script;
     this.server = new ServerSocket();
-    server.setReceiveBufferSize(DEAF_RECEIVE_BYTES);
+    server.setReceiveBufferSize(receiveBytes);
     server.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 50);
   }
 
+  /**
+   * Starts a target that responds to the head of a request and does not read the body.
+   *
+   * @param script writes the responses
+   * @throws IOException if no port can be bound
+   */
+  static ScriptedTarget early(Script script) throws IOException {
+    ScriptedTarget target = new ScriptedTarget(script, DEAF_RECEIVE_BYTES);
+    target.readsBodies = false;
+    start(target::accept);
+    return target;
+  }
+
   /**
    * Starts a target whose connections are established and that reads nothing.
    *
    * @throws IOException if no port can be bound
    */
   static ScriptedTarget deaf() throws IOException {
-    return new ScriptedTarget();
+    return new ScriptedTarget((number, socket) -> {}, DEAF_RECEIVE_BYTES);
   }
 
   /** Returns the directory entry of the target. */
@@ -142,7 +158,9 @@
           head.append((char) next);
         }
         int length = contentLength(head.toString());
-        in.readNBytes(length);
+        if (readsBodies) {
+          in.readNBytes(length);
+        }
         requests.add(head.toString().toLowerCase(java.util.Locale.ROOT));
         script.respond(requests.size() - 1, socket);
       }
--- a/gateway/src/test/java/org/almondslip/gateway/SlowReaderTest.java
+++ b/gateway/src/test/java/org/almondslip/gateway/SlowReaderTest.java
@@ -308,6 +308,36 @@
     }
   }
 
+  /**
+   * Guards against a connection that is used again although the target has not read the body of its
+   * last request, so that the next request waits behind the body.
+   */
+  @Test
+  void connectionWithIncompleteRequestIsNotReused() throws Exception {
+    try (ScriptedTarget early =
+        ScriptedTarget.early(
+            (number, socket) -> {
+              ScriptedTarget.write(
+                  socket, "HTTP/1.1 200 OK\r\nid: r1\r\nsigned: x\r\nContent-Length: 2\r\n\r\nok");
+              if (number == 0) {
+                GatewayHarness.sleep(5_000);
+              }
+            })) {
+      int size = 16 << 20;
+      harness.setBodyMemory(64 << 20, size);
+      Gateway gateway = harness.gateway(RouteKind.IDEMPOTENT, 1, early);
+      Socket caller = new Socket("127.0.0.1", gateway.port());
+      slowCallers.add(caller);
+      ScriptedTarget.write(caller, upload(size) + "x".repeat(size));
+      assertThat(readAll(caller)).startsWith("HTTP/1.1 200");
+      long startedAt = System.nanoTime();
+      assertThat(GatewayHarness.send(gateway, GatewayHarness.request("")))
+          .startsWith("HTTP/1.1 200");
+      assertThat(System.nanoTime() - startedAt).isLessThan(2_000_000_000L);
+      assertThat(early.connections()).isEqualTo(2);
+    }
+  }
+
   /** Returns the memory that the write queues of all connections of this process use, in bytes. */
   private static long directMemoryBytes() {
     return io.netty.util.internal.PlatformDependent.usedDirectMemory();
