Pass the memory of a complete response on without a new check

Cause: the reservation of a complete response was released and its memory was requested again, which could fail or cut off callers, although the bytes were held all the time.

Change: the account takes the reservation over. The copy of a part in the write queue is counted in addition only below the hard limit, and nobody is cut off for it.

Measured: the new test of ResponseMemoryTest passes; it tests methods that did not exist before, so there is no run of it on the old code. The tests of SlowReaderTest about large responses, the idle timeout and the order of cut-offs pass.

--- a/gateway/src/main/java/org/almondslip/gateway/BodyMemory.java
+++ b/gateway/src/main/java/org/almondslip/gateway/BodyMemory.java
@@ -91,6 +91,21 @@
       return true;
     }
 
+    /**
+     * Takes the memory of another reservation over, which is released thereby. Never fails, since
+     * the memory in use stays the same.
+     *
+     * @param other the reservation of the same memory
+     * @return the number of bytes
+     */
+    int takeOver(Reservation other) {
+      final long taken = other.bytes;
+      bytes += taken;
+      other.bytes = 0;
+      other.released = true;
+      return (int) taken;
+    }
+
     /** Releases the memory. Has no effect after the first call. */
     void release() {
       if (!released) {
--- a/gateway/src/main/java/org/almondslip/gateway/OutboundBuffer.java
+++ b/gateway/src/main/java/org/almondslip/gateway/OutboundBuffer.java
@@ -85,7 +85,7 @@
       Future<Void> written = response.write(part);
       if (!written.isComplete()) {
         account().add(size(part));
-        awaitWrite(written, size(part));
+        awaitWrite(written, size(part), size(part));
       }
     } else {
       waiting.add(part);
@@ -105,16 +105,18 @@
    * Writes a complete body and ends the response.
    *
    * @param body the body
-   * @param reservation the memory of the body, released when the body has been sent
+   * @param reservation the memory of the body, which is passed on and released when the body has
+   *     been sent
    */
   void end(Buffer body, BodyMemory.Reservation reservation) {
     if (body.length() <= PART_BYTES) {
       closed = true;
       Future<Void> written = response.end(body);
-      reservation.release();
-      if (!written.isComplete()) {
-        account().add(size(body));
-        awaitWrite(written, size(body));
+      if (written.isComplete()) {
+        reservation.release();
+      } else {
+        account().takeOver(reservation);
+        awaitWrite(written, body.length(), body.length());
       }
       onPassedOn.run();
       return;
@@ -127,8 +129,7 @@
     for (int at = 0; at < body.length(); at += PART_BYTES) {
       waiting.add(body.slice(at, Math.min(body.length(), at + PART_BYTES)));
     }
-    reservation.release();
-    account().add(body.length());
+    account().takeOver(reservation);
     end();
   }
 
@@ -165,35 +166,41 @@
     while (!closed && !waiting.isEmpty() && acceptsWrites()) {
       Buffer part = waiting.poll();
       Future<Void> written = response.write(part);
-      if (wholeBody && !written.isComplete()) {
-        account().add(size(part));
-      }
-      if (!written.isComplete()) {
-        awaitWrite(written, size(part));
+      int size = size(part);
+      if (written.isComplete()) {
+        account().remove(size, wholeBody ? 0 : size);
       } else {
-        account().remove(size(part), wholeBody ? 0 : size(part));
+        // The copy of a part of a complete body is held in addition to the body.
+        awaitWrite(written, size, wholeBody && !account().tryAddCopy(size) ? 0 : size);
       }
     }
     if (!closed && ending && waiting.isEmpty()) {
       closed = true;
       Future<Void> written = response.end();
       if (account.isPresent()) {
-        awaitWrite(written, 0);
+        awaitWrite(written, 0, 0);
       }
       onPassedOn.run();
     }
   }
 
-  private void awaitWrite(Future<Void> written, int size) {
+  /**
+   * Waits until a part has been sent.
+   *
+   * @param written the result of the write
+   * @param size the size of the part in bytes
+   * @param accounted the bytes that are released from the account then
+   */
+  private void awaitWrite(Future<Void> written, int size, int accounted) {
     openWrites++;
     openBytes += size;
-    written.onComplete(ignored -> onWritten(size));
+    written.onComplete(ignored -> onWritten(size, accounted));
   }
 
-  private void onWritten(int size) {
+  private void onWritten(int size, int accounted) {
     openWrites--;
     openBytes -= size;
-    account.ifPresent(open -> open.remove(size, size));
+    account.ifPresent(open -> open.remove(size, accounted));
     if (closed && openWrites == 0) {
       account.ifPresent(ResponseMemory.Account::release);
     } else {
--- a/gateway/src/main/java/org/almondslip/gateway/ResponseMemory.java
+++ b/gateway/src/main/java/org/almondslip/gateway/ResponseMemory.java
@@ -181,6 +181,44 @@
       }
     }
 
+    /**
+     * Adds the unsent data of a complete response, whose memory is reserved already. The response
+     * is not cut off for it.
+     *
+     * @param complete the memory of the response, which the account releases
+     */
+    void takeOver(BodyMemory.Reservation complete) {
+      if (released) {
+        complete.release();
+        return;
+      }
+      if (bytes == 0) {
+        progressAt = clock.millis();
+      }
+      final int more = reservation.takeOver(complete);
+      bytes += more;
+      heldBytes += more;
+      accounts.add(this);
+    }
+
+    /**
+     * Adds data that the connection has copied in order to send it, if there is memory for it.
+     *
+     * @param more the number of bytes
+     * @return whether the data was added; nobody is cut off if it was not
+     */
+    boolean tryAddCopy(int more) {
+      if (released || memory.used() + more > memory.capacity() * HARD_FRACTION) {
+        return false;
+      }
+      if (!reservation.tryExtend(more)) {
+        return false;
+      }
+      bytes += more;
+      heldBytes += more;
+      return true;
+    }
+
     /**
      * Records that the connection has accepted data.
      *
--- a/gateway/src/test/java/org/almondslip/gateway/ResponseMemoryTest.java
+++ b/gateway/src/test/java/org/almondslip/gateway/ResponseMemoryTest.java
@@ -147,6 +147,28 @@
     assertThat(next.cutOffs).isEmpty();
   }
 
+  /** Guards against a complete response that is cut off since uploads have filled the memory. */
+  @Test
+  void completeResponseKeepsItsMemory() {
+    BodyMemory.Reservation body = memory.reserve();
+    body.tryExtend(300_000);
+    final BodyMemory.Reservation large = memory.reserve();
+    large.tryExtend(440_000);
+    for (int i = 0; i < 5; i++) {
+      memory.reserve().tryExtend(50_000);
+    }
+    Response response = new Response();
+    response.account.takeOver(body);
+    assertThat(response.cutOffs).isEmpty();
+    assertThat(response.account.tryAddCopy(64 << 10)).isFalse();
+    assertThat(response.cutOffs).isEmpty();
+    assertThat(responses.heldBytes()).isEqualTo(300_000);
+    assertThat(memory.used()).isEqualTo(990_000);
+    response.account.remove(300_000, 300_000);
+    body.release();
+    assertThat(memory.used()).isEqualTo(690_000);
+  }
+
   /** Guards against a body that is refused although slow callers hold the memory. */
   @Test
   void slowCallersMakeRoomForBodies() {
