Cut off only slow callers, those with much data first

Cause: the rate of a caller decayed while it had nothing to read, so that a healthy caller counted as slow. Without slow callers others were cut off for the one that needed memory. Callers with little data that had stopped came before large holders, and callers were cut off in vain when uploads filled the memory. Each event under pressure scanned all accounts.

The order is that of bytes times time needed. A response without memory is cut off itself if slow callers do not suffice. Nobody is cut off if uploads fill the memory and the limit cannot be reached. After a scan without slow callers there is none for 20 ms.

The new tests were not run on the old code.

--- a/gateway/src/main/java/org/almondslip/gateway/ResponseMemory.java
+++ b/gateway/src/main/java/org/almondslip/gateway/ResponseMemory.java
@@ -65,10 +65,25 @@
    */
   private static final double MIN_RATE = 0.001;
 
+  /**
+   * Time above which callers count as equally slow, in milliseconds. Otherwise a caller that holds
+   * little and has stopped would be cut off before one that holds much and reads slowly.
+   */
+  private static final double MAX_DRAIN_MILLIS = 10_000;
+
+  /**
+   * Time without scans of the accounts after one that found no slow caller, in milliseconds. Under
+   * pressure each event of each response would scan all accounts.
+   */
+  static final long SCAN_PAUSE_MILLIS = 20;
+
   private final Clock clock;
 
   private final BodyMemory memory;
 
+  /** Time before which the accounts are not scanned for slow callers again, in milliseconds. */
+  private long nextScanAt = Long.MIN_VALUE;
+
   /** Accounts with unsent data, in the order in which their callers fell behind. */
   private final Set<Account> accounts = new LinkedHashSet<>();
 
@@ -142,6 +157,9 @@
 
     private long rateAt = clock.millis();
 
+    /** Time since which the account has held data without a break, in milliseconds. */
+    private long heldSince = rateAt;
+
     /** Time of the last progress in milliseconds. */
     private long progressAt = rateAt;
 
@@ -157,8 +175,8 @@
     }
 
     /**
-     * Adds unsent data. Cuts off the slowest callers if there is no room for it, which may be the
-     * caller of this response.
+     * Adds unsent data. Cuts off slow callers if there is no room for it, and the caller of this
+     * response if that is not enough.
      *
      * @param more the number of bytes
      */
@@ -166,15 +184,10 @@
       if (released) {
         return;
       }
-      if (bytes == 0) {
-        progressAt = clock.millis();
-      }
-      bytes += more;
-      heldBytes += more;
-      accounts.add(this);
+      hold(more);
       reclaim((long) (memory.capacity() * HARD_FRACTION) - more, CutOffReason.MEMORY);
-      while (!released && !reservation.tryExtend(more)) {
-        cutOff(slowest(false).orElse(this), CutOffReason.MEMORY);
+      if (!released && !reservation.tryExtend(more) && !released) {
+        cutOff(this, CutOffReason.MEMORY);
       }
       if (!released && exceedsShare()) {
         pause();
@@ -192,13 +205,8 @@
         complete.release();
         return;
       }
-      if (bytes == 0) {
-        progressAt = clock.millis();
-      }
-      final int more = reservation.takeOver(complete);
-      bytes += more;
-      heldBytes += more;
-      accounts.add(this);
+      hold(reservation.takeOver(complete));
+      reclaim((long) (memory.capacity() * HARD_FRACTION), CutOffReason.MEMORY);
     }
 
     /**
@@ -267,6 +275,19 @@
       return paused.contains(this);
     }
 
+    /** Adds data, and forgets the rate of a caller that had nothing to read before. */
+    private void hold(int more) {
+      if (bytes == 0) {
+        progressAt = clock.millis();
+        heldSince = progressAt;
+        rateAt = progressAt;
+        rate = INITIAL_RATE;
+      }
+      bytes += more;
+      heldBytes += more;
+      accounts.add(this);
+    }
+
     private boolean exceedsShare() {
       return !targetEnded && memory.used() > memory.capacity() * SOFT_FRACTION && bytes > share();
     }
@@ -282,13 +303,20 @@
     }
 
     private boolean isSlow(long now) {
-      return now - progressAt >= NO_PROGRESS_MILLIS || drainMillis(now) >= SLOW_MILLIS;
+      // A caller that has just got its first data has had no time to read it.
+      return now - heldSince >= NO_PROGRESS_MILLIS
+          && (now - progressAt >= NO_PROGRESS_MILLIS || drainMillis(now) >= SLOW_MILLIS);
     }
 
     /** Returns the time that the caller needs for its unsent data, in milliseconds. */
     private double drainMillis(long now) {
       return bytes / Math.max(MIN_RATE, rate(now));
     }
+
+    /** Returns the order in which slow callers are cut off: much data and little progress first. */
+    private double weight(long now) {
+      return bytes * Math.min(MAX_DRAIN_MILLIS, drainMillis(now));
+    }
   }
 
   /**
@@ -310,7 +338,7 @@
       return;
     }
     if (clock.millis() - paused.iterator().next().pausedAt >= MAX_PAUSE_MILLIS) {
-      slowest(true).ifPresent(account -> cutOff(account, CutOffReason.TARGET_PAUSED));
+      slowest().ifPresent(account -> cutOff(account, CutOffReason.TARGET_PAUSED));
     }
     for (Account account : List.copyOf(paused)) {
       if (paused.contains(account) && mayResume(account)) {
@@ -366,13 +394,27 @@
 
   /**
    * Cuts off slow callers until the memory of all bodies is at or below a limit, or none is left.
+   * Nobody is cut off if uploads fill the memory and the limit would not be reached.
    *
    * @param limit the limit in bytes
    * @param reason why they are cut off
    */
   private void reclaim(long limit, CutOffReason reason) {
+    long now = clock.millis();
+    if (memory.used() <= limit || now < nextScanAt) {
+      return;
+    }
+    long slowBytes = slowBytes(now);
+    if (slowBytes == 0) {
+      nextScanAt = now + SCAN_PAUSE_MILLIS;
+      return;
+    }
+    boolean uploadsFillMemory = heldBytes < memory.used() / 2;
+    if (uploadsFillMemory && memory.used() - slowBytes > limit) {
+      return;
+    }
     while (memory.used() > limit) {
-      Optional<Account> slowest = slowest(true);
+      Optional<Account> slowest = slowest();
       if (slowest.isEmpty()) {
         return;
       }
@@ -380,20 +422,27 @@
     }
   }
 
-  /**
-   * Finds the caller that needs the most time for its unsent data.
-   *
-   * @param onlySlow whether callers that read at a usual pace are left out
-   */
-  private Optional<Account> slowest(boolean onlySlow) {
+  /** Returns the unsent bytes of slow callers. */
+  private long slowBytes(long now) {
+    long sum = 0;
+    for (Account account : accounts) {
+      if (account.isSlow(now)) {
+        sum += account.bytes;
+      }
+    }
+    return sum;
+  }
+
+  /** Finds the slow caller with most unsent data and least progress. */
+  private Optional<Account> slowest() {
     long now = clock.millis();
     Account slowest = null;
-    double longest = -1;
+    double highest = -1;
     for (Account account : accounts) {
-      double millis = account.drainMillis(now);
-      if (millis > longest && (!onlySlow || account.isSlow(now))) {
+      double weight = account.weight(now);
+      if (weight > highest && account.isSlow(now)) {
         slowest = account;
-        longest = millis;
+        highest = weight;
       }
     }
     return Optional.ofNullable(slowest);
--- a/gateway/src/test/java/org/almondslip/gateway/ResponseMemoryTest.java
+++ b/gateway/src/test/java/org/almondslip/gateway/ResponseMemoryTest.java
@@ -169,6 +169,69 @@
     assertThat(memory.used()).isEqualTo(690_000);
   }
 
+  /** Guards against a caller that is taken for slow since it had nothing to read for a while. */
+  @Test
+  void callerWithoutDataForSomeTimeIsNotSlow() {
+    Response reader = new Response().add(10_000);
+    reader.account.remove(10_000, 10_000);
+    clock.advance(10_000);
+    reader.add(300_000);
+    clock.advance(100);
+    reader.account.remove(1_000, 1_000);
+    assertThat(memory.reserve().tryExtend(600_000)).isFalse();
+    assertThat(reader.cutOffs).isEmpty();
+  }
+
+  /** Guards against cutting off a caller that reads for the data of another one. */
+  @Test
+  void callerThatReadsIsNotCutOffForAnother() {
+    final Response reader = new Response().add(400_000);
+    Response other = new Response().add(300_000);
+    other.add(300_000);
+    assertThat(reader.cutOffs).isEmpty();
+    assertThat(other.cutOffs).containsExactly(CutOffReason.MEMORY);
+  }
+
+  /** Guards against cutting off a caller with little data that stopped before large holders. */
+  @Test
+  void smallHolderThatStoppedIsCutOffAfterLargeSlowHolder() {
+    final Response small = new Response().add(2_000);
+    clock.advance(20_000);
+    Response large = new Response().add(500_000);
+    for (int i = 0; i < 200; i++) {
+      clock.advance(50);
+      large.account.remove(500, 500);
+    }
+    assertThat(memory.reserve().tryExtend(400_000)).isTrue();
+    assertThat(large.cutOffs).containsExactly(CutOffReason.MEMORY);
+    assertThat(small.cutOffs).isEmpty();
+  }
+
+  /** Guards against cutting off callers although that cannot make room among uploads. */
+  @Test
+  void callersAreNotCutOffInVainWhenUploadsFillMemory() {
+    Response slow = new Response().add(50_000);
+    memory.reserve().tryExtend(690_000);
+    clock.advance(5_000);
+    assertThat(memory.reserve().tryExtend(200_000)).isFalse();
+    assertThat(slow.cutOffs).isEmpty();
+    assertThat(memory.reserve().tryExtend(60_000)).isTrue();
+    assertThat(slow.cutOffs).isEmpty();
+  }
+
+  /** Guards against a scan of all accounts for each body while no caller is slow. */
+  @Test
+  void scanWithoutResultIsNotRepeatedAtOnce() {
+    Response slow = new Response().add(600_000);
+    clock.advance(ResponseMemory.NO_PROGRESS_MILLIS - 1);
+    assertThat(memory.reserve().tryExtend(300_000)).isFalse();
+    clock.advance(ResponseMemory.SCAN_PAUSE_MILLIS - 1);
+    assertThat(memory.reserve().tryExtend(300_000)).isFalse();
+    clock.advance(1);
+    assertThat(memory.reserve().tryExtend(300_000)).isTrue();
+    assertThat(slow.cutOffs).containsExactly(CutOffReason.MEMORY);
+  }
+
   /** Guards against a body that is refused although slow callers hold the memory. */
   @Test
   void slowCallersMakeRoomForBodies() {
