Write large responses in parts of 8 KiB

Cause: progress of a caller was recorded only after 64 KiB, so that a slow but steady caller looked as if it had stopped.

Change: parts of 8 KiB, with at most 64 KiB in the write queue as before.

Measured: OutboundBufferTest, SlowReaderTest, ResponseMemoryTest, GatewayTest, InterruptedResponseTest, PlannedStopTest and TargetFaultTest pass.

--- a/gateway/src/main/java/org/almondslip/gateway/OutboundBuffer.java
+++ b/gateway/src/main/java/org/almondslip/gateway/OutboundBuffer.java
@@ -18,10 +18,16 @@
 final class OutboundBuffer {
 
   /**
-   * Size of the parts in which a large body is written, in bytes. The connection copies what it
-   * cannot send, so a large body must not be written as a whole.
+   * Size of the data that the connection holds at most before it gets another part, in bytes. The
+   * connection copies what it cannot send, so a larger body must not be written as a whole.
    */
-  static final int PART_BYTES = 64 << 10;
+  static final int MAX_OPEN_BYTES = 64 << 10;
+
+  /**
+   * Size of the parts in which a large body is written, in bytes. Progress is recorded when a part
+   * has been sent; parts of 64 KiB made a caller that reads steadily look stopped.
+   */
+  static final int PART_BYTES = 8 << 10;
 
   /** Memory of the objects around a part of a body, in bytes. */
   private static final int PART_OVERHEAD_BYTES = 128;
@@ -109,7 +115,7 @@
    *     been sent
    */
   void end(Buffer body, BodyMemory.Reservation reservation) {
-    if (body.length() <= PART_BYTES) {
+    if (body.length() <= MAX_OPEN_BYTES) {
       closed = true;
       Future<Void> written = response.end(body);
       if (written.isComplete()) {
@@ -213,7 +219,7 @@
    * by the number of writes, which would hold a megabyte of large parts.
    */
   private boolean acceptsWrites() {
-    return openBytes < PART_BYTES && !response.writeQueueFull();
+    return openBytes < MAX_OPEN_BYTES && !response.writeQueueFull();
   }
 
   private ResponseMemory.Account account() {
--- a/gateway/src/main/java/org/almondslip/gateway/RequestBodyWriter.java
+++ b/gateway/src/main/java/org/almondslip/gateway/RequestBodyWriter.java
@@ -11,6 +11,9 @@
  */
 final class RequestBodyWriter {
 
+  /** Size of the parts in which a large body is written, in bytes. */
+  private static final int PART_BYTES = 64 << 10;
+
   private final HttpClientRequest request;
 
   private final Buffer body;
@@ -35,7 +38,7 @@
    */
   static RequestBodyWriter write(HttpClientRequest request, Buffer body) {
     RequestBodyWriter writer = new RequestBodyWriter(request, body);
-    if (body.length() <= OutboundBuffer.PART_BYTES) {
+    if (body.length() <= PART_BYTES) {
       writer.end(body);
       return writer;
     }
@@ -56,7 +59,7 @@
 
   private void writeParts() {
     while (written < body.length() && !request.writeQueueFull()) {
-      int end = Math.min(body.length(), written + OutboundBuffer.PART_BYTES);
+      int end = Math.min(body.length(), written + PART_BYTES);
       Buffer part = body.slice(written, end);
       written = end;
       if (end == body.length()) {
