--- a/gateway/src/main/java/org/almondslip/gateway/RequestBodyWriter.java
+++ b/gateway/src/main/java/org/almondslip/gateway/RequestBodyWriter.java
@@ -11,6 +11,9 @@
  */
 final class RequestBodyWriter {
 
+  /** Size of the parts in which a large body is written, in bytes. */
+  private static final int PART_BYTES = 64 << 10;
+
   private final HttpClientRequest request;
 
   private final Buffer body;
@@ -18,6 +21,9 @@
   /** Number of bytes that have been passed to the connection. */
   private int written;
 
+  /** Whether the connection has sent the whole request. */
+  private boolean sent;
+
   private RequestBodyWriter(HttpClientRequest request, Buffer body) {
     this.request = request;
     this.body = body;
@@ -28,25 +34,36 @@
    *
    * @param request the request
    * @param body the body
+   * @return the writer
    */
-  static void write(HttpClientRequest request, Buffer body) {
-    if (body.length() <= OutboundBuffer.PART_BYTES) {
-      request.end(body);
-      return;
+  static RequestBodyWriter write(HttpClientRequest request, Buffer body) {
+    RequestBodyWriter writer = new RequestBodyWriter(request, body);
+    if (body.length() <= PART_BYTES) {
+      writer.end(body);
+      return writer;
     }
     request.putHeader("Content-Length", String.valueOf(body.length()));
-    RequestBodyWriter writer = new RequestBodyWriter(request, body);
     request.drainHandler(ignored -> writer.writeParts());
     writer.writeParts();
+    return writer;
+  }
+
+  /** Returns whether the connection has sent the whole request and can carry another one. */
+  boolean sent() {
+    return sent;
+  }
+
+  private void end(Buffer part) {
+    request.end(part).onSuccess(ignored -> sent = true);
   }
 
   private void writeParts() {
     while (written < body.length() && !request.writeQueueFull()) {
-      int end = Math.min(body.length(), written + OutboundBuffer.PART_BYTES);
+      int end = Math.min(body.length(), written + PART_BYTES);
       Buffer part = body.slice(written, end);
       written = end;
       if (end == body.length()) {
-        request.end(part);
+        end(part);
       } else {
         request.write(part);
       }
--- a/gateway/src/test/java/org/almondslip/gateway/SlowReaderTest.java
+++ b/gateway/src/test/java/org/almondslip/gateway/SlowReaderTest.java
@@ -2,6 +2,10 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpMethod;
+import io.vertx.core.http.RequestOptions;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.InputStream;
@@ -10,6 +14,8 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.almondslip.directory.RouteKind;
@@ -273,6 +279,65 @@
     }
   }
 
+  /**
+   * Guards against a discarded connection that stays open, with its unsent data, until a target
+   * that does not read has received everything.
+   */
+  @Test
+  void discardedConnectionWithUnsentDataIsClosedAtOnce() throws Exception {
+    Vertx vertx = Vertx.vertx();
+    try (ScriptedTarget deaf = ScriptedTarget.deaf();
+        TargetConnectionPool pool = new TargetConnectionPool(vertx, harness.clock())) {
+      CountDownLatch closed = new CountDownLatch(1);
+      RequestOptions options =
+          new RequestOptions().setMethod(HttpMethod.POST).setURI("/").setHost("127.0.0.1");
+      pool.connect(deaf.record("t"))
+          .onSuccess(
+              lease ->
+                  lease
+                      .request(options)
+                      .onSuccess(
+                          request -> {
+                            request.response().onFailure(failure -> closed.countDown());
+                            RequestBodyWriter.write(request, Buffer.buffer(new byte[16 << 20]));
+                            vertx.setTimer(300, ignored -> lease.discard());
+                          }));
+      assertThat(closed.await(5, TimeUnit.SECONDS)).isTrue();
+    } finally {
+      vertx.close().toCompletionStage().toCompletableFuture().get(5, TimeUnit.SECONDS);
+    }
+  }
+
+  /**
+   * Guards against a connection that is used again although the target has not read the body of its
+   * last request, so that the next request waits behind the body.
+   */
+  @Test
+  void connectionWithIncompleteRequestIsNotReused() throws Exception {
+    try (ScriptedTarget early =
+        ScriptedTarget.early(
+            (number, socket) -> {
+              ScriptedTarget.write(
+                  socket, "HTTP/1.1 200 OK\r\nid: r1\r\nsigned: x\r\nContent-Length: 2\r\n\r\nok");
+              if (number == 0) {
+                GatewayHarness.sleep(5_000);
+              }
+            })) {
+      int size = 16 << 20;
+      harness.setBodyMemory(64 << 20, size);
+      Gateway gateway = harness.gateway(RouteKind.IDEMPOTENT, 1, early);
+      Socket caller = new Socket("127.0.0.1", gateway.port());
+      slowCallers.add(caller);
+      ScriptedTarget.write(caller, upload(size) + "x".repeat(size));
+      assertThat(readAll(caller)).startsWith("HTTP/1.1 200");
+      long startedAt = System.nanoTime();
+      assertThat(GatewayHarness.send(gateway, GatewayHarness.request("")))
+          .startsWith("HTTP/1.1 200");
+      assertThat(System.nanoTime() - startedAt).isLessThan(2_000_000_000L);
+      assertThat(early.connections()).isEqualTo(2);
+    }
+  }
+
   /** Returns the memory that the write queues of all connections of this process use, in bytes. */
   private static long directMemoryBytes() {
     return io.netty.util.internal.PlatformDependent.usedDirectMemory();
