Test the progress of steady callers by the bytes they read

Cause: with large parts the test failed for lack of parts, not for the missing progress that it guards against.

Change: a write completes when the caller has read as many bytes.

--- a/gateway/src/test/java/org/almondslip/gateway/OutboundBufferTest.java
+++ b/gateway/src/test/java/org/almondslip/gateway/OutboundBufferTest.java
@@ -28,6 +28,9 @@
 
   private final Deque<Promise<Void>> open = new ArrayDeque<>();
 
+  /** Sizes of the open writes in bytes. */
+  private final Deque<Integer> sizes = new ArrayDeque<>();
+
   private final List<String> cutOffs = new ArrayList<>();
 
   private final ResponseMemory.Listener listener =
@@ -50,15 +53,17 @@
             new Class<?>[] {HttpServerResponse.class},
             (proxy, method, arguments) ->
                 switch (method.getName()) {
-                  case "write", "end" -> write();
+                  case "write" -> write(((Buffer) arguments[0]).length());
+                  case "end" -> write(0);
                   case "headers" -> headers;
                   case "writeQueueFull" -> false;
                   default -> proxy;
                 });
   }
 
-  private Future<Void> write() {
+  private Future<Void> write(int bytes) {
     Promise<Void> promise = Promise.promise();
+    sizes.add(bytes);
     open.add(promise);
     return promise.future();
   }
@@ -71,9 +76,14 @@
     new OutboundBuffer(response(), responses, listener)
         .end(Buffer.buffer(new byte[BODY_BYTES]), body);
     // The caller reads 8 KiB in 150 ms, which takes 1.2 s for 64 KiB.
+    int read = 0;
     for (int i = 0; i < 10; i++) {
       clock.advance(150);
-      open.poll().complete();
+      read += 8 << 10;
+      if (read >= sizes.peek()) {
+        read -= sizes.poll();
+        open.poll().complete();
+      }
       responses.cutOffStalled(ResponseMemory.NO_PROGRESS_MILLIS);
     }
     assertThat(cutOffs).isEmpty();
