--- a/gateway/src/test/java/org/almondslip/gateway/ResponseMemoryTest.java
+++ b/gateway/src/test/java/org/almondslip/gateway/ResponseMemoryTest.java
@@ -210,7 +210,7 @@
   /** Guards against cutting off callers although that cannot make room among uploads. */
   @Test
   void callersAreNotCutOffInVainWhenUploadsFillMemory() {
-    Response slow = new Response().add(50_000);
+    final Response slow = new Response().add(50_000);
     memory.reserve().tryExtend(690_000);
     clock.advance(5_000);
     assertThat(memory.reserve().tryExtend(200_000)).isFalse();
@@ -222,7 +222,7 @@
   /** Guards against a scan of all accounts for each body while no caller is slow. */
   @Test
   void scanWithoutResultIsNotRepeatedAtOnce() {
-    Response slow = new Response().add(600_000);
+    final Response slow = new Response().add(600_000);
     clock.advance(ResponseMemory.NO_PROGRESS_MILLIS - 1);
     assertThat(memory.reserve().tryExtend(300_000)).isFalse();
     clock.advance(ResponseMemory.SCAN_PAUSE_MILLIS - 1);
