Omit unchanged loads from reports where the memory of targets is not bounded

Cause: left the held tokens out of the entry, but still took them for due. Without limits.target_memory each target with a running prompt was in every report to every router, in place of twice per change and every 360 ms.

Change: the tokens held count as 0 where memory is not bounded, so the report needs no special case. The comment of a setting that no longer exists goes.

Measured: the new test saw 10 reports in 10 intervals before, 3 now. ReportWriterTest, ReportReaderTest, TargetMemoryTest and FleetFairnessTest pass.

--- a/core/src/main/java/org/almondslip/report/ReportWriter.java
+++ b/core/src/main/java/org/almondslip/report/ReportWriter.java
@@ -85,8 +85,11 @@
     /** Number of reports since the last one that included this load. */
     private int omittedReports;
 
-    /** Records the current load and returns whether the next report includes it. */
-    private boolean update(TargetLoad target, int refreshReports, long now) {
+    /**
+     * Records the current load and returns whether the next report includes it. The tokens held are
+     * 0 unless the memory of targets is bounded.
+     */
+    private boolean update(TargetLoad target, long held, int refreshReports, long now) {
       boolean paceChanged = pace.update(target.pace().status(now), now);
       if (paceChanged
           || pendingPrefillTokens != target.ownPendingPrefillTokens()
@@ -96,7 +99,7 @@
         remainingReports = LOAD_REPEATS;
       }
       omittedReports++;
-      heldTokens.update(target.heldTokens().own(), refreshReports);
+      heldTokens.update(held, refreshReports);
       if (remainingReports <= 0 && omittedReports < refreshReports && !heldTokens.isDue()) {
         return false;
       }
@@ -256,7 +259,8 @@
         load = new ReportedLoad();
         reportedLoads.put(key, load);
       }
-      if (load.update(target, refreshReports, now) || speedDue) {
+      long held = dispatcher.boundsTargetMemory() ? target.heldTokens().own() : 0;
+      if (load.update(target, held, refreshReports, now) || speedDue) {
         TargetReport.Builder entry =
             TargetReport.newBuilder()
                 .setTarget(key)
@@ -265,7 +269,7 @@
                 .setColdMillis((int) load.pace.last().coldMillis())
                 .setWindow(load.pace.last().window())
                 .setWindowDecreases(load.pace.last().decreases())
-                .setHeldTokens(dispatcher.boundsTargetMemory() ? load.heldTokens.take() : 0);
+                .setHeldTokens(load.heldTokens.take());
         speeds.addTo(entry, target, now);
         packer.add(entry.build());
       }
--- a/core/src/test/java/org/almondslip/report/ReportWriterTest.java
+++ b/core/src/test/java/org/almondslip/report/ReportWriterTest.java
@@ -214,6 +214,31 @@
     assertThat(included).isLessThanOrEqualTo(100 / REFRESH_REPORTS + 1);
   }
 
+  /** Guards against loads in every report where the memory of targets is not bounded. */
+  @Test
+  void unchangedLoadIsOmittedWithoutBoundOnMemory() {
+    Dispatcher unbounded =
+        new Dispatcher(
+            clock,
+            new Placement("dc", EngineModel.DEFAULT),
+            EngineModel.DEFAULT,
+            DispatchLimits.DEFAULT);
+    TargetLoad target =
+        new TargetLoad(
+            new TargetRecord("t", "s", "127.0.0.1", 80, "dc", 64, TargetRecord.State.READY, 0, 1),
+            500_000);
+    unbounded.add(target);
+    target.onSent(new Prompt(List.of(), 1_000, 100));
+    ReportWriter loads =
+        new ReportWriter("router-1", 1, unbounded, segments, clock, REFRESH_REPORTS);
+    int reported = 0;
+    for (int i = 0; i < 2 * REFRESH_REPORTS; i++) {
+      reported += loads.next().size();
+    }
+    // The change twice, and one refresh.
+    assertThat(reported).isEqualTo(3);
+  }
+
   /** Exchanges the first reports, so that the receiver has a baseline for the sender. */
   private void establishBaseline() {
     deliverReports();
--- a/gateway/src/main/java/org/almondslip/gateway/GatewaySettings.java
+++ b/gateway/src/main/java/org/almondslip/gateway/GatewaySettings.java
@@ -32,8 +32,6 @@
  *     must not exceed
  * @param coldRequestAllowance the requests in a second that a cold target may get beyond that rate
  * @param boundsTargetMemory whether requests are sent only to engines that have memory for them
- * @param engineLimitsFromRoutes whether the limits of engines grow with the objectives and pauses
- *     of the routes of their service
  * @param reconnectMillis the time after which a router that was cut off from the store must follow
  *     it again, in milliseconds
  * @param measuresTargetSpeed whether requests are placed by the measured speed of targets that
