--- a/review/standins-2/org/almondslip/review2/Case.java
+++ b/review/standins-2/org/almondslip/review2/Case.java
@@ -117,11 +117,15 @@
   }
 
   static String route(String path, String type, int attempts) {
+    return route(path, type, attempts, 3_000);
+  }
+
+  static String route(String path, String type, int attempts, int timeoutMillis) {
     return String.format(
         "{\"name\":\"r-%s\",\"host\":\"shop.example\",\"prefix\":\"/%s/\",\"type\":\"%s\","
-            + "\"timeout_ms\":3000,\"target_latency_ms\":386,\"priority\":1,"
+            + "\"timeout_ms\":%d,\"target_latency_ms\":386,\"priority\":1,"
             + "\"service\":\"orders\",\"max_attempts\":%d,\"public\":false}",
-        path, path, type, attempts);
+        path, path, type, timeoutMillis, attempts);
   }
 
   static String tenant(String name, String key) {
