Move the response guard to the runtime module

Cause: the guard of responses stands in the gateway, so that only connections to targets can have it. Change: ResponseGuard and ResponseFraming are in org.almondslip.http of the module runtime; no behaviour changes.

--- a/gateway/src/main/java/org/almondslip/gateway/TargetConnectionPool.java
+++ b/gateway/src/main/java/org/almondslip/gateway/TargetConnectionPool.java
@@ -18,6 +18,7 @@
 import java.util.Map;
 import java.util.Optional;
 import org.almondslip.directory.TargetRecord;
+import org.almondslip.http.ResponseGuard;
 import org.almondslip.time.Clock;
 
 /** Pool of connections to targets. A connection carries one request at a time. */
--- a/gateway/src/main/java/org/almondslip/gateway/ResponseFraming.java
+++ b/runtime/src/main/java/org/almondslip/http/ResponseFraming.java
@@ -1,4 +1,4 @@
-package org.almondslip.gateway;
+package org.almondslip.http;
 
 import io.netty.buffer.ByteBuf;
 import java.nio.charset.StandardCharsets;
--- a/gateway/src/main/java/org/almondslip/gateway/ResponseGuard.java
+++ b/runtime/src/main/java/org/almondslip/http/ResponseGuard.java
@@ -1,4 +1,4 @@
-package org.almondslip.gateway;
+package org.almondslip.http;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
@@ -11,10 +11,10 @@
 import java.util.Optional;
 
 /**
- * Closes the connection to a target that sends bytes which belong to no response, before the
+ * Closes the connection to a server that sends bytes which belong to no response, before the
  * decoder reads them.
  */
-final class ResponseGuard extends ChannelInboundHandlerAdapter {
+public final class ResponseGuard extends ChannelInboundHandlerAdapter {
 
   private static final Field ACTUAL_CONNECTION = actualConnectionField();
 
@@ -32,7 +32,7 @@
    * @param connection the connection, opened by a client of Vert.x outside its pool
    * @return the guard
    */
-  static ResponseGuard install(HttpClientConnection connection) {
+  public static ResponseGuard install(HttpClientConnection connection) {
     ResponseGuard guard = new ResponseGuard(channelOf(connection));
     guard.channel.pipeline().addFirst(guard);
     return guard;
@@ -62,17 +62,25 @@
    *
    * @param withoutBody whether the response has no body, whatever its headers say
    */
-  void onRequest(boolean withoutBody) {
+  public void onRequest(boolean withoutBody) {
     framing.onRequest(withoutBody);
   }
 
-  /** Returns the channel of the connection. */
-  Channel channel() {
+  /**
+   * Returns the channel of the connection.
+   *
+   * @return the channel
+   */
+  public Channel channel() {
     return channel;
   }
 
-  /** Returns why the connection was closed, empty if this guard has not closed it. */
-  Optional<String> violation() {
+  /**
+   * Returns why the connection was closed.
+   *
+   * @return the reason, empty if this guard has not closed the connection
+   */
+  public Optional<String> violation() {
     return framing.violation();
   }
 
--- a/gateway/src/test/java/org/almondslip/gateway/ResponseFramingTest.java
+++ b/runtime/src/test/java/org/almondslip/http/ResponseFramingTest.java
@@ -1,4 +1,4 @@
-package org.almondslip.gateway;
+package org.almondslip.http;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
