End a response without length only where the stream ended in good order

What callers saw: a target answered a long upload at once with a 200 that had neither length nor chunks, sent a part of the body and reset the connection; the caller got that part as a complete response. Cause: the router was still writing the request. The write fails first, and the channel closes without an error of the connection: it looks like the end of the stream, which ends such a body. Only an error that a read had met marked the response as broken. Change: the guard allows half-closed connections, so that the end of the stream is an event of its own, and passes the end of such a body on only after this event, without an error before it, and with the whole request written. A second handler behind the decoder drops every end of a response that the guard has not found itself. The checks in TargetAttempt, which knew of read errors only, go.

--- a/gateway/src/main/java/org/almondslip/gateway/TargetAttempt.java
+++ b/gateway/src/main/java/org/almondslip/gateway/TargetAttempt.java
@@ -286,11 +286,6 @@
           if (ended) {
             return;
           }
-          if (lease.map(TargetConnectionPool.Lease::closed).orElse(true)
-              && HopByHopHeaders.isCloseDelimited(received.headers())) {
-            onConnectionLost("the connection was reset before the end of the answer");
-            return;
-          }
           load.onPrefilled();
           progress.onAnswered();
           end();
@@ -347,11 +342,10 @@
 
   private void endStream(HttpClientResponse received) {
     boolean closeDelimited = HopByHopHeaders.isCloseDelimited(received.headers());
-    boolean reset = closeDelimited && lease.map(TargetConnectionPool.Lease::closed).orElse(true);
     // The rest of a stream may be empty, but only an explicit end tells that from a crash.
     boolean resumed = continuesStream || lastEventId.isPresent();
     boolean mayBeEmpty = resumed && HopByHopHeaders.isChunked(received.headers());
-    if (reset || events.endsWithinEvent() || (!load.isPrefilled() && !mayBeEmpty)) {
+    if (events.endsWithinEvent() || (!load.isPrefilled() && !mayBeEmpty)) {
       if (closeDelimited) {
         onConnectionLost("the stream ended within an event");
       } else {
--- a/gateway/src/main/java/org/almondslip/gateway/TargetConnectionPool.java
+++ b/gateway/src/main/java/org/almondslip/gateway/TargetConnectionPool.java
@@ -9,7 +9,6 @@
 import io.vertx.core.http.HttpClientRequest;
 import io.vertx.core.http.HttpClientResponse;
 import io.vertx.core.http.HttpConnectOptions;
-import io.vertx.core.http.HttpMethod;
 import io.vertx.core.http.RequestOptions;
 import java.net.ConnectException;
 import java.util.ArrayDeque;
@@ -84,9 +83,7 @@
      * @return the request; the future fails only before anything was sent
      */
     Future<HttpClientRequest> request(RequestOptions options) {
-      return connection
-          .request(options)
-          .onSuccess(request -> guard.onRequest(options.getMethod() == HttpMethod.HEAD));
+      return connection.request(options);
     }
 
     /** Returns whether the connection is closed or has failed. */
--- a/gateway/src/test/java/org/almondslip/gateway/GatewayHarness.java
+++ b/gateway/src/test/java/org/almondslip/gateway/GatewayHarness.java
@@ -119,6 +119,11 @@
     return closer.register(new ScriptedTarget(script));
   }
 
+  /** Starts a target that responds to the head of a request and is stopped with the harness. */
+  ScriptedTarget earlyTarget(ScriptedTarget.Script script) throws IOException {
+    return closer.register(ScriptedTarget.early(script));
+  }
+
   /** Sets the idle timeout of caller connections for routers that are started later. */
   void setIdleTimeoutMillis(long millis) {
     idleTimeoutMillis = millis;
--- a/runtime/src/main/java/org/almondslip/http/ResponseFraming.java
+++ b/runtime/src/main/java/org/almondslip/http/ResponseFraming.java
@@ -117,6 +117,18 @@
     return violation;
   }
 
+  /** Returns whether no response is expected, or the whole one has been read. */
+  boolean isResponseComplete() {
+    return state == State.IDLE;
+  }
+
+  /** Ends a body that ends with the connection, after the stream has ended in good order. */
+  void onEndOfStream() {
+    if (state == State.UNTIL_CLOSE) {
+      state = State.IDLE;
+    }
+  }
+
   /**
    * Reads bytes of the connection without changing the reader index.
    *
--- a/runtime/src/main/java/org/almondslip/http/ResponseGuard.java
+++ b/runtime/src/main/java/org/almondslip/http/ResponseGuard.java
@@ -2,19 +2,35 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelDuplexHandler;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.ChannelPipeline;
+import io.netty.channel.ChannelPromise;
+import io.netty.channel.socket.ChannelInputShutdownEvent;
+import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.ReferenceCountUtil;
 import io.vertx.core.http.HttpClientConnection;
 import io.vertx.core.http.impl.UnpooledHttpClientConnection;
 import io.vertx.core.net.impl.ConnectionBase;
+import java.io.IOException;
 import java.lang.reflect.Field;
 import java.util.Optional;
 
 /**
- * Closes the connection to a server that sends bytes which belong to no response, before the
- * decoder reads them.
+ * Closes the connection to a server that sends bytes which are no response or belong to none, and
+ * lets a response end only where {@link ResponseFraming} finds its end.
+ *
+ * <p>One handler reads the bytes before the decoder, another one the messages behind it. A response
+ * whose body ends with the connection is complete only if the end of the stream was read, without
+ * an error before it, when the whole request had been written (RFC 9112, sections 6.3 and 8). A
+ * connection that ends because a write failed tells nothing about the response.
  */
-public final class ResponseGuard extends ChannelInboundHandlerAdapter {
+public final class ResponseGuard {
 
   private static final Field ACTUAL_CONNECTION = actualConnectionField();
 
@@ -22,6 +38,12 @@
 
   private final Channel channel;
 
+  /** Whether the socket has accepted the last byte of the latest request. */
+  private boolean requestWritten;
+
+  /** Whether the connection has failed. */
+  private boolean failed;
+
   private ResponseGuard(Channel channel) {
     this.channel = channel;
   }
@@ -34,7 +56,12 @@
    */
   public static ResponseGuard install(HttpClientConnection connection) {
     ResponseGuard guard = new ResponseGuard(channelOf(connection));
-    guard.channel.pipeline().addFirst(guard);
+    // Otherwise the end of the stream and a failed write both appear as a closed channel.
+    guard.channel.config().setOption(ChannelOption.ALLOW_HALF_CLOSURE, true);
+    ChannelPipeline pipeline = guard.channel.pipeline();
+    pipeline.addFirst(guard.new ByteHandler());
+    String codec = pipeline.context(HttpClientCodec.class).name();
+    pipeline.addAfter(codec, null, guard.new MessageHandler());
     return guard;
   }
 
@@ -57,15 +84,6 @@
     }
   }
 
-  /**
-   * Expects the response to a request that is about to be sent.
-   *
-   * @param withoutBody whether the response has no body, whatever its headers say
-   */
-  public void onRequest(boolean withoutBody) {
-    framing.onRequest(withoutBody);
-  }
-
   /**
    * Returns the channel of the connection.
    *
@@ -84,25 +102,86 @@
     return framing.violation();
   }
 
-  @Override
-  public void channelRead(ChannelHandlerContext context, Object message) {
-    if (!(message instanceof ByteBuf data)) {
-      context.fireChannelRead(message);
-      return;
-    }
-    if (framing.violation().isPresent()) {
+  /** Reads the bytes of the connection before the decoder. */
+  private final class ByteHandler extends ChannelInboundHandlerAdapter {
+
+    @Override
+    public void channelRead(ChannelHandlerContext context, Object message) {
+      if (!(message instanceof ByteBuf data)) {
+        context.fireChannelRead(message);
+        return;
+      }
+      if (framing.violation().isPresent()) {
+        data.release();
+        return;
+      }
+      int length = framing.read(data);
+      if (framing.violation().isEmpty()) {
+        context.fireChannelRead(data);
+        return;
+      }
+      // The end of a response may be followed by other bytes, which do not make it invalid.
+      ByteBuf response = data.readRetainedSlice(length);
       data.release();
-      return;
+      context.fireChannelRead(response);
+      context.close();
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext context, Throwable failure) {
+      failed = true;
+      context.fireExceptionCaught(failure);
+    }
+
+    @Override
+    public void userEventTriggered(ChannelHandlerContext context, Object event) {
+      if (!(event instanceof ChannelInputShutdownEvent)) {
+        context.fireUserEventTriggered(event);
+        return;
+      }
+      if (!failed && requestWritten) {
+        framing.onEndOfStream();
+      }
+      if (framing.isResponseComplete()) {
+        context.fireUserEventTriggered(event);
+      } else {
+        context.fireExceptionCaught(incompleteResponse());
+      }
+      context.close();
     }
-    int length = framing.read(data);
-    if (framing.violation().isEmpty()) {
-      context.fireChannelRead(data);
-      return;
+  }
+
+  /** Follows the requests that the encoder gets, and checks the ends that the decoder finds. */
+  private final class MessageHandler extends ChannelDuplexHandler {
+
+    @Override
+    public void write(ChannelHandlerContext context, Object message, ChannelPromise promise) {
+      if (message instanceof HttpRequest request) {
+        framing.onRequest(HttpMethod.HEAD.equals(request.method()));
+        requestWritten = false;
+      }
+      if (message instanceof LastHttpContent) {
+        ChannelPromise written = promise.unvoid();
+        written.addListener(future -> requestWritten = future.isSuccess());
+        context.write(message, written);
+      } else {
+        context.write(message, promise);
+      }
     }
-    // The end of a response may be followed by other bytes, which do not make it invalid.
-    ByteBuf response = data.readRetainedSlice(length);
-    data.release();
-    context.fireChannelRead(response);
-    context.close();
+
+    @Override
+    public void channelRead(ChannelHandlerContext context, Object message) {
+      if (message instanceof LastHttpContent && !framing.isResponseComplete()) {
+        ReferenceCountUtil.release(message);
+        context.fireExceptionCaught(incompleteResponse());
+        context.close();
+        return;
+      }
+      context.fireChannelRead(message);
+    }
+  }
+
+  private static IOException incompleteResponse() {
+    return new IOException("the connection ended before the end of the response");
   }
 }
