Skip interim responses before the client of a target sees them

What callers saw: a target sent 102 (or another interim response but 100 and 103) with the id of the request before its response; the caller got the interim response as the final one. Cause: the guard reads every status below 200 as interim, the client of Vert.x only 100 and 103: the same bytes are read in two ways. Change: the handler behind the decoder drops the messages of every interim response. No request of this router asks for one.

--- a/runtime/src/main/java/org/almondslip/http/ResponseGuard.java
+++ b/runtime/src/main/java/org/almondslip/http/ResponseGuard.java
@@ -12,6 +12,8 @@
 import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
 import io.vertx.core.http.HttpClientConnection;
@@ -151,9 +153,12 @@
     }
   }
 
-  /** Follows the requests that the encoder gets, and checks the ends that the decoder finds. */
+  /** Follows the requests that the encoder gets, and checks what the decoder finds. */
   private final class MessageHandler extends ChannelDuplexHandler {
 
+    /** Whether the messages belong to an interim response. */
+    private boolean interim;
+
     @Override
     public void write(ChannelHandlerContext context, Object message, ChannelPromise promise) {
       if (message instanceof HttpRequest request) {
@@ -171,6 +176,14 @@
 
     @Override
     public void channelRead(ChannelHandlerContext context, Object message) {
+      if (message instanceof HttpResponse response) {
+        interim = response.status().codeClass() == HttpStatusClass.INFORMATIONAL;
+      }
+      if (interim) {
+        // Vert.x takes some interim responses for final ones.
+        ReferenceCountUtil.release(message);
+        return;
+      }
       if (message instanceof LastHttpContent && !framing.isResponseComplete()) {
         ReferenceCountUtil.release(message);
         context.fireExceptionCaught(incompleteResponse());
