Check each line of a response against RFC 9112 before the decoder

What callers saw: a target sent a head in which the name of a field held a blank or a tab. The caller got the response with a part of that line as a field of its own, or, for "Content-Length : 5" or "Content-Length x: 5", a body cut to 5 bytes. Control characters in the reason, folded lines, unknown transfer codings (the body then had the lines of the chunks in it), repaired chunk lines, and blanks in the names of interim heads and trailers passed as well. Cause: the guard followed the length of a response and nothing else, with its own idea of a line: it took the text before the colon as the name, the decoder that before the first blank. Both repaired what is no HTTP, each in its own way. Change: ResponseFraming reads each byte of a head, interim head, trailer and line of a chunk once and refuses what the grammar does not allow (names are tokens, values hold no control characters, no folded lines, one coding "chunked", chunks as in section 7.1). The reasons are an enum, which logs and responses name. The search for a second response within a body is incremental: it read up to 220 characters again with each piece. Ruled out: a check of the decoded fields behind the decoder; the decoder has dropped the blank and what follows by then. A byte 0x85 in a reason no longer loses a sound response (SoundResponseTest, failed before).

--- a/gateway/src/main/java/org/almondslip/gateway/TargetConnectionPool.java
+++ b/gateway/src/main/java/org/almondslip/gateway/TargetConnectionPool.java
@@ -91,9 +91,9 @@
       return closed || violation().isPresent();
     }
 
-    /** Returns which bytes of the target belong to no response, empty if there were none. */
+    /** Returns which bytes of the target are no response, empty if there were none. */
     Optional<String> violation() {
-      return guard.violation();
+      return guard.violation().map(sent -> "the target sent " + sent.description());
     }
 
     /**
--- a/gateway/src/test/java/org/almondslip/gateway/SoundResponseTest.java
+++ b/gateway/src/test/java/org/almondslip/gateway/SoundResponseTest.java
@@ -18,11 +18,17 @@
 
   private static final String HEAD = "HTTP/1.1 200 OK\r\nid: r1\r\nsigned: x\r\n";
 
+  private static final String END_OF_CHUNKS = "0\r\n\r\n";
+
+  /** Characters of names but letters and digits (RFC 9110, section 5.6.2). */
+  private static final String TOKEN_CHARS = "!#$%&'*+-.^_`|~";
+
   /** All three framings of a body with one event. */
   private static final List<String> BODIES =
       List.of(
           "Content-Length: 15\r\n\r\n" + EVENT,
-          "Transfer-Encoding: chunked\r\n\r\n5;a=\"b\"\r\nid: 1\r\na\r\n\ndata: a\n\n\r\n0\r\nt: u\r\n\r\n",
+          "Transfer-Encoding: chunked\r\n\r\n"
+              + "5;a=\"b\"\r\nid: 1\r\na\r\n\ndata: a\n\n\r\n0\r\nt: u\r\n\r\n",
           "\r\n" + EVENT);
 
   private final GatewayHarness harness = new GatewayHarness();
@@ -32,6 +38,63 @@
     harness.close();
   }
 
+  /** Guards against a sound response that is lost, or whose fields callers get changed. */
+  @ParameterizedTest
+  @EnumSource(
+      value = RouteKind.class,
+      names = {"IDEMPOTENT", "NON_IDEMPOTENT", "STREAMING"})
+  void fieldsAreForwarded(RouteKind kind) throws IOException {
+    StringBuilder values = new StringBuilder("a\tb \"c\" ");
+    for (char c = 0x80; c < 0x100; c++) {
+      values.append(c);
+    }
+    String fields =
+        "a"
+            + TOKEN_CHARS
+            + "b: tokens\r\n"
+            + TOKEN_CHARS
+            + ": tokens\r\n"
+            + "empty:\r\nblank: \t \r\nbare:x\r\n"
+            + "text: "
+            + values
+            + "\r\n";
+    for (String body : BODIES) {
+      String received = send(kind, HEAD + fields + body);
+      assertThat(received)
+          .startsWith("HTTP/1.1 200")
+          .contains("\r\na" + TOKEN_CHARS + "b: tokens\r\n", "\r\n" + TOKEN_CHARS + ": tokens\r\n")
+          .contains("\r\nempty: \r\n", "\r\nblank: \r\n", "\r\nbare: x\r\n")
+          .contains("\r\ntext: " + values + "\r\n")
+          .contains(EVENT);
+      assertThat(received.endsWith(END_OF_CHUNKS)).isEqualTo(kind.streaming());
+    }
+  }
+
+  /** Guards against a sound response that is lost for its status line. */
+  @ParameterizedTest
+  @EnumSource(
+      value = RouteKind.class,
+      names = {"IDEMPOTENT", "NON_IDEMPOTENT", "STREAMING"})
+  void statusLinesAreAccepted(RouteKind kind) throws IOException {
+    for (String line :
+        List.of(
+            "HTTP/1.1 200 ",
+            "HTTP/1.1 200",
+            "HTTP/1.0 200 OK",
+            "HTTP/1.1 200 À la carte\t\u0085",
+            "HTTP/1.1 299 Fine")) {
+      String response = HEAD.replace("HTTP/1.1 200 OK", line) + BODIES.get(0);
+      assertThat(send(kind, response))
+          .as(line)
+          .startsWith("HTTP/1.1 " + line.substring(9, 12))
+          .contains(EVENT);
+    }
+    assertThat(send(kind, HEAD.replace("200 OK", "404 Missing") + BODIES.get(0)))
+        .startsWith("HTTP/1.1 404");
+    assertThat(send(kind, HEAD.replace("200 OK", "599 Odd") + BODIES.get(0)))
+        .startsWith("HTTP/1.1 599");
+  }
+
   /** Guards against an interim response that a caller gets as the final one. */
   @ParameterizedTest
   @EnumSource(
--- /dev/null
+++ b/runtime/src/main/java/org/almondslip/http/EmbeddedResponseSearch.java
@@ -0,0 +1,111 @@
+package org.almondslip.http;
+
+/**
+ * Finds the beginning of a response within other text, which no text has by chance. Reads each
+ * character once, whatever the pieces are in which the text arrives.
+ */
+final class EmbeddedResponseSearch {
+
+  private static final String PREFIX = "HTTP/1.";
+
+  /** Length of the prefix, the minor version, a space and a status code. */
+  static final int STATUS_CHARS = PREFIX.length() + 5;
+
+  private static final int MAX_REASON_CHARS = 101;
+
+  private static final int MAX_NAME_CHARS = 100;
+
+  /** Number of characters of a status that have been read. */
+  private int matched;
+
+  /** Part of a head that may have begun. */
+  private Part part = Part.NONE;
+
+  /** Number of characters of the current part. */
+  private int count;
+
+  private enum Part {
+    NONE,
+    REASON,
+    LINE_END,
+    NAME
+  }
+
+  /** Forgets all characters so far. */
+  void reset() {
+    matched = 0;
+    part = Part.NONE;
+  }
+
+  /** Returns whether only an H can change the state of the search. */
+  boolean isIdle() {
+    return matched == 0 && part == Part.NONE;
+  }
+
+  /**
+   * Reads the next character of a head.
+   *
+   * @param c the character
+   * @return whether it is the last one of a version with a status code
+   */
+  boolean endsStatus(char c) {
+    matched = matchesNext(c) ? matched + 1 : c == 'H' ? 1 : 0;
+    if (matched == STATUS_CHARS) {
+      matched = 0;
+      return true;
+    }
+    return false;
+  }
+
+  private boolean matchesNext(char c) {
+    if (matched < PREFIX.length()) {
+      return c == PREFIX.charAt(matched);
+    }
+    return switch (matched - PREFIX.length()) {
+      case 0 -> c == '0' || c == '1';
+      case 1 -> c == ' ';
+      default -> c >= '0' && c <= '9';
+    };
+  }
+
+  /**
+   * Reads the next character of a body.
+   *
+   * @param c the character
+   * @return whether it ends the name of the first field behind a status line
+   */
+  boolean endsHeadStart(char c) {
+    final boolean status = endsStatus(c);
+    final boolean found = part == Part.NAME && c == ':' && count > 0;
+    count++;
+    part =
+        switch (part) {
+          case NONE -> Part.NONE;
+          case REASON -> afterReason(c);
+          case LINE_END -> c == '\n' ? Part.NAME : Part.NONE;
+          case NAME -> isNameChar(c) ? Part.NAME : Part.NONE;
+        };
+    if (c == '\n') {
+      count = 0;
+    }
+    if (status) {
+      part = Part.REASON;
+      count = 0;
+    }
+    return found;
+  }
+
+  private Part afterReason(char c) {
+    if (c == '\n') {
+      return Part.NAME;
+    }
+    if (c == '\r') {
+      return Part.LINE_END;
+    }
+    return count < MAX_REASON_CHARS ? Part.REASON : Part.NONE;
+  }
+
+  private boolean isNameChar(char c) {
+    return count <= MAX_NAME_CHARS && Grammar.isTokenChar(c);
+  }
+}
--- a/runtime/src/main/java/org/almondslip/http/ResponseFraming.java
+++ b/runtime/src/main/java/org/almondslip/http/ResponseFraming.java
@@ -1,15 +1,15 @@
 package org.almondslip.http;
 
 import io.netty.buffer.ByteBuf;
-import java.nio.charset.StandardCharsets;
-import java.util.Locale;
 import java.util.Optional;
 import java.util.regex.Matcher;
-import java.util.regex.Pattern;
 
 /**
- * Finds the end of each HTTP/1.1 response on a connection that carries one request at a time (RFC
- * 9112, section 6), and bytes that cannot belong to a response.
+ * Checks the bytes of HTTP/1.1 responses on a connection that carries one request at a time, and
+ * finds the end of each response (RFC 9112, sections 4 to 7).
+ *
+ * <p>Stricter than decoders are: a line that a decoder repairs, such as a name with a blank behind
+ * it, can change the length of the body or the meaning of the response. Each byte is read once.
  *
  * <p>A faulty target may send a part of an earlier response once more. A decoder would join it to
  * the next response, which then has the status of one response and the id of another. The part ends
@@ -32,40 +32,39 @@
    */
   static final int MAX_CHUNK_OVERHEAD_BYTES = 64 << 10;
 
-  private static final int SWITCHING_PROTOCOLS = 101;
+  /** Lowest status code of a final response. */
+  private static final int MIN_FINAL_STATUS = 200;
 
   private static final int NO_CONTENT = 204;
 
   private static final int NOT_MODIFIED = 304;
 
-  private static final Pattern STATUS_LINE = Pattern.compile("HTTP/1\\.[01] (\\d{3})(?: .*)?");
-
-  /** Status line within another line. A Via header may name the version, but has no status. */
-  private static final Pattern SECOND_STATUS_LINE = Pattern.compile("HTTP/1\\.[01] \\d{3}");
-
-  /** Beginning of a head, which no body has by chance. */
-  private static final Pattern HEAD_START =
-      Pattern.compile(
-          "HTTP/1\\.[01] \\d{3}[^\\r\\n]{0,100}\\r?\\n[!#$%&'*+.^_`|~0-9A-Za-z-]{1,100}:");
-
-  /** Length of the longest match of {@link #HEAD_START}. */
-  private static final int MAX_HEAD_START_CHARS = 220;
-
-  private static final Pattern LENGTH = Pattern.compile("\\d{1,18}");
-
-  private static final Pattern CHUNK_SIZE = Pattern.compile("([0-9a-fA-F]{1,8})\\s*(?:;.*)?");
+  /** Index of the minor version in a status line. */
+  private static final int MINOR_VERSION_INDEX = "HTTP/1.".length();
 
   private State state = State.IDLE;
 
   /** Current line without its end. */
   private final StringBuilder line = new StringBuilder();
 
+  /** Whether the last byte of the current line is a carriage return. */
+  private boolean carriageReturn;
+
+  /** Index of the colon behind the name of the current field, negative before it. */
+  private int colon = -1;
+
+  /** Status lines within other lines and bodies. */
+  private final EmbeddedResponseSearch embedded = new EmbeddedResponseSearch();
+
   /** Size of the head, interim responses and trailers so far, in bytes. */
   private int headBytes;
 
   /** Status of the head that is being read, 0 before its first line. */
   private int status;
 
+  /** Whether the response is one of HTTP/1.0, which knows no chunks. */
+  private boolean isHttp10;
+
   /** Content-Length of the head that is being read, negative if there is none. */
   private long length;
 
@@ -81,13 +80,14 @@
 
   private long chunkOverheadBytes;
 
-  private Optional<String> violation = Optional.empty();
+  private Optional<ResponseViolation> violation = Optional.empty();
 
   /** Part of a response that is expected next. */
   private enum State {
     /** No request waits for a response. */
     IDLE,
-    HEAD,
+    STATUS_LINE,
+    FIELD,
     BODY,
     CHUNK_SIZE,
     CHUNK_DATA,
@@ -103,17 +103,16 @@
    * @param withoutBody whether the response has no body, whatever its headers say
    */
   void onRequest(boolean withoutBody) {
-    state = State.HEAD;
     bodiless = withoutBody;
-    line.setLength(0);
     headBytes = 0;
     chunkBytes = 0;
     chunkOverheadBytes = 0;
+    startLine();
     startHead();
   }
 
   /** Returns why the bytes so far are no response, empty if they may be one. */
-  Optional<String> violation() {
+  Optional<ResponseViolation> violation() {
     return violation;
   }
 
@@ -142,17 +141,24 @@
     while (at < end && violation.isEmpty()) {
       switch (state) {
         case IDLE -> {
-          violation = Optional.of("the target sent bytes after the end of a response");
+          violate(ResponseViolation.UNEXPECTED_BYTES);
           return at - data.readerIndex();
         }
         case BODY, CHUNK_DATA -> at += skip(end - at);
-        case UNTIL_CLOSE -> at += readUntilClose(data, at, end);
-        default -> at += readLine(data, at, end);
+        case UNTIL_CLOSE -> at = readUntilClose(data, at, end);
+        default -> at = readLine(data, at, end);
       }
     }
     return violation.isPresent() ? 0 : end - data.readerIndex();
   }
 
+  /** Records the first violation. */
+  private void violate(ResponseViolation reason) {
+    if (violation.isEmpty()) {
+      violation = Optional.of(reason);
+    }
+  }
+
   /** Skips bytes of the body and returns their number. */
   private int skip(int available) {
     int skipped = (int) Math.min(available, remaining);
@@ -164,111 +170,220 @@
   }
 
   /**
-   * Reads bytes of a body that ends with the connection and returns their number. A second response
-   * cannot be told from the body by its place, only by its head.
+   * Reads bytes of a body that ends with the connection and returns the index behind them. A second
+   * response cannot be told from the body by its place, only by its head.
    */
   private int readUntilClose(ByteBuf data, int from, int to) {
-    line.append(data.toString(from, to - from, StandardCharsets.ISO_8859_1));
-    if (HEAD_START.matcher(line).find()) {
-      violation = Optional.of("the target sent a response within the body of another one");
+    int at = from;
+    while (at < to) {
+      if (embedded.isIdle()) {
+        int next = data.indexOf(at, to, (byte) 'H');
+        if (next < 0) {
+          return to;
+        }
+        at = next;
+      }
+      if (embedded.endsHeadStart(charAt(data, at))) {
+        violate(ResponseViolation.RESPONSE_WITHIN_BODY);
+        return to;
+      }
+      at++;
     }
-    line.delete(0, Math.max(0, line.length() - MAX_HEAD_START_CHARS));
-    return to - from;
+    return at;
   }
 
-  /** Reads bytes up to the end of the current line and returns their number. */
+  /** Reads bytes up to the end of the current line and returns the index behind them. */
   private int readLine(ByteBuf data, int from, int to) {
-    int lineFeed = data.indexOf(from, to, (byte) '\n');
-    int lineEnd = lineFeed < 0 ? to : lineFeed + 1;
-    for (int i = from; i < lineEnd; i++) {
-      line.append((char) (data.getByte(i) & 0xff));
-      if (line.length() > MAX_HEAD_BYTES) {
-        violation = Optional.of("the target sent a line of more than 64 KiB");
-        return lineEnd - from;
+    int at = from;
+    while (at < to && violation.isEmpty()) {
+      char c = charAt(data, at++);
+      if (c == '\n') {
+        onLineEnd();
+        return at;
       }
+      onLineChar(c);
     }
-    if (lineFeed >= 0) {
-      int bytes = line.length();
-      String text = line.toString().stripTrailing();
-      line.setLength(0);
-      onLine(text, bytes);
+    return at;
+  }
+
+  private static char charAt(ByteBuf data, int index) {
+    return (char) data.getUnsignedByte(index);
+  }
+
+  private void onLineChar(char c) {
+    if (carriageReturn) {
+      violate(invalidChar());
+    } else if (c == '\r') {
+      carriageReturn = true;
+    } else {
+      checkChar(c);
+      line.append(c);
     }
-    return lineEnd - from;
   }
 
-  private void onLine(String text, int bytes) {
+  private void checkChar(char c) {
+    if (line.length() >= maxLineBytes()) {
+      violate(
+          state == State.CHUNK_SIZE
+              ? ResponseViolation.CHUNK_OVERHEAD
+              : ResponseViolation.LINE_SIZE);
+      return;
+    }
     switch (state) {
-      case HEAD -> {
-        countHead(bytes);
-        onHeadLine(text);
+      case STATUS_LINE -> {
+        boolean endsStatus = embedded.endsStatus(c);
+        boolean second = line.length() >= EmbeddedResponseSearch.STATUS_CHARS;
+        if (endsStatus && second || !Grammar.isTextChar(c)) {
+          violate(ResponseViolation.STATUS_LINE);
+        }
+      }
+      case FIELD -> {
+        checkFieldChar(c);
+        if (embedded.endsStatus(c)) {
+          violate(ResponseViolation.RESPONSE_WITHIN_HEAD);
+        }
+      }
+      case TRAILER -> checkFieldChar(c);
+      case CHUNK_END -> violate(ResponseViolation.CHUNK);
+      default -> {
+        // The line with the size of a chunk is checked at its end.
       }
+    }
+  }
+
+  private int maxLineBytes() {
+    return state == State.CHUNK_SIZE ? MAX_CHUNK_LINE_BYTES : MAX_HEAD_BYTES;
+  }
+
+  private void checkFieldChar(char c) {
+    if (colon >= 0) {
+      if (!Grammar.isTextChar(c)) {
+        violate(ResponseViolation.FIELD_VALUE);
+      }
+    } else if (line.isEmpty() && (c == ' ' || c == '\t')) {
+      violate(ResponseViolation.FOLDED_LINE);
+    } else if (c == ':' && !line.isEmpty()) {
+      colon = line.length();
+    } else if (!Grammar.isTokenChar(c)) {
+      violate(ResponseViolation.FIELD_NAME);
+    }
+  }
+
+  /** Returns what a character is that does not belong to the current line. */
+  private ResponseViolation invalidChar() {
+    return switch (state) {
+      case STATUS_LINE -> ResponseViolation.STATUS_LINE;
+      case FIELD, TRAILER ->
+          colon < 0 ? ResponseViolation.FIELD_NAME : ResponseViolation.FIELD_VALUE;
+      default -> ResponseViolation.CHUNK;
+    };
+  }
+
+  private void onLineEnd() {
+    int bytes = line.length() + (carriageReturn ? 2 : 1);
+    switch (state) {
       case CHUNK_SIZE -> {
         countOverhead(bytes);
-        onChunkSize(text);
+        onChunkSize();
       }
       case CHUNK_END -> {
         countOverhead(bytes);
+        requireCarriageReturn();
         state = State.CHUNK_SIZE;
       }
       default -> {
         countHead(bytes);
-        state = text.isEmpty() ? State.IDLE : State.TRAILER;
+        onHeadLine();
       }
     }
+    startLine();
+  }
+
+  private void startLine() {
+    line.setLength(0);
+    carriageReturn = false;
+    colon = -1;
+    embedded.reset();
   }
 
   private void countHead(int bytes) {
     headBytes += bytes;
     if (headBytes > MAX_HEAD_BYTES) {
-      violation = Optional.of("the target sent a response head of more than 64 KiB");
+      violate(ResponseViolation.HEAD_SIZE);
     }
   }
 
   private void countOverhead(int bytes) {
     chunkOverheadBytes += bytes;
-    if (bytes > MAX_CHUNK_LINE_BYTES
-        || chunkOverheadBytes > Math.max(MAX_CHUNK_OVERHEAD_BYTES, chunkBytes)) {
-      violation = Optional.of("the target sent a body whose chunks are too small");
+    if (chunkOverheadBytes > Math.max(MAX_CHUNK_OVERHEAD_BYTES, chunkBytes)) {
+      violate(ResponseViolation.CHUNK_OVERHEAD);
     }
   }
 
-  private void onHeadLine(String text) {
-    if (status == 0) {
-      Matcher matcher = STATUS_LINE.matcher(text);
-      if (!matcher.matches() || SECOND_STATUS_LINE.matcher(text).results().count() > 1) {
-        violation = Optional.of("the target sent no status line");
-        return;
-      }
-      status = Integer.parseInt(matcher.group(1));
-    } else if (text.isEmpty()) {
-      onHeadEnd();
-    } else if (SECOND_STATUS_LINE.matcher(text).find()) {
-      violation = Optional.of("the target sent a response within the head of another one");
+  /** Only a line of a head or trailer may end without a carriage return (RFC 9112, section 2.2). */
+  private void requireCarriageReturn() {
+    if (!carriageReturn) {
+      violate(ResponseViolation.CHUNK);
+    }
+  }
+
+  private void onHeadLine() {
+    if (state == State.STATUS_LINE) {
+      onStatusLine();
+    } else if (!line.isEmpty()) {
+      onField();
+    } else if (state == State.TRAILER) {
+      state = State.IDLE;
     } else {
-      onHeader(text);
+      onHeadEnd();
+    }
+  }
+
+  private void onStatusLine() {
+    Matcher matcher = Grammar.STATUS_LINE.matcher(line);
+    if (!matcher.matches()) {
+      violate(ResponseViolation.STATUS_LINE);
+      return;
     }
+    status = Integer.parseInt(matcher.group(1));
+    isHttp10 = line.charAt(MINOR_VERSION_INDEX) == '0';
+    state = State.FIELD;
   }
 
-  private void onHeader(String text) {
-    int colon = text.indexOf(':');
-    String name = text.substring(0, Math.max(0, colon)).toLowerCase(Locale.ROOT);
-    String value = text.substring(colon + 1).trim();
-    if (name.equals("content-length")) {
-      boolean valid = LENGTH.matcher(value).matches();
-      if (!valid || length >= 0 && length != Long.parseLong(value)) {
-        violation = Optional.of("the target sent a response whose length is not clear");
-      } else {
-        length = Long.parseLong(value);
+  private void onField() {
+    if (colon < 0) {
+      violate(ResponseViolation.FIELD_NAME);
+    } else if (state == State.FIELD) {
+      String name = line.substring(0, colon);
+      if (name.equalsIgnoreCase("Content-Length")) {
+        onContentLength(Grammar.trim(line, colon + 1));
+      } else if (name.equalsIgnoreCase("Transfer-Encoding")) {
+        onTransferEncoding(Grammar.trim(line, colon + 1));
       }
-    } else if (name.equals("transfer-encoding")) {
-      chunked = value.toLowerCase(Locale.ROOT).endsWith("chunked");
     }
   }
 
+  private void onContentLength(String value) {
+    boolean valid = Grammar.LENGTH.matcher(value).matches();
+    if (!valid || length >= 0 && length != Long.parseLong(value)) {
+      violate(ResponseViolation.LENGTH);
+    } else {
+      length = Long.parseLong(value);
+    }
+  }
+
+  /** Requests allow no other coding, so that a response has chunks at most once. */
+  private void onTransferEncoding(String value) {
+    if (chunked || !value.equalsIgnoreCase("chunked")) {
+      violate(ResponseViolation.LENGTH);
+    }
+    chunked = true;
+  }
+
   private void onHeadEnd() {
-    if (status == SWITCHING_PROTOCOLS) {
-      state = State.UNTIL_CLOSE;
-    } else if (status < 200) {
+    if (chunked && (isHttp10 || length >= 0)) {
+      violate(ResponseViolation.LENGTH);
+    } else if (status < MIN_FINAL_STATUS) {
       // An interim response, which the actual one follows.
       startHead();
     } else if (bodiless || status == NO_CONTENT || status == NOT_MODIFIED) {
@@ -284,15 +399,18 @@
   }
 
   private void startHead() {
+    state = State.STATUS_LINE;
     status = 0;
+    isHttp10 = false;
     length = -1;
     chunked = false;
   }
 
-  private void onChunkSize(String text) {
-    Matcher matcher = CHUNK_SIZE.matcher(text);
+  private void onChunkSize() {
+    requireCarriageReturn();
+    Matcher matcher = Grammar.CHUNK_LINE.matcher(line);
     if (!matcher.matches()) {
-      violation = Optional.of("the target sent no chunk where one was expected");
+      violate(ResponseViolation.CHUNK);
       return;
     }
     remaining = Long.parseLong(matcher.group(1), 16);
--- a/runtime/src/main/java/org/almondslip/http/ResponseGuard.java
+++ b/runtime/src/main/java/org/almondslip/http/ResponseGuard.java
@@ -16,7 +16,7 @@
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
-import io.vertx.core.http.HttpClientConnection;
+import io.vertx.core.http.HttpConnection;
 import io.vertx.core.http.impl.UnpooledHttpClientConnection;
 import io.vertx.core.net.impl.ConnectionBase;
 import java.io.IOException;
@@ -53,21 +53,29 @@
   /**
    * Adds a guard to a connection on which no request has been sent.
    *
-   * @param connection the connection, opened by a client of Vert.x outside its pool
+   * @param connection the connection, opened by a client of Vert.x
    * @return the guard
    */
-  public static ResponseGuard install(HttpClientConnection connection) {
-    ResponseGuard guard = new ResponseGuard(channelOf(connection));
+  public static ResponseGuard install(HttpConnection connection) {
+    return install(channelOf(connection));
+  }
+
+  /** Adds a guard to a channel whose pipeline has an HTTP codec. */
+  static ResponseGuard install(Channel channel) {
+    ResponseGuard guard = new ResponseGuard(channel);
     // Otherwise the end of the stream and a failed write both appear as a closed channel.
-    guard.channel.config().setOption(ChannelOption.ALLOW_HALF_CLOSURE, true);
-    ChannelPipeline pipeline = guard.channel.pipeline();
+    channel.config().setOption(ChannelOption.ALLOW_HALF_CLOSURE, true);
+    ChannelPipeline pipeline = channel.pipeline();
     pipeline.addFirst(guard.new ByteHandler());
     String codec = pipeline.context(HttpClientCodec.class).name();
     pipeline.addAfter(codec, null, guard.new MessageHandler());
     return guard;
   }
 
-  private static Channel channelOf(HttpClientConnection connection) {
+  private static Channel channelOf(HttpConnection connection) {
+    if (connection instanceof ConnectionBase pooled) {
+      return pooled.channel();
+    }
     try {
       return ((ConnectionBase) ACTUAL_CONNECTION.get(connection)).channel();
     } catch (IllegalAccessException e) {
@@ -75,7 +83,7 @@
     }
   }
 
-  /** Vert.x has no access to the channel of a client connection, unlike that of a server. */
+  /** Vert.x gives no access to the channel of a connection outside its pool. */
   private static Field actualConnectionField() {
     try {
       Field field = UnpooledHttpClientConnection.class.getDeclaredField("actual");
@@ -100,7 +108,7 @@
    *
    * @return the reason, empty if this guard has not closed the connection
    */
-  public Optional<String> violation() {
+  public Optional<ResponseViolation> violation() {
     return framing.violation();
   }
 
@@ -118,14 +126,19 @@
         return;
       }
       int length = framing.read(data);
-      if (framing.violation().isEmpty()) {
+      Optional<ResponseViolation> violation = framing.violation();
+      if (violation.isEmpty()) {
         context.fireChannelRead(data);
         return;
       }
       // The end of a response may be followed by other bytes, which do not make it invalid.
+      boolean complete = framing.isResponseComplete();
       ByteBuf response = data.readRetainedSlice(length);
       data.release();
       context.fireChannelRead(response);
+      if (!complete) {
+        context.fireExceptionCaught(new InvalidResponseException(violation.get()));
+      }
       context.close();
     }
 
@@ -144,11 +157,10 @@
       if (!failed && requestWritten) {
         framing.onEndOfStream();
       }
-      if (framing.isResponseComplete()) {
-        context.fireUserEventTriggered(event);
-      } else {
+      if (!framing.isResponseComplete()) {
         context.fireExceptionCaught(incompleteResponse());
       }
+      // The decoder ends the response when the channel is closed, so that no request follows it.
       context.close();
     }
   }
--- a/runtime/src/test/java/org/almondslip/http/ResponseFramingTest.java
+++ b/runtime/src/test/java/org/almondslip/http/ResponseFramingTest.java
@@ -6,17 +6,21 @@
 import io.netty.buffer.Unpooled;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
+import java.util.Locale;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import net.jqwik.api.constraints.IntRange;
 import net.jqwik.api.constraints.Size;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
 /** Tests {@link ResponseFraming}. */
 class ResponseFramingTest {
 
+  private static final String HEAD = "HTTP/1.1 200 OK\r\n";
+
   private static final String CHUNKED = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
 
   private final ResponseFraming framing = new ResponseFraming();
@@ -73,7 +77,22 @@
         "HTTP/1.1 200 OK\r\nContent-Length: 1\r\nContent-Length: 2\r\n",
         CHUNKED + "x\r\n",
         CHUNKED + "\r\n",
-        CHUNKED + "fffffffff\r\n"
+        CHUNKED + "fffffffff\r\n",
+        CHUNKED + "1 \r\n",
+        CHUNKED + " 1\r\n",
+        CHUNKED + "1\n",
+        CHUNKED + "1;\r\n",
+        CHUNKED + "1;a=\r\n",
+        CHUNKED + "1;a=\"b\r\n",
+        CHUNKED + "1;a=\"\u0000\"\r\n",
+        CHUNKED + "1\r\nx\n",
+        CHUNKED + "1\r\nxy",
+        CHUNKED + "1\r\nx\ry",
+        "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip, chunked\r\n",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nContent-Length: 1\r\n\r\n",
+        "HTTP/1.1 200 OK\r\n\r\r\n",
+        "HTTP/1.1 200 OK\r\r\n"
       })
   void rejectsInvalidBytes(String bytes) {
     framing.onRequest(false);
@@ -81,6 +100,84 @@
     assertThat(framing.violation()).isPresent();
   }
 
+  /** Guards against names that a decoder repairs, and against the loss of unusual ones. */
+  @Test
+  void acceptsTokensAsNamesOnly() {
+    String token = "!#$%&'*+-.^_`|~0123456789ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz";
+    for (char c = 0; c < 256; c++) {
+      boolean valid = token.indexOf(c) >= 0;
+      String what = "byte " + (int) c;
+      if (c != '\n') {
+        assertThat(isValid(HEAD + c + ": v\r\n")).as(what).isEqualTo(valid);
+        assertThat(isValid(HEAD + c + "x: v\r\n")).as(what).isEqualTo(valid);
+      }
+      assertThat(isValid(HEAD + "x" + c + ": v\r\n")).as(what).isEqualTo(valid || c == ':');
+      assertThat(isValid(HEAD + "x" + c + "y: v\r\n")).as(what).isEqualTo(valid || c == ':');
+      assertThat(isValid(CHUNKED + "0\r\nx" + c + "y: v\r\n"))
+          .as(what)
+          .isEqualTo(valid || c == ':');
+    }
+  }
+
+  /** Guards against control characters in values and reasons, and against the loss of others. */
+  @Test
+  void acceptsTextAsValuesOnly() {
+    for (char c = 0; c < 256; c++) {
+      boolean valid = c == '\t' || c >= ' ' && c != 127;
+      String what = "byte " + (int) c;
+      assertThat(isValid(HEAD + "x: a" + c + "b: c\r\n")).as(what).isEqualTo(valid || c == '\n');
+      assertThat(isValid(CHUNKED + "0\r\nx:" + c + "b: c\r\n"))
+          .as(what)
+          .isEqualTo(valid || c == '\n');
+      if (c != '\n') {
+        assertThat(isValid("HTTP/1.1 200 a" + c + "b\r\n")).as(what).isEqualTo(valid);
+        assertThat(isValid(HEAD + "x: a" + c + "\r\n")).as(what).isEqualTo(valid);
+      }
+    }
+  }
+
+  /** Guards against the loss of a sound response for a rare form. */
+  @ParameterizedTest
+  @ValueSource(
+      strings = {
+        HEAD + "x:\r\ny: \t \r\nz:a\r\nContent-Length:\t0 \r\n\r\n",
+        HEAD + "CONTENT-LENGTH: 0\r\n\r\n",
+        "HTTP/1.1 200 OK\r\ntransfer-encoding: CHUNKED\r\n\r\n0\r\n\r\n",
+        CHUNKED + "1;a;b=c ; d = \"e \\\" f\"\r\nx\r\n00\r\nt:\r\n\r\n",
+        CHUNKED + "F\r\n0123456789abcde\r\n0;z\r\n\r\n",
+        "HTTP/1.1 100 \r\n\r\nHTTP/1.1 102 Work\r\nx: y\r\n\r\nHTTP/1.1 204 No\r\n\r\n",
+        "HTTP/1.1 304 Same\r\nTransfer-Encoding: chunked\r\n\r\n"
+      })
+  void acceptsRareForms(String response) {
+    framing.onRequest(false);
+    assertThat(read(framing, response)).isEqualTo(response.length());
+    assertThat(framing.violation()).isEmpty();
+    assertThat(framing.isResponseComplete()).isTrue();
+  }
+
+  /** Guards against a violation that operators cannot tell from others. */
+  @ParameterizedTest
+  @EnumSource(
+      value = ResponseViolation.class,
+      names = {"LINE_SIZE", "HEAD_SIZE", "CHUNK_OVERHEAD", "UNEXPECTED_BYTES"},
+      mode = EnumSource.Mode.EXCLUDE)
+  void namesViolation(ResponseViolation violation) {
+    String bytes =
+        switch (violation) {
+          case STATUS_LINE -> "ok\r\n";
+          case RESPONSE_WITHIN_HEAD -> HEAD + "a: HTTP/1.1 500 Error\r\n";
+          case RESPONSE_WITHIN_BODY -> HEAD + "\r\nbody" + HEAD + "a: b\r\n";
+          case FIELD_NAME -> HEAD + "a b: c\r\n";
+          case FIELD_VALUE -> HEAD + "a: \u0000\r\n";
+          case FOLDED_LINE -> HEAD + "a: b\r\n c\r\n";
+          case LENGTH -> HEAD + "Content-Length: x\r\n";
+          default -> CHUNKED + "1\r\nx2\r\n";
+        };
+    framing.onRequest(false);
+    assertThat(read(framing, bytes)).isZero();
+    assertThat(framing.violation()).contains(violation);
+  }
+
   /** Guards against a head in a body without length that is missed since it comes in pieces. */
   @Test
   void findsHeadInBodyWithoutLength() {
@@ -143,6 +240,14 @@
     assertThat(framing.violation()).isEmpty();
   }
 
+  /** Returns whether bytes may begin a response. */
+  private static boolean isValid(String bytes) {
+    ResponseFraming own = new ResponseFraming();
+    own.onRequest(false);
+    read(own, bytes);
+    return own.violation().isEmpty();
+  }
+
   private static int read(ResponseFraming framing, String text) {
     ByteBuf data = Unpooled.copiedBuffer(text, StandardCharsets.ISO_8859_1);
     return framing.read(data);
