Refuse responses whose status code means nothing

What callers saw: a target sent status 600 or 999, and the caller got it as a response with "Unknown Status"; 101, which no request asks for, reached the caller as well, without its body. Status 000 did not pass here, but only since 0 marked a head without a status line. Cause: any three digits were a status code. Change: a status code is one of 100 to 599 but 101 (RFC 9110, section 15); others are a violation of their own. Result: InvalidResponseTest.statusLineIsChecked failed on for 600, 999 and 101 on new and kept connections and passes now; ResponseFramingTest tries all codes of three digits.

--- a/gateway/src/test/java/org/almondslip/gateway/InvalidResponseTest.java
+++ b/gateway/src/test/java/org/almondslip/gateway/InvalidResponseTest.java
@@ -83,6 +83,41 @@
     harness.close();
   }
 
+  /** Guards against a status code that callers get although it means nothing. */
+  @ParameterizedTest
+  @EnumSource(Connection.class)
+  void statusLineIsChecked(Connection connection) throws IOException {
+    for (String line :
+        List.of(
+            "HTTP/1.1 000 Trouble",
+            "HTTP/1.1 000 ",
+            "HTTP/1.1 000",
+            "HTTP/1.0 000 Trouble",
+            "HTTP/1.1 001 OK",
+            "HTTP/1.1 099 OK",
+            "HTTP/1.1 600 OK",
+            "HTTP/1.1 999 OK",
+            "HTTP/1.1 0200 OK",
+            "HTTP/1.1 2000 OK",
+            "HTTP/1.1 20 OK",
+            "HTTP/1.1 -20 OK",
+            "HTTP/1.1  200 OK",
+            "HTTP/1.1\t200 OK",
+            "HTTP/1.1 200\tOK",
+            "HTTP/1.1 200OK",
+            " HTTP/1.1 200 OK",
+            "\u0000HTTP/1.1 200 OK",
+            "http/1.1 200 OK",
+            "HTTP/2.0 200 OK",
+            "HTTP/1.1 101 Switching Protocols")) {
+      check(connection, line + "\r\n" + FIELDS + LENGTH);
+      check(connection, line + "\r\n" + SOUND);
+    }
+    for (String invalid : INVALID_IN_VALUES) {
+      check(connection, "HTTP/1.1 200 O" + invalid + "K\r\n" + FIELDS + LENGTH);
+    }
+  }
+
   /** Guards against a line of a head that callers get, or that the decoder reads otherwise. */
   @ParameterizedTest
   @EnumSource(Connection.class)
@@ -220,6 +255,9 @@
         check(connection, line + "a: b" + invalid + "c\r\n\r\n" + SOUND);
       }
     }
+    check(connection, "HTTP/1.1 000 Trouble\r\n\r\n" + SOUND);
+    check(connection, "HTTP/1.1 099 Trouble\r\n\r\n" + SOUND);
+    check(connection, "HTTP/1.1 101 Switching Protocols\r\n\r\n" + SOUND);
   }
 
   /**
--- a/runtime/src/main/java/org/almondslip/http/ResponseFraming.java
+++ b/runtime/src/main/java/org/almondslip/http/ResponseFraming.java
@@ -32,6 +32,10 @@
    */
   static final int MAX_CHUNK_OVERHEAD_BYTES = 64 << 10;
 
+  private static final int MIN_STATUS = 100;
+
+  private static final int SWITCHING_PROTOCOLS = 101;
+
   /** Lowest status code of a final response. */
   private static final int MIN_FINAL_STATUS = 200;
 
@@ -39,6 +43,8 @@
 
   private static final int NOT_MODIFIED = 304;
 
+  private static final int MAX_STATUS = 599;
+
   /** Index of the minor version in a status line. */
   private static final int MINOR_VERSION_INDEX = "HTTP/1.".length();
 
@@ -348,6 +354,10 @@
     status = Integer.parseInt(matcher.group(1));
     isHttp10 = line.charAt(MINOR_VERSION_INDEX) == '0';
     state = State.FIELD;
+    // Nobody has asked for another protocol.
+    if (status < MIN_STATUS || status > MAX_STATUS || status == SWITCHING_PROTOCOLS) {
+      violate(ResponseViolation.STATUS_CODE);
+    }
   }
 
   private void onField() {
--- a/runtime/src/main/java/org/almondslip/http/ResponseViolation.java
+++ b/runtime/src/main/java/org/almondslip/http/ResponseViolation.java
@@ -6,6 +6,8 @@
   UNEXPECTED_BYTES("bytes after the end of a response"),
   /** The first line is no status line (RFC 9112, section 4). */
   STATUS_LINE("no status line"),
+  /** The status code means nothing, or a change of protocol that was not asked for. */
+  STATUS_CODE("a status code that is not allowed"),
   /** A second status line stands within a head. */
   RESPONSE_WITHIN_HEAD("a response within the head of another one"),
   /** A second head stands within a body that ends with the connection. */
--- a/runtime/src/test/java/org/almondslip/http/ResponseFramingTest.java
+++ b/runtime/src/test/java/org/almondslip/http/ResponseFramingTest.java
@@ -100,6 +100,17 @@
     assertThat(framing.violation()).isPresent();
   }
 
+  /** Guards against status codes that mean nothing, and against the loss of those that do. */
+  @Test
+  void acceptsStatusCodesOfResponsesOnly() {
+    for (int status = 0; status < 1_000; status++) {
+      boolean valid = status >= 100 && status < 600 && status != 101;
+      String code = String.format(Locale.ROOT, "%03d", status);
+      assertThat(isValid("HTTP/1.1 " + code + " Text\r\n")).as(code).isEqualTo(valid);
+      assertThat(isValid("HTTP/1.0 " + code + "\r\n")).as(code).isEqualTo(valid);
+    }
+  }
+
   /** Guards against names that a decoder repairs, and against the loss of unusual ones. */
   @Test
   void acceptsTokensAsNamesOnly() {
@@ -165,6 +176,7 @@
     String bytes =
         switch (violation) {
           case STATUS_LINE -> "ok\r\n";
+          case STATUS_CODE -> "HTTP/1.1 000 Trouble\r\n";
           case RESPONSE_WITHIN_HEAD -> HEAD + "a: HTTP/1.1 500 Error\r\n";
           case RESPONSE_WITHIN_BODY -> HEAD + "\r\nbody" + HEAD + "a: b\r\n";
           case FIELD_NAME -> HEAD + "a b: c\r\n";
