Guard the responses of the table service, object store and instance list

What operators saw: nothing; found by looking for the same cause elsewhere. A status of 000 counted as success, so that a transaction was taken as applied; names with blanks were repaired; a 404 with such a line meant that nothing was applied; 102 was read as the final response. Cause: the client of the platform's services decodes responses without the guard. Change: its connections have one. The stand-in ScriptedServer responds with raw bytes and keeps, closes or resets the connection. Result: InvalidTableResponseTest failed in 5 of 13 cases on (000, two names with blanks, the 404, 102) and passes now. A body that ends with a reset was lost before as well.

--- a/runtime/src/main/java/org/almondslip/platform/PlatformHttpClient.java
+++ b/runtime/src/main/java/org/almondslip/platform/PlatformHttpClient.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.Consumer;
 import java.util.function.Function;
+import org.almondslip.http.HttpClients;
 
 /** HTTP client of one service of the platform, with a timeout for each call as a whole. */
 final class PlatformHttpClient implements AutoCloseable {
@@ -120,6 +121,6 @@
   private HttpClient newClient() {
     PoolOptions pool =
         new PoolOptions().setHttp1MaxSize(MAX_CONNECTIONS).setMaxWaitQueueSize(MAX_WAITING_CALLS);
-    return vertx.createHttpClient(options, pool);
+    return HttpClients.newPooled(vertx, options, pool);
   }
 }
