Guard the responses of the target beside an agent

What callers saw, in the fleet with agents: a status of 000 or 600, a blank in the name of a field and an interim head with one reached the router as an answer; 102 was taken for the final response. A load report with status 000 made a target healthy. Cause: the agent's client decodes responses without the guard. Change: its connections have one. A response that is not HTTP ends the call as a violation of the protocol, which may have run. A body that ends with a reset was incomplete before as well.

--- a/agent/src/main/java/org/almondslip/agent/TargetClient.java
+++ b/agent/src/main/java/org/almondslip/agent/TargetClient.java
@@ -17,6 +17,7 @@
 import org.almondslip.agent.AgentSettings.TargetSettings;
 import org.almondslip.execution.AgentEffects;
 import org.almondslip.execution.TargetCall;
+import org.almondslip.http.HttpClients;
 
 /**
  * HTTP client for the target of the agent.
@@ -60,7 +61,8 @@
   TargetClient(Vertx vertx, TargetSettings settings, AgentEvent.Sink events) {
     this.context = vertx.getOrCreateContext();
     this.client =
-        vertx.createHttpClient(
+        HttpClients.newPooled(
+            vertx,
             new HttpClientOptions()
                 .setKeepAlive(false)
                 .setConnectTimeout((int) settings.connectMillis()),
--- a/agent/src/test/java/org/almondslip/agent/AgentFixture.java
+++ b/agent/src/test/java/org/almondslip/agent/AgentFixture.java
@@ -101,6 +101,10 @@
   }
 
   Agent startAgent(PlatformAddresses platform) {
+    return startAgent(platform, "127.0.0.1:" + startTarget());
+  }
+
+  Agent startAgent(PlatformAddresses platform, String target) {
     AgentSettings settings =
         new AgentSettings(
             "i1",
@@ -109,7 +113,7 @@
             "127.0.0.1:0",
             "127.0.0.1:0",
             SECRET,
-            new TargetSettings("t1", "127.0.0.1:" + startTarget(), 1_000),
+            new TargetSettings("t1", target, 1_000),
             platform,
             SchedulingSettings.DEFAULT,
             AgentLimits.DEFAULT,
