Believe a health check only when its response is whole

What operators saw: nothing; found by looking for the same cause elsewhere. A head whose body was broken off, reset, or not in chunks although it said so made a cold target warm. Cause: the check read the head and closed the connection. Bytes that are no response are the outcome invalid_response, with the violation in the log, and say nothing about the target.

--- a/gateway/src/main/java/org/almondslip/gateway/ColdTargetProbe.java
+++ b/gateway/src/main/java/org/almondslip/gateway/ColdTargetProbe.java
@@ -1,6 +1,7 @@
 package org.almondslip.gateway;
 
 import com.google.common.flogger.FluentLogger;
+import io.vertx.core.Future;
 import io.vertx.core.Vertx;
 import io.vertx.core.http.HttpClientRequest;
 import io.vertx.core.http.HttpClientResponse;
@@ -12,6 +13,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
 import org.almondslip.dispatch.Dispatcher;
+import org.almondslip.http.InvalidResponseException;
 import org.almondslip.placement.TargetLoad;
 import org.almondslip.time.Clock;
 
@@ -95,6 +97,7 @@
                 lease
                     .request(options)
                     .compose(HttpClientRequest::send)
+                    .compose(ColdTargetProbe::awaitEnd)
                     .timeout(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS)
                     .onComplete(ignored -> lease.discard()))
         .timeout(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS)
@@ -103,6 +106,13 @@
         .onSuccess(outcome -> record(target, outcome));
   }
 
+  /** Returns the response once it is complete. A head whose body is broken off says nothing. */
+  private static Future<HttpClientResponse> awaitEnd(HttpClientResponse response) {
+    Future<Void> end = response.end();
+    response.resume();
+    return end.map(response);
+  }
+
   /** Applies a response. */
   private ProbeOutcome read(TargetLoad target, HttpClientResponse response, long sentAt) {
     // Without an id, the response may be that of another process at an address that is used again.
@@ -125,6 +135,11 @@
     if (failure instanceof TimeoutException) {
       return ProbeOutcome.TIMEOUT;
     }
+    if (failure instanceof InvalidResponseException) {
+      logger.atWarning().log(
+          "health check of target %s: %s", target.record().id(), failure.getMessage());
+      return ProbeOutcome.INVALID_RESPONSE;
+    }
     // A target that refuses connections is down, and cold from its next start on.
     target.pace().onConnectionFailure(clock.millis());
     return ProbeOutcome.NOT_CONNECTED;
--- a/gateway/src/main/java/org/almondslip/gateway/ProbeOutcome.java
+++ b/gateway/src/main/java/org/almondslip/gateway/ProbeOutcome.java
@@ -12,6 +12,8 @@
   OTHER_INSTANCE("other_instance"),
   /** The connection was refused or lost. */
   NOT_CONNECTED("not_connected"),
+  /** The bytes of the target were no response. */
+  INVALID_RESPONSE("invalid_response"),
   /** There was no response in time. */
   TIMEOUT("timeout");
 
--- a/gateway/src/test/java/org/almondslip/gateway/ColdTargetProbeTest.java
+++ b/gateway/src/test/java/org/almondslip/gateway/ColdTargetProbeTest.java
@@ -22,6 +22,8 @@
 import org.almondslip.time.Clock;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Tests {@link ColdTargetProbe} with targets on loopback connections. */
 class ColdTargetProbeTest {
@@ -123,6 +125,66 @@
     GatewayHarness.await(() -> scripted.closedConnections() > 0);
   }
 
+  /** Guards against a statement of a target whose response is not HTTP. */
+  @ParameterizedTest
+  @ValueSource(
+      strings = {
+        "HTTP/1.1 000 Trouble\r\ntarget: t\r\ncold: 0\r\nContent-Length: 0\r\n\r\n",
+        "HTTP/1.1 200 OK\r\ntarget: t\r\ncold : 0\r\nContent-Length: 0\r\n\r\n",
+        "HTTP/1.1 200 OK\r\ntarget: t\r\ncold x: 0\r\nContent-Length: 0\r\n\r\n",
+        "HTTP/1.1 200 OK\r\ntarget: t\r\ncold: 0\r\na\u0001: b\r\nContent-Length: 0\r\n\r\n",
+        "HTTP/1.1 102 Wait\r\ntarget: t\r\ncold: 0\r\n\r\nHTTP/1.1 000 No\r\n\r\n",
+        "HTTP/1.1 200 OK\r\ntarget: t\r\ncold: 0\r\nTransfer-Encoding: chunked\r\n\r\nx\r\n"
+      })
+  void invalidResponseSaysNothing(String response) throws IOException {
+    TargetLoad target =
+        add("a", harness.target((number, socket) -> ScriptedTarget.write(socket, response)));
+    GatewayHarness.await(() -> probe.outcomes().containsKey(ProbeOutcome.INVALID_RESPONSE));
+    assertThat(target.pace().isCold(clock.millis())).isTrue();
+    assertThat(probe.outcomes()).doesNotContainKey(ProbeOutcome.WARM);
+  }
+
+  /** Guards against a statement of a target that breaks off its response. */
+  @ParameterizedTest
+  @ValueSource(
+      strings = {
+        "\r\n",
+        "\r\npart",
+        "Content-Length: 5\r\n\r\npart",
+        "Transfer-Encoding: chunked\r\n\r\n"
+      })
+  void brokenResponseSaysNothing(String rest) throws IOException {
+    String head = "HTTP/1.1 200 OK\r\ntarget: t\r\ncold: 0\r\n";
+    TargetLoad target =
+        add(
+            "a",
+            harness.target(
+                (number, socket) -> {
+                  ScriptedTarget.write(socket, head + rest);
+                  GatewayHarness.sleep(WAIT_MILLIS);
+                  socket.setSoLinger(true, 0);
+                  socket.close();
+                }));
+    GatewayHarness.await(() -> probe.outcomes().containsKey(ProbeOutcome.NOT_CONNECTED));
+    assertThat(target.pace().isCold(clock.millis())).isTrue();
+    assertThat(probe.outcomes()).doesNotContainKey(ProbeOutcome.WARM);
+  }
+
+  /** Guards against a sound statement that is lost since its body ends with the connection. */
+  @Test
+  void closeDelimitedResponseIsStatement() throws IOException {
+    String response = "HTTP/1.1 102 Wait\r\n\r\nHTTP/1.1 200 OK\r\ntarget: t\r\ncold: 0\r\n\r\nok";
+    TargetLoad target =
+        add(
+            "a",
+            harness.target(
+                (number, socket) -> {
+                  ScriptedTarget.write(socket, response);
+                  socket.close();
+                }));
+    GatewayHarness.await(() -> !target.pace().isCold(clock.millis()));
+  }
+
   private TargetLoad start(String router, String headers) throws IOException {
     return add(router, harness.target(respond(headers)));
   }
