Refuse status codes that mean nothing in the command line

What operators saw: nothing; found by looking for the same cause elsewhere. A response with status 600 counted as a problem document of the router, one with 099 or 000 would have counted as success if the JDK's client had let it pass. Cause: any status was taken as a response. Change: a status below 200 or above 599 leaves the outcome of a ticket unknown.

--- a/cli/src/main/java/org/almondslip/cli/AdminClient.java
+++ b/cli/src/main/java/org/almondslip/cli/AdminClient.java
@@ -22,6 +22,12 @@
   /** Timeout of a request; the router itself abandons a ticket after about 5 s. */
   private static final Duration REQUEST_TIMEOUT = Duration.ofSeconds(30);
 
+  /** Lowest status code of a final response. */
+  private static final int MIN_STATUS = 200;
+
+  /** Highest status code (RFC 9110, section 15). */
+  private static final int MAX_STATUS = 599;
+
   /** Lowest status code of an error. */
   private static final int STATUS_ERROR = 400;
 
@@ -73,6 +79,9 @@
               .method(request.method(), BodyPublishers.ofString(request.body()))
               .build();
       HttpResponse<String> response = client.send(httpRequest, BodyHandlers.ofString());
+      if (response.statusCode() < MIN_STATUS || response.statusCode() > MAX_STATUS) {
+        throw responseLost(request);
+      }
       return new Response(response.statusCode() >= STATUS_ERROR, MAPPER.readTree(response.body()));
     } catch (IllegalArgumentException e) {
       throw new CliException(ExitCode.USAGE, "not a valid address or key: " + address);
