Refuse a status from an agent that no final response has

What callers saw, in the fleet with agents: an agent that passes on a status of 000, an interim one or one above 599, as agents before do, made the router send it. Cause: the router took the status of an agent as it came. Change: AnswerRelay treats a status outside 200 to 599 as a violation of the inner protocol: the attempt is cancelled at the agent, and whether it ran is unknown. Result: RouterLogicTest.statusOfAnswerMustBeFinal failed before and passes now.

--- a/core/src/main/java/org/almondslip/routing/AnswerRelay.java
+++ b/core/src/main/java/org/almondslip/routing/AnswerRelay.java
@@ -23,6 +23,10 @@
   /** Media type of server-sent events. */
   private static final String EVENT_STREAM = "text/event-stream";
 
+  private static final int MIN_STATUS = 200;
+
+  private static final int MAX_STATUS = 599;
+
   private final RouterState state;
 
   private final RequestFinisher finisher;
@@ -121,13 +125,20 @@
       onEnd(attempt, answer, now);
     } else if (attempt.abandoned()) {
       attempt.window().accept(attempt.pending().forwardedBytes());
-    } else if (answer.hasHead() == (answer.getSequence() == 0)) {
-      forward(attempt, answer, now);
-    } else {
+    } else if (answer.hasHead() != (answer.getSequence() == 0)) {
       failProtocolViolation(attempt, "the head must be the first part of an answer", now);
+    } else if (answer.hasHead() && !isFinalStatus(answer.getHead().getStatus())) {
+      failProtocolViolation(attempt, "the status of an answer must be 200 to 599", now);
+    } else {
+      forward(attempt, answer, now);
     }
   }
 
+  /** Returns whether a status is one of a final response (RFC 9110, section 15). */
+  private static boolean isFinalStatus(int status) {
+    return status >= MIN_STATUS && status <= MAX_STATUS;
+  }
+
   /**
    * Forwards a head or data to the caller.
    *
--- a/core/src/test/java/org/almondslip/routing/RouterLogicTest.java
+++ b/core/src/test/java/org/almondslip/routing/RouterLogicTest.java
@@ -83,6 +83,23 @@
         .containsEntry("early_answer", 1L);
   }
 
+  /** Guards against a status that means nothing, which an agent passes on. */
+  @Test
+  void statusOfAnswerMustBeFinal() {
+    long caller = 0;
+    for (int status : new int[] {0, 99, 101, 199, 600, 999}) {
+      RecordingPeer agent = fixture.connect("s1", "north", 5);
+      fixture.order(++caller);
+      RequestId id = fixture.grant(agent, "orders", false).get(0).getRequestId();
+      fixture.head(agent, id, status);
+      assertThat(fixture.effects.of(caller).status).as("status %d", status).isZero();
+      assertThat(fixture.effects.of(caller).ends).hasSize(1);
+      assertThat(fixture.effects.of(caller).ends).doesNotContain(Outcome.COMPLETE);
+      assertThat(agent.of(Frame.BodyCase.CANCEL)).hasSize(1);
+      fixture.router.onPeerClosed(agent, true);
+    }
+  }
+
   /** Guards against a lost answer when only the connection is lost. */
   @Test
   void reattachesAfterLostConnection() {
--- a/core/src/test/java/org/almondslip/routing/RoutingFixture.java
+++ b/core/src/test/java/org/almondslip/routing/RoutingFixture.java
@@ -163,6 +163,19 @@
     send(peer, Answer.newBuilder().setRequestId(id).setHead(head));
   }
 
+  /**
+   * Sends the head of an answer without headers.
+   *
+   * @param peer the connection
+   * @param id the request
+   * @param status the status
+   */
+  void head(RecordingPeer peer, RequestId id, int status) {
+    send(
+        peer,
+        Answer.newBuilder().setRequestId(id).setHead(AnswerHead.newBuilder().setStatus(status)));
+  }
+
   /**
    * Sends data of an answer.
    *
