--- a/runtime/src/main/java/org/almondslip/http/EmbeddedResponseSearch.java
+++ b/runtime/src/main/java/org/almondslip/http/EmbeddedResponseSearch.java
@@ -49,12 +49,16 @@
    * @return whether it is the last one of a version with a status code
    */
   boolean endsStatus(char c) {
+    if (matched == 0) {
+      matched = c == 'H' ? 1 : 0;
+      return false;
+    }
     matched = matchesNext(c) ? matched + 1 : c == 'H' ? 1 : 0;
-    if (matched == STATUS_CHARS) {
-      matched = 0;
-      return true;
+    if (matched < STATUS_CHARS) {
+      return false;
     }
-    return false;
+    matched = 0;
+    return true;
   }
 
   private boolean matchesNext(char c) {
@@ -75,26 +79,31 @@
    * @return whether it ends the name of the first field behind a status line
    */
   boolean endsHeadStart(char c) {
-    final boolean status = endsStatus(c);
-    final boolean found = part == Part.NAME && c == ':' && count > 0;
-    count++;
-    part =
-        switch (part) {
-          case NONE -> Part.NONE;
-          case REASON -> afterReason(c);
-          case LINE_END -> c == '\n' ? Part.NAME : Part.NONE;
-          case NAME -> isNameChar(c) ? Part.NAME : Part.NONE;
-        };
-    if (c == '\n') {
-      count = 0;
+    boolean found = false;
+    if (part != Part.NONE) {
+      found = part == Part.NAME && c == ':' && count > 0;
+      count++;
+      part = afterPart(c);
+      if (c == '\n') {
+        count = 0;
+      }
     }
-    if (status) {
+    if (endsStatus(c)) {
       part = Part.REASON;
       count = 0;
     }
     return found;
   }
 
+  private Part afterPart(char c) {
+    return switch (part) {
+      case NONE -> Part.NONE;
+      case REASON -> afterReason(c);
+      case LINE_END -> c == '\n' ? Part.NAME : Part.NONE;
+      case NAME -> isNameChar(c) ? Part.NAME : Part.NONE;
+    };
+  }
+
   private Part afterReason(char c) {
     if (c == '\n') {
       return Part.NAME;
--- a/runtime/src/main/java/org/almondslip/http/ResponseFraming.java
+++ b/runtime/src/main/java/org/almondslip/http/ResponseFraming.java
@@ -183,19 +183,26 @@
     int at = from;
     while (at < to) {
       if (embedded.isIdle()) {
-        int next = data.indexOf(at, to, (byte) 'H');
-        if (next < 0) {
-          return to;
-        }
-        at = next;
+        at = indexOfStart(data, at, to);
       }
-      if (embedded.endsHeadStart(charAt(data, at))) {
+      if (at < to && embedded.endsHeadStart(charAt(data, at))) {
         violate(ResponseViolation.RESPONSE_WITHIN_BODY);
         return to;
       }
       at++;
     }
-    return at;
+    return to;
+  }
+
+  /**
+   * Returns the index of the next "HT", which may be cut off at the end, or the end without one.
+   */
+  private static int indexOfStart(ByteBuf data, int from, int to) {
+    int at = data.indexOf(from, to, (byte) 'H');
+    while (at >= 0 && at + 1 < to && data.getByte(at + 1) != 'T') {
+      at = data.indexOf(at + 1, to, (byte) 'H');
+    }
+    return at < 0 ? to : at;
   }
 
   /** Reads bytes up to the end of the current line and returns the index behind them. */
