Count no response with a violation as complete

Cause: a violation in the last line of a response, such as trailers that grow too large with it, left the framing in the state behind a complete response. The decoder did not get the bytes, so that no caller saw it; found by reading. Change: a response is complete only without a violation but bytes behind it. Result: ResponseFramingTest passes; its new checks look at the state after each violation.

--- a/runtime/src/main/java/org/almondslip/http/ResponseFraming.java
+++ b/runtime/src/main/java/org/almondslip/http/ResponseFraming.java
@@ -122,9 +122,11 @@
     return violation;
   }
 
-  /** Returns whether no response is expected, or the whole one has been read. */
+  /** Returns whether no response is expected, or the whole one has been read and is valid. */
   boolean isResponseComplete() {
-    return state == State.IDLE;
+    return state == State.IDLE
+        && violation.orElse(ResponseViolation.UNEXPECTED_BYTES)
+            == ResponseViolation.UNEXPECTED_BYTES;
   }
 
   /** Ends a body that ends with the connection, after the stream has ended in good order. */
--- a/runtime/src/test/java/org/almondslip/http/ResponseFramingTest.java
+++ b/runtime/src/test/java/org/almondslip/http/ResponseFramingTest.java
@@ -98,6 +98,7 @@
     framing.onRequest(false);
     assertThat(read(framing, bytes)).isZero();
     assertThat(framing.violation()).isPresent();
+    assertThat(framing.isResponseComplete()).isFalse();
   }
 
   /** Guards against status codes that mean nothing, and against the loss of those that do. */
@@ -190,6 +191,15 @@
     assertThat(framing.violation()).contains(violation);
   }
 
+  /** Guards against a response that counts as complete although its last part is too large. */
+  @Test
+  void tooLargeTrailersEndNoResponse() {
+    String fields = "a: b\r\n".repeat(ResponseFraming.MAX_HEAD_BYTES / 6 + 1);
+    framing.onRequest(false);
+    assertThat(read(framing, CHUNKED + "0\r\n" + fields + "\r\n")).isZero();
+    assertThat(framing.isResponseComplete()).isFalse();
+  }
+
   /** Guards against a head in a body without length that is missed since it comes in pieces. */
   @Test
   void findsHeadInBodyWithoutLength() {
