Split the line of a response from its framing

Change: ResponseLine checks the bytes of a line as the buffer hands them out, with an enum of the kinds of lines; ResponseFraming follows the message. Result: the tests of org.almondslip.http and those of the gateway with scripted targets pass.

--- a/runtime/src/main/java/org/almondslip/http/EmbeddedResponseSearch.java
+++ b/runtime/src/main/java/org/almondslip/http/EmbeddedResponseSearch.java
@@ -11,7 +11,7 @@
   /** Length of the prefix, the minor version, a space and a status code. */
   static final int STATUS_CHARS = PREFIX.length() + 5;
 
-  private static final int MAX_REASON_CHARS = 101;
+  private static final int MAX_REASON_CHARS = 100;
 
   private static final int MAX_NAME_CHARS = 100;
 
@@ -26,8 +26,11 @@
 
   private enum Part {
     NONE,
+    /** Text behind a status code. */
     REASON,
+    /** Line feed behind a carriage return. */
     LINE_END,
+    /** Name of the first field. */
     NAME
   }
 
@@ -111,7 +114,7 @@
     if (c == '\r') {
       return Part.LINE_END;
     }
-    return count < MAX_REASON_CHARS ? Part.REASON : Part.NONE;
+    return count <= MAX_REASON_CHARS ? Part.REASON : Part.NONE;
   }
 
   private boolean isNameChar(char c) {
--- a/runtime/src/main/java/org/almondslip/http/Grammar.java
+++ b/runtime/src/main/java/org/almondslip/http/Grammar.java
@@ -59,7 +59,7 @@
   }
 
   /** Returns the text from an index on, without spaces and tabs around it. */
-  static String trim(CharSequence text, int from) {
+  static String trim(String text, int from) {
     int start = from;
     int end = text.length();
     while (start < end && isBlank(text.charAt(start))) {
@@ -68,7 +68,7 @@
     while (end > start && isBlank(text.charAt(end - 1))) {
       end--;
     }
-    return text.subSequence(start, end).toString();
+    return text.substring(start, end);
   }
 
   private static boolean isBlank(char c) {
--- a/runtime/src/main/java/org/almondslip/http/ResponseFraming.java
+++ b/runtime/src/main/java/org/almondslip/http/ResponseFraming.java
@@ -23,9 +23,6 @@
    */
   static final int MAX_HEAD_BYTES = 64 << 10;
 
-  /** Maximum size of a line that gives the size of a chunk, in bytes. */
-  static final int MAX_CHUNK_LINE_BYTES = 1 << 10;
-
   /**
    * Size of the lines around chunks from which on they must not be larger than the chunks, in
    * bytes. Very small chunks without end would take the processor from other requests.
@@ -50,16 +47,9 @@
 
   private State state = State.IDLE;
 
-  /** Current line without its end. */
-  private final StringBuilder line = new StringBuilder();
-
-  /** Whether the last byte of the current line is a carriage return. */
-  private boolean carriageReturn;
-
-  /** Index of the colon behind the name of the current field, negative before it. */
-  private int colon = -1;
+  private final ResponseLine line = new ResponseLine();
 
-  /** Status lines within other lines and bodies. */
+  /** Responses within a body that ends with the connection. */
   private final EmbeddedResponseSearch embedded = new EmbeddedResponseSearch();
 
   /** Size of the head, interim responses and trailers so far, in bytes. */
@@ -113,7 +103,6 @@
     headBytes = 0;
     chunkBytes = 0;
     chunkOverheadBytes = 0;
-    startLine();
     startHead();
   }
 
@@ -171,8 +160,10 @@
   private int skip(int available) {
     int skipped = (int) Math.min(available, remaining);
     remaining -= skipped;
-    if (remaining == 0) {
-      state = state == State.BODY ? State.IDLE : State.CHUNK_END;
+    if (remaining == 0 && state == State.BODY) {
+      state = State.IDLE;
+    } else if (remaining == 0) {
+      startLine(State.CHUNK_END, ResponseLine.Kind.CHUNK_END);
     }
     return skipped;
   }
@@ -209,116 +200,44 @@
 
   /** Reads bytes up to the end of the current line and returns the index behind them. */
   private int readLine(ByteBuf data, int from, int to) {
-    int at = from;
-    while (at < to && violation.isEmpty()) {
-      char c = charAt(data, at++);
-      if (c == '\n') {
-        onLineEnd();
-        return at;
-      }
-      onLineChar(c);
+    int stop = data.forEachByte(from, to - from, line);
+    if (stop < 0) {
+      return to;
     }
-    return at;
-  }
-
-  private static char charAt(ByteBuf data, int index) {
-    return (char) data.getUnsignedByte(index);
-  }
-
-  private void onLineChar(char c) {
-    if (carriageReturn) {
-      violate(invalidChar());
-    } else if (c == '\r') {
-      carriageReturn = true;
+    byte last = data.getByte(stop);
+    if (last == '\n') {
+      onLineEnd();
     } else {
-      checkChar(c);
-      line.append(c);
-    }
-  }
-
-  private void checkChar(char c) {
-    if (line.length() >= maxLineBytes()) {
-      violate(
-          state == State.CHUNK_SIZE
-              ? ResponseViolation.CHUNK_OVERHEAD
-              : ResponseViolation.LINE_SIZE);
-      return;
-    }
-    switch (state) {
-      case STATUS_LINE -> {
-        boolean endsStatus = embedded.endsStatus(c);
-        boolean second = line.length() >= EmbeddedResponseSearch.STATUS_CHARS;
-        if (endsStatus && second || !Grammar.isTextChar(c)) {
-          violate(ResponseViolation.STATUS_LINE);
-        }
-      }
-      case FIELD -> {
-        checkFieldChar(c);
-        if (embedded.endsStatus(c)) {
-          violate(ResponseViolation.RESPONSE_WITHIN_HEAD);
-        }
-      }
-      case TRAILER -> checkFieldChar(c);
-      case CHUNK_END -> violate(ResponseViolation.CHUNK);
-      default -> {
-        // The line with the size of a chunk is checked at its end.
-      }
-    }
-  }
-
-  private int maxLineBytes() {
-    return state == State.CHUNK_SIZE ? MAX_CHUNK_LINE_BYTES : MAX_HEAD_BYTES;
-  }
-
-  private void checkFieldChar(char c) {
-    if (colon >= 0) {
-      if (!Grammar.isTextChar(c)) {
-        violate(ResponseViolation.FIELD_VALUE);
-      }
-    } else if (line.isEmpty() && (c == ' ' || c == '\t')) {
-      violate(ResponseViolation.FOLDED_LINE);
-    } else if (c == ':' && !line.isEmpty()) {
-      colon = line.length();
-    } else if (!Grammar.isTokenChar(c)) {
-      violate(ResponseViolation.FIELD_NAME);
+      violate(line.violationBy(last));
     }
+    return stop + 1;
   }
 
-  /** Returns what a character is that does not belong to the current line. */
-  private ResponseViolation invalidChar() {
-    return switch (state) {
-      case STATUS_LINE -> ResponseViolation.STATUS_LINE;
-      case FIELD, TRAILER ->
-          colon < 0 ? ResponseViolation.FIELD_NAME : ResponseViolation.FIELD_VALUE;
-      default -> ResponseViolation.CHUNK;
-    };
+  private static char charAt(ByteBuf data, int index) {
+    return (char) data.getUnsignedByte(index);
   }
 
   private void onLineEnd() {
-    int bytes = line.length() + (carriageReturn ? 2 : 1);
     switch (state) {
       case CHUNK_SIZE -> {
-        countOverhead(bytes);
+        countOverhead(line.size());
         onChunkSize();
       }
       case CHUNK_END -> {
-        countOverhead(bytes);
+        countOverhead(line.size());
         requireCarriageReturn();
-        state = State.CHUNK_SIZE;
+        startLine(State.CHUNK_SIZE, ResponseLine.Kind.CHUNK_SIZE);
       }
       default -> {
-        countHead(bytes);
+        countHead(line.size());
         onHeadLine();
       }
     }
-    startLine();
   }
 
-  private void startLine() {
-    line.setLength(0);
-    carriageReturn = false;
-    colon = -1;
-    embedded.reset();
+  private void startLine(State next, ResponseLine.Kind kind) {
+    state = next;
+    line.start(kind);
   }
 
   private void countHead(int bytes) {
@@ -337,7 +256,7 @@
 
   /** Only a line of a head or trailer may end without a carriage return (RFC 9112, section 2.2). */
   private void requireCarriageReturn() {
-    if (!carriageReturn) {
+    if (!line.hasCarriageReturn()) {
       violate(ResponseViolation.CHUNK);
     }
   }
@@ -355,14 +274,14 @@
   }
 
   private void onStatusLine() {
-    Matcher matcher = Grammar.STATUS_LINE.matcher(line);
+    Matcher matcher = Grammar.STATUS_LINE.matcher(line.text());
     if (!matcher.matches()) {
       violate(ResponseViolation.STATUS_LINE);
       return;
     }
     status = Integer.parseInt(matcher.group(1));
-    isHttp10 = line.charAt(MINOR_VERSION_INDEX) == '0';
-    state = State.FIELD;
+    isHttp10 = line.text().charAt(MINOR_VERSION_INDEX) == '0';
+    startLine(State.FIELD, ResponseLine.Kind.FIELD);
     // Nobody has asked for another protocol.
     if (status < MIN_STATUS || status > MAX_STATUS || status == SWITCHING_PROTOCOLS) {
       violate(ResponseViolation.STATUS_CODE);
@@ -370,15 +289,19 @@
   }
 
   private void onField() {
-    if (colon < 0) {
+    if (!line.isField()) {
       violate(ResponseViolation.FIELD_NAME);
-    } else if (state == State.FIELD) {
-      String name = line.substring(0, colon);
-      if (name.equalsIgnoreCase("Content-Length")) {
-        onContentLength(Grammar.trim(line, colon + 1));
-      } else if (name.equalsIgnoreCase("Transfer-Encoding")) {
-        onTransferEncoding(Grammar.trim(line, colon + 1));
+      return;
+    }
+    if (state == State.FIELD) {
+      if (line.hasName("Content-Length")) {
+        onContentLength(line.value());
+      } else if (line.hasName("Transfer-Encoding")) {
+        onTransferEncoding(line.value());
       }
+      startLine(State.FIELD, ResponseLine.Kind.FIELD);
+    } else {
+      startLine(State.TRAILER, ResponseLine.Kind.TRAILER);
     }
   }
 
@@ -408,17 +331,18 @@
     } else if (bodiless || status == NO_CONTENT || status == NOT_MODIFIED) {
       state = State.IDLE;
     } else if (chunked) {
-      state = State.CHUNK_SIZE;
+      startLine(State.CHUNK_SIZE, ResponseLine.Kind.CHUNK_SIZE);
     } else if (length >= 0) {
       remaining = length;
       state = length == 0 ? State.IDLE : State.BODY;
     } else {
       state = State.UNTIL_CLOSE;
+      embedded.reset();
     }
   }
 
   private void startHead() {
-    state = State.STATUS_LINE;
+    startLine(State.STATUS_LINE, ResponseLine.Kind.STATUS);
     status = 0;
     isHttp10 = false;
     length = -1;
@@ -427,13 +351,17 @@
 
   private void onChunkSize() {
     requireCarriageReturn();
-    Matcher matcher = Grammar.CHUNK_LINE.matcher(line);
+    Matcher matcher = Grammar.CHUNK_LINE.matcher(line.text());
     if (!matcher.matches()) {
       violate(ResponseViolation.CHUNK);
       return;
     }
     remaining = Long.parseLong(matcher.group(1), 16);
     chunkBytes += remaining;
-    state = remaining == 0 ? State.TRAILER : State.CHUNK_DATA;
+    if (remaining == 0) {
+      startLine(State.TRAILER, ResponseLine.Kind.TRAILER);
+    } else {
+      state = State.CHUNK_DATA;
+    }
   }
 }
